--- /dev/null
+++ b/caller/access/src/access.ts
@@ -0,0 +1,7 @@
+import type {Pool, RequestClass} from '@valvesaddle/types';
+
+/** What a request may use. */
+export type Access = {
+	readonly pool: Pool;
+	readonly requestClass: RequestClass;
+};
--- /dev/null
+++ b/caller/api/src/header-names.ts
@@ -0,0 +1,8 @@
+/** Headers of the project. */
+export const headerNames = {
+	requestId: 'x-valvesaddle-request-id',
+	className: 'x-valvesaddle-class',
+	session: 'x-valvesaddle-session',
+	idempotencyKey: 'idempotency-key',
+	lastEventId: 'last-event-id',
+} as const;
--- /dev/null
+++ b/caller/api/src/read-body.ts
@@ -0,0 +1,34 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {ValvesaddleError} from '@valvesaddle/error';
+
+/**
+ * Reads the body of a request.
+ *
+ * @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` past `limitBytes`, `ERR_VALVESADDLE_MALFORMED_BODY` when it breaks off.
+ * @example
+ * const text = await readBody(request, 1_000_000);
+ */
+export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string> {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	try {
+		for await (const chunk of request) {
+			const bytes = chunk as Buffer;
+			size += bytes.length;
+			if (size > limitBytes) {
+				break;
+			}
+
+			chunks.push(bytes);
+		}
+	} catch (error) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_MALFORMED_BODY', 'the body broke off', {cause: error});
+	}
+
+	if (size > limitBytes) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `the body is larger than ${limitBytes} bytes`);
+	}
+
+	return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/caller/api/src/send-error.ts
@@ -0,0 +1,30 @@
+import type {ServerResponse} from 'node:http';
+import {errorTable} from '@valvesaddle/error';
+import type {ErrorEnd} from './error-end.ts';
+import {headerNames} from './header-names.ts';
+import {toErrorBody} from './to-error-body.ts';
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Sends an error reply, with `Retry-After` where another try makes sense.
+ *
+ * @example
+ * sendError(response, end, requestId);
+ */
+export function sendError(response: ServerResponse, end: ErrorEnd, requestId: string): void {
+	if (response.headersSent || response.destroyed) {
+		response.end();
+		return;
+	}
+
+	const {status, retryable} = errorTable[end.code];
+	response.statusCode = status;
+	response.setHeader('content-type', 'application/json');
+	response.setHeader(headerNames.requestId, requestId);
+	if (retryable || end.retryAfterMs !== undefined) {
+		response.setHeader('retry-after', String(Math.max(1, Math.ceil((end.retryAfterMs ?? millisecondsPerSecond) / millisecondsPerSecond))));
+	}
+
+	response.end(JSON.stringify(toErrorBody(end, requestId)));
+}
--- /dev/null
+++ b/caller/api/src/write-stream-reply.ts
@@ -0,0 +1,86 @@
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import type {AnswerEnd} from '@valvesaddle/answers';
+import {headerNames} from './header-names.ts';
+import type {ReplyContext} from './reply-context.ts';
+import {sendError} from './send-error.ts';
+import {toErrorBody} from './to-error-body.ts';
+
+const endMark = '[DONE]';
+
+/**
+ * Writes an answer as server-sent events in the chat completions form. Each event's id holds the request id and how
+ * many parts came, so that the caller can go on from there through any node. Headers go out with the first part, so
+ * that a refusal still gets its own status.
+ *
+ * @returns The end that could not be written here because another attempt holds the claim, if that is the case.
+ * @example
+ * await writeStreamReply(context);
+ */
+export async function writeStreamReply(context: ReplyContext): Promise<AnswerEnd | undefined> {
+	const {response, source} = context;
+	let {offset} = context;
+	while (!context.isGone()) {
+		// eslint-disable-next-line no-await-in-loop -- parts come one after the other
+		const {parts, end} = await source.read(offset);
+		if (end?.kind === 'held') {
+			return end;
+		}
+
+		if (end?.kind === 'error' && !response.headersSent && parts.length === 0) {
+			sendError(response, end, source.requestId);
+			return undefined;
+		}
+
+		beginStream(response, source.requestId);
+		for (const part of parts) {
+			offset++;
+			// eslint-disable-next-line no-await-in-loop -- waits for a slow caller
+			await write(response, formatEvent(context, offset, part));
+		}
+
+		if (end !== undefined) {
+			endStream(context, offset, end);
+			return undefined;
+		}
+	}
+
+	return undefined;
+}
+
+function beginStream(response: ServerResponse, requestId: string): void {
+	if (!response.headersSent) {
+		response.writeHead(200, {
+			'content-type': 'text/event-stream', 'cache-control': 'no-cache', [headerNames.requestId]: requestId,
+		});
+	}
+}
+
+async function write(response: ServerResponse, text: string): Promise<void> {
+	if (!response.write(text) && !response.destroyed) {
+		await Promise.race([once(response, 'drain'), once(response, 'close')]);
+	}
+}
+
+function formatEvent({source, model}: ReplyContext, offset: number, delta: string): string {
+	const {requestId} = source;
+	return `id: ${requestId}:${offset}\ndata: {"id":"${requestId}","object":"chat.completion.chunk","model":${JSON.stringify(model)},"choices":[{"index":0,"delta":${delta}}]}\n\n`;
+}
+
+function endStream(context: ReplyContext, offset: number, end: AnswerEnd): void {
+	const {response, source, model} = context;
+	if (end.kind === 'error') {
+		response.end(`event: error\ndata: ${JSON.stringify(toErrorBody(end, source.requestId))}\n\n`);
+		return;
+	}
+
+	const finishReason = end.kind === 'complete' ? end.finishReason : 'stop';
+	const chunk = {
+		id: source.requestId,
+		object: 'chat.completion.chunk',
+		model,
+		choices: [{index: 0, delta: {}, 'finish_reason': finishReason}],
+		usage: {'completion_tokens': offset},
+	};
+	response.end(`id: ${source.requestId}:${offset}\ndata: ${JSON.stringify(chunk)}\n\ndata: ${endMark}\n\n`);
+}
--- /dev/null
+++ b/config/follower/src/create-config-follower.ts
@@ -0,0 +1,118 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import Emittery from 'emittery';
+import {emptyConfiguration, parseRecord} from '@valvesaddle/config-schema';
+import type {ConfigurationRecord} from '@valvesaddle/types';
+import type {ConfigEvents} from './config-events.ts';
+import type {ConfigFollower} from './config-follower.ts';
+import type {ConfigFollowerOptions} from './config-follower-options.ts';
+
+/** Watches end at different times on different nodes by this part of their length. */
+const jitterPart = 0.2;
+
+/**
+ * Creates the follower of the configuration: one long watch on the key-value service, and peers while that one does not
+ * answer.
+ *
+ * @example
+ * follower.events.on('changed', ({data}) => host.configure());
+ * follower.start();
+ */
+export function createConfigFollower(options: ConfigFollowerOptions): ConfigFollower {
+	const events = new Emittery<ConfigEvents>();
+	const stop = new AbortController();
+	let current: ConfigurationRecord | undefined;
+	let isSettled = false;
+	let isReachable = true;
+	let heardStoreAt = Date.now();
+
+	function offer(record: ConfigurationRecord, source: string): boolean {
+		if (record.revision <= (current?.revision ?? 0)) {
+			return false;
+		}
+
+		current = record;
+		options.metrics.gauge('configuration.revision', record.revision);
+		options.metrics.increment('configuration.changes', 1, {source});
+		options.logger.info({
+			name: 'configuration-in-force', revision: record.revision, changeId: record.changeId, source,
+		});
+		void events.emit('changed', record);
+		return true;
+	}
+
+	function offerText(text: unknown, source: string): boolean {
+		const record = typeof text === 'string' ? parseRecord(text) : undefined;
+		if (record?.isErr()) {
+			options.metrics.increment('configuration.rejected');
+		}
+
+		return record?.isOk() ? offer(record.value, source) : false;
+	}
+
+	function noteReachable(now: boolean, reason: string): void {
+		if (now) {
+			heardStoreAt = Date.now();
+		}
+
+		if (now !== isReachable) {
+			isReachable = now;
+			options.logger.warn({name: 'kv-state', reachable: now, reason});
+		}
+	}
+
+	async function watchOnce(afterIndex: number): Promise<number | undefined> {
+		const waitMs = Math.round(options.watchMs * (1 - (Math.random() * jitterPart)));
+		const result = await options.store.watch({afterIndex, waitMs, signal: stop.signal});
+		if (result.isErr()) {
+			noteReachable(false, result.error.message);
+			return undefined;
+		}
+
+		noteReachable(true, 'answered');
+		isSettled = true;
+		if (result.value.record !== undefined) {
+			offer(result.value.record, 'key-value service');
+		}
+
+		return result.value.index;
+	}
+
+	async function askPeers(): Promise<void> {
+		for (const text of await options.askPeers()) {
+			isSettled = offerText(text, 'peer') || isSettled;
+		}
+	}
+
+	async function follow(): Promise<void> {
+		let index = 0;
+		while (!stop.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop -- one watch at a time
+			const next = await watchOnce(index);
+			// An index that goes back means that the service began anew: watch from the start.
+			index = next === undefined || next < index ? 0 : next;
+			if (next === undefined && !stop.signal.aborted) {
+				// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
+				await askPeers();
+				// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
+				await delay(options.retryMs * (1 + (Math.random() * jitterPart)), undefined, {ref: false});
+			}
+		}
+	}
+
+	return {
+		events,
+		start() {
+			void follow();
+		},
+		record: () => current,
+		configuration: () => current?.configuration ?? emptyConfiguration,
+		revision: () => current?.revision ?? 0,
+		offer,
+		offerText,
+		isSettled: () => isSettled,
+		heardStoreAt: () => heardStoreAt,
+		close() {
+			stop.abort();
+		},
+	};
+}
--- /dev/null
+++ b/config/schema/src/validate-configuration.ts
@@ -0,0 +1,30 @@
+import {err, ok, type Result} from 'neverthrow';
+import {ValvesaddleError} from '@valvesaddle/error';
+import type {Configuration} from '@valvesaddle/types';
+import {configurationSchema} from './configuration-schema.ts';
+import {findReferenceFaults} from './find-reference-faults.ts';
+
+const mostFaultsNamed = 20;
+
+/**
+ * Checks a configuration whole and fills in defaults. The error names every fault with its place.
+ *
+ * @example
+ * validateConfiguration({classes: [], accounts: [], pools: [], endpoints: [], bindings: []}).isOk(); // true
+ */
+export function validateConfiguration(input: unknown): Result<Configuration, ValvesaddleError> {
+	const parsed = configurationSchema.safeParse(input);
+	if (!parsed.success) {
+		return rejectFaults(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`));
+	}
+
+	const faults = findReferenceFaults(parsed.data);
+	return faults.length > 0 ? rejectFaults(faults) : ok(parsed.data);
+}
+
+function rejectFaults(faults: readonly string[]): Result<Configuration, ValvesaddleError> {
+	const named = faults.slice(0, mostFaultsNamed);
+	const rest = faults.length - named.length;
+	const lines = rest > 0 ? [...named, `and ${rest} more`] : named;
+	return err(new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_INVALID', lines.join('\n')));
+}
--- /dev/null
+++ b/core/error/src/error-table.ts
@@ -0,0 +1,107 @@
+/**
+ * Every error code of the project with its traits. A code's words to a caller follow from this table alone.
+ */
+export const errorTable = {
+	ERR_VALVESADDLE_UNAUTHENTICATED: {
+		status: 401, ran: 'no', retryable: false, hint: 'Send "Authorization: Bearer <API key>" with a key of a client account.',
+	},
+	ERR_VALVESADDLE_UNKNOWN_MODEL: {
+		status: 404, ran: 'no', retryable: false, hint: 'Use a pool or model name that the configuration lists.',
+	},
+	ERR_VALVESADDLE_UNBOUND_ACCOUNT: {
+		status: 403, ran: 'no', retryable: false, hint: 'Ask an operator for a binding of this client account to this pool.',
+	},
+	ERR_VALVESADDLE_CLASS_NOT_ALLOWED: {
+		status: 403, ran: 'no', retryable: false, hint: 'Leave the class header out, or name a class that the binding allows.',
+	},
+	ERR_VALVESADDLE_MALFORMED_BODY: {
+		status: 400, ran: 'no', retryable: false, hint: 'Send a JSON body of the documented form.',
+	},
+	ERR_VALVESADDLE_BODY_TOO_LARGE: {
+		status: 413, ran: 'no', retryable: false, hint: 'Send a smaller body, or raise limits.body_bytes in the settings.',
+	},
+	ERR_VALVESADDLE_IDEMPOTENCY_KEY_REQUIRED: {
+		status: 400, ran: 'no', retryable: false, hint: 'Send an Idempotency-Key header with every non-repeatable request.',
+	},
+	ERR_VALVESADDLE_IDEMPOTENCY_KEY_REUSED: {
+		status: 422, ran: 'no', retryable: false, hint: 'Use a fresh Idempotency-Key for a different request.',
+	},
+	ERR_VALVESADDLE_UNKNOWN_REQUEST: {
+		status: 404, ran: undefined, retryable: false, hint: 'The answer is no longer kept, or it belongs to another client account.',
+	},
+	ERR_VALVESADDLE_NOT_FOUND: {
+		status: 404, ran: 'no', retryable: false, hint: 'See the README for the paths that are served.',
+	},
+	ERR_VALVESADDLE_OVERLOADED: {
+		status: 429, ran: 'no', retryable: true, hint: 'The predicted wait is too long for the class; come back after Retry-After.',
+	},
+	ERR_VALVESADDLE_WAIT_EXPIRED: {
+		status: 503, ran: 'no', retryable: true, hint: 'No slot came free within the longest wait of the class; come back after Retry-After.',
+	},
+	ERR_VALVESADDLE_ACCOUNT_LIMIT: {
+		status: 429, ran: 'no', retryable: true, hint: 'The client account has its maximum of requests open; wait for some to end.',
+	},
+	ERR_VALVESADDLE_NO_ENDPOINT: {
+		status: 503, ran: 'no', retryable: true, hint: 'No endpoint of the pool takes work at the moment; come back after Retry-After.',
+	},
+	ERR_VALVESADDLE_NOT_READY: {
+		status: 503, ran: 'no', retryable: true, hint: 'The node has no configuration yet or has lost touch with all others; try another node.',
+	},
+	ERR_VALVESADDLE_DRAINING: {
+		status: 503, ran: 'no', retryable: true, hint: 'The node is leaving; try another node.',
+	},
+	ERR_VALVESADDLE_CANCELLED: {
+		status: 499, ran: 'maybe', retryable: true, hint: 'The caller went away.',
+	},
+	ERR_VALVESADDLE_ENDPOINT_NOT_RUN: {
+		status: 502, ran: 'no', retryable: true, hint: 'The endpoint could not be reached or refused the request before running it.',
+	},
+	ERR_VALVESADDLE_ENDPOINT_REJECTED: {
+		status: 422, ran: 'no', retryable: false, hint: 'The endpoint found fault with the request; see the message.',
+	},
+	ERR_VALVESADDLE_ENDPOINT_FAILED: {
+		status: 502, ran: 'maybe', retryable: true, hint: 'The endpoint failed after the request was sent; an idempotent request may be sent again.',
+	},
+	ERR_VALVESADDLE_MAY_HAVE_RUN: {
+		status: 409, ran: 'maybe', retryable: false, hint: 'Check the effect at the service before issuing it anew under another key.',
+	},
+	ERR_VALVESADDLE_CLAIMS_UNAVAILABLE: {
+		status: 503, ran: 'no', retryable: true, hint: 'Claims cannot be recorded at the moment; nothing was sent.',
+	},
+	ERR_VALVESADDLE_KV_UNAVAILABLE: {
+		status: 503, ran: undefined, retryable: true, hint: 'The key-value service refused or could not be reached; nothing was changed.',
+	},
+	ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME: {
+		status: 504, ran: undefined, retryable: true, hint: 'The reply of the key-value service was lost; read back before trying again.',
+	},
+	ERR_VALVESADDLE_CONFIGURATION_INVALID: {
+		status: 400, ran: undefined, retryable: false, hint: 'Mend every fault that the message names; nothing was changed.',
+	},
+	ERR_VALVESADDLE_CONFIGURATION_CONFLICT: {
+		status: 409, ran: undefined, retryable: false, hint: 'Read the newest revision, merge, and apply against that revision.',
+	},
+	ERR_VALVESADDLE_CONFIGURATION_UNKNOWN: {
+		status: 504, ran: undefined, retryable: true, hint: 'Apply again with the same change id: it is never applied twice.',
+	},
+	ERR_VALVESADDLE_PEER_UNREACHABLE: {
+		status: 503, ran: undefined, retryable: true, hint: 'The other node did not answer in time.',
+	},
+	ERR_VALVESADDLE_PEER_REJECTED: {
+		status: 403, ran: undefined, retryable: false, hint: 'All nodes of a fleet need the same peer.token.',
+	},
+	ERR_VALVESADDLE_MESSAGE_INVALID: {
+		status: 400, ran: undefined, retryable: false, hint: 'The message does not have the documented form; compare the versions of both sides.',
+	},
+	ERR_VALVESADDLE_OPERATOR_UNAUTHENTICATED: {
+		status: 401, ran: undefined, retryable: false, hint: 'Send the token of an operator that the settings list.',
+	},
+	ERR_VALVESADDLE_OPERATOR_FORBIDDEN: {
+		status: 403, ran: undefined, retryable: false, hint: 'The role of this operator does not allow the call.',
+	},
+	ERR_VALVESADDLE_SETTINGS_INVALID: {
+		status: 400, ran: undefined, retryable: false, hint: 'Mend every setting that the message names; see docs/operators/settings.md.',
+	},
+	ERR_VALVESADDLE_INTERNAL: {
+		status: 500, ran: 'maybe', retryable: false, hint: 'This is a fault of valvesaddle; please report it with the request id.',
+	},
+} as const;
--- /dev/null
+++ b/core/types/src/index.ts
@@ -0,0 +1,10 @@
+export type {Binding} from './binding.ts';
+export type {ClientAccount} from './client-account.ts';
+export type {Configuration} from './configuration.ts';
+export type {ConfigurationRecord} from './configuration-record.ts';
+export type {Endpoint} from './endpoint.ts';
+export type {Pool} from './pool.ts';
+export type {PoolKind} from './pool-kind.ts';
+export type {RequestClass} from './request-class.ts';
+export type {Vm} from './vm.ts';
+export type {VmRole} from './vm-role.ts';
--- /dev/null
+++ b/dispatch/alone/src/alone-client-options.ts
@@ -0,0 +1,9 @@
+import type {LoadReport} from '@valvesaddle/pool';
+import type {Configuration, Endpoint} from '@valvesaddle/types';
+
+/** Options of `createAloneClient`. */
+export type AloneClientOptions = {
+	readonly configuration: () => Configuration;
+	readonly readLoad: (endpoint: Endpoint) => Promise<LoadReport | undefined>;
+	readonly loadPollMs: number;
+};
--- /dev/null
+++ b/dispatch/client/src/create-remote-port.ts
@@ -0,0 +1,35 @@
+import type {PeerNetwork} from '@valvesaddle/network';
+import {acquireReplySchema} from '@valvesaddle/messages';
+import type {DispatchPort} from './dispatch-port.ts';
+
+/**
+ * Creates the dispatcher's methods on another node.
+ *
+ * @example
+ * const port = createRemotePort(network, 'b1');
+ * const reply = await port.acquire(request);
+ */
+export function createRemotePort(network: PeerNetwork, node: string): DispatchPort {
+	return {
+		async acquire(request) {
+			const result = await network.call(node, 'dispatch.acquire', request);
+			if (result.isErr()) {
+				throw result.error;
+			}
+
+			return acquireReplySchema.parse(result.value);
+		},
+		cancel(message) {
+			network.notify(node, 'dispatch.cancel', message);
+		},
+		release(report) {
+			network.notify(node, 'dispatch.release', report);
+		},
+		progress(message) {
+			network.notify(node, 'dispatch.progress', message);
+		},
+		register(request) {
+			network.notify(node, 'dispatch.register', request);
+		},
+	};
+}
--- /dev/null
+++ b/dispatch/host/src/dispatch-host-options.ts
@@ -0,0 +1,21 @@
+import type {Logger} from '@valvesaddle/logger';
+import type {Membership} from '@valvesaddle/membership';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {LoadReport} from '@valvesaddle/pool';
+import type {Tracing} from '@valvesaddle/tracing';
+import type {Configuration, Endpoint} from '@valvesaddle/types';
+
+/** Options of `createDispatchHost`. */
+export type DispatchHostOptions = {
+	readonly node: string;
+	readonly membership: Membership;
+	readonly configuration: () => Configuration;
+	/** Asks an engine for its load; `undefined` when it does not say. */
+	readonly readLoad: (endpoint: Endpoint) => Promise<LoadReport | undefined>;
+	readonly loadPollMs: number;
+	readonly warmupMs: number;
+	readonly grantLeaseMs: number;
+	readonly tracing: Tracing;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+};
--- /dev/null
+++ b/dispatch/lengths/src/index.ts
@@ -0,0 +1,2 @@
+export {createLengthModel} from './create-length-model.ts';
+export type {LengthModel} from './length-model.ts';
--- /dev/null
+++ b/dispatch/messages/src/grant.ts
@@ -0,0 +1,7 @@
+/** The right to send one request to one endpoint. */
+export type Grant = {
+	readonly grantId: string;
+	readonly pool: string;
+	readonly endpointId: string;
+	readonly url: string;
+};
--- /dev/null
+++ b/dispatch/messages/src/index.ts
@@ -0,0 +1,16 @@
+export type {AcquireReply} from './acquire-reply.ts';
+export {acquireReplySchema} from './acquire-reply-schema.ts';
+export type {AcquireRequest} from './acquire-request.ts';
+export {acquireRequestSchema} from './acquire-request-schema.ts';
+export type {CancelMessage} from './cancel-message.ts';
+export {cancelMessageSchema} from './cancel-message-schema.ts';
+export type {Grant} from './grant.ts';
+export type {OpenGrant} from './open-grant.ts';
+export type {ProgressMessage} from './progress-message.ts';
+export {progressMessageSchema} from './progress-message-schema.ts';
+export type {ProgressReport} from './progress-report.ts';
+export type {RegisterRequest} from './register-request.ts';
+export {registerRequestSchema} from './register-request-schema.ts';
+export type {ReleaseOutcome} from './release-outcome.ts';
+export type {ReleaseReport} from './release-report.ts';
+export {releaseReportSchema} from './release-report-schema.ts';
--- /dev/null
+++ b/dispatch/messages/src/open-grant.ts
@@ -0,0 +1,9 @@
+/** An open grant, as registered with a new dispatcher. */
+export type OpenGrant = {
+	readonly grantId: string;
+	readonly requestId: string;
+	readonly endpointId: string;
+	readonly account: string;
+	readonly className: string;
+	readonly tokens: number;
+};
--- /dev/null
+++ b/dispatch/messages/src/progress-message-schema.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+
+/** Form of progress reports on the wire. */
+export const progressMessageSchema = z.object({
+	pool: z.string(),
+	node: z.string(),
+	reports: z.array(z.object({
+		grantId: z.string(),
+		tokens: z.number().min(0),
+		firstTokenMs: z.number().optional().transform(value => value),
+	})).readonly(),
+});
--- /dev/null
+++ b/dispatch/messages/src/register-request-schema.ts
@@ -0,0 +1,15 @@
+import {z} from 'zod';
+
+/** Form of a registration on the wire. */
+export const registerRequestSchema = z.object({
+	pool: z.string(),
+	node: z.string(),
+	grants: z.array(z.object({
+		grantId: z.string(),
+		requestId: z.string(),
+		endpointId: z.string(),
+		account: z.string(),
+		className: z.string(),
+		tokens: z.number().min(0),
+	})).readonly(),
+});
--- /dev/null
+++ b/dispatch/messages/src/release-report-schema.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+
+/** Form of a release on the wire. */
+export const releaseReportSchema = z.object({
+	grantId: z.string(),
+	pool: z.string(),
+	outcome: z.enum(['complete', 'failed', 'not-run', 'cancelled']),
+	tokens: z.number().min(0),
+	firstTokenMs: z.number().optional().transform(value => value),
+	interTokenMs: z.number().optional().transform(value => value),
+});
--- /dev/null
+++ b/dispatch/ownership/src/index.ts
@@ -0,0 +1,1 @@
+export {rankOwners} from './rank-owners.ts';
--- /dev/null
+++ b/dispatch/policy/src/endpoint-state.ts
@@ -0,0 +1,2 @@
+/** Whether an endpoint takes new work. */
+export type EndpointState = 'live' | 'probing' | 'ejected' | 'leaving';
--- /dev/null
+++ b/dispatch/policy/src/order-classes.ts
@@ -0,0 +1,33 @@
+import type {ClassView} from './class-view.ts';
+import type {Turn} from './turn.ts';
+
+const wholeGrant = 1;
+
+/**
+ * Orders the classes that wait: floors that are due, then urgent classes by priority, then the others by the tokens
+ * they were served over their weight. A floor grant goes to a slot beyond those that urgent work may use, so it never
+ * displaces urgent work.
+ *
+ * @example
+ * orderClasses(views)[0]; // {className: 'barrier', mode: 'urgent'}
+ */
+export function orderClasses(views: readonly ClassView[]): readonly Turn[] {
+	const waiting = views.filter(view => view.waiting > 0);
+	const due = waiting
+		.filter(view => view.floorCredit >= wholeGrant)
+		.toSorted((a, b) => b.floorCredit - a.floorCredit)
+		.map(view => toTurn(view, 'floor'));
+	const urgent = waiting
+		.filter(view => view.requestClass.urgent)
+		.toSorted((a, b) => a.requestClass.priority - b.requestClass.priority)
+		.map(view => toTurn(view, 'urgent'));
+	const shared = waiting
+		.filter(view => !view.requestClass.urgent)
+		.toSorted((a, b) => a.virtualTokens - b.virtualTokens || a.requestClass.priority - b.requestClass.priority)
+		.map(view => toTurn(view, 'shared'));
+	return [...due, ...urgent, ...shared];
+}
+
+function toTurn(view: ClassView, mode: Turn['mode']): Turn {
+	return {className: view.requestClass.name, mode};
+}
--- /dev/null
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -0,0 +1,158 @@
+import type {Endpoint} from '@valvesaddle/types';
+import {
+	adjustLimit, ejectEndpoint, findStragglers, smooth, type EndpointView,
+} from '@valvesaddle/policy';
+import {createEndpointView} from './create-endpoint-view.ts';
+import type {EndpointTable} from './endpoint-table.ts';
+import type {EndpointTableOptions} from './endpoint-table-options.ts';
+
+const sampleWeight = 0.2;
+/** Part of the external load that is left after each tick without a report. */
+const externalDecay = 0.8;
+const negligibleExternal = 0.05;
+
+/**
+ * Creates the table of a pool's endpoints. Views are replaced, never changed.
+ *
+ * @example
+ * const table = createEndpointTable({interTokenTargetMs: () => 52, onState() {}});
+ */
+export function createEndpointTable(options: EndpointTableOptions): EndpointTable {
+	let endpoints: readonly Endpoint[] = [];
+	let leavingIds: ReadonlySet<string> = new Set();
+	const saidLeaving = new Set<string>();
+	const table = new Map<string, EndpointView>();
+	let cached: readonly EndpointView[] | undefined;
+
+	function replace(view: EndpointView): void {
+		const before = table.get(view.id);
+		if (before === view) {
+			return;
+		}
+
+		table.set(view.id, view);
+		cached = undefined;
+		if (before !== undefined && before.state !== view.state) {
+			options.onState(view.id, before.state, view.state);
+		}
+	}
+
+	function update(endpointId: string, change: (view: EndpointView) => EndpointView): void {
+		const view = table.get(endpointId);
+		if (view !== undefined) {
+			replace(change(view));
+		}
+	}
+
+	function isLeaving(endpoint: Endpoint): boolean {
+		return endpoint.leaving || leavingIds.has(endpoint.id) || saidLeaving.has(endpoint.id);
+	}
+
+	function markLeaving(endpoint: Endpoint): void {
+		update(endpoint.id, view => {
+			if (isLeaving(endpoint)) {
+				return view.state === 'leaving' ? view : {...view, state: 'leaving'};
+			}
+
+			return view.state === 'leaving' ? {...view, state: 'live'} : view;
+		});
+	}
+
+	function sumViews(read: (view: EndpointView) => number): number {
+		let sum = 0;
+		for (const view of table.values()) {
+			sum += read(view);
+		}
+
+		return sum;
+	}
+
+	function getViews(): readonly EndpointView[] {
+		cached ??= [...table.values()];
+		return cached;
+	}
+
+	function ejectStragglers(now: number): void {
+		for (const id of findStragglers(getViews())) {
+			update(id, view => ejectEndpoint({...view, interTokenMs: undefined, failures: 0}, now));
+		}
+	}
+
+	return {
+		configure(configured, leaving) {
+			endpoints = configured;
+			leavingIds = leaving;
+			const ids = new Set(configured.map(({id}) => id));
+			for (const id of table.keys()) {
+				if (!ids.has(id)) {
+					table.delete(id);
+					saidLeaving.delete(id);
+					cached = undefined;
+				}
+			}
+
+			for (const endpoint of configured) {
+				const known = table.get(endpoint.id);
+				replace(known === undefined ? createEndpointView(endpoint) : {...known, url: endpoint.url, dataCentre: endpoint.dataCentre});
+				markLeaving(endpoint);
+			}
+		},
+		count(endpointId, by, isUrgent) {
+			update(endpointId, view => ({
+				...view,
+				inFlight: Math.max(0, view.inFlight + by),
+				urgentInFlight: Math.max(0, view.urgentInFlight + (isUrgent ? by : 0)),
+			}));
+		},
+		observeTimes(endpointId, firstTokenMs, interTokenMs) {
+			update(endpointId, view => adjustLimit({
+				...view,
+				firstTokenMs: firstTokenMs === undefined ? view.firstTokenMs : smooth(view.firstTokenMs, firstTokenMs, sampleWeight),
+				interTokenMs: interTokenMs === undefined ? view.interTokenMs : smooth(view.interTokenMs, interTokenMs, sampleWeight),
+			}, {interTokenMs: options.interTokenTargetMs(), now: Date.now()}));
+		},
+		observeFailure(endpointId) {
+			update(endpointId, view => view.state === 'probing'
+				? ejectEndpoint(view, Date.now())
+				: {...view, failures: view.failures + 1});
+			ejectStragglers(Date.now());
+		},
+		observeSuccess(endpointId) {
+			update(endpointId, view => view.state === 'probing'
+				? {...view, state: 'live', failures: 0}
+				: {...view, failures: 0, ejections: view.state === 'live' && view.failures === 0 ? Math.max(0, view.ejections - 0.1) : view.ejections});
+		},
+		observeLoad(endpointId, report) {
+			const endpoint = endpoints.find(({id}) => id === endpointId);
+			if (endpoint === undefined) {
+				return;
+			}
+
+			if (report.leaving) {
+				saidLeaving.add(endpointId);
+			} else {
+				saidLeaving.delete(endpointId);
+			}
+
+			update(endpointId, view => ({...view, external: Math.max(0, report.requests - view.inFlight)}));
+			markLeaving(endpoint);
+		},
+		tick() {
+			const now = Date.now();
+			for (const view of getViews()) {
+				if (view.state === 'ejected' && now >= view.ejectedUntil) {
+					replace({...view, state: 'probing'});
+				} else if (view.external > 0) {
+					replace({...view, external: view.external < negligibleExternal ? 0 : view.external * externalDecay});
+				}
+			}
+
+			ejectStragglers(now);
+		},
+		views: getViews,
+		configured: () => endpoints,
+		slots: () => sumViews(view => view.state === 'live' ? view.limit : 0),
+		inFlight: () => sumViews(view => view.inFlight),
+		urgentInFlight: () => sumViews(view => view.urgentInFlight),
+	};
+}
--- /dev/null
+++ b/dispatch/pool/src/waiting.ts
@@ -0,0 +1,7 @@
+import type {AcquireReply, AcquireRequest} from '@valvesaddle/messages';
+
+/** A request that waits for its grant. */
+export type Waiting = {
+	readonly request: AcquireRequest;
+	readonly settle: (reply: AcquireReply) => void;
+};
--- /dev/null
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -0,0 +1,195 @@
+import type {RequestClass} from '@valvesaddle/types';
+import {selectAccount, type ClassView} from '@valvesaddle/policy';
+import type {AccountQueue} from './account-queue.ts';
+import type {ClassQueue} from './class-queue.ts';
+import type {Queued} from './queued.ts';
+import type {WaitingQueue} from './waiting-queue.ts';
+
+/** Floor of a class that is not urgent and names none: every class keeps being served. */
+const smallestFloor = 0.01;
+/** A class saves up at most this many grants under its floor. */
+const largestCredit = 2;
+
+/**
+ * Creates the queue of a pool. Within a class the account served least goes first, within an account the oldest
+ * request. An account or class that begins to wait does not bring along credit from its idle time.
+ *
+ * @example
+ * const queue = createWaitingQueue<string>();
+ * queue.configure(classes, new Map([['sawmill', 1]]));
+ */
+export function createWaitingQueue<Value>(): WaitingQueue<Value> {
+	const classes = new Map<string, ClassQueue<Value>>();
+	const byRequest = new Map<string, Queued<Value>>();
+	let weights: ReadonlyMap<string, number> = new Map();
+
+	function getClass(className: string): ClassQueue<Value> {
+		const existing = classes.get(className);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const created = createClassQueue<Value>(unknownClass(className));
+		classes.set(className, created);
+		return created;
+	}
+
+	function getAccount(classQueue: ClassQueue<Value>, account: string): AccountQueue<Value> {
+		const existing = classQueue.accounts.get(account);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const created: AccountQueue<Value> = {
+			account, weight: weights.get(account) ?? 1, items: [], virtualTokens: 0, waiting: 0,
+		};
+		classQueue.accounts.set(account, created);
+		return created;
+	}
+
+	function take(item: Queued<Value>): void {
+		const classQueue = getClass(item.className);
+		const accountQueue = getAccount(classQueue, item.account);
+		const index = accountQueue.items.indexOf(item);
+		accountQueue.items.splice(index, 1);
+		accountQueue.waiting--;
+		classQueue.waiting--;
+		if (accountQueue.waiting === 0) {
+			classQueue.active.delete(item.account);
+		}
+
+		byRequest.delete(item.requestId);
+	}
+
+	function takeWhere(matches: (item: Queued<Value>) => boolean): ReadonlyArray<Queued<Value>> {
+		const taken = [...byRequest.values()].filter(item => matches(item));
+		for (const item of taken) {
+			take(item);
+		}
+
+		return taken;
+	}
+
+	return {
+		configure(requestClasses, accountWeights) {
+			weights = accountWeights;
+			for (const requestClass of requestClasses) {
+				getClass(requestClass.name).requestClass = withFloor(requestClass);
+			}
+
+			for (const classQueue of classes.values()) {
+				for (const [account, queue] of classQueue.accounts) {
+					classQueue.accounts.set(account, queue.waiting === 0 ? {...queue, weight: weights.get(account) ?? 1} : queue);
+				}
+			}
+		},
+		push(item) {
+			const classQueue = getClass(item.className);
+			const accountQueue = getAccount(classQueue, item.account);
+			if (classQueue.waiting === 0) {
+				liftClass(classQueue, classes.values());
+			}
+
+			if (accountQueue.waiting === 0) {
+				accountQueue.virtualTokens = Math.max(accountQueue.virtualTokens, findLeast(classQueue.active.values()));
+				classQueue.active.set(item.account, accountQueue);
+			}
+
+			insertByArrival(accountQueue.items, item);
+			accountQueue.waiting++;
+			classQueue.waiting++;
+			byRequest.set(item.requestId, item);
+		},
+		peek(className) {
+			const classQueue = getClass(className);
+			const account = selectAccount(classQueue.active.values());
+			return account === undefined ? undefined : classQueue.active.get(account)?.items[0];
+		},
+		remove(requestId) {
+			const item = byRequest.get(requestId);
+			if (item !== undefined) {
+				take(item);
+			}
+
+			return item;
+		},
+		takeExpired: now => takeWhere(({className, arrivedAt}) => now - arrivedAt >= getClass(className).requestClass.maximumWaitMs),
+		takeWhere,
+		charge(className, account, tokens) {
+			const classQueue = getClass(className);
+			const accountQueue = getAccount(classQueue, account);
+			classQueue.virtualTokens += tokens / classQueue.requestClass.weight;
+			accountQueue.virtualTokens += tokens / accountQueue.weight;
+		},
+		bookGrant(className, isFloor) {
+			for (const [name, classQueue] of classes) {
+				if (name === className) {
+					classQueue.floorCredit = isFloor ? classQueue.floorCredit - 1 : Math.max(0, classQueue.floorCredit - 1);
+				} else if (classQueue.waiting > 0) {
+					classQueue.floorCredit = Math.min(largestCredit, classQueue.floorCredit + classQueue.requestClass.floor);
+				}
+			}
+		},
+		views: () => [...classes.values()],
+		waiting: className => classes.get(className)?.waiting ?? 0,
+		accountWaiting: (className, account) => classes.get(className)?.accounts.get(account)?.waiting ?? 0,
+		accountShares(className, account) {
+			const own = weights.get(account) ?? 1;
+			let sum = own;
+			for (const queue of classes.get(className)?.active.values() ?? []) {
+				sum += queue.account === account ? 0 : queue.weight;
+			}
+
+			return sum / own;
+		},
+		size: () => byRequest.size,
+	};
+}
+
+function createClassQueue<Value>(requestClass: RequestClass): ClassQueue<Value> & ClassView {
+	return {
+		requestClass, accounts: new Map(), active: new Map(), waiting: 0, virtualTokens: 0, floorCredit: 0,
+	};
+}
+
+/** A class that a configuration just removed, or that another node knows already. */
+function unknownClass(name: string): RequestClass {
+	return {
+		name, priority: 99, urgent: false, firstTokenTargetMs: 10_000, maximumWaitMs: 10_000, weight: 1, floor: smallestFloor,
+	};
+}
+
+function withFloor(requestClass: RequestClass): RequestClass {
+	return requestClass.urgent ? requestClass : {...requestClass, floor: Math.max(smallestFloor, requestClass.floor)};
+}
+
+function liftClass<Value>(classQueue: ClassQueue<Value>, all: Iterable<ClassQueue<Value>>): void {
+	let least = Infinity;
+	for (const other of all) {
+		if (other !== classQueue && other.waiting > 0 && !other.requestClass.urgent) {
+			least = Math.min(least, other.virtualTokens);
+		}
+	}
+
+	if (Number.isFinite(least)) {
+		classQueue.virtualTokens = Math.max(classQueue.virtualTokens, least);
+	}
+}
+
+function findLeast(active: Iterable<{readonly virtualTokens: number}>): number {
+	let least = Infinity;
+	for (const {virtualTokens} of active) {
+		least = Math.min(least, virtualTokens);
+	}
+
+	return Number.isFinite(least) ? least : 0;
+}
+
+function insertByArrival<Value>(items: Array<Queued<Value>>, item: Queued<Value>): void {
+	let index = items.length;
+	while (index > 0 && (items[index - 1]?.arrivedAt ?? 0) > item.arrivedAt) {
+		index--;
+	}
+
+	items.splice(index, 0, item);
+}
--- /dev/null
+++ b/endpoint/engine/src/build-engine-body.ts
@@ -0,0 +1,37 @@
+import type {EngineRequest} from './engine-request.ts';
+
+/**
+ * Builds the body for an engine: the caller's, streamed, with the engine's priority. To resume, the text so far goes
+ * in as an unfinished answer that the engine continues (vLLM's published `continue_final_message`).
+ *
+ * @example
+ * buildEngineBody({...request, textSoFar: 'The permit'}).continue_final_message; // true
+ */
+export function buildEngineBody({body, priority, textSoFar, tokensSoFar}: EngineRequest): Readonly<Record<string, unknown>> {
+	const streamed = {...body, stream: true, priority};
+	if (textSoFar === '') {
+		return streamed;
+	}
+
+	const messages: readonly unknown[] = Array.isArray(body['messages']) ? body['messages'] : [];
+	const last: unknown = messages.at(-1);
+	const continues = body['continue_final_message'] === true && isAnswer(last);
+	const answer = {role: 'assistant', content: continues ? `${last.content}${textSoFar}` : textSoFar};
+	return {
+		...streamed,
+		messages: [...(continues ? messages.slice(0, -1) : messages), answer],
+		'continue_final_message': true,
+		'add_generation_prompt': false,
+		...reduceLimit(body, 'max_tokens', tokensSoFar),
+		...reduceLimit(body, 'max_completion_tokens', tokensSoFar),
+	};
+}
+
+function reduceLimit(body: Readonly<Record<string, unknown>>, name: string, tokensSoFar: number): Readonly<Record<string, number>> {
+	const limit = body[name];
+	return typeof limit === 'number' ? {[name]: Math.max(1, limit - tokensSoFar)} : {};
+}
+
+function isAnswer(message: unknown): message is {readonly content: string} {
+	return typeof message === 'object' && message !== null && 'content' in message && typeof message.content === 'string';
+}
--- /dev/null
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -0,0 +1,108 @@
+import {createParser} from 'eventsource-parser';
+import {Agent, request as sendRequest, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {ValvesaddleError} from '@valvesaddle/error';
+import {classifySendFailure, classifyStatus} from '@valvesaddle/http-outcome';
+import {buildEngineBody} from './build-engine-body.ts';
+import type {EngineClient} from './engine-client.ts';
+import type {EngineClientOptions} from './engine-client-options.ts';
+import type {EngineEvent} from './engine-event.ts';
+import type {EngineLoad} from './engine-load.ts';
+import type {EngineRequest} from './engine-request.ts';
+import {readChunk} from './read-chunk.ts';
+
+const loadSchema = z.object({'server_load': z.number().min(0), leaving: z.boolean().default(false)});
+const loadTimeoutMs = 1000;
+const endMark = '[DONE]';
+const keepAliveMs = 30_000;
+
+/**
+ * Creates the adapter to model engines that speak the published chat completions interface (streamed as server-sent
+ * events, with vLLM's `priority` and `/load`).
+ *
+ * @example
+ * for await (const event of engines.stream(request, signal)) {}
+ */
+export function createEngineClient(options: EngineClientOptions): EngineClient {
+	const agent = new Agent({
+		connectTimeout: options.connectMs, headersTimeout: options.firstTokenMs, bodyTimeout: options.pauseMs, keepAliveTimeout: keepAliveMs,
+	});
+
+	async function send(request: EngineRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+		try {
+			return await sendRequest(`${request.url}/v1/chat/completions`, {
+				method: 'POST',
+				dispatcher: agent,
+				headers: {'content-type': 'application/json', accept: 'text/event-stream', ...request.trace},
+				body: JSON.stringify(buildEngineBody(request)),
+				signal,
+			});
+		} catch (error) {
+			throw classifySendFailure(error, signal);
+		}
+	}
+
+	async function * stream(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
+		const response = await send(request, signal);
+		if (response.statusCode !== 200) {
+			throw classifyStatus(response.statusCode, await readErrorText(response));
+		}
+
+		yield * readEvents(response, signal);
+	}
+
+	return {
+		stream,
+		async readLoad(url) {
+			try {
+				const response = await sendRequest(`${url}/load`, {dispatcher: agent, signal: AbortSignal.timeout(loadTimeoutMs)});
+				const {server_load: requests, leaving} = loadSchema.parse(await response.body.json());
+				return {requests, leaving} satisfies EngineLoad;
+			} catch {
+				return undefined;
+			}
+		},
+		close: async () => agent.destroy(),
+	};
+}
+
+async function readErrorText(response: Dispatcher.ResponseData): Promise<string> {
+	try {
+		return await response.body.text();
+	} catch {
+		return '';
+	}
+}
+
+async function * readEvents(response: Dispatcher.ResponseData, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
+	let events: EngineEvent[] = [];
+	let isDone = false;
+	const parser = createParser({
+		onEvent({data}) {
+			if (data === endMark) {
+				isDone = true;
+			} else {
+				events.push(...readChunk(data));
+			}
+		},
+	});
+	const decoder = new TextDecoder();
+	let hasFinish = false;
+	try {
+		for await (const bytes of response.body) {
+			parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+			const ready = events;
+			events = [];
+			for (const event of ready) {
+				hasFinish ||= event.kind === 'finish';
+				yield event;
+			}
+		}
+	} catch (error) {
+		throw classifySendFailure(error, signal);
+	}
+
+	if (!isDone && !hasFinish) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'the answer of the engine ended before its end');
+	}
+}
--- /dev/null
+++ b/endpoint/http-outcome/src/index.ts
@@ -0,0 +1,2 @@
+export {classifySendFailure} from './classify-send-failure.ts';
+export {classifyStatus} from './classify-status.ts';
--- /dev/null
+++ b/node/router/src/create-health.ts
@@ -0,0 +1,107 @@
+import {ValvesaddleError} from '@valvesaddle/error';
+import {rankOwners} from '@valvesaddle/ownership';
+import type {Health} from './health.ts';
+import type {HealthOptions} from './health-options.ts';
+import type {NodeState} from './node-state.ts';
+
+/** Neighbours to keep in touch with; fixed ones, so that few links are open. */
+const neighbourCount = 3;
+/** Rounds without any answer after which the node counts as isolated. */
+const isolatedRounds = 2;
+const retryAfterMs = 1000;
+
+/**
+ * Creates the health of a node. Every round it tells its revision to its neighbours, which answer with a newer one; a
+ * node that neither a neighbour nor the key-value service answers takes no new requests, since it cannot learn of new
+ * configurations.
+ *
+ * @example
+ * const health = createHealth(options);
+ * health.start();
+ */
+export function createHealth(options: HealthOptions): Health {
+	const {follower, store, membership, network, logger, node} = options;
+	let silentRounds = 0;
+	let drain: 'no' | 'grace' | 'refuse' = 'no';
+	let timer: NodeJS.Timeout | undefined;
+	let logged: NodeState = 'starting';
+
+	function getState(): NodeState {
+		if (drain !== 'no') {
+			return 'draining';
+		}
+
+		if (silentRounds >= isolatedRounds) {
+			return 'isolated';
+		}
+
+		return follower.isSettled() || follower.revision() > 0 ? 'ready' : 'starting';
+	}
+
+	function logChange(): void {
+		const state = getState();
+		if (state !== logged) {
+			logger.info({name: 'node-state', from: logged, to: state});
+			logged = state;
+		}
+	}
+
+	function listNeighbours(): readonly string[] {
+		return rankOwners(`neighbours/${node}`, membership.others()).slice(0, neighbourCount);
+	}
+
+	async function tellRevision(neighbour: string): Promise<boolean> {
+		const result = await network.call(neighbour, 'configuration.compare', {revision: follower.revision()});
+		if (result.isErr()) {
+			membership.suspect(neighbour);
+			return false;
+		}
+
+		membership.trust(neighbour);
+		follower.offerText(result.value, neighbour);
+		return true;
+	}
+
+	async function runRound(): Promise<void> {
+		const neighbours = listNeighbours();
+		if (neighbours.length === 0) {
+			silentRounds = 0;
+			return;
+		}
+
+		const answers = await Promise.all(neighbours.map(async neighbour => tellRevision(neighbour)));
+		const isHeard = answers.includes(true) || (await store.read()).isOk();
+		silentRounds = isHeard ? 0 : silentRounds + 1;
+		logChange();
+	}
+
+	const refusals: Readonly<Record<NodeState, () => ValvesaddleError | undefined>> = {
+		starting: () => new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'the node has no configuration yet', {retryAfterMs}),
+		isolated: () => new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'the node reaches no other node and no key-value service', {retryAfterMs}),
+		draining: () => drain === 'refuse' ? new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node is leaving', {retryAfterMs}) : undefined,
+		stopped: () => new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node is leaving', {retryAfterMs}),
+		ready: () => undefined,
+	};
+
+	return {
+		start() {
+			timer = setInterval(() => {
+				void runRound();
+			}, options.gossipMs);
+			timer.unref();
+			follower.events.on('changed', logChange);
+		},
+		state: getState,
+		markDraining() {
+			drain = 'grace';
+			logChange();
+		},
+		refuseNew() {
+			drain = 'refuse';
+		},
+		refusal: () => refusals[getState()](),
+		close() {
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/node/router/src/create-peer-handlers.ts
@@ -0,0 +1,84 @@
+import type {AnswerStore} from '@valvesaddle/answers';
+import {claimQuestionSchema, type ClaimClient} from '@valvesaddle/claims';
+import type {ConfigFollower} from '@valvesaddle/config-follower';
+import {ValvesaddleError} from '@valvesaddle/error';
+import type {DispatchHost} from '@valvesaddle/host';
+import type {Membership} from '@valvesaddle/membership';
+import {
+	acquireRequestSchema, cancelMessageSchema, progressMessageSchema, registerRequestSchema, releaseReportSchema,
+} from '@valvesaddle/messages';
+import type {PeerHandlers} from '@valvesaddle/network';
+import {z} from 'zod';
+import {compareSchema} from './compare-schema.ts';
+import {readRequestSchema} from './read-request-schema.ts';
+
+type PeerHandlerOptions = {
+	readonly host: DispatchHost;
+	readonly claims: ClaimClient;
+	readonly answers: AnswerStore;
+	readonly follower: ConfigFollower;
+	readonly membership: Membership;
+	/** Asks a peer that has a newer configuration for it. */
+	readonly fetchRecord: (peer: string) => void;
+};
+
+const longestReadMs = 5000;
+
+/**
+ * Creates the answers to all that peers ask of a node.
+ *
+ * @example
+ * await network.listen(createPeerHandlers(options));
+ */
+export function createPeerHandlers(options: PeerHandlerOptions): PeerHandlers {
+	const {host, claims, answers, follower, membership} = options;
+	const getNewerRecord = (revision: number): string | undefined => follower.revision() > revision ? JSON.stringify(follower.record()) : undefined;
+
+	return {
+		'dispatch.acquire': async parameters => host.acquire(parse(acquireRequestSchema, parameters)),
+		'dispatch.cancel'(parameters) {
+			host.cancel(parse(cancelMessageSchema, parameters));
+		},
+		'dispatch.release'(parameters) {
+			host.release(parse(releaseReportSchema, parameters));
+		},
+		'dispatch.progress'(parameters) {
+			host.progress(parse(progressMessageSchema, parameters));
+		},
+		'dispatch.register'(parameters) {
+			host.register(parse(registerRequestSchema, parameters));
+		},
+		'claims.claim': async parameters => claims.serve('claim', parse(claimQuestionSchema, parameters)),
+		'claims.release': async parameters => claims.serve('release', parse(claimQuestionSchema, parameters)),
+		'claims.find': async parameters => claims.serve('find', parse(claimQuestionSchema, parameters)),
+		async 'answer.read'(parameters) {
+			const {requestId, account, offset} = parse(readRequestSchema, parameters);
+			const log = answers.find(requestId);
+			if (log?.account !== account) {
+				throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', `no answer is kept under ${requestId}`);
+			}
+
+			return log.readWithin(offset, longestReadMs);
+		},
+		'configuration.compare'(parameters, peer) {
+			const {revision} = parse(compareSchema, parameters);
+			if (revision > follower.revision()) {
+				options.fetchRecord(peer);
+			}
+
+			return getNewerRecord(revision);
+		},
+		'peer.leaving'(_parameters, peer) {
+			membership.markLeaving(peer);
+		},
+	};
+}
+
+function parse<Schema extends z.ZodType>(schema: Schema, parameters: unknown): z.output<Schema> {
+	const parsed = schema.safeParse(parameters);
+	if (!parsed.success) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', z.prettifyError(parsed.error));
+	}
+
+	return parsed.data;
+}
--- /dev/null
+++ b/node/router/src/create-remote-answer.ts
@@ -0,0 +1,51 @@
+import type {AnswerPage, AnswerSource} from '@valvesaddle/answers';
+import type {PeerNetwork} from '@valvesaddle/network';
+import {answerPageSchema} from './answer-page-schema.ts';
+
+type RemoteAnswerOptions = {
+	readonly network: PeerNetwork;
+	/** Node that holds the answer. */
+	readonly holder: string;
+	readonly requestId: string;
+	readonly account: string;
+};
+
+/**
+ * Creates a source that reads an answer from the node that holds it. When that node is lost, the answer ends with what
+ * can be said of it: it may have run.
+ *
+ * @example
+ * const {parts, end} = await createRemoteAnswer({network, holder: 'b1', requestId, account}).read(0);
+ */
+export function createRemoteAnswer({network, holder, requestId, account}: RemoteAnswerOptions): AnswerSource {
+	async function readPage(offset: number): Promise<AnswerPage> {
+		const result = await network.call(holder, 'answer.read', {requestId, account, offset});
+		const page = result.isOk() ? answerPageSchema.safeParse(result.value) : undefined;
+		if (page?.success) {
+			return page.data;
+		}
+
+		const reason = result.isErr() ? result.error.message : 'the page has an unknown form';
+		return {
+			parts: [],
+			end: {
+				kind: 'error', code: 'ERR_VALVESADDLE_MAY_HAVE_RUN', message: `the answer on ${holder} cannot be read: ${reason}`, ran: 'maybe', retryAfterMs: undefined,
+			},
+		};
+	}
+
+	return {
+		requestId,
+		async read(offset) {
+			for (;;) {
+				// eslint-disable-next-line no-await-in-loop -- an empty page means that nothing came yet
+				const page = await readPage(offset);
+				if (page.parts.length > 0 || page.end !== undefined) {
+					return page;
+				}
+			}
+		},
+		attach() {},
+		detach() {},
+	};
+}
--- /dev/null
+++ b/node/router/src/create-router.ts
@@ -0,0 +1,256 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {createAccessIndex} from '@valvesaddle/access';
+import {createAnswerStore, type AnswerSource} from '@valvesaddle/answers';
+import {createCallerApi} from '@valvesaddle/caller-api';
+import {createClaimClient} from '@valvesaddle/claims';
+import {createAloneClient} from '@valvesaddle/alone';
+import {createDispatchClient} from '@valvesaddle/client';
+import {createConfigFollower} from '@valvesaddle/config-follower';
+import {createConfigStore} from '@valvesaddle/config-store';
+import {createEngineClient} from '@valvesaddle/engine';
+import {createExecutor} from '@valvesaddle/execution';
+import {createDispatchHost} from '@valvesaddle/host';
+import {createKvClient} from '@valvesaddle/kv';
+import {createLogger} from '@valvesaddle/logger';
+import {createMembership} from '@valvesaddle/membership';
+import {createMetrics} from '@valvesaddle/metrics';
+import {createPeerNetwork} from '@valvesaddle/network';
+import {createOperatorServer, type NodeStatus} from '@valvesaddle/operator-server';
+import {createServiceClient} from '@valvesaddle/service';
+import {createTracing} from '@valvesaddle/tracing';
+import type {Endpoint} from '@valvesaddle/types';
+import {createVmListClient} from '@valvesaddle/vm-list';
+import {createHealth} from './create-health.ts';
+import {createPeerHandlers} from './create-peer-handlers.ts';
+import {createRemoteAnswer} from './create-remote-answer.ts';
+import type {Router} from './router.ts';
+import type {RouterOptions} from './router-options.ts';
+import {splitAddress} from './split-address.ts';
+
+/** Peers asked for their configuration while the key-value service does not answer. */
+const askedPeers = 3;
+
+/**
+ * Creates a router node from its settings: all tasks, wired together.
+ *
+ * @example
+ * const router = createRouter({settings});
+ * const {callers} = await router.start();
+ */
+export function createRouter({settings, onDrained}: RouterOptions): Router {
+	const {node: {id: node, data_centre: dataCentre, region}, limits} = settings;
+	const statsd = settings.observe.statsd === undefined ? undefined : splitAddress(settings.observe.statsd);
+	const metrics = createMetrics({...statsd, node});
+	const logger = createLogger({node, level: settings.observe.log_level});
+	const tracing = createTracing({
+		node, exporter: settings.observe.trace_exporter, url: settings.observe.trace_url, ratio: settings.observe.trace_ratio,
+	});
+	const kv = createKvClient({urls: settings.platform.kv_urls, timeoutMs: settings.platform.kv_timeout_ms, metrics});
+	const store = createConfigStore(kv);
+	const vmListUrl = settings.platform.vm_list_url;
+	const membership = createMembership({
+		self: {
+			id: node, role: 'router', address: settings.peer.advertise ?? settings.listen.peers, dataCentre, region, state: 'live',
+		},
+		vmList: vmListUrl === undefined ? undefined : createVmListClient({url: vmListUrl, timeoutMs: settings.platform.kv_timeout_ms}),
+		pollMs: settings.platform.vm_list_poll_ms,
+		suspectMs: settings.dispatch.suspect_ms,
+		metrics,
+	});
+	const network = createPeerNetwork({
+		node,
+		...splitAddress(settings.listen.peers),
+		token: settings.peer.token,
+		findAddress: membership.findAddress,
+		silenceMs: settings.peer.silence_ms,
+		metrics,
+	});
+	const follower = createConfigFollower({
+		store,
+		watchMs: settings.platform.kv_watch_ms,
+		retryMs: settings.platform.kv_timeout_ms,
+		async askPeers() {
+			const peers = [...new Set([...network.connected(), ...membership.others()])].slice(0, askedPeers);
+			const results = await Promise.all(peers.map(async peer => network.call(peer, 'configuration.compare', {revision: follower.revision()})));
+			return results.flatMap(result => result.isOk() ? [result.value] : []);
+		},
+		metrics,
+		logger,
+	});
+	const engines = createEngineClient({connectMs: limits.connect_ms, firstTokenMs: limits.first_token_ms, pauseMs: limits.pause_ms});
+	const services = createServiceClient({connectMs: limits.connect_ms, replyMs: limits.service_reply_ms});
+	const readLoad = async (endpoint: Endpoint) => isEnginePool(endpoint.pool) ? engines.readLoad(endpoint.url) : undefined;
+	const host = createDispatchHost({
+		node,
+		membership,
+		configuration: follower.configuration,
+		readLoad,
+		loadPollMs: settings.dispatch.load_poll_ms,
+		warmupMs: settings.dispatch.warmup_ms,
+		grantLeaseMs: settings.dispatch.grant_lease_ms,
+		tracing,
+		metrics,
+		logger,
+	});
+	const dispatchClients = {
+		pool: () => createDispatchClient({
+			node, dataCentre, host, network, membership, progressMs: settings.dispatch.progress_ms, metrics, logger,
+		}),
+		alone: () => createAloneClient({
+			configuration: follower.configuration, readLoad, loadPollMs: settings.dispatch.load_poll_ms,
+		}),
+	};
+	const dispatch = dispatchClients[settings.dispatch.mode]();
+	const claims = createClaimClient({
+		node,
+		kv,
+		network,
+		membership,
+		shards: settings.claims.shards,
+		windowMs: settings.claims.window_ms,
+		writePauseMs: settings.claims.write_pause_ms,
+		metrics,
+		logger,
+	});
+	const answers = createAnswerStore({keepMs: limits.keep_answer_ms, keepSize: limits.keep_answer_bytes});
+	const executor = createExecutor({
+		node, dispatch, engines, services, claims, answers, abandonMs: limits.abandon_ms, tracing, metrics,
+	});
+	const health = createHealth({
+		node, follower, store, membership, network, gossipMs: settings.peer.gossip_ms, logger,
+	});
+	let access = createAccessIndex(follower.configuration());
+
+	function isEnginePool(pool: string): boolean {
+		return follower.configuration().pools.some(({name, kind}) => name === pool && kind === 'engine');
+	}
+
+	async function findAnswer(requestId: string, account: string): Promise<AnswerSource | undefined> {
+		const local = answers.find(requestId);
+		if (local !== undefined) {
+			return local.account === account ? local : undefined;
+		}
+
+		const holder = requestId.slice(0, requestId.lastIndexOf('_'));
+		if (holder === node || membership.findAddress(holder) === undefined) {
+			return undefined;
+		}
+
+		const probe = await network.call(holder, 'answer.read', {requestId, account, offset: 0});
+		return probe.isOk() ? createRemoteAnswer({
+			network, holder, requestId, account,
+		}) : undefined;
+	}
+
+	const callerApi = createCallerApi({
+		node,
+		region,
+		...splitAddress(settings.listen.callers),
+		executor,
+		access: () => access,
+		findAnswer,
+		refusal: health.refusal,
+		isReady: () => health.state() === 'ready',
+		isLeaving: () => health.state() === 'draining',
+		bodyBytes: limits.body_bytes,
+		metrics,
+	});
+	const operatorServer = createOperatorServer({
+		...splitAddress(settings.listen.operators),
+		operators: settings.operators.map(({name, role, token_sha256: tokenHash}) => ({name, role, tokenHash})),
+		store,
+		follower,
+		status: getStatus,
+		drain() {
+			void drain();
+		},
+		metrics,
+	});
+	const peerHandlers = createPeerHandlers({
+		host, claims, answers, follower, membership, fetchRecord,
+	});
+
+	function getStatus(): NodeStatus {
+		return {
+			node,
+			revision: follower.revision(),
+			state: health.state(),
+			members: membership.routers(),
+			pools: host.status(),
+			openRequests: executor.open(),
+		};
+	}
+
+	function fetchRecord(peer: string): void {
+		void network.call(peer, 'configuration.compare', {revision: follower.revision()}).map(text => follower.offerText(text, peer));
+	}
+
+	follower.events.on('changed', ({data}) => {
+		access = createAccessIndex(data.configuration);
+		host.configure();
+		network.broadcast('configuration.compare', {revision: data.revision});
+	});
+	network.events.on('lost', ({data}) => {
+		membership.suspect(data.node);
+		host.dropNode(data.node);
+	});
+	network.events.on('found', ({data}) => {
+		membership.trust(data.node);
+	});
+
+	async function closeAll(): Promise<void> {
+		health.close();
+		follower.close();
+		dispatch.close();
+		host.close();
+		answers.close();
+		await membership.close();
+		await network.close();
+		await Promise.all([callerApi.close(), operatorServer.close(), engines.close(), services.close(), kv.close()]);
+		await tracing.close();
+		await metrics.close();
+	}
+
+	async function waitUntilIdle(): Promise<void> {
+		if (executor.open() > 0) {
+			await executor.events.once('idle');
+		}
+	}
+
+	let draining: Promise<void> | undefined;
+
+	async function runDrain(): Promise<void> {
+		health.markDraining();
+		membership.markLeaving(node);
+		network.broadcast('peer.leaving', {});
+		await delay(settings.drain.grace_ms);
+		health.refuseNew();
+		await waitUntilIdle();
+		await callerApi.close();
+		await closeAll();
+		onDrained?.();
+	}
+
+	async function drain(): Promise<void> {
+		draining ??= runDrain();
+		return draining;
+	}
+
+	return {
+		metrics,
+		tracing,
+		status: getStatus,
+		async start() {
+			await membership.start();
+			const peers = await network.listen(peerHandlers);
+			follower.start();
+			health.start();
+			const operators = await operatorServer.listen();
+			const callers = await callerApi.listen();
+			logger.info({name: 'listening', what: 'callers', address: callers});
+			return {callers, peers, operators};
+		},
+		drain,
+		close: closeAll,
+	};
+}
--- /dev/null
+++ b/node/router/src/router-options.ts
@@ -0,0 +1,8 @@
+import type {Settings} from '@valvesaddle/settings';
+
+/** Options of `createRouter`. */
+export type RouterOptions = {
+	readonly settings: Settings;
+	/** Called when a drain that an operator asked for has ended. */
+	readonly onDrained?: () => void;
+};
--- /dev/null
+++ b/observe/logger/src/create-logger.ts
@@ -0,0 +1,22 @@
+import {destination, pino} from 'pino';
+import type {LogEvent} from './log-event.ts';
+import type {Logger} from './logger.ts';
+import type {LoggerOptions} from './logger-options.ts';
+
+const standardError = 2;
+
+/**
+ * Creates the logger of a process: JSON lines on standard error.
+ *
+ * @example
+ * const logger = createLogger({node: 'a1', level: 'info'});
+ * logger.info({name: 'node-state', from: 'starting', to: 'ready'});
+ */
+export function createLogger(options: LoggerOptions): Logger {
+	const log = pino({level: options.level, base: {node: options.node}}, destination({dest: standardError, sync: true}));
+	const write = (level: 'info' | 'warn' | 'error') => ({name, ...facts}: LogEvent) => {
+		log[level](facts, name);
+	};
+
+	return {info: write('info'), warn: write('warn'), error: write('error')};
+}
--- /dev/null
+++ b/observe/logger/src/log-level.ts
@@ -0,0 +1,2 @@
+/** Levels of log lines. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
--- /dev/null
+++ b/observe/metrics/src/index.ts
@@ -0,0 +1,4 @@
+export {createMetrics} from './create-metrics.ts';
+export type {Metrics} from './metrics.ts';
+export type {MetricsOptions} from './metrics-options.ts';
+export type {MetricTags} from './metric-tags.ts';
--- /dev/null
+++ b/observe/metrics/src/metrics-options.ts
@@ -0,0 +1,7 @@
+/** Options of `createMetrics`; without a host nothing is sent, only summed up. */
+export type MetricsOptions = {
+	/** StatsD host, an IP number. */
+	readonly host?: string | undefined;
+	readonly port?: number | undefined;
+	readonly node?: string | undefined;
+};
--- /dev/null
+++ b/operator/server/src/create-operator-handlers.ts
@@ -0,0 +1,103 @@
+import type {HandlerContext, ServiceImpl} from '@connectrpc/connect';
+import type {Result} from 'neverthrow';
+import {diffConfigurations, emptyConfiguration} from '@valvesaddle/config-schema';
+import {ValvesaddleError} from '@valvesaddle/error';
+import {authorizeOperator, type Operator, type OperatorRole} from '@valvesaddle/operator-access';
+import type {OperatorService} from '@valvesaddle/operator-schema';
+import {fromConfigurationMessage} from './from-configuration-message.ts';
+import type {OperatorServerOptions} from './operator-server-options.ts';
+import {toConfigurationMessage} from './to-configuration-message.ts';
+import {toConnectError} from './to-connect-error.ts';
+
+const changeIdPattern = /^[\w.\-]{1,100}$/v;
+
+/**
+ * Creates the handlers of the operators' calls. Each call is authorized and counted.
+ *
+ * @example
+ * router.service(OperatorService, createOperatorHandlers(options));
+ */
+export function createOperatorHandlers(options: OperatorServerOptions): ServiceImpl<typeof OperatorService> {
+	const {store, follower, metrics} = options;
+
+	async function handle<Reply>(name: string, role: OperatorRole, context: HandlerContext, act: (operator: Operator) => Promise<Reply>): Promise<Reply> {
+		metrics.increment('operators.calls', 1, {call: name});
+		try {
+			return await act(unwrap(authorizeOperator(options.operators, context.requestHeader.get('authorization') ?? undefined, role)));
+		} catch (error) {
+			metrics.increment('operators.refused', 1, {call: name});
+			throw toConnectError(error);
+		}
+	}
+
+	return {
+		getConfiguration: async (_request, context) => handle('get-configuration', 'viewer', context, async () => {
+			const record = follower.record();
+			return {
+				revision: record?.revision ?? 0,
+				changeId: record?.changeId ?? '',
+				author: record?.author ?? '',
+				configuration: toConfigurationMessage(record?.configuration ?? emptyConfiguration),
+			};
+		}),
+		applyConfiguration: async (request, context) => handle('apply-configuration', 'editor', context, async operator => {
+			if (!changeIdPattern.test(request.changeId)) {
+				throw new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_INVALID', 'change_id: expected 1 to 100 letters, digits, ".", "_" or "-"');
+			}
+
+			if (request.configuration === undefined) {
+				throw new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_INVALID', 'configuration: is missing');
+			}
+
+			const configuration = unwrap(fromConfigurationMessage(request.configuration));
+			const differences = [...diffConfigurations(follower.configuration(), configuration)];
+			if (request.dryRun) {
+				return {revision: request.expectedRevision + 1, differences};
+			}
+
+			const record = unwrap(await store.apply({
+				changeId: request.changeId, expectedRevision: request.expectedRevision, configuration, author: operator.name,
+			}));
+			// A change that was accepted earlier comes back with its old revision and the newest configuration.
+			if (record.configuration === configuration) {
+				follower.offer(record, 'operator');
+			}
+
+			return {revision: record.revision, differences};
+		}),
+		getRevision: async (request, context) => handle('get-revision', 'viewer', context, async () => {
+			const record = unwrap(await store.readRevision(request.revision));
+			if (record === undefined) {
+				throw new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', `revision ${request.revision} is not known`);
+			}
+
+			return {
+				revision: record.revision, changeId: record.changeId, author: record.author, configuration: toConfigurationMessage(record.configuration),
+			};
+		}),
+		getStatus: async (_request, context) => handle('get-status', 'viewer', context, async () => {
+			const status = options.status();
+			return {
+				...status,
+				members: [...status.members],
+				pools: status.pools.map(pool => ({
+					...pool,
+					endpoints: pool.endpoints.map(endpoint => ({...endpoint, interTokenMs: endpoint.interTokenMs ?? 0})),
+				})),
+			};
+		}),
+		drainNode: async (_request, context) => handle('drain-node', 'editor', context, async () => {
+			const {openRequests} = options.status();
+			options.drain();
+			return {openRequests};
+		}),
+	};
+}
+
+function unwrap<Value>(result: Result<Value, ValvesaddleError>): Value {
+	if (result.isErr()) {
+		throw result.error;
+	}
+
+	return result.value;
+}
--- /dev/null
+++ b/operator/server/src/create-operator-server.ts
@@ -0,0 +1,42 @@
+import {createServer} from 'node:http';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {OperatorService} from '@valvesaddle/operator-schema';
+import {createOperatorHandlers} from './create-operator-handlers.ts';
+import type {OperatorServer} from './operator-server.ts';
+import type {OperatorServerOptions} from './operator-server-options.ts';
+
+const largestMessageBytes = 4 * 1024 * 1024;
+
+/**
+ * Creates the server of the operators' calls: Connect and gRPC-Web over HTTP/1.1.
+ *
+ * @example
+ * const address = await createOperatorServer(options).listen();
+ */
+export function createOperatorServer(options: OperatorServerOptions): OperatorServer {
+	const server = createServer(connectNodeAdapter({
+		routes(router) {
+			router.service(OperatorService, createOperatorHandlers(options));
+		},
+		readMaxBytes: largestMessageBytes,
+	}));
+
+	return {
+		async listen() {
+			const {promise, resolve, reject} = Promise.withResolvers<void>();
+			server.once('error', reject);
+			server.listen(options.port, options.host, resolve);
+			await promise;
+			const address = server.address();
+			return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
+		},
+		async close() {
+			const {promise, resolve} = Promise.withResolvers<void>();
+			server.close(() => {
+				resolve();
+			});
+			server.closeIdleConnections();
+			await promise;
+		},
+	};
+}
--- /dev/null
+++ b/outcome/answers/src/create-answer-store.ts
@@ -0,0 +1,41 @@
+import type {AnswerLog} from './answer-log.ts';
+import type {AnswerStore} from './answer-store.ts';
+import type {AnswerStoreOptions} from './answer-store-options.ts';
+
+const sweepMs = 1000;
+
+/**
+ * Creates the store of a node's answers.
+ *
+ * @example
+ * const store = createAnswerStore({keepMs: 600_000, keepSize: 16_000_000});
+ */
+export function createAnswerStore(options: AnswerStoreOptions): AnswerStore {
+	const logs = new Map<string, AnswerLog>();
+
+	function sweep(): void {
+		const now = Date.now();
+		const ended = [...logs.values()].filter(log => log.endedAt() !== undefined).toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
+		let size = 0;
+		for (const log of ended) {
+			size += log.size();
+			if (size > options.keepSize || now - (log.endedAt() ?? now) >= options.keepMs) {
+				logs.delete(log.requestId);
+			}
+		}
+	}
+
+	const timer = setInterval(sweep, sweepMs);
+	timer.unref();
+
+	return {
+		add(log) {
+			logs.set(log.requestId, log);
+		},
+		find: requestId => logs.get(requestId),
+		open: () => [...logs.values()].filter(log => log.endedAt() === undefined).length,
+		close() {
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/outcome/claims/src/claim-answer-schema.ts
@@ -0,0 +1,10 @@
+import {z} from 'zod';
+
+/** Form of an answer on the wire. */
+export const claimAnswerSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('claimed')}),
+	z.object({
+		kind: z.literal('held'), requestId: z.string(), node: z.string(), fingerprint: z.string(),
+	}),
+	z.object({kind: z.literal('free')}),
+]);
--- /dev/null
+++ b/outcome/claims/src/create-claim-journal.ts
@@ -0,0 +1,119 @@
+import {toValvesaddleError} from '@valvesaddle/error';
+import type {ClaimEntry} from './claim-entry.ts';
+import type {ClaimHead} from './claim-head.ts';
+import type {ClaimJournal} from './claim-journal.ts';
+import type {ClaimShardOptions} from './claim-shard-options.ts';
+import type {StoredHead} from './stored-head.ts';
+import {createClaimStorage} from './create-claim-storage.ts';
+import {createClaimTable} from './create-claim-table.ts';
+
+const fullSegmentEntries = 256;
+/** A head read so recently need not be read again before a lookup; a write finds out by itself. */
+const freshMs = 1000;
+
+/**
+ * Creates the journal of one shard.
+ *
+ * The entries of a segment are fixed by the write that begins the next one, which carries them along as `previous`;
+ * they are archived only after that. So no writer can archive a segment that another one still adds to.
+ *
+ * @example
+ * await journal.refresh();
+ * const written = await journal.append(entries);
+ */
+export function createClaimJournal(options: ClaimShardOptions): ClaimJournal {
+	const {metrics} = options;
+	const storage = createClaimStorage(options.kv, options.shard, options.windowMs);
+	const table = createClaimTable(options.windowMs);
+	let stored: StoredHead | undefined;
+	let readAt = 0;
+	let appliedNumber = -1;
+	let reading: Promise<void> | undefined;
+
+	async function read(): Promise<void> {
+		const fresh = await storage.readHead();
+		const {head} = fresh;
+		if (head.number > appliedNumber) {
+			const newestArchived = head.previous === undefined ? head.number - 1 : head.number - 2;
+			const archived = await storage.readArchived(newestArchived, Math.max(0, appliedNumber));
+			for (const {entries} of archived) {
+				table.apply(entries);
+			}
+
+			options.logger.info({name: 'claim-shard-reloaded', shard: options.shard, claims: table.size()});
+		}
+
+		table.apply(head.previous ?? []);
+		table.apply(head.entries);
+		appliedNumber = head.number;
+		stored = fresh;
+		readAt = Date.now();
+	}
+
+	async function refresh(): Promise<void> {
+		if (stored !== undefined && Date.now() - readAt < freshMs) {
+			return;
+		}
+
+		reading ??= read();
+		try {
+			await reading;
+		} finally {
+			reading = undefined;
+		}
+	}
+
+	/** Archives the segment that the head carries along; true when it no longer needs to. */
+	async function archivePrevious({number, previous}: ClaimHead): Promise<boolean> {
+		if (previous === undefined) {
+			return true;
+		}
+
+		try {
+			await storage.archive({number: number - 1, entries: previous});
+			return true;
+		} catch {
+			metrics.increment('claims.archive-failures');
+			return false;
+		}
+	}
+
+	async function extendHead(head: ClaimHead, entries: readonly ClaimEntry[]): Promise<ClaimHead> {
+		const isArchived = await archivePrevious(head);
+		const isFull = head.entries.length + entries.length > fullSegmentEntries;
+		if (isFull && isArchived) {
+			return {number: head.number + 1, entries, previous: head.entries};
+		}
+
+		return {number: head.number, entries: [...head.entries, ...entries], previous: isArchived ? undefined : head.previous};
+	}
+
+	return {
+		refresh,
+		find: table.find,
+		async append(entries) {
+			if (stored === undefined) {
+				return false;
+			}
+
+			const {head, modifyIndex} = stored;
+			const next = await extendHead(head, entries);
+			stored = undefined;
+			metrics.increment('claims.writes');
+			try {
+				const isWritten = await storage.writeHead(next, modifyIndex);
+				metrics.increment(isWritten ? 'claims.won-races' : 'claims.lost-races');
+				return isWritten;
+			} catch (error) {
+				if (toValvesaddleError(error).code !== 'ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME') {
+					throw error;
+				}
+
+				metrics.increment('claims.lost-replies');
+				return false;
+			}
+		},
+		sweep: table.sweep,
+		size: table.size,
+	};
+}
--- /dev/null
+++ b/outcome/claims/src/decide-claims.ts
@@ -0,0 +1,57 @@
+import type {ClaimAnswer} from './claim-answer.ts';
+import type {ClaimDecision} from './claim-decision.ts';
+import type {ClaimEntry} from './claim-entry.ts';
+import type {ClaimQuestion} from './claim-question.ts';
+import type {PendingClaim} from './pending-claim.ts';
+import {toClaimDigest} from './to-claim-digest.ts';
+import {toHeldAnswer} from './to-held-answer.ts';
+
+type Step = {
+	readonly answer: ClaimAnswer;
+	readonly entry: ClaimEntry | undefined;
+};
+
+type StepHandler = (question: ClaimQuestion, digest: string, current: ClaimEntry | undefined) => Step;
+
+const stepHandlers: Readonly<Record<PendingClaim['kind'], StepHandler>> = {
+	claim(question, digest, current) {
+		if (current === undefined) {
+			return {answer: {kind: 'claimed'}, entry: toEntry(question, digest)};
+		}
+
+		return {answer: current.r === question.requestId ? {kind: 'claimed'} : toHeldAnswer(current), entry: undefined};
+	},
+	release(question, digest, current) {
+		const entry: ClaimEntry | undefined = current?.r === question.requestId ? {...toEntry(question, digest), x: 1} : undefined;
+		return {answer: {kind: 'free'}, entry};
+	},
+};
+
+/**
+ * Decides a batch of claims and releases in order; later ones see what earlier ones of the batch did.
+ *
+ * @param find - The claim in force on a digest before the batch.
+ * @example
+ * decideClaims(batch, () => undefined).entries.length; // one for each different key
+ */
+export function decideClaims(batch: readonly PendingClaim[], find: (digest: string) => ClaimEntry | undefined): ClaimDecision {
+	const answers = new Map<PendingClaim, ClaimAnswer>();
+	const fresh = new Map<string, ClaimEntry>();
+	for (const item of batch) {
+		const digest = toClaimDigest(item.question.account, item.question.key);
+		const known = fresh.get(digest) ?? find(digest);
+		const {answer, entry} = stepHandlers[item.kind](item.question, digest, known?.x === 1 ? undefined : known);
+		answers.set(item, answer);
+		if (entry !== undefined) {
+			fresh.set(digest, entry);
+		}
+	}
+
+	return {answers, entries: [...fresh.values()]};
+}
+
+function toEntry(question: ClaimQuestion, digest: string): ClaimEntry {
+	return {
+		k: digest, r: question.requestId, n: question.node, f: question.fingerprint, t: Date.now(),
+	};
+}
--- /dev/null
+++ b/outcome/execution/src/create-retry-budgets.ts
@@ -0,0 +1,35 @@
+import {earnBudget, spendBudget, type Budget} from '@valvesaddle/policy';
+import type {RetryBudgets} from './retry-budgets.ts';
+
+const firstBalance = 5;
+
+/**
+ * Creates the retry budgets of a node.
+ *
+ * @example
+ * budgets.earn('sawmill', 'drafting');
+ * budgets.spend('sawmill', 'drafting'); // true
+ */
+export function createRetryBudgets(): RetryBudgets {
+	const budgets = new Map<string, Budget>();
+	const getBudget = (key: string): Budget => budgets.get(key) ?? {balance: firstBalance};
+
+	return {
+		earn(account, pool) {
+			for (const key of [`account/${account}`, `pool/${pool}`]) {
+				budgets.set(key, earnBudget(getBudget(key)));
+			}
+		},
+		spend(account, pool) {
+			const accountBudget = spendBudget(getBudget(`account/${account}`));
+			const poolBudget = spendBudget(getBudget(`pool/${pool}`));
+			if (accountBudget === undefined || poolBudget === undefined) {
+				return false;
+			}
+
+			budgets.set(`account/${account}`, accountBudget);
+			budgets.set(`pool/${pool}`, poolBudget);
+			return true;
+		},
+	};
+}
--- /dev/null
+++ b/outcome/state/src/advance-outcome.ts
@@ -0,0 +1,41 @@
+import {ValvesaddleError, type Ran} from '@valvesaddle/error';
+import type {Outcome} from './outcome.ts';
+import type {OutcomeEvent} from './outcome-event.ts';
+import {outcomeTransitions} from './outcome-transitions.ts';
+
+/**
+ * Takes a request one step on.
+ *
+ * What may have run is never taken back: a request that an endpoint failed on stays `maybe`, even if the next endpoint
+ * says that it did not run it.
+ *
+ * @throws `ERR_VALVESADDLE_INTERNAL` on a step that the table does not have.
+ * @example
+ * advanceOutcome({state: 'sent', ran: 'no'}, 'not-run'); // {state: 'queued', ran: 'no'}
+ */
+export function advanceOutcome(outcome: Outcome, event: OutcomeEvent): Outcome {
+	const state = outcomeTransitions[outcome.state][event];
+	if (state === undefined) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_INTERNAL', `a request that is ${outcome.state} cannot take the step ${event}`);
+	}
+
+	if (state === 'refused' && outcome.ran !== 'no') {
+		return {state: 'failed', ran: outcome.ran};
+	}
+
+	return {state, ran: ranAfter[event](outcome)};
+}
+
+const keepRan = ({ran}: Outcome): Ran => ran;
+
+const ranAfter: Readonly<Record<OutcomeEvent, (outcome: Outcome) => Ran>> = {
+	queue: keepRan,
+	grant: keepRan,
+	send: keepRan,
+	'first-answer': () => 'yes',
+	'not-run': keepRan,
+	reject: keepRan,
+	retry: ({ran}) => ran === 'yes' ? 'yes' : 'maybe',
+	finish: () => 'yes',
+	'give-up': ({state, ran}) => state === 'sent' && ran === 'no' ? 'maybe' : ran,
+};
--- /dev/null
+++ b/outcome/state/src/index.ts
@@ -0,0 +1,6 @@
+export {advanceOutcome} from './advance-outcome.ts';
+export {firstOutcome} from './first-outcome.ts';
+export {isFinal} from './is-final.ts';
+export type {Outcome} from './outcome.ts';
+export type {OutcomeEvent} from './outcome-event.ts';
+export type {OutcomeState} from './outcome-state.ts';
--- /dev/null
+++ b/outcome/state/src/outcome-transitions.ts
@@ -0,0 +1,16 @@
+import type {OutcomeEvent} from './outcome-event.ts';
+import type {OutcomeState} from './outcome-state.ts';
+
+/** Every allowed step. `give-up` ends as `refused` only where nothing can have run. */
+export const outcomeTransitions: Readonly<Record<OutcomeState, Readonly<Partial<Record<OutcomeEvent, OutcomeState>>>>> = {
+	accepted: {queue: 'queued', 'give-up': 'refused'},
+	queued: {grant: 'granted', 'give-up': 'refused'},
+	granted: {send: 'sent', 'give-up': 'refused'},
+	sent: {
+		'first-answer': 'streaming', 'not-run': 'queued', reject: 'refused', retry: 'queued', 'give-up': 'failed',
+	},
+	streaming: {finish: 'complete', retry: 'queued', 'give-up': 'failed'},
+	complete: {},
+	refused: {},
+	failed: {},
+};
--- /dev/null
+++ b/peer/network/src/create-peer-link.ts
@@ -0,0 +1,140 @@
+import {
+	isJSONRPCRequest, isJSONRPCResponse, JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import {WebSocket, type RawData} from 'ws';
+import {ValvesaddleError} from '@valvesaddle/error';
+import type {PeerLink} from './peer-link.ts';
+import type {PeerLinkOptions} from './peer-link-options.ts';
+import {toRpcError} from './to-rpc-error.ts';
+
+/** A link without any call for so long is closed. */
+const idleMs = 60_000;
+/** Pings go out at this part of the silence that breaks a link. */
+const pingPart = 3;
+
+/**
+ * Creates a link over an open socket. The link owns the socket.
+ *
+ * @example
+ * const link = createPeerLink({node: 'b1', socket, handlers, silenceMs: 600, metrics, onClose() {}});
+ * await link.call('dispatch.acquire', request);
+ */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+	const {socket, metrics} = options;
+	let heardAt = Date.now();
+	let usedAt = Date.now();
+	let pingedAt = Date.now();
+	let tickedAt = Date.now();
+	/** Time of the first ping without any answer since; 0 when none is open. */
+	let unansweredSince = 0;
+	let pending = 0;
+
+	const server = new JSONRPCServer();
+	server.mapErrorToJSONRPCErrorResponse = toRpcError;
+	for (const [method, handle] of Object.entries(options.handlers)) {
+		server.addMethod(method, async (parameters: unknown) => handle(parameters, options.node));
+	}
+
+	const client = new JSONRPCClient(request => {
+		sendText(request);
+	});
+
+	function sendText(message: JSONRPCRequest | JSONRPCResponse | ReadonlyArray<JSONRPCRequest | JSONRPCResponse>): void {
+		if (socket.readyState !== WebSocket.OPEN) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `the link to ${options.node} is closed`);
+		}
+
+		const text = JSON.stringify(message);
+		metrics.increment('peer.bytes-sent', text.length);
+		metrics.increment('peer.messages-sent');
+		socket.send(text);
+	}
+
+	async function receive(data: RawData): Promise<void> {
+		const text = data.toString();
+		metrics.increment('peer.bytes-received', text.length);
+		const message = parseMessage(text);
+		if (isJSONRPCResponse(message)) {
+			client.receive(message);
+			return;
+		}
+
+		if (!isJSONRPCRequest(message)) {
+			metrics.increment('peer.messages-invalid');
+			return;
+		}
+
+		const response = await server.receive(message);
+		if (response && socket.readyState === WebSocket.OPEN) {
+			sendText(response);
+		}
+	}
+
+	function markHeard(): void {
+		heardAt = Date.now();
+		unansweredSince = 0;
+	}
+
+	socket.on('message', data => {
+		markHeard();
+		receive(data).catch(() => {
+			metrics.increment('peer.messages-invalid');
+		});
+	});
+	socket.on('pong', markHeard);
+	socket.on('ping', markHeard);
+	socket.on('error', () => {
+		metrics.increment('peer.link-errors');
+	});
+	socket.on('close', () => {
+		client.rejectAllPendingRequests(`the link to ${options.node} broke`);
+		options.onClose();
+	});
+
+	return {
+		node: options.node,
+		async call(method, parameters) {
+			usedAt = Date.now();
+			pending++;
+			try {
+				return await client.request(method, parameters);
+			} finally {
+				pending--;
+				usedAt = Date.now();
+			}
+		},
+		notify(method, parameters) {
+			usedAt = Date.now();
+			client.notify(method, parameters);
+		},
+		tick(now) {
+			const wasPaused = now - tickedAt >= options.silenceMs;
+			tickedAt = now;
+			if (wasPaused) {
+				unansweredSince = 0;
+			}
+
+			const isUsed = pending > 0 || now - usedAt < options.silenceMs * pingPart;
+			if (unansweredSince > 0 && now - unansweredSince >= options.silenceMs) {
+				socket.terminate();
+			} else if (isUsed && now - Math.max(heardAt, pingedAt) >= options.silenceMs / pingPart) {
+				pingedAt = now;
+				unansweredSince ||= now;
+				socket.ping();
+			} else if (pending === 0 && now - Math.max(usedAt, heardAt) >= idleMs) {
+				socket.close();
+			}
+		},
+		close() {
+			socket.terminate();
+		},
+	};
+}
+
+function parseMessage(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/peer/network/src/create-peer-network.ts
@@ -0,0 +1,180 @@
+import {timingSafeEqual} from 'node:crypto';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {Buffer} from 'node:buffer';
+import Emittery from 'emittery';
+import {ResultAsync} from 'neverthrow';
+import {WebSocket, WebSocketServer} from 'ws';
+import {ValvesaddleError} from '@valvesaddle/error';
+import {createPeerLink} from './create-peer-link.ts';
+import {fromRpcError} from './from-rpc-error.ts';
+import type {PeerEvents} from './peer-events.ts';
+import type {PeerHandlers} from './peer-handlers.ts';
+import type {PeerLink} from './peer-link.ts';
+import type {PeerNetwork} from './peer-network.ts';
+import type {PeerNetworkOptions} from './peer-network-options.ts';
+
+const nodeHeader = 'x-valvesaddle-node';
+const largestMessageBytes = 2 * 1024 * 1024;
+const ticksPerSilence = 6;
+
+/**
+ * Creates the network of a node: it listens for peers and opens links to them when first needed.
+ *
+ * @example
+ * const network = createPeerNetwork({node: 'a1', host: '127.0.0.1', port: 0, token, findAddress, silenceMs: 600, metrics});
+ * await network.listen({'peer.hello': () => 'hello'});
+ */
+export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
+	const {metrics} = options;
+	const events = new Emittery<PeerEvents>();
+	const links = new Map<string, PeerLink>();
+	const opening = new Map<string, Promise<PeerLink>>();
+	const all = new Set<PeerLink>();
+	let handlers: PeerHandlers = {};
+	let httpServer: Server | undefined;
+	let socketServer: WebSocketServer | undefined;
+	let isClosed = false;
+
+	const timer = setInterval(() => {
+		const now = Date.now();
+		for (const link of all) {
+			link.tick(now);
+		}
+	}, options.silenceMs / ticksPerSilence);
+	timer.unref();
+
+	function addLink(node: string, socket: WebSocket): PeerLink {
+		const link = createPeerLink({
+			node, socket, handlers, silenceMs: options.silenceMs, metrics,
+			onClose() {
+				all.delete(link);
+				if (links.get(node) === link) {
+					links.delete(node);
+					metrics.increment('peer.links-lost');
+					void events.emit('lost', {node});
+				}
+			},
+		});
+		all.add(link);
+		links.set(node, link);
+		void events.emit('found', {node});
+		return link;
+	}
+
+	async function openLink(node: string): Promise<PeerLink> {
+		const address = options.findAddress(node);
+		if (address === undefined || isClosed) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `the address of ${node} is not known`);
+		}
+
+		const socket = new WebSocket(`ws://${address}`, {
+			headers: {authorization: `Bearer ${options.token}`, [nodeHeader]: options.node},
+			handshakeTimeout: options.silenceMs,
+			perMessageDeflate: false,
+			maxPayload: largestMessageBytes,
+		});
+		const {promise, resolve, reject} = Promise.withResolvers<PeerLink>();
+		socket.once('open', () => {
+			resolve(addLink(node, socket));
+		});
+		socket.once('error', cause => {
+			reject(new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `${node} at ${address}: ${cause.message}`, {cause}));
+		});
+		return promise;
+	}
+
+	async function getLink(node: string): Promise<PeerLink> {
+		const existing = links.get(node);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const started = opening.get(node) ?? openLink(node);
+		opening.set(node, started);
+		try {
+			return await started;
+		} finally {
+			opening.delete(node);
+		}
+	}
+
+	async function callNode(node: string, method: string, parameters: unknown): Promise<unknown> {
+		const link = await getLink(node);
+		return link.call(method, parameters);
+	}
+
+	return {
+		events,
+		async listen(peerHandlers) {
+			handlers = peerHandlers;
+			httpServer = createServer((_request, response) => {
+				response.writeHead(426).end();
+			});
+			socketServer = new WebSocketServer({
+				server: httpServer,
+				perMessageDeflate: false,
+				maxPayload: largestMessageBytes,
+				verifyClient: ({req}: {req: IncomingMessage}) => hasToken(req, options.token),
+			});
+			socketServer.on('connection', (socket, request) => {
+				addLink(String(request.headers[nodeHeader]), socket);
+			});
+			const {promise, resolve, reject} = Promise.withResolvers<void>();
+			httpServer.once('error', reject);
+			httpServer.listen(options.port, options.host, resolve);
+			await promise;
+			return describeAddress(httpServer);
+		},
+		call: (node, method, parameters) => ResultAsync.fromPromise(callNode(node, method, parameters), thrown => toPeerError(thrown)),
+		notify(node, method, parameters) {
+			getLink(node).then(link => {
+				link.notify(method, parameters);
+			}).catch(() => {
+				metrics.increment('peer.notifications-lost');
+			});
+		},
+		broadcast(method, parameters) {
+			for (const link of links.values()) {
+				try {
+					link.notify(method, parameters);
+				} catch {
+					metrics.increment('peer.notifications-lost');
+				}
+			}
+		},
+		connected: () => [...links.keys()],
+		async close() {
+			isClosed = true;
+			clearInterval(timer);
+			for (const link of all) {
+				link.close();
+			}
+
+			socketServer?.close();
+			if (httpServer?.listening) {
+				const {promise, resolve} = Promise.withResolvers<void>();
+				httpServer.close(() => {
+					resolve();
+				});
+				await promise;
+			}
+		},
+	};
+}
+
+function hasToken(request: IncomingMessage, token: string): boolean {
+	const given = Buffer.from(request.headers.authorization ?? '');
+	const expected = Buffer.from(`Bearer ${token}`);
+	return given.length === expected.length && timingSafeEqual(given, expected) && request.headers[nodeHeader] !== undefined;
+}
+
+function describeAddress(server: Server): string {
+	const address = server.address();
+	return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
+}
+
+function toPeerError(thrown: unknown): ValvesaddleError {
+	const error = fromRpcError(thrown);
+	const isBroken = error.code === 'ERR_VALVESADDLE_INTERNAL' || error.code === 'ERR_VALVESADDLE_MESSAGE_INVALID';
+	return isBroken ? new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', error.message, {cause: error}) : error;
+}
--- /dev/null
+++ b/peer/network/src/peer-handlers.ts
@@ -0,0 +1,2 @@
+/** Answers the methods that peers call, by name. `peer` is the id of the calling node. */
+export type PeerHandlers = Readonly<Record<string, (parameters: unknown, peer: string) => unknown>>;
--- /dev/null
+++ b/peer/network/src/peer-link-options.ts
@@ -0,0 +1,13 @@
+import type {WebSocket} from 'ws';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {PeerHandlers} from './peer-handlers.ts';
+
+/** Options of `createPeerLink`. */
+export type PeerLinkOptions = {
+	readonly node: string;
+	readonly socket: WebSocket;
+	readonly handlers: PeerHandlers;
+	readonly silenceMs: number;
+	readonly metrics: Metrics;
+	readonly onClose: () => void;
+};
