--- a/caller/access/src/access-index.ts
+++ b/caller/access/src/access-index.ts
@@ -1,15 +1,23 @@
 import type {Result} from 'neverthrow';
 import type {ValvesaddleError} from '@valvesaddle/error';
+import type {ClientAccount} from '@valvesaddle/types';
 import type {AccessQuestion} from './access-question.ts';
 import type {Access} from './access.ts';
-import type {ClientAccount} from '@valvesaddle/types';
 
-/** Finds out who calls and what they may use, under one configuration. */
+/**
+Finds out who calls and what they may use, under one configuration.
+*/
 export type AccessIndex = {
-	/** Account of an `Authorization` header. */
+	/**
+	Account of an `Authorization` header.
+	*/
 	readonly authenticate: (authorization: string | undefined) => Result<ClientAccount, ValvesaddleError>;
-	/** Pool and class for a request of an account. */
+	/**
+	Pool and class for a request of an account.
+	*/
 	readonly resolve: (question: AccessQuestion) => Result<Access, ValvesaddleError>;
-	/** Models that an account is bound to. */
+	/**
+	Models that an account is bound to.
+	*/
 	readonly models: (account: string) => readonly string[];
 };
--- a/caller/access/src/access-question.ts
+++ b/caller/access/src/access-question.ts
@@ -1,12 +1,18 @@
 import type {PoolKind} from '@valvesaddle/types';
 
-/** What a request wants to use. */
+/**
+What a request wants to use.
+*/
 export type AccessQuestion = {
 	readonly account: string;
 	readonly kind: PoolKind;
 	readonly model: string;
-	/** Region of the node; a pool there goes before pools elsewhere. */
+	/**
+	Region of the node; a pool there goes before pools elsewhere.
+	*/
 	readonly region: string;
-	/** Class that the caller asks for; may only lower the binding's default. */
+	/**
+	Class that the caller asks for; may only lower the binding's default.
+	*/
 	readonly className: string | undefined;
 };
--- a/caller/access/src/access.ts
+++ b/caller/access/src/access.ts
@@ -1,6 +1,8 @@
 import type {Pool, RequestClass} from '@valvesaddle/types';
 
-/** What a request may use. */
+/**
+What a request may use.
+*/
 export type Access = {
 	readonly pool: Pool;
 	readonly requestClass: RequestClass;
--- a/caller/access/src/create-access-index.ts
+++ b/caller/access/src/create-access-index.ts
@@ -1,7 +1,11 @@
 import {err, ok, type Result} from 'neverthrow';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {
-	Binding, ClientAccount, Configuration, Pool, RequestClass,
+	Binding,
+	ClientAccount,
+	Configuration,
+	Pool,
+	RequestClass,
 } from '@valvesaddle/types';
 import type {Access} from './access.ts';
 import type {AccessIndex} from './access-index.ts';
@@ -11,11 +15,11 @@
 const bearerPattern = /^bearer (?<key>\S+)$/iv;
 
 /**
- * Creates the index of who may use what.
- *
- * @example
- * const index = createAccessIndex(configuration);
- * index.authenticate('Bearer key-1').isOk();
+ Creates the index of who may use what.
+
+ @example
+ const index = createAccessIndex(configuration);
+ index.authenticate('Bearer key-1').isOk();
  */
 export function createAccessIndex(configuration: Configuration): AccessIndex {
 	const accounts = new Map(configuration.accounts.flatMap(account => account.keyHashes.map(keyHash => [keyHash, account] as const)));
@@ -49,7 +53,7 @@
 
 	return {
 		authenticate(authorization) {
-			const key = bearerPattern.exec(authorization ?? '')?.groups?.['key'];
+			const key = bearerPattern.exec(authorization ?? '')?.groups?.key;
 			const account = key === undefined ? undefined : accounts.get(hashKey(key));
 			return account === undefined ? err(new ValvesaddleError('ERR_VALVESADDLE_UNAUTHENTICATED', 'the API key is missing or unknown')) : ok(account);
 		},
--- a/caller/api/src/caller-api.ts
+++ b/caller/api/src/caller-api.ts
@@ -1,7 +1,13 @@
-/** HTTP interface for callers. */
+/**
+HTTP interface for callers.
+*/
 export type CallerApi = {
-	/** Starts to listen; resolves to the address in use. */
+	/**
+	Starts to listen; resolves to the address in use.
+	*/
 	readonly listen: () => Promise<string>;
-	/** Stops to listen and waits until every reply is out. */
+	/**
+	Stops to listen and waits until every reply is out.
+	*/
 	readonly close: () => Promise<void>;
 };
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -21,7 +21,7 @@
 
 const fingerprintLength = 22;
 const noRequest = '-';
-const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<rest>[^?]*)(?<query>\?.*)?$/v;
+const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<rest>(?:\/[^?]*)?)(?<query>\?.*)?$/v;
 const tracedHeaders = ['traceparent', 'tracestate'];
 
 type Write = (context: ReplyContext) => Promise<AnswerEnd | undefined>;
@@ -33,21 +33,21 @@
 };
 
 /**
- * Creates the HTTP interface for callers: chat completions, plain services, reconnects, health.
- *
- * @example
- * const api = createCallerApi(options);
- * const address = await api.listen();
+ Creates the HTTP interface for callers: chat completions, plain services, reconnects, health.
+
+ @example
+ const api = createCallerApi(options);
+ const address = await api.listen();
  */
 export function createCallerApi(options: CallerApiOptions): CallerApi {
 	const server = createServer();
 	const service = restana({
 		server,
 		errorHandler(error, _request, response) {
-			fail(response as unknown as ServerResponse, error);
+			fail(response, error);
 		},
 		defaultRoute(_request, response) {
-			fail(response as unknown as ServerResponse, new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', 'no such path'));
+			fail(response, new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', 'no such path'));
 		},
 	});
 
@@ -57,7 +57,9 @@
 		sendError(response, end, noRequest);
 	}
 
-	/** Wraps a handler that needs a known caller and a node that takes requests. */
+	/**
+	Wraps a handler that needs a known caller and a node that takes requests.
+	*/
 	function handle(act: (caller: Caller) => Promise<void>): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 		return async (request, response) => {
 			if (options.isLeaving()) {
@@ -88,7 +90,9 @@
 		}
 	}
 
-	/** Writes the answer; follows to the attempt that holds the claim where there is one. */
+	/**
+	Writes the answer; follows to the attempt that holds the claim where there is one.
+	*/
 	async function reply(caller: Caller, context: Omit<ReplyContext, 'response' | 'isGone'>, write: Write, claim: JobClaim | undefined): Promise<void> {
 		const {response} = caller;
 		let isGone = false;
@@ -111,7 +115,9 @@
 			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read`);
 		}
 
-		await write({...context, source, offset: 0, response, isGone: () => isGone});
+		await write({
+			...context, source, offset: 0, response, isGone: () => isGone,
+		});
 	}
 
 	async function handleChat(caller: Caller): Promise<void> {
@@ -140,7 +146,7 @@
 		checkTaken(caller);
 		const {request} = caller;
 		const groups = servicePath.exec(request.url ?? '')?.groups ?? {};
-		const model = groups['service'] ?? '';
+		const model = groups.service ?? '';
 		const body = await readBody(request, options.bodyBytes);
 		const access = options.access().resolve({
 			account: caller.account.name, kind: 'service', model, region: options.region, className: getHeader(request, headerNames.className),
@@ -149,7 +155,7 @@
 			throw access.error;
 		}
 
-		const path = `${groups['rest'] ?? ''}${groups['query'] ?? ''}`;
+		const path = `${groups.rest ?? ''}${groups.query ?? ''}`;
 		const method = request.method ?? 'GET';
 		const job: Job = {
 			...toJobBase(caller, `${method} ${path}\n${body}`, access.value.pool),
@@ -184,15 +190,15 @@
 		await reply(caller, {source, model: '', offset: position.offset}, writeStreamReply, undefined);
 	}
 
-	service.post('/v1/chat/completions', handle(handleChat) as never);
-	service.get('/v1/requests/:id', handle(handleReconnect) as never);
-	service.all('/v1/services/:service', handle(handleService) as never);
-	service.all('/v1/services/:service/*', handle(handleService) as never);
+	service.post('/v1/chat/completions', handle(handleChat));
+	service.get('/v1/requests/:id', handle(handleReconnect));
+	service.all('/v1/services/:service', handle(handleService));
+	service.all('/v1/services/:service/*', handle(handleService));
 	service.get('/v1/models', handle(async ({account, response}) => {
 		const data = options.access().models(account.name).map(id => ({id, object: 'model'}));
 		response.setHeader('content-type', 'application/json');
 		response.end(JSON.stringify({object: 'list', data}));
-	}) as never);
+	}));
 	service.get('/healthz', (_request, response) => {
 		response.end('ok\n');
 	});
--- a/caller/api/src/error-body.ts
+++ b/caller/api/src/error-body.ts
@@ -1,15 +1,19 @@
 import type {ErrorCode, Ran} from '@valvesaddle/error';
 
-/** Body of every error reply and error event. */
+/**
+Body of every error reply and error event.
+*/
 export type ErrorBody = {
 	readonly error: {
 		readonly code: ErrorCode;
 		readonly message: string;
 		readonly hint: string;
-		/** Whether the request ran. */
+		/**
+		Whether the request ran.
+		*/
 		readonly ran: Ran;
 		readonly retryable: boolean;
-		readonly 'retry_after_ms': number | undefined;
-		readonly 'request_id': string;
+		readonly retry_after_ms: number | undefined;
+		readonly request_id: string;
 	};
 };
--- a/caller/api/src/error-end.ts
+++ b/caller/api/src/error-end.ts
@@ -1,4 +1,6 @@
 import type {AnswerEnd} from '@valvesaddle/answers';
 
-/** The end of an answer that failed. */
+/**
+The end of an answer that failed.
+*/
 export type ErrorEnd = Extract<AnswerEnd, {kind: 'error'}>;
--- a/caller/api/src/estimate-prompt-tokens.ts
+++ b/caller/api/src/estimate-prompt-tokens.ts
@@ -3,10 +3,10 @@
 type Message = Readonly<Record<string, unknown>>;
 
 /**
- * Estimates the tokens of a prompt from the length of its texts; pictures do not count.
- *
- * @example
- * estimatePromptTokens([{role: 'user', content: 'Is box 7 cleared?'}]); // 5
+ Estimates the tokens of a prompt from the length of its texts; pictures do not count.
+
+ @example
+ estimatePromptTokens([{role: 'user', content: 'Is box 7 cleared?'}]); // 5
  */
 export function estimatePromptTokens(messages: readonly Message[]): number {
 	let characters = 0;
--- a/caller/api/src/get-header.ts
+++ b/caller/api/src/get-header.ts
@@ -1,10 +1,10 @@
 import type {IncomingMessage} from 'node:http';
 
 /**
- * One header of a request; `undefined` when it is missing or empty.
- *
- * @example
- * getHeader(request, 'idempotency-key'); // 'permit-77'
+ One header of a request; `undefined` when it is missing or empty.
+
+ @example
+ getHeader(request, 'idempotency-key'); // 'permit-77'
  */
 export function getHeader(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
--- a/caller/api/src/header-names.ts
+++ b/caller/api/src/header-names.ts
@@ -1,4 +1,6 @@
-/** Headers of the project. */
+/**
+Headers of the project.
+*/
 export const headerNames = {
 	requestId: 'x-valvesaddle-request-id',
 	className: 'x-valvesaddle-class',
--- a/caller/api/src/parse-chat-body.ts
+++ b/caller/api/src/parse-chat-body.ts
@@ -3,11 +3,11 @@
 import {chatBodySchema} from './chat-body-schema.ts';
 
 /**
- * Reads the body of a chat completion.
- *
- * @throws `ERR_VALVESADDLE_MALFORMED_BODY` that names every fault.
- * @example
- * parseChatBody('{"model":"drafting","messages":[{"role":"user","content":"Hello"}]}').model; // 'drafting'
+ Reads the body of a chat completion.
+
+ @throws `ERR_VALVESADDLE_MALFORMED_BODY` that names every fault.
+ @example
+ parseChatBody('{"model":"drafting","messages":[{"role":"user","content":"Hello"}]}').model; // 'drafting'
  */
 export function parseChatBody(text: string): z.infer<typeof chatBodySchema> {
 	let json: unknown;
--- a/caller/api/src/read-body.ts
+++ b/caller/api/src/read-body.ts
@@ -3,18 +3,18 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 
 /**
- * Reads the body of a request.
- *
- * @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` past `limitBytes`, `ERR_VALVESADDLE_MALFORMED_BODY` when it breaks off.
- * @example
- * const text = await readBody(request, 1_000_000);
+ Reads the body of a request.
+
+ @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` past `limitBytes`, `ERR_VALVESADDLE_MALFORMED_BODY` when it breaks off.
+ @example
+ const text = await readBody(request, 1_000_000);
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string> {
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
 		for await (const chunk of request) {
-			const bytes = chunk as Buffer;
+			const bytes = chunk as Uint8Array;
 			size += bytes.length;
 			if (size > limitBytes) {
 				break;
--- a/caller/api/src/reply-context.ts
+++ b/caller/api/src/reply-context.ts
@@ -1,13 +1,19 @@
 import type {ServerResponse} from 'node:http';
 import type {AnswerSource} from '@valvesaddle/answers';
 
-/** What writing a reply needs. */
+/**
+What writing a reply needs.
+*/
 export type ReplyContext = {
 	readonly response: ServerResponse;
 	readonly source: AnswerSource;
 	readonly model: string;
-	/** Parts that the caller has already. */
+	/**
+	Parts that the caller has already.
+	*/
 	readonly offset: number;
-	/** Whether the caller is still there. */
+	/**
+	Whether the caller is still there.
+	*/
 	readonly isGone: () => boolean;
 };
--- a/caller/api/src/send-error.ts
+++ b/caller/api/src/send-error.ts
@@ -7,10 +7,10 @@
 const millisecondsPerSecond = 1000;
 
 /**
- * Sends an error reply, with `Retry-After` where another try makes sense.
- *
- * @example
- * sendError(response, end, requestId);
+ Sends an error reply, with `Retry-After` where another try makes sense.
+
+ @example
+ sendError(response, end, requestId);
  */
 export function sendError(response: ServerResponse, end: ErrorEnd, requestId: string): void {
 	if (response.headersSent || response.destroyed) {
--- a/caller/api/src/to-error-end.ts
+++ b/caller/api/src/to-error-end.ts
@@ -2,10 +2,10 @@
 import type {ErrorEnd} from './error-end.ts';
 
 /**
- * The end of a request that was refused before its execution began.
- *
- * @example
- * toErrorEnd(new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_MODEL', 'no pool serves "x"')).ran; // 'no'
+ The end of a request that was refused before its execution began.
+
+ @example
+ toErrorEnd(new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_MODEL', 'no pool serves "x"')).ran; // 'no'
  */
 export function toErrorEnd(thrown: unknown): ErrorEnd {
 	const {code, message, traits, retryAfterMs} = toValvesaddleError(thrown);
--- a/caller/api/src/write-stream-reply.ts
+++ b/caller/api/src/write-stream-reply.ts
@@ -9,13 +9,13 @@
 const endMark = '[DONE]';
 
 /**
- * Writes an answer as server-sent events in the chat completions form. Each event's id holds the request id and how
- * many parts came, so that the caller can go on from there through any node. Headers go out with the first part, so
- * that a refusal still gets its own status.
- *
- * @returns The end that could not be written here because another attempt holds the claim, if that is the case.
- * @example
- * await writeStreamReply(context);
+ Writes an answer as server-sent events in the chat completions form. Each event's id holds the request id and how
+ many parts came, so that the caller can go on from there through any node. Headers go out with the first part, so
+ that a refusal still gets its own status.
+
+ @returns The end that could not be written here because another attempt holds the claim, if that is the case.
+ @example
+ await writeStreamReply(context);
  */
 export async function writeStreamReply(context: ReplyContext): Promise<AnswerEnd | undefined> {
 	const {response, source} = context;
@@ -79,8 +79,8 @@
 		id: source.requestId,
 		object: 'chat.completion.chunk',
 		model,
-		choices: [{index: 0, delta: {}, 'finish_reason': finishReason}],
-		usage: {'completion_tokens': offset},
+		choices: [{index: 0, delta: {}, finish_reason: finishReason}],
+		usage: {completion_tokens: offset},
 	};
 	response.end(`id: ${source.requestId}:${offset}\ndata: ${JSON.stringify(chunk)}\n\ndata: ${endMark}\n\n`);
 }
--- a/caller/api/src/write-whole-reply.ts
+++ b/caller/api/src/write-whole-reply.ts
@@ -4,11 +4,11 @@
 import {sendError} from './send-error.ts';
 
 /**
- * Writes an answer as one reply once it has ended: a chat completion, or a plain service's reply as it came.
- *
- * @returns The end that could not be written here because another attempt holds the claim, if that is the case.
- * @example
- * await writeWholeReply(context);
+ Writes an answer as one reply once it has ended: a chat completion, or a plain service's reply as it came.
+
+ @returns The end that could not be written here because another attempt holds the claim, if that is the case.
+ @example
+ await writeWholeReply(context);
  */
 export async function writeWholeReply(context: ReplyContext): Promise<AnswerEnd | undefined> {
 	const {response, source, isGone} = context;
@@ -47,8 +47,8 @@
 		id: source.requestId,
 		object: 'chat.completion',
 		model,
-		choices: [{index: 0, message: mergeDeltas(parts), 'finish_reason': end.finishReason}],
-		usage: {'completion_tokens': end.tokens},
+		choices: [{index: 0, message: mergeDeltas(parts), finish_reason: end.finishReason}],
+		usage: {completion_tokens: end.tokens},
 	};
 }
 
--- a/cli/valvesaddle/src/base-command.ts
+++ b/cli/valvesaddle/src/base-command.ts
@@ -9,7 +9,9 @@
 	[Code.Unknown]: exitCodes.unknown,
 };
 
-/** A command that prints failures with their code and hint instead of a stack. */
+/**
+A command that prints failures with their code and hint instead of a stack.
+*/
 export abstract class BaseCommand extends Command {
 	abstract run(): Promise<number>;
 
--- a/cli/valvesaddle/src/check-settings-command.ts
+++ b/cli/valvesaddle/src/check-settings-command.ts
@@ -3,7 +3,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {readSettingsFile} from './read-settings-file.ts';
 
-/** `valvesaddle check-settings`: checks a settings file. */
+/**
+`valvesaddle check-settings`: checks a settings file.
+*/
 export class CheckSettingsCommand extends BaseCommand {
 	static override readonly paths = [['check-settings']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/config-apply-command.ts
+++ b/cli/valvesaddle/src/config-apply-command.ts
@@ -4,7 +4,9 @@
 import {OperatorCommand} from './operator-command.ts';
 import {readConfigurationFile} from './read-configuration-file.ts';
 
-/** `valvesaddle config apply`: changes the configuration. */
+/**
+`valvesaddle config apply`: changes the configuration.
+*/
 export class ConfigApplyCommand extends OperatorCommand {
 	static override readonly paths = [['config', 'apply']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/config-diff-command.ts
+++ b/cli/valvesaddle/src/config-diff-command.ts
@@ -3,7 +3,9 @@
 import {OperatorCommand} from './operator-command.ts';
 import {readConfigurationFile} from './read-configuration-file.ts';
 
-/** `valvesaddle config diff`: compares a file with what is in force. */
+/**
+`valvesaddle config diff`: compares a file with what is in force.
+*/
 export class ConfigDiffCommand extends OperatorCommand {
 	static override readonly paths = [['config', 'diff']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/config-get-command.ts
+++ b/cli/valvesaddle/src/config-get-command.ts
@@ -3,7 +3,9 @@
 import {formatConfiguration} from './format-configuration.ts';
 import {OperatorCommand} from './operator-command.ts';
 
-/** `valvesaddle config get`: prints a configuration. */
+/**
+`valvesaddle config get`: prints a configuration.
+*/
 export class ConfigGetCommand extends OperatorCommand {
 	static override readonly paths = [['config', 'get']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/config-history-command.ts
+++ b/cli/valvesaddle/src/config-history-command.ts
@@ -2,7 +2,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {OperatorCommand} from './operator-command.ts';
 
-/** `valvesaddle config history`: lists the last revisions. */
+/**
+`valvesaddle config history`: lists the last revisions.
+*/
 export class ConfigHistoryCommand extends OperatorCommand {
 	static override readonly paths = [['config', 'history']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/config-rollback-command.ts
+++ b/cli/valvesaddle/src/config-rollback-command.ts
@@ -2,7 +2,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {OperatorCommand} from './operator-command.ts';
 
-/** `valvesaddle config rollback`: applies an earlier revision as a new one. */
+/**
+`valvesaddle config rollback`: applies an earlier revision as a new one.
+*/
 export class ConfigRollbackCommand extends OperatorCommand {
 	static override readonly paths = [['config', 'rollback']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/dev-command.ts
+++ b/cli/valvesaddle/src/dev-command.ts
@@ -5,7 +5,9 @@
 import {runUntilSignal} from './run-until-signal.ts';
 import {sendChat} from './send-chat.ts';
 
-/** `valvesaddle dev`: a whole fleet in one process, to try things out. */
+/**
+`valvesaddle dev`: a whole fleet in one process, to try things out.
+*/
 export class DevCommand extends BaseCommand {
 	static override readonly paths = [['dev']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/drain-command.ts
+++ b/cli/valvesaddle/src/drain-command.ts
@@ -2,7 +2,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {OperatorCommand} from './operator-command.ts';
 
-/** `valvesaddle drain`: begins a graceful shutdown of a node. */
+/**
+`valvesaddle drain`: begins a graceful shutdown of a node.
+*/
 export class DrainCommand extends OperatorCommand {
 	static override readonly paths = [['drain']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/hash-key-command.ts
+++ b/cli/valvesaddle/src/hash-key-command.ts
@@ -4,7 +4,9 @@
 import {BaseCommand} from './base-command.ts';
 import {exitCodes} from './exit-codes.ts';
 
-/** `valvesaddle hash-key`: the hash under which a key is kept. */
+/**
+`valvesaddle hash-key`: the hash under which a key is kept.
+*/
 export class HashKeyCommand extends BaseCommand {
 	static override readonly paths = [['hash-key']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/main.ts
+++ b/cli/valvesaddle/src/main.ts
@@ -16,8 +16,21 @@
 
 const cli = new Cli({binaryLabel: 'valvesaddle', binaryName: 'valvesaddle', binaryVersion: '0.1.0'});
 const commands = [
-	CheckSettingsCommand, ConfigApplyCommand, ConfigDiffCommand, ConfigGetCommand, ConfigHistoryCommand, ConfigRollbackCommand, DevCommand, DrainCommand,
-	HashKeyCommand, SendCommand, ServeCommand, StandInCommand, StatusCommand, Builtins.HelpCommand, Builtins.VersionCommand,
+	CheckSettingsCommand,
+	ConfigApplyCommand,
+	ConfigDiffCommand,
+	ConfigGetCommand,
+	ConfigHistoryCommand,
+	ConfigRollbackCommand,
+	DevCommand,
+	DrainCommand,
+	HashKeyCommand,
+	SendCommand,
+	ServeCommand,
+	StandInCommand,
+	StatusCommand,
+	Builtins.HelpCommand,
+	Builtins.VersionCommand,
 ];
 for (const command of commands) {
 	cli.register(command);
--- a/cli/valvesaddle/src/read-configuration-file.ts
+++ b/cli/valvesaddle/src/read-configuration-file.ts
@@ -4,11 +4,11 @@
 import {ConfigurationSchema, type Configuration} from '@valvesaddle/operator-schema';
 
 /**
- * Reads a configuration from a JSON file.
- *
- * @throws `ERR_VALVESADDLE_CONFIGURATION_INVALID` when it has not the form of the schema.
- * @example
- * const configuration = await readConfigurationFile('configuration.json');
+ Reads a configuration from a JSON file.
+
+ @throws `ERR_VALVESADDLE_CONFIGURATION_INVALID` when it has not the form of the schema.
+ @example
+ const configuration = await readConfigurationFile('configuration.json');
  */
 export async function readConfigurationFile(path: string): Promise<Configuration> {
 	try {
--- a/cli/valvesaddle/src/read-settings-file.ts
+++ b/cli/valvesaddle/src/read-settings-file.ts
@@ -3,11 +3,11 @@
 import {parseSettings, type Settings} from '@valvesaddle/settings';
 
 /**
- * Reads and checks a settings file.
- *
- * @throws `ERR_VALVESADDLE_SETTINGS_INVALID` that names every fault.
- * @example
- * const settings = await readSettingsFile('node.toml');
+ Reads and checks a settings file.
+
+ @throws `ERR_VALVESADDLE_SETTINGS_INVALID` that names every fault.
+ @example
+ const settings = await readSettingsFile('node.toml');
  */
 export async function readSettingsFile(path: string): Promise<Settings> {
 	let text: string;
--- a/cli/valvesaddle/src/run-until-signal.ts
+++ b/cli/valvesaddle/src/run-until-signal.ts
@@ -1,10 +1,10 @@
 import process from 'node:process';
 
 /**
- * Waits for SIGTERM or SIGINT. A second signal ends the process at once.
- *
- * @example
- * await runUntilSignal();
+ Waits for SIGTERM or SIGINT. A second signal ends the process at once.
+
+ @example
+ await runUntilSignal();
  */
 export async function runUntilSignal(): Promise<void> {
 	const {promise, resolve} = Promise.withResolvers<void>();
--- a/cli/valvesaddle/src/send-chat-options.ts
+++ b/cli/valvesaddle/src/send-chat-options.ts
@@ -1,4 +1,6 @@
-/** Options of `sendChat`. */
+/**
+Options of `sendChat`.
+*/
 export type SendChatOptions = {
 	readonly url: string;
 	readonly key: string;
@@ -7,6 +9,8 @@
 	readonly className?: string | undefined;
 	readonly tokens?: number | undefined;
 	readonly idempotencyKey?: string | undefined;
-	/** Takes the answer as it comes. */
+	/**
+	Takes the answer as it comes.
+	*/
 	readonly write: (text: string) => void;
 };
--- a/cli/valvesaddle/src/send-chat.ts
+++ b/cli/valvesaddle/src/send-chat.ts
@@ -18,13 +18,13 @@
 };
 
 /**
- * Sends a chat completion as a caller and writes the answer as it streams. A broken connection is taken up again where
- * it broke: by the last event id, or, when the node is gone, by sending the request again with the answer so far.
- *
- * @returns The whole answer.
- * @throws `ValvesaddleError` with the code of the refusal.
- * @example
- * await sendChat({url, key, model: 'drafting', text: 'Is box 7 cleared?', write(text) { process.stdout.write(text); }});
+ Sends a chat completion as a caller and writes the answer as it streams. A broken connection is taken up again where
+ it broke: by the last event id, or, when the node is gone, by sending the request again with the answer so far.
+
+ @returns The whole answer.
+ @throws `ValvesaddleError` with the code of the refusal.
+ @example
+ await sendChat({url, key, model: 'drafting', text: 'Is box 7 cleared?', write(text) { process.stdout.write(text); }});
  */
 export async function sendChat(options: SendChatOptions): Promise<string> {
 	const position: Position = {lastEventId: '', text: '', isDone: false};
@@ -48,7 +48,7 @@
 async function open(options: SendChatOptions, position: Position): Promise<Dispatcher.ResponseData> {
 	const authorization = `Bearer ${options.key}`;
 	if (position.lastEventId !== '') {
-		const [requestId] = position.lastEventId.split(':');
+		const [requestId] = position.lastEventId.split(':', 1);
 		const resumed = await request(`${options.url}/v1/requests/${requestId}`, {headers: {authorization, 'last-event-id': position.lastEventId}});
 		if (resumed.statusCode === 200) {
 			return resumed;
@@ -71,11 +71,11 @@
 
 function buildBody(options: SendChatOptions, {text}: Position): unknown {
 	const question = {role: 'user', content: options.text};
-	const body = {model: options.model, stream: true, ...(options.tokens === undefined ? {} : {'max_tokens': options.tokens})};
+	const body = {model: options.model, stream: true, ...(options.tokens !== undefined && {max_tokens: options.tokens})};
 	return text === ''
 		? {...body, messages: [question]}
 		: {
-			...body, messages: [question, {role: 'assistant', content: text}], 'continue_final_message': true, 'add_generation_prompt': false,
+			...body, messages: [question, {role: 'assistant', content: text}], continue_final_message: true, add_generation_prompt: false,
 		};
 }
 
--- a/cli/valvesaddle/src/send-command.ts
+++ b/cli/valvesaddle/src/send-command.ts
@@ -3,7 +3,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {sendChat} from './send-chat.ts';
 
-/** `valvesaddle send`: a caller's client that shows the stream. */
+/**
+`valvesaddle send`: a caller's client that shows the stream.
+*/
 export class SendCommand extends BaseCommand {
 	static override readonly paths = [['send']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/serve-command.ts
+++ b/cli/valvesaddle/src/serve-command.ts
@@ -5,7 +5,9 @@
 import {readSettingsFile} from './read-settings-file.ts';
 import {runUntilSignal} from './run-until-signal.ts';
 
-/** `valvesaddle serve`: runs a router node until it is told to leave. */
+/**
+`valvesaddle serve`: runs a router node until it is told to leave.
+*/
 export class ServeCommand extends BaseCommand {
 	static override readonly paths = [['serve']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/stand-in-command.ts
+++ b/cli/valvesaddle/src/stand-in-command.ts
@@ -21,7 +21,9 @@
 	service: startFakeService,
 };
 
-/** `valvesaddle stand-in`: runs one stand-in as a process of its own. */
+/**
+`valvesaddle stand-in`: runs one stand-in as a process of its own.
+*/
 export class StandInCommand extends BaseCommand {
 	static override readonly paths = [['stand-in']];
 	static override readonly usage = Command.Usage({
--- a/cli/valvesaddle/src/status-command.ts
+++ b/cli/valvesaddle/src/status-command.ts
@@ -2,7 +2,9 @@
 import {exitCodes} from './exit-codes.ts';
 import {OperatorCommand} from './operator-command.ts';
 
-/** `valvesaddle status`: shows what a node sees. */
+/**
+`valvesaddle status`: shows what a node sees.
+*/
 export class StatusCommand extends OperatorCommand {
 	static override readonly paths = [['status']];
 	static override readonly usage = Command.Usage({
--- a/config/follower/src/config-events.ts
+++ b/config/follower/src/config-events.ts
@@ -1,7 +1,11 @@
 import type {ConfigurationRecord} from '@valvesaddle/types';
 
-/** What the follower tells. */
+/**
+What the follower tells.
+*/
 export type ConfigEvents = {
-	/** A newer configuration is in force on this node. */
+	/**
+	A newer configuration is in force on this node.
+	*/
 	readonly changed: ConfigurationRecord;
 };
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -6,16 +6,18 @@
 import type {ConfigFollower} from './config-follower.ts';
 import type {ConfigFollowerOptions} from './config-follower-options.ts';
 
-/** Watches end at different times on different nodes by this part of their length. */
+/**
+Watches end at different times on different nodes by this part of their length.
+*/
 const jitterPart = 0.2;
 
 /**
- * Creates the follower of the configuration: one long watch on the key-value service, and peers while that one does not
- * answer.
- *
- * @example
- * follower.events.on('changed', ({data}) => host.configure());
- * follower.start();
+ Creates the follower of the configuration: one long watch on the key-value service, and peers while that one does not
+ answer.
+
+ @example
+ follower.events.on('changed', ({data}) => host.configure());
+ follower.start();
  */
 export function createConfigFollower(options: ConfigFollowerOptions): ConfigFollower {
 	const events = new Emittery<ConfigEvents>();
@@ -25,9 +27,9 @@
 	let isReachable = true;
 	let heardStoreAt = Date.now();
 
-	function offer(record: ConfigurationRecord, source: string): boolean {
+	function offer(record: ConfigurationRecord, source: string): void {
 		if (record.revision <= (current?.revision ?? 0)) {
-			return false;
+			return;
 		}
 
 		current = record;
@@ -37,27 +39,30 @@
 			name: 'configuration-in-force', revision: record.revision, changeId: record.changeId, source,
 		});
 		void events.emit('changed', record);
-		return true;
 	}
 
-	function offerText(text: unknown, source: string): boolean {
+	function offerText(text: unknown, source: string): void {
 		const record = typeof text === 'string' ? parseRecord(text) : undefined;
 		if (record?.isErr()) {
 			options.metrics.increment('configuration.rejected');
 		}
 
-		return record?.isOk() ? offer(record.value, source) : false;
+		if (record?.isOk()) {
+			offer(record.value, source);
+		}
 	}
 
-	function noteReachable(now: boolean, reason: string): void {
-		if (now) {
+	function noteReachable(isReachableNow: boolean, reason: string): void {
+		if (isReachableNow) {
 			heardStoreAt = Date.now();
 		}
 
-		if (now !== isReachable) {
-			isReachable = now;
-			options.logger.warn({name: 'kv-state', reachable: now, reason});
+		if (now === isReachable) {
+			return;
 		}
+
+		isReachable = isReachableNow;
+		options.logger.warn({name: 'kv-state', reachable: isReachableNow, reason});
 	}
 
 	async function watchOnce(afterIndex: number): Promise<number | undefined> {
@@ -79,7 +84,7 @@
 
 	async function askPeers(): Promise<void> {
 		for (const text of await options.askPeers()) {
-			isSettled = offerText(text, 'peer') || isSettled;
+			offerText(text, 'peer');
 		}
 	}
 
@@ -90,12 +95,14 @@
 			const next = await watchOnce(index);
 			// An index that goes back means that the service began anew: watch from the start.
 			index = next === undefined || next < index ? 0 : next;
-			if (next === undefined && !stop.signal.aborted) {
-				// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
-				await askPeers();
-				// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
-				await delay(options.retryMs * (1 + (Math.random() * jitterPart)), undefined, {ref: false});
+			if (next !== undefined || stop.signal.aborted) {
+				continue;
 			}
+
+			// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
+			await askPeers();
+			// eslint-disable-next-line no-await-in-loop -- the next try follows after the pause
+			await delay(options.retryMs * (1 + (Math.random() * jitterPart)), undefined, {ref: false});
 		}
 	}
 
--- a/config/schema/src/configuration-schema.ts
+++ b/config/schema/src/configuration-schema.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-const name = z.string().regex(/^[a-z\d][a-z\d._\-]{0,62}$/v, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"');
+const name = z.string().regex(/^[\da-z][\d\-._a-z]{0,62}$/v, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"');
 const milliseconds = z.int().min(1).max(3_600_000);
 const share = z.number().positive().max(1000);
 const largestFloor = 0.3;
@@ -46,7 +46,9 @@
 	classes: z.array(name).min(1).readonly(),
 });
 
-/** Form of a configuration; the references between its parts are checked by `validateConfiguration`. */
+/**
+Form of a configuration; the references between its parts are checked by `validateConfiguration`.
+*/
 export const configurationSchema = z.strictObject({
 	classes: z.array(requestClass).max(64).readonly().default([]),
 	accounts: z.array(clientAccount).max(10_000).readonly().default([]),
--- a/config/schema/src/diff-configurations.ts
+++ b/config/schema/src/diff-configurations.ts
@@ -1,13 +1,15 @@
 import type {Configuration} from '@valvesaddle/types';
 
-/** One line of a difference: `+` added, `-` removed, `~` replaced. */
+/**
+One line of a difference: `+` added, `-` removed, `~` replaced.
+*/
 type Line = string;
 
 /**
- * Compares two configurations part by part; one line for each item added, removed or replaced.
- *
- * @example
- * diffConfigurations(before, after); // ['+ endpoints e2', '~ classes barrier']
+ Compares two configurations part by part; one line for each item added, removed or replaced.
+
+ @example
+ diffConfigurations(before, after); // ['+ endpoints e2', '~ classes barrier']
  */
 export function diffConfigurations(before: Configuration, after: Configuration): readonly Line[] {
 	return [
--- a/config/schema/src/find-reference-faults.ts
+++ b/config/schema/src/find-reference-faults.ts
@@ -3,11 +3,11 @@
 const largestFloorSum = 0.3;
 
 /**
- * Lists what is wrong between the parts of a configuration: repeated names, unknown references, floors that add up to
- * too much.
- *
- * @example
- * findReferenceFaults(configuration); // ['endpoints: "e1" names the unknown pool "drafting"']
+ Lists what is wrong between the parts of a configuration: repeated names, unknown references, floors that add up to
+ too much.
+
+ @example
+ findReferenceFaults(configuration); // ['endpoints: "e1" names the unknown pool "drafting"']
  */
 export function findReferenceFaults(configuration: Configuration): readonly string[] {
 	const {classes, accounts, pools, endpoints, bindings} = configuration;
--- a/config/schema/src/parse-record.ts
+++ b/config/schema/src/parse-record.ts
@@ -4,10 +4,10 @@
 import {recordSchema} from './record-schema.ts';
 
 /**
- * Reads a stored configuration record.
- *
- * @example
- * parseRecord('{"revision":1}').isErr(); // true: parts are missing
+ Reads a stored configuration record.
+
+ @example
+ parseRecord('{"revision":1}').isErr(); // true: parts are missing
  */
 export function parseRecord(text: string): Result<ConfigurationRecord, ValvesaddleError> {
 	let json: unknown;
@@ -18,9 +18,5 @@
 	}
 
 	const parsed = recordSchema.safeParse(json);
-	if (!parsed.success) {
-		return err(new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', `the stored configuration does not have the expected form: ${parsed.error.message}`));
-	}
-
-	return ok(parsed.data);
+	return parsed.success ? ok(parsed.data) : err(new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', `the stored configuration does not have the expected form: ${parsed.error.message}`));
 }
--- a/config/schema/src/record-schema.ts
+++ b/config/schema/src/record-schema.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {configurationSchema} from './configuration-schema.ts';
 
-/** Form of a stored configuration record. */
+/**
+Form of a stored configuration record.
+*/
 export const recordSchema = z.object({
 	revision: z.int().min(1),
 	changeId: z.string(),
--- a/config/schema/src/validate-configuration.ts
+++ b/config/schema/src/validate-configuration.ts
@@ -7,10 +7,10 @@
 const mostFaultsNamed = 20;
 
 /**
- * Checks a configuration whole and fills in defaults. The error names every fault with its place.
- *
- * @example
- * validateConfiguration({classes: [], accounts: [], pools: [], endpoints: [], bindings: []}).isOk(); // true
+ Checks a configuration whole and fills in defaults. The error names every fault with its place.
+
+ @example
+ validateConfiguration({classes: [], accounts: [], pools: [], endpoints: [], bindings: []}).isOk(); // true
  */
 export function validateConfiguration(input: unknown): Result<Configuration, ValvesaddleError> {
 	const parsed = configurationSchema.safeParse(input);
--- a/config/settings/src/check-settings.ts
+++ b/config/settings/src/check-settings.ts
@@ -5,11 +5,12 @@
 import type {Settings} from './settings.ts';
 
 /**
- * Checks settings whole and fills in defaults.
- *
- * @param text - The file that they come from, to name lines; empty when there is none.
- * @example
- * checkSettings({node: {id: 'a1'}}, '').isErr(); // true
+ Checks settings whole and fills in defaults.
+
+ @param input
+ @param text - The file that they come from, to name lines; empty when there is none.
+ @example
+ checkSettings({node: {id: 'a1'}}, '').isErr(); // true
  */
 export function checkSettings(input: unknown, text: string): Result<Settings, ValvesaddleError> {
 	const parsed = settingsSchema.safeParse(input);
--- a/config/settings/src/parse-settings.ts
+++ b/config/settings/src/parse-settings.ts
@@ -5,10 +5,10 @@
 import type {Settings} from './settings.ts';
 
 /**
- * Reads the text of a settings file. The error names every fault with its key, and the line where TOML itself is broken.
- *
- * @example
- * parseSettings('[node]\nid = "a1"').isErr(); // true: parts are missing
+ Reads the text of a settings file. The error names every fault with its key, and the line where TOML itself is broken.
+
+ @example
+ parseSettings('[node]\nid = "a1"').isErr(); // true: parts are missing
  */
 export function parseSettings(text: string): Result<Settings, ValvesaddleError> {
 	let table: unknown;
@@ -16,7 +16,7 @@
 		table = parse(text);
 	} catch (error) {
 		const where = error instanceof TomlError ? `line ${error.line}, column ${error.column}: ` : '';
-		const reason = error instanceof Error ? error.message.split('\n')[0] : String(error);
+		const reason = error instanceof Error ? error.message.split('\n', 1)[0] : String(error);
 		return err(new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', `${where}${reason}`, {cause: error}));
 	}
 
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -3,7 +3,9 @@
 
 type DeepReadonly<Value> = Value extends ReadonlyArray<infer Item>
 	? ReadonlyArray<DeepReadonly<Item>>
-	: Value extends object ? {readonly [Key in keyof Value]: DeepReadonly<Value[Key]>} : Value;
+	: Value extends Record<string, unknown> ? {readonly [Key in keyof Value]: DeepReadonly<Value[Key]>} : Value;
 
-/** Settings of a node, checked and with defaults filled in. */
+/**
+Settings of a node, checked and with defaults filled in.
+*/
 export type Settings = DeepReadonly<z.infer<typeof settingsSchema>>;
--- a/config/store/src/change.ts
+++ b/config/store/src/change.ts
@@ -1,10 +1,16 @@
 import type {Configuration} from '@valvesaddle/types';
 
-/** A change that an operator wants accepted. */
+/**
+A change that an operator wants accepted.
+*/
 export type Change = {
-	/** Unique id; applying it again never changes anything twice. */
+	/**
+	Unique id; applying it again never changes anything twice.
+	*/
 	readonly changeId: string;
-	/** Revision that the change was made against. */
+	/**
+	Revision that the change was made against.
+	*/
 	readonly expectedRevision: number;
 	readonly configuration: Configuration;
 	readonly author: string;
--- a/config/store/src/config-store.ts
+++ b/config/store/src/config-store.ts
@@ -5,14 +5,18 @@
 import type {Change} from './change.ts';
 import type {ConfigWatchResult} from './config-watch-result.ts';
 
-/** The configuration in the key-value service. */
+/**
+The configuration in the key-value service.
+*/
 export type ConfigStore = {
-	/** `undefined` before the first change. */
+	/**
+	`undefined` before the first change.
+	*/
 	readonly read: () => ResultAsync<ConfigurationRecord | undefined, ValvesaddleError>;
 	readonly readRevision: (revision: number) => ResultAsync<ConfigurationRecord | undefined, ValvesaddleError>;
 	/**
-	 * Accepts a change. Errors: `…CONFIGURATION_CONFLICT` (not applied), `…CONFIGURATION_UNKNOWN` (ask again with the
-	 * same id), `…KV_UNAVAILABLE` (not applied).
+	 Accepts a change. Errors: `…CONFIGURATION_CONFLICT` (not applied), `…CONFIGURATION_UNKNOWN` (ask again with the
+	 same id), `…KV_UNAVAILABLE` (not applied).
 	 */
 	readonly apply: (change: Change) => ResultAsync<ConfigurationRecord, ValvesaddleError>;
 	readonly watch: (options: KvWatchOptions) => ResultAsync<ConfigWatchResult, ValvesaddleError>;
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -1,5 +1,9 @@
 import {
-	err, errAsync, ok, ResultAsync, type Result,
+	err,
+	errAsync,
+	ok,
+	ResultAsync,
+	type Result,
 } from 'neverthrow';
 import {parseRecord} from '@valvesaddle/config-schema';
 import {ValvesaddleError} from '@valvesaddle/error';
@@ -10,7 +14,9 @@
 
 const currentKey = 'valvesaddle/configuration/current';
 const historyPrefix = 'valvesaddle/configuration/history';
-/** Changes remembered to answer an apply that is sent again; two days' worth at the size designed for. */
+/**
+Changes remembered to answer an apply that is sent again; two days' worth at the size designed for.
+*/
 const mostRecentChanges = 4000;
 const readBackTries = 3;
 
@@ -20,15 +26,17 @@
 };
 
 /**
- * Creates the store of the configuration. Keys: `valvesaddle/configuration/current`, `…/history/<revision>`.
- *
- * @example
- * const accepted = await store.apply({changeId: 'raise-floor', expectedRevision: 7, configuration, author: 'iva'});
+ Creates the store of the configuration. Keys: `valvesaddle/configuration/current`, `…/history/<revision>`.
+
+ @example
+ const accepted = await store.apply({changeId: 'raise-floor', expectedRevision: 7, configuration, author: 'iva'});
  */
 export function createConfigStore(kv: KvStore): ConfigStore {
 	const readStored = (): ResultAsync<Stored, ValvesaddleError> => kv.get(currentKey).andThen(entry => toStored(entry));
 
-	/** Keeps the revision that is about to be replaced; create-only, so writing it twice changes nothing. */
+	/**
+	Keeps the revision that is about to be replaced; create-only, so writing it twice changes nothing.
+	*/
 	function keepHistory(record: ConfigurationRecord | undefined): ResultAsync<unknown, ValvesaddleError> {
 		return record === undefined
 			? ResultAsync.fromSafePromise(Promise.resolve())
@@ -97,7 +105,9 @@
 	};
 }
 
-/** The record under which a change was accepted earlier; of an older one only revision and id are known. */
+/**
+The record under which a change was accepted earlier; of an older one only revision and id are known.
+*/
 function findAccepted(record: ConfigurationRecord | undefined, change: Change): ConfigurationRecord | undefined {
 	const earlier = record?.recentChanges.find(({changeId}) => changeId === change.changeId);
 	return record && earlier && {...record, revision: earlier.revision, changeId: earlier.changeId};
--- a/core/error/src/to-valvesaddle-error.ts
+++ b/core/error/src/to-valvesaddle-error.ts
@@ -1,10 +1,10 @@
 import {ValvesaddleError} from './valvesaddle-error.ts';
 
 /**
- * Turns anything thrown into a {@link ValvesaddleError}; an unknown error becomes `ERR_VALVESADDLE_INTERNAL`.
- *
- * @example
- * toValvesaddleError(new TypeError('x is undefined')).code; // 'ERR_VALVESADDLE_INTERNAL'
+ Turns anything thrown into a {@link ValvesaddleError}; an unknown error becomes `ERR_VALVESADDLE_INTERNAL`.
+
+ @example
+ toValvesaddleError(new TypeError('x is undefined')).code; // 'ERR_VALVESADDLE_INTERNAL'
  */
 export function toValvesaddleError(thrown: unknown): ValvesaddleError {
 	if (thrown instanceof ValvesaddleError) {
--- a/core/error/src/valvesaddle-error.ts
+++ b/core/error/src/valvesaddle-error.ts
@@ -4,10 +4,10 @@
 import {errorTable} from './error-table.ts';
 
 /**
- * The one error type of the project. What it means follows from its code.
- *
- * @example
- * throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_MODEL', 'no pool serves "permit-draft"');
+ The one error type of the project. What it means follows from its code.
+
+ @example
+ throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_MODEL', 'no pool serves "permit-draft"');
  */
 export class ValvesaddleError extends Error {
 	override readonly name = 'ValvesaddleError';
--- a/core/types/src/configuration.ts
+++ b/core/types/src/configuration.ts
@@ -4,7 +4,9 @@
 import type {Pool} from './pool.ts';
 import type {RequestClass} from './request-class.ts';
 
-/** All that operators decide. */
+/**
+All that operators decide.
+*/
 export type Configuration = {
 	readonly classes: readonly RequestClass[];
 	readonly accounts: readonly ClientAccount[];
--- a/core/types/src/endpoint.ts
+++ b/core/types/src/endpoint.ts
@@ -1,12 +1,20 @@
-/** One replica of a model engine, or one instance of a plain service. */
+/**
+One replica of a model engine, or one instance of a plain service.
+*/
 export type Endpoint = {
 	readonly id: string;
 	readonly pool: string;
-	/** Base URL, such as `http://10.1.2.3:8000`. */
+	/**
+	Base URL, such as `http://10.1.2.3:8000`.
+	*/
 	readonly url: string;
 	readonly dataCentre: string;
-	/** Concurrent requests to begin with; the limit is learned from there. */
+	/**
+	Concurrent requests to begin with; the limit is learned from there.
+	*/
 	readonly initialLimit: number;
-	/** Set by an operator to take the endpoint out of use. */
+	/**
+	Set by an operator to take the endpoint out of use.
+	*/
 	readonly leaving: boolean;
 };
--- a/core/types/src/vm-role.ts
+++ b/core/types/src/vm-role.ts
@@ -1,2 +1,4 @@
-/** What runs on a VM of the platform's list. */
+/**
+What runs on a VM of the platform's list.
+*/
 export type VmRole = 'router' | 'endpoint';
--- a/core/types/src/vm.ts
+++ b/core/types/src/vm.ts
@@ -1,10 +1,14 @@
 import type {VmRole} from './vm-role.ts';
 
-/** One line of the platform's lagging list of VMs. */
+/**
+One line of the platform's lagging list of VMs.
+*/
 export type Vm = {
 	readonly id: string;
 	readonly role: VmRole;
-	/** Peer address `ip:port` of a router; host and port of an endpoint. */
+	/**
+	Peer address `ip:port` of a router; host and port of an endpoint.
+	*/
 	readonly address: string;
 	readonly dataCentre: string;
 	readonly region: string;
--- a/dispatch/alone/src/alone-client-options.ts
+++ b/dispatch/alone/src/alone-client-options.ts
@@ -1,7 +1,9 @@
 import type {LoadReport} from '@valvesaddle/pool';
 import type {Configuration, Endpoint} from '@valvesaddle/types';
 
-/** Options of `createAloneClient`. */
+/**
+Options of `createAloneClient`.
+*/
 export type AloneClientOptions = {
 	readonly configuration: () => Configuration;
 	readonly readLoad: (endpoint: Endpoint) => Promise<LoadReport | undefined>;
--- a/dispatch/alone/src/create-alone-client.ts
+++ b/dispatch/alone/src/create-alone-client.ts
@@ -7,11 +7,11 @@
 const choices = 2;
 
 /**
- * Creates the baseline that measurements are set against: each node for itself picks the less loaded of two random
- * endpoints, by their last load report and its own count since; priorities work only in the engines' own queues.
- *
- * @example
- * const client = createAloneClient({configuration, readLoad, loadPollMs: 1500});
+ Creates the baseline that measurements are set against: each node for itself picks the less loaded of two random
+ endpoints, by their last load report and its own count since; priorities work only in the engines' own queues.
+
+ @example
+ const client = createAloneClient({configuration, readLoad, loadPollMs: 1500});
  */
 export function createAloneClient(options: AloneClientOptions): DispatchClient {
 	const reported = new Map<string, number>();
@@ -31,10 +31,12 @@
 	async function poll(): Promise<void> {
 		await Promise.all(options.configuration().endpoints.map(async endpoint => {
 			const report = await options.readLoad(endpoint);
-			if (report !== undefined) {
-				reported.set(endpoint.id, report.requests);
-				sentSince.set(endpoint.id, 0);
+			if (report === undefined) {
+				return;
 			}
+
+			reported.set(endpoint.id, report.requests);
+			sentSince.set(endpoint.id, 0);
 		}));
 	}
 
--- a/dispatch/client/src/acquire-ask.ts
+++ b/dispatch/client/src/acquire-ask.ts
@@ -1,9 +1,15 @@
 import type {AcquireRequest} from '@valvesaddle/messages';
 
-/** What a request asks for; the client fills in the rest of the message. */
+/**
+What a request asks for; the client fills in the rest of the message.
+*/
 export type AcquireAsk = Omit<AcquireRequest, 'node' | 'dataCentre' | 'waitedMs' | 'admitted' | 'skipped' | 'forced'> & {
-	/** When the request first began to wait, in milliseconds since the epoch. */
+	/**
+	When the request first began to wait, in milliseconds since the epoch.
+	*/
 	readonly arrivedAt: number;
-	/** Whether the request held a grant before. */
+	/**
+	Whether the request held a grant before.
+	*/
 	readonly resumes: boolean;
 };
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -1,4 +1,9 @@
-import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {
+	err,
+	ok,
+	ResultAsync,
+	type Result,
+} from 'neverthrow';
 import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {AcquireReply, AcquireRequest, Grant} from '@valvesaddle/messages';
 import type {AcquireAsk} from './acquire-ask.ts';
@@ -8,17 +13,21 @@
 import type {HeldGrant} from './held-grant.ts';
 import {createRemotePort} from './create-remote-port.ts';
 
-/** After so many redirects the asked node has to dispatch, whatever it takes for the owner. */
+/**
+After so many redirects the asked node has to dispatch, whatever it takes for the owner.
+*/
 const mostRedirects = 3;
-/** A request that waited so long at a dispatcher had been taken into its queue. */
+/**
+A request that waited so long at a dispatcher had been taken into its queue.
+*/
 const surelyQueuedMs = 100;
 
 /**
- * Creates the client of a node. It finds the dispatcher of each pool; when that one is lost or the duty moves, it
- * registers its open grants with the next one and asks there again, with the time waited so far.
- *
- * @example
- * const grant = await client.acquire(ask, signal);
+ Creates the client of a node. It finds the dispatcher of each pool; when that one is lost or the duty moves, it
+ registers its open grants with the next one and asks there again, with the time waited so far.
+
+ @example
+ const grant = await client.acquire(ask, signal);
  */
 export function createDispatchClient(options: DispatchClientOptions): DispatchClient {
 	const {node, host, network, membership, metrics} = options;
@@ -37,7 +46,7 @@
 	}
 
 	function listHeld(pool: string): readonly HeldGrant[] {
-		return [...held.values()].filter(grant => grant.pool === pool);
+		return held.values().toArray().filter(grant => grant.pool === pool);
 	}
 
 	function useOwner(pool: string, owner: string): void {
@@ -52,12 +61,14 @@
 			getPort(owner).register({pool, node, grants: open});
 		}
 
-		if (before !== undefined) {
-			metrics.increment('dispatch.owner-changes');
-			options.logger.info({
-				name: 'dispatcher-moved', pool, from: before, to: owner,
-			});
+		if (before === undefined) {
+			return;
 		}
+
+		metrics.increment('dispatch.owner-changes');
+		options.logger.info({
+			name: 'dispatcher-moved', pool, from: before, to: owner,
+		});
 	}
 
 	async function ask(owner: string, request: AcquireRequest): Promise<AcquireReply | undefined> {
@@ -80,7 +91,7 @@
 		const skipped: string[] = [];
 		let redirects = 0;
 		let target: string | undefined;
-		let admitted = resumes;
+		let isAdmitted = resumes;
 		for (;;) {
 			if (signal.aborted) {
 				return err(new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away while the request waited'));
@@ -94,21 +105,21 @@
 				node,
 				dataCentre: options.dataCentre,
 				waitedMs: Date.now() - arrivedAt,
-				admitted,
+				admitted: isAdmitted,
 				skipped,
 				forced: redirects >= mostRedirects,
 			});
 			target = undefined;
 			if (reply === undefined) {
 				skipped.push(owner);
-				admitted ||= Date.now() - askedAt >= surelyQueuedMs;
+				isAdmitted ||= Date.now() - askedAt >= surelyQueuedMs;
 				continue;
 			}
 
 			if (reply.kind === 'moved') {
 				redirects++;
 				target = reply.owner;
-				admitted ||= reply.admitted;
+				isAdmitted ||= reply.admitted;
 				continue;
 			}
 
@@ -147,7 +158,7 @@
 	}
 
 	function sendProgress(): void {
-		const pools = new Set([...held.values()].map(({pool}) => pool));
+		const pools = new Set(held.values().toArray().map(({pool}) => pool));
 		for (const pool of pools) {
 			const owner = host.findOwner(pool, []) ?? node;
 			useOwner(pool, owner);
--- a/dispatch/client/src/create-remote-port.ts
+++ b/dispatch/client/src/create-remote-port.ts
@@ -3,11 +3,11 @@
 import type {DispatchPort} from './dispatch-port.ts';
 
 /**
- * Creates the dispatcher's methods on another node.
- *
- * @example
- * const port = createRemotePort(network, 'b1');
- * const reply = await port.acquire(request);
+ Creates the dispatcher's methods on another node.
+
+ @example
+ const port = createRemotePort(network, 'b1');
+ const reply = await port.acquire(request);
  */
 export function createRemotePort(network: PeerNetwork, node: string): DispatchPort {
 	return {
--- a/dispatch/client/src/dispatch-client-options.ts
+++ b/dispatch/client/src/dispatch-client-options.ts
@@ -4,14 +4,18 @@
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerNetwork} from '@valvesaddle/network';
 
-/** Options of `createDispatchClient`. */
+/**
+Options of `createDispatchClient`.
+*/
 export type DispatchClientOptions = {
 	readonly node: string;
 	readonly dataCentre: string;
 	readonly host: DispatchHost;
 	readonly network: PeerNetwork;
 	readonly membership: Membership;
-	/** Pause between batches of progress reports, in milliseconds. */
+	/**
+	Pause between batches of progress reports, in milliseconds.
+	*/
 	readonly progressMs: number;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
--- a/dispatch/client/src/dispatch-client.ts
+++ b/dispatch/client/src/dispatch-client.ts
@@ -3,11 +3,17 @@
 import type {Grant, ReleaseReport} from '@valvesaddle/messages';
 import type {AcquireAsk} from './acquire-ask.ts';
 
-/** Gets grants for the requests of a node and gives them back. */
+/**
+Gets grants for the requests of a node and gives them back.
+*/
 export type DispatchClient = {
-	/** Waits for a grant; an abort takes the request back. */
+	/**
+	Waits for a grant; an abort takes the request back.
+	*/
 	readonly acquire: (ask: AcquireAsk, signal: AbortSignal) => ResultAsync<Grant, ValvesaddleError>;
-	/** Notes tokens that came under a grant; sent on in batches. */
+	/**
+	Notes tokens that came under a grant; sent on in batches.
+	*/
 	readonly progress: (grantId: string, tokens: number, firstTokenMs: number | undefined) => void;
 	readonly release: (report: ReleaseReport) => void;
 	readonly close: () => void;
--- a/dispatch/client/src/dispatch-port.ts
+++ b/dispatch/client/src/dispatch-port.ts
@@ -1,8 +1,15 @@
 import type {
-	AcquireReply, AcquireRequest, CancelMessage, ProgressMessage, RegisterRequest, ReleaseReport,
+	AcquireReply,
+	AcquireRequest,
+	CancelMessage,
+	ProgressMessage,
+	RegisterRequest,
+	ReleaseReport,
 } from '@valvesaddle/messages';
 
-/** The dispatcher's methods, on this node or another. */
+/**
+The dispatcher's methods, on this node or another.
+*/
 export type DispatchPort = {
 	readonly acquire: (request: AcquireRequest) => Promise<AcquireReply>;
 	readonly cancel: (message: CancelMessage) => void;
--- a/dispatch/client/src/held-grant.ts
+++ b/dispatch/client/src/held-grant.ts
@@ -1,6 +1,8 @@
 import type {OpenGrant} from '@valvesaddle/messages';
 
-/** A grant that this node holds. */
+/**
+A grant that this node holds.
+*/
 export type HeldGrant = {
 	readonly open: OpenGrant;
 	readonly pool: string;
--- a/dispatch/host/src/create-dispatch-host.ts
+++ b/dispatch/host/src/create-dispatch-host.ts
@@ -5,29 +5,37 @@
 import type {DispatchHostOptions} from './dispatch-host-options.ts';
 
 const tickMs = 100;
-/** A dispatcher without grants and waiting requests is closed after this time. */
+/**
+A dispatcher without grants and waiting requests is closed after this time.
+*/
 const idleMs = 60_000;
 
 type Duty = {
 	readonly dispatcher: PoolDispatcher;
 	usedAt: number;
 	polledAt: number;
-	/** When this node stopped being the owner; 0 while it is. */
+	/**
+	When this node stopped being the owner; 0 while it is.
+	*/
 	lostAt: number;
 };
 
-/** Ownership must be gone for so long before a dispatcher is closed, so that a short suspicion moves nothing. */
+/**
+Ownership must be gone for so long before a dispatcher is closed, so that a short suspicion moves nothing.
+*/
 const handOverMs = 1000;
 
 /**
- * Creates the host of a node's dispatch duties.
- *
- * @example
- * const reply = await host.acquire(request);
+ Creates the host of a node's dispatch duties.
+
+ @example
+ const reply = await host.acquire(request);
  */
 export function createDispatchHost(options: DispatchHostOptions): DispatchHost {
 	const duties = new Map<string, Duty>();
-	/** Rank order of the owners by pool, until the members or the pools change. */
+	/**
+	Rank order of the owners by pool, until the members or the pools change.
+	*/
 	const rankings = new Map<string, readonly string[]>();
 
 	function getRanking(pool: string): readonly string[] {
@@ -158,7 +166,7 @@
 		},
 		configure,
 		findOwner,
-		status: () => [...duties.values()].map(({dispatcher}) => dispatcher.status()),
+		status: () => duties.values().toArray().map(({dispatcher}) => dispatcher.status()),
 		close() {
 			clearInterval(timer);
 			for (const [pool, duty] of duties) {
--- a/dispatch/host/src/dispatch-host-options.ts
+++ b/dispatch/host/src/dispatch-host-options.ts
@@ -5,12 +5,16 @@
 import type {Tracing} from '@valvesaddle/tracing';
 import type {Configuration, Endpoint} from '@valvesaddle/types';
 
-/** Options of `createDispatchHost`. */
+/**
+Options of `createDispatchHost`.
+*/
 export type DispatchHostOptions = {
 	readonly node: string;
 	readonly membership: Membership;
 	readonly configuration: () => Configuration;
-	/** Asks an engine for its load; `undefined` when it does not say. */
+	/**
+	Asks an engine for its load; `undefined` when it does not say.
+	*/
 	readonly readLoad: (endpoint: Endpoint) => Promise<LoadReport | undefined>;
 	readonly loadPollMs: number;
 	readonly warmupMs: number;
--- a/dispatch/host/src/dispatch-host.ts
+++ b/dispatch/host/src/dispatch-host.ts
@@ -1,9 +1,16 @@
 import type {
-	AcquireReply, AcquireRequest, CancelMessage, ProgressMessage, RegisterRequest, ReleaseReport,
+	AcquireReply,
+	AcquireRequest,
+	CancelMessage,
+	ProgressMessage,
+	RegisterRequest,
+	ReleaseReport,
 } from '@valvesaddle/messages';
 import type {PoolStatus} from '@valvesaddle/pool';
 
-/** Carries the dispatch duties of a node: opens the dispatcher of a pool when first asked, closes it when the duty moves. */
+/**
+Carries the dispatch duties of a node: opens the dispatcher of a pool when first asked, closes it when the duty moves.
+*/
 export type DispatchHost = {
 	readonly acquire: (request: AcquireRequest) => Promise<AcquireReply>;
 	readonly cancel: (message: CancelMessage) => void;
@@ -11,9 +18,13 @@
 	readonly progress: (message: ProgressMessage) => void;
 	readonly register: (request: RegisterRequest) => void;
 	readonly dropNode: (node: string) => void;
-	/** Hands a new configuration to the open dispatchers. */
+	/**
+	Hands a new configuration to the open dispatchers.
+	*/
 	readonly configure: () => void;
-	/** The node that this one takes for the owner of a pool. */
+	/**
+	The node that this one takes for the owner of a pool.
+	*/
 	readonly findOwner: (pool: string, skipped: readonly string[]) => string | undefined;
 	readonly status: () => readonly PoolStatus[];
 	readonly close: () => void;
--- a/dispatch/lengths/src/create-length-model.ts
+++ b/dispatch/lengths/src/create-length-model.ts
@@ -5,9 +5,13 @@
 const defaultTokens = 200;
 const quantileCount = 20;
 const recordsPerRefresh = 32;
-/** After this many answers the histogram starts anew, so that old lengths are forgotten. */
+/**
+After this many answers the histogram starts anew, so that old lengths are forgotten.
+*/
 const recordsPerWindow = 2048;
-/** An answer longer than all known ones is taken to go on for half its length. */
+/**
+An answer longer than all known ones is taken to go on for half its length.
+*/
 const beyondFactor = 1.5;
 
 type ClassLengths = {
@@ -17,11 +21,11 @@
 };
 
 /**
- * Creates a model of answer lengths: a histogram for each class, read as a posterior given the tokens so far.
- *
- * @example
- * model.record('estimate', 412);
- * model.expect('estimate', 0); // 200 until enough answers are known
+ Creates a model of answer lengths: a histogram for each class, read as a posterior given the tokens so far.
+
+ @example
+ model.record('estimate', 412);
+ model.expect('estimate', 0); // 200 until enough answers are known
  */
 export function createLengthModel(): LengthModel {
 	const classes = new Map<string, ClassLengths>();
--- a/dispatch/messages/src/acquire-reply-schema.ts
+++ b/dispatch/messages/src/acquire-reply-schema.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {isErrorCode, type ErrorCode} from '@valvesaddle/error';
 
-/** Form of the answer to an acquire request on the wire. */
+/**
+Form of the answer to an acquire request on the wire.
+*/
 export const acquireReplySchema = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('granted'),
--- a/dispatch/messages/src/acquire-reply.ts
+++ b/dispatch/messages/src/acquire-reply.ts
@@ -1,7 +1,9 @@
 import type {ErrorCode} from '@valvesaddle/error';
 import type {Grant} from './grant.ts';
 
-/** Answer to an {@link AcquireRequest}. */
+/**
+Answer to an {@link AcquireRequest}.
+*/
 export type AcquireReply =
 	| {readonly kind: 'granted'; readonly grant: Grant}
 	| {readonly kind: 'refused'; readonly code: ErrorCode; readonly message: string; readonly retryAfterMs: number}
--- a/dispatch/messages/src/acquire-request-schema.ts
+++ b/dispatch/messages/src/acquire-request-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of an acquire request on the wire. */
+/**
+Form of an acquire request on the wire.
+*/
 export const acquireRequestSchema = z.object({
 	requestId: z.string(),
 	pool: z.string(),
--- a/dispatch/messages/src/cancel-message.ts
+++ b/dispatch/messages/src/cancel-message.ts
@@ -1,4 +1,6 @@
-/** Takes a waiting request back. */
+/**
+Takes a waiting request back.
+*/
 export type CancelMessage = {
 	readonly pool: string;
 	readonly requestId: string;
--- a/dispatch/messages/src/grant.ts
+++ b/dispatch/messages/src/grant.ts
@@ -1,4 +1,6 @@
-/** The right to send one request to one endpoint. */
+/**
+The right to send one request to one endpoint.
+*/
 export type Grant = {
 	readonly grantId: string;
 	readonly pool: string;
--- a/dispatch/messages/src/open-grant.ts
+++ b/dispatch/messages/src/open-grant.ts
@@ -1,4 +1,6 @@
-/** An open grant, as registered with a new dispatcher. */
+/**
+An open grant, as registered with a new dispatcher.
+*/
 export type OpenGrant = {
 	readonly grantId: string;
 	readonly requestId: string;
--- a/dispatch/messages/src/progress-message-schema.ts
+++ b/dispatch/messages/src/progress-message-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of progress reports on the wire. */
+/**
+Form of progress reports on the wire.
+*/
 export const progressMessageSchema = z.object({
 	pool: z.string(),
 	node: z.string(),
--- a/dispatch/messages/src/progress-report.ts
+++ b/dispatch/messages/src/progress-report.ts
@@ -1,4 +1,6 @@
-/** Tokens that came under an open grant; also renews it. */
+/**
+Tokens that came under an open grant; also renews it.
+*/
 export type ProgressReport = {
 	readonly grantId: string;
 	readonly tokens: number;
--- a/dispatch/messages/src/register-request-schema.ts
+++ b/dispatch/messages/src/register-request-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of a registration on the wire. */
+/**
+Form of a registration on the wire.
+*/
 export const registerRequestSchema = z.object({
 	pool: z.string(),
 	node: z.string(),
--- a/dispatch/messages/src/release-outcome.ts
+++ b/dispatch/messages/src/release-outcome.ts
@@ -1,2 +1,4 @@
-/** How a grant ended, as far as it tells about the endpoint. */
+/**
+How a grant ended, as far as it tells about the endpoint.
+*/
 export type ReleaseOutcome = 'complete' | 'failed' | 'not-run' | 'cancelled';
--- a/dispatch/messages/src/release-report-schema.ts
+++ b/dispatch/messages/src/release-report-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of a release on the wire. */
+/**
+Form of a release on the wire.
+*/
 export const releaseReportSchema = z.object({
 	grantId: z.string(),
 	pool: z.string(),
--- a/dispatch/messages/src/release-report.ts
+++ b/dispatch/messages/src/release-report.ts
@@ -1,12 +1,16 @@
 import type {ReleaseOutcome} from './release-outcome.ts';
 
-/** Gives a grant back and says what came of it. */
+/**
+Gives a grant back and says what came of it.
+*/
 export type ReleaseReport = {
 	readonly grantId: string;
 	readonly pool: string;
 	readonly outcome: ReleaseOutcome;
 	readonly tokens: number;
-	/** `undefined` when no token came. */
+	/**
+	`undefined` when no token came.
+	*/
 	readonly firstTokenMs: number | undefined;
 	readonly interTokenMs: number | undefined;
 };
--- a/dispatch/policy/src/adjust-limit.ts
+++ b/dispatch/policy/src/adjust-limit.ts
@@ -3,7 +3,9 @@
 const tolerance = 1.05;
 const decrease = 0.9;
 const increase = 1;
-/** The limit grows only while it is nearly used up. */
+/**
+The limit grows only while it is nearly used up.
+*/
 const usedPart = 0.8;
 const decreasePauseMs = 1000;
 const increasePauseMs = 500;
@@ -12,16 +14,18 @@
 
 type LimitTarget = {
 	readonly interTokenMs: number;
-	/** Milliseconds since the epoch. */
+	/**
+	Milliseconds since the epoch.
+	*/
 	readonly now: number;
 };
 
 /**
- * Learns the limit of an endpoint from its time between tokens against the target: additive increase, multiplicative
- * decrease. Returns the same object when nothing changes.
- *
- * @example
- * adjustLimit({...endpoint, interTokenMs: 80, limit: 10}, {interTokenMs: 52, now}).limit; // 9
+ Learns the limit of an endpoint from its time between tokens against the target: additive increase, multiplicative
+ decrease. Returns the same object when nothing changes.
+
+ @example
+ adjustLimit({...endpoint, interTokenMs: 80, limit: 10}, {interTokenMs: 52, now}).limit; // 9
  */
 export function adjustLimit(endpoint: EndpointView, target: LimitTarget): EndpointView {
 	if (endpoint.interTokenMs === undefined) {
--- a/dispatch/policy/src/choose-endpoint.ts
+++ b/dispatch/policy/src/choose-endpoint.ts
@@ -4,11 +4,11 @@
 import {hasSlot} from './has-slot.ts';
 
 /**
- * Picks, among the endpoints with a slot, the one with the shortest estimated time to the first token. Endpoints that
- * failed the request before are taken only when no other endpoint could ever take it.
- *
- * @example
- * chooseEndpoint(endpoints, need)?.id; // 'engine-3'
+ Picks, among the endpoints with a slot, the one with the shortest estimated time to the first token. Endpoints that
+ failed the request before are taken only when no other endpoint could ever take it.
+
+ @example
+ chooseEndpoint(endpoints, need)?.id; // 'engine-3'
  */
 export function chooseEndpoint(endpoints: Iterable<EndpointView>, need: EndpointNeed): EndpointView | undefined {
 	let best: EndpointView | undefined;
@@ -28,10 +28,12 @@
 		}
 
 		const milliseconds = estimateFirstToken(endpoint, need);
-		if (milliseconds < bestMs) {
-			best = endpoint;
-			bestMs = milliseconds;
+		if (!(milliseconds < bestMs)) {
+			continue;
 		}
+
+		best = endpoint;
+		bestMs = milliseconds;
 	}
 
 	return best ?? (hasOther ? undefined : fallback);
--- a/dispatch/policy/src/earn-budget.ts
+++ b/dispatch/policy/src/earn-budget.ts
@@ -4,10 +4,10 @@
 const largestBalance = 20;
 
 /**
- * Credits one first try to a retry budget.
- *
- * @example
- * earnBudget({balance: 1}).balance; // 1.1
+ Credits one first try to a retry budget.
+
+ @example
+ earnBudget({balance: 1}).balance; // 1.1
  */
 export function earnBudget(budget: Budget): Budget {
 	return {balance: Math.min(largestBalance, budget.balance + earnedPerRequest)};
--- a/dispatch/policy/src/eject-endpoint.ts
+++ b/dispatch/policy/src/eject-endpoint.ts
@@ -4,10 +4,10 @@
 const longestEjectionMs = 60_000;
 
 /**
- * Takes an endpoint out of use; each ejection in a row lasts twice as long.
- *
- * @example
- * ejectEndpoint(endpoint, now).ejectedUntil; // now + 5000
+ Takes an endpoint out of use; each ejection in a row lasts twice as long.
+
+ @example
+ ejectEndpoint(endpoint, now).ejectedUntil; // now + 5000
  */
 export function ejectEndpoint(endpoint: EndpointView, now: number): EndpointView {
 	const lengthMs = Math.min(longestEjectionMs, firstEjectionMs * (2 ** endpoint.ejections));
--- a/dispatch/policy/src/endpoint-state.ts
+++ b/dispatch/policy/src/endpoint-state.ts
@@ -1,2 +1,4 @@
-/** Whether an endpoint takes new work. */
+/**
+Whether an endpoint takes new work.
+*/
 export type EndpointState = 'live' | 'probing' | 'ejected' | 'leaving';
--- a/dispatch/policy/src/endpoint-view.ts
+++ b/dispatch/policy/src/endpoint-view.ts
@@ -1,27 +1,45 @@
 import type {EndpointState} from './endpoint-state.ts';
 
-/** An endpoint as its dispatcher sees it. */
+/**
+An endpoint as its dispatcher sees it.
+*/
 export type EndpointView = {
 	readonly id: string;
 	readonly url: string;
 	readonly dataCentre: string;
 	readonly state: EndpointState;
-	/** Learned limit of concurrent requests. */
+	/**
+	Learned limit of concurrent requests.
+	*/
 	readonly limit: number;
-	/** Requests granted and not yet released. */
+	/**
+	Requests granted and not yet released.
+	*/
 	readonly inFlight: number;
-	/** Those of them in urgent classes. */
+	/**
+	Those of them in urgent classes.
+	*/
 	readonly urgentInFlight: number;
-	/** Requests of others that the endpoint reported, decayed since. */
+	/**
+	Requests of others that the endpoint reported, decayed since.
+	*/
 	readonly external: number;
-	/** Averages in milliseconds; `undefined` before the first sample. */
+	/**
+	Averages in milliseconds; `undefined` before the first sample.
+	*/
 	readonly firstTokenMs: number | undefined;
 	readonly interTokenMs: number | undefined;
-	/** Times of the last changes, in milliseconds since the epoch. */
+	/**
+	Times of the last changes, in milliseconds since the epoch.
+	*/
 	readonly limitChangedAt: number;
 	readonly ejectedUntil: number;
-	/** Ejections in a row; sets the next one's length. */
+	/**
+	Ejections in a row; sets the next one's length.
+	*/
 	readonly ejections: number;
-	/** Failures in a row. */
+	/**
+	Failures in a row.
+	*/
 	readonly failures: number;
 };
--- a/dispatch/policy/src/find-stragglers.ts
+++ b/dispatch/policy/src/find-stragglers.ts
@@ -1,18 +1,22 @@
 import type {EndpointView} from './endpoint-view.ts';
 
-/** An endpoint this many times slower than the median of its pool is a straggler. */
+/**
+An endpoint this many times slower than the median of its pool is a straggler.
+*/
 const slowFactor = 3;
 const failuresInRow = 3;
-/** Largest part of a pool that may be ejected at once. */
+/**
+Largest part of a pool that may be ejected at once.
+*/
 const largestEjectedPart = 0.3;
 const fewestPeers = 3;
 
 /**
- * Finds the endpoints to eject: those far slower than their peers or failing in a row, worst first, never more than
- * three in ten of the pool.
- *
- * @example
- * findStragglers(endpoints); // ['engine-7']
+ Finds the endpoints to eject: those far slower than their peers or failing in a row, worst first, never more than
+ three in ten of the pool.
+
+ @example
+ findStragglers(endpoints); // ['engine-7']
  */
 export function findStragglers(endpoints: readonly EndpointView[]): readonly string[] {
 	const inUse = endpoints.filter(({state}) => state !== 'leaving');
--- a/dispatch/policy/src/has-slot.ts
+++ b/dispatch/policy/src/has-slot.ts
@@ -2,7 +2,9 @@
 import type {EndpointView} from './endpoint-view.ts';
 import type {GrantMode} from './grant-mode.ts';
 
-/** No endpoint gets more than this many times its limit, whatever the rule. */
+/**
+No endpoint gets more than this many times its limit, whatever the rule.
+*/
 const hardLimitFactor = 2;
 
 type SlotRule = (endpoint: EndpointView, need: EndpointNeed) => boolean;
@@ -14,19 +16,15 @@
 };
 
 /**
- * Tells whether an endpoint has a slot under the rule of the grant.
- *
- * @example
- * hasSlot({...endpoint, limit: 4, inFlight: 4, urgentInFlight: 0}, {...need, mode: 'urgent'}); // true
+ Tells whether an endpoint has a slot under the rule of the grant.
+
+ @example
+ hasSlot({...endpoint, limit: 4, inFlight: 4, urgentInFlight: 0}, {...need, mode: 'urgent'}); // true
  */
 export function hasSlot(endpoint: EndpointView, need: EndpointNeed): boolean {
 	if (endpoint.state === 'leaving' || endpoint.state === 'ejected') {
 		return false;
 	}
 
-	if (endpoint.state === 'probing') {
-		return need.mayProbe && endpoint.inFlight === 0;
-	}
-
-	return endpoint.inFlight < endpoint.limit * hardLimitFactor && slotRules[need.mode](endpoint, need);
+	return endpoint.state === 'probing' ? need.mayProbe && endpoint.inFlight === 0 : endpoint.inFlight < endpoint.limit * hardLimitFactor && slotRules[need.mode](endpoint, need);
 }
--- a/dispatch/policy/src/order-classes.ts
+++ b/dispatch/policy/src/order-classes.ts
@@ -4,12 +4,12 @@
 const wholeGrant = 1;
 
 /**
- * Orders the classes that wait: floors that are due, then urgent classes by priority, then the others by the tokens
- * they were served over their weight. A floor grant goes to a slot beyond those that urgent work may use, so it never
- * displaces urgent work.
- *
- * @example
- * orderClasses(views)[0]; // {className: 'barrier', mode: 'urgent'}
+ Orders the classes that wait: floors that are due, then urgent classes by priority, then the others by the tokens
+ they were served over their weight. A floor grant goes to a slot beyond those that urgent work may use, so it never
+ displaces urgent work.
+
+ @example
+ orderClasses(views)[0]; // {className: 'barrier', mode: 'urgent'}
  */
 export function orderClasses(views: readonly ClassView[]): readonly Turn[] {
 	const waiting = views.filter(view => view.waiting > 0);
--- a/dispatch/policy/src/predict-wait.ts
+++ b/dispatch/policy/src/predict-wait.ts
@@ -1,16 +1,18 @@
 import type {WaitQuestion} from './wait-question.ts';
 import type {WaitView} from './wait-view.ts';
 
-/** Slots below which a pool is taken as having none for shared work; keeps the division sane. */
+/**
+Slots below which a pool is taken as having none for shared work; keeps the division sane.
+*/
 const fewestSlots = 0.5;
 
 /**
- * Predicts how long a new request would wait for a slot, in milliseconds. Only work that goes before it counts: for an
- * urgent class the urgent classes of the same or a higher priority, so urgent work is never refused on account of
- * lower work.
- *
- * @example
- * predictWait(question, views); // 1800
+ Predicts how long a new request would wait for a slot, in milliseconds. Only work that goes before it counts: for an
+ urgent class the urgent classes of the same or a higher priority, so urgent work is never refused on account of
+ lower work.
+
+ @example
+ predictWait(question, views); // 1800
  */
 export function predictWait(question: WaitQuestion, views: readonly WaitView[]): number {
 	const own = views.find(view => view.requestClass.name === question.requestClass.name);
--- a/dispatch/policy/src/select-account.ts
+++ b/dispatch/policy/src/select-account.ts
@@ -1,12 +1,12 @@
 import type {AccountView} from './account-view.ts';
 
 /**
- * Picks the waiting client account that was served the fewest tokens over its weight.
- *
- * Source: virtual token counters, Sheng et al., "Fairness in Serving Large Language Models", 2024.
- *
- * @example
- * selectAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}]); // 'b'
+ Picks the waiting client account that was served the fewest tokens over its weight.
+
+ Source: virtual token counters, Sheng et al., "Fairness in Serving Large Language Models", 2024.
+
+ @example
+ selectAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}]); // 'b'
  */
 export function selectAccount(views: Iterable<AccountView>): string | undefined {
 	let best: AccountView | undefined;
--- a/dispatch/policy/src/size-headroom.ts
+++ b/dispatch/policy/src/size-headroom.ts
@@ -1,22 +1,30 @@
-/** Largest part of a pool that is kept free. */
+/**
+Largest part of a pool that is kept free.
+*/
 const largestHeadroom = 0.25;
 
-/** What the headroom is worked out from. */
+/**
+What the headroom is worked out from.
+*/
 type HeadroomInput = {
-	/** Arrivals of urgent requests per second. */
+	/**
+	Arrivals of urgent requests per second.
+	*/
 	readonly urgentPerSecond: number;
-	/** Average time that an urgent grant is held, in milliseconds. */
+	/**
+	Average time that an urgent grant is held, in milliseconds.
+	*/
 	readonly urgentHoldMs: number;
 	readonly urgentInFlight: number;
 	readonly slots: number;
 };
 
 /**
- * Sizes the part of a pool that is kept free for urgent work: the slots that urgent arrivals need on average and one
- * standard deviation of a Poisson process more, less those that they hold already.
- *
- * @example
- * sizeHeadroom({urgentPerSecond: 2, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40}); // 0.0853…
+ Sizes the part of a pool that is kept free for urgent work: the slots that urgent arrivals need on average and one
+ standard deviation of a Poisson process more, less those that they hold already.
+
+ @example
+ sizeHeadroom({urgentPerSecond: 2, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40}); // 0.0853…
  */
 export function sizeHeadroom({urgentPerSecond, urgentHoldMs, urgentInFlight, slots}: HeadroomInput): number {
 	if (slots <= 0) {
--- a/dispatch/policy/src/smooth.ts
+++ b/dispatch/policy/src/smooth.ts
@@ -1,10 +1,11 @@
 /**
- * Exponentially weighted moving average.
- *
- * @param previous - Average so far; `undefined` before the first sample.
- * @param weight - Weight of the new sample, 0 to 1.
- * @example
- * smooth(100, 200, 0.1); // 110
+ Exponentially weighted moving average.
+
+ @param previous - Average so far; `undefined` before the first sample.
+ @param sample
+ @param weight - Weight of the new sample, 0 to 1.
+ @example
+ smooth(100, 200, 0.1); // 110
  */
 export function smooth(previous: number | undefined, sample: number, weight: number): number {
 	return previous === undefined ? sample : previous + ((sample - previous) * weight);
--- a/dispatch/policy/src/turn.ts
+++ b/dispatch/policy/src/turn.ts
@@ -1,6 +1,8 @@
 import type {GrantMode} from './grant-mode.ts';
 
-/** A class to try next, and under which rule. */
+/**
+A class to try next, and under which rule.
+*/
 export type Turn = {
 	readonly className: string;
 	readonly mode: GrantMode;
--- a/dispatch/policy/src/wait-question.ts
+++ b/dispatch/policy/src/wait-question.ts
@@ -1,16 +1,28 @@
 import type {RequestClass} from '@valvesaddle/types';
 
-/** A request that asks how long it would wait. */
+/**
+A request that asks how long it would wait.
+*/
 export type WaitQuestion = {
 	readonly requestClass: RequestClass;
-	/** Requests of the same client account and class that wait already. */
+	/**
+	Requests of the same client account and class that wait already.
+	*/
 	readonly accountWaiting: number;
-	/** Client accounts that wait in the class, this one included, by weight: sum of weights over the own weight. */
+	/**
+	Client accounts that wait in the class, this one included, by weight: sum of weights over the own weight.
+	*/
 	readonly accountShares: number;
-	/** Sum of the learned limits of the endpoints in use. */
+	/**
+	Sum of the learned limits of the endpoints in use.
+	*/
 	readonly slots: number;
-	/** Slots that urgent work holds or is kept for. */
+	/**
+	Slots that urgent work holds or is kept for.
+	*/
 	readonly urgentSlots: number;
-	/** Slots free for the request's class now. */
+	/**
+	Slots free for the request's class now.
+	*/
 	readonly freeSlots: number;
 };
--- a/dispatch/pool/src/create-class-stats.ts
+++ b/dispatch/pool/src/create-class-stats.ts
@@ -3,15 +3,17 @@
 
 const defaultHoldMs = 5000;
 const holdWeight = 0.1;
-/** Time constant of the arrival rate. */
+/**
+Time constant of the arrival rate.
+*/
 const rateWindowMs = 10_000;
 
 /**
- * Creates the learned figures of a pool's classes.
- *
- * @example
- * stats.recordHold('barrier', 900);
- * stats.holdMs('barrier'); // 900
+ Creates the learned figures of a pool's classes.
+
+ @example
+ stats.recordHold('barrier', 900);
+ stats.holdMs('barrier'); // 900
  */
 export function createClassStats(): ClassStats {
 	const holds = new Map<string, number>();
--- a/dispatch/pool/src/create-endpoint-table.ts
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -1,21 +1,27 @@
 import type {Endpoint} from '@valvesaddle/types';
 import {
-	adjustLimit, ejectEndpoint, findStragglers, smooth, type EndpointView,
+	adjustLimit,
+	ejectEndpoint,
+	findStragglers,
+	smooth,
+	type EndpointView,
 } from '@valvesaddle/policy';
 import {createEndpointView} from './create-endpoint-view.ts';
 import type {EndpointTable} from './endpoint-table.ts';
 import type {EndpointTableOptions} from './endpoint-table-options.ts';
 
 const sampleWeight = 0.2;
-/** Part of the external load that is left after each tick without a report. */
+/**
+Part of the external load that is left after each tick without a report.
+*/
 const externalDecay = 0.8;
 const negligibleExternal = 0.05;
 
 /**
- * Creates the table of a pool's endpoints. Views are replaced, never changed.
- *
- * @example
- * const table = createEndpointTable({interTokenTargetMs: () => 52, onState() {}});
+ Creates the table of a pool's endpoints. Views are replaced, never changed.
+
+ @example
+ const table = createEndpointTable({interTokenTargetMs: () => 52, onState() {}});
  */
 export function createEndpointTable(options: EndpointTableOptions): EndpointTable {
 	let endpoints: readonly Endpoint[] = [];
@@ -68,7 +74,7 @@
 	}
 
 	function getViews(): readonly EndpointView[] {
-		cached ??= [...table.values()];
+		cached ??= table.values().toArray();
 		return cached;
 	}
 
@@ -84,11 +90,13 @@
 			leavingIds = leaving;
 			const ids = new Set(configured.map(({id}) => id));
 			for (const id of table.keys()) {
-				if (!ids.has(id)) {
-					table.delete(id);
-					saidLeaving.delete(id);
-					cached = undefined;
+				if (ids.has(id)) {
+					continue;
 				}
+
+				table.delete(id);
+				saidLeaving.delete(id);
+				cached = undefined;
 			}
 
 			for (const endpoint of configured) {
--- a/dispatch/pool/src/create-endpoint-view.ts
+++ b/dispatch/pool/src/create-endpoint-view.ts
@@ -2,10 +2,10 @@
 import type {EndpointView} from '@valvesaddle/policy';
 
 /**
- * The view of an endpoint that nothing is known of yet.
- *
- * @example
- * createEndpointView(endpoint).limit; // the endpoint's initialLimit
+ The view of an endpoint that nothing is known of yet.
+
+ @example
+ createEndpointView(endpoint).limit; // the endpoint's initialLimit
  */
 export function createEndpointView(endpoint: Endpoint): EndpointView {
 	return {
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -2,7 +2,15 @@
 import type {AcquireReply, AcquireRequest, ReleaseReport} from '@valvesaddle/messages';
 import {createLengthModel} from '@valvesaddle/lengths';
 import {
-	chooseEndpoint, hasSlot, orderClasses, predictWait, sizeHeadroom, type EndpointNeed, type EndpointView, type GrantMode, type Turn,
+	chooseEndpoint,
+	hasSlot,
+	orderClasses,
+	predictWait,
+	sizeHeadroom,
+	type EndpointNeed,
+	type EndpointView,
+	type GrantMode,
+	type Turn,
 } from '@valvesaddle/policy';
 import {createWaitingQueue, type Queued} from '@valvesaddle/queue';
 import type {Configuration, RequestClass} from '@valvesaddle/types';
@@ -18,16 +26,18 @@
 const defaultInterTokenMs = 52;
 const shortestRetryAfterMs = 1000;
 const longestRetryAfterMs = 60_000;
-/** Failures of an endpoint that say nothing about it are those that the caller caused. */
+/**
+Failures of an endpoint that say nothing about it are those that the caller caused.
+*/
 const endpointFaults: ReadonlySet<ReleaseReport['outcome']> = new Set(['failed', 'not-run']);
 
 /**
- * Creates the dispatcher of one pool: a task without sockets that owns the queue, the grants and what was learned of
- * the endpoints. Every decision is made by the pure functions of the policy package.
- *
- * @example
- * const dispatcher = createPoolDispatcher({pool: 'drafting', configuration, leaving: new Set(), warmupMs: 0, grantLeaseMs: 5000, metrics});
- * const reply = await dispatcher.acquire(request);
+ Creates the dispatcher of one pool: a task without sockets that owns the queue, the grants and what was learned of
+ the endpoints. Every decision is made by the pure functions of the policy package.
+
+ @example
+ const dispatcher = createPoolDispatcher({pool: 'drafting', configuration, leaving: new Set(), warmupMs: 0, grantLeaseMs: 5000, metrics});
+ const reply = await dispatcher.acquire(request);
  */
 export function createPoolDispatcher(options: PoolDispatcherOptions): PoolDispatcher {
 	const {metrics} = options;
@@ -98,12 +108,12 @@
 	}
 
 	function grantWaiting(): void {
-		while (queue.size() > 0 && orderClasses(queue.views()).some(turn => tryTurn(turn))) {
+		while (queue.size() > 0 && orderClasses(queue.views()).some(turn => didGrant(turn))) {
 			// Each round grants one request.
 		}
 	}
 
-	function tryTurn(turn: Turn): boolean {
+	function didGrant(turn: Turn): boolean {
 		const isWarm = Date.now() - openedAt >= options.warmupMs;
 		if (!isWarm && turn.mode !== 'urgent') {
 			return false;
@@ -143,9 +153,11 @@
 		sessions.remember(request.session, endpoint.id);
 		metrics.increment('dispatch.granted', 1, {class: request.className, mode});
 		metrics.timing('dispatch.wait', now - arrivedAt, {class: request.className});
-		settle({kind: 'granted', grant: {
-			grantId, pool: options.pool, endpointId: endpoint.id, url: endpoint.url,
-		}});
+		settle({
+			kind: 'granted', grant: {
+				grantId, pool: options.pool, endpointId: endpoint.id, url: endpoint.url,
+			},
+		});
 	}
 
 	function addGrant(entry: GrantEntry): void {
@@ -171,10 +183,12 @@
 
 	function expireGrants(now: number): void {
 		for (const entry of grants.values()) {
-			if (now - entry.renewedAt >= options.grantLeaseMs) {
-				removeGrant(entry.grantId);
-				metrics.increment('dispatch.grants-expired');
+			if (!(now - entry.renewedAt >= options.grantLeaseMs)) {
+				continue;
 			}
+
+			removeGrant(entry.grantId);
+			metrics.increment('dispatch.grants-expired');
 		}
 	}
 
@@ -194,11 +208,13 @@
 		let urgentPerSecond = 0;
 		let holdMs = 0;
 		for (const requestClass of classes.values()) {
-			if (requestClass.urgent) {
-				const rate = stats.arrivalsPerSecond(requestClass.name);
-				urgentPerSecond += rate;
-				holdMs += rate * stats.holdMs(requestClass.name);
+			if (!requestClass.urgent) {
+				continue;
 			}
+
+			const rate = stats.arrivalsPerSecond(requestClass.name);
+			urgentPerSecond += rate;
+			holdMs += rate * stats.holdMs(requestClass.name);
 		}
 
 		headroom = sizeHeadroom({
@@ -249,10 +265,12 @@
 				kind: 'refused', code: 'ERR_VALVESADDLE_CANCELLED', message: 'the request was taken back', retryAfterMs: 0,
 			});
 			const grantId = grantsByRequest.get(requestId);
-			if (grantId !== undefined) {
-				removeGrant(grantId);
-				grantWaiting();
+			if (grantId === undefined) {
+				return;
 			}
+
+			removeGrant(grantId);
+			grantWaiting();
 		},
 		release(report) {
 			const entry = removeGrant(report.grantId);
@@ -291,18 +309,20 @@
 		register({node, grants: open}) {
 			const now = Date.now();
 			for (const grantInfo of open) {
-				if (!grants.has(grantInfo.grantId)) {
-					const requestClass = classes.get(grantInfo.className);
-					addGrant({
-						...grantInfo,
-						node,
-						mode: requestClass?.urgent ? 'urgent' : 'shared',
-						isUrgent: requestClass?.urgent ?? false,
-						grantedAt: now,
-						renewedAt: now,
-						charged: grantInfo.tokens,
-					});
+				if (grants.has(grantInfo.grantId)) {
+					continue;
 				}
+
+				const requestClass = classes.get(grantInfo.className);
+				addGrant({
+					...grantInfo,
+					node,
+					mode: requestClass?.urgent ? 'urgent' : 'shared',
+					isUrgent: requestClass?.urgent ?? false,
+					grantedAt: now,
+					renewedAt: now,
+					charged: grantInfo.tokens,
+				});
 			}
 		},
 		dropNode(node) {
@@ -341,10 +361,12 @@
 function countFreeSlots(views: readonly EndpointView[], need: EndpointNeed): number {
 	let free = 0;
 	for (const view of views) {
-		if (hasSlot(view, need)) {
-			const held = need.mode === 'urgent' ? view.urgentInFlight : view.inFlight + view.external + (need.headroom * view.limit);
-			free += Math.max(1, view.limit - held);
+		if (!hasSlot(view, need)) {
+			continue;
 		}
+
+		const held = need.mode === 'urgent' ? view.urgentInFlight : view.inFlight + view.external + (need.headroom * view.limit);
+		free += Math.max(1, view.limit - held);
 	}
 
 	return free;
--- a/dispatch/pool/src/create-session-table.ts
+++ b/dispatch/pool/src/create-session-table.ts
@@ -1,15 +1,17 @@
 import type {SessionTable} from './session-table.ts';
 
 const mostSessions = 20_000;
-/** Engines cache prefixes in limited memory; after this time the prefix is likely gone. */
+/**
+Engines cache prefixes in limited memory; after this time the prefix is likely gone.
+*/
 const hintLifeMs = 600_000;
 
 /**
- * Creates the table of session hints: bounded, the oldest goes first.
- *
- * @example
- * sessions.remember('depot-7', 'engine-2');
- * sessions.find('depot-7'); // 'engine-2'
+ Creates the table of session hints: bounded, the oldest goes first.
+
+ @example
+ sessions.remember('depot-7', 'engine-2');
+ sessions.find('depot-7'); // 'engine-2'
  */
 export function createSessionTable(): SessionTable {
 	const table = new Map<string, {readonly endpointId: string; readonly at: number}>();
--- a/dispatch/pool/src/endpoint-table.ts
+++ b/dispatch/pool/src/endpoint-table.ts
@@ -2,21 +2,31 @@
 import type {EndpointView} from '@valvesaddle/policy';
 import type {LoadReport} from './load-report.ts';
 
-/** The endpoints of a pool with what the dispatcher learned of them. */
+/**
+The endpoints of a pool with what the dispatcher learned of them.
+*/
 export type EndpointTable = {
 	readonly configure: (endpoints: readonly Endpoint[], leaving: ReadonlySet<string>) => void;
-	/** Counts one grant more (`by` 1) or fewer (`by` -1). */
+	/**
+	Counts one grant more (`by` 1) or fewer (`by` -1).
+	*/
 	readonly count: (endpointId: string, by: 1 | -1, isUrgent: boolean) => void;
-	/** Takes over observed times and learns the limit from them. */
+	/**
+	Takes over observed times and learns the limit from them.
+	*/
 	readonly observeTimes: (endpointId: string, firstTokenMs: number | undefined, interTokenMs: number | undefined) => void;
 	readonly observeFailure: (endpointId: string) => void;
 	readonly observeSuccess: (endpointId: string) => void;
 	readonly observeLoad: (endpointId: string, report: LoadReport) => void;
-	/** Ejects stragglers, puts those on probation whose time is over, lets external load fade. */
+	/**
+	Ejects stragglers, puts those on probation whose time is over, lets external load fade.
+	*/
 	readonly tick: () => void;
 	readonly views: () => readonly EndpointView[];
 	readonly configured: () => readonly Endpoint[];
-	/** Sum of the limits of the endpoints in use. */
+	/**
+	Sum of the limits of the endpoints in use.
+	*/
 	readonly slots: () => number;
 	readonly inFlight: () => number;
 	readonly urgentInFlight: () => number;
--- a/dispatch/pool/src/grant-entry.ts
+++ b/dispatch/pool/src/grant-entry.ts
@@ -1,6 +1,8 @@
 import type {GrantMode} from '@valvesaddle/policy';
 
-/** An open grant as the dispatcher keeps it. */
+/**
+An open grant as the dispatcher keeps it.
+*/
 export type GrantEntry = {
 	readonly grantId: string;
 	readonly requestId: string;
@@ -11,9 +13,13 @@
 	readonly mode: GrantMode;
 	readonly isUrgent: boolean;
 	readonly grantedAt: number;
-	/** Last sign of life from the node, in milliseconds since the epoch. */
+	/**
+	Last sign of life from the node, in milliseconds since the epoch.
+	*/
 	readonly renewedAt: number;
 	readonly tokens: number;
-	/** Tokens charged to the account and class so far, ahead of their coming. */
+	/**
+	Tokens charged to the account and class so far, ahead of their coming.
+	*/
 	readonly charged: number;
 };
--- a/dispatch/pool/src/pool-events.ts
+++ b/dispatch/pool/src/pool-events.ts
@@ -1,6 +1,8 @@
 import type {EndpointState} from '@valvesaddle/policy';
 
-/** Changes of state that a pool dispatcher tells. */
+/**
+Changes of state that a pool dispatcher tells.
+*/
 export type PoolEvents = {
 	readonly endpointState: {
 		readonly endpoint: string;
--- a/dispatch/pool/src/pool-status.ts
+++ b/dispatch/pool/src/pool-status.ts
@@ -1,6 +1,8 @@
 import type {EndpointView} from '@valvesaddle/policy';
 
-/** A pool as its dispatcher sees it. */
+/**
+A pool as its dispatcher sees it.
+*/
 export type PoolStatus = {
 	readonly pool: string;
 	readonly waiting: number;
--- a/dispatch/pool/src/session-table.ts
+++ b/dispatch/pool/src/session-table.ts
@@ -1,4 +1,6 @@
-/** Which endpoint served a session last, as a hint where its prefix is cached. */
+/**
+Which endpoint served a session last, as a hint where its prefix is cached.
+*/
 export type SessionTable = {
 	readonly find: (session: string | undefined) => string | undefined;
 	readonly remember: (session: string | undefined, endpointId: string) => void;
--- a/dispatch/pool/src/waiting.ts
+++ b/dispatch/pool/src/waiting.ts
@@ -1,6 +1,8 @@
 import type {AcquireReply, AcquireRequest} from '@valvesaddle/messages';
 
-/** A request that waits for its grant. */
+/**
+A request that waits for its grant.
+*/
 export type Waiting = {
 	readonly request: AcquireRequest;
 	readonly settle: (reply: AcquireReply) => void;
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -5,18 +5,22 @@
 import type {Queued} from './queued.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
 
-/** Floor of a class that is not urgent and names none: every class keeps being served. */
+/**
+Floor of a class that is not urgent and names none: every class keeps being served.
+*/
 const smallestFloor = 0.01;
-/** A class saves up at most this many grants under its floor. */
+/**
+A class saves up at most this many grants under its floor.
+*/
 const largestCredit = 2;
 
 /**
- * Creates the queue of a pool. Within a class the account served least goes first, within an account the oldest
- * request. An account or class that begins to wait does not bring along credit from its idle time.
- *
- * @example
- * const queue = createWaitingQueue<string>();
- * queue.configure(classes, new Map([['sawmill', 1]]));
+ Creates the queue of a pool. Within a class the account served least goes first, within an account the oldest
+ request. An account or class that begins to wait does not bring along credit from its idle time.
+
+ @example
+ const queue = createWaitingQueue<string>();
+ queue.configure(classes, new Map([['sawmill', 1]]));
  */
 export function createWaitingQueue<Value>(): WaitingQueue<Value> {
 	const classes = new Map<string, ClassQueue<Value>>();
@@ -61,8 +65,8 @@
 		byRequest.delete(item.requestId);
 	}
 
-	function takeWhere(matches: (item: Queued<Value>) => boolean): ReadonlyArray<Queued<Value>> {
-		const taken = [...byRequest.values()].filter(item => matches(item));
+	function takeWhere(isWanted: (item: Queued<Value>) => boolean): ReadonlyArray<Queued<Value>> {
+		const taken = byRequest.values().toArray().filter(item => isWanted(item));
 		for (const item of taken) {
 			take(item);
 		}
@@ -130,7 +134,7 @@
 				}
 			}
 		},
-		views: () => [...classes.values()],
+		views: () => classes.values().toArray(),
 		waiting: className => classes.get(className)?.waiting ?? 0,
 		accountWaiting: (className, account) => classes.get(className)?.accounts.get(account)?.waiting ?? 0,
 		accountShares(className, account) {
@@ -152,7 +156,9 @@
 	};
 }
 
-/** A class that a configuration just removed, or that another node knows already. */
+/**
+A class that a configuration just removed, or that another node knows already.
+*/
 function unknownClass(name: string): RequestClass {
 	return {
 		name, priority: 99, urgent: false, firstTokenTargetMs: 10_000, maximumWaitMs: 10_000, weight: 1, floor: smallestFloor,
--- a/endpoint/engine/src/build-engine-body.ts
+++ b/endpoint/engine/src/build-engine-body.ts
@@ -1,11 +1,11 @@
 import type {EngineRequest} from './engine-request.ts';
 
 /**
- * Builds the body for an engine: the caller's, streamed, with the engine's priority. To resume, the text so far goes
- * in as an unfinished answer that the engine continues (vLLM's published `continue_final_message`).
- *
- * @example
- * buildEngineBody({...request, textSoFar: 'The permit'}).continue_final_message; // true
+ Builds the body for an engine: the caller's, streamed, with the engine's priority. To resume, the text so far goes
+ in as an unfinished answer that the engine continues (vLLM's published `continue_final_message`).
+
+ @example
+ buildEngineBody({...request, textSoFar: 'The permit'}).continue_final_message; // true
  */
 export function buildEngineBody({body, priority, textSoFar, tokensSoFar}: EngineRequest): Readonly<Record<string, unknown>> {
 	const streamed = {...body, stream: true, priority};
@@ -13,15 +13,15 @@
 		return streamed;
 	}
 
-	const messages: readonly unknown[] = Array.isArray(body['messages']) ? body['messages'] : [];
+	const messages: readonly unknown[] = Array.isArray(body.messages) ? body.messages : [];
 	const last: unknown = messages.at(-1);
-	const continues = body['continue_final_message'] === true && isAnswer(last);
-	const answer = {role: 'assistant', content: continues ? `${last.content}${textSoFar}` : textSoFar};
+	const isContinues = body.continue_final_message === true && isAnswer(last);
+	const answer = {role: 'assistant', content: isContinues ? `${last.content}${textSoFar}` : textSoFar};
 	return {
 		...streamed,
-		messages: [...(continues ? messages.slice(0, -1) : messages), answer],
-		'continue_final_message': true,
-		'add_generation_prompt': false,
+		messages: [...(isContinues ? messages.slice(0, -1) : messages), answer],
+		continue_final_message: true,
+		add_generation_prompt: false,
 		...reduceLimit(body, 'max_tokens', tokensSoFar),
 		...reduceLimit(body, 'max_completion_tokens', tokensSoFar),
 	};
--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -11,17 +11,17 @@
 import type {EngineRequest} from './engine-request.ts';
 import {readChunk} from './read-chunk.ts';
 
-const loadSchema = z.object({'server_load': z.number().min(0), leaving: z.boolean().default(false)});
+const loadSchema = z.object({server_load: z.number().min(0), leaving: z.boolean().default(false)});
 const loadTimeoutMs = 1000;
 const endMark = '[DONE]';
 const keepAliveMs = 30_000;
 
 /**
- * Creates the adapter to model engines that speak the published chat completions interface (streamed as server-sent
- * events, with vLLM's `priority` and `/load`).
- *
- * @example
- * for await (const event of engines.stream(request, signal)) {}
+ Creates the adapter to model engines that speak the published chat completions interface (streamed as server-sent
+ events, with vLLM's `priority` and `/load`).
+
+ @example
+ for await (const event of engines.stream(request, signal)) {}
  */
 export function createEngineClient(options: EngineClientOptions): EngineClient {
 	const agent = new Agent({
--- a/endpoint/engine/src/engine-load.ts
+++ b/endpoint/engine/src/engine-load.ts
@@ -1,4 +1,6 @@
-/** Load as an engine reports it. */
+/**
+Load as an engine reports it.
+*/
 export type EngineLoad = {
 	readonly requests: number;
 	readonly leaving: boolean;
--- a/endpoint/engine/src/engine-request.ts
+++ b/endpoint/engine/src/engine-request.ts
@@ -1,13 +1,21 @@
 import type {TraceCarrier} from '@valvesaddle/tracing';
 
-/** A chat completion to send to one engine. */
+/**
+A chat completion to send to one engine.
+*/
 export type EngineRequest = {
 	readonly url: string;
-	/** Body as the caller sent it. */
+	/**
+	Body as the caller sent it.
+	*/
 	readonly body: Readonly<Record<string, unknown>>;
-	/** 0 is the most urgent. */
+	/**
+	0 is the most urgent.
+	*/
 	readonly priority: number;
-	/** Text delivered already; the engine goes on from there. */
+	/**
+	Text delivered already; the engine goes on from there.
+	*/
 	readonly textSoFar: string;
 	readonly tokensSoFar: number;
 	readonly trace: TraceCarrier;
--- a/endpoint/engine/src/read-chunk.ts
+++ b/endpoint/engine/src/read-chunk.ts
@@ -5,15 +5,15 @@
 const chunkSchema = z.object({
 	choices: z.array(z.object({
 		delta: z.record(z.string(), z.unknown()).optional(),
-		'finish_reason': z.string().nullish(),
+		finish_reason: z.string().nullish(),
 	})).default([]),
 });
 
 /**
- * Reads one chunk of a streamed completion.
- *
- * @example
- * readChunk('{"choices":[{"delta":{"content":"Yes"}}]}'); // [{kind: 'delta', delta: {content: 'Yes'}, text: 'Yes'}]
+ Reads one chunk of a streamed completion.
+
+ @example
+ readChunk('{"choices":[{"delta":{"content":"Yes"}}]}'); // [{kind: 'delta', delta: {content: 'Yes'}, text: 'Yes'}]
  */
 export function readChunk(data: string): readonly EngineEvent[] {
 	const [choice] = parseChunk(data).choices;
@@ -24,7 +24,7 @@
 	const events: EngineEvent[] = [];
 	const {delta} = choice;
 	if (delta !== undefined && Object.keys(delta).some(key => key !== 'role' && delta[key] !== '' && delta[key] !== null)) {
-		events.push({kind: 'delta', delta, text: typeof delta['content'] === 'string' ? delta['content'] : ''});
+		events.push({kind: 'delta', delta, text: typeof delta.content === 'string' ? delta.content : ''});
 	}
 
 	if (choice.finish_reason) {
--- a/endpoint/http-outcome/src/classify-send-failure.ts
+++ b/endpoint/http-outcome/src/classify-send-failure.ts
@@ -1,13 +1,15 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 
-/** Failures that come before a connection stands, so before any byte of the request went out. */
+/**
+Failures that come before a connection stands, so before any byte of the request went out.
+*/
 const notSentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /**
- * Tells what a failed HTTP call means for the request: surely not run, or maybe run.
- *
- * @example
- * classifySendFailure(connectionRefused, signal).traits.ran; // 'no'
+ Tells what a failed HTTP call means for the request: surely not run, or maybe run.
+
+ @example
+ classifySendFailure(connectionRefused, signal).traits.ran; // 'no'
  */
 export function classifySendFailure(thrown: unknown, signal: AbortSignal): ValvesaddleError {
 	if (thrown instanceof ValvesaddleError) {
--- a/endpoint/service/src/create-service-client.ts
+++ b/endpoint/service/src/create-service-client.ts
@@ -9,10 +9,10 @@
 const largestReplyBytes = 8 * 1024 * 1024;
 
 /**
- * Creates the adapter to plain HTTP services.
- *
- * @example
- * const reply = await services.call(request, signal);
+ Creates the adapter to plain HTTP services.
+
+ @example
+ const reply = await services.call(request, signal);
  */
 export function createServiceClient(options: ServiceClientOptions): ServiceClient {
 	const agent = new Agent({
@@ -26,11 +26,11 @@
 		}
 
 		const response = await sendRequest(`${request.url}${request.path}`, {
-			method: request.method as Dispatcher.HttpMethod,
+			method: request.method,
 			dispatcher: agent,
 			headers,
 			signal,
-			...(request.body === '' ? {} : {body: request.body}),
+			...(request.body !== '' && {body: request.body}),
 		});
 		const body = await response.body.text();
 		if (response.statusCode >= 500 || response.statusCode === 429) {
--- a/endpoint/service/src/service-client-options.ts
+++ b/endpoint/service/src/service-client-options.ts
@@ -1,6 +1,10 @@
-/** Options of `createServiceClient`. */
+/**
+Options of `createServiceClient`.
+*/
 export type ServiceClientOptions = {
 	readonly connectMs: number;
-	/** Longest time for a whole reply, in milliseconds. */
+	/**
+	Longest time for a whole reply, in milliseconds.
+	*/
 	readonly replyMs: number;
 };
--- a/endpoint/service/src/service-reply.ts
+++ b/endpoint/service/src/service-reply.ts
@@ -1,4 +1,6 @@
-/** Whole reply of a plain service. */
+/**
+Whole reply of a plain service.
+*/
 export type ServiceReply = {
 	readonly status: number;
 	readonly contentType: string;
--- a/__fakes__/engine/src/engine-counts.ts
+++ b/fakes/engine/src/engine-counts.ts
@@ -1,8 +1,12 @@
-/** What an engine did so far. */
+/**
+What an engine did so far.
+*/
 export type EngineCounts = {
 	readonly requests: number;
 	readonly tokens: number;
-	/** Tokens of answers that were cancelled before their end. */
+	/**
+	Tokens of answers that were cancelled before their end.
+	*/
 	readonly cancelledTokens: number;
 	readonly resumed: number;
 	readonly prefixHits: number;
--- a/__fakes__/engine/src/start-fake-engine.ts
+++ b/fakes/engine/src/start-fake-engine.ts
@@ -13,12 +13,12 @@
 const charactersPerToken = 4;
 
 /**
- * Starts a stand-in for a model engine: it streams chat completions, batches continuously, slows down with its batch,
- * honours priorities, stops when the caller goes, resumes an unfinished answer and reports its load late.
- *
- * @example
- * const engine = await startFakeEngine({batch: 8, stepMs: 20});
- * engine.setSlowness(10);
+ Starts a stand-in for a model engine: it streams chat completions, batches continuously, slows down with its batch,
+ honours priorities, stops when the caller goes, resumes an unfinished answer and reports its load late.
+
+ @example
+ const engine = await startFakeEngine({batch: 8, stepMs: 20});
+ engine.setSlowness(10);
  */
 export async function startFakeEngine(given: FakeEngineOptions = {}): Promise<FakeEngine> {
 	const options = {...defaults, ...given};
@@ -30,7 +30,7 @@
 	};
 	let fault: EngineFault | undefined;
 	let slowness = 1;
-	let leaving = false;
+	let isLeaving = false;
 	let stepTimer: NodeJS.Timeout | undefined;
 	let isStepping = false;
 
@@ -79,13 +79,15 @@
 		const content = makeToken(sequence.firstToken + sequence.made);
 		sequence.made++;
 		sequence.response.write(formatChunk({content}));
-		if (sequence.made >= sequence.wanted) {
-			sequences.delete(sequence);
-			sequence.response.end(`${formatChunk({}, 'stop')}data: [DONE]\n\n`);
+		if (!(sequence.made >= sequence.wanted)) {
+			return;
 		}
+
+		sequences.delete(sequence);
+		sequence.response.end(`${formatChunk({}, 'stop')}data: [DONE]\n\n`);
 	}
 
-	function usePrefix(chat: ChatRequest): boolean {
+	function wasPrefixCached(chat: ChatRequest): boolean {
 		const key = JSON.stringify(chat.messages[0]);
 		const isHit = prefixes.delete(key);
 		prefixes.set(key, true);
@@ -102,7 +104,7 @@
 		const firstToken = countDelivered(chat);
 		counts.requests++;
 		counts.resumed += firstToken > 0 ? 1 : 0;
-		const prompt = usePrefix(chat) ? 0 : JSON.stringify(chat.messages).length / charactersPerToken;
+		const prompt = wasPrefixCached(chat) ? 0 : JSON.stringify(chat.messages).length / charactersPerToken;
 		const sequence: Sequence = {
 			response,
 			priority: chat.priority ?? 0,
@@ -131,7 +133,7 @@
 	const refusals: Readonly<Partial<Record<EngineFault, number>>> = {refuse: 503, fail: 500};
 
 	function handleChat(request: FakeRequest, response: ServerResponse): void {
-		const status = leaving ? 503 : refusals[fault ?? 'freeze'];
+		const status = isLeaving ? 503 : refusals[fault ?? 'freeze'];
 		if (status !== undefined) {
 			response.statusCode = status;
 			response.end('no');
@@ -155,7 +157,7 @@
 			reports.shift();
 		}
 
-		response.end(JSON.stringify({'server_load': reports[0]?.load ?? 0, leaving}));
+		response.end(JSON.stringify({server_load: reports[0]?.load ?? 0, leaving: isLeaving}));
 	}
 
 	const controls: Readonly<Record<string, (value: string) => void>> = {
@@ -166,7 +168,7 @@
 			slowness = Number(value);
 		},
 		leaving(value) {
-			leaving = value === 'true';
+			isLeaving = value === 'true';
 		},
 		crash() {
 			server.cut();
@@ -177,15 +179,29 @@
 		host: options.host,
 		port: options.port,
 		handle(request, response) {
-			if (request.path === '/load') {
-				handleLoad(response);
-			} else if (request.path === '/v1/chat/completions') {
-				handleChat(request, response);
-			} else if (request.path === '/counts') {
-				response.end(JSON.stringify({...counts, load: sequences.size}));
-			} else {
-				controls[request.path.slice('/control/'.length)]?.(request.body);
-				response.end();
+			switch (request.path) {
+				case '/load': {
+					handleLoad(response);
+
+					break;
+				}
+
+				case '/v1/chat/completions': {
+					handleChat(request, response);
+
+					break;
+				}
+
+				case '/counts': {
+					response.end(JSON.stringify({...counts, load: sequences.size}));
+
+					break;
+				}
+
+				default: {
+					controls[request.path.slice('/control/'.length)]?.(request.body);
+					response.end();
+				}
 			}
 		},
 	});
@@ -199,7 +215,7 @@
 			slowness = factor;
 		},
 		setLeaving(value) {
-			leaving = value;
+			isLeaving = value;
 		},
 		crash() {
 			server.cut();
@@ -215,13 +231,9 @@
 
 function countDelivered(chat: ChatRequest): number {
 	const last = chat.messages.at(-1);
-	if (chat.continue_final_message !== true || typeof last?.content !== 'string') {
-		return 0;
-	}
-
-	return last.content.split(' ').length - 1;
+	return chat.continue_final_message !== true || typeof last?.content !== 'string' ? 0 : last.content.split(' ').length - 1;
 }
 
 function formatChunk(delta: Readonly<Record<string, string>>, finishReason?: string): string {
-	return `data: ${JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta, 'finish_reason': finishReason}]})}\n\n`;
+	return `data: ${JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta, finish_reason: finishReason}]})}\n\n`;
 }
--- a/__fakes__/fleet/src/create-demo-configuration.ts
+++ b/fakes/fleet/src/create-demo-configuration.ts
@@ -8,11 +8,11 @@
 };
 
 /**
- * A small configuration in the likeness of the users': three classes, two client accounts, one model, one plain service
- * whose calls may not be repeated.
- *
- * @example
- * createDemoConfiguration({engineUrls: ['http://127.0.0.1:8000'], serviceUrl: 'http://127.0.0.1:8001'});
+ A small configuration in the likeness of the users': three classes, two client accounts, one model, one plain service
+ whose calls may not be repeated.
+
+ @example
+ createDemoConfiguration({engineUrls: ['http://127.0.0.1:8000'], serviceUrl: 'http://127.0.0.1:8001'});
  */
 export function createDemoConfiguration({engineUrls, serviceUrl}: DemoOptions): Configuration {
 	const classNames = ['gate', 'route', 'estimate'];
--- a/__fakes__/fleet/src/fleet-keys.ts
+++ b/fakes/fleet/src/fleet-keys.ts
@@ -1,8 +1,14 @@
-/** Secrets of the stand-in fleet; public, for tests and demonstrations only. */
+/**
+Secrets of the stand-in fleet; public, for tests and demonstrations only.
+*/
 export const fleetKeys = {
-	/** Client account `sawmill`. */
+	/**
+	Client account `sawmill`.
+	*/
 	caller: 'demo-caller-key',
-	/** Client account `depot`. */
+	/**
+	Client account `depot`.
+	*/
 	otherCaller: 'demo-other-caller-key',
 	editor: 'demo-editor-token',
 	viewer: 'demo-viewer-token',
--- a/__fakes__/fleet/src/start-fleet.ts
+++ b/fakes/fleet/src/start-fleet.ts
@@ -14,12 +14,12 @@
 import {waitUntil} from './wait-until.ts';
 
 /**
- * Starts a fleet of router nodes with stand-ins around it, all in this process and on free ports, with the demonstration
- * configuration in force.
- *
- * @example
- * const fleet = await startFleet({nodes: 3, engines: [{}, {}]});
- * await fleet.close();
+ Starts a fleet of router nodes with stand-ins around it, all in this process and on free ports, with the demonstration
+ configuration in force.
+
+ @example
+ const fleet = await startFleet({nodes: 3, engines: [{}, {}]});
+ await fleet.close();
  */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
 	const kv = await startFakeKv();
@@ -39,9 +39,11 @@
 
 	async function addNode(): Promise<FleetNode> {
 		const id = `n${nodes.length + 1}`;
-		const router = createRouter({settings: createFleetSettings({
-			id, kvUrl: kv.url, vmListUrl: `${vmList.url}/v1/vms`, overrides: options.settings ?? {},
-		})});
+		const router = createRouter({
+			settings: createFleetSettings({
+				id, kvUrl: kv.url, vmListUrl: `${vmList.url}/v1/vms`, overrides: options.settings ?? {},
+			}),
+		});
 		const node = {id, router, ...await router.start()};
 		nodes.push(node);
 		publishNodes();
--- a/__fakes__/http/src/fake-request.ts
+++ b/fakes/http/src/fake-request.ts
@@ -1,4 +1,6 @@
-/** A request as a stand-in's handler sees it. */
+/**
+A request as a stand-in's handler sees it.
+*/
 export type FakeRequest = {
 	readonly method: string;
 	readonly path: string;
--- a/__fakes__/http/src/start-fake-server.ts
+++ b/fakes/http/src/start-fake-server.ts
@@ -1,13 +1,18 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import {text as readText} from 'node:stream/consumers';
 import type {FakeServer} from './fake-server.ts';
 import type {FakeServerOptions} from './fake-server-options.ts';
 
 /**
- * Starts an HTTP server for a stand-in.
- *
- * @example
- * const server = await startFakeServer({handle(request, response) { response.end('ok'); }});
+ Starts an HTTP server for a stand-in.
+
+ @example
+ const server = await startFakeServer({handle(request, response) { response.end('ok'); }});
  */
 export async function startFakeServer(options: FakeServerOptions): Promise<FakeServer> {
 	const host = options.host ?? '127.0.0.1';
--- a/__fakes__/kv/src/start-fake-kv.ts
+++ b/fakes/kv/src/start-fake-kv.ts
@@ -20,11 +20,11 @@
 const largestValue = 1024 * 1024;
 
 /**
- * Starts a stand-in for the key-value service: the key-value part of Consul's HTTP interface, with faults.
- *
- * @example
- * const kv = await startFakeKv();
- * kv.failNextWrite('drop-after');
+ Starts a stand-in for the key-value service: the key-value part of Consul's HTTP interface, with faults.
+
+ @example
+ const kv = await startFakeKv();
+ kv.failNextWrite('drop-after');
  */
 export async function startFakeKv(options: FakeKvOptions = {}): Promise<FakeKv> {
 	const items = new Map<string, Item>();
@@ -45,21 +45,21 @@
 		}
 	}
 
-	function write(key: string, request: FakeRequest): boolean {
+	function write(key: string, request: FakeRequest): string {
 		const cas = request.query.get('cas');
 		if (cas !== null && Number(cas) !== (items.get(key)?.index ?? 0)) {
-			return false;
+			return 'false';
 		}
 
 		index++;
 		items.set(key, {value: request.body, index});
 		wakeAll();
-		return true;
+		return 'true';
 	}
 
 	async function waitForChange(key: string, request: FakeRequest, response: ServerResponse): Promise<void> {
 		const after = Number(request.query.get('index'));
-		const waitMs = Number.parseInt(request.query.get('wait') ?? '1000', 10);
+		const waitMs = Number((request.query.get('wait') ?? '1000').replace('ms', ''));
 		const until = Date.now() + waitMs;
 		const hasChanged = (): boolean => (items.get(key)?.index ?? 0) > after || after === 0;
 		while (!hasChanged() && Date.now() < until && !response.destroyed) {
@@ -87,7 +87,7 @@
 	}
 
 	const effects: Readonly<Record<string, (key: string, request: FakeRequest) => string>> = {
-		PUT: (key, request) => String(write(key, request)),
+		PUT: write,
 		DELETE(key) {
 			items.delete(key);
 			index++;
@@ -96,7 +96,9 @@
 		},
 	};
 
-	/** Applies a fault to a call; returns true when the call is over with it. */
+	/**
+	Applies a fault to a call; returns true when the call is over with it.
+	*/
 	async function applyFault(kind: KvFault, run: () => void, response: ServerResponse): Promise<void> {
 		const handlers: Readonly<Record<KvFault, () => Promise<void> | void>> = {
 			refuse() {
@@ -115,7 +117,8 @@
 				setTimeout(run, lateMs);
 			},
 			async freeze() {
-				while (fault === 'freeze' && !response.destroyed) {
+				const isFrozen = (): boolean => fault === 'freeze';
+				while (isFrozen() && !response.destroyed) {
 					// eslint-disable-next-line no-await-in-loop -- until the fault is over
 					await delay(lateMs);
 				}
@@ -141,9 +144,13 @@
 	async function handleWrite(key: string, request: FakeRequest, response: ServerResponse): Promise<void> {
 		count(request.method.toLowerCase());
 		const run = (): string => effects[request.method]?.(key, request) ?? 'false';
+		const runOnly = (): void => {
+			run();
+		};
+
 		const kind = takeFault(true);
 		if (kind !== undefined) {
-			await applyFault(kind, run, response);
+			await applyFault(kind, runOnly, response);
 			return;
 		}
 
@@ -161,7 +168,9 @@
 		count(isWatch ? 'watch' : 'get');
 		const kind = takeFault(false);
 		if (kind !== undefined) {
-			await applyFault(kind, () => undefined, response);
+			await applyFault(kind, () => {
+				// A read has no effect.
+			}, response);
 			return;
 		}
 
@@ -200,7 +209,7 @@
 			delayMs = milliseconds;
 		},
 		read: key => items.get(key)?.value,
-		keys: () => [...items.keys()],
+		keys: () => items.keys().toArray(),
 		calls: () => ({...calls}),
 	};
 }
--- a/__fakes__/service/src/start-fake-service.ts
+++ b/fakes/service/src/start-fake-service.ts
@@ -9,11 +9,11 @@
 };
 
 /**
- * Starts a stand-in for a register that gives out numbers: every call takes a new one.
- *
- * @example
- * const service = await startFakeService();
- * service.runs().get('{"truck":"PB 1234"}'); // how often it ran
+ Starts a stand-in for a register that gives out numbers: every call takes a new one.
+
+ @example
+ const service = await startFakeService();
+ service.runs().get('{"truck":"PB 1234"}'); // how often it ran
  */
 export async function startFakeService(options: FakeServiceOptions = {}): Promise<FakeService> {
 	const runs = new Map<string, number>();
--- a/__fakes__/vm-list/src/start-fake-vm-list.ts
+++ b/fakes/vm-list/src/start-fake-vm-list.ts
@@ -9,11 +9,11 @@
 };
 
 /**
- * Starts a stand-in for the list of VMs. `PUT /v1/vms` replaces the list, `GET /v1/vms` reads it.
- *
- * @example
- * const vmList = await startFakeVmList({vms});
- * vmList.set([]);
+ Starts a stand-in for the list of VMs. `PUT /v1/vms` replaces the list, `GET /v1/vms` reads it.
+
+ @example
+ const vmList = await startFakeVmList({vms});
+ vmList.set([]);
  */
 export async function startFakeVmList(options: FakeVmListOptions = {}): Promise<FakeVmList> {
 	let vms: readonly Vm[] = options.vms ?? [];
--- a/node/router/src/answer-page-schema.ts
+++ b/node/router/src/answer-page-schema.ts
@@ -17,7 +17,9 @@
 	}),
 ]);
 
-/** Form of a page of an answer on the wire. */
+/**
+Form of a page of an answer on the wire.
+*/
 export const answerPageSchema = z.object({
 	parts: z.array(z.string()).readonly(),
 	end: end.optional().transform((value): AnswerEnd | undefined => value),
--- a/node/router/src/compare-schema.ts
+++ b/node/router/src/compare-schema.ts
@@ -1,4 +1,6 @@
 import {z} from 'zod';
 
-/** Form of a comparison of revisions on the wire. */
+/**
+Form of a comparison of revisions on the wire.
+*/
 export const compareSchema = z.object({revision: z.int().min(0)});
--- a/node/router/src/create-health.ts
+++ b/node/router/src/create-health.ts
@@ -4,20 +4,24 @@
 import type {HealthOptions} from './health-options.ts';
 import type {NodeState} from './node-state.ts';
 
-/** Neighbours to keep in touch with; fixed ones, so that few links are open. */
+/**
+Neighbours to keep in touch with; fixed ones, so that few links are open.
+*/
 const neighbourCount = 3;
-/** Rounds without any answer after which the node counts as isolated. */
+/**
+Rounds without any answer after which the node counts as isolated.
+*/
 const isolatedRounds = 2;
 const retryAfterMs = 1000;
 
 /**
- * Creates the health of a node. Every round it tells its revision to its neighbours, which answer with a newer one; a
- * node that neither a neighbour nor the key-value service answers takes no new requests, since it cannot learn of new
- * configurations.
- *
- * @example
- * const health = createHealth(options);
- * health.start();
+ Creates the health of a node. Every round it tells its revision to its neighbours, which answer with a newer one; a
+ node that neither a neighbour nor the key-value service answers takes no new requests, since it cannot learn of new
+ configurations.
+
+ @example
+ const health = createHealth(options);
+ health.start();
  */
 export function createHealth(options: HealthOptions): Health {
 	const {follower, store, membership, network, logger, node} = options;
@@ -40,17 +44,19 @@
 
 	function logChange(): void {
 		const state = getState();
-		if (state !== logged) {
-			logger.info({name: 'node-state', from: logged, to: state});
-			logged = state;
+		if (state === logged) {
+			return;
 		}
+
+		logger.info({name: 'node-state', from: logged, to: state});
+		logged = state;
 	}
 
 	function listNeighbours(): readonly string[] {
 		return rankOwners(`neighbours/${node}`, membership.others()).slice(0, neighbourCount);
 	}
 
-	async function tellRevision(neighbour: string): Promise<boolean> {
+	async function wasHeardBy(neighbour: string): Promise<boolean> {
 		const result = await network.call(neighbour, 'configuration.compare', {revision: follower.revision()});
 		if (result.isErr()) {
 			membership.suspect(neighbour);
@@ -69,7 +75,7 @@
 			return;
 		}
 
-		const answers = await Promise.all(neighbours.map(async neighbour => tellRevision(neighbour)));
+		const answers = await Promise.all(neighbours.map(async neighbour => wasHeardBy(neighbour)));
 		const isHeard = answers.includes(true) || (await store.read()).isOk();
 		silentRounds = isHeard ? 0 : silentRounds + 1;
 		logChange();
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -5,7 +5,11 @@
 import type {DispatchHost} from '@valvesaddle/host';
 import type {Membership} from '@valvesaddle/membership';
 import {
-	acquireRequestSchema, cancelMessageSchema, progressMessageSchema, registerRequestSchema, releaseReportSchema,
+	acquireRequestSchema,
+	cancelMessageSchema,
+	progressMessageSchema,
+	registerRequestSchema,
+	releaseReportSchema,
 } from '@valvesaddle/messages';
 import type {PeerHandlers} from '@valvesaddle/network';
 import {z} from 'zod';
@@ -18,17 +22,19 @@
 	readonly answers: AnswerStore;
 	readonly follower: ConfigFollower;
 	readonly membership: Membership;
-	/** Asks a peer that has a newer configuration for it. */
+	/**
+	Asks a peer that has a newer configuration for it.
+	*/
 	readonly fetchRecord: (peer: string) => void;
 };
 
 const longestReadMs = 5000;
 
 /**
- * Creates the answers to all that peers ask of a node.
- *
- * @example
- * await network.listen(createPeerHandlers(options));
+ Creates the answers to all that peers ask of a node.
+
+ @example
+ await network.listen(createPeerHandlers(options));
  */
 export function createPeerHandlers(options: PeerHandlerOptions): PeerHandlers {
 	const {host, claims, answers, follower, membership} = options;
--- a/node/router/src/create-remote-answer.ts
+++ b/node/router/src/create-remote-answer.ts
@@ -4,18 +4,20 @@
 
 type RemoteAnswerOptions = {
 	readonly network: PeerNetwork;
-	/** Node that holds the answer. */
+	/**
+	Node that holds the answer.
+	*/
 	readonly holder: string;
 	readonly requestId: string;
 	readonly account: string;
 };
 
 /**
- * Creates a source that reads an answer from the node that holds it. When that node is lost, the answer ends with what
- * can be said of it: it may have run.
- *
- * @example
- * const {parts, end} = await createRemoteAnswer({network, holder: 'b1', requestId, account}).read(0);
+ Creates a source that reads an answer from the node that holds it. When that node is lost, the answer ends with what
+ can be said of it: it may have run.
+
+ @example
+ const {parts, end} = await createRemoteAnswer({network, holder: 'b1', requestId, account}).read(0);
  */
 export function createRemoteAnswer({network, holder, requestId, account}: RemoteAnswerOptions): AnswerSource {
 	async function readPage(offset: number): Promise<AnswerPage> {
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -27,15 +27,17 @@
 import type {RouterOptions} from './router-options.ts';
 import {splitAddress} from './split-address.ts';
 
-/** Peers asked for their configuration while the key-value service does not answer. */
+/**
+Peers asked for their configuration while the key-value service does not answer.
+*/
 const askedPeers = 3;
 
 /**
- * Creates a router node from its settings: all tasks, wired together.
- *
- * @example
- * const router = createRouter({settings});
- * const {callers} = await router.start();
+ Creates a router node from its settings: all tasks, wired together.
+
+ @example
+ const router = createRouter({settings});
+ const {callers} = await router.start();
  */
 export function createRouter({settings, onDrained}: RouterOptions): Router {
 	const {node: {id: node, data_centre: dataCentre, region}, limits} = settings;
@@ -137,9 +139,11 @@
 		}
 
 		const probe = await network.call(holder, 'answer.read', {requestId, account, offset: 0});
-		return probe.isOk() ? createRemoteAnswer({
-			network, holder, requestId, account,
-		}) : undefined;
+		return probe.isOk()
+			? createRemoteAnswer({
+				network, holder, requestId, account,
+			})
+			: undefined;
 	}
 
 	const callerApi = createCallerApi({
--- a/node/router/src/health-options.ts
+++ b/node/router/src/health-options.ts
@@ -4,7 +4,9 @@
 import type {Membership} from '@valvesaddle/membership';
 import type {PeerNetwork} from '@valvesaddle/network';
 
-/** Options of `createHealth`. */
+/**
+Options of `createHealth`.
+*/
 export type HealthOptions = {
 	readonly node: string;
 	readonly follower: ConfigFollower;
--- a/node/router/src/router-addresses.ts
+++ b/node/router/src/router-addresses.ts
@@ -1,4 +1,6 @@
-/** Addresses on which a node listens. */
+/**
+Addresses on which a node listens.
+*/
 export type RouterAddresses = {
 	readonly callers: string;
 	readonly peers: string;
--- a/node/router/src/router-options.ts
+++ b/node/router/src/router-options.ts
@@ -1,8 +1,12 @@
 import type {Settings} from '@valvesaddle/settings';
 
-/** Options of `createRouter`. */
+/**
+Options of `createRouter`.
+*/
 export type RouterOptions = {
 	readonly settings: Settings;
-	/** Called when a drain that an operator asked for has ended. */
+	/**
+	Called when a drain that an operator asked for has ended.
+	*/
 	readonly onDrained?: () => void;
 };
--- a/node/router/src/router.ts
+++ b/node/router/src/router.ts
@@ -3,14 +3,22 @@
 import type {NodeStatus} from '@valvesaddle/operator-server';
 import type {RouterAddresses} from './router-addresses.ts';
 
-/** A router node. */
+/**
+A router node.
+*/
 export type Router = {
-	/** Starts everything; resolves once the node listens. */
+	/**
+	Starts everything; resolves once the node listens.
+	*/
 	readonly start: () => Promise<RouterAddresses>;
 	readonly status: () => NodeStatus;
-	/** Graceful shutdown: resolves when the last open request has ended and everything is closed. */
+	/**
+	Graceful shutdown: resolves when the last open request has ended and everything is closed.
+	*/
 	readonly drain: () => Promise<void>;
-	/** Hard stop. */
+	/**
+	Hard stop.
+	*/
 	readonly close: () => Promise<void>;
 	readonly metrics: Metrics;
 	readonly tracing: Tracing;
--- a/node/router/src/split-address.ts
+++ b/node/router/src/split-address.ts
@@ -1,14 +1,16 @@
-/** A host and a port. */
+/**
+A host and a port.
+*/
 type HostPort = {
 	readonly host: string;
 	readonly port: number;
 };
 
 /**
- * Splits an address into host and port.
- *
- * @example
- * splitAddress('[::1]:7100'); // {host: '::1', port: 7100}
+ Splits an address into host and port.
+
+ @example
+ splitAddress('[::1]:7100'); // {host: '::1', port: 7100}
  */
 export function splitAddress(address: string): HostPort {
 	const index = address.lastIndexOf(':');
--- a/observe/logger/src/create-logger.ts
+++ b/observe/logger/src/create-logger.ts
@@ -6,11 +6,11 @@
 const standardError = 2;
 
 /**
- * Creates the logger of a process: JSON lines on standard error.
- *
- * @example
- * const logger = createLogger({node: 'a1', level: 'info'});
- * logger.info({name: 'node-state', from: 'starting', to: 'ready'});
+ Creates the logger of a process: JSON lines on standard error.
+
+ @example
+ const logger = createLogger({node: 'a1', level: 'info'});
+ logger.info({name: 'node-state', from: 'starting', to: 'ready'});
  */
 export function createLogger(options: LoggerOptions): Logger {
 	const log = pino({level: options.level, base: {node: options.node}}, destination({dest: standardError, sync: true}));
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -1,4 +1,6 @@
-/** A change of state worth a line. `name` says which; the rest are its facts. */
+/**
+A change of state worth a line. `name` says which; the rest are its facts.
+*/
 export type LogEvent =
 	| {readonly name: 'node-state'; readonly from: string; readonly to: string}
 	| {readonly name: 'configuration-in-force'; readonly revision: number; readonly changeId: string; readonly source: string}
--- a/observe/logger/src/log-level.ts
+++ b/observe/logger/src/log-level.ts
@@ -1,2 +1,4 @@
-/** Levels of log lines. */
+/**
+Levels of log lines.
+*/
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
--- a/observe/logger/src/logger-options.ts
+++ b/observe/logger/src/logger-options.ts
@@ -1,6 +1,8 @@
 import type {LogLevel} from './log-level.ts';
 
-/** Options of `createLogger`. */
+/**
+Options of `createLogger`.
+*/
 export type LoggerOptions = {
 	readonly node: string;
 	readonly level: LogLevel;
--- a/observe/logger/src/logger.ts
+++ b/observe/logger/src/logger.ts
@@ -1,6 +1,8 @@
 import type {LogEvent} from './log-event.ts';
 
-/** Writes typed lines. */
+/**
+Writes typed lines.
+*/
 export type Logger = {
 	readonly info: (event: LogEvent) => void;
 	readonly warn: (event: LogEvent) => void;
--- a/observe/metrics/src/create-metrics.ts
+++ b/observe/metrics/src/create-metrics.ts
@@ -6,25 +6,27 @@
 const flushMs = 1000;
 
 /**
- * Creates the counters of a process. They go out as StatsD datagrams and are summed up for status and tests.
- *
- * @example
- * const metrics = createMetrics({host: '127.0.0.1', port: 8125, node: 'a1'});
- * metrics.increment('requests.accepted', 1, {class: 'barrier'});
+ Creates the counters of a process. They go out as StatsD datagrams and are summed up for status and tests.
+
+ @example
+ const metrics = createMetrics({host: '127.0.0.1', port: 8125, node: 'a1'});
+ metrics.increment('requests.accepted', 1, {class: 'barrier'});
  */
 export function createMetrics(options: MetricsOptions = {}): Metrics {
 	const sums = new Map<string, number>();
-	const client = options.host === undefined ? undefined : new StatsD({
-		host: options.host,
-		port: options.port ?? 8125,
-		prefix: 'valvesaddle.',
-		globalTags: {node: options.node ?? ''},
-		maxBufferSize: bufferBytes,
-		bufferFlushInterval: flushMs,
-		errorHandler() {
-			sums.set('metrics.failures', (sums.get('metrics.failures') ?? 0) + 1);
-		},
-	});
+	const client = options.host === undefined
+		? undefined
+		: new StatsD({
+			host: options.host,
+			port: options.port ?? 8125,
+			prefix: 'valvesaddle.',
+			globalTags: {node: options.node ?? ''},
+			maxBufferSize: bufferBytes,
+			bufferFlushInterval: flushMs,
+			errorHandler() {
+				sums.set('metrics.failures', (sums.get('metrics.failures') ?? 0) + 1);
+			},
+		});
 
 	return {
 		increment(name, by = 1, tags = {}) {
--- a/observe/metrics/src/metric-tags.ts
+++ b/observe/metrics/src/metric-tags.ts
@@ -1,2 +1,4 @@
-/** Tags of a metric; values come from small fixed sets. */
+/**
+Tags of a metric; values come from small fixed sets.
+*/
 export type MetricTags = Readonly<Record<string, string>>;
--- a/observe/metrics/src/metrics-options.ts
+++ b/observe/metrics/src/metrics-options.ts
@@ -1,6 +1,10 @@
-/** Options of `createMetrics`; without a host nothing is sent, only summed up. */
+/**
+Options of `createMetrics`; without a host nothing is sent, only summed up.
+*/
 export type MetricsOptions = {
-	/** StatsD host, an IP number. */
+	/**
+	StatsD host, an IP number.
+	*/
 	readonly host?: string | undefined;
 	readonly port?: number | undefined;
 	readonly node?: string | undefined;
--- a/observe/metrics/src/metrics.ts
+++ b/observe/metrics/src/metrics.ts
@@ -1,14 +1,22 @@
 import type {MetricTags} from './metric-tags.ts';
 
-/** Counters, gauges and times, sent on and summed up for this process. */
+/**
+Counters, gauges and times, sent on and summed up for this process.
+*/
 export type Metrics = {
 	readonly increment: (name: string, by?: number, tags?: MetricTags) => void;
 	readonly gauge: (name: string, value: number, tags?: MetricTags) => void;
-	/** Records a duration in milliseconds. */
+	/**
+	Records a duration in milliseconds.
+	*/
 	readonly timing: (name: string, milliseconds: number, tags?: MetricTags) => void;
-	/** Sum of a counter over all tags since the start. */
+	/**
+	Sum of a counter over all tags since the start.
+	*/
 	readonly total: (name: string) => number;
-	/** Sums of all counters since the start, by name. */
+	/**
+	Sums of all counters since the start, by name.
+	*/
 	readonly totals: () => Readonly<Record<string, number>>;
 	readonly close: () => Promise<void>;
 };
--- a/observe/tracing/src/create-tracing.ts
+++ b/observe/tracing/src/create-tracing.ts
@@ -1,10 +1,18 @@
 import {
-	ROOT_CONTEXT, SpanStatusCode, trace, type Span,
+	ROOT_CONTEXT,
+	SpanStatusCode,
+	trace,
+	type Span,
 } from '@opentelemetry/api';
 import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
 import {
-	BatchSpanProcessor, InMemorySpanExporter, NodeTracerProvider, ParentBasedSampler, SimpleSpanProcessor,
-	TraceIdRatioBasedSampler, type SpanProcessor,
+	BatchSpanProcessor,
+	InMemorySpanExporter,
+	NodeTracerProvider,
+	ParentBasedSampler,
+	SimpleSpanProcessor,
+	TraceIdRatioBasedSampler,
+	type SpanProcessor,
 } from '@opentelemetry/sdk-trace-node';
 import {W3CTraceContextPropagator} from '@opentelemetry/core';
 import type {FinishedHop} from './finished-hop.ts';
@@ -20,11 +28,11 @@
 };
 
 /**
- * Creates the tracing of a node. Without an exporter the caller's context is still passed on.
- *
- * @example
- * const hop = tracing.startHop('request', {traceparent: headers.traceparent});
- * hop.end();
+ Creates the tracing of a node. Without an exporter the caller's context is still passed on.
+
+ @example
+ const hop = tracing.startHop('request', {traceparent: headers.traceparent});
+ hop.end();
  */
 export function createTracing(options: TracingOptions): Tracing {
 	if (options.exporter === 'none') {
--- a/observe/tracing/src/finished-hop.ts
+++ b/observe/tracing/src/finished-hop.ts
@@ -1,4 +1,6 @@
-/** A finished span, as kept in memory. */
+/**
+A finished span, as kept in memory.
+*/
 export type FinishedHop = {
 	readonly name: string;
 	readonly traceId: string;
--- a/observe/tracing/src/hop-span.ts
+++ b/observe/tracing/src/hop-span.ts
@@ -1,11 +1,15 @@
 import type {TraceCarrier} from './trace-carrier.ts';
 
-/** The span of one hop. */
+/**
+The span of one hop.
+*/
 export type HopSpan = {
 	readonly setAttribute: (name: string, value: string | number | boolean) => void;
 	readonly addEvent: (name: string) => void;
 	readonly fail: (message: string) => void;
 	readonly end: () => void;
-	/** Context to pass on, as headers. */
+	/**
+	Context to pass on, as headers.
+	*/
 	readonly carrier: TraceCarrier;
 };
--- a/observe/tracing/src/tracing-options.ts
+++ b/observe/tracing/src/tracing-options.ts
@@ -1,10 +1,18 @@
-/** Options of `createTracing`. */
+/**
+Options of `createTracing`.
+*/
 export type TracingOptions = {
 	readonly node: string;
-	/** `otlp` sends spans to `url`; `memory` keeps the last ones for `status` and tests; `none` makes none. */
+	/**
+	`otlp` sends spans to `url`; `memory` keeps the last ones for `status` and tests; `none` makes none.
+	*/
 	readonly exporter: 'none' | 'memory' | 'otlp';
-	/** OTLP/HTTP address of a collector. */
+	/**
+	OTLP/HTTP address of a collector.
+	*/
 	readonly url?: string | undefined;
-	/** Part of the traces that start here which are kept, 0 to 1. */
+	/**
+	Part of the traces that start here which are kept, 0 to 1.
+	*/
 	readonly ratio: number;
 };
--- a/observe/tracing/src/tracing.ts
+++ b/observe/tracing/src/tracing.ts
@@ -2,10 +2,14 @@
 import type {HopSpan} from './hop-span.ts';
 import type {TraceCarrier} from './trace-carrier.ts';
 
-/** Makes a span for each hop of a request. */
+/**
+Makes a span for each hop of a request.
+*/
 export type Tracing = {
 	readonly startHop: (name: string, parent: TraceCarrier) => HopSpan;
-	/** Spans that ended, with the `memory` exporter. */
+	/**
+	Spans that ended, with the `memory` exporter.
+	*/
 	readonly finished: () => readonly FinishedHop[];
 	readonly close: () => Promise<void>;
 };
--- a/operator/access/src/authorize-operator.ts
+++ b/operator/access/src/authorize-operator.ts
@@ -11,13 +11,13 @@
 };
 
 /**
- * Finds the operator of an `Authorization` header and checks that the role is enough.
- *
- * @example
- * authorizeOperator(operators, 'Bearer token', 'editor').isOk();
+ Finds the operator of an `Authorization` header and checks that the role is enough.
+
+ @example
+ authorizeOperator(operators, 'Bearer token', 'editor').isOk();
  */
 export function authorizeOperator(operators: readonly Operator[], authorization: string | undefined, needed: OperatorRole): Result<Operator, ValvesaddleError> {
-	const token = bearerPattern.exec(authorization ?? '')?.groups?.['token'];
+	const token = bearerPattern.exec(authorization ?? '')?.groups?.token;
 	const operator = token === undefined ? undefined : operators.find(({tokenHash}) => tokenHash === hashKey(token));
 	if (operator === undefined) {
 		return err(new ValvesaddleError('ERR_VALVESADDLE_OPERATOR_UNAUTHENTICATED', 'the operator token is missing or unknown'));
--- a/operator/access/src/operator-role.ts
+++ b/operator/access/src/operator-role.ts
@@ -1,2 +1,4 @@
-/** What an operator may do: `viewer` reads, `editor` changes. */
+/**
+What an operator may do: `viewer` reads, `editor` changes.
+*/
 export type OperatorRole = 'viewer' | 'editor';
--- a/operator/access/src/operator.ts
+++ b/operator/access/src/operator.ts
@@ -1,9 +1,13 @@
 import type {OperatorRole} from './operator-role.ts';
 
-/** An operator, proved by a token. */
+/**
+An operator, proved by a token.
+*/
 export type Operator = {
 	readonly name: string;
 	readonly role: OperatorRole;
-	/** SHA-256 of the token, hexadecimal. */
+	/**
+	SHA-256 of the token, hexadecimal.
+	*/
 	readonly tokenHash: string;
 };
--- a/operator/client/src/create-operator-client.ts
+++ b/operator/client/src/create-operator-client.ts
@@ -4,10 +4,10 @@
 import type {OperatorClientOptions} from './operator-client-options.ts';
 
 /**
- * Creates a client of the operators' calls.
- *
- * @example
- * const {revision} = await createOperatorClient({url, token}).getConfiguration({});
+ Creates a client of the operators' calls.
+
+ @example
+ const {revision} = await createOperatorClient({url, token}).getConfiguration({});
  */
 export function createOperatorClient(options: OperatorClientOptions): Client<typeof OperatorService> {
 	const transport = createConnectTransport({
--- a/operator/server/src/create-operator-handlers.ts
+++ b/operator/server/src/create-operator-handlers.ts
@@ -9,13 +9,13 @@
 import {toConfigurationMessage} from './to-configuration-message.ts';
 import {toConnectError} from './to-connect-error.ts';
 
-const changeIdPattern = /^[\w.\-]{1,100}$/v;
+const changeIdPattern = /^[\w\-.]{1,100}$/v;
 
 /**
- * Creates the handlers of the operators' calls. Each call is authorized and counted.
- *
- * @example
- * router.service(OperatorService, createOperatorHandlers(options));
+ Creates the handlers of the operators' calls. Each call is authorized and counted.
+
+ @example
+ router.service(OperatorService, createOperatorHandlers(options));
  */
 export function createOperatorHandlers(options: OperatorServerOptions): ServiceImpl<typeof OperatorService> {
 	const {store, follower, metrics} = options;
--- a/operator/server/src/create-operator-server.ts
+++ b/operator/server/src/create-operator-server.ts
@@ -8,10 +8,10 @@
 const largestMessageBytes = 4 * 1024 * 1024;
 
 /**
- * Creates the server of the operators' calls: Connect and gRPC-Web over HTTP/1.1.
- *
- * @example
- * const address = await createOperatorServer(options).listen();
+ Creates the server of the operators' calls: Connect and gRPC-Web over HTTP/1.1.
+
+ @example
+ const address = await createOperatorServer(options).listen();
  */
 export function createOperatorServer(options: OperatorServerOptions): OperatorServer {
 	const server = createServer(connectNodeAdapter({
--- a/operator/server/src/from-configuration-message.ts
+++ b/operator/server/src/from-configuration-message.ts
@@ -5,14 +5,16 @@
 import {ConfigurationSchema, type Configuration as ConfigurationMessage} from '@valvesaddle/operator-schema';
 import type {Configuration} from '@valvesaddle/types';
 
-/** Fields whose zero is a value of its own and not "left out". */
+/**
+Fields whose zero is a value of its own and not "left out".
+*/
 const zeroDefaults = {classes: {priority: 0}, accounts: {keyHashes: []}} as const;
 
 /**
- * Reads and checks a configuration message.
- *
- * @example
- * fromConfigurationMessage(message).isErr(); // when anything in it is wrong
+ Reads and checks a configuration message.
+
+ @example
+ fromConfigurationMessage(message).isErr(); // when anything in it is wrong
  */
 export function fromConfigurationMessage(message: ConfigurationMessage): Result<Configuration, ValvesaddleError> {
 	const json = toJson(ConfigurationSchema, message);
--- a/operator/server/src/node-status.ts
+++ b/operator/server/src/node-status.ts
@@ -1,6 +1,8 @@
 import type {PoolStatus} from '@valvesaddle/pool';
 
-/** What a node tells operators of itself. */
+/**
+What a node tells operators of itself.
+*/
 export type NodeStatus = {
 	readonly node: string;
 	readonly revision: number;
--- a/operator/server/src/operator-server-options.ts
+++ b/operator/server/src/operator-server-options.ts
@@ -4,7 +4,9 @@
 import type {Operator} from '@valvesaddle/operator-access';
 import type {NodeStatus} from './node-status.ts';
 
-/** Options of `createOperatorServer`. */
+/**
+Options of `createOperatorServer`.
+*/
 export type OperatorServerOptions = {
 	readonly host: string;
 	readonly port: number;
@@ -12,7 +14,9 @@
 	readonly store: ConfigStore;
 	readonly follower: ConfigFollower;
 	readonly status: () => NodeStatus;
-	/** Begins a graceful shutdown. */
+	/**
+	Begins a graceful shutdown.
+	*/
 	readonly drain: () => void;
 	readonly metrics: Metrics;
 };
--- a/operator/server/src/to-configuration-message.ts
+++ b/operator/server/src/to-configuration-message.ts
@@ -3,10 +3,10 @@
 import type {Configuration} from '@valvesaddle/types';
 
 /**
- * Turns a configuration into its message.
- *
- * @example
- * toConfigurationMessage(configuration).pools.length;
+ Turns a configuration into its message.
+
+ @example
+ toConfigurationMessage(configuration).pools.length;
  */
 export function toConfigurationMessage(configuration: Configuration): MessageInitShape<typeof ConfigurationSchema> {
 	return fromJson(ConfigurationSchema, configuration as unknown as JsonValue);
--- a/operator/server/src/to-connect-error.ts
+++ b/operator/server/src/to-connect-error.ts
@@ -12,10 +12,10 @@
 };
 
 /**
- * Turns a failure into a Connect error. The message begins with the project's code and ends with its hint.
- *
- * @example
- * toConnectError(error).code === Code.Aborted;
+ Turns a failure into a Connect error. The message begins with the project's code and ends with its hint.
+
+ @example
+ toConnectError(error).code === Code.Aborted;
  */
 export function toConnectError(thrown: unknown): ConnectError {
 	const error = toValvesaddleError(thrown);
--- a/outcome/answers/src/answer-end.ts
+++ b/outcome/answers/src/answer-end.ts
@@ -1,17 +1,23 @@
 import type {ErrorCode, Ran} from '@valvesaddle/error';
 import type {AnswerReply} from './answer-reply.ts';
 
-/** How an answer ended. */
+/**
+How an answer ended.
+*/
 export type AnswerEnd =
 	| {readonly kind: 'complete'; readonly finishReason: string; readonly tokens: number}
 	| {readonly kind: 'reply'; readonly reply: AnswerReply}
-	/** Another attempt holds the claim; the answer is to be read there. */
+	/**
+	Another attempt holds the claim; the answer is to be read there.
+	*/
 	| {readonly kind: 'held'; readonly requestId: string; readonly node: string; readonly fingerprint: string}
 	| {
 		readonly kind: 'error';
 		readonly code: ErrorCode;
 		readonly message: string;
-		/** What may have happened, over all tries. */
+		/**
+		What may have happened, over all tries.
+		*/
 		readonly ran: Ran;
 		readonly retryAfterMs: number | undefined;
 	};
--- a/outcome/answers/src/answer-page.ts
+++ b/outcome/answers/src/answer-page.ts
@@ -1,8 +1,12 @@
 import type {AnswerEnd} from './answer-end.ts';
 
-/** A piece of an answer: parts from an offset on, and the end once it is reached. */
+/**
+A piece of an answer: parts from an offset on, and the end once it is reached.
+*/
 export type AnswerPage = {
-	/** Deltas as JSON texts, in order. */
+	/**
+	Deltas as JSON texts, in order.
+	*/
 	readonly parts: readonly string[];
 	readonly end: AnswerEnd | undefined;
 };
--- a/outcome/answers/src/answer-reply.ts
+++ b/outcome/answers/src/answer-reply.ts
@@ -1,4 +1,6 @@
-/** Whole reply of a plain service. */
+/**
+Whole reply of a plain service.
+*/
 export type AnswerReply = {
 	readonly status: number;
 	readonly contentType: string;
--- a/outcome/answers/src/create-answer-log.ts
+++ b/outcome/answers/src/create-answer-log.ts
@@ -5,11 +5,11 @@
 import type {AnswerPage} from './answer-page.ts';
 
 /**
- * Creates the log of one answer. Nothing is appended after the end, so a late answer changes nothing.
- *
- * @example
- * const log = createAnswerLog({requestId, account: 'sawmill', onAbandoned() {}, graceMs: 5000});
- * log.append('{"content":"Yes"}');
+ Creates the log of one answer. Nothing is appended after the end, so a late answer changes nothing.
+
+ @example
+ const log = createAnswerLog({requestId, account: 'sawmill', onAbandoned() {}, graceMs: 5000});
+ log.append('{"content":"Yes"}');
  */
 export function createAnswerLog(options: AnswerLogOptions): AnswerLog {
 	const parts: string[] = [];
@@ -38,19 +38,23 @@
 		requestId: options.requestId,
 		account: options.account,
 		append(part) {
-			if (end === undefined) {
-				parts.push(part);
-				size += part.length;
-				wakeReaders();
+			if (end !== undefined) {
+				return;
 			}
+
+			parts.push(part);
+			size += part.length;
+			wakeReaders();
 		},
 		finish(final) {
-			if (end === undefined) {
-				end = final;
-				endedAt = Date.now();
-				clearTimeout(grace);
-				wakeReaders();
+			if (end !== undefined) {
+				return;
 			}
+
+			end = final;
+			endedAt = Date.now();
+			clearTimeout(grace);
+			wakeReaders();
 		},
 		async read(offset) {
 			while (!hasNews(offset)) {
@@ -73,10 +77,12 @@
 		},
 		detach() {
 			readers--;
-			if (readers === 0 && end === undefined) {
-				grace = setTimeout(options.onAbandoned, options.graceMs);
-				grace.unref();
+			if (!(readers === 0 && end === undefined)) {
+				return;
 			}
+
+			grace = setTimeout(options.onAbandoned, options.graceMs);
+			grace.unref();
 		},
 		end: () => end,
 		endedAt: () => endedAt,
--- a/outcome/answers/src/create-answer-store.ts
+++ b/outcome/answers/src/create-answer-store.ts
@@ -5,17 +5,17 @@
 const sweepMs = 1000;
 
 /**
- * Creates the store of a node's answers.
- *
- * @example
- * const store = createAnswerStore({keepMs: 600_000, keepSize: 16_000_000});
+ Creates the store of a node's answers.
+
+ @example
+ const store = createAnswerStore({keepMs: 600_000, keepSize: 16_000_000});
  */
 export function createAnswerStore(options: AnswerStoreOptions): AnswerStore {
 	const logs = new Map<string, AnswerLog>();
 
 	function sweep(): void {
 		const now = Date.now();
-		const ended = [...logs.values()].filter(log => log.endedAt() !== undefined).toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
+		const ended = logs.values().toArray().filter(log => log.endedAt() !== undefined).toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
 		let size = 0;
 		for (const log of ended) {
 			size += log.size();
@@ -33,7 +33,7 @@
 			logs.set(log.requestId, log);
 		},
 		find: requestId => logs.get(requestId),
-		open: () => [...logs.values()].filter(log => log.endedAt() === undefined).length,
+		open: () => logs.values().toArray().filter(log => log.endedAt() === undefined).length,
 		close() {
 			clearInterval(timer);
 		},
--- a/outcome/claims/src/claim-answer-schema.ts
+++ b/outcome/claims/src/claim-answer-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of an answer on the wire. */
+/**
+Form of an answer on the wire.
+*/
 export const claimAnswerSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('claimed')}),
 	z.object({
--- a/outcome/claims/src/claim-answer.ts
+++ b/outcome/claims/src/claim-answer.ts
@@ -1,4 +1,6 @@
-/** Whether the attempt may run, or which other one holds the claim. */
+/**
+Whether the attempt may run, or which other one holds the claim.
+*/
 export type ClaimAnswer =
 	| {readonly kind: 'claimed'}
 	| {readonly kind: 'held'; readonly requestId: string; readonly node: string; readonly fingerprint: string}
--- a/outcome/claims/src/claim-client-options.ts
+++ b/outcome/claims/src/claim-client-options.ts
@@ -4,13 +4,17 @@
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerNetwork} from '@valvesaddle/network';
 
-/** Options of `createClaimClient`. */
+/**
+Options of `createClaimClient`.
+*/
 export type ClaimClientOptions = {
 	readonly node: string;
 	readonly kv: KvStore;
 	readonly network: PeerNetwork;
 	readonly membership: Membership;
-	/** Number of shards; the same on every node and for good. */
+	/**
+	Number of shards; the same on every node and for good.
+	*/
 	readonly shards: number;
 	readonly windowMs: number;
 	readonly writePauseMs: number;
--- a/outcome/claims/src/claim-question-schema.ts
+++ b/outcome/claims/src/claim-question-schema.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 
-/** Form of a question on the wire. */
+/**
+Form of a question on the wire.
+*/
 export const claimQuestionSchema = z.object({
 	account: z.string(), key: z.string(), fingerprint: z.string(), requestId: z.string(), node: z.string(),
 });
--- a/outcome/claims/src/claim-segment-schema.ts
+++ b/outcome/claims/src/claim-segment-schema.ts
@@ -9,5 +9,7 @@
 });
 const entries = z.array(entry).readonly();
 
-/** Form of a stored segment or head. */
+/**
+Form of a stored segment or head.
+*/
 export const claimSegmentSchema = z.object({number: z.int().min(0), entries, previous: entries.optional()});
--- a/outcome/claims/src/create-claim-client.ts
+++ b/outcome/claims/src/create-claim-client.ts
@@ -1,4 +1,9 @@
-import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {
+	err,
+	ok,
+	ResultAsync,
+	type Result,
+} from 'neverthrow';
 import {ValvesaddleError, toValvesaddleError} from '@valvesaddle/error';
 import {rankOwners} from '@valvesaddle/ownership';
 import type {ClaimAnswer} from './claim-answer.ts';
@@ -12,16 +17,18 @@
 
 type Method = Parameters<ClaimClient['serve']>[0];
 
-/** Nodes asked for one claim before it is refused. */
+/**
+Nodes asked for one claim before it is refused.
+*/
 const mostOwners = 3;
 const digestBase = 64;
 
 /**
- * Creates the claim client of a node, which also carries the shard writers that fall to the node. Which node writes is
- * only a matter of sharing writes: safety comes from the compare-and-swap alone.
- *
- * @example
- * const answer = await claims.claim({account, key, fingerprint, requestId, node});
+ Creates the claim client of a node, which also carries the shard writers that fall to the node. Which node writes is
+ only a matter of sharing writes: safety comes from the compare-and-swap alone.
+
+ @example
+ const answer = await claims.claim({account, key, fingerprint, requestId, node});
  */
 export function createClaimClient(options: ClaimClientOptions): ClaimClient {
 	const shards = new Map<number, ClaimShard>();
@@ -34,7 +41,7 @@
 
 	function findShardNumber({account, key}: ClaimQuestion): number {
 		const digest = toClaimDigest(account, key);
-		return ((digest.codePointAt(0) ?? 0) * digestBase + (digest.codePointAt(1) ?? 0)) % options.shards;
+		return (((digest.codePointAt(0) ?? 0) * digestBase) + (digest.codePointAt(1) ?? 0)) % options.shards;
 	}
 
 	async function askOwner(owner: string, method: Method, question: ClaimQuestion): Promise<Result<ClaimAnswer, ValvesaddleError>> {
--- a/outcome/claims/src/create-claim-journal.ts
+++ b/outcome/claims/src/create-claim-journal.ts
@@ -8,18 +8,20 @@
 import {createClaimTable} from './create-claim-table.ts';
 
 const fullSegmentEntries = 256;
-/** A head read so recently need not be read again before a lookup; a write finds out by itself. */
+/**
+A head read so recently need not be read again before a lookup; a write finds out by itself.
+*/
 const freshMs = 1000;
 
 /**
- * Creates the journal of one shard.
- *
- * The entries of a segment are fixed by the write that begins the next one, which carries them along as `previous`;
- * they are archived only after that. So no writer can archive a segment that another one still adds to.
- *
- * @example
- * await journal.refresh();
- * const written = await journal.append(entries);
+ Creates the journal of one shard.
+
+ The entries of a segment are fixed by the write that begins the next one, which carries them along as `previous`;
+ they are archived only after that. So no writer can archive a segment that another one still adds to.
+
+ @example
+ await journal.refresh();
+ const written = await journal.append(entries);
  */
 export function createClaimJournal(options: ClaimShardOptions): ClaimJournal {
 	const {metrics} = options;
@@ -63,8 +65,10 @@
 		}
 	}
 
-	/** Archives the segment that the head carries along; true when it no longer needs to. */
-	async function archivePrevious({number, previous}: ClaimHead): Promise<boolean> {
+	/**
+	Archives the segment that the head carries along; true when it no longer needs to.
+	*/
+	async function hasArchivedPrevious({number, previous}: ClaimHead): Promise<boolean> {
 		if (previous === undefined) {
 			return true;
 		}
@@ -79,13 +83,9 @@
 	}
 
 	async function extendHead(head: ClaimHead, entries: readonly ClaimEntry[]): Promise<ClaimHead> {
-		const isArchived = await archivePrevious(head);
+		const isArchived = await hasArchivedPrevious(head);
 		const isFull = head.entries.length + entries.length > fullSegmentEntries;
-		if (isFull && isArchived) {
-			return {number: head.number + 1, entries, previous: head.entries};
-		}
-
-		return {number: head.number, entries: [...head.entries, ...entries], previous: isArchived ? undefined : head.previous};
+		return isFull && isArchived ? {number: head.number + 1, entries, previous: head.entries} : {number: head.number, entries: [...head.entries, ...entries], previous: isArchived ? undefined : head.previous};
 	}
 
 	return {
--- a/outcome/claims/src/create-claim-shard.ts
+++ b/outcome/claims/src/create-claim-shard.ts
@@ -1,6 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	err, ok, ResultAsync, type Result,
+	err,
+	ok,
+	ResultAsync,
+	type Result,
 } from 'neverthrow';
 import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {ClaimAnswer} from './claim-answer.ts';
@@ -13,18 +16,20 @@
 import {toClaimDigest} from './to-claim-digest.ts';
 import {toHeldAnswer} from './to-held-answer.ts';
 
-/** Tries of one write, counting lost races and lost replies, before its claims are refused. */
+/**
+Tries of one write, counting lost races and lost replies, before its claims are refused.
+*/
 const mostTries = 5;
 const retryAfterMs = 2000;
 
 /**
- * Creates the writer of one claim shard. Claims that come while a write is under way share the next one.
- *
- * A write whose reply is lost is settled by reading the head back and writing again on the index that was read: either
- * the first write is found there, or it can no longer take effect once the second one has.
- *
- * @example
- * const answer = await shard.claim({account, key, fingerprint, requestId, node});
+ Creates the writer of one claim shard. Claims that come while a write is under way share the next one.
+
+ A write whose reply is lost is settled by reading the head back and writing again on the index that was read: either
+ the first write is found there, or it can no longer take effect once the second one has.
+
+ @example
+ const answer = await shard.claim({account, key, fingerprint, requestId, node});
  */
 export function createClaimShard(options: ClaimShardOptions): ClaimShard {
 	const {metrics} = options;
--- a/outcome/claims/src/create-claim-storage.ts
+++ b/outcome/claims/src/create-claim-storage.ts
@@ -6,14 +6,16 @@
 import type {ClaimSegment} from './claim-segment.ts';
 import type {ClaimStorage} from './claim-storage.ts';
 
-/** Archived segments read at once. */
+/**
+Archived segments read at once.
+*/
 const readsAtOnce = 8;
 
 /**
- * Creates the storage of one shard. Keys: `valvesaddle/claims/<shard>/head` and `…/segment/<number>`.
- *
- * @example
- * const {head, modifyIndex} = await createClaimStorage(kv, 0, 3_600_000).readHead();
+ Creates the storage of one shard. Keys: `valvesaddle/claims/<shard>/head` and `…/segment/<number>`.
+
+ @example
+ const {head, modifyIndex} = await createClaimStorage(kv, 0, 3_600_000).readHead();
  */
 export function createClaimStorage(kv: KvStore, shard: number, windowMs: number): ClaimStorage {
 	const prefix = `valvesaddle/claims/${shard}`;
@@ -81,7 +83,9 @@
 	return Date.now() - (entries.at(-1)?.t ?? 0) < windowMs;
 }
 
-/** Segments to keep behind this one, judged by the time that it covers, with a margin of two. */
+/**
+Segments to keep behind this one, judged by the time that it covers, with a margin of two.
+*/
 function countKept({entries}: ClaimSegment, windowMs: number): number {
 	const spanMs = Math.max(1, (entries.at(-1)?.t ?? 0) - (entries[0]?.t ?? 0));
 	return Math.ceil(windowMs / spanMs) * 2;
--- a/outcome/claims/src/create-claim-table.ts
+++ b/outcome/claims/src/create-claim-table.ts
@@ -2,10 +2,10 @@
 import type {ClaimTable} from './claim-table.ts';
 
 /**
- * Creates an empty table of claims.
- *
- * @example
- * const table = createClaimTable(3_600_000);
+ Creates an empty table of claims.
+
+ @example
+ const table = createClaimTable(3_600_000);
  */
 export function createClaimTable(windowMs: number): ClaimTable {
 	const claims = new Map<string, ClaimEntry>();
--- a/outcome/claims/src/decide-claims.ts
+++ b/outcome/claims/src/decide-claims.ts
@@ -15,11 +15,7 @@
 
 const stepHandlers: Readonly<Record<PendingClaim['kind'], StepHandler>> = {
 	claim(question, digest, current) {
-		if (current === undefined) {
-			return {answer: {kind: 'claimed'}, entry: toEntry(question, digest)};
-		}
-
-		return {answer: current.r === question.requestId ? {kind: 'claimed'} : toHeldAnswer(current), entry: undefined};
+		return current === undefined ? {answer: {kind: 'claimed'}, entry: toEntry(question, digest)} : {answer: current.r === question.requestId ? {kind: 'claimed'} : toHeldAnswer(current), entry: undefined};
 	},
 	release(question, digest, current) {
 		const entry: ClaimEntry | undefined = current?.r === question.requestId ? {...toEntry(question, digest), x: 1} : undefined;
@@ -28,11 +24,12 @@
 };
 
 /**
- * Decides a batch of claims and releases in order; later ones see what earlier ones of the batch did.
- *
- * @param find - The claim in force on a digest before the batch.
- * @example
- * decideClaims(batch, () => undefined).entries.length; // one for each different key
+ Decides a batch of claims and releases in order; later ones see what earlier ones of the batch did.
+
+ @param batch
+ @param find - The claim in force on a digest before the batch.
+ @example
+ decideClaims(batch, () => undefined).entries.length; // one for each different key
  */
 export function decideClaims(batch: readonly PendingClaim[], find: (digest: string) => ClaimEntry | undefined): ClaimDecision {
 	const answers = new Map<PendingClaim, ClaimAnswer>();
@@ -47,7 +44,7 @@
 		}
 	}
 
-	return {answers, entries: [...fresh.values()]};
+	return {answers, entries: fresh.values().toArray()};
 }
 
 function toEntry(question: ClaimQuestion, digest: string): ClaimEntry {
--- a/outcome/claims/src/pending-claim.ts
+++ b/outcome/claims/src/pending-claim.ts
@@ -3,7 +3,9 @@
 import type {ClaimAnswer} from './claim-answer.ts';
 import type {ClaimQuestion} from './claim-question.ts';
 
-/** A claim or release that waits for the next write. */
+/**
+A claim or release that waits for the next write.
+*/
 export type PendingClaim = {
 	readonly kind: 'claim' | 'release';
 	readonly question: ClaimQuestion;
--- a/outcome/claims/src/to-held-answer.ts
+++ b/outcome/claims/src/to-held-answer.ts
@@ -2,10 +2,10 @@
 import type {ClaimEntry} from './claim-entry.ts';
 
 /**
- * The answer that another attempt holds the claim.
- *
- * @example
- * toHeldAnswer(entry); // {kind: 'held', requestId: 'a1-9', node: 'a1', fingerprint: '…'}
+ The answer that another attempt holds the claim.
+
+ @example
+ toHeldAnswer(entry); // {kind: 'held', requestId: 'a1-9', node: 'a1', fingerprint: '…'}
  */
 export function toHeldAnswer(entry: ClaimEntry): ClaimAnswer {
 	return {
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -1,8 +1,13 @@
 import type {AnswerEnd, AnswerLog} from '@valvesaddle/answers';
 import type {ClaimQuestion} from '@valvesaddle/claims';
-import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
+import {toValvesaddleError, type ValvesaddleError} from '@valvesaddle/error';
 import type {Grant, ReleaseOutcome} from '@valvesaddle/messages';
-import {advanceOutcome, firstOutcome, type Outcome, type OutcomeEvent} from '@valvesaddle/state';
+import {
+	advanceOutcome,
+	firstOutcome,
+	type Outcome,
+	type OutcomeEvent,
+} from '@valvesaddle/state';
 import type {ExecutorOptions} from './executor-options.ts';
 import type {Job} from './job.ts';
 import type {Progress} from './progress.ts';
@@ -10,7 +15,9 @@
 import {runEngineAttempt} from './run-engine-attempt.ts';
 import {runServiceAttempt} from './run-service-attempt.ts';
 
-/** Endpoints tried for one request, after each of which it may go on elsewhere. */
+/**
+Endpoints tried for one request, after each of which it may go on elsewhere.
+*/
 const mostAttempts = 5;
 const claimRetryAfterMs = 2000;
 
@@ -26,14 +33,16 @@
 	readonly error: ValvesaddleError | undefined;
 };
 
-/** What to do after a failed attempt. */
+/**
+What to do after a failed attempt.
+*/
 type Verdict = 'retry' | 'give-up';
 
 /**
- * Creates the execution of one request: queue, grant, claim, send, stream, and again elsewhere where that is allowed.
- *
- * @example
- * const end = await createExecution({...options, job, log, budgets, signal}).run();
+ Creates the execution of one request: queue, grant, claim, send, stream, and again elsewhere where that is allowed.
+
+ @example
+ const end = await createExecution({...options, job, log, budgets, signal}).run();
  */
 export function createExecution(options: ExecutionOptions): {readonly run: () => Promise<AnswerEnd>} {
 	const {job, log, dispatch, claims, metrics, tracing, signal} = options;
@@ -42,7 +51,9 @@
 	};
 	const avoid: string[] = [];
 	const hop = tracing.startHop('request', job.trace);
-	const question: ClaimQuestion | undefined = job.claim && {...job.claim, account: job.account, requestId: job.requestId, node: options.node};
+	const question: ClaimQuestion | undefined = job.claim && {
+		...job.claim, account: job.account, requestId: job.requestId, node: options.node,
+	};
 	let outcome: Outcome = firstOutcome;
 	let hasClaim = false;
 
@@ -79,7 +90,9 @@
 		return grant.value;
 	}
 
-	/** Looks whether the key was used before, so that a repetition does not wait for a grant. */
+	/**
+	Looks whether the key was used before, so that a repetition does not wait for a grant.
+	*/
 	async function findHolder(): Promise<AnswerEnd | undefined> {
 		if (question === undefined) {
 			return undefined;
@@ -93,7 +106,9 @@
 		return found.value.kind === 'held' ? found.value : undefined;
 	}
 
-	/** Claims the request; returns the end when it may not run here. */
+	/**
+	Claims the request; returns the end when it may not run here.
+	*/
 	async function claim(): Promise<AnswerEnd | undefined> {
 		if (question === undefined || hasClaim) {
 			return undefined;
@@ -186,12 +201,16 @@
 		return giveUp(error);
 	}
 
-	/** Gives the claim back where the request surely did not run, so that the caller may send it again. */
+	/**
+	Gives the claim back where the request surely did not run, so that the caller may send it again.
+	*/
 	async function releaseClaim(): Promise<void> {
-		if (question !== undefined && hasClaim && outcome.ran === 'no') {
-			hasClaim = false;
-			await claims.release(question);
+		if (!(question !== undefined && hasClaim && outcome.ran === 'no')) {
+			return;
 		}
+
+		hasClaim = false;
+		await claims.release(question);
 	}
 
 	async function runOnce(): Promise<AnswerEnd | undefined> {
@@ -256,10 +275,10 @@
 }
 
 function toErrorEnd(error: ValvesaddleError, {ran}: Outcome, job: Job): AnswerEnd {
-	const mayHaveRun = job.claim !== undefined && ran !== 'no';
+	const isMayHaveRun = job.claim !== undefined && ran !== 'no';
 	return {
 		kind: 'error',
-		code: mayHaveRun ? 'ERR_VALVESADDLE_MAY_HAVE_RUN' : error.code,
+		code: isMayHaveRun ? 'ERR_VALVESADDLE_MAY_HAVE_RUN' : error.code,
 		message: error.message,
 		ran,
 		retryAfterMs: error.retryAfterMs ?? (error.code === 'ERR_VALVESADDLE_CLAIMS_UNAVAILABLE' ? claimRetryAfterMs : undefined),
--- a/outcome/execution/src/create-executor.ts
+++ b/outcome/execution/src/create-executor.ts
@@ -9,11 +9,11 @@
 import type {Job} from './job.ts';
 
 /**
- * Creates the executor of a node.
- *
- * @example
- * const log = executor.start(job);
- * const {parts, end} = await log.read(0);
+ Creates the executor of a node.
+
+ @example
+ const log = executor.start(job);
+ const {parts, end} = await log.read(0);
  */
 export function createExecutor(options: ExecutorOptions): Executor {
 	const events = new Emittery<ExecutorEvents>();
--- a/outcome/execution/src/create-retry-budgets.ts
+++ b/outcome/execution/src/create-retry-budgets.ts
@@ -4,11 +4,11 @@
 const firstBalance = 5;
 
 /**
- * Creates the retry budgets of a node.
- *
- * @example
- * budgets.earn('sawmill', 'drafting');
- * budgets.spend('sawmill', 'drafting'); // true
+ Creates the retry budgets of a node.
+
+ @example
+ budgets.earn('sawmill', 'drafting');
+ budgets.spend('sawmill', 'drafting'); // true
  */
 export function createRetryBudgets(): RetryBudgets {
 	const budgets = new Map<string, Budget>();
--- a/outcome/execution/src/engine-work.ts
+++ b/outcome/execution/src/engine-work.ts
@@ -1,4 +1,6 @@
-/** A chat completion. */
+/**
+A chat completion.
+*/
 export type EngineWork = {
 	readonly kind: 'engine';
 	readonly body: Readonly<Record<string, unknown>>;
--- a/outcome/execution/src/executor-events.ts
+++ b/outcome/execution/src/executor-events.ts
@@ -1,5 +1,9 @@
-/** What the executor tells. */
+/**
+What the executor tells.
+*/
 export type ExecutorEvents = {
-	/** The last open request ended. */
+	/**
+	The last open request ended.
+	*/
 	readonly idle: undefined;
 };
--- a/outcome/execution/src/executor-options.ts
+++ b/outcome/execution/src/executor-options.ts
@@ -6,7 +6,9 @@
 import type {ServiceClient} from '@valvesaddle/service';
 import type {Tracing} from '@valvesaddle/tracing';
 
-/** Options of `createExecutor`. */
+/**
+Options of `createExecutor`.
+*/
 export type ExecutorOptions = {
 	readonly node: string;
 	readonly dispatch: DispatchClient;
@@ -14,7 +16,9 @@
 	readonly services: ServiceClient;
 	readonly claims: ClaimClient;
 	readonly answers: AnswerStore;
-	/** Time for which an answer without a reader goes on, in milliseconds. */
+	/**
+	Time for which an answer without a reader goes on, in milliseconds.
+	*/
 	readonly abandonMs: number;
 	readonly tracing: Tracing;
 	readonly metrics: Metrics;
--- a/outcome/execution/src/job-claim.ts
+++ b/outcome/execution/src/job-claim.ts
@@ -1,4 +1,6 @@
-/** What a non-repeatable request is claimed under. */
+/**
+What a non-repeatable request is claimed under.
+*/
 export type JobClaim = {
 	readonly key: string;
 	readonly fingerprint: string;
--- a/outcome/execution/src/job.ts
+++ b/outcome/execution/src/job.ts
@@ -4,7 +4,9 @@
 import type {JobClaim} from './job-claim.ts';
 import type {ServiceWork} from './service-work.ts';
 
-/** An accepted request with all that its execution needs. */
+/**
+An accepted request with all that its execution needs.
+*/
 export type Job = {
 	readonly requestId: string;
 	readonly account: string;
@@ -12,10 +14,14 @@
 	readonly requestClass: RequestClass;
 	readonly session: string | undefined;
 	readonly promptTokens: number;
-	/** Set when the request may run at most once. */
+	/**
+	Set when the request may run at most once.
+	*/
 	readonly claim: JobClaim | undefined;
 	readonly trace: TraceCarrier;
-	/** Milliseconds since the epoch. */
+	/**
+	Milliseconds since the epoch.
+	*/
 	readonly arrivedAt: number;
 	readonly work: EngineWork | ServiceWork;
 };
--- a/outcome/execution/src/progress.ts
+++ b/outcome/execution/src/progress.ts
@@ -1,9 +1,15 @@
-/** What a request delivered so far, over all attempts. */
+/**
+What a request delivered so far, over all attempts.
+*/
 export type Progress = {
 	text: string;
 	tokens: number;
-	/** Whether every part was plain text, so that another endpoint can go on from it. */
+	/**
+	Whether every part was plain text, so that another endpoint can go on from it.
+	*/
 	isPlainText: boolean;
-	/** Time of the first token, in milliseconds since the epoch. */
+	/**
+	Time of the first token, in milliseconds since the epoch.
+	*/
 	firstTokenAt: number | undefined;
 };
--- a/outcome/execution/src/retry-budgets.ts
+++ b/outcome/execution/src/retry-budgets.ts
@@ -1,6 +1,10 @@
-/** Budgets of retries by client account and pool, so that retries never amplify an overload. */
+/**
+Budgets of retries by client account and pool, so that retries never amplify an overload.
+*/
 export type RetryBudgets = {
 	readonly earn: (account: string, pool: string) => void;
-	/** Takes a retry out of both budgets; false when one of them has none left. */
+	/**
+	Takes a retry out of both budgets; false when one of them has none left.
+	*/
 	readonly spend: (account: string, pool: string) => boolean;
 };
--- a/outcome/execution/src/run-engine-attempt.ts
+++ b/outcome/execution/src/run-engine-attempt.ts
@@ -4,18 +4,20 @@
 import type {Attempt} from './attempt.ts';
 import type {EngineWork} from './engine-work.ts';
 
-/** Clients that an attempt at an engine uses. */
+/**
+Clients that an attempt at an engine uses.
+*/
 type EngineTools = {
 	readonly engines: EngineClient;
 	readonly dispatch: DispatchClient;
 };
 
 /**
- * Streams a completion from an engine into the log, from where earlier attempts ended.
- *
- * @throws `ValvesaddleError` that says whether the engine may have run the request.
- * @example
- * const end = await runEngineAttempt(attempt, work, {engines, dispatch});
+ Streams a completion from an engine into the log, from where earlier attempts ended.
+
+ @throws `ValvesaddleError` that says whether the engine may have run the request.
+ @example
+ const end = await runEngineAttempt(attempt, work, {engines, dispatch});
  */
 export async function runEngineAttempt(attempt: Attempt, work: EngineWork, {engines, dispatch}: EngineTools): Promise<AnswerEnd> {
 	const {job, grant, log, progress} = attempt;
--- a/outcome/execution/src/run-service-attempt.ts
+++ b/outcome/execution/src/run-service-attempt.ts
@@ -4,11 +4,11 @@
 import type {ServiceWork} from './service-work.ts';
 
 /**
- * Calls a plain service once.
- *
- * @throws `ValvesaddleError` that says whether the service may have run the request.
- * @example
- * const end = await runServiceAttempt(attempt, work, services);
+ Calls a plain service once.
+
+ @throws `ValvesaddleError` that says whether the service may have run the request.
+ @example
+ const end = await runServiceAttempt(attempt, work, services);
  */
 export async function runServiceAttempt(attempt: Attempt, work: ServiceWork, services: ServiceClient): Promise<AnswerEnd> {
 	const {job, grant, progress} = attempt;
--- a/outcome/execution/src/service-work.ts
+++ b/outcome/execution/src/service-work.ts
@@ -1,4 +1,6 @@
-/** A call of a plain service. */
+/**
+A call of a plain service.
+*/
 export type ServiceWork = {
 	readonly kind: 'service';
 	readonly method: string;
--- a/outcome/state/src/advance-outcome.ts
+++ b/outcome/state/src/advance-outcome.ts
@@ -4,14 +4,14 @@
 import {outcomeTransitions} from './outcome-transitions.ts';
 
 /**
- * Takes a request one step on.
- *
- * What may have run is never taken back: a request that an endpoint failed on stays `maybe`, even if the next endpoint
- * says that it did not run it.
- *
- * @throws `ERR_VALVESADDLE_INTERNAL` on a step that the table does not have.
- * @example
- * advanceOutcome({state: 'sent', ran: 'no'}, 'not-run'); // {state: 'queued', ran: 'no'}
+ Takes a request one step on.
+
+ What may have run is never taken back: a request that an endpoint failed on stays `maybe`, even if the next endpoint
+ says that it did not run it.
+
+ @throws `ERR_VALVESADDLE_INTERNAL` on a step that the table does not have.
+ @example
+ advanceOutcome({state: 'sent', ran: 'no'}, 'not-run'); // {state: 'queued', ran: 'no'}
  */
 export function advanceOutcome(outcome: Outcome, event: OutcomeEvent): Outcome {
 	const state = outcomeTransitions[outcome.state][event];
@@ -19,11 +19,7 @@
 		throw new ValvesaddleError('ERR_VALVESADDLE_INTERNAL', `a request that is ${outcome.state} cannot take the step ${event}`);
 	}
 
-	if (state === 'refused' && outcome.ran !== 'no') {
-		return {state: 'failed', ran: outcome.ran};
-	}
-
-	return {state, ran: ranAfter[event](outcome)};
+	return state === 'refused' && outcome.ran !== 'no' ? {state: 'failed', ran: outcome.ran} : {state, ran: ranAfter[event](outcome)};
 }
 
 const keepRan = ({ran}: Outcome): Ran => ran;
--- a/outcome/state/src/first-outcome.ts
+++ b/outcome/state/src/first-outcome.ts
@@ -1,4 +1,6 @@
 import type {Outcome} from './outcome.ts';
 
-/** Outcome of a request that was just accepted. */
+/**
+Outcome of a request that was just accepted.
+*/
 export const firstOutcome: Outcome = {state: 'accepted', ran: 'no'};
--- a/outcome/state/src/outcome-transitions.ts
+++ b/outcome/state/src/outcome-transitions.ts
@@ -1,7 +1,9 @@
 import type {OutcomeEvent} from './outcome-event.ts';
 import type {OutcomeState} from './outcome-state.ts';
 
-/** Every allowed step. `give-up` ends as `refused` only where nothing can have run. */
+/**
+Every allowed step. `give-up` ends as `refused` only where nothing can have run.
+*/
 export const outcomeTransitions: Readonly<Record<OutcomeState, Readonly<Partial<Record<OutcomeEvent, OutcomeState>>>>> = {
 	accepted: {queue: 'queued', 'give-up': 'refused'},
 	queued: {grant: 'granted', 'give-up': 'refused'},
--- a/outcome/state/src/outcome.ts
+++ b/outcome/state/src/outcome.ts
@@ -1,9 +1,13 @@
 import type {Ran} from '@valvesaddle/error';
 import type {OutcomeState} from './outcome-state.ts';
 
-/** State of a request and what it has been through. */
+/**
+State of a request and what it has been through.
+*/
 export type Outcome = {
 	readonly state: OutcomeState;
-	/** What may have happened at endpoints so far; never goes back. */
+	/**
+	What may have happened at endpoints so far; never goes back.
+	*/
 	readonly ran: Ran;
 };
--- a/peer/membership/src/create-membership.ts
+++ b/peer/membership/src/create-membership.ts
@@ -4,15 +4,17 @@
 import type {MembershipEvents} from './membership-events.ts';
 import type {MembershipOptions} from './membership-options.ts';
 
-/** Reads are spread over this part of the pause, so that nodes do not read in step. */
+/**
+Reads are spread over this part of the pause, so that nodes do not read in step.
+*/
 const jitterPart = 0.2;
 
 /**
- * Creates the membership of a node.
- *
- * @example
- * const membership = createMembership({self, vmList, pollMs: 1000, suspectMs: 3000, metrics});
- * await membership.start();
+ Creates the membership of a node.
+
+ @example
+ const membership = createMembership({self, vmList, pollMs: 1000, suspectMs: 3000, metrics});
+ await membership.start();
  */
 export function createMembership(options: MembershipOptions): Membership {
 	const events = new Emittery<MembershipEvents>();
@@ -37,10 +39,12 @@
 
 	function tellIfChanged(): void {
 		const current = JSON.stringify([getRouters(), [...leavingEndpoints]]);
-		if (current !== fingerprint) {
-			fingerprint = current;
-			void events.emit('changed');
+		if (current === fingerprint) {
+			return;
 		}
+
+		fingerprint = current;
+		void events.emit('changed');
 	}
 
 	async function readOnce(vmList: NonNullable<MembershipOptions['vmList']>): Promise<void> {
@@ -79,10 +83,12 @@
 	return {
 		events,
 		async start() {
-			if (options.vmList !== undefined) {
-				await readOnce(options.vmList);
-				schedule(options.vmList);
+			if (options.vmList === undefined) {
+				return;
 			}
+
+			await readOnce(options.vmList);
+			schedule(options.vmList);
 		},
 		routers: getRouters,
 		others: () => vms.filter(({id, role}) => role === 'router' && id !== options.self.id).map(({id}) => id),
--- a/peer/membership/src/membership-events.ts
+++ b/peer/membership/src/membership-events.ts
@@ -1,5 +1,9 @@
-/** What membership tells. */
+/**
+What membership tells.
+*/
 export type MembershipEvents = {
-	/** The routers in use, or the leaving endpoints, are not the same as before. */
+	/**
+	The routers in use, or the leaving endpoints, are not the same as before.
+	*/
 	readonly changed: undefined;
 };
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -1,5 +1,10 @@
 import {
-	isJSONRPCRequest, isJSONRPCResponse, JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
+	isJSONRPCRequest,
+	isJSONRPCResponse,
+	JSONRPCClient,
+	JSONRPCServer,
+	type JSONRPCRequest,
+	type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {WebSocket, type RawData} from 'ws';
 import {ValvesaddleError} from '@valvesaddle/error';
@@ -7,17 +12,21 @@
 import type {PeerLinkOptions} from './peer-link-options.ts';
 import {toRpcError} from './to-rpc-error.ts';
 
-/** A link without any call for so long is closed. */
+/**
+A link without any call for so long is closed.
+*/
 const idleMs = 60_000;
-/** Pings go out at this part of the silence that breaks a link. */
+/**
+Pings go out at this part of the silence that breaks a link.
+*/
 const pingPart = 3;
 
 /**
- * Creates a link over an open socket. The link owns the socket.
- *
- * @example
- * const link = createPeerLink({node: 'b1', socket, handlers, silenceMs: 600, metrics, onClose() {}});
- * await link.call('dispatch.acquire', request);
+ Creates a link over an open socket. The link owns the socket.
+
+ @example
+ const link = createPeerLink({node: 'b1', socket, handlers, silenceMs: 600, metrics, onClose() {}});
+ await link.call('dispatch.acquire', request);
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
 	const {socket, metrics} = options;
@@ -25,7 +34,9 @@
 	let usedAt = Date.now();
 	let pingedAt = Date.now();
 	let tickedAt = Date.now();
-	/** Time of the first ping without any answer since; 0 when none is open. */
+	/**
+	Time of the first ping without any answer since; 0 when none is open.
+	*/
 	let unansweredSince = 0;
 	let pending = 0;
 
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -18,11 +18,11 @@
 const ticksPerSilence = 6;
 
 /**
- * Creates the network of a node: it listens for peers and opens links to them when first needed.
- *
- * @example
- * const network = createPeerNetwork({node: 'a1', host: '127.0.0.1', port: 0, token, findAddress, silenceMs: 600, metrics});
- * await network.listen({'peer.hello': () => 'hello'});
+ Creates the network of a node: it listens for peers and opens links to them when first needed.
+
+ @example
+ const network = createPeerNetwork({node: 'a1', host: '127.0.0.1', port: 0, token, findAddress, silenceMs: 600, metrics});
+ await network.listen({'peer.hello': () => 'hello'});
  */
 export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
 	const {metrics} = options;
@@ -48,11 +48,13 @@
 			node, socket, handlers, silenceMs: options.silenceMs, metrics,
 			onClose() {
 				all.delete(link);
-				if (links.get(node) === link) {
-					links.delete(node);
-					metrics.increment('peer.links-lost');
-					void events.emit('lost', {node});
+				if (links.get(node) !== link) {
+					return;
 				}
+
+				links.delete(node);
+				metrics.increment('peer.links-lost');
+				void events.emit('lost', {node});
 			},
 		});
 		all.add(link);
@@ -142,7 +144,7 @@
 				}
 			}
 		},
-		connected: () => [...links.keys()],
+		connected: () => links.keys().toArray(),
 		async close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/peer/network/src/from-rpc-error.ts
+++ b/peer/network/src/from-rpc-error.ts
@@ -5,10 +5,10 @@
 const dataSchema = z.object({code: z.string(), retryAfterMs: z.number().optional()});
 
 /**
- * Turns what a JSON-RPC call failed with back into the error that the other node threw.
- *
- * @example
- * fromRpcError(error).code; // 'ERR_VALVESADDLE_NOT_READY'
+ Turns what a JSON-RPC call failed with back into the error that the other node threw.
+
+ @example
+ fromRpcError(error).code; // 'ERR_VALVESADDLE_NOT_READY'
  */
 export function fromRpcError(thrown: unknown): ValvesaddleError {
 	if (!(thrown instanceof JSONRPCErrorException)) {
--- a/peer/network/src/peer-handlers.ts
+++ b/peer/network/src/peer-handlers.ts
@@ -1,2 +1,4 @@
-/** Answers the methods that peers call, by name. `peer` is the id of the calling node. */
+/**
+Answers the methods that peers call, by name. `peer` is the id of the calling node.
+*/
 export type PeerHandlers = Readonly<Record<string, (parameters: unknown, peer: string) => unknown>>;
--- a/peer/network/src/peer-link-options.ts
+++ b/peer/network/src/peer-link-options.ts
@@ -2,7 +2,9 @@
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerHandlers} from './peer-handlers.ts';
 
-/** Options of `createPeerLink`. */
+/**
+Options of `createPeerLink`.
+*/
 export type PeerLinkOptions = {
 	readonly node: string;
 	readonly socket: WebSocket;
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -1,9 +1,13 @@
-/** One open WebSocket to another node, with JSON-RPC both ways. */
+/**
+One open WebSocket to another node, with JSON-RPC both ways.
+*/
 export type PeerLink = {
 	readonly node: string;
 	readonly call: (method: string, parameters: unknown) => Promise<unknown>;
 	readonly notify: (method: string, parameters: unknown) => void;
-	/** Looks after the link: pings while it is in use, closes it after long silence. */
+	/**
+	Looks after the link: pings while it is in use, closes it after long silence.
+	*/
 	readonly tick: (now: number) => void;
 	readonly close: () => void;
 };
--- a/peer/network/src/peer-network-options.ts
+++ b/peer/network/src/peer-network-options.ts
@@ -1,15 +1,23 @@
 import type {Metrics} from '@valvesaddle/metrics';
 
-/** Options of `createPeerNetwork`. */
+/**
+Options of `createPeerNetwork`.
+*/
 export type PeerNetworkOptions = {
 	readonly node: string;
 	readonly host: string;
 	readonly port: number;
-	/** Shared secret of the fleet. */
+	/**
+	Shared secret of the fleet.
+	*/
 	readonly token: string;
-	/** Peer address `ip:port` of a node; `undefined` when it is not known. */
+	/**
+	Peer address `ip:port` of a node; `undefined` when it is not known.
+	*/
 	readonly findAddress: (node: string) => string | undefined;
-	/** A link that was silent for so long while in use is broken, in milliseconds. */
+	/**
+	A link that was silent for so long while in use is broken, in milliseconds.
+	*/
 	readonly silenceMs: number;
 	readonly metrics: Metrics;
 };
--- a/peer/network/src/peer-network.ts
+++ b/peer/network/src/peer-network.ts
@@ -4,18 +4,30 @@
 import type {PeerEvents} from './peer-events.ts';
 import type {PeerHandlers} from './peer-handlers.ts';
 
-/** JSON-RPC between the nodes of a fleet, over WebSocket links that are opened when needed. */
+/**
+JSON-RPC between the nodes of a fleet, over WebSocket links that are opened when needed.
+*/
 export type PeerNetwork = {
 	readonly events: Emittery<PeerEvents>;
-	/** Starts to listen; resolves to the address in use. */
+	/**
+	Starts to listen; resolves to the address in use.
+	*/
 	readonly listen: (handlers: PeerHandlers) => Promise<string>;
-	/** Calls a method; a broken link fails it with `ERR_VALVESADDLE_PEER_UNREACHABLE`. */
+	/**
+	Calls a method; a broken link fails it with `ERR_VALVESADDLE_PEER_UNREACHABLE`.
+	*/
 	readonly call: (node: string, method: string, parameters: unknown) => ResultAsync<unknown, ValvesaddleError>;
-	/** Sends a notification; lost when the node cannot be reached. */
+	/**
+	Sends a notification; lost when the node cannot be reached.
+	*/
 	readonly notify: (node: string, method: string, parameters: unknown) => void;
-	/** Sends a notification over every link that is open now. */
+	/**
+	Sends a notification over every link that is open now.
+	*/
 	readonly broadcast: (method: string, parameters: unknown) => void;
-	/** Nodes with an open link. */
+	/**
+	Nodes with an open link.
+	*/
 	readonly connected: () => readonly string[];
 	readonly close: () => Promise<void>;
 };
--- a/peer/network/src/to-rpc-error.ts
+++ b/peer/network/src/to-rpc-error.ts
@@ -4,10 +4,10 @@
 const serverError = -32_000;
 
 /**
- * Puts a failure of a handler into a JSON-RPC error response, its code in `data`.
- *
- * @example
- * toRpcError(1, new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration yet'));
+ Puts a failure of a handler into a JSON-RPC error response, its code in `data`.
+
+ @example
+ toRpcError(1, new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration yet'));
  */
 export function toRpcError(id: JSONRPCID, thrown: unknown): JSONRPCErrorResponse {
 	const {code, message, retryAfterMs} = toValvesaddleError(thrown);
