--- /dev/null
+++ b/bench/burst/src/dispatch-mode.ts
@@ -0,0 +1,2 @@
+/** The two ways that are compared. */
+export type DispatchMode = 'alone' | 'pool';
--- /dev/null
+++ b/bench/burst/src/main.ts
@@ -0,0 +1,33 @@
+/**
+ Compares dispatch by pool with each node alone. Arguments: words that a scenario's name must hold to be run; none runs
+ all. Prints a table and writes `bench/results/burst.json` and `burst.svg`.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {createScenarios} from './create-scenarios.ts';
+import type {DispatchMode} from './dispatch-mode.ts';
+import {drawRows} from './draw-rows.ts';
+import {formatRows} from './format-rows.ts';
+import type {Row} from './row.ts';
+import {runScenario} from './run-scenario.ts';
+
+const modes: readonly DispatchMode[] = ['alone', 'pool'];
+const wanted = process.argv.slice(2);
+const results = path.resolve(import.meta.dirname, '../../results');
+const rows: Row[] = [];
+for (const scenario of createScenarios().filter(({name}) => wanted.every(word => name.includes(word)))) {
+	for (const mode of modes) {
+		// eslint-disable-next-line no-await-in-loop -- one at a time, so that they do not disturb each other
+		const row = await runScenario(scenario, mode);
+		rows.push(row);
+		process.stdout.write(`${formatRows([row]).split('\n').at(-1)}\n`);
+	}
+}
+
+await mkdir(results, {recursive: true});
+const name = wanted.length === 0 ? 'burst' : 'burst-part';
+await writeFile(path.join(results, `${name}.json`), JSON.stringify(rows, undefined, '\t'));
+await writeFile(path.join(results, `${name}.svg`), await drawRows(rows));
+process.stdout.write(`\n${formatRows(rows)}\n`);
+process.exit();
--- /dev/null
+++ b/bench/harness/src/index.ts
@@ -0,0 +1,14 @@
+export type {BenchFleet} from './bench-fleet.ts';
+export type {BenchFleetOptions} from './bench-fleet-options.ts';
+export type {BenchNode} from './bench-node.ts';
+export {controlStandIn} from './control-stand-in.ts';
+export {fitLine} from './fit-line.ts';
+export {formatTable} from './format-table.ts';
+export type {Line} from './line.ts';
+export {percentile} from './percentile.ts';
+export type {Point} from './point.ts';
+export type {ProcessUsage} from './process-usage.ts';
+export {readProcessUsage} from './read-process-usage.ts';
+export {startBenchFleet} from './start-bench-fleet.ts';
+export type {StartedProcess} from './started-process.ts';
+export {startProcess} from './start-process.ts';
--- /dev/null
+++ b/bench/harness/src/point.ts
@@ -0,0 +1,5 @@
+/** One measured point. */
+export type Point = {
+	readonly x: number;
+	readonly y: number;
+};
--- /dev/null
+++ b/bench/harness/src/process-usage.ts
@@ -0,0 +1,6 @@
+/** What a process used so far. */
+export type ProcessUsage = {
+	/** Processor time, in milliseconds. */
+	readonly cpuMs: number;
+	readonly residentBytes: number;
+};
--- a/caller/api/src/send-error.ts
+++ b/caller/api/src/send-error.ts
@@ -23,7 +23,8 @@
 	response.setHeader('content-type', 'application/json');
 	response.setHeader(headerNames.requestId, requestId);
 	if (retryable || end.retryAfterMs !== undefined) {
-		response.setHeader('retry-after', String(Math.max(1, Math.ceil((end.retryAfterMs ?? millisecondsPerSecond) / millisecondsPerSecond))));
+		const seconds = Math.ceil((end.retryAfterMs ?? millisecondsPerSecond) / millisecondsPerSecond);
+		response.setHeader('retry-after', Math.max(1, seconds));
 	}
 
 	response.end(JSON.stringify(toErrorBody(end, requestId)));
--- /dev/null
+++ b/cli/valvesaddle/build.ts
@@ -0,0 +1,47 @@
+/**
+ Builds the one binary: a bundle, put into a copy of the Node.js that runs this script as a single executable
+ application. Output: `dist/valvesaddle`.
+ */
+import {execFileSync} from 'node:child_process';
+import {
+	chmodSync,
+	copyFileSync,
+	mkdirSync,
+	writeFileSync,
+} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {build} from 'esbuild';
+
+const root = path.resolve(import.meta.dirname, '../..');
+const dist = path.join(root, 'dist');
+const bundle = path.join(dist, 'valvesaddle.cjs');
+const blob = path.join(dist, 'valvesaddle.blob');
+const binary = path.join(dist, 'valvesaddle');
+const configFile = path.join(dist, 'sea.json');
+/**
+Fixed by Node.js: marks the place of the blob in its binary.
+*/
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync(dist, {recursive: true});
+await build({
+	entryPoints: [path.join(import.meta.dirname, 'src/main.ts')],
+	outfile: bundle,
+	bundle: true,
+	platform: 'node',
+	target: 'node24',
+	format: 'cjs',
+	// Optional parts of libraries that are not used.
+	external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
+	logLevel: 'warning',
+});
+writeFileSync(configFile, JSON.stringify({
+	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true,
+}));
+execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
+copyFileSync(process.execPath, binary);
+chmodSync(binary, 0o755);
+execFileSync(process.execPath, [
+	path.join(root, 'node_modules/postject/dist/cli.js'), binary, 'NODE_SEA_BLOB', blob, '--sentinel-fuse', fuse,
+], {stdio: 'inherit'});
--- a/cli/valvesaddle/src/config-apply-command.ts
+++ b/cli/valvesaddle/src/config-apply-command.ts
@@ -27,7 +27,8 @@
 	async run(): Promise<number> {
 		const client = this.connect();
 		const configuration = await readConfigurationFile(this.file);
-		const expectedRevision = this.expect === undefined ? (await client.getConfiguration({})).revision : Number(this.expect);
+		const {revision} = await client.getConfiguration({});
+		const expectedRevision = this.expect === undefined ? revision : Number(this.expect);
 		const changeId = this.change ?? randomUUID();
 		this.context.stderr.write(`change ${changeId}\n`);
 		const reply = await client.applyConfiguration({
--- a/cli/valvesaddle/src/dev-command.ts
+++ b/cli/valvesaddle/src/dev-command.ts
@@ -28,7 +28,9 @@
 		const url = `http://${first?.callers}`;
 		if (this.once) {
 			await sendChat({
-				url, key: fleetKeys.caller, model: 'drafting', text: 'Check load 7 against its ticket.', tokens: 12, write: text => this.context.stdout.write(text),
+				url, key: fleetKeys.caller, model: 'drafting', text: 'Check load 7 against its ticket.', tokens: 12, write: text => {
+					this.context.stdout.write(text);
+				},
 			});
 			this.print('');
 			for (const {id, router} of fleet.nodes) {
--- a/cli/valvesaddle/src/main.ts
+++ b/cli/valvesaddle/src/main.ts
@@ -36,5 +36,8 @@
 	cli.register(command);
 }
 
-process.exitCode = await cli.run(process.argv.slice(2));
-process.exit();
+// The one binary is built from a CommonJS bundle, which knows no await at the top.
+
+void cli.run(process.argv.slice(2)).then(code => {
+	process.exit(code);
+});
--- a/cli/valvesaddle/src/send-chat-options.ts
+++ b/cli/valvesaddle/src/send-chat-options.ts
@@ -1,5 +1,5 @@
 /**
-Options of `sendChat`.
+What to send, where to, and where the answer goes.
 */
 export type SendChatOptions = {
 	readonly url: string;
--- a/cli/valvesaddle/src/send-chat.ts
+++ b/cli/valvesaddle/src/send-chat.ts
@@ -28,12 +28,12 @@
  */
 export async function sendChat(options: SendChatOptions): Promise<string> {
 	const position: Position = {lastEventId: '', text: '', isDone: false};
-	for (let attempt = 0; attempt <= mostReconnects && !position.isDone; attempt++) {
+	for (let attempt = 0; !position.isDone && attempt <= mostReconnects; attempt++) {
 		try {
 			// eslint-disable-next-line no-await-in-loop -- a try follows on the one before
 			await readAnswer(await open(options, position), options, position);
 		} catch (error) {
-			if (error instanceof ValvesaddleError || attempt === mostReconnects) {
+			if (attempt === mostReconnects || error instanceof ValvesaddleError) {
 				throw error;
 			}
 
@@ -57,15 +57,12 @@
 		await resumed.body.dump();
 	}
 
-	const headers: Record<string, string> = {authorization, 'content-type': 'application/json'};
-	if (options.className !== undefined) {
-		headers['x-valvesaddle-class'] = options.className;
-	}
-
-	if (options.idempotencyKey !== undefined) {
-		headers['idempotency-key'] = options.idempotencyKey;
-	}
-
+	const headers = {
+		authorization,
+		'content-type': 'application/json',
+		...(options.className !== undefined && {'x-valvesaddle-class': options.className}),
+		...(options.idempotencyKey !== undefined && {'idempotency-key': options.idempotencyKey}),
+	};
 	return request(`${options.url}/v1/chat/completions`, {method: 'POST', headers, body: JSON.stringify(buildBody(options, position))});
 }
 
--- a/cli/valvesaddle/src/send-command.ts
+++ b/cli/valvesaddle/src/send-command.ts
@@ -30,7 +30,9 @@
 			className: this.className,
 			tokens: this.tokens === undefined ? undefined : Number(this.tokens),
 			idempotencyKey: this.idempotencyKey,
-			write: text => this.context.stdout.write(text),
+			write: text => {
+				this.context.stdout.write(text);
+			},
 		});
 		this.print('');
 		return exitCodes.done;
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -57,7 +57,7 @@
 			heardStoreAt = Date.now();
 		}
 
-		if (now === isReachable) {
+		if (isReachableNow === isReachable) {
 			return;
 		}
 
--- /dev/null
+++ b/config/schema/test/configuration.test.ts
@@ -0,0 +1,75 @@
+import fc from 'fast-check';
+import {test} from 'tap';
+import type {Configuration} from '@valvesaddle/types';
+import {
+	diffConfigurations,
+	emptyConfiguration,
+	parseRecord,
+	validateConfiguration,
+} from '@valvesaddle/config-schema';
+
+const requestClass = {
+	name: 'gate', priority: 0, urgent: true, firstTokenTargetMs: 1000, maximumWaitMs: 2000, weight: 1, floor: 0,
+};
+const configuration: Configuration = {
+	classes: [requestClass],
+	accounts: [{
+		name: 'sawmill', keyHashes: ['a'.repeat(64)], weight: 1, maximumOpen: 0,
+	}],
+	pools: [{
+		name: 'drafting', kind: 'engine', model: 'drafting', region: 'r1', repeatable: true, interTokenTargetMs: 52,
+	}],
+	endpoints: [{
+		id: 'e1', pool: 'drafting', url: 'http://10.0.0.1:8000', dataCentre: 'dc-1', initialLimit: 8, leaving: false,
+	}],
+	bindings: [{account: 'sawmill', pool: 'drafting', classes: ['gate']}],
+};
+
+test('a sound configuration is accepted as it is', t => {
+	t.same(validateConfiguration(configuration)._unsafeUnwrap(), configuration);
+	t.same(validateConfiguration({})._unsafeUnwrap(), emptyConfiguration);
+	t.end();
+});
+
+const faults: ReadonlyArray<readonly [string, unknown, string]> = [
+	['a class that stands twice', {...configuration, classes: [requestClass, requestClass]}, 'classes: "gate" stands twice'],
+	['an endpoint of an unknown pool', {...configuration, pools: []}, 'endpoints: "e1" names the unknown pool "drafting"'],
+	['a binding with an unknown class', {...configuration, classes: []}, 'bindings: "sawmill" names the unknown class "gate"'],
+	['an API key of two accounts', {...configuration, accounts: [...configuration.accounts, {...configuration.accounts[0], name: 'depot'}]}, 'keyHashes:'],
+	['floors that leave too little', {...configuration, classes: ['a', 'b'].map(name => ({...requestClass, name, floor: 0.2}))}, 'floors add up to 0.40'],
+	['a key in the clear', {...configuration, accounts: [{name: 'sawmill', keyHashes: ['secret']}]}, 'accounts.0.keyHashes.0: expected a SHA-256'],
+	['an address that is none', {...configuration, endpoints: [{...configuration.endpoints[0], url: 'file:///etc/passwd'}]}, 'endpoints.0.url'],
+	['an unknown field', {...configuration, clases: []}, 'clases'],
+];
+
+for (const [name, input, words] of faults) {
+	test(`${name} is rejected and named`, t => {
+		const result = validateConfiguration(input);
+		t.equal(result.isErr() && result.error.code, 'ERR_VALVESADDLE_CONFIGURATION_INVALID');
+		t.match(result.isErr() && result.error.message, words);
+		t.end();
+	});
+}
+
+test('any input is either accepted or rejected with a typed error', t => {
+	fc.assert(fc.property(fc.anything(), input => {
+		const result = validateConfiguration(input);
+		return result.isOk() || result.error.code === 'ERR_VALVESADDLE_CONFIGURATION_INVALID';
+	}));
+	fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
+		const result = parseRecord(text);
+		return result.isOk() || result.error.code === 'ERR_VALVESADDLE_MESSAGE_INVALID';
+	}));
+	t.end();
+});
+
+test('a difference names what is added, removed and replaced', t => {
+	const after: Configuration = {
+		...configuration,
+		classes: [{...requestClass, weight: 2}],
+		endpoints: [{...configuration.endpoints[0]!, id: 'e2'}],
+	};
+	t.same(diffConfigurations(configuration, after), ['~ classes gate', '+ endpoints e2', '- endpoints e1']);
+	t.same(diffConfigurations(configuration, configuration), []);
+	t.end();
+});
--- a/config/settings/src/check-settings.ts
+++ b/config/settings/src/check-settings.ts
@@ -7,7 +7,7 @@
 /**
  Checks settings whole and fills in defaults.
 
- @param input
+ @param input - Settings as read from TOML.
  @param text - The file that they come from, to name lines; empty when there is none.
  @example
  checkSettings({node: {id: 'a1'}}, '').isErr(); // true
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -47,8 +47,8 @@
 		for (let attempt = 0; attempt < readBackTries; attempt++) {
 			// eslint-disable-next-line no-await-in-loop -- a try follows on the one before
 			const stored = await readStored();
-			const accepted = stored.isOk() && findAccepted(stored.value.record, change);
-			if (accepted) {
+			const accepted = stored.isOk() ? findAccepted(stored.value.record, change) : undefined;
+			if (accepted !== undefined) {
 				return ok(accepted);
 			}
 		}
--- /dev/null
+++ b/config/store/test/config-store.test.ts
@@ -0,0 +1,80 @@
+import {test, type Test} from 'tap';
+import {emptyConfiguration} from '@valvesaddle/config-schema';
+import {startFakeKv, type KvFault} from '@valvesaddle/fake-kv';
+import {createKvClient} from '@valvesaddle/kv';
+import {createMetrics} from '@valvesaddle/metrics';
+import {createConfigStore, type Change} from '@valvesaddle/config-store';
+
+async function startStore(t: Test) {
+	const server = await startFakeKv();
+	const kv = createKvClient({urls: [server.url], timeoutMs: 200, metrics: createMetrics()});
+	t.teardown(async () => {
+		await kv.close();
+		await server.close();
+	});
+	return {server, store: createConfigStore(kv)};
+}
+
+function createChange(changeId: string, expectedRevision: number): Change {
+	return {
+		changeId, expectedRevision, author: 'iva', configuration: emptyConfiguration,
+	};
+}
+
+test('of two operators who change the same revision one is accepted and one gets a conflict', async t => {
+	const {store} = await startStore(t);
+	const results = await Promise.all([store.apply(createChange('iva-1', 0)), store.apply(createChange('ned-1', 0))]);
+	t.equal(results.filter(result => result.isOk()).length, 1);
+	const failed = results.find(result => result.isErr());
+	t.equal(failed?.isErr() && failed.error.code, 'ERR_VALVESADDLE_CONFIGURATION_CONFLICT');
+	t.equal((await store.read())._unsafeUnwrap()?.revision, 1);
+});
+
+test('a change sent again with its id is answered with its first revision and applied once', async t => {
+	const {store} = await startStore(t);
+	await store.apply(createChange('one', 0));
+	await store.apply(createChange('two', 1));
+	t.equal((await store.apply(createChange('one', 0)))._unsafeUnwrap().revision, 1);
+	t.equal((await store.read())._unsafeUnwrap()?.revision, 2);
+});
+
+const cases: ReadonlyArray<readonly [KvFault, string]> = [
+	['drop-after', 'accepted'],
+	['drop-before', 'ERR_VALVESADDLE_CONFIGURATION_UNKNOWN'],
+	['late', 'ERR_VALVESADDLE_CONFIGURATION_UNKNOWN'],
+	['refuse', 'ERR_VALVESADDLE_KV_UNAVAILABLE'],
+];
+
+for (const [fault, expected] of cases) {
+	test(`a change whose write meets "${fault}" is answered ${expected}; sent again it is in force once`, async t => {
+		const {server, store} = await startStore(t);
+		server.failNextWrite(fault);
+		const first = await store.apply(createChange('one', 0));
+		t.equal(first.isOk() ? 'accepted' : first.error.code, expected);
+		let again = await store.apply(createChange('one', 0));
+		while (again.isErr() && again.error.code === 'ERR_VALVESADDLE_CONFIGURATION_CONFLICT') {
+			// The late write came between; its own id is found now.
+			// eslint-disable-next-line no-await-in-loop -- asks until the answer is sure
+			again = await store.apply(createChange('one', 0));
+		}
+
+		t.equal(again._unsafeUnwrap().revision, 1);
+		const record = (await store.read())._unsafeUnwrap();
+		t.same([record?.revision, record?.recentChanges.length], [1, 1]);
+	});
+}
+
+test('every earlier revision can be read', async t => {
+	const {store} = await startStore(t);
+	for (let revision = 0; revision < 4; revision++) {
+		// eslint-disable-next-line no-await-in-loop -- in order
+		await store.apply(createChange(`change-${revision + 1}`, revision));
+	}
+
+	for (let revision = 1; revision <= 4; revision++) {
+		// eslint-disable-next-line no-await-in-loop -- in order
+		t.equal((await store.readRevision(revision))._unsafeUnwrap()?.changeId, `change-${revision}`);
+	}
+
+	t.equal((await store.readRevision(9))._unsafeUnwrap(), undefined);
+});
--- a/dispatch/alone/src/create-alone-client.ts
+++ b/dispatch/alone/src/create-alone-client.ts
@@ -61,7 +61,9 @@
 				grantId, pool: ask.pool, endpointId: endpoint.id, url: endpoint.url,
 			});
 		},
-		progress() {},
+		progress() {
+			// Nobody waits for it.
+		},
 		release({grantId}) {
 			const endpointId = grants.get(grantId);
 			grants.delete(grantId);
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -46,7 +46,7 @@
 	}
 
 	function listHeld(pool: string): readonly HeldGrant[] {
-		return held.values().toArray().filter(grant => grant.pool === pool);
+		return held.values().filter(grant => grant.pool === pool).toArray();
 	}
 
 	function useOwner(pool: string, owner: string): void {
@@ -77,7 +77,7 @@
 			return await getPort(owner).acquire(request);
 		} catch (error) {
 			const failure = toValvesaddleError(error);
-			if (failure.code !== 'ERR_VALVESADDLE_PEER_UNREACHABLE' && owner === node) {
+			if (owner === node && failure.code !== 'ERR_VALVESADDLE_PEER_UNREACHABLE') {
 				throw failure;
 			}
 
@@ -158,7 +158,7 @@
 	}
 
 	function sendProgress(): void {
-		const pools = new Set(held.values().toArray().map(({pool}) => pool));
+		const pools = new Set(held.values().map(({pool}) => pool));
 		for (const pool of pools) {
 			const owner = host.findOwner(pool, []) ?? node;
 			useOwner(pool, owner);
--- a/dispatch/host/src/create-dispatch-host.ts
+++ b/dispatch/host/src/create-dispatch-host.ts
@@ -166,7 +166,7 @@
 		},
 		configure,
 		findOwner,
-		status: () => duties.values().toArray().map(({dispatcher}) => dispatcher.status()),
+		status: () => duties.values().map(({dispatcher}) => dispatcher.status()).toArray(),
 		close() {
 			clearInterval(timer);
 			for (const [pool, duty] of duties) {
--- a/dispatch/lengths/src/create-length-model.ts
+++ b/dispatch/lengths/src/create-length-model.ts
@@ -55,7 +55,8 @@
 
 function refreshQuantiles(lengths: ClassLengths): void {
 	lengths.sinceRefresh = 0;
-	lengths.quantiles = Array.from({length: quantileCount}, (_, index) => lengths.histogram.getValueAtPercentile(((index + 0.5) / quantileCount) * 100));
+	const percentiles = Array.from({length: quantileCount}, (_, index) => ((index + 0.5) / quantileCount) * 100);
+	lengths.quantiles = percentiles.map(percentile => lengths.histogram.getValueAtPercentile(percentile));
 	if (lengths.histogram.totalCount >= recordsPerWindow) {
 		lengths.histogram = buildHistogram();
 	}
--- a/dispatch/policy/src/order-classes.ts
+++ b/dispatch/policy/src/order-classes.ts
@@ -23,7 +23,7 @@
 		.map(view => toTurn(view, 'urgent'));
 	const shared = waiting
 		.filter(view => !view.requestClass.urgent)
-		.toSorted((a, b) => a.virtualTokens - b.virtualTokens || a.requestClass.priority - b.requestClass.priority)
+		.toSorted((a, b) => a.virtualTokens === b.virtualTokens ? a.requestClass.priority - b.requestClass.priority : a.virtualTokens - b.virtualTokens)
 		.map(view => toTurn(view, 'shared'));
 	return [...due, ...urgent, ...shared];
 }
--- a/dispatch/policy/src/predict-wait.ts
+++ b/dispatch/policy/src/predict-wait.ts
@@ -16,7 +16,7 @@
  */
 export function predictWait(question: WaitQuestion, views: readonly WaitView[]): number {
 	const own = views.find(view => view.requestClass.name === question.requestClass.name);
-	if (question.slots <= 0 || own === undefined) {
+	if (own === undefined || question.slots <= 0) {
 		return Infinity;
 	}
 
@@ -44,7 +44,7 @@
 	for (const view of views) {
 		if (view.requestClass.urgent) {
 			urgentWorkMs += view.waiting * view.holdMs;
-		} else if (view.waiting > 0 || view === own) {
+		} else if (view === own || view.waiting > 0) {
 			weights += view.requestClass.weight;
 		}
 	}
--- a/dispatch/policy/src/smooth.ts
+++ b/dispatch/policy/src/smooth.ts
@@ -2,7 +2,7 @@
  Exponentially weighted moving average.
 
  @param previous - Average so far; `undefined` before the first sample.
- @param sample
+ @param sample - New value.
  @param weight - Weight of the new sample, 0 to 1.
  @example
  smooth(100, 200, 0.1); // 110
--- /dev/null
+++ b/dispatch/policy/test/policy.test.ts
@@ -0,0 +1,246 @@
+import fc from 'fast-check';
+import {test} from 'tap';
+import type {RequestClass} from '@valvesaddle/types';
+import {
+	adjustLimit,
+	chooseEndpoint,
+	earnBudget,
+	ejectEndpoint,
+	findStragglers,
+	hasSlot,
+	orderClasses,
+	predictWait,
+	selectAccount,
+	sizeHeadroom,
+	spendBudget,
+	type ClassView,
+	type EndpointNeed,
+	type EndpointView,
+} from '@valvesaddle/policy';
+
+const baseClass: RequestClass = {
+	name: 'estimate', priority: 2, urgent: false, firstTokenTargetMs: 10_000, maximumWaitMs: 10_000, weight: 1, floor: 0.05,
+};
+const baseEndpoint: EndpointView = {
+	id: 'e1', url: 'http://127.0.0.1:1', dataCentre: 'dc-1', state: 'live', limit: 8, inFlight: 0, urgentInFlight: 0, external: 0,
+	firstTokenMs: undefined, interTokenMs: undefined, limitChangedAt: 0, ejectedUntil: 0, ejections: 0, failures: 0,
+};
+const baseNeed: EndpointNeed = {
+	mode: 'shared', floor: 0.05, headroom: 0, promptTokens: 100, dataCentre: 'dc-1', sessionEndpoint: undefined, avoid: [], mayProbe: true,
+};
+const classView = fc.record({
+	requestClass: fc.record({
+		name: fc.string({minLength: 1}), priority: fc.nat(9), urgent: fc.boolean(), weight: fc.double({min: 0.1, max: 10, noNaN: true}),
+	}).map(part => ({...baseClass, ...part})),
+	waiting: fc.nat(5),
+	virtualTokens: fc.nat(100_000),
+	floorCredit: fc.double({min: 0, max: 2, noNaN: true}),
+});
+const endpointView = fc.record({
+	limit: fc.double({min: 1, max: 64, noNaN: true}), inFlight: fc.nat(80), urgentInFlight: fc.nat(80), external: fc.nat(10),
+	interTokenMs: fc.option(fc.double({min: 1, max: 500, noNaN: true}), {nil: undefined}),
+	state: fc.constantFrom('live', 'probing', 'ejected', 'leaving'),
+}).map((part): EndpointView => ({...baseEndpoint, ...part, urgentInFlight: Math.min(part.urgentInFlight, part.inFlight)}));
+
+test('urgent classes go before all shared ones, by priority, whatever waits', t => {
+	fc.assert(fc.property(fc.array(classView, {maxLength: 8}), views => {
+		const turns = orderClasses(views);
+		const modes = turns.map(({mode}) => mode);
+		t.same(modes, [...modes.filter(mode => mode === 'floor'), ...modes.filter(mode => mode === 'urgent'), ...modes.filter(mode => mode === 'shared')]);
+		const priorities = turns.filter(({mode}) => mode === 'urgent').map(({className}) => views.find(view => view.requestClass.name === className && view.requestClass.urgent)?.requestClass.priority ?? -1);
+		return priorities.length < 2 || new Set(views.map(view => view.requestClass.name)).size < views.length || priorities.every((priority, index) => index === 0 || priority >= (priorities[index - 1] ?? 0));
+	}), {numRuns: 200});
+	t.end();
+});
+
+test('every class that waits gets a turn', t => {
+	fc.assert(fc.property(fc.array(classView, {maxLength: 8}), views => {
+		const named = new Set(orderClasses(views).map(({className}) => className));
+		return views.filter(view => view.waiting > 0).every(view => named.has(view.requestClass.name));
+	}));
+	t.end();
+});
+
+test('among shared classes the one served least over its weight goes first', t => {
+	const views: readonly ClassView[] = [
+		{
+			requestClass: {...baseClass, name: 'route'}, waiting: 1, virtualTokens: 900, floorCredit: 0,
+		},
+		{
+			requestClass: {...baseClass, name: 'estimate'}, waiting: 1, virtualTokens: 100, floorCredit: 0,
+		},
+	];
+	t.equal(orderClasses(views)[0]?.className, 'estimate');
+	t.end();
+});
+
+test('a floor that is due goes first', t => {
+	const views: readonly ClassView[] = [
+		{
+			requestClass: {
+				...baseClass, name: 'gate', urgent: true, priority: 0,
+			}, waiting: 5, virtualTokens: 0, floorCredit: 0,
+		},
+		{
+			requestClass: baseClass, waiting: 1, virtualTokens: 0, floorCredit: 1,
+		},
+	];
+	t.same(orderClasses(views)[0], {className: 'estimate', mode: 'floor'});
+	t.end();
+});
+
+test('lower work never takes a slot away from urgent work', t => {
+	fc.assert(fc.property(endpointView, fc.nat(40), (endpoint, lower) => {
+		const urgentOnly = {...endpoint, state: 'live' as const, inFlight: endpoint.urgentInFlight};
+		const withLower = {...urgentOnly, inFlight: Math.min(urgentOnly.inFlight + lower, Math.floor(endpoint.limit))};
+		const need = {...baseNeed, mode: 'urgent' as const};
+		return !hasSlot(urgentOnly, need) || hasSlot(withLower, need);
+	}));
+	t.end();
+});
+
+test('shared work never goes past the learned limit, and nothing past twice the limit', t => {
+	fc.assert(fc.property(endpointView, fc.constantFrom('urgent', 'shared', 'floor'), (endpoint, mode) => {
+		const isTaken = hasSlot({...endpoint, state: 'live'}, {...baseNeed, mode});
+		return !isTaken || (endpoint.inFlight < endpoint.limit * 2 && (mode !== 'shared' || endpoint.inFlight < endpoint.limit));
+	}));
+	t.end();
+});
+
+test('leaving and ejected endpoints are never chosen', t => {
+	fc.assert(fc.property(fc.array(endpointView, {maxLength: 10}), fc.constantFrom('urgent', 'shared', 'floor'), (endpoints, mode) => {
+		const chosen = chooseEndpoint(endpoints.map((endpoint, index) => ({...endpoint, id: `e${index}`})), {...baseNeed, mode});
+		return chosen === undefined || chosen.state === 'live' || chosen.state === 'probing';
+	}));
+	t.end();
+});
+
+test('an endpoint that failed the request is avoided while another may take it later', t => {
+	const full = {...baseEndpoint, id: 'e2', inFlight: 8};
+	t.equal(chooseEndpoint([baseEndpoint, full], {...baseNeed, avoid: ['e1']}), undefined);
+	t.equal(chooseEndpoint([baseEndpoint], {...baseNeed, avoid: ['e1']})?.id, 'e1');
+	t.end();
+});
+
+test('a session sticks to the endpoint with its prefix unless that one is much busier', t => {
+	const need = {...baseNeed, promptTokens: 4000, sessionEndpoint: 'e1'};
+	t.equal(chooseEndpoint([{...baseEndpoint, inFlight: 2}, {...baseEndpoint, id: 'e2'}], need)?.id, 'e1');
+	t.equal(chooseEndpoint([{...baseEndpoint, inFlight: 7}, {...baseEndpoint, id: 'e2'}], {...need, promptTokens: 100})?.id, 'e2');
+	t.end();
+});
+
+test('an endpoint on probation takes one repeatable request at a time', t => {
+	const probing = {...baseEndpoint, state: 'probing' as const};
+	t.ok(hasSlot(probing, baseNeed));
+	t.notOk(hasSlot({...probing, inFlight: 1}, baseNeed));
+	t.notOk(hasSlot(probing, {...baseNeed, mayProbe: false}));
+	t.end();
+});
+
+test('waiting shared work does not lengthen the predicted wait of urgent work', t => {
+	fc.assert(fc.property(fc.nat(10_000), fc.nat(50), (sharedWaiting, urgentWaiting) => {
+		const gate = {
+			...baseClass, name: 'gate', urgent: true, priority: 0,
+		};
+		const question = {
+			requestClass: gate, accountWaiting: 0, accountShares: 1, slots: 10, urgentSlots: 0, freeSlots: 0,
+		};
+		const predict = (waiting: number): number => predictWait(question, [
+			{requestClass: gate, waiting: urgentWaiting, holdMs: 1000},
+			{requestClass: baseClass, waiting, holdMs: 10_000},
+		]);
+		return predict(sharedWaiting) === predict(0);
+	}));
+	t.end();
+});
+
+test('an account with little waiting is predicted a shorter wait than one with much', t => {
+	const predict = (accountWaiting: number): number => predictWait({
+		requestClass: baseClass, accountWaiting, accountShares: 2, slots: 10, urgentSlots: 0, freeSlots: 0,
+	}, [{requestClass: baseClass, waiting: 100, holdMs: 5000}]);
+	t.ok(predict(1) < predict(90));
+	t.end();
+});
+
+test('a pool without endpoints in use is predicted an endless wait', t => {
+	t.equal(predictWait({
+		requestClass: baseClass, accountWaiting: 0, accountShares: 1, slots: 0, urgentSlots: 0, freeSlots: 0,
+	}, [{requestClass: baseClass, waiting: 0, holdMs: 1}]), Infinity);
+	t.end();
+});
+
+test('the account served least over its weight goes next, and only if it waits', t => {
+	t.equal(selectAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}, {account: 'c', waiting: 0, virtualTokens: 0}]), 'b');
+	t.equal(selectAccount([]), undefined);
+	t.end();
+});
+
+test('the limit falls when tokens come too slowly and rises only while it is used', t => {
+	const now = 10_000;
+	t.equal(adjustLimit({...baseEndpoint, interTokenMs: 80}, {interTokenMs: 52, now}).limit, 7.2);
+	t.equal(adjustLimit({...baseEndpoint, interTokenMs: 20, inFlight: 8}, {interTokenMs: 52, now}).limit, 9);
+	t.equal(adjustLimit({...baseEndpoint, interTokenMs: 20, inFlight: 1}, {interTokenMs: 52, now}).limit, 8);
+	t.equal(adjustLimit({...baseEndpoint, interTokenMs: 80, limitChangedAt: now - 1}, {interTokenMs: 52, now}).limit, 8);
+	t.end();
+});
+
+test('the limit stays between 1 and 1024 whatever the times', t => {
+	fc.assert(fc.property(endpointView, fc.nat(1_000_000), (endpoint, now) => {
+		const {limit} = adjustLimit(endpoint, {interTokenMs: 52, now});
+		return limit >= 1 && limit <= 1024;
+	}));
+	t.end();
+});
+
+test('stragglers are ejected, worst first, never more than three in ten', t => {
+	fc.assert(fc.property(fc.array(endpointView, {maxLength: 30}), endpoints => {
+		const named = endpoints.map((endpoint, index) => ({...endpoint, id: `e${index}`}));
+		const inUse = named.filter(({state}) => state !== 'leaving');
+		const ejected = inUse.filter(({state}) => state === 'ejected').length;
+		const found = findStragglers(named);
+		return found.length === 0 || ejected + found.length <= inUse.length * 0.3;
+	}));
+	const peers = Array.from({length: 9}, (_, index) => ({...baseEndpoint, id: `e${index}`, interTokenMs: 20}));
+	t.same(findStragglers([...peers, {...baseEndpoint, id: 'slow', interTokenMs: 200}]), ['slow']);
+	t.same(findStragglers([...peers, {...baseEndpoint, id: 'failing', failures: 3}]), ['failing']);
+	t.end();
+});
+
+test('each ejection in a row lasts longer, up to a minute', t => {
+	const first = ejectEndpoint(baseEndpoint, 0);
+	t.equal(first.ejectedUntil, 5000);
+	t.equal(ejectEndpoint(first, 0).ejectedUntil, 10_000);
+	t.equal(ejectEndpoint({...baseEndpoint, ejections: 20}, 0).ejectedUntil, 60_000);
+	t.end();
+});
+
+test('headroom covers the urgent arrivals and never more than a quarter', t => {
+	t.equal(sizeHeadroom({
+		urgentPerSecond: 0, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40,
+	}), 0);
+	t.equal(sizeHeadroom({
+		urgentPerSecond: 4, urgentHoldMs: 1000, urgentInFlight: 0, slots: 60,
+	}), 0.1);
+	t.equal(sizeHeadroom({
+		urgentPerSecond: 4, urgentHoldMs: 1000, urgentInFlight: 6, slots: 60,
+	}), 0);
+	t.equal(sizeHeadroom({
+		urgentPerSecond: 400, urgentHoldMs: 1000, urgentInFlight: 0, slots: 60,
+	}), 0.25);
+	t.end();
+});
+
+test('retries never exceed a tenth of the requests and the first balance', t => {
+	let budget = {balance: 0};
+	let retries = 0;
+	for (let request = 0; request < 1000; request++) {
+		budget = earnBudget(budget);
+		const left = spendBudget(budget);
+		retries += left === undefined ? 0 : 1;
+		budget = left ?? budget;
+	}
+
+	t.ok(retries <= 100);
+	t.ok(retries >= 95);
+	t.end();
+});
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -1,9 +1,14 @@
 import Emittery from 'emittery';
-import type {AcquireReply, AcquireRequest, ReleaseReport} from '@valvesaddle/messages';
 import {createLengthModel} from '@valvesaddle/lengths';
+import type {
+	AcquireReply,
+	AcquireRequest,
+	ProgressReport,
+	RegisterRequest,
+	ReleaseReport,
+} from '@valvesaddle/messages';
 import {
 	chooseEndpoint,
-	hasSlot,
 	orderClasses,
 	predictWait,
 	sizeHeadroom,
@@ -14,20 +19,21 @@
 } from '@valvesaddle/policy';
 import {createWaitingQueue, type Queued} from '@valvesaddle/queue';
 import type {Configuration, RequestClass} from '@valvesaddle/types';
+import {countFreeSlots} from './count-free-slots.ts';
 import {createClassStats} from './create-class-stats.ts';
 import {createEndpointTable} from './create-endpoint-table.ts';
+import {createGrantTable} from './create-grant-table.ts';
 import {createSessionTable} from './create-session-table.ts';
-import type {GrantEntry} from './grant-entry.ts';
+import {measureInterToken} from './measure-inter-token.ts';
 import type {PoolDispatcher} from './pool-dispatcher.ts';
 import type {PoolDispatcherOptions} from './pool-dispatcher-options.ts';
 import type {PoolEvents} from './pool-events.ts';
+import {toRefusal} from './to-refusal.ts';
 import type {Waiting} from './waiting.ts';
 
 const defaultInterTokenMs = 52;
-const shortestRetryAfterMs = 1000;
-const longestRetryAfterMs = 60_000;
 /**
-Failures of an endpoint that say nothing about it are those that the caller caused.
+Outcomes that speak against the endpoint; the others are the caller's doing.
 */
 const endpointFaults: ReadonlySet<ReleaseReport['outcome']> = new Set(['failed', 'not-run']);
 
@@ -43,8 +49,6 @@
 	const {metrics} = options;
 	const events = new Emittery<PoolEvents>();
 	const queue = createWaitingQueue<Waiting>();
-	const grants = new Map<string, GrantEntry>();
-	const grantsByRequest = new Map<string, string>();
 	const stats = createClassStats();
 	const lengths = createLengthModel();
 	const sessions = createSessionTable();
@@ -60,6 +64,7 @@
 			void events.emit('endpointState', {endpoint, from, to});
 		},
 	});
+	const grants = createGrantTable(table);
 
 	function configure(configuration: Configuration, leaving: ReadonlySet<string>): void {
 		classes = new Map(configuration.classes.map(requestClass => [requestClass.name, requestClass]));
@@ -84,27 +89,35 @@
 
 	function predict(request: AcquireRequest, requestClass: RequestClass): number {
 		const need = toNeed(requestClass.urgent ? 'urgent' : 'shared', request);
-		const urgentInFlight = table.urgentInFlight();
 		const slots = table.slots();
 		return predictWait({
 			requestClass,
 			accountWaiting: queue.accountWaiting(request.className, request.account),
 			accountShares: queue.accountShares(request.className, request.account),
 			slots,
-			urgentSlots: urgentInFlight + (headroom * slots),
+			urgentSlots: table.urgentInFlight() + (headroom * slots),
 			freeSlots: countFreeSlots(table.views(), need),
 		}, queue.views().map(view => ({...view, holdMs: stats.holdMs(view.requestClass.name)})));
 	}
 
-	function refuse(request: AcquireRequest, waitMs: number, requestClass: RequestClass): AcquireReply {
-		const hasEndpoint = Number.isFinite(waitMs);
+	/**
+	Refuses a request that would wait too long; `undefined` lets it in.
+	*/
+	function admit(request: AcquireRequest): AcquireReply | undefined {
+		const requestClass = classes.get(request.className);
+		if (requestClass === undefined) {
+			return toRefusal('ERR_VALVESADDLE_CLASS_NOT_ALLOWED', `class "${request.className}" is not configured`, 0);
+		}
+
+		const waitMs = request.admitted ? 0 : predict(request, requestClass);
+		if (waitMs <= requestClass.maximumWaitMs) {
+			return undefined;
+		}
+
 		metrics.increment('dispatch.refused', 1, {class: request.className});
-		return {
-			kind: 'refused',
-			code: hasEndpoint ? 'ERR_VALVESADDLE_OVERLOADED' : 'ERR_VALVESADDLE_NO_ENDPOINT',
-			message: hasEndpoint ? `the predicted wait is ${Math.round(waitMs)} ms` : `no endpoint of pool "${request.pool}" takes work`,
-			retryAfterMs: toRetryAfter(hasEndpoint ? waitMs - requestClass.maximumWaitMs : shortestRetryAfterMs),
-		};
+		return Number.isFinite(waitMs)
+			? toRefusal('ERR_VALVESADDLE_OVERLOADED', `the predicted wait is ${Math.round(waitMs)} ms`, waitMs - requestClass.maximumWaitMs)
+			: toRefusal('ERR_VALVESADDLE_NO_ENDPOINT', `no endpoint of pool "${request.pool}" takes work`, 0);
 	}
 
 	function grantWaiting(): void {
@@ -135,14 +148,13 @@
 		const now = Date.now();
 		const grantId = `${request.requestId}#${++grantCount}`;
 		const charged = lengths.expect(request.className, request.tokensSoFar) - request.tokensSoFar;
-		addGrant({
+		grants.add({
 			grantId,
 			requestId: request.requestId,
 			node: request.node,
 			endpointId: endpoint.id,
 			account: request.account,
 			className: request.className,
-			mode,
 			isUrgent: classes.get(request.className)?.urgent ?? false,
 			grantedAt: now,
 			renewedAt: now,
@@ -160,66 +172,98 @@
 		});
 	}
 
-	function addGrant(entry: GrantEntry): void {
-		grants.set(entry.grantId, entry);
-		grantsByRequest.set(entry.requestId, entry.grantId);
-		table.count(entry.endpointId, 1, entry.isUrgent);
+	async function enqueue(request: AcquireRequest): Promise<AcquireReply> {
+		const {promise, resolve} = Promise.withResolvers<AcquireReply>();
+		queue.push({
+			requestId: request.requestId,
+			className: request.className,
+			account: request.account,
+			arrivedAt: Date.now() - request.waitedMs,
+			value: {request, settle: resolve},
+		});
+		grantWaiting();
+		return promise;
+	}
+
+	/**
+	Takes back whatever an earlier asking of the same request holds.
+	*/
+	function withdraw(requestId: string, reply: AcquireReply): void {
+		queue.remove(requestId)?.value.settle(reply);
+		const entry = grants.findByRequest(requestId);
+		if (entry !== undefined) {
+			grants.remove(entry.grantId);
+		}
 	}
 
-	function removeGrant(grantId: string): GrantEntry | undefined {
-		const entry = grants.get(grantId);
+	function release(report: ReleaseReport): void {
+		const entry = grants.remove(report.grantId);
 		if (entry === undefined) {
-			return undefined;
+			return;
 		}
 
-		grants.delete(grantId);
-		if (grantsByRequest.get(entry.requestId) === grantId) {
-			grantsByRequest.delete(entry.requestId);
+		queue.charge(entry.className, entry.account, report.tokens - entry.charged);
+		stats.recordHold(entry.className, Date.now() - entry.grantedAt);
+		table.observeTimes(entry.endpointId, report.firstTokenMs, report.interTokenMs);
+		if (endpointFaults.has(report.outcome)) {
+			table.observeFailure(entry.endpointId);
+		} else if (report.outcome === 'complete') {
+			lengths.record(entry.className, report.tokens);
+			table.observeSuccess(entry.endpointId);
 		}
 
-		table.count(entry.endpointId, -1, entry.isUrgent);
-		return entry;
+		grantWaiting();
 	}
 
-	function expireGrants(now: number): void {
-		for (const entry of grants.values()) {
-			if (!(now - entry.renewedAt >= options.grantLeaseMs)) {
-				continue;
-			}
+	function observeProgress(node: string, report: ProgressReport, now: number): void {
+		const entry = grants.find(report.grantId);
+		if (entry?.node !== node) {
+			return;
+		}
 
-			removeGrant(entry.grantId);
-			metrics.increment('dispatch.grants-expired');
+		const charged = report.tokens > entry.charged ? lengths.expect(entry.className, report.tokens) : entry.charged;
+		queue.charge(entry.className, entry.account, charged - entry.charged);
+		table.observeTimes(entry.endpointId, entry.tokens === 0 ? report.firstTokenMs : undefined, measureInterToken(entry, report.tokens, now));
+		grants.replace({
+			...entry, tokens: report.tokens, charged, renewedAt: now,
+		});
+	}
+
+	function register({node, grants: open}: RegisterRequest): void {
+		const now = Date.now();
+		const unknown = open.filter(({grantId}) => grants.find(grantId) === undefined);
+		for (const entry of unknown) {
+			grants.add({
+				...entry,
+				node,
+				isUrgent: classes.get(entry.className)?.urgent ?? false,
+				grantedAt: now,
+				renewedAt: now,
+				charged: entry.tokens,
+			});
 		}
 	}
 
 	function expireWaiting(now: number): void {
 		for (const {value: {request, settle}} of queue.takeExpired(now)) {
 			metrics.increment('dispatch.wait-expired', 1, {class: request.className});
-			settle({
-				kind: 'refused',
-				code: 'ERR_VALVESADDLE_WAIT_EXPIRED',
-				message: `no slot of pool "${options.pool}" came free in time`,
-				retryAfterMs: toRetryAfter(stats.holdMs(request.className)),
-			});
+			settle(toRefusal('ERR_VALVESADDLE_WAIT_EXPIRED', `no slot of pool "${options.pool}" came free in time`, stats.holdMs(request.className)));
 		}
 	}
 
 	function updateHeadroom(): void {
 		let urgentPerSecond = 0;
-		let holdMs = 0;
-		for (const requestClass of classes.values()) {
-			if (!requestClass.urgent) {
-				continue;
-			}
-
-			const rate = stats.arrivalsPerSecond(requestClass.name);
+		let busyMs = 0;
+		const urgentClasses = classes.values().filter(({urgent}) => urgent);
+		for (const {name} of urgentClasses) {
+			const rate = stats.arrivalsPerSecond(name);
 			urgentPerSecond += rate;
-			holdMs += rate * stats.holdMs(requestClass.name);
+			busyMs += rate * stats.holdMs(name);
 		}
 
 		headroom = sizeHeadroom({
 			urgentPerSecond,
-			urgentHoldMs: urgentPerSecond > 0 ? holdMs / urgentPerSecond : 0,
+			urgentHoldMs: urgentPerSecond > 0 ? busyMs / urgentPerSecond : 0,
 			urgentInFlight: table.urgentInFlight(),
 			slots: table.slots(),
 		});
@@ -230,111 +274,30 @@
 	return {
 		events,
 		async acquire(request) {
-			const previous = grantsByRequest.get(request.requestId);
-			if (previous !== undefined) {
-				removeGrant(previous);
-			}
-
-			queue.remove(request.requestId)?.value.settle({kind: 'moved', owner: undefined, admitted: true});
+			withdraw(request.requestId, {kind: 'moved', owner: undefined, admitted: true});
 			stats.recordArrival(request.className);
-			const requestClass = classes.get(request.className);
-			if (requestClass === undefined) {
-				return {
-					kind: 'refused', code: 'ERR_VALVESADDLE_CLASS_NOT_ALLOWED', message: `class "${request.className}" is not configured`, retryAfterMs: 0,
-				};
-			}
-
-			const waitMs = request.admitted ? 0 : predict(request, requestClass);
-			if (waitMs > requestClass.maximumWaitMs) {
-				return refuse(request, waitMs, requestClass);
-			}
-
-			const {promise, resolve} = Promise.withResolvers<AcquireReply>();
-			queue.push({
-				requestId: request.requestId,
-				className: request.className,
-				account: request.account,
-				arrivedAt: Date.now() - request.waitedMs,
-				value: {request, settle: resolve},
-			});
-			grantWaiting();
-			return promise;
+			return admit(request) ?? enqueue(request);
 		},
 		cancel(requestId) {
-			queue.remove(requestId)?.value.settle({
-				kind: 'refused', code: 'ERR_VALVESADDLE_CANCELLED', message: 'the request was taken back', retryAfterMs: 0,
-			});
-			const grantId = grantsByRequest.get(requestId);
-			if (grantId === undefined) {
-				return;
-			}
-
-			removeGrant(grantId);
-			grantWaiting();
-		},
-		release(report) {
-			const entry = removeGrant(report.grantId);
-			if (entry === undefined) {
-				return;
-			}
-
-			queue.charge(entry.className, entry.account, report.tokens - entry.charged);
-			stats.recordHold(entry.className, Date.now() - entry.grantedAt);
-			table.observeTimes(entry.endpointId, report.firstTokenMs, report.interTokenMs);
-			if (endpointFaults.has(report.outcome)) {
-				table.observeFailure(entry.endpointId);
-			} else if (report.outcome === 'complete') {
-				lengths.record(entry.className, report.tokens);
-				table.observeSuccess(entry.endpointId);
-			}
-
+			withdraw(requestId, toRefusal('ERR_VALVESADDLE_CANCELLED', 'the request was taken back', 0));
 			grantWaiting();
 		},
+		release,
 		progress(node, reports) {
 			const now = Date.now();
 			for (const report of reports) {
-				const entry = grants.get(report.grantId);
-				if (entry === undefined || entry.node !== node) {
-					continue;
-				}
-
-				const charged = report.tokens > entry.charged ? lengths.expect(entry.className, report.tokens) : entry.charged;
-				queue.charge(entry.className, entry.account, charged - entry.charged);
-				table.observeTimes(entry.endpointId, entry.tokens === 0 ? report.firstTokenMs : undefined, toInterToken(entry, report.tokens, now));
-				grants.set(entry.grantId, {
-					...entry, tokens: report.tokens, charged, renewedAt: now,
-				});
-			}
-		},
-		register({node, grants: open}) {
-			const now = Date.now();
-			for (const grantInfo of open) {
-				if (grants.has(grantInfo.grantId)) {
-					continue;
-				}
-
-				const requestClass = classes.get(grantInfo.className);
-				addGrant({
-					...grantInfo,
-					node,
-					mode: requestClass?.urgent ? 'urgent' : 'shared',
-					isUrgent: requestClass?.urgent ?? false,
-					grantedAt: now,
-					renewedAt: now,
-					charged: grantInfo.tokens,
-				});
+				observeProgress(node, report, now);
 			}
 		},
+		register,
 		dropNode(node) {
 			queue.takeWhere(({value}) => value.request.node === node);
 		},
-		observeLoad(endpointId, report) {
-			table.observeLoad(endpointId, report);
-		},
+		observeLoad: table.observeLoad,
 		configure,
 		tick() {
 			const now = Date.now();
-			expireGrants(now);
+			metrics.increment('dispatch.grants-expired', grants.removeStale(now - options.grantLeaseMs));
 			expireWaiting(now);
 			stats.tick(now - lastTickAt);
 			lastTickAt = now;
@@ -350,38 +313,10 @@
 
 			return waiting.length;
 		},
-		endpoints: () => table.configured(),
+		endpoints: table.configured,
 		status: () => ({
 			pool: options.pool, waiting: queue.size(), inFlight: table.inFlight(), endpoints: table.views(),
 		}),
-		isIdle: () => queue.size() === 0 && grants.size === 0,
+		isIdle: () => queue.size() === 0 && grants.size() === 0,
 	};
 }
-
-function countFreeSlots(views: readonly EndpointView[], need: EndpointNeed): number {
-	let free = 0;
-	for (const view of views) {
-		if (!hasSlot(view, need)) {
-			continue;
-		}
-
-		const held = need.mode === 'urgent' ? view.urgentInFlight : view.inFlight + view.external + (need.headroom * view.limit);
-		free += Math.max(1, view.limit - held);
-	}
-
-	return free;
-}
-
-function toRetryAfter(waitMs: number): number {
-	return Math.round(Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, waitMs)));
-}
-
-function toInterToken(entry: GrantEntry, tokens: number, now: number): number | undefined {
-	const fresh = tokens - entry.tokens;
-	const elapsedMs = now - entry.renewedAt;
-	if (entry.tokens === 0) {
-		return undefined;
-	}
-
-	return fresh > 0 ? elapsedMs / fresh : elapsedMs;
-}
--- a/dispatch/pool/src/create-session-table.ts
+++ b/dispatch/pool/src/create-session-table.ts
@@ -28,9 +28,9 @@
 
 			table.delete(session);
 			table.set(session, {endpointId, at: Date.now()});
+			const [oldest = ''] = table.keys();
 			if (table.size > mostSessions) {
-				const [oldest] = table.keys();
-				table.delete(oldest ?? '');
+				table.delete(oldest);
 			}
 		},
 	};
--- a/dispatch/pool/src/grant-entry.ts
+++ b/dispatch/pool/src/grant-entry.ts
@@ -1,5 +1,3 @@
-import type {GrantMode} from '@valvesaddle/policy';
-
 /**
 An open grant as the dispatcher keeps it.
 */
@@ -10,7 +8,6 @@
 	readonly endpointId: string;
 	readonly account: string;
 	readonly className: string;
-	readonly mode: GrantMode;
 	readonly isUrgent: boolean;
 	readonly grantedAt: number;
 	/**
--- /dev/null
+++ b/dispatch/pool/src/measure-inter-token.ts
@@ -0,0 +1,12 @@
+import type {GrantEntry} from './grant-entry.ts';
+
+/**
+ Time between tokens under a grant since its last report, in milliseconds; `undefined` before the second report with
+ tokens. While no token comes, the silence itself counts.
+
+ @example
+ measureInterToken({...entry, tokens: 10, renewedAt: 0}, 60, 1000); // 20
+ */
+export function measureInterToken(entry: GrantEntry, tokens: number, now: number): number | undefined {
+	return entry.tokens === 0 ? undefined : (now - entry.renewedAt) / Math.max(1, tokens - entry.tokens);
+}
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -66,7 +66,7 @@
 	}
 
 	function takeWhere(isWanted: (item: Queued<Value>) => boolean): ReadonlyArray<Queued<Value>> {
-		const taken = byRequest.values().toArray().filter(item => isWanted(item));
+		const taken = byRequest.values().filter(item => isWanted(item)).toArray();
 		for (const item of taken) {
 			take(item);
 		}
--- a/endpoint/engine/src/read-chunk.ts
+++ b/endpoint/engine/src/read-chunk.ts
@@ -27,7 +27,7 @@
 		events.push({kind: 'delta', delta, text: typeof delta.content === 'string' ? delta.content : ''});
 	}
 
-	if (choice.finish_reason) {
+	if (typeof choice.finish_reason === 'string') {
 		events.push({kind: 'finish', reason: choice.finish_reason});
 	}
 
--- /dev/null
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -0,0 +1,143 @@
+import fc from 'fast-check';
+import {test, type Test} from 'tap';
+import {toValvesaddleError} from '@valvesaddle/error';
+import {
+	makeToken,
+	startFakeEngine,
+	type EngineFault,
+	type FakeEngineOptions,
+} from '@valvesaddle/fake-engine';
+import {
+	buildEngineBody,
+	createEngineClient,
+	readChunk,
+	type EngineRequest,
+} from '@valvesaddle/engine';
+
+async function startPair(t: Test, options: FakeEngineOptions = {}) {
+	const engine = await startFakeEngine({stepMs: 1, ...options});
+	const client = createEngineClient({connectMs: 200, firstTokenMs: 300, pauseMs: 300});
+	t.teardown(async () => {
+		await client.close();
+		await engine.close();
+	});
+	return {engine, client};
+}
+
+function createRequest(url: string, part: Partial<EngineRequest> = {}): EngineRequest {
+	return {
+		url, body: {model: 'drafting', messages: [{role: 'user', content: 'Hello'}], max_tokens: 6}, priority: 1, textSoFar: '', tokensSoFar: 0, trace: {}, ...part,
+	};
+}
+
+async function readAll(client: ReturnType<typeof createEngineClient>, request: EngineRequest, signal = new AbortController().signal) {
+	let text = '';
+	try {
+		for await (const event of client.stream(request, signal)) {
+			text += event.kind === 'delta' ? event.text : '';
+		}
+
+		return {text, code: ''};
+	} catch (error) {
+		return {text, code: toValvesaddleError(error).code};
+	}
+}
+
+const whole = Array.from({length: 6}, (_, index) => makeToken(index)).join('');
+
+test('an answer is read token by token to its end', async t => {
+	const {engine, client} = await startPair(t);
+	t.same(await readAll(client, createRequest(engine.url)), {text: whole, code: ''});
+});
+
+test('an unfinished answer is resumed where it ended, and its limit is what is left', async t => {
+	const {engine, client} = await startPair(t);
+	const textSoFar = makeToken(0) + makeToken(1);
+	const {text} = await readAll(client, createRequest(engine.url, {textSoFar, tokensSoFar: 2}));
+	t.equal(textSoFar + text, whole);
+});
+
+test('a caller\'s own unfinished answer is continued together with what came since', t => {
+	const body = buildEngineBody({
+		...createRequest('http://e'), textSoFar: 'b', tokensSoFar: 1,
+		body: {messages: [{role: 'user', content: 'q'}, {role: 'assistant', content: 'a'}], continue_final_message: true, max_tokens: 10},
+	});
+	t.same(body.messages, [{role: 'user', content: 'q'}, {role: 'assistant', content: 'ab'}]);
+	t.equal(body.max_tokens, 9);
+	t.end();
+});
+
+const faults: ReadonlyArray<readonly [EngineFault, string]> = [
+	['refuse', 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN'],
+	['fail', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['freeze', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['truncate', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['garbage', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+];
+
+for (const [fault, code] of faults) {
+	test(`an engine with the fault "${fault}" gives ${code}`, async t => {
+		const {engine, client} = await startPair(t);
+		engine.setFault(fault);
+		t.equal((await readAll(client, createRequest(engine.url))).code, code);
+	});
+}
+
+test('an engine that is gone surely did not run the request', async t => {
+	const {engine, client} = await startPair(t);
+	await engine.close();
+	t.equal((await readAll(client, createRequest(engine.url))).code, 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN');
+});
+
+test('an engine that crashes mid-answer may have run it', async t => {
+	const {engine, client} = await startPair(t, {stepMs: 5});
+	const reading = readAll(client, createRequest(engine.url, {body: {messages: [{role: 'user', content: 'x'}], max_tokens: 1000}}));
+	while (engine.counts().tokens < 3) {
+		// eslint-disable-next-line no-await-in-loop -- waits for some tokens
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	engine.crash();
+	t.equal((await reading).code, 'ERR_VALVESADDLE_ENDPOINT_FAILED');
+});
+
+test('an engine that finds fault with the prompt is not blamed', async t => {
+	const {engine, client} = await startPair(t);
+	const request = createRequest(engine.url, {body: {messages: [{role: 'user', content: 'reject me'}]}});
+	t.equal((await readAll(client, request)).code, 'ERR_VALVESADDLE_ENDPOINT_REJECTED');
+});
+
+test('a cancelled answer stops at the engine', async t => {
+	const {engine, client} = await startPair(t, {stepMs: 5});
+	const abort = new AbortController();
+	const reading = readAll(client, createRequest(engine.url, {body: {messages: [{role: 'user', content: 'x'}], max_tokens: 1000}}), abort.signal);
+	while (engine.load() === 0) {
+		// eslint-disable-next-line no-await-in-loop -- waits for the request
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	abort.abort();
+	t.equal((await reading).code, 'ERR_VALVESADDLE_CANCELLED');
+	while (engine.load() > 0) {
+		// eslint-disable-next-line no-await-in-loop -- waits for the engine to notice
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+});
+
+test('any chunk is either read or rejected with a typed error', t => {
+	fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), data => {
+		try {
+			readChunk(data);
+			return true;
+		} catch (error) {
+			return toValvesaddleError(error).code === 'ERR_VALVESADDLE_ENDPOINT_FAILED';
+		}
+	}));
+	t.end();
+});
--- a/endpoint/service/src/create-service-client.ts
+++ b/endpoint/service/src/create-service-client.ts
@@ -20,11 +20,11 @@
 	});
 
 	async function call(request: ServiceRequest, signal: AbortSignal): Promise<ServiceReply> {
-		const headers: Record<string, string> = {'content-type': request.contentType, ...request.trace};
-		if (request.idempotencyKey !== undefined) {
-			headers['idempotency-key'] = request.idempotencyKey;
-		}
-
+		const headers = {
+			'content-type': request.contentType,
+			...request.trace,
+			...(request.idempotencyKey !== undefined && {'idempotency-key': request.idempotencyKey}),
+		};
 		const response = await sendRequest(`${request.url}${request.path}`, {
 			method: request.method,
 			dispatcher: agent,
--- a/fakes/engine/src/start-fake-engine.ts
+++ b/fakes/engine/src/start-fake-engine.ts
@@ -35,7 +35,7 @@
 	let isStepping = false;
 
 	function pickBatch(): readonly Sequence[] {
-		return [...sequences].toSorted((a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt).slice(0, options.batch);
+		return [...sequences].toSorted((a, b) => a.priority === b.priority ? a.arrivedAt - b.arrivedAt : a.priority - b.priority).slice(0, options.batch);
 	}
 
 	function getStepMs(size: number): number {
--- a/fakes/fleet/src/index.ts
+++ b/fakes/fleet/src/index.ts
@@ -1,3 +1,7 @@
+export {callNode} from './call-node.ts';
+export type {CallOptions} from './call-options.ts';
+export type {CallResult} from './call-result.ts';
+export {createChat} from './create-chat.ts';
 export {createDemoConfiguration} from './create-demo-configuration.ts';
 export type {Fleet} from './fleet.ts';
 export {fleetKeys} from './fleet-keys.ts';
--- a/fakes/service/src/start-fake-service.ts
+++ b/fakes/service/src/start-fake-service.ts
@@ -25,7 +25,7 @@
 	const server = await startFakeServer({
 		...options,
 		async handle(request, response) {
-			const status = fault && statuses[fault];
+			const status = fault === undefined ? undefined : statuses[fault];
 			if (status !== undefined) {
 				response.statusCode = status;
 				response.end('no');
--- a/node/router/src/create-health.ts
+++ b/node/router/src/create-health.ts
@@ -68,6 +68,11 @@
 		return true;
 	}
 
+	async function canReadStore(): Promise<boolean> {
+		const result = await store.read();
+		return result.isOk();
+	}
+
 	async function runRound(): Promise<void> {
 		const neighbours = listNeighbours();
 		if (neighbours.length === 0) {
@@ -76,7 +81,7 @@
 		}
 
 		const answers = await Promise.all(neighbours.map(async neighbour => wasHeardBy(neighbour)));
-		const isHeard = answers.includes(true) || (await store.read()).isOk();
+		const isHeard = answers.includes(true) || await canReadStore();
 		silentRounds = isHeard ? 0 : silentRounds + 1;
 		logChange();
 	}
--- a/node/router/src/create-remote-answer.ts
+++ b/node/router/src/create-remote-answer.ts
@@ -47,7 +47,11 @@
 				}
 			}
 		},
-		attach() {},
-		detach() {},
+		attach() {
+			// The holder counts its own readers.
+		},
+		detach() {
+			// The holder counts its own readers.
+		},
 	};
 }
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -186,7 +186,9 @@
 	}
 
 	function fetchRecord(peer: string): void {
-		void network.call(peer, 'configuration.compare', {revision: follower.revision()}).map(text => follower.offerText(text, peer));
+		void network.call(peer, 'configuration.compare', {revision: follower.revision()}).andTee(text => {
+			follower.offerText(text, peer);
+		});
 	}
 
 	follower.events.on('changed', ({data}) => {
@@ -244,6 +246,7 @@
 		metrics,
 		tracing,
 		status: getStatus,
+		openRequestIds: answers.openIds,
 		async start() {
 			await membership.start();
 			const peers = await network.listen(peerHandlers);
--- a/node/router/src/router.ts
+++ b/node/router/src/router.ts
@@ -13,6 +13,10 @@
 	readonly start: () => Promise<RouterAddresses>;
 	readonly status: () => NodeStatus;
 	/**
+	Ids of the requests whose answers are under way.
+	*/
+	readonly openRequestIds: () => readonly string[];
+	/**
 	Graceful shutdown: resolves when the last open request has ended and everything is closed.
 	*/
 	readonly drain: () => Promise<void>;
--- /dev/null
+++ b/node/router/test/failures.test.ts
@@ -0,0 +1,145 @@
+import {test} from 'tap';
+import {
+	callNode,
+	createChat,
+	fleetKeys,
+	startFleet,
+	waitUntil,
+	type Fleet,
+	type FleetNode,
+} from '@valvesaddle/fake-fleet';
+import {getExpectedAnswer} from './expected-answer.ts';
+import {getContent} from './get-content.ts';
+
+function getDispatching(fleet: Fleet, pool = 'drafting'): FleetNode | undefined {
+	return fleet.nodes.find(({router}) => router.status().pools.some(status => status.pool === pool));
+}
+
+async function waitForTokens(fleet: Fleet, tokens: number): Promise<void> {
+	await waitUntil(() => fleet.engines.reduce((sum, engine) => sum + engine.counts().tokens, 0) >= tokens);
+}
+
+test('an engine that crashes mid-answer loses no token and doubles none: the answer goes on elsewhere', async t => {
+	const fleet = await startFleet({nodes: 2, engines: [{stepMs: 3}, {stepMs: 3}]});
+	t.teardown(fleet.close);
+	const answer = callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(60, true)});
+	await waitForTokens(fleet, 10);
+	fleet.engines.find(engine => engine.load() > 0)?.crash();
+	const result = await answer;
+	t.equal(getContent(result), getExpectedAnswer(60));
+	t.equal(fleet.engines.reduce((sum, engine) => sum + engine.counts().resumed, 0), 1);
+});
+
+const midAnswerFaults = ['truncate', 'garbage', 'freeze', 'fail', 'refuse'] as const;
+for (const fault of midAnswerFaults) {
+	test(`an engine with the fault "${fault}" costs the caller nothing`, async t => {
+		const fleet = await startFleet({nodes: 1, engines: [{stepMs: 2}, {stepMs: 2}], settings: {limits: {pause_ms: 300, first_token_ms: 300}}});
+		t.teardown(fleet.close);
+		fleet.engines[0]!.setFault(fault);
+		const results = await Promise.all(Array.from({length: 4}, async () => callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(20)})));
+		t.same(results.map(result => getContent(result)), Array.from({length: 4}, () => getExpectedAnswer(20)));
+	});
+}
+
+test('the dispatcher\'s node dies: no stream is cut, waiting requests keep waiting and are served', async t => {
+	const fleet = await startFleet({
+		nodes: 3, engines: [{stepMs: 3}],
+		configure: configuration => ({...configuration, endpoints: configuration.endpoints.map(endpoint => ({...endpoint, initialLimit: 1}))}),
+	});
+	t.teardown(fleet.close);
+	await callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(1)});
+	const dispatching = getDispatching(fleet)!;
+	const entry = fleet.nodes.find(node => node !== dispatching)!;
+	const answers = [40, 41, 42].map(async tokens => callNode(entry.callers, '/v1/chat/completions', {body: createChat(tokens)}));
+	await waitUntil(() => dispatching.router.status().pools.some(({waiting}) => waiting === 2));
+	await dispatching.router.close();
+	t.same((await Promise.all(answers)).map(result => getContent(result)), [40, 41, 42].map(tokens => getExpectedAnswer(tokens)));
+});
+
+test('a caller that loses its connection goes on where it was, through another node', async t => {
+	const fleet = await startFleet({nodes: 2, engines: [{stepMs: 3}], settings: {limits: {abandon_ms: 5000}}});
+	t.teardown(fleet.close);
+	const abort = new AbortController();
+	const broken = callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(50, true), signal: abort.signal});
+	await waitForTokens(fleet, 10);
+	const requestId = fleet.nodes[0]!.router.status().openRequests === 1 ? await findRequestId(fleet) : '';
+	abort.abort();
+	await t.rejects(broken);
+	const rest = await callNode(fleet.nodes[1]!.callers, `/v1/requests/${requestId}`, {headers: {'last-event-id': `${requestId}:7`}});
+	t.equal(getContent(rest), getExpectedAnswer(50).split(' ').slice(7).join(' '));
+	const stranger = await callNode(fleet.nodes[1]!.callers, `/v1/requests/${requestId}`, {key: fleetKeys.otherCaller});
+	t.match(stranger, {status: 404, json: {error: {code: 'ERR_VALVESADDLE_UNKNOWN_REQUEST'}}});
+});
+
+async function findRequestId(fleet: Fleet): Promise<string> {
+	let requestId = '';
+	await waitUntil(() => {
+		requestId = fleet.nodes[0]!.router.openRequestIds()[0] ?? '';
+		return requestId !== '';
+	});
+	return requestId;
+}
+
+test('an answer that its caller left for good is cancelled at the engine', async t => {
+	const fleet = await startFleet({nodes: 1, engines: [{stepMs: 3}], settings: {limits: {abandon_ms: 50}}});
+	t.teardown(fleet.close);
+	const abort = new AbortController();
+	const broken = callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(5000, true), signal: abort.signal});
+	await waitForTokens(fleet, 3);
+	abort.abort();
+	await t.rejects(broken);
+	await waitUntil(() => fleet.engines[0]!.load() === 0);
+	t.ok(fleet.engines[0]!.counts().cancelledTokens < 5000);
+});
+
+test('a graceful shutdown of a node cuts off no request, and its duties move', async t => {
+	const fleet = await startFleet({nodes: 3, engines: [{stepMs: 3}, {stepMs: 3}]});
+	t.teardown(fleet.close);
+	const answers = fleet.nodes.flatMap(node => [30, 60].map(async tokens => callNode(node.callers, '/v1/chat/completions', {body: createChat(tokens)})));
+	await waitForTokens(fleet, 20);
+	const leaving = getDispatching(fleet)!;
+	await leaving.router.drain();
+	const contents = (await Promise.all(answers)).map(result => getContent(result));
+	t.same(contents, fleet.nodes.flatMap(() => [getExpectedAnswer(30), getExpectedAnswer(60)]));
+	await t.rejects(callNode(leaving.callers, '/healthz'));
+	const entry = fleet.nodes.find(node => node !== leaving)!;
+	t.equal((await callNode(entry.callers, '/v1/chat/completions', {body: createChat(5)})).status, 200);
+});
+
+test('an endpoint that says it is leaving keeps its open answers and gets no new ones', async t => {
+	const fleet = await startFleet({nodes: 2, engines: [{stepMs: 3}, {stepMs: 3}]});
+	t.teardown(fleet.close);
+	const open = Array.from({length: 6}, async () => callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(80)}));
+	await waitUntil(() => fleet.engines.every(engine => engine.load() > 0));
+	const leaving = fleet.engines[0]!;
+	await fleet.apply(configuration => ({
+		...configuration, endpoints: configuration.endpoints.map(endpoint => ({...endpoint, leaving: endpoint.leaving || endpoint.url === leaving.url})),
+	}));
+	const before = leaving.counts().requests;
+	const fresh = await Promise.all(Array.from({length: 10}, async () => callNode(fleet.nodes[1]!.callers, '/v1/chat/completions', {body: createChat(5)})));
+	t.ok(fresh.every(({status}) => status === 200));
+	t.equal(leaving.counts().requests, before);
+	t.same((await Promise.all(open)).map(result => getContent(result)), Array.from({length: 6}, () => getExpectedAnswer(80)));
+});
+
+test('a burst over capacity is refused honestly, urgent work is served, and nothing refused had run', async t => {
+	const fleet = await startFleet({
+		nodes: 2, engines: [{stepMs: 4, batch: 4}],
+		configure: configuration => ({
+			...configuration,
+			classes: configuration.classes.map(requestClass => ({...requestClass, maximumWaitMs: requestClass.urgent ? 30_000 : 500})),
+			endpoints: configuration.endpoints.map(endpoint => ({...endpoint, initialLimit: 2})),
+		}),
+	});
+	t.teardown(fleet.close);
+	const call = async (index: number, className: string) => callNode(fleet.nodes[index % 2]!.callers, '/v1/chat/completions', {body: createChat(40), headers: {'x-valvesaddle-class': className}});
+	const estimates = Array.from({length: 40}, async (_, index) => call(index, 'estimate'));
+	const gates = Array.from({length: 6}, async (_, index) => call(index, 'gate'));
+	const [estimateResults, gateResults] = await Promise.all([Promise.all(estimates), Promise.all(gates)]);
+	t.same(gateResults.map(({status}) => status), gateResults.map(() => 200));
+	const refused = estimateResults.filter(({status}) => status !== 200);
+	t.ok(refused.length > 0, 'some estimates are refused');
+	t.ok(refused.length < 40, 'some estimates are served');
+	t.ok(refused.every(({json, headers}) => (json as {error: {ran: string}}).error.ran === 'no' && Number(headers['retry-after']) >= 1));
+	t.equal(fleet.engines[0]!.counts().requests, 46 - refused.length);
+});
--- a/observe/tracing/src/create-tracing.ts
+++ b/observe/tracing/src/create-tracing.ts
@@ -23,8 +23,12 @@
 
 const propagator = new W3CTraceContextPropagator();
 const passedOn = ['traceparent', 'tracestate'];
+const ignore = (): void => {
+	// Without an exporter there is nothing to record.
+};
+
 const silentHop: HopSpan = {
-	setAttribute() {}, addEvent() {}, fail() {}, end() {}, carrier: {},
+	setAttribute: ignore, addEvent: ignore, fail: ignore, end: ignore, carrier: {},
 };
 
 /**
@@ -39,7 +43,9 @@
 		return {
 			startHop: (_name, parent) => ({...silentHop, carrier: pickContext(parent)}),
 			finished: () => [],
-			async close() {},
+			async close() {
+				// There is nothing to flush.
+			},
 		};
 	}
 
@@ -79,7 +85,7 @@
 function wrapSpan(span: Span): HopSpan {
 	const carrier: Record<string, string> = {};
 	propagator.inject(trace.setSpan(ROOT_CONTEXT, span), carrier, {
-		set(target, key, value) {
+		set(target: Record<string, string>, key, value) {
 			target[key] = value;
 		},
 	});
--- a/operator/server/src/create-operator-handlers.ts
+++ b/operator/server/src/create-operator-handlers.ts
@@ -23,7 +23,9 @@
 	async function handle<Reply>(name: string, role: OperatorRole, context: HandlerContext, act: (operator: Operator) => Promise<Reply>): Promise<Reply> {
 		metrics.increment('operators.calls', 1, {call: name});
 		try {
-			return await act(unwrap(authorizeOperator(options.operators, context.requestHeader.get('authorization') ?? undefined, role)));
+			const authorization = context.requestHeader.get('authorization') ?? undefined;
+			const operator = unwrap(authorizeOperator(options.operators, authorization, role));
+			return await act(operator);
 		} catch (error) {
 			metrics.increment('operators.refused', 1, {call: name});
 			throw toConnectError(error);
--- a/outcome/answers/src/answer-store.ts
+++ b/outcome/answers/src/answer-store.ts
@@ -9,6 +9,6 @@
 	/**
 	Answers under way.
 	*/
-	readonly open: () => number;
+	readonly openIds: () => readonly string[];
 	readonly close: () => void;
 };
--- a/outcome/answers/src/create-answer-store.ts
+++ b/outcome/answers/src/create-answer-store.ts
@@ -15,7 +15,7 @@
 
 	function sweep(): void {
 		const now = Date.now();
-		const ended = logs.values().toArray().filter(log => log.endedAt() !== undefined).toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
+		const ended = logs.values().filter(log => log.endedAt() !== undefined).toArray().toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
 		let size = 0;
 		for (const log of ended) {
 			size += log.size();
@@ -33,7 +33,7 @@
 			logs.set(log.requestId, log);
 		},
 		find: requestId => logs.get(requestId),
-		open: () => logs.values().toArray().filter(log => log.endedAt() === undefined).length,
+		openIds: () => logs.values().filter(log => log.endedAt() === undefined).map(({requestId}) => requestId).toArray(),
 		close() {
 			clearInterval(timer);
 		},
--- a/outcome/claims/src/decide-claims.ts
+++ b/outcome/claims/src/decide-claims.ts
@@ -26,7 +26,7 @@
 /**
  Decides a batch of claims and releases in order; later ones see what earlier ones of the batch did.
 
- @param batch
+ @param batch - Claims and releases in the order in which they came.
  @param find - The claim in force on a digest before the batch.
  @example
  decideClaims(batch, () => undefined).entries.length; // one for each different key
--- /dev/null
+++ b/outcome/claims/test/claim-shard.test.ts
@@ -0,0 +1,178 @@
+import {test, type Test} from 'tap';
+import {startFakeKv, type FakeKv, type KvFault} from '@valvesaddle/fake-kv';
+import {createKvClient} from '@valvesaddle/kv';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
+import {
+	createClaimShard,
+	type ClaimAnswer,
+	type ClaimQuestion,
+	type ClaimShard,
+} from '@valvesaddle/claims';
+
+const logger = createLogger({node: 'test', level: 'silent'});
+
+async function startKv(t: Test): Promise<FakeKv> {
+	const server = await startFakeKv();
+	t.teardown(async () => {
+		server.setFault(undefined);
+		await server.close();
+	});
+	return server;
+}
+
+function createWriter(t: Test, server: FakeKv, windowMs = 3_600_000) {
+	const metrics = createMetrics();
+	const kv = createKvClient({urls: [server.url], timeoutMs: 150, metrics});
+	t.teardown(async () => kv.close());
+	const shard = createClaimShard({
+		shard: 0, kv, windowMs, writePauseMs: 1, metrics, logger,
+	});
+	return {shard, metrics};
+}
+
+function createQuestion(key: string, requestId: string): ClaimQuestion {
+	return {
+		account: 'sawmill', key, fingerprint: 'f', requestId, node: requestId.slice(0, 2),
+	};
+}
+
+async function claim(shard: ClaimShard, key: string, requestId: string): Promise<ClaimAnswer['kind'] | string> {
+	const result = await shard.claim(createQuestion(key, requestId));
+	return result.isOk() ? result.value.kind : result.error.code;
+}
+
+test('of two attempts under one key only the first may run', async t => {
+	const {shard} = createWriter(t, await startKv(t));
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'claimed');
+	t.equal(await claim(shard, 'permit-1', 'n2_b'), 'held');
+	t.equal(await claim(shard, 'permit-2', 'n2_b'), 'claimed');
+});
+
+test('asking again for the same attempt gives the same answer', async t => {
+	const {shard} = createWriter(t, await startKv(t));
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'claimed');
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'claimed');
+});
+
+test('two writers at once never both let an attempt run', async t => {
+	const server = await startKv(t);
+	const writers = [createWriter(t, server), createWriter(t, server), createWriter(t, server)];
+	for (let round = 0; round < 20; round++) {
+		// eslint-disable-next-line no-await-in-loop -- rounds
+		const answers = await Promise.all(writers.map(async ({shard}, index) => claim(shard, `permit-${round}`, `n${index}_${round}`)));
+		t.equal(answers.filter(answer => answer === 'claimed').length, 1, answers.join(' '));
+	}
+});
+
+test('a writer that was paused while another one wrote is fenced off and sees its claims', async t => {
+	const server = await startKv(t);
+	const paused = createWriter(t, server);
+	t.equal(await claim(paused.shard, 'permit-0', 'n1_a'), 'claimed');
+	const successor = createWriter(t, server);
+	t.equal(await claim(successor.shard, 'permit-1', 'n2_b'), 'claimed');
+	t.equal(await claim(paused.shard, 'permit-1', 'n1_c'), 'held');
+});
+
+type LossCase = {
+	readonly fault: KvFault;
+	/**
+	What the caller is told when the fault hits its one write.
+	*/
+	readonly answer: string;
+};
+
+const lossCases: readonly LossCase[] = [
+	{fault: 'drop-after', answer: 'claimed'},
+	{fault: 'drop-before', answer: 'claimed'},
+	{fault: 'late', answer: 'claimed'},
+	{fault: 'refuse', answer: 'ERR_VALVESADDLE_CLAIMS_UNAVAILABLE'},
+];
+
+for (const {fault, answer} of lossCases) {
+	test(`a claim whose write meets "${fault}" is answered ${answer} and never given to a second attempt`, async t => {
+		const server = await startKv(t);
+		const {shard} = createWriter(t, server);
+		t.equal(await claim(shard, 'warm-up', 'n1_w'), 'claimed');
+		server.failNextWrite(fault);
+		const first = await claim(shard, 'permit-1', 'n1_a');
+		t.equal(first, answer);
+		const second = await claim(createWriter(t, server).shard, 'permit-1', 'n2_b');
+		t.equal(second, first === 'claimed' ? 'held' : 'claimed');
+	});
+}
+
+test('while the key-value service is down a claim is refused, and granted once it is back', async t => {
+	const server = await startKv(t);
+	const {shard} = createWriter(t, server);
+	server.setFault('refuse');
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'ERR_VALVESADDLE_CLAIMS_UNAVAILABLE');
+	server.setFault(undefined);
+	t.equal(await claim(shard, 'permit-1', 'n1_b'), 'claimed');
+});
+
+test('a claim given back by its own attempt is free again, by another attempt it is not', async t => {
+	const {shard} = createWriter(t, await startKv(t));
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'claimed');
+	await shard.release(createQuestion('permit-1', 'n9_other'));
+	t.equal(await claim(shard, 'permit-1', 'n2_b'), 'held');
+	await shard.release(createQuestion('permit-1', 'n1_a'));
+	t.equal(await claim(shard, 'permit-1', 'n2_b'), 'claimed');
+});
+
+test('claims made together share writes', async t => {
+	const server = await startKv(t);
+	const {shard} = createWriter(t, server);
+	server.setDelay(5);
+	const answers = await Promise.all(Array.from({length: 200}, async (_, index) => claim(shard, `permit-${index}`, `n1_${index}`)));
+	t.ok(answers.every(answer => answer === 'claimed'));
+	const writes = server.calls().put ?? 0;
+	t.ok(writes <= 5, `${writes} writes for 200 claims`);
+});
+
+test('claims survive full segments, archiving and a change of writer', async t => {
+	const server = await startKv(t);
+	const {shard} = createWriter(t, server);
+	for (let batch = 0; batch < 12; batch++) {
+		// eslint-disable-next-line no-await-in-loop -- one batch after the other
+		await Promise.all(Array.from({length: 100}, async (_, index) => claim(shard, `permit-${batch}-${index}`, `n1_${batch}-${index}`)));
+	}
+
+	t.ok(server.keys().filter(key => key.includes('/segment/')).length >= 3);
+	const successor = createWriter(t, server).shard;
+	for (const key of ['permit-0-0', 'permit-5-50', 'permit-11-99']) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		t.equal(await claim(successor, key, 'n2_again'), 'held', key);
+	}
+});
+
+test('an archive write that is lost loses no claim', async t => {
+	const server = await startKv(t);
+	const first = createWriter(t, server);
+	for (let batch = 0; batch < 9; batch++) {
+		// eslint-disable-next-line no-await-in-loop -- one batch after the other
+		await Promise.all(Array.from({length: 100}, async (_, index) => claim(first.shard, `permit-${batch}-${index}`, `n1_${batch}-${index}`)));
+		server.failNextWrite(batch % 2 === 0 ? 'drop-before' : 'late');
+	}
+
+	const successor = createWriter(t, server).shard;
+	for (let batch = 0; batch < 9; batch++) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		t.equal(await claim(successor, `permit-${batch}-7`, 'n2_again'), 'held');
+	}
+});
+
+test('a claim ends with its window', async t => {
+	const server = await startKv(t);
+	const {shard} = createWriter(t, server, 1);
+	t.equal(await claim(shard, 'permit-1', 'n1_a'), 'claimed');
+	const until = Date.now() + 2;
+	while (Date.now() < until) {
+		// eslint-disable-next-line no-await-in-loop -- lets the window pass
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	t.equal(await claim(shard, 'permit-1', 'n2_b'), 'claimed');
+});
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -162,7 +162,7 @@
 
 	function judge(error: ValvesaddleError): Verdict {
 		const canGoOn = progress.tokens === 0 || progress.isPlainText;
-		if (error.code === 'ERR_VALVESADDLE_CANCELLED' || avoid.length >= mostAttempts || !canGoOn) {
+		if (!canGoOn || error.code === 'ERR_VALVESADDLE_CANCELLED' || avoid.length >= mostAttempts) {
 			return 'give-up';
 		}
 
@@ -215,7 +215,6 @@
 
 	async function runOnce(): Promise<AnswerEnd | undefined> {
 		let grant: Grant;
-		step('queue');
 		try {
 			grant = await acquire();
 		} catch (error) {
@@ -249,6 +248,10 @@
 	return {
 		async run() {
 			let end = await findHolder();
+			if (end === undefined) {
+				step('queue');
+			}
+
 			while (end === undefined) {
 				// eslint-disable-next-line no-await-in-loop -- an attempt follows on the one before
 				end = await runOnce();
@@ -294,10 +297,12 @@
 	}
 
 	metrics.increment('tokens.delivered', progress.tokens, tags);
-	if (progress.firstTokenAt !== undefined) {
-		const firstTokenMs = progress.firstTokenAt - job.arrivedAt;
-		const isInTime = firstTokenMs <= job.requestClass.firstTokenTargetMs;
-		metrics.timing('requests.first-token', firstTokenMs, tags);
-		metrics.increment(isInTime ? 'requests.in-time' : 'requests.late', 1, tags);
+	if (progress.firstTokenAt === undefined) {
+		return;
 	}
+
+	const firstTokenMs = progress.firstTokenAt - job.arrivedAt;
+	const isInTime = firstTokenMs <= job.requestClass.firstTokenTargetMs;
+	metrics.timing('requests.first-token', firstTokenMs, tags);
+	metrics.increment(isInTime ? 'requests.in-time' : 'requests.late', 1, tags);
 }
--- a/peer/membership/src/create-membership.ts
+++ b/peer/membership/src/create-membership.ts
@@ -67,15 +67,19 @@
 		tellIfChanged();
 	}
 
+	async function readAgain(vmList: NonNullable<MembershipOptions['vmList']>): Promise<void> {
+		await readOnce(vmList);
+		schedule(vmList);
+	}
+
 	function schedule(vmList: NonNullable<MembershipOptions['vmList']>): void {
 		if (isClosed) {
 			return;
 		}
 
 		const pauseMs = options.pollMs * (1 + ((Math.random() - 0.5) * jitterPart));
-		timer = setTimeout(async () => {
-			await readOnce(vmList);
-			schedule(vmList);
+		timer = setTimeout(() => {
+			void readAgain(vmList);
 		}, pauseMs);
 		timer.unref();
 	}
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -62,7 +62,7 @@
 	}
 
 	async function receive(data: RawData): Promise<void> {
-		const text = data.toString();
+		const text = String(data);
 		metrics.increment('peer.bytes-received', text.length);
 		const message = parseMessage(text);
 		if (isJSONRPCResponse(message)) {
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -153,13 +153,15 @@
 			}
 
 			socketServer?.close();
-			if (httpServer?.listening) {
-				const {promise, resolve} = Promise.withResolvers<void>();
-				httpServer.close(() => {
-					resolve();
-				});
-				await promise;
+			if (!httpServer?.listening) {
+				return;
 			}
+
+			const {promise, resolve} = Promise.withResolvers<void>();
+			httpServer.close(() => {
+				resolve();
+			});
+			await promise;
 		},
 	};
 }
--- /dev/null
+++ b/peer/network/test/peer-network.test.ts
@@ -0,0 +1,108 @@
+import {test, type Test} from 'tap';
+import {WebSocket} from 'ws';
+import {ValvesaddleError} from '@valvesaddle/error';
+import {createMetrics} from '@valvesaddle/metrics';
+import {createPeerNetwork, type PeerHandlers, type PeerNetwork} from '@valvesaddle/network';
+
+const token = 'shared-secret-of-the-fleet';
+
+async function startPair(t: Test, handlers: PeerHandlers, tokens: readonly [string, string] = [token, token]) {
+	const addresses = new Map<string, string>();
+	const create = (node: string, own: string): PeerNetwork => createPeerNetwork({
+		node, host: '127.0.0.1', port: 0, token: own, findAddress: name => addresses.get(name), silenceMs: 60_000, metrics: createMetrics(),
+	});
+	const a = create('a', tokens[0]);
+	const b = create('b', tokens[1]);
+	addresses.set('a', await a.listen({}));
+	addresses.set('b', await b.listen(handlers));
+	t.teardown(async () => {
+		await a.close();
+		await b.close();
+	});
+	return {a, b, address: addresses.get('b') ?? ''};
+}
+
+test('a call is answered, and the handler knows who called', async t => {
+	const {a} = await startPair(t, {'peer.echo': (parameters, peer) => ({parameters, peer})});
+	t.same((await a.call('b', 'peer.echo', {x: 1}))._unsafeUnwrap(), {parameters: {x: 1}, peer: 'a'});
+});
+
+test('answers that come out of order each reach their own call', async t => {
+	const gates = new Map<number, () => void>();
+	const {a} = await startPair(t, {
+		async 'peer.wait'(parameters) {
+			const {promise, resolve} = Promise.withResolvers<void>();
+			gates.set(Number(parameters), resolve);
+			await promise;
+			return parameters;
+		},
+	});
+	const calls = [1, 2, 3].map(async number => a.call('b', 'peer.wait', number));
+	while (gates.size < 3) {
+		// eslint-disable-next-line no-await-in-loop -- waits for the calls
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	for (const number of [3, 1, 2]) {
+		gates.get(number)?.();
+	}
+
+	t.same((await Promise.all(calls)).map(result => result._unsafeUnwrap()), [1, 2, 3]);
+});
+
+test('a handler\'s failure keeps its code over the wire', async t => {
+	const {a} = await startPair(t, {
+		'peer.fail'() {
+			throw new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'not yet', {retryAfterMs: 700});
+		},
+	});
+	const result = await a.call('b', 'peer.fail', {});
+	t.match(result.isErr() && result.error, {code: 'ERR_VALVESADDLE_NOT_READY', retryAfterMs: 700});
+});
+
+const unreachable: ReadonlyArray<readonly [string, readonly [string, string], string]> = [
+	['a node without a known address', [token, token], 'nobody'],
+	['a node with another token', [token, 'another-secret-altogether'], 'b'],
+];
+
+for (const [name, tokens, target] of unreachable) {
+	test(`${name} cannot be called`, async t => {
+		const {a} = await startPair(t, {'peer.echo': value => value}, tokens);
+		const result = await a.call(target, 'peer.echo', {});
+		t.equal(result.isErr() && result.error.code, 'ERR_VALVESADDLE_PEER_UNREACHABLE');
+	});
+}
+
+test('calls that wait fail when the link breaks, and the loss is told', async t => {
+	const {a, b} = await startPair(t, {
+		async 'peer.never'() {
+			await new Promise(() => {
+				// Never answered.
+			});
+		},
+		'peer.echo': value => value,
+	});
+	await a.call('b', 'peer.echo', 1);
+	const lost = a.events.once('lost');
+	const waiting = a.call('b', 'peer.never', {});
+	await b.close();
+	const result = await waiting;
+	t.equal(result.isErr() && result.error.code, 'ERR_VALVESADDLE_PEER_UNREACHABLE');
+	t.equal((await lost).data.node, 'b');
+});
+
+test('a message that is no JSON-RPC is counted and does no harm', async t => {
+	const {a, address} = await startPair(t, {'peer.echo': value => value});
+	const socket = new WebSocket(`ws://${address}`, {headers: {authorization: `Bearer ${token}`, 'x-valvesaddle-node': 'c'}});
+	await new Promise(resolve => {
+		socket.once('open', resolve);
+	});
+	for (const garbage of ['', '{', '[]', '{"jsonrpc":"2.0"}', '42', '{"jsonrpc":"2.0","method":"unknown","id":1}']) {
+		socket.send(garbage);
+	}
+
+	t.equal((await a.call('b', 'peer.echo', 7))._unsafeUnwrap(), 7);
+	socket.terminate();
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,6 @@
-/** Names that a file takes over from a format on the wire or on disk. */
+/**
+Names that a file takes over from a format on the wire or on disk.
+*/
 const wireNames = [
 	'**/*-schema.ts',
 	'**/*-body.ts',
