--- a/bench/burst/src/create-scenarios.ts
+++ b/bench/burst/src/create-scenarios.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {controlStandIn, type BenchFleet} from '@valvesaddle/bench-harness';
+import {setControl, type BenchFleet} from '@valvesaddle/bench-harness';
 import {fleetKeys} from '@valvesaddle/fake-fleet';
 import type {LoadClass, LoadPlan} from '@valvesaddle/load';
 import {createOperatorClient} from '@valvesaddle/operator-client';
@@ -8,22 +8,22 @@
 import type {Scenario} from './scenario.ts';
 
 const engineCount = 8;
-/** Requests per second that the engines carry at 52 ms a token: 8 engines x 33 requests / 52 ms / 172 tokens. */
-const capacityPerSecond = 29;
-const lengthMs = 20_000;
-const disturbedAfterMs = 6000;
+/** Requests per second that the engines carry at 52 ms a token: 8 engines x 33 requests / 52 ms / 144 tokens. */
+const capacityPerSecond = 35;
+const lengthMs = 30_000;
+const disturbedAfterMs = 8000;
 const frozenMs = 5000;
 const slowness = '10';
 
 const classes: readonly LoadClass[] = [
 	{
-		className: 'gate', part: 0.2, meanTokens: 20, firstTokenTargetMs: 1000,
+		className: 'gate', part: 0.2, meanTokens: 20, firstTokenTargetMs: 830,
 	},
 	{
-		className: 'route', part: 0.3, meanTokens: 60, firstTokenTargetMs: 4000,
+		className: 'route', part: 0.3, meanTokens: 60, firstTokenTargetMs: 3000,
 	},
 	{
-		className: 'estimate', part: 0.5, meanTokens: 300, firstTokenTargetMs: 10_000,
+		className: 'estimate', part: 0.5, meanTokens: 300, firstTokenTargetMs: 8000,
 	},
 ];
 
@@ -44,7 +44,7 @@
 
 function addBurst(className: string, factor: number): readonly LoadClass[] {
 	return classes.map(loadClass => loadClass.className === className
-		? {...loadClass, burst: {factor, fromMs: 4000, toMs: 14_000}}
+		? {...loadClass, burst: {factor, fromMs: 5000, toMs: 25_000}}
 		: loadClass);
 }
 
@@ -83,7 +83,7 @@
 			plan: createPlan(0.8),
 			async disturb(fleet) {
 				await delay(disturbedAfterMs);
-				await controlStandIn(fleet.standIns.engines[0]!, 'slowness', slowness);
+				await setControl(fleet.standIns.engines[0]!, 'slowness', slowness);
 			},
 		},
 		{
@@ -92,8 +92,8 @@
 			plan: createPlan(0.8),
 			async disturb(fleet) {
 				await delay(disturbedAfterMs);
-				await controlStandIn(fleet.standIns.engines[0]!, 'fault', 'fail');
-				await controlStandIn(fleet.standIns.engines[0]!, 'crash', '');
+				await setControl(fleet.standIns.engines[0]!, 'fault', 'fail');
+				await setControl(fleet.standIns.engines[0]!, 'crash', '');
 			},
 		},
 		{
--- a/bench/burst/src/main.ts
+++ b/bench/burst/src/main.ts
@@ -1,6 +1,6 @@
 /**
- Compares dispatch by pool with each node alone. Arguments: words that a scenario's name must hold to be run; none runs
- all. Prints a table and writes `bench/results/burst.json` and `burst.svg`.
+ Compares dispatch by pool with each node alone. Arguments: words that a scenario's name must hold to be run, none runs
+ all; `--mode=pool` or `--mode=alone` runs only one of the two. Prints a table and writes `bench/results/burst.json` and `burst.svg`.
  */
 import {mkdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
@@ -12,8 +12,10 @@
 import type {Row} from './row.ts';
 import {runScenario} from './run-scenario.ts';
 
-const modes: readonly DispatchMode[] = ['alone', 'pool'];
-const wanted = process.argv.slice(2);
+const modeOption = '--mode=';
+const allModes: readonly DispatchMode[] = ['alone', 'pool'];
+const wanted = process.argv.slice(2).filter(word => !word.startsWith(modeOption));
+const modes = allModes.filter(mode => !process.argv.some(word => word.startsWith(modeOption) && word !== `${modeOption}${mode}`));
 const results = path.resolve(import.meta.dirname, '../../results');
 const rows: Row[] = [];
 for (const scenario of createScenarios().filter(({name}) => wanted.every(word => name.includes(word)))) {
--- a/bench/harness/src/index.ts
+++ b/bench/harness/src/index.ts
@@ -1,11 +1,11 @@
 export type {BenchFleet} from './bench-fleet.ts';
 export type {BenchFleetOptions} from './bench-fleet-options.ts';
 export type {BenchNode} from './bench-node.ts';
-export {controlStandIn} from './control-stand-in.ts';
+export {setControl} from './set-control.ts';
 export {fitLine} from './fit-line.ts';
 export {formatTable} from './format-table.ts';
 export type {Line} from './line.ts';
-export {percentile} from './percentile.ts';
+export {findPercentile} from './find-percentile.ts';
 export type {Point} from './point.ts';
 export type {ProcessUsage} from './process-usage.ts';
 export {readProcessUsage} from './read-process-usage.ts';
--- a/bench/harness/src/control-stand-in.ts
+++ b/bench/harness/src/set-control.ts
@@ -4,9 +4,9 @@
  Sets a control of a stand-in engine: `fault`, `slowness`, `leaving` or `crash`.
 
  @example
- await controlStandIn(url, 'slowness', '10');
+ await setControl(url, 'slowness', '10');
  */
-export async function controlStandIn(url: string, control: string, value: string): Promise<void> {
+export async function setControl(url: string, control: string, value: string): Promise<void> {
 	const response = await request(`${url}/control/${control}`, {method: 'POST', body: value});
 	await response.body.dump();
 }
--- a/bench/harness/src/start-bench-fleet.ts
+++ b/bench/harness/src/start-bench-fleet.ts
@@ -41,7 +41,7 @@
 		return {id, process: started, ...addresses};
 	}
 
-	async function publishNodes(): Promise<void> {
+	async function writeNodes(): Promise<void> {
 		const vms = nodes.map(({id, peers}): Vm => ({
 			id, role: 'router', address: peers, dataCentre: 'dc-1', region: 'region-1', state: 'live',
 		}));
@@ -62,7 +62,7 @@
 		nodes.push(...await Promise.all(Array.from({length: count}, async (_, index) => startNode(`n${from + index + 1}`))));
 	}
 
-	await publishNodes();
+	await writeNodes();
 	await waitForMembers(nodes);
 
 	return {
--- a/bench/load/src/plan-arrivals.ts
+++ b/bench/load/src/plan-arrivals.ts
@@ -4,7 +4,7 @@
 import type {LoadPlan} from './load-plan.ts';
 
 const fewestTokens = 4;
-const mostTokens = 2000;
+const mostTokens = 500;
 
 /**
  Draws all arrivals of a load, in order: for each class a Poisson process whose rate follows its burst.
--- a/bench/load/src/run-request.ts
+++ b/bench/load/src/run-request.ts
@@ -6,7 +6,7 @@
 import type {LoadResult} from './load-result.ts';
 
 const mostReconnects = 4;
-const paceTolerance = 1.25;
+const paceTolerance = 1.05;
 
 type RunOptions = {
 	readonly arrival: Arrival;
--- a/bench/load/src/summarize-load.ts
+++ b/bench/load/src/summarize-load.ts
@@ -1,4 +1,4 @@
-import {percentile} from '@valvesaddle/bench-harness';
+import {findPercentile} from '@valvesaddle/bench-harness';
 import type {ClassSummary} from './class-summary.ts';
 import type {LoadPlan} from './load-plan.ts';
 import type {LoadResult} from './load-result.ts';
@@ -15,15 +15,15 @@
 	const seconds = plan.lengthMs / 1000;
 	const good = results.filter(({isInTime}) => isInTime);
 	const complete = results.filter(({outcome}) => outcome === 'complete');
-	const usefulTokens = sum(complete.map(({tokens}) => tokens));
+	const usefulTokens = addUp(complete.map(({tokens}) => tokens));
 	return {
 		classes: plan.classes.map(({className}) => summarizeClass(className, results.filter(result => result.className === className))),
-		goodTokensPerSecond: sum(good.map(({tokens}) => tokens)) / seconds,
+		goodTokensPerSecond: addUp(good.map(({tokens}) => tokens)) / seconds,
 		goodAnswersPerSecond: good.length / seconds,
 		wastedPart: generatedTokens === 0 ? 0 : Math.max(0, generatedTokens - usefulTokens) / generatedTokens,
 		jainIndex: findJainIndex(plan.accounts.map(({name}) => findServedPart(results.filter(({account}) => account === name)))),
 		wrongAnswers: results.filter(({outcome}) => outcome === 'wrong').length,
-		reconnects: sum(results.map(({reconnects}) => reconnects)),
+		reconnects: addUp(results.map(({reconnects}) => reconnects)),
 	};
 }
 
@@ -36,24 +36,24 @@
 		attainment: results.length === 0 ? 1 : results.filter(({isInTime}) => isInTime).length / results.length,
 		refused: results.filter(({outcome}) => outcome === 'refused').length,
 		failed: results.filter(({outcome}) => outcome === 'failed' || outcome === 'wrong').length,
-		firstTokenP50: percentile(firstTokens, 0.5),
-		firstTokenP99: percentile(firstTokens, 0.99),
+		firstTokenP50: findPercentile(firstTokens, 0.5),
+		firstTokenP99: findPercentile(firstTokens, 0.99),
 		worstWaitMs: Math.max(0, ...firstTokens),
 		complete: complete.length,
 	};
 }
 
 function findServedPart(results: readonly LoadResult[]): number {
-	const wanted = sum(results.map(({wantedTokens}) => wantedTokens));
-	return wanted === 0 ? 1 : sum(results.filter(({outcome}) => outcome === 'complete').map(({tokens}) => tokens)) / wanted;
+	const wanted = addUp(results.map(({wantedTokens}) => wantedTokens));
+	return wanted === 0 ? 1 : addUp(results.filter(({outcome}) => outcome === 'complete').map(({tokens}) => tokens)) / wanted;
 }
 
 function findJainIndex(values: readonly number[]): number {
-	const squares = sum(values.map(value => value ** 2));
-	return squares === 0 ? 1 : (sum(values) ** 2) / (values.length * squares);
+	const squares = addUp(values.map(value => value ** 2));
+	return squares === 0 ? 1 : (addUp(values) ** 2) / (values.length * squares);
 }
 
-function sum(values: readonly number[]): number {
+function addUp(values: readonly number[]): number {
 	let total = 0;
 	for (const value of values) {
 		total += value;
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -44,14 +44,14 @@
 	const service = restana({
 		server,
 		errorHandler(error, _request, response) {
-			fail(response, error);
+			sendFailure(response, error);
 		},
 		defaultRoute(_request, response) {
-			fail(response, new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', 'no such path'));
+			sendFailure(response, new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', 'no such path'));
 		},
 	});
 
-	function fail(response: ServerResponse, error: unknown): void {
+	function sendFailure(response: ServerResponse, error: unknown): void {
 		const end = toErrorEnd(error);
 		options.metrics.increment('callers.refused', 1, {code: end.code});
 		sendError(response, end, noRequest);
@@ -74,7 +74,7 @@
 
 				await act({request, response, account: account.value});
 			} catch (error) {
-				fail(response, error);
+				sendFailure(response, error);
 			}
 		};
 	}
@@ -93,7 +93,7 @@
 	/**
 	Writes the answer; follows to the attempt that holds the claim where there is one.
 	*/
-	async function reply(caller: Caller, context: Omit<ReplyContext, 'response' | 'isGone'>, write: Write, claim: JobClaim | undefined): Promise<void> {
+	async function writeReply(caller: Caller, context: Omit<ReplyContext, 'response' | 'isGone'>, write: Write, claim: JobClaim | undefined): Promise<void> {
 		const {response} = caller;
 		let isGone = false;
 		context.source.attach();
@@ -139,7 +139,7 @@
 			work: {kind: 'engine', body},
 		};
 		const source = options.executor.start(job);
-		await reply(caller, {source, model: body.model, offset: 0}, body.stream === true ? writeStreamReply : writeWholeReply, job.claim);
+		await writeReply(caller, {source, model: body.model, offset: 0}, body.stream === true ? writeStreamReply : writeWholeReply, job.claim);
 	}
 
 	async function handleService(caller: Caller): Promise<void> {
@@ -166,7 +166,7 @@
 				kind: 'service', method, path: path === '' ? '/' : path, contentType: getHeader(request, 'content-type') ?? 'application/json', body,
 			},
 		};
-		await reply(caller, {source: options.executor.start(job), model, offset: 0}, writeWholeReply, job.claim);
+		await writeReply(caller, {source: options.executor.start(job), model, offset: 0}, writeWholeReply, job.claim);
 	}
 
 	function toJobBase({request, account}: Caller, text: string, pool: Pool): Pick<Job, 'requestId' | 'account' | 'claim' | 'trace' | 'arrivedAt'> {
@@ -187,7 +187,7 @@
 		}
 
 		options.metrics.increment('callers.reconnects');
-		await reply(caller, {source, model: '', offset: position.offset}, writeStreamReply, undefined);
+		await writeReply(caller, {source, model: '', offset: position.offset}, writeStreamReply, undefined);
 	}
 
 	service.post('/v1/chat/completions', handle(handleChat));
--- a/caller/api/src/write-stream-reply.ts
+++ b/caller/api/src/write-stream-reply.ts
@@ -32,7 +32,7 @@
 			return undefined;
 		}
 
-		beginStream(response, source.requestId);
+		startStream(response, source.requestId);
 		for (const part of parts) {
 			offset++;
 			// eslint-disable-next-line no-await-in-loop -- waits for a slow caller
@@ -48,7 +48,7 @@
 	return undefined;
 }
 
-function beginStream(response: ServerResponse, requestId: string): void {
+function startStream(response: ServerResponse, requestId: string): void {
 	if (!response.headersSent) {
 		response.writeHead(200, {
 			'content-type': 'text/event-stream', 'cache-control': 'no-cache', [headerNames.requestId]: requestId,
--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -37,7 +37,7 @@
 	logLevel: 'warning',
 });
 writeFileSync(configFile, JSON.stringify({
-	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true,
+	main: bundle, output: blob, 'disableExperimentalSEAWarning': true, useCodeCache: true,
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
 copyFileSync(process.execPath, binary);
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -52,7 +52,7 @@
 		}
 	}
 
-	function noteReachable(isReachableNow: boolean, reason: string): void {
+	function recordReachable(isReachableNow: boolean, reason: string): void {
 		if (isReachableNow) {
 			heardStoreAt = Date.now();
 		}
@@ -65,15 +65,15 @@
 		options.logger.warn({name: 'kv-state', reachable: isReachableNow, reason});
 	}
 
-	async function watchOnce(afterIndex: number): Promise<number | undefined> {
+	async function runWatch(afterIndex: number): Promise<number | undefined> {
 		const waitMs = Math.round(options.watchMs * (1 - (Math.random() * jitterPart)));
 		const result = await options.store.watch({afterIndex, waitMs, signal: stop.signal});
 		if (result.isErr()) {
-			noteReachable(false, result.error.message);
+			recordReachable(false, result.error.message);
 			return undefined;
 		}
 
-		noteReachable(true, 'answered');
+		recordReachable(true, 'answered');
 		isSettled = true;
 		if (result.value.record !== undefined) {
 			offer(result.value.record, 'key-value service');
@@ -88,11 +88,11 @@
 		}
 	}
 
-	async function follow(): Promise<void> {
+	async function runWatches(): Promise<void> {
 		let index = 0;
 		while (!stop.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one watch at a time
-			const next = await watchOnce(index);
+			const next = await runWatch(index);
 			// An index that goes back means that the service began anew: watch from the start.
 			index = next === undefined || next < index ? 0 : next;
 			if (next !== undefined || stop.signal.aborted) {
@@ -109,7 +109,7 @@
 	return {
 		events,
 		start() {
-			void follow();
+			void runWatches();
 		},
 		record: () => current,
 		configuration: () => current?.configuration ?? emptyConfiguration,
--- a/config/schema/src/diff-configurations.ts
+++ b/config/schema/src/compare-configurations.ts
@@ -9,19 +9,19 @@
  Compares two configurations part by part; one line for each item added, removed or replaced.
 
  @example
- diffConfigurations(before, after); // ['+ endpoints e2', '~ classes barrier']
+ compareConfigurations(before, after); // ['+ endpoints e2', '~ classes barrier']
  */
-export function diffConfigurations(before: Configuration, after: Configuration): readonly Line[] {
+export function compareConfigurations(before: Configuration, after: Configuration): readonly Line[] {
 	return [
-		...diffPart('classes', before.classes, after.classes, ({name}) => name),
-		...diffPart('accounts', before.accounts, after.accounts, ({name}) => name),
-		...diffPart('pools', before.pools, after.pools, ({name}) => name),
-		...diffPart('endpoints', before.endpoints, after.endpoints, ({id}) => id),
-		...diffPart('bindings', before.bindings, after.bindings, ({account, pool}) => `${account}:${pool}`),
+		...comparePart('classes', before.classes, after.classes, ({name}) => name),
+		...comparePart('accounts', before.accounts, after.accounts, ({name}) => name),
+		...comparePart('pools', before.pools, after.pools, ({name}) => name),
+		...comparePart('endpoints', before.endpoints, after.endpoints, ({id}) => id),
+		...comparePart('bindings', before.bindings, after.bindings, ({account, pool}) => `${account}:${pool}`),
 	];
 }
 
-function diffPart<Item>(part: string, before: readonly Item[], after: readonly Item[], getKey: (item: Item) => string): readonly Line[] {
+function comparePart<Item>(part: string, before: readonly Item[], after: readonly Item[], getKey: (item: Item) => string): readonly Line[] {
 	const old = new Map(before.map(item => [getKey(item), JSON.stringify(item)]));
 	const current = new Map(after.map(item => [getKey(item), JSON.stringify(item)]));
 	const lines: Line[] = [];
--- a/config/schema/src/index.ts
+++ b/config/schema/src/index.ts
@@ -1,4 +1,4 @@
-export {diffConfigurations} from './diff-configurations.ts';
+export {compareConfigurations} from './compare-configurations.ts';
 export {emptyConfiguration} from './empty-configuration.ts';
 export {parseRecord} from './parse-record.ts';
 export {validateConfiguration} from './validate-configuration.ts';
--- a/config/schema/src/validate-configuration.ts
+++ b/config/schema/src/validate-configuration.ts
@@ -15,14 +15,14 @@
 export function validateConfiguration(input: unknown): Result<Configuration, ValvesaddleError> {
 	const parsed = configurationSchema.safeParse(input);
 	if (!parsed.success) {
-		return rejectFaults(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`));
+		return toFaultError(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`));
 	}
 
 	const faults = findReferenceFaults(parsed.data);
-	return faults.length > 0 ? rejectFaults(faults) : ok(parsed.data);
+	return faults.length > 0 ? toFaultError(faults) : ok(parsed.data);
 }
 
-function rejectFaults(faults: readonly string[]): Result<Configuration, ValvesaddleError> {
+function toFaultError(faults: readonly string[]): Result<Configuration, ValvesaddleError> {
 	const named = faults.slice(0, mostFaultsNamed);
 	const rest = faults.length - named.length;
 	const lines = rest > 0 ? [...named, `and ${rest} more`] : named;
--- a/config/schema/test/configuration.test.ts
+++ b/config/schema/test/configuration.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'tap';
 import type {Configuration} from '@valvesaddle/types';
 import {
-	diffConfigurations,
+	compareConfigurations,
 	emptyConfiguration,
 	parseRecord,
 	validateConfiguration,
@@ -69,7 +69,7 @@
 		classes: [{...requestClass, weight: 2}],
 		endpoints: [{...configuration.endpoints[0]!, id: 'e2'}],
 	};
-	t.same(diffConfigurations(configuration, after), ['~ classes gate', '+ endpoints e2', '- endpoints e1']);
-	t.same(diffConfigurations(configuration, configuration), []);
+	t.same(compareConfigurations(configuration, after), ['~ classes gate', '+ endpoints e2', '- endpoints e1']);
+	t.same(compareConfigurations(configuration, configuration), []);
 	t.end();
 });
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -37,7 +37,7 @@
 	/**
 	Keeps the revision that is about to be replaced; create-only, so writing it twice changes nothing.
 	*/
-	function keepHistory(record: ConfigurationRecord | undefined): ResultAsync<unknown, ValvesaddleError> {
+	function writeHistory(record: ConfigurationRecord | undefined): ResultAsync<unknown, ValvesaddleError> {
 		return record === undefined
 			? ResultAsync.fromSafePromise(Promise.resolve())
 			: kv.compareAndSwap(`${historyPrefix}/${record.revision}`, JSON.stringify(record), 0);
@@ -59,7 +59,7 @@
 
 	async function write(change: Change, {record, modifyIndex}: Stored): Promise<Result<ConfigurationRecord, ValvesaddleError>> {
 		const next = toRecord(change, record);
-		const written = await keepHistory(record).andThen(() => kv.compareAndSwap(currentKey, JSON.stringify(next), modifyIndex));
+		const written = await writeHistory(record).andThen(() => kv.compareAndSwap(currentKey, JSON.stringify(next), modifyIndex));
 		if (written.isErr()) {
 			return written.error.code === 'ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME' ? settleLostReply(change) : err(written.error);
 		}
--- /dev/null
+++ b/core/error/test/naming.test.ts
@@ -0,0 +1,53 @@
+import {readdir, readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {test} from 'tap';
+
+const root = path.resolve(import.meta.dirname, '../../..');
+const functionPattern = /^\s*(?:export )?(?:async )?function (?:\* )?(?<name>\w+)/gmv;
+
+async function listSources(): Promise<readonly string[]> {
+	const entries = await readdir(root, {recursive: true});
+	return entries.filter(entry => entry.endsWith('.ts') && entry.includes(`${path.sep}src${path.sep}`)
+		&& !entry.includes('node_modules') && !entry.includes('generated'));
+}
+
+async function readVerbs(): Promise<ReadonlySet<string>> {
+	const text = await readFile(path.join(root, 'docs/NAMING.md'), 'utf8');
+	const [, table = ''] = text.split('## Verbs');
+	const [rows = ''] = table.split('## Exceptions');
+	return new Set(rows.matchAll(/`(?<verb>[a-z]+)`/gv).map(match => match.groups?.['verb'] ?? ''));
+}
+
+test('every function begins with a verb of the list in docs/NAMING.md', async t => {
+	const verbs = await readVerbs();
+	const wrong: string[] = [];
+	for (const source of await listSources()) {
+		// eslint-disable-next-line no-await-in-loop -- one file after the other
+		const text = await readFile(path.join(root, source), 'utf8');
+		for (const {groups} of text.matchAll(functionPattern)) {
+			const name = groups?.['name'] ?? '';
+			const [verb = ''] = /^[a-z]+/v.exec(name) ?? [];
+			if (!verbs.has(verb)) {
+				wrong.push(`${source}: ${name}`);
+			}
+		}
+	}
+
+	t.ok(verbs.size > 0 && verbs.size < 80);
+	t.same(wrong, []);
+});
+
+test('every file but an index exports one thing', async t => {
+	const wrong: string[] = [];
+	for (const source of await listSources()) {
+		// eslint-disable-next-line no-await-in-loop -- one file after the other
+		const text = await readFile(path.join(root, source), 'utf8');
+		const count = text.match(/^export /gmv)?.length ?? 0;
+		const isEntry = source.endsWith('main.ts') && count === 0;
+		if (path.basename(source) !== 'index.ts' && count !== 1 && !isEntry) {
+			wrong.push(`${source}: ${count}`);
+		}
+	}
+
+	t.same(wrong, []);
+});
--- a/dispatch/alone/src/create-alone-client.ts
+++ b/dispatch/alone/src/create-alone-client.ts
@@ -28,7 +28,7 @@
 		return drawn.filter(endpoint => endpoint !== undefined).toSorted((a, b) => getLoad(a.id) - getLoad(b.id))[0];
 	}
 
-	async function poll(): Promise<void> {
+	async function readLoads(): Promise<void> {
 		await Promise.all(options.configuration().endpoints.map(async endpoint => {
 			const report = await options.readLoad(endpoint);
 			if (report === undefined) {
@@ -41,7 +41,7 @@
 	}
 
 	const timer = setInterval(() => {
-		void poll();
+		void readLoads();
 	}, options.loadPollMs);
 	timer.unref();
 
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -49,7 +49,7 @@
 		return held.values().filter(grant => grant.pool === pool).toArray();
 	}
 
-	function useOwner(pool: string, owner: string): void {
+	function applyOwner(pool: string, owner: string): void {
 		const before = owners.get(pool);
 		if (before === owner) {
 			return;
@@ -73,7 +73,7 @@
 
 	async function ask(owner: string, request: AcquireRequest): Promise<AcquireReply | undefined> {
 		try {
-			useOwner(request.pool, owner);
+			applyOwner(request.pool, owner);
 			return await getPort(owner).acquire(request);
 		} catch (error) {
 			const failure = toValvesaddleError(error);
@@ -161,16 +161,16 @@
 		const pools = new Set(held.values().map(({pool}) => pool));
 		for (const pool of pools) {
 			const owner = host.findOwner(pool, []) ?? node;
-			useOwner(pool, owner);
+			applyOwner(pool, owner);
 			const reports = listHeld(pool).map(({open, tokens, firstTokenMs}) => ({grantId: open.grantId, tokens, firstTokenMs}));
 			getPort(owner).progress({pool, node, reports});
 		}
 	}
 
-	function moveFrom(lost: string): void {
+	function moveGrants(lost: string): void {
 		for (const [pool, owner] of owners) {
 			if (owner === lost && listHeld(pool).length > 0) {
-				useOwner(pool, host.findOwner(pool, [lost]) ?? node);
+				applyOwner(pool, host.findOwner(pool, [lost]) ?? node);
 			}
 		}
 	}
@@ -178,7 +178,7 @@
 	const timer = setInterval(sendProgress, options.progressMs);
 	timer.unref();
 	network.events.on('lost', ({data}) => {
-		moveFrom(data.node);
+		moveGrants(data.node);
 	});
 
 	return {
--- a/dispatch/host/src/create-dispatch-host.ts
+++ b/dispatch/host/src/create-dispatch-host.ts
@@ -101,7 +101,7 @@
 		}
 	}
 
-	async function pollLoads(dispatcher: PoolDispatcher): Promise<void> {
+	async function readLoads(dispatcher: PoolDispatcher): Promise<void> {
 		await Promise.all(dispatcher.endpoints().map(async endpoint => {
 			const report = await options.readLoad(endpoint);
 			if (report !== undefined) {
@@ -116,7 +116,7 @@
 			duty.dispatcher.tick();
 			if (now - duty.polledAt >= options.loadPollMs) {
 				duty.polledAt = now;
-				void pollLoads(duty.dispatcher);
+				void readLoads(duty.dispatcher);
 			}
 
 			checkOwnership(pool, duty, now);
@@ -124,14 +124,14 @@
 	}, tickMs);
 	timer.unref();
 
-	function configure(): void {
+	function applyConfiguration(): void {
 		rankings.clear();
 		for (const {dispatcher} of duties.values()) {
 			dispatcher.configure(options.configuration(), options.membership.leavingEndpoints());
 		}
 	}
 
-	options.membership.events.on('changed', configure);
+	options.membership.events.on('changed', applyConfiguration);
 
 	async function acquireTraced(request: AcquireRequest): Promise<Awaited<ReturnType<PoolDispatcher['acquire']>>> {
 		const hop = options.tracing.startHop('dispatch.queue', request.trace);
@@ -164,7 +164,7 @@
 				dispatcher.dropNode(node);
 			}
 		},
-		configure,
+		configure: applyConfiguration,
 		findOwner,
 		status: () => duties.values().map(({dispatcher}) => dispatcher.status()).toArray(),
 		close() {
--- a/dispatch/lengths/src/create-length-model.ts
+++ b/dispatch/lengths/src/create-length-model.ts
@@ -37,12 +37,12 @@
 			lengths.histogram.recordValue(Math.min(longestAnswer, Math.max(1, Math.round(tokens))));
 			lengths.sinceRefresh++;
 			if (lengths.sinceRefresh >= recordsPerRefresh) {
-				refreshQuantiles(lengths);
+				updateQuantiles(lengths);
 			}
 		},
 		expect(className, tokensSoFar) {
 			const quantiles = classes.get(className)?.quantiles ?? [];
-			return expectLength(quantiles, tokensSoFar);
+			return predictLength(quantiles, tokensSoFar);
 		},
 	};
 }
@@ -53,7 +53,7 @@
 	});
 }
 
-function refreshQuantiles(lengths: ClassLengths): void {
+function updateQuantiles(lengths: ClassLengths): void {
 	lengths.sinceRefresh = 0;
 	const percentiles = Array.from({length: quantileCount}, (_, index) => ((index + 0.5) / quantileCount) * 100);
 	lengths.quantiles = percentiles.map(percentile => lengths.histogram.getValueAtPercentile(percentile));
@@ -62,7 +62,7 @@
 	}
 }
 
-function expectLength(quantiles: readonly number[], tokensSoFar: number): number {
+function predictLength(quantiles: readonly number[], tokensSoFar: number): number {
 	if (quantiles.length === 0) {
 		return Math.max(defaultTokens, tokensSoFar * beyondFactor);
 	}
--- a/dispatch/policy/src/earn-budget.ts
+++ b/dispatch/policy/src/add-to-budget.ts
@@ -7,8 +7,8 @@
  Credits one first try to a retry budget.
 
  @example
- earnBudget({balance: 1}).balance; // 1.1
+ addToBudget({balance: 1}).balance; // 1.1
  */
-export function earnBudget(budget: Budget): Budget {
+export function addToBudget(budget: Budget): Budget {
 	return {balance: Math.min(largestBalance, budget.balance + earnedPerRequest)};
 }
--- a/dispatch/policy/src/select-account.ts
+++ b/dispatch/policy/src/choose-account.ts
@@ -6,9 +6,9 @@
  Source: virtual token counters, Sheng et al., "Fairness in Serving Large Language Models", 2024.
 
  @example
- selectAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}]); // 'b'
+ chooseAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}]); // 'b'
  */
-export function selectAccount(views: Iterable<AccountView>): string | undefined {
+export function chooseAccount(views: Iterable<AccountView>): string | undefined {
 	let best: AccountView | undefined;
 	for (const view of views) {
 		if (view.waiting > 0 && (best === undefined || view.virtualTokens < best.virtualTokens)) {
--- a/dispatch/policy/src/find-stragglers.ts
+++ b/dispatch/policy/src/find-stragglers.ts
@@ -29,14 +29,14 @@
 	const medianMs = findMedian(inUse.flatMap(({interTokenMs}) => interTokenMs ?? []));
 	return inUse
 		.filter(({state}) => state === 'live' || state === 'probing')
-		.map(endpoint => ({id: endpoint.id, badness: rateBadness(endpoint, medianMs)}))
+		.map(endpoint => ({id: endpoint.id, badness: measureBadness(endpoint, medianMs)}))
 		.filter(({badness}) => badness >= 1)
 		.toSorted((a, b) => b.badness - a.badness)
 		.slice(0, room)
 		.map(({id}) => id);
 }
 
-function rateBadness({interTokenMs, failures}: EndpointView, medianMs: number): number {
+function measureBadness({interTokenMs, failures}: EndpointView, medianMs: number): number {
 	const slowness = interTokenMs === undefined || medianMs === 0 ? 0 : interTokenMs / (medianMs * slowFactor);
 	return Math.max(slowness, failures / failuresInRow);
 }
--- a/dispatch/policy/src/size-headroom.ts
+++ b/dispatch/policy/src/measure-headroom.ts
@@ -24,9 +24,9 @@
  standard deviation of a Poisson process more, less those that they hold already.
 
  @example
- sizeHeadroom({urgentPerSecond: 2, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40}); // 0.0853…
+ measureHeadroom({urgentPerSecond: 2, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40}); // 0.0853…
  */
-export function sizeHeadroom({urgentPerSecond, urgentHoldMs, urgentInFlight, slots}: HeadroomInput): number {
+export function measureHeadroom({urgentPerSecond, urgentHoldMs, urgentInFlight, slots}: HeadroomInput): number {
 	if (slots <= 0) {
 		return 0;
 	}
--- a/dispatch/policy/src/order-classes.ts
+++ b/dispatch/policy/src/rank-classes.ts
@@ -9,9 +9,9 @@
  displaces urgent work.
 
  @example
- orderClasses(views)[0]; // {className: 'barrier', mode: 'urgent'}
+ rankClasses(views)[0]; // {className: 'barrier', mode: 'urgent'}
  */
-export function orderClasses(views: readonly ClassView[]): readonly Turn[] {
+export function rankClasses(views: readonly ClassView[]): readonly Turn[] {
 	const waiting = views.filter(view => view.waiting > 0);
 	const due = waiting
 		.filter(view => view.floorCredit >= wholeGrant)
--- a/dispatch/policy/src/smooth.ts
+++ b/dispatch/policy/src/update-average.ts
@@ -5,8 +5,8 @@
  @param sample - New value.
  @param weight - Weight of the new sample, 0 to 1.
  @example
- smooth(100, 200, 0.1); // 110
+ updateAverage(100, 200, 0.1); // 110
  */
-export function smooth(previous: number | undefined, sample: number, weight: number): number {
+export function updateAverage(previous: number | undefined, sample: number, weight: number): number {
 	return previous === undefined ? sample : previous + ((sample - previous) * weight);
 }
--- a/dispatch/policy/test/policy.test.ts
+++ b/dispatch/policy/test/policy.test.ts
@@ -4,15 +4,15 @@
 import {
 	adjustLimit,
 	chooseEndpoint,
-	earnBudget,
+	addToBudget,
 	ejectEndpoint,
 	findStragglers,
 	hasSlot,
-	orderClasses,
+	rankClasses,
 	predictWait,
-	selectAccount,
-	sizeHeadroom,
-	spendBudget,
+	chooseAccount,
+	measureHeadroom,
+	takeFromBudget,
 	type ClassView,
 	type EndpointNeed,
 	type EndpointView,
@@ -44,7 +44,7 @@
 
 test('urgent classes go before all shared ones, by priority, whatever waits', t => {
 	fc.assert(fc.property(fc.array(classView, {maxLength: 8}), views => {
-		const turns = orderClasses(views);
+		const turns = rankClasses(views);
 		const modes = turns.map(({mode}) => mode);
 		t.same(modes, [...modes.filter(mode => mode === 'floor'), ...modes.filter(mode => mode === 'urgent'), ...modes.filter(mode => mode === 'shared')]);
 		const priorities = turns.filter(({mode}) => mode === 'urgent').map(({className}) => views.find(view => view.requestClass.name === className && view.requestClass.urgent)?.requestClass.priority ?? -1);
@@ -55,7 +55,7 @@
 
 test('every class that waits gets a turn', t => {
 	fc.assert(fc.property(fc.array(classView, {maxLength: 8}), views => {
-		const named = new Set(orderClasses(views).map(({className}) => className));
+		const named = new Set(rankClasses(views).map(({className}) => className));
 		return views.filter(view => view.waiting > 0).every(view => named.has(view.requestClass.name));
 	}));
 	t.end();
@@ -70,7 +70,7 @@
 			requestClass: {...baseClass, name: 'estimate'}, waiting: 1, virtualTokens: 100, floorCredit: 0,
 		},
 	];
-	t.equal(orderClasses(views)[0]?.className, 'estimate');
+	t.equal(rankClasses(views)[0]?.className, 'estimate');
 	t.end();
 });
 
@@ -85,7 +85,7 @@
 			requestClass: baseClass, waiting: 1, virtualTokens: 0, floorCredit: 1,
 		},
 	];
-	t.same(orderClasses(views)[0], {className: 'estimate', mode: 'floor'});
+	t.same(rankClasses(views)[0], {className: 'estimate', mode: 'floor'});
 	t.end();
 });
 
@@ -170,8 +170,8 @@
 });
 
 test('the account served least over its weight goes next, and only if it waits', t => {
-	t.equal(selectAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}, {account: 'c', waiting: 0, virtualTokens: 0}]), 'b');
-	t.equal(selectAccount([]), undefined);
+	t.equal(chooseAccount([{account: 'a', waiting: 1, virtualTokens: 9}, {account: 'b', waiting: 1, virtualTokens: 4}, {account: 'c', waiting: 0, virtualTokens: 0}]), 'b');
+	t.equal(chooseAccount([]), undefined);
 	t.end();
 });
 
@@ -215,16 +215,16 @@
 });
 
 test('headroom covers the urgent arrivals and never more than a quarter', t => {
-	t.equal(sizeHeadroom({
+	t.equal(measureHeadroom({
 		urgentPerSecond: 0, urgentHoldMs: 1000, urgentInFlight: 0, slots: 40,
 	}), 0);
-	t.equal(sizeHeadroom({
+	t.equal(measureHeadroom({
 		urgentPerSecond: 4, urgentHoldMs: 1000, urgentInFlight: 0, slots: 60,
 	}), 0.1);
-	t.equal(sizeHeadroom({
+	t.equal(measureHeadroom({
 		urgentPerSecond: 4, urgentHoldMs: 1000, urgentInFlight: 6, slots: 60,
 	}), 0);
-	t.equal(sizeHeadroom({
+	t.equal(measureHeadroom({
 		urgentPerSecond: 400, urgentHoldMs: 1000, urgentInFlight: 0, slots: 60,
 	}), 0.25);
 	t.end();
@@ -234,8 +234,8 @@
 	let budget = {balance: 0};
 	let retries = 0;
 	for (let request = 0; request < 1000; request++) {
-		budget = earnBudget(budget);
-		const left = spendBudget(budget);
+		budget = addToBudget(budget);
+		const left = takeFromBudget(budget);
 		retries += left === undefined ? 0 : 1;
 		budget = left ?? budget;
 	}
--- a/dispatch/pool/src/create-class-stats.ts
+++ b/dispatch/pool/src/create-class-stats.ts
@@ -1,4 +1,4 @@
-import {smooth} from '@valvesaddle/policy';
+import {updateAverage} from '@valvesaddle/policy';
 import type {ClassStats} from './class-stats.ts';
 
 const defaultHoldMs = 5000;
@@ -25,7 +25,7 @@
 			arrivals.set(className, (arrivals.get(className) ?? 0) + 1);
 		},
 		recordHold(className, holdMs) {
-			holds.set(className, smooth(holds.get(className), holdMs, holdWeight));
+			holds.set(className, updateAverage(holds.get(className), holdMs, holdWeight));
 		},
 		holdMs: className => holds.get(className) ?? defaultHoldMs,
 		arrivalsPerSecond: className => rates.get(className) ?? 0,
@@ -33,7 +33,7 @@
 			const weight = Math.min(1, elapsedMs / rateWindowMs);
 			for (const className of new Set([...rates.keys(), ...arrivals.keys()])) {
 				const perSecond = ((arrivals.get(className) ?? 0) * 1000) / Math.max(1, elapsedMs);
-				rates.set(className, smooth(rates.get(className) ?? 0, perSecond, weight));
+				rates.set(className, updateAverage(rates.get(className) ?? 0, perSecond, weight));
 			}
 
 			arrivals.clear();
--- a/dispatch/pool/src/create-endpoint-table.ts
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -3,7 +3,7 @@
 	adjustLimit,
 	ejectEndpoint,
 	findStragglers,
-	smooth,
+	updateAverage,
 	type EndpointView,
 } from '@valvesaddle/policy';
 import {createEndpointView} from './create-endpoint-view.ts';
@@ -30,7 +30,7 @@
 	const table = new Map<string, EndpointView>();
 	let cached: readonly EndpointView[] | undefined;
 
-	function replace(view: EndpointView): void {
+	function setView(view: EndpointView): void {
 		const before = table.get(view.id);
 		if (before === view) {
 			return;
@@ -46,7 +46,7 @@
 	function update(endpointId: string, change: (view: EndpointView) => EndpointView): void {
 		const view = table.get(endpointId);
 		if (view !== undefined) {
-			replace(change(view));
+			setView(change(view));
 		}
 	}
 
@@ -64,7 +64,7 @@
 		});
 	}
 
-	function sumViews(read: (view: EndpointView) => number): number {
+	function addUp(read: (view: EndpointView) => number): number {
 		let sum = 0;
 		for (const view of table.values()) {
 			sum += read(view);
@@ -101,7 +101,7 @@
 
 			for (const endpoint of configured) {
 				const known = table.get(endpoint.id);
-				replace(known === undefined ? createEndpointView(endpoint) : {...known, url: endpoint.url, dataCentre: endpoint.dataCentre});
+				setView(known === undefined ? createEndpointView(endpoint) : {...known, url: endpoint.url, dataCentre: endpoint.dataCentre});
 				markLeaving(endpoint);
 			}
 		},
@@ -115,8 +115,8 @@
 		observeTimes(endpointId, firstTokenMs, interTokenMs) {
 			update(endpointId, view => adjustLimit({
 				...view,
-				firstTokenMs: firstTokenMs === undefined ? view.firstTokenMs : smooth(view.firstTokenMs, firstTokenMs, sampleWeight),
-				interTokenMs: interTokenMs === undefined ? view.interTokenMs : smooth(view.interTokenMs, interTokenMs, sampleWeight),
+				firstTokenMs: firstTokenMs === undefined ? view.firstTokenMs : updateAverage(view.firstTokenMs, firstTokenMs, sampleWeight),
+				interTokenMs: interTokenMs === undefined ? view.interTokenMs : updateAverage(view.interTokenMs, interTokenMs, sampleWeight),
 			}, {interTokenMs: options.interTokenTargetMs(), now: Date.now()}));
 		},
 		observeFailure(endpointId) {
@@ -149,9 +149,9 @@
 			const now = Date.now();
 			for (const view of getViews()) {
 				if (view.state === 'ejected' && now >= view.ejectedUntil) {
-					replace({...view, state: 'probing'});
+					setView({...view, state: 'probing'});
 				} else if (view.external > 0) {
-					replace({...view, external: view.external < negligibleExternal ? 0 : view.external * externalDecay});
+					setView({...view, external: view.external < negligibleExternal ? 0 : view.external * externalDecay});
 				}
 			}
 
@@ -159,8 +159,8 @@
 		},
 		views: getViews,
 		configured: () => endpoints,
-		slots: () => sumViews(view => view.state === 'live' ? view.limit : 0),
-		inFlight: () => sumViews(view => view.inFlight),
-		urgentInFlight: () => sumViews(view => view.urgentInFlight),
+		slots: () => addUp(view => view.state === 'live' ? view.limit : 0),
+		inFlight: () => addUp(view => view.inFlight),
+		urgentInFlight: () => addUp(view => view.urgentInFlight),
 	};
 }
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -9,9 +9,9 @@
 } from '@valvesaddle/messages';
 import {
 	chooseEndpoint,
-	orderClasses,
+	rankClasses,
 	predictWait,
-	sizeHeadroom,
+	measureHeadroom,
 	type EndpointNeed,
 	type EndpointView,
 	type GrantMode,
@@ -66,7 +66,7 @@
 	});
 	const grants = createGrantTable(table);
 
-	function configure(configuration: Configuration, leaving: ReadonlySet<string>): void {
+	function applyConfiguration(configuration: Configuration, leaving: ReadonlySet<string>): void {
 		classes = new Map(configuration.classes.map(requestClass => [requestClass.name, requestClass]));
 		interTokenTargetMs = configuration.pools.find(({name}) => name === options.pool)?.interTokenTargetMs ?? defaultInterTokenMs;
 		queue.configure(configuration.classes, new Map(configuration.accounts.map(({name, weight}) => [name, weight])));
@@ -121,7 +121,7 @@
 	}
 
 	function grantWaiting(): void {
-		while (queue.size() > 0 && orderClasses(queue.views()).some(turn => didGrant(turn))) {
+		while (queue.size() > 0 && rankClasses(queue.views()).some(turn => didGrant(turn))) {
 			// Each round grants one request.
 		}
 	}
@@ -172,7 +172,7 @@
 		});
 	}
 
-	async function enqueue(request: AcquireRequest): Promise<AcquireReply> {
+	async function addToQueue(request: AcquireRequest): Promise<AcquireReply> {
 		const {promise, resolve} = Promise.withResolvers<AcquireReply>();
 		queue.push({
 			requestId: request.requestId,
@@ -188,7 +188,7 @@
 	/**
 	Takes back whatever an earlier asking of the same request holds.
 	*/
-	function withdraw(requestId: string, reply: AcquireReply): void {
+	function takeBack(requestId: string, reply: AcquireReply): void {
 		queue.remove(requestId)?.value.settle(reply);
 		const entry = grants.findByRequest(requestId);
 		if (entry !== undefined) {
@@ -215,7 +215,7 @@
 		grantWaiting();
 	}
 
-	function observeProgress(node: string, report: ProgressReport, now: number): void {
+	function recordProgress(node: string, report: ProgressReport, now: number): void {
 		const entry = grants.find(report.grantId);
 		if (entry?.node !== node) {
 			return;
@@ -229,7 +229,7 @@
 		});
 	}
 
-	function register({node, grants: open}: RegisterRequest): void {
+	function addRegistered({node, grants: open}: RegisterRequest): void {
 		const now = Date.now();
 		const unknown = open.filter(({grantId}) => grants.find(grantId) === undefined);
 		for (const entry of unknown) {
@@ -261,7 +261,7 @@
 			busyMs += rate * stats.holdMs(name);
 		}
 
-		headroom = sizeHeadroom({
+		headroom = measureHeadroom({
 			urgentPerSecond,
 			urgentHoldMs: urgentPerSecond > 0 ? busyMs / urgentPerSecond : 0,
 			urgentInFlight: table.urgentInFlight(),
@@ -269,32 +269,32 @@
 		});
 	}
 
-	configure(options.configuration, options.leaving);
+	applyConfiguration(options.configuration, options.leaving);
 
 	return {
 		events,
 		async acquire(request) {
-			withdraw(request.requestId, {kind: 'moved', owner: undefined, admitted: true});
+			takeBack(request.requestId, {kind: 'moved', owner: undefined, admitted: true});
 			stats.recordArrival(request.className);
-			return admit(request) ?? enqueue(request);
+			return admit(request) ?? addToQueue(request);
 		},
 		cancel(requestId) {
-			withdraw(requestId, toRefusal('ERR_VALVESADDLE_CANCELLED', 'the request was taken back', 0));
+			takeBack(requestId, toRefusal('ERR_VALVESADDLE_CANCELLED', 'the request was taken back', 0));
 			grantWaiting();
 		},
 		release,
 		progress(node, reports) {
 			const now = Date.now();
 			for (const report of reports) {
-				observeProgress(node, report, now);
+				recordProgress(node, report, now);
 			}
 		},
-		register,
+		register: addRegistered,
 		dropNode(node) {
 			queue.takeWhere(({value}) => value.request.node === node);
 		},
 		observeLoad: table.observeLoad,
-		configure,
+		configure: applyConfiguration,
 		tick() {
 			const now = Date.now();
 			metrics.increment('dispatch.grants-expired', grants.removeStale(now - options.grantLeaseMs));
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -241,7 +241,7 @@
 			await inbox.ask(createRequest(`r${index}`));
 		}
 
-		const endpoints = [...inbox.replies.values()].map(reply => reply.kind === 'granted' ? reply.grant.endpointId : reply.kind);
+		const endpoints = Array.from(inbox.replies.values(), reply => reply.kind === 'granted' ? reply.grant.endpointId : reply.kind);
 		t.same(endpoints, ['e2', 'e2', 'e2', 'e2'], name);
 	}
 });
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -1,5 +1,5 @@
 import type {RequestClass} from '@valvesaddle/types';
-import {selectAccount, type ClassView} from '@valvesaddle/policy';
+import {chooseAccount, type ClassView} from '@valvesaddle/policy';
 import type {AccountQueue} from './account-queue.ts';
 import type {ClassQueue} from './class-queue.ts';
 import type {Queued} from './queued.ts';
@@ -33,7 +33,7 @@
 			return existing;
 		}
 
-		const created = createClassQueue<Value>(unknownClass(className));
+		const created = createClassQueue<Value>(createUnknownClass(className));
 		classes.set(className, created);
 		return created;
 	}
@@ -91,7 +91,7 @@
 			const classQueue = getClass(item.className);
 			const accountQueue = getAccount(classQueue, item.account);
 			if (classQueue.waiting === 0) {
-				liftClass(classQueue, classes.values());
+				adjustVirtualTokens(classQueue, classes.values());
 			}
 
 			if (accountQueue.waiting === 0) {
@@ -99,14 +99,14 @@
 				classQueue.active.set(item.account, accountQueue);
 			}
 
-			insertByArrival(accountQueue.items, item);
+			addByArrival(accountQueue.items, item);
 			accountQueue.waiting++;
 			classQueue.waiting++;
 			byRequest.set(item.requestId, item);
 		},
 		peek(className) {
 			const classQueue = getClass(className);
-			const account = selectAccount(classQueue.active.values());
+			const account = chooseAccount(classQueue.active.values());
 			return account === undefined ? undefined : classQueue.active.get(account)?.items[0];
 		},
 		remove(requestId) {
@@ -159,7 +159,7 @@
 /**
 A class that a configuration just removed, or that another node knows already.
 */
-function unknownClass(name: string): RequestClass {
+function createUnknownClass(name: string): RequestClass {
 	return {
 		name, priority: 99, urgent: false, firstTokenTargetMs: 10_000, maximumWaitMs: 10_000, weight: 1, floor: smallestFloor,
 	};
@@ -169,7 +169,7 @@
 	return requestClass.urgent ? requestClass : {...requestClass, floor: Math.max(smallestFloor, requestClass.floor)};
 }
 
-function liftClass<Value>(classQueue: ClassQueue<Value>, all: Iterable<ClassQueue<Value>>): void {
+function adjustVirtualTokens<Value>(classQueue: ClassQueue<Value>, all: Iterable<ClassQueue<Value>>): void {
 	let least = Infinity;
 	for (const other of all) {
 		if (other !== classQueue && other.waiting > 0 && !other.requestClass.urgent) {
@@ -191,7 +191,7 @@
 	return Number.isFinite(least) ? least : 0;
 }
 
-function insertByArrival<Value>(items: Array<Queued<Value>>, item: Queued<Value>): void {
+function addByArrival<Value>(items: Array<Queued<Value>>, item: Queued<Value>): void {
 	let index = items.length;
 	while (index > 0 && (items[index - 1]?.arrivedAt ?? 0) > item.arrivedAt) {
 		index--;
--- a/dispatch/queue/test/waiting-queue.test.ts
+++ b/dispatch/queue/test/waiting-queue.test.ts
@@ -131,7 +131,7 @@
 		}
 
 		const waiting = classes.map(({name}) => queue.waiting(name));
-		return queue.size() === model.size && waiting.every((count, index) => count === [...model.values()].filter(name => name === classes[index]?.name).length);
+		return queue.size() === model.size && waiting.every((count, index) => count === model.values().filter(name => name === classes[index]?.name).toArray().length);
 	}));
 	t.end();
 });
--- a/endpoint/engine/src/build-engine-body.ts
+++ b/endpoint/engine/src/build-engine-body.ts
@@ -22,12 +22,12 @@
 		messages: [...(isContinues ? messages.slice(0, -1) : messages), answer],
 		continue_final_message: true,
 		add_generation_prompt: false,
-		...reduceLimit(body, 'max_tokens', tokensSoFar),
-		...reduceLimit(body, 'max_completion_tokens', tokensSoFar),
+		...adjustTokenLimit(body, 'max_tokens', tokensSoFar),
+		...adjustTokenLimit(body, 'max_completion_tokens', tokensSoFar),
 	};
 }
 
-function reduceLimit(body: Readonly<Record<string, unknown>>, name: string, tokensSoFar: number): Readonly<Record<string, number>> {
+function adjustTokenLimit(body: Readonly<Record<string, unknown>>, name: string, tokensSoFar: number): Readonly<Record<string, number>> {
 	const limit = body[name];
 	return typeof limit === 'number' ? {[name]: Math.max(1, limit - tokensSoFar)} : {};
 }
--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -42,7 +42,7 @@
 		}
 	}
 
-	async function * stream(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
+	async function * readStream(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
 		const response = await send(request, signal);
 		if (response.statusCode !== 200) {
 			throw classifyStatus(response.statusCode, await readErrorText(response));
@@ -52,7 +52,7 @@
 	}
 
 	return {
-		stream,
+		stream: readStream,
 		async readLoad(url) {
 			try {
 				const response = await sendRequest(`${url}/load`, {dispatcher: agent, signal: AbortSignal.timeout(loadTimeoutMs)});
--- a/endpoint/engine/test/engine-client.test.ts
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -2,7 +2,7 @@
 import {test, type Test} from 'tap';
 import {toValvesaddleError} from '@valvesaddle/error';
 import {
-	makeToken,
+	createToken,
 	startFakeEngine,
 	type EngineFault,
 	type FakeEngineOptions,
@@ -43,7 +43,7 @@
 	}
 }
 
-const whole = Array.from({length: 6}, (_, index) => makeToken(index)).join('');
+const whole = Array.from({length: 6}, (_, index) => createToken(index)).join('');
 
 test('an answer is read token by token to its end', async t => {
 	const {engine, client} = await startPair(t);
@@ -52,7 +52,7 @@
 
 test('an unfinished answer is resumed where it ended, and its limit is what is left', async t => {
 	const {engine, client} = await startPair(t);
-	const textSoFar = makeToken(0) + makeToken(1);
+	const textSoFar = createToken(0) + createToken(1);
 	const {text} = await readAll(client, createRequest(engine.url, {textSoFar, tokensSoFar: 2}));
 	t.equal(textSoFar + text, whole);
 });
--- a/fakes/engine/src/start-fake-engine.ts
+++ b/fakes/engine/src/start-fake-engine.ts
@@ -4,7 +4,7 @@
 import type {EngineFault} from './engine-fault.ts';
 import type {FakeEngine} from './fake-engine.ts';
 import type {FakeEngineOptions} from './fake-engine-options.ts';
-import {makeToken} from './make-token.ts';
+import {createToken} from './create-token.ts';
 import type {Sequence} from './sequence.ts';
 
 const defaults = {
@@ -42,7 +42,7 @@
 		return (options.stepMs + (options.stepMsPerRequest * Math.max(0, size - 1))) * slowness;
 	}
 
-	function scheduleStep(): void {
+	function startStep(): void {
 		if (isStepping || sequences.size === 0) {
 			return;
 		}
@@ -58,7 +58,7 @@
 				}
 			}
 
-			scheduleStep();
+			startStep();
 		}, stepMs);
 	}
 
@@ -76,7 +76,7 @@
 		}
 
 		counts.tokens++;
-		const content = makeToken(sequence.firstToken + sequence.made);
+		const content = createToken(sequence.firstToken + sequence.made);
 		sequence.made++;
 		sequence.response.write(formatChunk({content}));
 		if (!(sequence.made >= sequence.wanted)) {
@@ -100,7 +100,7 @@
 		return isHit;
 	}
 
-	function begin(chat: ChatRequest, response: ServerResponse): void {
+	function startSequence(chat: ChatRequest, response: ServerResponse): void {
 		const firstToken = countDelivered(chat);
 		counts.requests++;
 		counts.resumed += firstToken > 0 ? 1 : 0;
@@ -127,7 +127,7 @@
 			response.write('data: {not json\n\n');
 		}
 
-		scheduleStep();
+		startStep();
 	}
 
 	const refusals: Readonly<Partial<Record<EngineFault, number>>> = {refuse: 503, fail: 500};
@@ -147,7 +147,7 @@
 			return;
 		}
 
-		begin(chat, response);
+		startSequence(chat, response);
 	}
 
 	function handleLoad(response: ServerResponse): void {
--- a/fakes/fleet/src/create-chat.ts
+++ b/fakes/fleet/src/create-chat.ts
@@ -14,8 +14,8 @@
  @example
  await callNode(node.callers, '/v1/chat/completions', {body: createChat(10)});
  */
-export function createChat(tokens: number, stream = false): Chat {
+export function createChat(tokens: number, isStreamed = false): Chat {
 	return {
-		model: 'drafting', messages: [{role: 'user', content: `Draft number ${tokens}`}], max_tokens: tokens, stream,
+		model: 'drafting', messages: [{role: 'user', content: `Draft number ${tokens}`}], max_tokens: tokens, stream: isStreamed,
 	};
 }
--- a/fakes/fleet/src/start-fleet.ts
+++ b/fakes/fleet/src/start-fleet.ts
@@ -31,7 +31,7 @@
 	configuration = options.configure?.(configuration) ?? configuration;
 	let revision = 0;
 
-	function publishNodes(): void {
+	function writeNodes(): void {
 		vmList.set(nodes.map(({id, peers}): Vm => ({
 			id, role: 'router', address: peers, dataCentre: 'dc-1', region: 'region-1', state: 'live',
 		})));
@@ -46,7 +46,7 @@
 		});
 		const node = {id, router, ...await router.start()};
 		nodes.push(node);
-		publishNodes();
+		writeNodes();
 		return node;
 	}
 
--- a/fakes/kv/src/start-fake-kv.ts
+++ b/fakes/kv/src/start-fake-kv.ts
@@ -35,11 +35,11 @@
 	let writeFault: KvFault | undefined;
 	let delayMs = 0;
 
-	function count(kind: string): void {
+	function addCall(kind: string): void {
 		calls[kind] = (calls[kind] ?? 0) + 1;
 	}
 
-	function wakeAll(): void {
+	function settleWatchers(): void {
 		for (const wake of watchers) {
 			wake();
 		}
@@ -53,7 +53,7 @@
 
 		index++;
 		items.set(key, {value: request.body, index});
-		wakeAll();
+		settleWatchers();
 		return 'true';
 	}
 
@@ -91,7 +91,7 @@
 		DELETE(key) {
 			items.delete(key);
 			index++;
-			wakeAll();
+			settleWatchers();
 			return 'true';
 		},
 	};
@@ -142,7 +142,7 @@
 	}
 
 	async function handleWrite(key: string, request: FakeRequest, response: ServerResponse): Promise<void> {
-		count(request.method.toLowerCase());
+		addCall(request.method.toLowerCase());
 		const run = (): string => effects[request.method]?.(key, request) ?? 'false';
 		const runOnly = (): void => {
 			run();
@@ -165,7 +165,7 @@
 
 	async function handleRead(key: string, request: FakeRequest, response: ServerResponse): Promise<void> {
 		const isWatch = request.query.has('index');
-		count(isWatch ? 'watch' : 'get');
+		addCall(isWatch ? 'watch' : 'get');
 		const kind = takeFault(false);
 		if (kind !== undefined) {
 			await applyFault(kind, () => {
@@ -197,7 +197,7 @@
 		...server,
 		setFault(kind) {
 			fault = kind;
-			wakeAll();
+			settleWatchers();
 			if (kind !== undefined) {
 				server.cut();
 			}
--- a/node/router/src/create-health.ts
+++ b/node/router/src/create-health.ts
@@ -42,7 +42,7 @@
 		return follower.isSettled() || follower.revision() > 0 ? 'ready' : 'starting';
 	}
 
-	function logChange(): void {
+	function recordChange(): void {
 		const state = getState();
 		if (state === logged) {
 			return;
@@ -83,7 +83,7 @@
 		const answers = await Promise.all(neighbours.map(async neighbour => wasHeardBy(neighbour)));
 		const isHeard = answers.includes(true) || await canReadStore();
 		silentRounds = isHeard ? 0 : silentRounds + 1;
-		logChange();
+		recordChange();
 	}
 
 	const refusals: Readonly<Record<NodeState, () => ValvesaddleError | undefined>> = {
@@ -100,12 +100,12 @@
 				void runRound();
 			}, options.gossipMs);
 			timer.unref();
-			follower.events.on('changed', logChange);
+			follower.events.on('changed', recordChange);
 		},
 		state: getState,
 		markDraining() {
 			drain = 'grace';
-			logChange();
+			recordChange();
 		},
 		refuseNew() {
 			drain = 'refuse';
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -25,7 +25,7 @@
 	/**
 	Asks a peer that has a newer configuration for it.
 	*/
-	readonly fetchRecord: (peer: string) => void;
+	readonly readRecordFrom: (peer: string) => void;
 };
 
 const longestReadMs = 5000;
@@ -69,7 +69,7 @@
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
 			if (revision > follower.revision()) {
-				options.fetchRecord(peer);
+				options.readRecordFrom(peer);
 			}
 
 			return getNewerRecord(revision);
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -25,7 +25,7 @@
 import {createRemoteAnswer} from './create-remote-answer.ts';
 import type {Router} from './router.ts';
 import type {RouterOptions} from './router-options.ts';
-import {splitAddress} from './split-address.ts';
+import {parseAddress} from './parse-address.ts';
 
 /**
 Peers asked for their configuration while the key-value service does not answer.
@@ -41,7 +41,7 @@
  */
 export function createRouter({settings, onDrained}: RouterOptions): Router {
 	const {node: {id: node, data_centre: dataCentre, region}, limits} = settings;
-	const statsd = settings.observe.statsd === undefined ? undefined : splitAddress(settings.observe.statsd);
+	const statsd = settings.observe.statsd === undefined ? undefined : parseAddress(settings.observe.statsd);
 	const metrics = createMetrics({...statsd, node});
 	const logger = createLogger({node, level: settings.observe.log_level});
 	const tracing = createTracing({
@@ -61,7 +61,7 @@
 	});
 	const network = createPeerNetwork({
 		node,
-		...splitAddress(settings.listen.peers),
+		...parseAddress(settings.listen.peers),
 		token: settings.peer.token,
 		findAddress: membership.findAddress,
 		silenceMs: settings.peer.silence_ms,
@@ -149,7 +149,7 @@
 	const callerApi = createCallerApi({
 		node,
 		region,
-		...splitAddress(settings.listen.callers),
+		...parseAddress(settings.listen.callers),
 		executor,
 		access: () => access,
 		findAnswer,
@@ -160,7 +160,7 @@
 		metrics,
 	});
 	const operatorServer = createOperatorServer({
-		...splitAddress(settings.listen.operators),
+		...parseAddress(settings.listen.operators),
 		operators: settings.operators.map(({name, role, token_sha256: tokenHash}) => ({name, role, tokenHash})),
 		store,
 		follower,
@@ -171,7 +171,7 @@
 		metrics,
 	});
 	const peerHandlers = createPeerHandlers({
-		host, claims, answers, follower, membership, fetchRecord,
+		host, claims, answers, follower, membership, readRecordFrom,
 	});
 
 	function getStatus(): NodeStatus {
@@ -185,7 +185,7 @@
 		};
 	}
 
-	function fetchRecord(peer: string): void {
+	function readRecordFrom(peer: string): void {
 		void network.call(peer, 'configuration.compare', {revision: follower.revision()}).andTee(text => {
 			follower.offerText(text, peer);
 		});
--- a/node/router/src/split-address.ts
+++ b/node/router/src/parse-address.ts
@@ -10,9 +10,9 @@
  Splits an address into host and port.
 
  @example
- splitAddress('[::1]:7100'); // {host: '::1', port: 7100}
+ parseAddress('[::1]:7100'); // {host: '::1', port: 7100}
  */
-export function splitAddress(address: string): HostPort {
+export function parseAddress(address: string): HostPort {
 	const index = address.lastIndexOf(':');
 	return {host: address.slice(0, index).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(index + 1))};
 }
--- a/node/router/test/configuration.test.ts
+++ b/node/router/test/configuration.test.ts
@@ -34,7 +34,7 @@
 	const codes = await Promise.all([0, 1].map(async node => getCode(connect(fleet, node).applyConfiguration({
 		changeId: `from-${node}`, expectedRevision: 1, configuration: configuration!,
 	}))));
-	t.same(codes.toSorted(), [Code.Aborted, undefined].toSorted());
+	t.same(new Set(codes), new Set([Code.Aborted, undefined]));
 	await waitUntil(() => getRevisions(fleet).every(revision => revision === 2));
 });
 
--- a/node/router/test/expected-answer.ts
+++ b/node/router/test/expected-answer.ts
@@ -1,4 +1,4 @@
-import {makeToken} from '@valvesaddle/fake-engine';
+import {createToken} from '@valvesaddle/fake-engine';
 
 /**
  The whole answer of the stand-in engines with so many tokens.
@@ -7,5 +7,5 @@
  getExpectedAnswer(2); // 't0 t1 '
  */
 export function getExpectedAnswer(tokens: number): string {
-	return Array.from({length: tokens}, (_, index) => makeToken(index)).join('');
+	return Array.from({length: tokens}, (_, index) => createToken(index)).join('');
 }
--- a/observe/tracing/src/create-tracing.ts
+++ b/observe/tracing/src/create-tracing.ts
@@ -64,7 +64,7 @@
 		startHop(name, parent) {
 			const parentContext = propagator.extract(ROOT_CONTEXT, parent, getter);
 			const span = tracer.startSpan(name, {attributes: {'valvesaddle.node': options.node}}, parentContext);
-			return wrapSpan(span);
+			return toHopSpan(span);
 		},
 		finished: () => memory.getFinishedSpans().map(span => ({
 			name: span.name,
@@ -82,7 +82,7 @@
 	get: (carrier: TraceCarrier, key: string) => carrier[key],
 };
 
-function wrapSpan(span: Span): HopSpan {
+function toHopSpan(span: Span): HopSpan {
 	const carrier: Record<string, string> = {};
 	propagator.inject(trace.setSpan(ROOT_CONTEXT, span), carrier, {
 		set(target: Record<string, string>, key, value) {
--- a/operator/server/src/create-operator-handlers.ts
+++ b/operator/server/src/create-operator-handlers.ts
@@ -1,6 +1,6 @@
 import type {HandlerContext, ServiceImpl} from '@connectrpc/connect';
 import type {Result} from 'neverthrow';
-import {diffConfigurations, emptyConfiguration} from '@valvesaddle/config-schema';
+import {compareConfigurations, emptyConfiguration} from '@valvesaddle/config-schema';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {authorizeOperator, type Operator, type OperatorRole} from '@valvesaddle/operator-access';
 import type {OperatorService} from '@valvesaddle/operator-schema';
@@ -52,7 +52,7 @@
 			}
 
 			const configuration = unwrap(fromConfigurationMessage(request.configuration));
-			const differences = [...diffConfigurations(follower.configuration(), configuration)];
+			const differences = [...compareConfigurations(follower.configuration(), configuration)];
 			if (request.dryRun) {
 				return {revision: request.expectedRevision + 1, differences};
 			}
--- a/outcome/answers/src/create-answer-log.ts
+++ b/outcome/answers/src/create-answer-log.ts
@@ -20,7 +20,7 @@
 	let wake = Promise.withResolvers<void>();
 	let grace: NodeJS.Timeout | undefined;
 
-	function wakeReaders(): void {
+	function settleReaders(): void {
 		const {resolve} = wake;
 		wake = Promise.withResolvers<void>();
 		resolve();
@@ -44,7 +44,7 @@
 
 			parts.push(part);
 			size += part.length;
-			wakeReaders();
+			settleReaders();
 		},
 		finish(final) {
 			if (end !== undefined) {
@@ -54,7 +54,7 @@
 			end = final;
 			endedAt = Date.now();
 			clearTimeout(grace);
-			wakeReaders();
+			settleReaders();
 		},
 		async read(offset) {
 			while (!hasNews(offset)) {
--- a/outcome/answers/src/create-answer-store.ts
+++ b/outcome/answers/src/create-answer-store.ts
@@ -13,7 +13,7 @@
 export function createAnswerStore(options: AnswerStoreOptions): AnswerStore {
 	const logs = new Map<string, AnswerLog>();
 
-	function sweep(): void {
+	function removeOld(): void {
 		const now = Date.now();
 		const ended = logs.values().filter(log => log.endedAt() !== undefined).toArray().toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
 		let size = 0;
@@ -25,7 +25,7 @@
 		}
 	}
 
-	const timer = setInterval(sweep, sweepMs);
+	const timer = setInterval(removeOld, sweepMs);
 	timer.unref();
 
 	return {
--- a/outcome/claims/src/create-claim-journal.ts
+++ b/outcome/claims/src/create-claim-journal.ts
@@ -52,7 +52,7 @@
 		readAt = Date.now();
 	}
 
-	async function refresh(): Promise<void> {
+	async function update(): Promise<void> {
 		if (stored !== undefined && Date.now() - readAt < freshMs) {
 			return;
 		}
@@ -82,14 +82,14 @@
 		}
 	}
 
-	async function extendHead(head: ClaimHead, entries: readonly ClaimEntry[]): Promise<ClaimHead> {
+	async function buildNextHead(head: ClaimHead, entries: readonly ClaimEntry[]): Promise<ClaimHead> {
 		const isArchived = await hasArchivedPrevious(head);
 		const isFull = head.entries.length + entries.length > fullSegmentEntries;
 		return isFull && isArchived ? {number: head.number + 1, entries, previous: head.entries} : {number: head.number, entries: [...head.entries, ...entries], previous: isArchived ? undefined : head.previous};
 	}
 
 	return {
-		refresh,
+		update,
 		find: table.find,
 		async append(entries) {
 			if (stored === undefined) {
@@ -97,7 +97,7 @@
 			}
 
 			const {head, modifyIndex} = stored;
-			const next = await extendHead(head, entries);
+			const next = await buildNextHead(head, entries);
 			stored = undefined;
 			metrics.increment('claims.writes');
 			try {
--- a/outcome/claims/src/create-claim-shard.ts
+++ b/outcome/claims/src/create-claim-shard.ts
@@ -38,10 +38,10 @@
 	let isWriting = false;
 	let wroteAt = 0;
 
-	async function commit(batch: readonly PendingClaim[]): Promise<ReadonlyMap<PendingClaim, ClaimAnswer>> {
+	async function writeBatch(batch: readonly PendingClaim[]): Promise<ReadonlyMap<PendingClaim, ClaimAnswer>> {
 		for (let attempt = 0; attempt < mostTries; attempt++) {
 			// eslint-disable-next-line no-await-in-loop -- a try follows on the one before
-			await journal.refresh();
+			await journal.update();
 			const {answers, entries} = decideClaims(batch, journal.find);
 			// eslint-disable-next-line no-await-in-loop -- a try follows on the one before
 			if (entries.length === 0 || await journal.append(entries)) {
@@ -54,7 +54,7 @@
 
 	async function settleBatch(batch: readonly PendingClaim[]): Promise<void> {
 		try {
-			const answers = await commit(batch);
+			const answers = await writeBatch(batch);
 			metrics.increment('claims.committed', batch.length);
 			for (const item of batch) {
 				item.settle(ok(answers.get(item) ?? {kind: 'free'}));
@@ -91,7 +91,7 @@
 		isWriting = false;
 	}
 
-	function enqueue(kind: PendingClaim['kind'], question: ClaimQuestion): ResultAsync<ClaimAnswer, ValvesaddleError> {
+	function addPending(kind: PendingClaim['kind'], question: ClaimQuestion): ResultAsync<ClaimAnswer, ValvesaddleError> {
 		const {promise, resolve} = Promise.withResolvers<Result<ClaimAnswer, ValvesaddleError>>();
 		pending.push({kind, question, settle: resolve});
 		void writePending();
@@ -99,14 +99,14 @@
 	}
 
 	async function find(question: ClaimQuestion): Promise<ClaimAnswer> {
-		await journal.refresh();
+		await journal.update();
 		const entry = journal.find(toClaimDigest(question.account, question.key));
 		return entry === undefined ? {kind: 'free'} : toHeldAnswer(entry);
 	}
 
 	return {
-		claim: question => enqueue('claim', question),
-		release: question => enqueue('release', question),
+		claim: question => addPending('claim', question),
+		release: question => addPending('release', question),
 		find: question => ResultAsync.fromPromise(find(question), toUnavailable),
 		size: journal.size,
 	};
--- a/outcome/claims/src/create-claim-storage.ts
+++ b/outcome/claims/src/create-claim-storage.ts
@@ -25,7 +25,7 @@
 		return entry && parseSegment(entry.value);
 	}
 
-	async function deleteOld(segment: ClaimSegment): Promise<void> {
+	async function removeOld(segment: ClaimSegment): Promise<void> {
 		const old = segment.number - countKept(segment, windowMs);
 		if (old >= 0) {
 			unwrap(await kv.delete(`${prefix}/segment/${old}`));
@@ -58,7 +58,7 @@
 		},
 		async archive(segment) {
 			unwrap(await kv.compareAndSwap(`${prefix}/segment/${segment.number}`, JSON.stringify(segment), 0));
-			await deleteOld(segment);
+			await removeOld(segment);
 		},
 	};
 }
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -57,12 +57,12 @@
 	let outcome: Outcome = firstOutcome;
 	let hasClaim = false;
 
-	function step(event: OutcomeEvent): void {
+	function advance(event: OutcomeEvent): void {
 		outcome = advanceOutcome(outcome, event);
 	}
 
-	function giveUp(error: ValvesaddleError): AnswerEnd {
-		step('give-up');
+	function endWithError(error: ValvesaddleError): AnswerEnd {
+		advance('give-up');
 		return toErrorEnd(error, outcome, job);
 	}
 
@@ -100,7 +100,7 @@
 
 		const found = await claims.find(question);
 		if (found.isErr()) {
-			return giveUp(found.error);
+			return endWithError(found.error);
 		}
 
 		return found.value.kind === 'held' ? found.value : undefined;
@@ -116,7 +116,7 @@
 
 		const answer = await claims.claim(question);
 		if (answer.isErr()) {
-			return giveUp(answer.error);
+			return endWithError(answer.error);
 		}
 
 		hasClaim = answer.value.kind === 'claimed';
@@ -133,7 +133,7 @@
 			job, grant, log, progress, hop: endpointHop, signal,
 			onFirst() {
 				firstAt = Date.now();
-				step('first-answer');
+				advance('first-answer');
 			},
 		};
 		let result: AttemptEnd;
@@ -160,7 +160,7 @@
 		return result;
 	}
 
-	function judge(error: ValvesaddleError): Verdict {
+	function decideNext(error: ValvesaddleError): Verdict {
 		const canGoOn = progress.tokens === 0 || progress.isPlainText;
 		if (!canGoOn || error.code === 'ERR_VALVESADDLE_CANCELLED' || avoid.length >= mostAttempts) {
 			return 'give-up';
@@ -181,24 +181,24 @@
 	async function settleFailure(error: ValvesaddleError, grant: Grant): Promise<AnswerEnd | undefined> {
 		metrics.increment('attempts.failed', 1, {code: error.code});
 		if (error.code === 'ERR_VALVESADDLE_ENDPOINT_REJECTED') {
-			step(outcome.state === 'sent' ? 'reject' : 'give-up');
+			advance(outcome.state === 'sent' ? 'reject' : 'give-up');
 			await releaseClaim();
 			return toErrorEnd(error, outcome, job);
 		}
 
-		if (judge(error) === 'give-up') {
-			return error.traits.ran === 'no' ? giveUpNotRun(error) : giveUp(error);
+		if (decideNext(error) === 'give-up') {
+			return error.traits.ran === 'no' ? endNotRun(error) : endWithError(error);
 		}
 
-		step(error.traits.ran === 'no' && outcome.state === 'sent' ? 'not-run' : 'retry');
+		advance(error.traits.ran === 'no' && outcome.state === 'sent' ? 'not-run' : 'retry');
 		avoid.push(grant.endpointId);
 		return undefined;
 	}
 
-	async function giveUpNotRun(error: ValvesaddleError): Promise<AnswerEnd> {
-		step('not-run');
+	async function endNotRun(error: ValvesaddleError): Promise<AnswerEnd> {
+		advance('not-run');
 		await releaseClaim();
-		return giveUp(error);
+		return endWithError(error);
 	}
 
 	/**
@@ -219,10 +219,10 @@
 			grant = await acquire();
 		} catch (error) {
 			await releaseClaim();
-			return giveUp(toValvesaddleError(error));
+			return endWithError(toValvesaddleError(error));
 		}
 
-		step('grant');
+		advance('grant');
 		const held = await claim();
 		if (held !== undefined) {
 			dispatch.release({
@@ -231,17 +231,17 @@
 			return held;
 		}
 
-		step('send');
+		advance('send');
 		const {end, error} = await runAttempt(grant);
 		if (error !== undefined) {
 			return settleFailure(error, grant);
 		}
 
 		if (outcome.state === 'sent') {
-			step('first-answer');
+			advance('first-answer');
 		}
 
-		step('finish');
+		advance('finish');
 		return end;
 	}
 
@@ -249,7 +249,7 @@
 		async run() {
 			let end = await findHolder();
 			if (end === undefined) {
-				step('queue');
+				advance('queue');
 			}
 
 			while (end === undefined) {
--- a/outcome/execution/src/create-executor.ts
+++ b/outcome/execution/src/create-executor.ts
@@ -21,7 +21,7 @@
 	const openByAccount = new Map<string, number>();
 	let open = 0;
 
-	function count(account: string, by: 1 | -1): void {
+	function addOpen(account: string, by: 1 | -1): void {
 		open += by;
 		const left = (openByAccount.get(account) ?? 0) + by;
 		if (left === 0) {
@@ -43,7 +43,7 @@
 			});
 			options.metrics.increment('requests.internal-failures');
 		} finally {
-			count(job.account, -1);
+			addOpen(job.account, -1);
 			if (open === 0) {
 				void events.emit('idle');
 			}
@@ -68,7 +68,7 @@
 			options.answers.add(log);
 			options.metrics.increment('requests.accepted', 1, {class: job.requestClass.name});
 			budgets.earn(job.account, job.pool.name);
-			count(job.account, 1);
+			addOpen(job.account, 1);
 			void run(job, log, abandoned.signal);
 			return log;
 		},
--- a/outcome/execution/src/create-retry-budgets.ts
+++ b/outcome/execution/src/create-retry-budgets.ts
@@ -1,4 +1,4 @@
-import {earnBudget, spendBudget, type Budget} from '@valvesaddle/policy';
+import {addToBudget, takeFromBudget, type Budget} from '@valvesaddle/policy';
 import type {RetryBudgets} from './retry-budgets.ts';
 
 const firstBalance = 5;
@@ -17,12 +17,12 @@
 	return {
 		earn(account, pool) {
 			for (const key of [`account/${account}`, `pool/${pool}`]) {
-				budgets.set(key, earnBudget(getBudget(key)));
+				budgets.set(key, addToBudget(getBudget(key)));
 			}
 		},
 		spend(account, pool) {
-			const accountBudget = spendBudget(getBudget(`account/${account}`));
-			const poolBudget = spendBudget(getBudget(`pool/${pool}`));
+			const accountBudget = takeFromBudget(getBudget(`account/${account}`));
+			const poolBudget = takeFromBudget(getBudget(`pool/${pool}`));
 			if (accountBudget === undefined || poolBudget === undefined) {
 				return false;
 			}
--- a/peer/membership/src/create-membership.ts
+++ b/peer/membership/src/create-membership.ts
@@ -37,7 +37,7 @@
 		return (inRegion.length > 0 ? inRegion : routers).map(({id}) => id);
 	}
 
-	function tellIfChanged(): void {
+	function emitIfChanged(): void {
 		const current = JSON.stringify([getRouters(), [...leavingEndpoints]]);
 		if (current === fingerprint) {
 			return;
@@ -64,15 +64,15 @@
 			}
 		}
 
-		tellIfChanged();
+		emitIfChanged();
 	}
 
 	async function readAgain(vmList: NonNullable<MembershipOptions['vmList']>): Promise<void> {
 		await readOnce(vmList);
-		schedule(vmList);
+		startTimer(vmList);
 	}
 
-	function schedule(vmList: NonNullable<MembershipOptions['vmList']>): void {
+	function startTimer(vmList: NonNullable<MembershipOptions['vmList']>): void {
 		if (isClosed) {
 			return;
 		}
@@ -92,7 +92,7 @@
 			}
 
 			await readOnce(options.vmList);
-			schedule(options.vmList);
+			startTimer(options.vmList);
 		},
 		routers: getRouters,
 		others: () => vms.filter(({id, role}) => role === 'router' && id !== options.self.id).map(({id}) => id),
@@ -100,16 +100,16 @@
 		leavingEndpoints: () => leavingEndpoints,
 		suspect(node) {
 			suspects.set(node, Date.now());
-			tellIfChanged();
+			emitIfChanged();
 		},
 		trust(node) {
 			if (suspects.delete(node)) {
-				tellIfChanged();
+				emitIfChanged();
 			}
 		},
 		markLeaving(node) {
 			leavingNodes.add(node);
-			tellIfChanged();
+			emitIfChanged();
 		},
 		async close() {
 			isClosed = true;
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	isJSONRPCRequest,
 	isJSONRPCResponse,
@@ -46,7 +47,7 @@
 		server.addMethod(method, async (parameters: unknown) => handle(parameters, options.node));
 	}
 
-	const client = new JSONRPCClient(request => {
+	const client = new JSONRPCClient((request: JSONRPCRequest) => {
 		sendText(request);
 	});
 
@@ -61,8 +62,8 @@
 		socket.send(text);
 	}
 
-	async function receive(data: RawData): Promise<void> {
-		const text = String(data);
+	async function handleMessage(data: RawData): Promise<void> {
+		const text = toText(data);
 		metrics.increment('peer.bytes-received', text.length);
 		const message = parseMessage(text);
 		if (isJSONRPCResponse(message)) {
@@ -88,7 +89,7 @@
 
 	socket.on('message', data => {
 		markHeard();
-		receive(data).catch(() => {
+		handleMessage(data).catch(() => {
 			metrics.increment('peer.messages-invalid');
 		});
 	});
@@ -142,9 +143,13 @@
 	};
 }
 
+function toText(data: RawData): string {
+	return data instanceof ArrayBuffer ? Buffer.from(data).toString() : data.toString();
+}
+
 function parseMessage(text: string): unknown {
 	try {
-		return JSON.parse(text);
+		return JSON.parse(text) as unknown;
 	} catch {
 		return undefined;
 	}
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -125,7 +125,7 @@
 			httpServer.once('error', reject);
 			httpServer.listen(options.port, options.host, resolve);
 			await promise;
-			return describeAddress(httpServer);
+			return formatAddress(httpServer);
 		},
 		call: (node, method, parameters) => ResultAsync.fromPromise(callNode(node, method, parameters), thrown => toPeerError(thrown)),
 		notify(node, method, parameters) {
@@ -172,7 +172,7 @@
 	return given.length === expected.length && timingSafeEqual(given, expected) && request.headers[nodeHeader] !== undefined;
 }
 
-function describeAddress(server: Server): string {
+function formatAddress(server: Server): string {
 	const address = server.address();
 	return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -15,6 +15,7 @@
 	'operator/server/src/to-connect-error.ts',
 	'node/router/src/create-router.ts',
 	'**/test/**',
+	'cli/valvesaddle/build.ts',
 ];
 
 export default [
@@ -30,6 +31,16 @@
 		files: ['**/*-schema.ts', '**/test/**', 'config/schema/**', 'cli/valvesaddle/src/send-chat.ts', 'endpoint/engine/src/read-chunk.ts', 'platform/**'],
 		rules: {'unicorn/max-nested-calls': 'off'},
 	},
+	{
+		// Tap's `test` runs by itself; test tools are installed at the root.
+		files: ['**/test/**'],
+		rules: {
+			'@typescript-eslint/no-floating-promises': 'off',
+			'unicorn/no-await-expression-member': 'off',
+			'import-x/no-extraneous-dependencies': 'off',
+			'node-test/no-import-test-files': 'off',
+		},
+	},
 	{
 		// Clipanion declares commands with functions that begin with a capital.
 		files: ['cli/**'],
