--- /dev/null
+++ b/bench/capacity/src/measurement.ts
@@ -0,0 +1,2 @@
+/** One measurement; resolves to what it prints, in Markdown. */
+export type Measurement = () => Promise<string>;
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import Emittery from 'emittery';
-import {emptyConfiguration, parseRecord} from '@valvesaddle/config-schema';
+import {emptyConfiguration, formatRecord, parseRecord} from '@valvesaddle/config-schema';
 import type {ConfigurationRecord} from '@valvesaddle/types';
 import type {ConfigEvents} from './config-events.ts';
 import type {ConfigFollower} from './config-follower.ts';
@@ -23,6 +23,8 @@
 	const events = new Emittery<ConfigEvents>();
 	const stop = new AbortController();
 	let current: ConfigurationRecord | undefined;
+	/** Written out when first asked for. */
+	let text: string | undefined;
 	let isSettled = false;
 	let isReachable = true;
 	let heardStoreAt = Date.now();
@@ -33,6 +35,7 @@
 		}
 
 		current = record;
+		text = undefined;
 		options.metrics.gauge('configuration.revision', record.revision);
 		options.metrics.increment('configuration.changes', 1, {source});
 		options.logger.info({
@@ -112,6 +115,10 @@
 			void runWatches();
 		},
 		record: () => current,
+		text() {
+			text ??= current && formatRecord(current);
+			return text;
+		},
 		configuration: () => current?.configuration ?? emptyConfiguration,
 		revision: () => current?.revision ?? 0,
 		offer,
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -5,7 +5,7 @@
 	ResultAsync,
 	type Result,
 } from 'neverthrow';
-import {parseRecord} from '@valvesaddle/config-schema';
+import {formatRecord, parseRecord} from '@valvesaddle/config-schema';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {KvEntry, KvStore} from '@valvesaddle/kv';
 import type {ConfigurationRecord} from '@valvesaddle/types';
@@ -40,7 +40,7 @@
 	function writeHistory(record: ConfigurationRecord | undefined): ResultAsync<unknown, ValvesaddleError> {
 		return record === undefined
 			? ResultAsync.fromSafePromise(Promise.resolve())
-			: kv.compareAndSwap(`${historyPrefix}/${record.revision}`, JSON.stringify(record), 0);
+			: kv.compareAndSwap(`${historyPrefix}/${record.revision}`, formatRecord(record), 0);
 	}
 
 	async function settleLostReply(change: Change): Promise<Result<ConfigurationRecord, ValvesaddleError>> {
@@ -59,7 +59,7 @@
 
 	async function write(change: Change, {record, modifyIndex}: Stored): Promise<Result<ConfigurationRecord, ValvesaddleError>> {
 		const next = toRecord(change, record);
-		const written = await writeHistory(record).andThen(() => kv.compareAndSwap(currentKey, JSON.stringify(next), modifyIndex));
+		const written = await writeHistory(record).andThen(() => kv.compareAndSwap(currentKey, formatRecord(next), modifyIndex));
 		if (written.isErr()) {
 			return written.error.code === 'ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME' ? settleLostReply(change) : err(written.error);
 		}
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -38,7 +38,7 @@
  */
 export function createPeerHandlers(options: PeerHandlerOptions): PeerHandlers {
 	const {host, claims, answers, follower, membership} = options;
-	const getNewerRecord = (revision: number): string | undefined => follower.revision() > revision ? JSON.stringify(follower.record()) : undefined;
+	const getNewerRecord = (revision: number): string | undefined => follower.revision() > revision ? follower.text() : undefined;
 
 	return {
 		'dispatch.acquire': async parameters => host.acquire(parse(acquireRequestSchema, parameters)),
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -54,7 +54,7 @@
 		self: {
 			id: node, role: 'router', address: settings.peer.advertise ?? settings.listen.peers, dataCentre, region, state: 'live',
 		},
-		vmList: vmListUrl === undefined ? undefined : createVmListClient({url: vmListUrl, timeoutMs: settings.platform.kv_timeout_ms}),
+		vmList: vmListUrl === undefined ? undefined : createVmListClient({url: vmListUrl, timeoutMs: settings.platform.kv_timeout_ms, metrics}),
 		pollMs: settings.platform.vm_list_poll_ms,
 		suspectMs: settings.dispatch.suspect_ms,
 		metrics,
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -65,6 +65,7 @@
 	async function handleMessage(data: RawData): Promise<void> {
 		const text = toText(data);
 		metrics.increment('peer.bytes-received', text.length);
+		metrics.increment('peer.messages-received');
 		const message = parseMessage(text);
 		if (isJSONRPCResponse(message)) {
 			client.receive(message);
