feat: store the configuration compressed and read an unchanged VM list once

Cause: at the size designed for a configuration takes 1,813 KB as JSON, more than a value of the key-value service may hold, and every node would read the whole list of VMs each second. Change: records are stored as gzip, an apply that is still too large is refused before anything is written; the list is read with If-None-Match.

--- a/bench/load/src/load-summary.ts
+++ b/bench/load/src/load-summary.ts
@@ -8,7 +8,7 @@
 	readonly goodAnswersPerSecond: number;
 	/** Tokens generated that belong to no complete answer, over all generated. */
 	readonly wastedPart: number;
-	/** Jain's index over the accounts' served tokens, each over its demand; 1 is even. */
+	/** Jain's index over the accounts' served tokens, each over its max-min fair share; 1 is even. */
 	readonly jainIndex: number;
 	readonly wrongAnswers: number;
 	readonly reconnects: number;
--- /dev/null
+++ b/config/schema/src/compressed-prefix.ts
@@ -0,0 +1,2 @@
+/** Begins every compressed record. */
+export const compressedPrefix = 'gzip:';
--- a/config/schema/test/configuration.test.ts
+++ b/config/schema/test/configuration.test.ts
@@ -4,6 +4,7 @@
 import {
 	compareConfigurations,
 	emptyConfiguration,
+	formatRecord,
 	parseRecord,
 	validateConfiguration,
 } from '@valvesaddle/config-schema';
@@ -63,6 +64,31 @@
 	t.end();
 });
 
+test('a record comes back as it was stored, compressed or plain', t => {
+	const record = {
+		revision: 3, changeId: 'c', author: 'iva', acceptedAt: 1, recentChanges: [{changeId: 'c', revision: 3}], configuration,
+	};
+	t.same(parseRecord(formatRecord(record))._unsafeUnwrap(), record);
+	t.same(parseRecord(JSON.stringify(record))._unsafeUnwrap(), record);
+	t.end();
+});
+
+const brokenRecords: ReadonlyArray<readonly [string, string]> = [
+	['nothing', 'gzip:'],
+	['no base64', 'gzip:%%%'],
+	['half of one', formatRecord({
+		revision: 3, changeId: 'c', author: 'iva', acceptedAt: 1, recentChanges: [], configuration,
+	}).slice(0, 60)],
+];
+
+for (const [name, text] of brokenRecords) {
+	test(`a compressed record that holds ${name} is rejected with a typed error`, t => {
+		const result = parseRecord(text);
+		t.equal(result.isErr() && result.error.code, 'ERR_VALVESADDLE_MESSAGE_INVALID');
+		t.end();
+	});
+}
+
 test('a difference names what is added, removed and replaced', t => {
 	const after: Configuration = {
 		...configuration,
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -15,10 +15,12 @@
 const currentKey = 'valvesaddle/configuration/current';
 const historyPrefix = 'valvesaddle/configuration/history';
 /**
-Changes remembered to answer an apply that is sent again; two days' worth at the size designed for.
+Changes remembered to answer an apply that is sent again; six hours' worth at the size designed for.
 */
-const mostRecentChanges = 4000;
+const mostRecentChanges = 500;
 const readBackTries = 3;
+/** The service's own limit for a value. */
+const largestValueBytes = 1024 * 1024;
 
 type Stored = {
 	readonly record: ConfigurationRecord | undefined;
@@ -57,9 +59,21 @@
 		return err(new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_UNKNOWN', `the reply to change "${change.changeId}" was lost`));
 	}
 
+	/** A configuration that no value of the service holds is refused before anything is written. */
+	function checkSize(text: string): Result<string, ValvesaddleError> {
+		return text.length <= largestValueBytes
+			? ok(text)
+			: err(new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_INVALID', `the configuration takes ${text.length} bytes as stored, more than ${largestValueBytes}`));
+	}
+
 	async function write(change: Change, {record, modifyIndex}: Stored): Promise<Result<ConfigurationRecord, ValvesaddleError>> {
 		const next = toRecord(change, record);
-		const written = await writeHistory(record).andThen(() => kv.compareAndSwap(currentKey, formatRecord(next), modifyIndex));
+		const text = checkSize(formatRecord(next));
+		if (text.isErr()) {
+			return err(text.error);
+		}
+
+		const written = await writeHistory(record).andThen(() => kv.compareAndSwap(currentKey, text.value, modifyIndex));
 		if (written.isErr()) {
 			return written.error.code === 'ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME' ? settleLostReply(change) : err(written.error);
 		}
--- a/fakes/vm-list/src/start-fake-vm-list.ts
+++ b/fakes/vm-list/src/start-fake-vm-list.ts
@@ -1,3 +1,4 @@
+import {hash} from 'node:crypto';
 import {startFakeServer} from '@valvesaddle/fake-http';
 import type {Vm} from '@valvesaddle/types';
 import type {FakeVmList} from './fake-vm-list.ts';
@@ -38,8 +39,17 @@
 				set(JSON.parse(request.body) as readonly Vm[]);
 			}
 
+			const text = JSON.stringify(vms);
+			const tag = `"${hash('md5', text)}"`;
+			response.setHeader('etag', tag);
 			response.setHeader('content-type', 'application/json');
-			response.end(JSON.stringify(vms));
+			if (request.headers['if-none-match'] === tag) {
+				response.statusCode = 304;
+				response.end();
+				return;
+			}
+
+			response.end(text);
 		},
 	});
 
--- /dev/null
+++ b/outcome/answers/test/answer-log.test.ts
@@ -0,0 +1,79 @@
+import {Clock} from 'clock-mock';
+import {test} from 'tap';
+import {createAnswerLog, createAnswerStore, type AnswerEnd} from '@valvesaddle/answers';
+
+const complete: AnswerEnd = {kind: 'complete', finishReason: 'stop', tokens: 2};
+
+function createLog(requestId = 'n1_1', onAbandoned: () => void = () => undefined) {
+	return createAnswerLog({
+		requestId, account: 'sawmill', graceMs: 1000, onAbandoned,
+	});
+}
+
+test('every reader gets every part from its offset on, and the end', async t => {
+	const log = createLog();
+	const early = log.read(0);
+	log.append('a');
+	t.same(await early, {parts: ['a'], end: undefined});
+	log.append('b');
+	log.finish(complete);
+	t.same(await log.read(0), {parts: ['a', 'b'], end: complete});
+	t.same(await log.read(1), {parts: ['b'], end: complete});
+	t.same(await log.read(2), {parts: [], end: complete});
+});
+
+test('what comes after the end changes nothing', async t => {
+	const log = createLog();
+	log.finish(complete);
+	log.append('late');
+	log.finish({...complete, tokens: 99});
+	t.same(await log.read(0), {parts: [], end: complete});
+});
+
+test('an answer is abandoned only when its last reader is gone for the grace time', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	let abandoned = 0;
+	const log = createLog('n1_1', () => {
+		abandoned++;
+	});
+	log.attach();
+	log.attach();
+	log.detach();
+	clock.advance(2000);
+	t.equal(abandoned, 0);
+	log.detach();
+	clock.advance(500);
+	log.attach();
+	clock.advance(2000);
+	t.equal(abandoned, 0);
+	log.detach();
+	clock.advance(1000);
+	t.equal(abandoned, 1);
+	t.end();
+});
+
+test('ended answers are kept for their time and size, open ones always', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const store = createAnswerStore({keepMs: 10_000, keepSize: 10});
+	const logs = ['open', 'first', 'second'].map(id => createLog(id));
+	for (const log of logs) {
+		store.add(log);
+	}
+
+	logs[1]!.append('123456');
+	logs[1]!.finish(complete);
+	clock.advance(1500);
+	logs[2]!.append('123456');
+	logs[2]!.finish(complete);
+	clock.advance(1000);
+	t.equal(store.find('first'), undefined);
+	t.ok(store.find('second'));
+	clock.advance(11_000);
+	t.equal(store.find('second'), undefined);
+	t.ok(store.find('open'));
+	t.same(store.openIds(), ['open']);
+	store.close();
+	t.end();
+});
