perf: search only endpoints that may have a slot, and send shorter messages

Change: an index of endpoints with a possible slot by rule, sums kept instead of added up; defaults are left out of an acquire, grant ids are short, the first-token time is reported once, progress every 2 s.

--- a/bench/capacity/src/fill-claim-shard.ts
+++ b/bench/capacity/src/create-filled-shard.ts
@@ -11,9 +11,9 @@
  Makes so many claims in a shard of its own, then lets the stand-in go so that only the writer's memory is held.
 
  @example
- const shard = await fillClaimShard(20_000);
+ const shard = await createFilledShard(20_000);
  */
-export async function fillClaimShard(count: number): Promise<ClaimShard> {
+export async function createFilledShard(count: number): Promise<ClaimShard> {
 	const server = await startFakeKv();
 	const metrics = createMetrics();
 	const kv = createKvClient({urls: [server.url], timeoutMs: 5000, metrics});
--- a/bench/capacity/src/measure-memory.ts
+++ b/bench/capacity/src/measure-memory.ts
@@ -3,7 +3,7 @@
 import {formatTable} from '@valvesaddle/bench-harness';
 import {createBenchDispatcher} from './create-bench-dispatcher.ts';
 import {createFullConfiguration} from './create-full-configuration.ts';
-import {fillClaimShard} from './fill-claim-shard.ts';
+import {createFilledShard} from './create-filled-shard.ts';
 import {measureHeldBytes} from './measure-held-bytes.ts';
 
 const manyRequests = 10_000;
@@ -25,7 +25,7 @@
 		['waiting request at its dispatcher', await measureHeldBytes(manyRequests, count => createAsked(1, count))],
 		['open grant at its dispatcher', await measureHeldBytes(manyRequests, count => createAsked(count, count))],
 		[`answer of ${tokensPerAnswer} tokens at its node`, await measureHeldBytes(manyAnswers, count => Array.from({length: count}, (_, index) => createAnswer(index)))],
-		['claim at its writer', await measureHeldBytes(manyClaims, fillClaimShard)],
+		['claim at its writer', await measureHeldBytes(manyClaims, createFilledShard)],
 		['client account, with its share of the configuration', await measureHeldBytes(manyAccounts, () => {
 			const configuration = createFullConfiguration(1);
 			return {configuration, index: createAccessIndex(configuration)};
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -1,4 +1,4 @@
-import {hash, randomUUID} from 'node:crypto';
+import {hash, randomBytes} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
@@ -20,6 +20,7 @@
 import {writeWholeReply} from './write-whole-reply.ts';
 
 const fingerprintLength = 22;
+const requestIdBytes = 12;
 const noRequest = '-';
 const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<rest>(?:\/[^?]*)?)(?<query>\?.*)?$/v;
 const tracedHeaders = ['traceparent', 'tracestate'];
@@ -171,7 +172,7 @@
 
 	function toJobBase({request, account}: Caller, text: string, pool: Pool): Pick<Job, 'requestId' | 'account' | 'claim' | 'trace' | 'arrivedAt'> {
 		return {
-			requestId: `${options.node}_${randomUUID()}`,
+			requestId: `${options.node}_${randomBytes(requestIdBytes).toString('hex')}`,
 			account: account.name,
 			claim: toClaim(request, text, pool),
 			trace: pickTrace(request),
--- a/config/settings/src/settings-schema.ts
+++ b/config/settings/src/settings-schema.ts
@@ -59,8 +59,8 @@
 const dispatch = z.strictObject({
 	mode: z.enum(['pool', 'alone']).default('pool'),
 	warmup_ms: milliseconds.default(500),
-	grant_lease_ms: milliseconds.default(5000),
-	progress_ms: milliseconds.default(1000),
+	grant_lease_ms: milliseconds.default(6000),
+	progress_ms: milliseconds.default(2000),
 	load_poll_ms: milliseconds.default(1500),
 	suspect_ms: milliseconds.default(3000),
 }).prefault({});
--- a/dispatch/alone/src/create-alone-client.ts
+++ b/dispatch/alone/src/create-alone-client.ts
@@ -57,9 +57,7 @@
 			const grantId = `${ask.requestId}#${++grantCount}`;
 			grants.set(grantId, endpoint.id);
 			sentSince.set(endpoint.id, (sentSince.get(endpoint.id) ?? 0) + 1);
-			return okAsync({
-				grantId, pool: ask.pool, endpointId: endpoint.id, url: endpoint.url,
-			});
+			return okAsync({grantId, endpointId: endpoint.id, url: endpoint.url});
 		},
 		progress() {
 			// Nobody waits for it.
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -5,7 +5,9 @@
 	type Result,
 } from 'neverthrow';
 import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
-import type {AcquireReply, AcquireRequest, Grant} from '@valvesaddle/messages';
+import type {
+	AcquireReply, AcquireRequest, Grant, ProgressReport,
+} from '@valvesaddle/messages';
 import type {AcquireAsk} from './acquire-ask.ts';
 import type {DispatchClient} from './dispatch-client.ts';
 import type {DispatchClientOptions} from './dispatch-client-options.ts';
@@ -153,6 +155,7 @@
 			pool: asked.pool,
 			tokens: 0,
 			firstTokenMs: undefined,
+			isReported: false,
 		});
 		return ok(reply.grant);
 	}
@@ -162,11 +165,18 @@
 		for (const pool of pools) {
 			const owner = host.findOwner(pool, []) ?? node;
 			applyOwner(pool, owner);
-			const reports = listHeld(pool).map(({open, tokens, firstTokenMs}) => ({grantId: open.grantId, tokens, firstTokenMs}));
+			const reports = listHeld(pool).map(grant => toReport(grant));
 			getPort(owner).progress({pool, node, reports});
 		}
 	}
 
+	/** What is new of a grant; the time of its first token is told once. */
+	function toReport(grant: HeldGrant): ProgressReport {
+		const {open: {grantId}, tokens, firstTokenMs, isReported} = grant;
+		held.set(grantId, {...grant, isReported: firstTokenMs !== undefined});
+		return {grantId, tokens, firstTokenMs: isReported ? undefined : firstTokenMs};
+	}
+
 	function moveGrants(lost: string): void {
 		for (const [pool, owner] of owners) {
 			if (owner === lost && listHeld(pool).length > 0) {
--- a/dispatch/client/src/create-remote-port.ts
+++ b/dispatch/client/src/create-remote-port.ts
@@ -1,5 +1,5 @@
 import type {PeerNetwork} from '@valvesaddle/network';
-import {acquireReplySchema} from '@valvesaddle/messages';
+import {acquireReplySchema, toAcquireMessage} from '@valvesaddle/messages';
 import type {DispatchPort} from './dispatch-port.ts';
 
 /**
@@ -12,7 +12,7 @@
 export function createRemotePort(network: PeerNetwork, node: string): DispatchPort {
 	return {
 		async acquire(request) {
-			const result = await network.call(node, 'dispatch.acquire', request);
+			const result = await network.call(node, 'dispatch.acquire', toAcquireMessage(request));
 			if (result.isErr()) {
 				throw result.error;
 			}
--- a/dispatch/messages/src/acquire-reply-schema.ts
+++ b/dispatch/messages/src/acquire-reply-schema.ts
@@ -8,7 +8,7 @@
 	z.object({
 		kind: z.literal('granted'),
 		grant: z.object({
-			grantId: z.string(), pool: z.string(), endpointId: z.string(), url: z.string(),
+			grantId: z.string(), endpointId: z.string(), url: z.string(),
 		}),
 	}),
 	z.object({
--- a/dispatch/messages/src/acquire-request-schema.ts
+++ b/dispatch/messages/src/acquire-request-schema.ts
@@ -1,8 +1,7 @@
 import {z} from 'zod';
+import {acquireDefaults} from './acquire-defaults.ts';
 
-/**
-Form of an acquire request on the wire.
-*/
+/** Form of an acquire request on the wire. */
 export const acquireRequestSchema = z.object({
 	requestId: z.string(),
 	pool: z.string(),
@@ -10,14 +9,14 @@
 	className: z.string(),
 	node: z.string(),
 	dataCentre: z.string(),
-	waitedMs: z.number().min(0),
-	admitted: z.boolean(),
-	promptTokens: z.number().min(0),
-	tokensSoFar: z.number().min(0),
+	waitedMs: z.number().min(0).default(acquireDefaults.waitedMs),
+	admitted: z.boolean().default(acquireDefaults.admitted),
+	promptTokens: z.number().min(0).default(acquireDefaults.promptTokens),
+	tokensSoFar: z.number().min(0).default(acquireDefaults.tokensSoFar),
 	session: z.string().optional().transform(value => value),
-	repeatable: z.boolean(),
-	avoid: z.array(z.string()).readonly(),
-	skipped: z.array(z.string()).readonly(),
-	forced: z.boolean(),
-	trace: z.record(z.string(), z.string()),
+	repeatable: z.boolean().default(acquireDefaults.repeatable),
+	avoid: z.array(z.string()).readonly().default(acquireDefaults.avoid),
+	skipped: z.array(z.string()).readonly().default(acquireDefaults.skipped),
+	forced: z.boolean().default(acquireDefaults.forced),
+	trace: z.record(z.string(), z.string()).default(acquireDefaults.trace),
 });
--- a/dispatch/messages/src/grant.ts
+++ b/dispatch/messages/src/grant.ts
@@ -3,7 +3,6 @@
 */
 export type Grant = {
 	readonly grantId: string;
-	readonly pool: string;
 	readonly endpointId: string;
 	readonly url: string;
 };
--- a/dispatch/messages/src/index.ts
+++ b/dispatch/messages/src/index.ts
@@ -1,6 +1,7 @@
 export type {AcquireReply} from './acquire-reply.ts';
 export {acquireReplySchema} from './acquire-reply-schema.ts';
 export type {AcquireRequest} from './acquire-request.ts';
+export {acquireDefaults} from './acquire-defaults.ts';
 export {acquireRequestSchema} from './acquire-request-schema.ts';
 export type {CancelMessage} from './cancel-message.ts';
 export {cancelMessageSchema} from './cancel-message-schema.ts';
@@ -14,3 +15,4 @@
 export type {ReleaseOutcome} from './release-outcome.ts';
 export type {ReleaseReport} from './release-report.ts';
 export {releaseReportSchema} from './release-report-schema.ts';
+export {toAcquireMessage} from './to-acquire-message.ts';
--- a/dispatch/policy/src/choose-endpoint.ts
+++ b/dispatch/policy/src/choose-endpoint.ts
@@ -4,37 +4,27 @@
 import {hasSlot} from './has-slot.ts';
 
 /**
- Picks, among the endpoints with a slot, the one with the shortest estimated time to the first token. Endpoints that
- failed the request before are taken only when no other endpoint could ever take it.
+ Picks, among the endpoints with a slot, the one with the shortest estimated time to the first token.
 
+ @param candidates - Endpoints that may have a slot; others need not be among them.
+ @param need - What the request needs; endpoints that it avoids are passed over.
  @example
  chooseEndpoint(endpoints, need)?.id; // 'engine-3'
  */
-export function chooseEndpoint(endpoints: Iterable<EndpointView>, need: EndpointNeed): EndpointView | undefined {
+export function chooseEndpoint(candidates: Iterable<EndpointView>, need: EndpointNeed): EndpointView | undefined {
 	let best: EndpointView | undefined;
 	let bestMs = Infinity;
-	let fallback: EndpointView | undefined;
-	let hasOther = false;
-	for (const endpoint of endpoints) {
-		const isAvoided = need.avoid.length > 0 && need.avoid.includes(endpoint.id);
-		hasOther ||= !isAvoided && endpoint.state === 'live';
-		if (!hasSlot(endpoint, need)) {
-			continue;
-		}
-
-		if (isAvoided) {
-			fallback ??= endpoint;
+	for (const endpoint of candidates) {
+		if (!hasSlot(endpoint, need) || need.avoid.includes(endpoint.id)) {
 			continue;
 		}
 
 		const milliseconds = estimateFirstToken(endpoint, need);
-		if (!(milliseconds < bestMs)) {
-			continue;
+		if (milliseconds < bestMs) {
+			best = endpoint;
+			bestMs = milliseconds;
 		}
-
-		best = endpoint;
-		bestMs = milliseconds;
 	}
 
-	return best ?? (hasOther ? undefined : fallback);
+	return best;
 }
--- a/dispatch/pool/src/count-free-slots.ts
+++ b/dispatch/pool/src/count-free-slots.ts
@@ -6,7 +6,7 @@
  @example
  countFreeSlots(endpoints, need); // 12
  */
-export function countFreeSlots(views: readonly EndpointView[], need: EndpointNeed): number {
+export function countFreeSlots(views: Iterable<EndpointView>, need: EndpointNeed): number {
 	let free = 0;
 	for (const view of views) {
 		if (!hasSlot(view, need)) {
--- a/dispatch/pool/src/create-endpoint-table.ts
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -6,9 +6,12 @@
 	updateAverage,
 	type EndpointView,
 } from '@valvesaddle/policy';
+import {addToSums} from './add-to-sums.ts';
 import {createEndpointView} from './create-endpoint-view.ts';
+import {createSlotIndex} from './create-slot-index.ts';
 import type {EndpointTable} from './endpoint-table.ts';
 import type {EndpointTableOptions} from './endpoint-table-options.ts';
+import type {PoolSums} from './pool-sums.ts';
 
 const sampleWeight = 0.2;
 /**
@@ -28,6 +31,10 @@
 	let leavingIds: ReadonlySet<string> = new Set();
 	const saidLeaving = new Set<string>();
 	const table = new Map<string, EndpointView>();
+	const index = createSlotIndex();
+	let sums: PoolSums = {
+		slots: 0, inFlight: 0, urgentInFlight: 0, live: 0,
+	};
 	let cached: readonly EndpointView[] | undefined;
 
 	function setView(view: EndpointView): void {
@@ -37,6 +44,8 @@
 		}
 
 		table.set(view.id, view);
+		index.set(view);
+		sums = addToSums(addToSums(sums, before, -1), view, 1);
 		cached = undefined;
 		if (before !== undefined && before.state !== view.state) {
 			options.onState(view.id, before.state, view.state);
@@ -64,15 +73,6 @@
 		});
 	}
 
-	function addUp(read: (view: EndpointView) => number): number {
-		let sum = 0;
-		for (const view of table.values()) {
-			sum += read(view);
-		}
-
-		return sum;
-	}
-
 	function getViews(): readonly EndpointView[] {
 		cached ??= table.values().toArray();
 		return cached;
@@ -94,6 +94,8 @@
 					continue;
 				}
 
+				sums = addToSums(sums, table.get(id), -1);
+				index.remove(id);
 				table.delete(id);
 				saidLeaving.delete(id);
 				cached = undefined;
@@ -159,8 +161,8 @@
 		},
 		views: getViews,
 		configured: () => endpoints,
-		slots: () => addUp(view => view.state === 'live' ? view.limit : 0),
-		inFlight: () => addUp(view => view.inFlight),
-		urgentInFlight: () => addUp(view => view.urgentInFlight),
+		sums: () => sums,
+		candidates: index.candidates,
+		setHeadroom: index.setHeadroom,
 	};
 }
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import Emittery from 'emittery';
 import {createLengthModel} from '@valvesaddle/lengths';
 import type {
@@ -32,6 +33,7 @@
 import type {Waiting} from './waiting.ts';
 
 const defaultInterTokenMs = 52;
+const epochLength = 8;
 /**
 Outcomes that speak against the endpoint; the others are the caller's doing.
 */
@@ -53,6 +55,8 @@
 	const lengths = createLengthModel();
 	const sessions = createSessionTable();
 	const openedAt = Date.now();
+	/** Tells this dispatcher's grants from those of others; short, since every report names it. */
+	const epoch = randomUUID().slice(0, epochLength);
 	let classes: ReadonlyMap<string, RequestClass> = new Map();
 	let interTokenTargetMs = defaultInterTokenMs;
 	let lastTickAt = openedAt;
@@ -82,21 +86,22 @@
 			promptTokens: request.promptTokens + request.tokensSoFar,
 			dataCentre: request.dataCentre,
 			sessionEndpoint: sessions.find(request.session),
-			avoid: request.avoid,
+			// Endpoints that failed the request are taken again only when there are no others.
+			avoid: request.avoid.length < table.sums().live ? request.avoid : [],
 			mayProbe: request.repeatable && mode !== 'urgent',
 		};
 	}
 
 	function predict(request: AcquireRequest, requestClass: RequestClass): number {
 		const need = toNeed(requestClass.urgent ? 'urgent' : 'shared', request);
-		const slots = table.slots();
+		const {slots, urgentInFlight} = table.sums();
 		return predictWait({
 			requestClass,
 			accountWaiting: queue.accountWaiting(request.className, request.account),
 			accountShares: queue.accountShares(request.className, request.account),
 			slots,
-			urgentSlots: table.urgentInFlight() + (headroom * slots),
-			freeSlots: countFreeSlots(table.views(), need),
+			urgentSlots: urgentInFlight + (headroom * slots),
+			freeSlots: countFreeSlots(table.candidates(need.mode), need),
 		}, queue.views().map(view => ({...view, holdMs: stats.holdMs(view.requestClass.name)})));
 	}
 
@@ -133,7 +138,7 @@
 		}
 
 		const item = queue.peek(turn.className);
-		const endpoint = item && chooseEndpoint(table.views(), toNeed(turn.mode, item.value.request));
+		const endpoint = item && chooseEndpoint(table.candidates(turn.mode), toNeed(turn.mode, item.value.request));
 		if (item === undefined || endpoint === undefined) {
 			return false;
 		}
@@ -146,7 +151,7 @@
 
 	function grant({value: {request, settle}, arrivedAt}: Queued<Waiting>, endpoint: EndpointView, mode: GrantMode): void {
 		const now = Date.now();
-		const grantId = `${request.requestId}#${++grantCount}`;
+		const grantId = `${epoch}-${(++grantCount).toString(36)}`;
 		const charged = lengths.expect(request.className, request.tokensSoFar) - request.tokensSoFar;
 		grants.add({
 			grantId,
@@ -165,11 +170,7 @@
 		sessions.remember(request.session, endpoint.id);
 		metrics.increment('dispatch.granted', 1, {class: request.className, mode});
 		metrics.timing('dispatch.wait', now - arrivedAt, {class: request.className});
-		settle({
-			kind: 'granted', grant: {
-				grantId, pool: options.pool, endpointId: endpoint.id, url: endpoint.url,
-			},
-		});
+		settle({kind: 'granted', grant: {grantId, endpointId: endpoint.id, url: endpoint.url}});
 	}
 
 	async function addToQueue(request: AcquireRequest): Promise<AcquireReply> {
@@ -261,12 +262,14 @@
 			busyMs += rate * stats.holdMs(name);
 		}
 
+		const {slots, urgentInFlight} = table.sums();
 		headroom = measureHeadroom({
 			urgentPerSecond,
 			urgentHoldMs: urgentPerSecond > 0 ? busyMs / urgentPerSecond : 0,
-			urgentInFlight: table.urgentInFlight(),
-			slots: table.slots(),
+			urgentInFlight,
+			slots,
 		});
+		table.setHeadroom(headroom);
 	}
 
 	applyConfiguration(options.configuration, options.leaving);
@@ -315,7 +318,7 @@
 		},
 		endpoints: table.configured,
 		status: () => ({
-			pool: options.pool, waiting: queue.size(), inFlight: table.inFlight(), endpoints: table.views(),
+			pool: options.pool, waiting: queue.size(), inFlight: table.sums().inFlight, endpoints: table.views(),
 		}),
 		isIdle: () => queue.size() === 0 && grants.size() === 0,
 	};
--- a/dispatch/pool/src/endpoint-table.ts
+++ b/dispatch/pool/src/endpoint-table.ts
@@ -1,6 +1,8 @@
 import type {Endpoint} from '@valvesaddle/types';
 import type {EndpointView} from '@valvesaddle/policy';
 import type {LoadReport} from './load-report.ts';
+import type {PoolSums} from './pool-sums.ts';
+import type {SlotIndex} from './slot-index.ts';
 
 /**
 The endpoints of a pool with what the dispatcher learned of them.
@@ -24,10 +26,8 @@
 	readonly tick: () => void;
 	readonly views: () => readonly EndpointView[];
 	readonly configured: () => readonly Endpoint[];
-	/**
-	Sum of the limits of the endpoints in use.
-	*/
-	readonly slots: () => number;
-	readonly inFlight: () => number;
-	readonly urgentInFlight: () => number;
+	readonly sums: () => PoolSums;
+	/** Endpoints that may have a slot under a rule. */
+	readonly candidates: SlotIndex['candidates'];
+	readonly setHeadroom: SlotIndex['setHeadroom'];
 };
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -150,11 +150,11 @@
 		const tokens = progress.tokens - before;
 		dispatch.release({
 			grantId: grant.grantId,
-			pool: grant.pool,
+			pool: job.pool.name,
 			outcome: toReleaseOutcome(result.error),
 			tokens,
 			firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
-			interTokenMs: firstAt !== undefined && tokens > 1 ? (Date.now() - firstAt) / (tokens - 1) : undefined,
+			interTokenMs: firstAt !== undefined && tokens > 1 ? Math.round((Date.now() - firstAt) / (tokens - 1)) : undefined,
 		});
 		endpointHop.end();
 		return result;
@@ -226,7 +226,7 @@
 		const held = await claim();
 		if (held !== undefined) {
 			dispatch.release({
-				grantId: grant.grantId, pool: grant.pool, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
+				grantId: grant.grantId, pool: job.pool.name, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
 			});
 			return held;
 		}
