--- a/bench/harness/src/start-bench-fleet.ts
+++ b/bench/harness/src/start-bench-fleet.ts
@@ -1,6 +1,7 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
@@ -15,7 +16,8 @@
 import {startProcess} from './start-process.ts';
 
 const root = path.resolve(import.meta.dirname, '../../..');
-const mainScript = path.join(root, 'cli/valvesaddle/src/main.ts');
+/** The binary, as it runs in production; `npm run build` makes it. */
+const binary = path.join(root, 'dist/valvesaddle');
 const standInsScript = path.join(import.meta.dirname, 'stand-ins-main.ts');
 const startedAtOnce = 8;
 const pollMs = 50;
@@ -28,7 +30,7 @@
  */
 export async function startBenchFleet(options: BenchFleetOptions): Promise<BenchFleet> {
 	const folder = await mkdtemp(path.join(tmpdir(), 'valvesaddle-bench-'));
-	const standInsProcess = await startProcess(standInsScript, [JSON.stringify({engines: options.engines})]);
+	const standInsProcess = await startProcess(process.execPath, [standInsScript, JSON.stringify({engines: options.engines})]);
 	const standIns = JSON.parse(standInsProcess.firstLine) as StandInsAddresses;
 	const nodes: BenchNode[] = [];
 	let revision = 0;
@@ -36,7 +38,7 @@
 	async function startNode(id: string): Promise<BenchNode> {
 		const file = path.join(folder, `${id}.toml`);
 		await writeFile(file, stringify(createTables(id, standIns, options)));
-		const started = await startProcess(mainScript, ['serve', '--settings', file]);
+		const started = await startProcess(binary, ['serve', '--settings', file]);
 		const addresses = JSON.parse(started.firstLine) as Omit<BenchNode, 'id' | 'process'>;
 		return {id, process: started, ...addresses};
 	}
--- a/bench/harness/src/start-process.ts
+++ b/bench/harness/src/start-process.ts
@@ -1,17 +1,16 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import process from 'node:process';
 import {createInterface} from 'node:readline';
 import type {StartedProcess} from './started-process.ts';
 
 /**
- Starts a script under the Node.js that runs this one and waits for its first line.
+ Starts a program and waits for its first line.
 
  @example
- const {firstLine, kill} = await startProcess('stand-ins-main.ts', ['{}']);
+ const {firstLine, kill} = await startProcess('dist/valvesaddle', ['serve', '--settings', 'node.toml']);
  */
-export async function startProcess(script: string, scriptArguments: readonly string[]): Promise<StartedProcess> {
-	const child = spawn(process.execPath, [script, ...scriptArguments], {stdio: ['ignore', 'pipe', 'inherit']});
+export async function startProcess(program: string, programArguments: readonly string[]): Promise<StartedProcess> {
+	const child = spawn(program, programArguments, {stdio: ['ignore', 'pipe', 'inherit']});
 	const lines = createInterface({input: child.stdout});
 	const [firstLine] = await once(lines, 'line') as [string];
 	return {
--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -34,6 +34,8 @@
 	format: 'cjs',
 	// Optional parts of libraries that are not used.
 	external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
+	minify: true,
+	keepNames: true,
 	logLevel: 'warning',
 });
 writeFileSync(configFile, JSON.stringify({
--- a/config/settings/src/settings-schema.ts
+++ b/config/settings/src/settings-schema.ts
@@ -21,6 +21,7 @@
 	advertise: address.optional(),
 	silence_ms: milliseconds.default(600),
 	gossip_ms: milliseconds.default(2000),
+	compress: z.boolean().default(false),
 });
 
 const platform = z.strictObject({
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -23,6 +23,8 @@
 A request that waited so long at a dispatcher had been taken into its queue.
 */
 const surelyQueuedMs = 100;
+/** Grants named in one round of progress; bounds the bytes of a node with many streams. */
+const mostReports = 40;
 
 /**
  Creates the client of a node. It finds the dispatcher of each pool; when that one is lost or the duty moves, it
@@ -160,12 +162,14 @@
 		return ok(reply.grant);
 	}
 
+	/** Renews all grants; names only so many of them in one round, those that were not named for longest. */
 	function sendProgress(): void {
+		const due = held.values().take(mostReports).toArray();
 		const pools = new Set(held.values().map(({pool}) => pool));
 		for (const pool of pools) {
 			const owner = host.findOwner(pool, []) ?? node;
 			applyOwner(pool, owner);
-			const reports = listHeld(pool).map(grant => toReport(grant));
+			const reports = due.filter(grant => grant.pool === pool).map(grant => toReport(grant));
 			getPort(owner).progress({pool, node, reports});
 		}
 	}
@@ -173,6 +177,7 @@
 	/** What is new of a grant; the time of its first token is told once. */
 	function toReport(grant: HeldGrant): ProgressReport {
 		const {open: {grantId}, tokens, firstTokenMs, isReported} = grant;
+		held.delete(grantId);
 		held.set(grantId, {...grant, isReported: firstTokenMs !== undefined});
 		return {grantId, tokens, firstTokenMs: isReported ? undefined : firstTokenMs};
 	}
--- a/dispatch/pool/src/create-grant-table.ts
+++ b/dispatch/pool/src/create-grant-table.ts
@@ -2,15 +2,19 @@
 import type {GrantEntry} from './grant-entry.ts';
 import type {GrantTable} from './grant-table.ts';
 
+/** A node that is heard names each of its grants at least once in so many leases. */
+const leasesUnnamed = 20;
+
 /**
  Creates the table of a pool's open grants.
 
  @example
- const grants = createGrantTable(endpoints);
+ const grants = createGrantTable(endpoints, 6000);
  */
-export function createGrantTable(endpoints: EndpointTable): GrantTable {
+export function createGrantTable(endpoints: EndpointTable, leaseMs: number): GrantTable {
 	const grants = new Map<string, GrantEntry>();
 	const byRequest = new Map<string, string>();
+	const heardAt = new Map<string, number>();
 
 	function remove(grantId: string): GrantEntry | undefined {
 		const entry = grants.get(grantId);
@@ -27,6 +31,11 @@
 		return entry;
 	}
 
+	function isStale({node, renewedAt}: GrantEntry, now: number): boolean {
+		const nodeHeardAt = Math.max(renewedAt, heardAt.get(node) ?? 0);
+		return now - nodeHeardAt >= leaseMs || now - renewedAt >= leaseMs * leasesUnnamed;
+	}
+
 	return {
 		add(entry) {
 			grants.set(entry.grantId, entry);
@@ -39,8 +48,11 @@
 			grants.set(entry.grantId, entry);
 		},
 		remove,
-		removeStale(renewedBefore) {
-			const stale = grants.values().filter(({renewedAt}) => renewedAt <= renewedBefore).toArray();
+		renewNode(node, now) {
+			heardAt.set(node, now);
+		},
+		removeStale(now) {
+			const stale = grants.values().filter(entry => isStale(entry, now)).toArray();
 			for (const {grantId} of stale) {
 				remove(grantId);
 			}
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -68,7 +68,7 @@
 			void events.emit('endpointState', {endpoint, from, to});
 		},
 	});
-	const grants = createGrantTable(table);
+	const grants = createGrantTable(table, options.grantLeaseMs);
 
 	function applyConfiguration(configuration: Configuration, leaving: ReadonlySet<string>): void {
 		classes = new Map(configuration.classes.map(requestClass => [requestClass.name, requestClass]));
@@ -288,6 +288,7 @@
 		release,
 		progress(node, reports) {
 			const now = Date.now();
+			grants.renewNode(node, now);
 			for (const report of reports) {
 				recordProgress(node, report, now);
 			}
@@ -300,7 +301,7 @@
 		configure: applyConfiguration,
 		tick() {
 			const now = Date.now();
-			metrics.increment('dispatch.grants-expired', grants.removeStale(now - options.grantLeaseMs));
+			metrics.increment('dispatch.grants-expired', grants.removeStale(now));
 			expireWaiting(now);
 			stats.tick(now - lastTickAt);
 			lastTickAt = now;
--- a/dispatch/pool/src/grant-table.ts
+++ b/dispatch/pool/src/grant-table.ts
@@ -12,9 +12,12 @@
 	*/
 	readonly replace: (entry: GrantEntry) => void;
 	readonly remove: (grantId: string) => GrantEntry | undefined;
+	/** Notes a sign of life of a node, which renews all its grants for a lease. */
+	readonly renewNode: (node: string, now: number) => void;
 	/**
-	Removes the grants that were not renewed since the given time; returns how many.
+	Removes the grants whose node was silent for a lease, or did not name them for many leases although it was heard;
+	returns how many.
 	*/
-	readonly removeStale: (renewedBefore: number) => number;
+	readonly removeStale: (now: number) => number;
 	readonly size: () => number;
 };
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -190,6 +190,25 @@
 	t.same(inbox.granted(), ['lost', 'next']);
 });
 
+test('a node that is heard keeps the grants that it did not name this time, but not for ever', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const inbox = createInbox(dispatcher);
+	await inbox.ask(createRequest('forgotten'));
+	for (let elapsed = 0; elapsed < 99_000; elapsed += 1000) {
+		clock.advance(1000);
+		dispatcher.progress('n1', []);
+		dispatcher.tick();
+	}
+
+	t.equal(dispatcher.status().inFlight, 1);
+	clock.advance(1000);
+	dispatcher.progress('n1', []);
+	dispatcher.tick();
+	t.equal(dispatcher.status().inFlight, 0);
+});
+
 test('registered grants of an earlier dispatcher count against the limit', async t => {
 	const dispatcher = createDispatcher(createConfiguration(1, 1));
 	const inbox = createInbox(dispatcher);
--- /dev/null
+++ b/node/router/src/create-catch-up.ts
@@ -0,0 +1,48 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {ConfigFollower} from '@valvesaddle/config-follower';
+import type {PeerNetwork} from '@valvesaddle/network';
+import type {CatchUp} from './catch-up.ts';
+
+/** The watch on the key-value service usually brings a change within this time. */
+const patienceMs = 300;
+
+type CatchUpOptions = {
+	readonly network: PeerNetwork;
+	readonly follower: ConfigFollower;
+};
+
+/**
+ Creates the way in which a node that is cut from the key-value service gets a newer configuration: from the first peer
+ that told of it, one at a time, and only if the watch did not bring it meanwhile. Without that pause every node would
+ be sent every change by each of its peers.
+
+ @example
+ const catchUp = createCatchUp({network, follower});
+ catchUp(8, 'b1');
+ */
+export function createCatchUp({network, follower}: CatchUpOptions): CatchUp {
+	let isRunning = false;
+
+	async function run(revision: number, peer: string): Promise<void> {
+		await delay(patienceMs, undefined, {ref: false});
+		if (follower.revision() >= revision) {
+			return;
+		}
+
+		const result = await network.call(peer, 'configuration.compare', {revision: follower.revision()});
+		if (result.isOk()) {
+			follower.offerText(result.value, peer);
+		}
+	}
+
+	return (revision, peer) => {
+		if (isRunning || follower.revision() >= revision) {
+			return;
+		}
+
+		isRunning = true;
+		void run(revision, peer).finally(() => {
+			isRunning = false;
+		});
+	};
+}
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -13,6 +13,7 @@
 } from '@valvesaddle/messages';
 import type {PeerHandlers} from '@valvesaddle/network';
 import {z} from 'zod';
+import type {CatchUp} from './catch-up.ts';
 import {compareSchema} from './compare-schema.ts';
 import {readRequestSchema} from './read-request-schema.ts';
 
@@ -22,10 +23,7 @@
 	readonly answers: AnswerStore;
 	readonly follower: ConfigFollower;
 	readonly membership: Membership;
-	/**
-	Asks a peer that has a newer configuration for it.
-	*/
-	readonly readRecordFrom: (peer: string) => void;
+	readonly catchUp: CatchUp;
 };
 
 const longestReadMs = 5000;
@@ -69,7 +67,7 @@
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
 			if (revision > follower.revision()) {
-				options.readRecordFrom(peer);
+				options.catchUp(revision, peer);
 			}
 
 			return getNewerRecord(revision);
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -20,6 +20,7 @@
 import {createTracing} from '@valvesaddle/tracing';
 import type {Endpoint} from '@valvesaddle/types';
 import {createVmListClient} from '@valvesaddle/vm-list';
+import {createCatchUp} from './create-catch-up.ts';
 import {createHealth} from './create-health.ts';
 import {createPeerHandlers} from './create-peer-handlers.ts';
 import {createRemoteAnswer} from './create-remote-answer.ts';
@@ -65,6 +66,7 @@
 		token: settings.peer.token,
 		findAddress: membership.findAddress,
 		silenceMs: settings.peer.silence_ms,
+		isCompressed: settings.peer.compress,
 		metrics,
 	});
 	const follower = createConfigFollower({
@@ -79,6 +81,7 @@
 		metrics,
 		logger,
 	});
+	const catchUp = createCatchUp({network, follower});
 	const engines = createEngineClient({connectMs: limits.connect_ms, firstTokenMs: limits.first_token_ms, pauseMs: limits.pause_ms});
 	const services = createServiceClient({connectMs: limits.connect_ms, replyMs: limits.service_reply_ms});
 	const readLoad = async (endpoint: Endpoint) => isEnginePool(endpoint.pool) ? engines.readLoad(endpoint.url) : undefined;
@@ -171,7 +174,7 @@
 		metrics,
 	});
 	const peerHandlers = createPeerHandlers({
-		host, claims, answers, follower, membership, readRecordFrom,
+		host, claims, answers, follower, membership, catchUp,
 	});
 
 	function getStatus(): NodeStatus {
@@ -185,12 +188,6 @@
 		};
 	}
 
-	function readRecordFrom(peer: string): void {
-		void network.call(peer, 'configuration.compare', {revision: follower.revision()}).andTee(text => {
-			follower.offerText(text, peer);
-		});
-	}
-
 	follower.events.on('changed', ({data}) => {
 		access = createAccessIndex(data.configuration);
 		host.configure();
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -41,7 +41,11 @@
 	let unansweredSince = 0;
 	let pending = 0;
 
-	const server = new JSONRPCServer();
+	const server = new JSONRPCServer({
+		errorListener() {
+			metrics.increment('peer.calls-failed');
+		},
+	});
 	server.mapErrorToJSONRPCErrorResponse = toRpcError;
 	for (const [method, handle] of Object.entries(options.handlers)) {
 		server.addMethod(method, async (parameters: unknown) => handle(parameters, options.node));
@@ -127,10 +131,9 @@
 				unansweredSince = 0;
 			}
 
-			const isUsed = pending > 0 || now - usedAt < options.silenceMs * pingPart;
 			if (unansweredSince > 0 && now - unansweredSince >= options.silenceMs) {
 				socket.terminate();
-			} else if (isUsed && now - Math.max(heardAt, pingedAt) >= options.silenceMs / pingPart) {
+			} else if (pending > 0 && now - Math.max(heardAt, pingedAt) >= options.silenceMs / pingPart) {
 				pingedAt = now;
 				unansweredSince ||= now;
 				socket.ping();
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import Emittery from 'emittery';
 import {ResultAsync} from 'neverthrow';
-import {WebSocket, WebSocketServer} from 'ws';
+import {WebSocket, WebSocketServer, type PerMessageDeflateOptions} from 'ws';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {createPeerLink} from './create-peer-link.ts';
 import {fromRpcError} from './from-rpc-error.ts';
@@ -16,6 +16,10 @@
 const nodeHeader = 'x-valvesaddle-node';
 const largestMessageBytes = 2 * 1024 * 1024;
 const ticksPerSilence = 6;
+/** Small windows: messages are short and alike, and every link holds its own. */
+const compression: PerMessageDeflateOptions = {
+	threshold: 0, serverMaxWindowBits: 11, clientMaxWindowBits: 11, zlibDeflateOptions: {level: 1, memLevel: 4},
+};
 
 /**
  Creates the network of a node: it listens for peers and opens links to them when first needed.
@@ -72,7 +76,7 @@
 		const socket = new WebSocket(`ws://${address}`, {
 			headers: {authorization: `Bearer ${options.token}`, [nodeHeader]: options.node},
 			handshakeTimeout: options.silenceMs,
-			perMessageDeflate: false,
+			perMessageDeflate: options.isCompressed ? compression : false,
 			maxPayload: largestMessageBytes,
 		});
 		const {promise, resolve, reject} = Promise.withResolvers<PeerLink>();
@@ -114,7 +118,7 @@
 			});
 			socketServer = new WebSocketServer({
 				server: httpServer,
-				perMessageDeflate: false,
+				perMessageDeflate: options.isCompressed ? compression : false,
 				maxPayload: largestMessageBytes,
 				verifyClient: ({req}: {req: IncomingMessage}) => hasToken(req, options.token),
 			});
--- a/peer/network/test/peer-network.test.ts
+++ b/peer/network/test/peer-network.test.ts
@@ -9,7 +9,7 @@
 async function startPair(t: Test, handlers: PeerHandlers, tokens: readonly [string, string] = [token, token]) {
 	const addresses = new Map<string, string>();
 	const create = (node: string, own: string): PeerNetwork => createPeerNetwork({
-		node, host: '127.0.0.1', port: 0, token: own, findAddress: name => addresses.get(name), silenceMs: 60_000, metrics: createMetrics(),
+		node, host: '127.0.0.1', port: 0, token: own, findAddress: name => addresses.get(name), silenceMs: 60_000, isCompressed: false, metrics: createMetrics(),
 	});
 	const a = create('a', tokens[0]);
 	const b = create('b', tokens[1]);
