--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -1,25 +1,21 @@
 import type {AnswerEnd, AnswerLog} from '@valvesaddle/answers';
-import type {ClaimQuestion} from '@valvesaddle/claims';
 import {toValvesaddleError, type ValvesaddleError} from '@valvesaddle/error';
-import type {Grant, ReleaseOutcome} from '@valvesaddle/messages';
+import type {Grant} from '@valvesaddle/messages';
 import {
-	advanceOutcome,
-	firstOutcome,
-	type Outcome,
-	type OutcomeEvent,
+	advanceOutcome, firstOutcome, type Outcome, type OutcomeEvent,
 } from '@valvesaddle/state';
+import {createClaimHolder} from './create-claim-holder.ts';
+import {decideNextStep} from './decide-next-step.ts';
+import type {Execution} from './execution.ts';
 import type {ExecutorOptions} from './executor-options.ts';
 import type {Job} from './job.ts';
 import type {Progress} from './progress.ts';
+import {recordEnd} from './record-end.ts';
 import type {RetryBudgets} from './retry-budgets.ts';
 import {runEngineAttempt} from './run-engine-attempt.ts';
 import {runServiceAttempt} from './run-service-attempt.ts';
-
-/**
-Endpoints tried for one request, after each of which it may go on elsewhere.
-*/
-const mostAttempts = 5;
-const claimRetryAfterMs = 2000;
+import {toErrorEnd} from './to-error-end.ts';
+import {toReleaseOutcome} from './to-release-outcome.ts';
 
 type ExecutionOptions = ExecutorOptions & {
 	readonly job: Job;
@@ -28,41 +24,40 @@
 	readonly signal: AbortSignal;
 };
 
-type AttemptEnd = {
+type AttemptResult = {
 	readonly end: AnswerEnd | undefined;
 	readonly error: ValvesaddleError | undefined;
 };
 
-/**
-What to do after a failed attempt.
-*/
-type Verdict = 'retry' | 'give-up';
-
 /**
  Creates the execution of one request: queue, grant, claim, send, stream, and again elsewhere where that is allowed.
 
  @example
  const end = await createExecution({...options, job, log, budgets, signal}).run();
  */
-export function createExecution(options: ExecutionOptions): {readonly run: () => Promise<AnswerEnd>} {
-	const {job, log, dispatch, claims, metrics, tracing, signal} = options;
+export function createExecution(options: ExecutionOptions): Execution {
+	const {job, log, dispatch, metrics, tracing, signal} = options;
 	const progress: Progress = {
 		text: '', tokens: 0, isPlainText: true, firstTokenAt: undefined,
 	};
 	const avoid: string[] = [];
 	const hop = tracing.startHop('request', job.trace);
-	const question: ClaimQuestion | undefined = job.claim && {
+	const claimHolder = createClaimHolder(options.claims, job.claim && {
 		...job.claim, account: job.account, requestId: job.requestId, node: options.node,
-	};
+	});
 	let outcome: Outcome = firstOutcome;
-	let hasClaim = false;
 
 	function advance(event: OutcomeEvent): void {
 		outcome = advanceOutcome(outcome, event);
 	}
 
-	function endWithError(error: ValvesaddleError): AnswerEnd {
-		advance('give-up');
+	/** Gives the request up; its claim goes back where it surely did not run, so that the caller may send it again. */
+	async function endWithError(error: ValvesaddleError, event: OutcomeEvent = 'give-up'): Promise<AnswerEnd> {
+		advance(event);
+		if (outcome.ran === 'no') {
+			await claimHolder.release();
+		}
+
 		return toErrorEnd(error, outcome, job);
 	}
 
@@ -90,40 +85,25 @@
 		return grant.value;
 	}
 
-	/**
-	Looks whether the key was used before, so that a repetition does not wait for a grant.
-	*/
-	async function findHolder(): Promise<AnswerEnd | undefined> {
-		if (question === undefined) {
-			return undefined;
-		}
-
-		const found = await claims.find(question);
-		if (found.isErr()) {
-			return endWithError(found.error);
-		}
-
-		return found.value.kind === 'held' ? found.value : undefined;
-	}
-
-	/**
-	Claims the request; returns the end when it may not run here.
-	*/
-	async function claim(): Promise<AnswerEnd | undefined> {
-		if (question === undefined || hasClaim) {
-			return undefined;
+	/** Claims the request under a grant; gives the grant back when it may not run here. */
+	async function claim(grant: Grant): Promise<AnswerEnd | undefined> {
+		let held: AnswerEnd | undefined;
+		try {
+			held = await claimHolder.claim();
+		} catch (error) {
+			held = await endWithError(toValvesaddleError(error));
 		}
 
-		const answer = await claims.claim(question);
-		if (answer.isErr()) {
-			return endWithError(answer.error);
+		if (held !== undefined) {
+			dispatch.release({
+				grantId: grant.grantId, pool: job.pool.name, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
+			});
 		}
 
-		hasClaim = answer.value.kind === 'claimed';
-		return answer.value.kind === 'held' ? answer.value : undefined;
+		return held;
 	}
 
-	async function runAttempt(grant: Grant): Promise<AttemptEnd> {
+	async function runAttempt(grant: Grant): Promise<AttemptResult> {
 		const endpointHop = tracing.startHop('endpoint', hop.carrier);
 		endpointHop.setAttribute('endpoint', grant.endpointId);
 		const startedAt = Date.now();
@@ -136,15 +116,16 @@
 				advance('first-answer');
 			},
 		};
-		let result: AttemptEnd;
+		let result: AttemptResult;
 		try {
 			const end = job.work.kind === 'engine'
 				? await runEngineAttempt(attempt, job.work, options)
 				: await runServiceAttempt(attempt, job.work, options.services);
 			result = {end, error: undefined};
 		} catch (error) {
-			result = {end: undefined, error: toValvesaddleError(error)};
-			endpointHop.fail(result.error?.message ?? '');
+			const failure = toValvesaddleError(error);
+			result = {end: undefined, error: failure};
+			endpointHop.fail(failure.message);
 		}
 
 		const tokens = progress.tokens - before;
@@ -160,74 +141,37 @@
 		return result;
 	}
 
-	function decideNext(error: ValvesaddleError): Verdict {
-		const canGoOn = progress.tokens === 0 || progress.isPlainText;
-		if (!canGoOn || error.code === 'ERR_VALVESADDLE_CANCELLED' || avoid.length >= mostAttempts) {
-			return 'give-up';
-		}
-
-		if (error.traits.ran === 'no') {
-			return 'retry';
-		}
-
-		if (job.claim !== undefined) {
-			return 'give-up';
-		}
-
-		// An answer under way is never given up for want of budget: its tokens would be wasted.
-		return progress.tokens > 0 || options.budgets.spend(job.account, job.pool.name) ? 'retry' : 'give-up';
-	}
-
 	async function settleFailure(error: ValvesaddleError, grant: Grant): Promise<AnswerEnd | undefined> {
 		metrics.increment('attempts.failed', 1, {code: error.code});
 		if (error.code === 'ERR_VALVESADDLE_ENDPOINT_REJECTED') {
-			advance(outcome.state === 'sent' ? 'reject' : 'give-up');
-			await releaseClaim();
-			return toErrorEnd(error, outcome, job);
+			return endWithError(error, outcome.state === 'sent' ? 'reject' : 'give-up');
 		}
 
-		if (decideNext(error) === 'give-up') {
-			return error.traits.ran === 'no' ? endNotRun(error) : endWithError(error);
+		const next = decideNextStep({
+			error, job, progress, attempts: avoid.length + 1, canSpend: () => options.budgets.spend(job.account, job.pool.name),
+		});
+		const isNotRun = error.traits.ran === 'no' && outcome.state === 'sent';
+		if (next === 'end' && !isNotRun) {
+			return endWithError(error);
 		}
 
-		advance(error.traits.ran === 'no' && outcome.state === 'sent' ? 'not-run' : 'retry');
+		advance(isNotRun ? 'not-run' : 'retry');
 		avoid.push(grant.endpointId);
-		return undefined;
-	}
-
-	async function endNotRun(error: ValvesaddleError): Promise<AnswerEnd> {
-		advance('not-run');
-		await releaseClaim();
-		return endWithError(error);
-	}
-
-	/**
-	Gives the claim back where the request surely did not run, so that the caller may send it again.
-	*/
-	async function releaseClaim(): Promise<void> {
-		if (!(question !== undefined && hasClaim && outcome.ran === 'no')) {
-			return;
-		}
-
-		hasClaim = false;
-		await claims.release(question);
+		return next === 'end' ? endWithError(error) : undefined;
 	}
 
+	/** One grant and one attempt; `undefined` when another one follows. */
 	async function runOnce(): Promise<AnswerEnd | undefined> {
 		let grant: Grant;
 		try {
 			grant = await acquire();
 		} catch (error) {
-			await releaseClaim();
 			return endWithError(toValvesaddleError(error));
 		}
 
 		advance('grant');
-		const held = await claim();
+		const held = await claim(grant);
 		if (held !== undefined) {
-			dispatch.release({
-				grantId: grant.grantId, pool: job.pool.name, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
-			});
 			return held;
 		}
 
@@ -245,9 +189,18 @@
 		return end;
 	}
 
+	/** Looks whether the key was used before, so that a repetition does not wait for a grant. */
+	async function findHeld(): Promise<AnswerEnd | undefined> {
+		try {
+			return await claimHolder.findOther();
+		} catch (error) {
+			return endWithError(toValvesaddleError(error));
+		}
+	}
+
 	return {
 		async run() {
-			let end = await findHolder();
+			let end = await findHeld();
 			if (end === undefined) {
 				advance('queue');
 			}
@@ -257,52 +210,10 @@
 				end = await runOnce();
 			}
 
-			recordEnd(options, end, progress);
+			recordEnd(metrics, {job, end, progress});
 			hop.setAttribute('outcome', outcome.state);
 			hop.end();
 			return end;
 		},
 	};
 }
-
-function toReleaseOutcome(error: ValvesaddleError | undefined): ReleaseOutcome {
-	if (error === undefined || error.code === 'ERR_VALVESADDLE_ENDPOINT_REJECTED') {
-		return 'complete';
-	}
-
-	if (error.code === 'ERR_VALVESADDLE_CANCELLED') {
-		return 'cancelled';
-	}
-
-	return error.traits.ran === 'no' ? 'not-run' : 'failed';
-}
-
-function toErrorEnd(error: ValvesaddleError, {ran}: Outcome, job: Job): AnswerEnd {
-	const isMayHaveRun = job.claim !== undefined && ran !== 'no';
-	return {
-		kind: 'error',
-		code: isMayHaveRun ? 'ERR_VALVESADDLE_MAY_HAVE_RUN' : error.code,
-		message: error.message,
-		ran,
-		retryAfterMs: error.retryAfterMs ?? (error.code === 'ERR_VALVESADDLE_CLAIMS_UNAVAILABLE' ? claimRetryAfterMs : undefined),
-	};
-}
-
-function recordEnd({job, metrics}: ExecutionOptions, end: AnswerEnd, progress: Progress): void {
-	const tags = {class: job.requestClass.name};
-	metrics.increment(`requests.${end.kind}`, 1, tags);
-	if (end.kind === 'error') {
-		metrics.increment('tokens.wasted', progress.tokens, tags);
-		return;
-	}
-
-	metrics.increment('tokens.delivered', progress.tokens, tags);
-	if (progress.firstTokenAt === undefined) {
-		return;
-	}
-
-	const firstTokenMs = progress.firstTokenAt - job.arrivedAt;
-	const isInTime = firstTokenMs <= job.requestClass.firstTokenTargetMs;
-	metrics.timing('requests.first-token', firstTokenMs, tags);
-	metrics.increment(isInTime ? 'requests.in-time' : 'requests.late', 1, tags);
-}
