--- a/caller/api/src/caller-api.ts
+++ b/caller/api/src/caller-api.ts
@@ -10,4 +10,6 @@
 	Stops to listen and waits until every reply is out.
 	*/
 	readonly close: () => Promise<void>;
+	/** Stops to listen and breaks every open connection. */
+	readonly cut: () => void;
 };
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -222,6 +222,10 @@
 			server.closeIdleConnections();
 			await promise;
 		},
+		cut() {
+			server.close();
+			server.closeAllConnections();
+		},
 	};
 }
 
--- /dev/null
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -0,0 +1,162 @@
+import Emittery from 'emittery';
+import {errAsync, ok, ResultAsync, okAsync} from 'neverthrow';
+import {test} from 'tap';
+import {createDispatchClient, type AcquireAsk, type DispatchClient} from '@valvesaddle/client';
+import {ValvesaddleError} from '@valvesaddle/error';
+import type {DispatchHost} from '@valvesaddle/host';
+import {createLogger} from '@valvesaddle/logger';
+import type {Membership} from '@valvesaddle/membership';
+import type {AcquireReply, AcquireRequest, RegisterRequest} from '@valvesaddle/messages';
+import {createMetrics} from '@valvesaddle/metrics';
+import type {PeerEvents, PeerNetwork} from '@valvesaddle/network';
+
+const unreachable = new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', 'gone');
+const granted: AcquireReply = {kind: 'granted', grant: {grantId: 'g1', endpointId: 'e1', url: 'http://e1'}};
+
+type Call = {
+	readonly node: string;
+	readonly method: string;
+	readonly parameters: unknown;
+};
+
+type Answer = (request: AcquireRequest) => AcquireReply | 'unreachable' | 'never';
+
+/** A client of node n1 whose peers answer by a table, with the owners b, c, n1 in rank order. */
+function createClient(answers: Readonly<Record<string, Answer>>) {
+	const calls: Call[] = [];
+	const events = new Emittery<PeerEvents>();
+	const suspects: string[] = [];
+	const network: PeerNetwork = {
+		events,
+		listen: async () => '',
+		call(node, method, parameters) {
+			calls.push({node, method, parameters});
+			const answer = answers[node]?.(parameters as AcquireRequest) ?? 'unreachable';
+			if (answer === 'never') {
+				return new ResultAsync(events.once('lost').then(() => ok<unknown, ValvesaddleError>(undefined).andThen(() => errAsync(unreachable) as never)));
+			}
+
+			return answer === 'unreachable' ? errAsync(unreachable) : okAsync<unknown, ValvesaddleError>(answer);
+		},
+		notify(node, method, parameters) {
+			calls.push({node, method, parameters});
+		},
+		broadcast() {
+			// Not used by the client.
+		},
+		connected: () => [],
+		async close() {
+			// Nothing is open.
+		},
+	};
+	const host: DispatchHost = {
+		acquire: async request => answers['n1']?.(request) as AcquireReply,
+		cancel() {
+			calls.push({node: 'n1', method: 'cancel', parameters: undefined});
+		},
+		release() {
+			calls.push({node: 'n1', method: 'release', parameters: undefined});
+		},
+		progress() {
+			// Not looked at.
+		},
+		register(request) {
+			calls.push({node: 'n1', method: 'dispatch.register', parameters: request});
+		},
+		dropNode() {
+			// Not looked at.
+		},
+		configure() {
+			// Not looked at.
+		},
+		findOwner: (_pool, skipped) => ['b', 'c', 'n1'].find(node => !skipped.includes(node)),
+		status: () => [],
+		close() {
+			// Nothing is open.
+		},
+	};
+	const client = createDispatchClient({
+		node: 'n1', dataCentre: 'dc-1', host, network, membership: {suspect: (node: string) => suspects.push(node)} as unknown as Membership, progressMs: 1_000_000,
+		metrics: createMetrics(), logger: createLogger({node: 'n1', level: 'silent'}),
+	});
+	return {
+		client, calls, events, suspects,
+	};
+}
+
+function createAsk(requestId: string): AcquireAsk {
+	return {
+		requestId, pool: 'drafting', account: 'sawmill', className: 'gate', arrivedAt: Date.now(), resumes: false, promptTokens: 1, tokensSoFar: 0, session: undefined, repeatable: true, avoid: [], trace: {},
+	};
+}
+
+async function acquire(client: DispatchClient, requestId = 'n1_1', signal = new AbortController().signal): Promise<string> {
+	const result = await client.acquire(createAsk(requestId), signal);
+	return result.isOk() ? result.value.endpointId : result.error.code;
+}
+
+test('the first owner in rank order is asked', async t => {
+	const {client, calls} = createClient({b: () => granted});
+	t.equal(await acquire(client), 'e1');
+	t.same(calls.map(({node}) => node), ['b']);
+});
+
+test('an owner that cannot be reached is passed over and named to the next', async t => {
+	const {client, calls, suspects} = createClient({c: () => granted});
+	t.equal(await acquire(client), 'e1');
+	t.same(calls.map(({node}) => node), ['b', 'c']);
+	t.same((calls[1]?.parameters as AcquireRequest).skipped, ['b']);
+	t.same(suspects, ['b']);
+});
+
+test('a node that reaches nobody dispatches for itself', async t => {
+	const {client} = createClient({n1: () => granted});
+	t.equal(await acquire(client), 'e1');
+});
+
+test('a redirect is followed, and a circle of redirects ends with a node that must dispatch', async t => {
+	const {client, calls} = createClient({
+		b: request => request.forced ? granted : {kind: 'moved', owner: 'c', admitted: false},
+		c: request => request.forced ? granted : {kind: 'moved', owner: 'b', admitted: false},
+	});
+	t.equal(await acquire(client), 'e1');
+	t.same(calls.map(({node}) => node), ['b', 'c', 'b', 'c']);
+});
+
+test('a request that was in a queue keeps its place when the duty moves', async t => {
+	const {client, calls} = createClient({
+		b: () => ({kind: 'moved', owner: 'c', admitted: true}),
+		c: () => granted,
+	});
+	await acquire(client);
+	t.equal((calls[1]?.parameters as AcquireRequest).admitted, true);
+});
+
+test('open grants are registered with the next owner before anything is asked of it', async t => {
+	let isLost = false;
+	const {client, calls} = createClient({b: () => isLost ? 'unreachable' : granted, c: () => ({...granted, grant: {...granted.grant, grantId: 'g2'}})});
+	await acquire(client, 'n1_1');
+	isLost = true;
+	await acquire(client, 'n1_2');
+	const atNext = calls.filter(({node}) => node === 'c').map(({method}) => method);
+	t.same(atNext, ['dispatch.register', 'dispatch.acquire']);
+	const registered = calls.find(({method}) => method === 'dispatch.register')?.parameters as RegisterRequest;
+	t.same(registered.grants.map(({grantId}) => grantId), ['g1']);
+});
+
+test('when an owner is lost its grants are registered with the next one at once', async t => {
+	const {client, calls, events} = createClient({b: () => granted});
+	await acquire(client);
+	await events.emit('lost', {node: 'b'});
+	t.match(calls.at(-1), {node: 'c', method: 'dispatch.register'});
+});
+
+test('a request that its caller gave up is taken back', async t => {
+	const abort = new AbortController();
+	const {client, calls, events} = createClient({b: () => 'never', c: () => granted});
+	const asking = acquire(client, 'n1_1', abort.signal);
+	abort.abort();
+	t.ok(calls.some(({method}) => method === 'dispatch.cancel'));
+	await events.emit('lost', {node: 'b'});
+	t.equal(await asking, 'ERR_VALVESADDLE_CANCELLED');
+});
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -209,7 +209,8 @@
 		answers.close();
 		await membership.close();
 		await network.close();
-		await Promise.all([callerApi.close(), operatorServer.close(), engines.close(), services.close(), kv.close()]);
+		callerApi.cut();
+		await Promise.all([operatorServer.close(), engines.close(), services.close(), kv.close()]);
 		await tracing.close();
 		await metrics.close();
 	}
--- a/node/router/test/failures.test.ts
+++ b/node/router/test/failures.test.ts
@@ -1,4 +1,5 @@
 import {test} from 'tap';
+import {request} from 'undici';
 import {
 	callNode,
 	createChat,
@@ -80,6 +81,42 @@
 	return requestId;
 }
 
+test('a node that dies mid-answer: its caller goes on through another node with the answer so far', async t => {
+	const fleet = await startFleet({nodes: 2, engines: [{stepMs: 3}, {stepMs: 3}]});
+	t.teardown(fleet.close);
+	const chat = createChat(60, true);
+	const response = await request(`http://${fleet.nodes[0]!.callers}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: `Bearer ${fleetKeys.caller}`}, body: JSON.stringify(chat),
+	});
+	let received = '';
+	try {
+		for await (const bytes of response.body) {
+			received += String(bytes);
+			if (received.includes('t9 ')) {
+				await fleet.nodes[0]!.router.close();
+			}
+		}
+
+		t.fail('the connection did not break');
+	} catch {
+		// The connection broke, as it does when a process is killed.
+	}
+
+	const soFar = getContent({
+		status: 200, headers: {}, text: received.slice(0, received.lastIndexOf('\n\n')), json: undefined,
+	});
+	t.match(getExpectedAnswer(60), soFar);
+	const rest = await callNode(fleet.nodes[1]!.callers, '/v1/chat/completions', {body: {
+		...chat,
+		'max_tokens': 60 - (soFar.split(' ').length - 1),
+		messages: [...chat.messages, {role: 'assistant', content: soFar}],
+		'continue_final_message': true,
+		'add_generation_prompt': false,
+	}});
+	t.equal(soFar + getContent(rest), getExpectedAnswer(60));
+	await waitUntil(() => fleet.engines.every(engine => engine.load() === 0));
+});
+
 test('an answer that its caller left for good is cancelled at the engine', async t => {
 	const fleet = await startFleet({nodes: 1, engines: [{stepMs: 3}], settings: {limits: {abandon_ms: 50}}});
 	t.teardown(fleet.close);
