feat: split a pool over several dispatchers

Change: 'dispatchers' of a pool splits its endpoints over so many duties; requests are spread in proportion to the endpoints, sessions stay together, and a request that one refuses for overload asks one other. Open grants follow their endpoint when the number changes. Shown by a test that splits a pool under load; no answer is cut off.

--- a/bench/capacity/src/create-bench-dispatcher.ts
+++ b/bench/capacity/src/create-bench-dispatcher.ts
@@ -31,7 +31,7 @@
 		})),
 		accounts: [],
 		pools: [{
-			name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52,
+			name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 		}],
 		endpoints: Array.from({length: endpoints}, (_, index) => ({
 			id: `engine-${index}`, pool: 'drafting', url: `http://10.0.0.1:${index + 1}`, dataCentre: 'dc-1', initialLimit: limit, leaving: false,
@@ -44,7 +44,7 @@
 	return {
 		dispatcher,
 		createRequest: number => ({
-			requestId: `n1_${number}`, pool: 'drafting', account: `client-account-${number % accounts}`, className: classNames[number % classNames.length]!, node: 'n1', dataCentre: 'dc-1',
+			requestId: `n1_${number}`, duty: 'drafting', account: `client-account-${number % accounts}`, className: classNames[number % classNames.length]!, node: 'n1', dataCentre: 'dc-1',
 			waitedMs: 0, admitted: true, promptTokens: 500, tokensSoFar: 0, session: `session-${number % 1000}`, repeatable: true, avoid: [], skipped: [], forced: false, trace: {},
 		}),
 	};
--- a/bench/capacity/src/create-full-configuration.ts
+++ b/bench/capacity/src/create-full-configuration.ts
@@ -15,7 +15,7 @@
 export function createFullConfiguration(part: number): Configuration {
 	const scale = (count: number): number => Math.max(1, Math.round(count * part));
 	const pools = Array.from({length: scale(designSize.pools)}, (_, index) => ({
-		name: `model-${index % designSize.models}.region-${index % regions}.${index}`, kind: 'engine' as const, model: `model-${index}`, region: `region-${index % regions}`, repeatable: true, interTokenTargetMs: 52,
+		name: `model-${index % designSize.models}.region-${index % regions}.${index}`, kind: 'engine' as const, model: `model-${index}`, region: `region-${index % regions}`, repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 	}));
 	const accounts = Array.from({length: scale(designSize.accounts)}, (_, index) => ({
 		name: `client-account-${index}`, keyHashes: [hashKey(`key-${index}`)], weight: 1, maximumOpen: 0,
--- a/bench/capacity/src/measure-decisions.ts
+++ b/bench/capacity/src/measure-decisions.ts
@@ -51,7 +51,7 @@
 		ask();
 		if (grant !== undefined) {
 			dispatcher.release({
-				grantId: grant.grantId, pool: 'drafting', outcome: 'complete', tokens: 100, firstTokenMs: 100, interTokenMs: 50,
+				grantId: grant.grantId, duty: 'drafting', outcome: 'complete', tokens: 100, firstTokenMs: 100, interTokenMs: 50,
 			});
 		}
 
--- a/bench/capacity/src/measure-grants.ts
+++ b/bench/capacity/src/measure-grants.ts
@@ -108,7 +108,7 @@
 		await delay(holdMs);
 		client.progress(grant.value.grantId, 100, 100);
 		client.release({
-			grantId: grant.value.grantId, pool, outcome: 'complete', tokens: 200, firstTokenMs: 100, interTokenMs: 5,
+			grantId: grant.value.grantId, outcome: 'complete', tokens: 200, firstTokenMs: 100, interTokenMs: 5,
 		});
 	}
 
--- a/caller/access/test/access-index.test.ts
+++ b/caller/access/test/access-index.test.ts
@@ -11,7 +11,7 @@
 		name: 'sawmill', keyHashes: [hashKey('old-key'), hashKey('new-key')], weight: 1, maximumOpen: 0,
 	}],
 	pools: ['near', 'far'].map(region => ({
-		name: `drafting.${region}`, kind: 'engine', model: region === 'near' ? 'drafting' : 'drafting', region, repeatable: true, interTokenTargetMs: 52,
+		name: `drafting.${region}`, kind: 'engine', model: region === 'near' ? 'drafting' : 'drafting', region, repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 	})),
 	endpoints: [],
 	bindings: [
--- a/config/schema/src/configuration-schema.ts
+++ b/config/schema/src/configuration-schema.ts
@@ -29,6 +29,7 @@
 	region: name,
 	repeatable: z.boolean().default(false),
 	interTokenTargetMs: z.number().positive().max(60_000).default(52),
+	dispatchers: z.int().min(1).max(64).default(1),
 });
 
 const endpoint = z.strictObject({
--- a/config/schema/test/configuration.test.ts
+++ b/config/schema/test/configuration.test.ts
@@ -18,7 +18,7 @@
 		name: 'sawmill', keyHashes: ['a'.repeat(64)], weight: 1, maximumOpen: 0,
 	}],
 	pools: [{
-		name: 'drafting', kind: 'engine', model: 'drafting', region: 'r1', repeatable: true, interTokenTargetMs: 52,
+		name: 'drafting', kind: 'engine', model: 'drafting', region: 'r1', repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 	}],
 	endpoints: [{
 		id: 'e1', pool: 'drafting', url: 'http://10.0.0.1:8000', dataCentre: 'dc-1', initialLimit: 8, leaving: false,
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -15,6 +15,10 @@
 import type {HeldGrant} from './held-grant.ts';
 import {createRemotePort} from './create-remote-port.ts';
 
+/**
+Refusals after which another dispatcher of the same pool is asked, if it has one.
+*/
+const retriedRefusals: ReadonlySet<string> = new Set(['ERR_VALVESADDLE_OVERLOADED', 'ERR_VALVESADDLE_NO_ENDPOINT']);
 /**
 After so many redirects the asked node has to dispatch, whatever it takes for the owner.
 */
@@ -26,6 +30,8 @@
 /** Grants named in one round of progress; bounds the bytes of a node with many streams. */
 const mostReports = 40;
 
+type SettledReply = Exclude<AcquireReply, {readonly kind: 'moved'}>;
+
 /**
  Creates the client of a node. It finds the dispatcher of each pool; when that one is lost or the duty moves, it
  registers its open grants with the next one and asks there again, with the time waited so far.
@@ -49,20 +55,25 @@
 		return port;
 	}
 
-	function listHeld(pool: string): readonly HeldGrant[] {
-		return held.values().filter(grant => grant.pool === pool).toArray();
+	/** Duty of a grant, by its endpoint: it may change with the configuration while the grant is open. */
+	function findDuty({pool, open}: HeldGrant): string {
+		return host.duties().findDuty(pool, open.endpointId);
 	}
 
-	function applyOwner(pool: string, owner: string): void {
-		const before = owners.get(pool);
+	function listHeld(duty: string): readonly HeldGrant[] {
+		return held.values().filter(grant => findDuty(grant) === duty).toArray();
+	}
+
+	function applyOwner(duty: string, owner: string): void {
+		const before = owners.get(duty);
 		if (before === owner) {
 			return;
 		}
 
-		owners.set(pool, owner);
-		const open = listHeld(pool).map(grant => ({...grant.open, tokens: grant.tokens}));
+		owners.set(duty, owner);
+		const open = listHeld(duty).map(grant => ({...grant.open, tokens: grant.tokens}));
 		if (open.length > 0) {
-			getPort(owner).register({pool, node, grants: open});
+			getPort(owner).register({duty, node, grants: open});
 		}
 
 		if (before === undefined) {
@@ -71,13 +82,13 @@
 
 		metrics.increment('dispatch.owner-changes');
 		options.logger.info({
-			name: 'dispatcher-moved', pool, from: before, to: owner,
+			name: 'dispatcher-moved', duty, from: before, to: owner,
 		});
 	}
 
 	async function ask(owner: string, request: AcquireRequest): Promise<AcquireReply | undefined> {
 		try {
-			applyOwner(request.pool, owner);
+			applyOwner(request.duty, owner);
 			return await getPort(owner).acquire(request);
 		} catch (error) {
 			const failure = toValvesaddleError(error);
@@ -90,22 +101,24 @@
 		}
 	}
 
-	async function acquire(asked: AcquireAsk, signal: AbortSignal): Promise<Result<Grant, ValvesaddleError>> {
-		const {arrivedAt, resumes, ...rest} = asked;
+	/** Asks the dispatcher of a duty, wherever it is, until it grants or refuses. */
+	async function askDuty(duty: string, asked: AcquireAsk, signal: AbortSignal): Promise<SettledReply> {
+		const {arrivedAt, resumes, pool: _pool, ...rest} = asked;
 		const skipped: string[] = [];
 		let redirects = 0;
 		let target: string | undefined;
 		let isAdmitted = resumes;
 		for (;;) {
 			if (signal.aborted) {
-				return err(new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away while the request waited'));
+				throw new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away while the request waited');
 			}
 
-			const owner = target ?? host.findOwner(rest.pool, skipped) ?? node;
+			const owner = target ?? host.findOwner(duty, skipped) ?? node;
 			const askedAt = Date.now();
 			// eslint-disable-next-line no-await-in-loop -- each owner is asked after the one before failed
 			const reply = await askCancellably(owner, signal, {
 				...rest,
+				duty,
 				node,
 				dataCentre: options.dataCentre,
 				waitedMs: Date.now() - arrivedAt,
@@ -117,23 +130,27 @@
 			if (reply === undefined) {
 				skipped.push(owner);
 				isAdmitted ||= Date.now() - askedAt >= surelyQueuedMs;
-				continue;
-			}
-
-			if (reply.kind === 'moved') {
+			} else if (reply.kind === 'moved') {
 				redirects++;
 				target = reply.owner;
 				isAdmitted ||= reply.admitted;
-				continue;
+			} else {
+				return reply;
 			}
-
-			return settle(reply, asked);
 		}
 	}
 
+	async function acquire(asked: AcquireAsk, signal: AbortSignal): Promise<Result<Grant, ValvesaddleError>> {
+		const duties = host.duties();
+		const duty = duties.chooseDuty(asked.pool, asked.session ?? asked.requestId);
+		const reply = await askDuty(duty, asked, signal);
+		const other = reply.kind === 'refused' && retriedRefusals.has(reply.code) ? duties.chooseOther(asked.pool, duty) : undefined;
+		return settle(other === undefined ? reply : await askDuty(other, asked, signal), asked);
+	}
+
 	async function askCancellably(owner: string, signal: AbortSignal, request: AcquireRequest): Promise<AcquireReply | undefined> {
 		const cancel = (): void => {
-			getPort(owner).cancel({pool: request.pool, requestId: request.requestId});
+			getPort(owner).cancel({duty: request.duty, requestId: request.requestId});
 		};
 
 		signal.addEventListener('abort', cancel, {once: true});
@@ -144,7 +161,7 @@
 		}
 	}
 
-	function settle(reply: Exclude<AcquireReply, {kind: 'moved'}>, asked: AcquireAsk): Result<Grant, ValvesaddleError> {
+	function settle(reply: SettledReply, asked: AcquireAsk): Result<Grant, ValvesaddleError> {
 		if (reply.kind === 'refused') {
 			return err(new ValvesaddleError(reply.code, reply.message, {retryAfterMs: reply.retryAfterMs}));
 		}
@@ -165,12 +182,12 @@
 	/** Renews all grants; names only so many of them in one round, those that were not named for longest. */
 	function sendProgress(): void {
 		const due = held.values().take(mostReports).toArray();
-		const pools = new Set(held.values().map(({pool}) => pool));
-		for (const pool of pools) {
-			const owner = host.findOwner(pool, []) ?? node;
-			applyOwner(pool, owner);
-			const reports = due.filter(grant => grant.pool === pool).map(grant => toReport(grant));
-			getPort(owner).progress({pool, node, reports});
+		const duties = new Set(held.values().map(grant => findDuty(grant)));
+		for (const duty of duties) {
+			const owner = host.findOwner(duty, []) ?? node;
+			applyOwner(duty, owner);
+			const reports = due.filter(grant => findDuty(grant) === duty).map(grant => toReport(grant));
+			getPort(owner).progress({duty, node, reports});
 		}
 	}
 
@@ -183,9 +200,9 @@
 	}
 
 	function moveGrants(lost: string): void {
-		for (const [pool, owner] of owners) {
-			if (owner === lost && listHeld(pool).length > 0) {
-				applyOwner(pool, host.findOwner(pool, [lost]) ?? node);
+		for (const [duty, owner] of owners) {
+			if (owner === lost && listHeld(duty).length > 0) {
+				applyOwner(duty, host.findOwner(duty, [lost]) ?? node);
 			}
 		}
 	}
@@ -205,8 +222,14 @@
 			}
 		},
 		release(report) {
+			const grant = held.get(report.grantId);
+			if (grant === undefined) {
+				return;
+			}
+
+			const duty = findDuty(grant);
 			held.delete(report.grantId);
-			getPort(owners.get(report.pool) ?? node).release(report);
+			getPort(owners.get(duty) ?? node).release({...report, duty});
 		},
 		close() {
 			clearInterval(timer);
--- a/dispatch/client/src/dispatch-client.ts
+++ b/dispatch/client/src/dispatch-client.ts
@@ -15,6 +15,6 @@
 	Notes tokens that came under a grant; sent on in batches.
 	*/
 	readonly progress: (grantId: string, tokens: number, firstTokenMs: number | undefined) => void;
-	readonly release: (report: ReleaseReport) => void;
+	readonly release: (report: Omit<ReleaseReport, 'duty'>) => void;
 	readonly close: () => void;
 };
--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -9,10 +9,24 @@
 import type {AcquireReply, AcquireRequest, RegisterRequest} from '@valvesaddle/messages';
 import {createMetrics} from '@valvesaddle/metrics';
 import type {PeerEvents, PeerNetwork} from '@valvesaddle/network';
+import {createDutyIndex} from '@valvesaddle/ownership';
+import type {Configuration} from '@valvesaddle/types';
 
 const unreachable = new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', 'gone');
 const granted: AcquireReply = {kind: 'granted', grant: {grantId: 'g1', endpointId: 'e1', url: 'http://e1'}};
 
+const configuration: Configuration = {
+	classes: [],
+	accounts: [],
+	pools: ['drafting', 'split'].map(name => ({
+		name, kind: 'engine', model: name, region: 'r', repeatable: true, interTokenTargetMs: 52, dispatchers: name === 'split' ? 2 : 1,
+	})),
+	endpoints: Array.from({length: 20}, (_, index) => ({
+		id: `e${index}`, pool: index % 2 === 0 ? 'split' : 'drafting', url: 'http://e', dataCentre: 'd', initialLimit: 1, leaving: false,
+	})),
+	bindings: [],
+};
+
 type Call = {
 	readonly node: string;
 	readonly method: string;
@@ -69,7 +83,8 @@
 		configure() {
 			// Not looked at.
 		},
-		findOwner: (_pool, skipped) => ['b', 'c', 'n1'].find(node => !skipped.includes(node)),
+		duties: () => createDutyIndex(configuration),
+		findOwner: (_duty, skipped) => ['b', 'c', 'n1'].find(node => !skipped.includes(node)),
 		status: () => [],
 		close() {
 			// Nothing is open.
@@ -151,6 +166,22 @@
 	t.match(calls.at(-1), {node: 'c', method: 'dispatch.register'});
 });
 
+test('a request that one dispatcher of a split pool refuses for overload is asked of another', async t => {
+	const refused: AcquireReply = {
+		kind: 'refused', code: 'ERR_VALVESADDLE_OVERLOADED', message: 'full', retryAfterMs: 1000,
+	};
+	const asked = new Set<string>();
+	const {client} = createClient({
+		b(request) {
+			asked.add(request.duty);
+			return asked.size === 1 ? refused : granted;
+		},
+	});
+	const result = await client.acquire({...createAsk('n1_1'), pool: 'split'}, new AbortController().signal);
+	t.ok(result.isOk());
+	t.same([...asked].toSorted(), ['split#0', 'split#1']);
+});
+
 test('a request that its caller gave up is taken back', async t => {
 	const abort = new AbortController();
 	const {client, calls, events} = createClient({b: () => 'never', c: () => granted});
--- a/dispatch/host/src/create-dispatch-host.ts
+++ b/dispatch/host/src/create-dispatch-host.ts
@@ -1,5 +1,5 @@
 import {createPoolDispatcher, type PoolDispatcher} from '@valvesaddle/pool';
-import {rankOwners} from '@valvesaddle/ownership';
+import {createDutyIndex, rankOwners} from '@valvesaddle/ownership';
 import type {AcquireRequest} from '@valvesaddle/messages';
 import type {DispatchHost} from './dispatch-host.ts';
 import type {DispatchHostOptions} from './dispatch-host-options.ts';
@@ -10,7 +10,7 @@
 */
 const idleMs = 60_000;
 
-type Duty = {
+type OpenDuty = {
 	readonly dispatcher: PoolDispatcher;
 	usedAt: number;
 	polledAt: number;
@@ -32,39 +32,43 @@
  const reply = await host.acquire(request);
  */
 export function createDispatchHost(options: DispatchHostOptions): DispatchHost {
-	const duties = new Map<string, Duty>();
+	const duties = new Map<string, OpenDuty>();
 	/**
-	Rank order of the owners by pool, until the members or the pools change.
+	Rank order of the owners by duty, until the members or the pools change.
 	*/
 	const rankings = new Map<string, readonly string[]>();
 
-	function getRanking(pool: string): readonly string[] {
-		const known = rankings.get(pool);
+	let index = createDutyIndex(options.configuration());
+
+	function getRanking(duty: string): readonly string[] {
+		const known = rankings.get(duty);
 		if (known !== undefined) {
 			return known;
 		}
 
+		const pool = index.findPool(duty);
 		const region = options.configuration().pools.find(({name}) => name === pool)?.region;
-		const ranking = rankOwners(pool, options.membership.routers(region));
-		rankings.set(pool, ranking);
+		const ranking = rankOwners(duty, options.membership.routers(region));
+		rankings.set(duty, ranking);
 		return ranking;
 	}
 
-	function findOwner(pool: string, skipped: readonly string[]): string | undefined {
-		return getRanking(pool).find(node => !skipped.includes(node));
+	function findOwner(duty: string, skipped: readonly string[]): string | undefined {
+		return getRanking(duty).find(node => !skipped.includes(node));
 	}
 
-	function openDuty(pool: string): Duty {
-		const existing = duties.get(pool);
+	function openDuty(duty: string): OpenDuty {
+		const existing = duties.get(duty);
 		if (existing !== undefined) {
 			existing.usedAt = Date.now();
 			return existing;
 		}
 
 		const isLone = options.membership.others().length === 0;
+		const pool = index.findPool(duty);
 		const dispatcher = createPoolDispatcher({
 			pool,
-			configuration: options.configuration(),
+			configuration: index.getConfiguration(duty),
 			leaving: options.membership.leavingEndpoints(),
 			warmupMs: isLone ? 0 : options.warmupMs,
 			grantLeaseMs: options.grantLeaseMs,
@@ -73,31 +77,31 @@
 		dispatcher.events.on('endpointState', ({data}) => {
 			options.logger.info({name: 'endpoint-state', pool, ...data});
 		});
-		const duty: Duty = {
+		const opened: OpenDuty = {
 			dispatcher, usedAt: Date.now(), polledAt: 0, lostAt: 0,
 		};
-		duties.set(pool, duty);
-		options.logger.info({name: 'dispatcher-opened', pool});
-		return duty;
+		duties.set(duty, opened);
+		options.logger.info({name: 'dispatcher-opened', duty});
+		return opened;
 	}
 
-	function closeDuty(pool: string, duty: Duty): void {
-		duties.delete(pool);
-		const waiting = duty.dispatcher.close();
-		options.logger.info({name: 'dispatcher-closed', pool, waiting});
+	function closeDuty(duty: string, {dispatcher}: OpenDuty): void {
+		duties.delete(duty);
+		const waiting = dispatcher.close();
+		options.logger.info({name: 'dispatcher-closed', duty, waiting});
 	}
 
-	function checkOwnership(pool: string, duty: Duty, now: number): void {
-		if (findOwner(pool, []) === options.node) {
-			duty.lostAt = 0;
+	function checkOwnership(duty: string, opened: OpenDuty, now: number): void {
+		if (findOwner(duty, []) === options.node) {
+			opened.lostAt = 0;
 		} else {
-			duty.lostAt ||= now;
+			opened.lostAt ||= now;
 		}
 
-		const isLost = duty.lostAt > 0 && now - duty.lostAt >= handOverMs;
-		const isIdle = duty.dispatcher.isIdle() && now - duty.usedAt >= idleMs;
-		if (isLost || isIdle) {
-			closeDuty(pool, duty);
+		const isLost = opened.lostAt > 0 && now - opened.lostAt >= handOverMs;
+		const isIdle = opened.dispatcher.isIdle() && now - opened.usedAt >= idleMs;
+		if (isLost || isIdle || !index.isDuty(duty)) {
+			closeDuty(duty, opened);
 		}
 	}
 
@@ -112,22 +116,23 @@
 
 	const timer = setInterval(() => {
 		const now = Date.now();
-		for (const [pool, duty] of duties) {
-			duty.dispatcher.tick();
-			if (now - duty.polledAt >= options.loadPollMs) {
-				duty.polledAt = now;
-				void readLoads(duty.dispatcher);
+		for (const [duty, opened] of duties) {
+			opened.dispatcher.tick();
+			if (now - opened.polledAt >= options.loadPollMs) {
+				opened.polledAt = now;
+				void readLoads(opened.dispatcher);
 			}
 
-			checkOwnership(pool, duty, now);
+			checkOwnership(duty, opened, now);
 		}
 	}, tickMs);
 	timer.unref();
 
 	function applyConfiguration(): void {
 		rankings.clear();
-		for (const {dispatcher} of duties.values()) {
-			dispatcher.configure(options.configuration(), options.membership.leavingEndpoints());
+		index = createDutyIndex(options.configuration());
+		for (const [duty, {dispatcher}] of duties) {
+			dispatcher.configure(index.getConfiguration(duty), options.membership.leavingEndpoints());
 		}
 	}
 
@@ -135,29 +140,49 @@
 
 	async function acquireTraced(request: AcquireRequest): Promise<Awaited<ReturnType<PoolDispatcher['acquire']>>> {
 		const hop = options.tracing.startHop('dispatch.queue', request.trace);
-		hop.setAttribute('pool', request.pool);
-		const reply = await openDuty(request.pool).dispatcher.acquire(request);
+		// A node with another configuration may ask for a duty that this one does not have.
+		const duty = index.isDuty(request.duty) ? request.duty : index.chooseDuty(index.findPool(request.duty), request.requestId);
+		hop.setAttribute('duty', duty);
+		const reply = await openDuty(duty).dispatcher.acquire(request);
 		hop.setAttribute('reply', reply.kind);
 		hop.end();
 		return reply;
 	}
 
+	/** The dispatcher of a duty; for one that this configuration does not have, all that may have served it instead. */
+	function findDispatchers(duty: string): readonly PoolDispatcher[] {
+		const opened = duties.get(duty);
+		if (opened !== undefined) {
+			return [opened.dispatcher];
+		}
+
+		return index.isDuty(duty) ? [] : duties.values().map(({dispatcher}) => dispatcher).toArray();
+	}
+
 	return {
 		async acquire(request) {
-			const owner = findOwner(request.pool, request.skipped);
+			const owner = findOwner(request.duty, request.skipped);
 			return owner === options.node || request.forced ? acquireTraced(request) : {kind: 'moved', owner, admitted: false};
 		},
-		cancel({pool, requestId}) {
-			duties.get(pool)?.dispatcher.cancel(requestId);
+		cancel({duty, requestId}) {
+			for (const dispatcher of findDispatchers(duty)) {
+				dispatcher.cancel(requestId);
+			}
 		},
 		release(report) {
-			duties.get(report.pool)?.dispatcher.release(report);
+			for (const dispatcher of findDispatchers(report.duty)) {
+				dispatcher.release(report);
+			}
 		},
-		progress({pool, node, reports}) {
-			duties.get(pool)?.dispatcher.progress(node, reports);
+		progress({duty, node, reports}) {
+			for (const dispatcher of findDispatchers(duty)) {
+				dispatcher.progress(node, reports);
+			}
 		},
 		register(request) {
-			openDuty(request.pool).dispatcher.register(request);
+			if (index.isDuty(request.duty)) {
+				openDuty(request.duty).dispatcher.register(request);
+			}
 		},
 		dropNode(node) {
 			for (const {dispatcher} of duties.values()) {
@@ -166,11 +191,12 @@
 		},
 		configure: applyConfiguration,
 		findOwner,
+		duties: () => index,
 		status: () => duties.values().map(({dispatcher}) => dispatcher.status()).toArray(),
 		close() {
 			clearInterval(timer);
-			for (const [pool, duty] of duties) {
-				closeDuty(pool, duty);
+			for (const [duty, opened] of duties) {
+				closeDuty(duty, opened);
 			}
 		},
 	};
--- a/dispatch/host/src/dispatch-host.ts
+++ b/dispatch/host/src/dispatch-host.ts
@@ -6,6 +6,7 @@
 	RegisterRequest,
 	ReleaseReport,
 } from '@valvesaddle/messages';
+import type {DutyIndex} from '@valvesaddle/ownership';
 import type {PoolStatus} from '@valvesaddle/pool';
 
 /**
@@ -23,9 +24,11 @@
 	*/
 	readonly configure: () => void;
 	/**
-	The node that this one takes for the owner of a pool.
+	The node that this one takes for the owner of a duty.
 	*/
-	readonly findOwner: (pool: string, skipped: readonly string[]) => string | undefined;
+	readonly findOwner: (duty: string, skipped: readonly string[]) => string | undefined;
+	/** Duties under the configuration in force. */
+	readonly duties: () => DutyIndex;
 	readonly status: () => readonly PoolStatus[];
 	readonly close: () => void;
 };
--- a/dispatch/messages/src/acquire-request-schema.ts
+++ b/dispatch/messages/src/acquire-request-schema.ts
@@ -4,7 +4,7 @@
 /** Form of an acquire request on the wire. */
 export const acquireRequestSchema = z.object({
 	requestId: z.string(),
-	pool: z.string(),
+	duty: z.string(),
 	account: z.string(),
 	className: z.string(),
 	node: z.string(),
--- a/dispatch/messages/src/cancel-message-schema.ts
+++ b/dispatch/messages/src/cancel-message-schema.ts
@@ -3,4 +3,4 @@
 /**
 Form of a cancel on the wire.
 */
-export const cancelMessageSchema = z.object({pool: z.string(), requestId: z.string()});
+export const cancelMessageSchema = z.object({duty: z.string(), requestId: z.string()});
--- a/dispatch/messages/src/cancel-message.ts
+++ b/dispatch/messages/src/cancel-message.ts
@@ -2,6 +2,7 @@
 Takes a waiting request back.
 */
 export type CancelMessage = {
-	readonly pool: string;
+	/** Duty of the dispatcher; see `DutyIndex`. */
+	readonly duty: string;
 	readonly requestId: string;
 };
--- a/dispatch/messages/src/progress-message-schema.ts
+++ b/dispatch/messages/src/progress-message-schema.ts
@@ -4,7 +4,7 @@
 Form of progress reports on the wire.
 */
 export const progressMessageSchema = z.object({
-	pool: z.string(),
+	duty: z.string(),
 	node: z.string(),
 	reports: z.array(z.object({
 		grantId: z.string(),
--- a/dispatch/messages/src/progress-message.ts
+++ b/dispatch/messages/src/progress-message.ts
@@ -4,7 +4,8 @@
 Reports of one node on one pool.
 */
 export type ProgressMessage = {
-	readonly pool: string;
+	/** Duty of the dispatcher; see `DutyIndex`. */
+	readonly duty: string;
 	readonly node: string;
 	readonly reports: readonly ProgressReport[];
 };
--- a/dispatch/messages/src/register-request-schema.ts
+++ b/dispatch/messages/src/register-request-schema.ts
@@ -4,7 +4,7 @@
 Form of a registration on the wire.
 */
 export const registerRequestSchema = z.object({
-	pool: z.string(),
+	duty: z.string(),
 	node: z.string(),
 	grants: z.array(z.object({
 		grantId: z.string(),
--- a/dispatch/messages/src/release-report-schema.ts
+++ b/dispatch/messages/src/release-report-schema.ts
@@ -5,7 +5,7 @@
 */
 export const releaseReportSchema = z.object({
 	grantId: z.string(),
-	pool: z.string(),
+	duty: z.string(),
 	outcome: z.enum(['complete', 'failed', 'not-run', 'cancelled']),
 	tokens: z.number().min(0),
 	firstTokenMs: z.number().optional().transform(value => value),
--- a/dispatch/messages/test/schemas.test.ts
+++ b/dispatch/messages/test/schemas.test.ts
@@ -17,7 +17,7 @@
 
 test('an acquire request comes over the wire as it was, whatever is left out on the way', t => {
 	const request = fc.record({
-		requestId: fc.string(), pool: fc.string(), account: fc.string(), className: fc.string(), node: fc.string(), dataCentre: fc.string(),
+		requestId: fc.string(), duty: fc.string(), account: fc.string(), className: fc.string(), node: fc.string(), dataCentre: fc.string(),
 		waitedMs: fc.nat(), admitted: fc.boolean(), promptTokens: fc.nat(), tokensSoFar: fc.nat(), session: fc.option(fc.string(), {nil: undefined}),
 		repeatable: fc.boolean(), avoid: fc.array(fc.string()), skipped: fc.array(fc.string()), forced: fc.boolean(),
 		trace: fc.dictionary(fc.constantFrom('traceparent', 'tracestate'), fc.string(), {noNullPrototype: true}),
@@ -37,7 +37,7 @@
 });
 
 test('numbers that would corrupt counts are rejected', t => {
-	const report = {grantId: 'g', pool: 'p', outcome: 'complete', tokens: 1};
+	const report = {grantId: 'g', duty: 'p', outcome: 'complete', tokens: 1};
 	for (const tokens of [-1, Number.NaN, Infinity, '1']) {
 		t.notOk(releaseReportSchema.safeParse({...report, tokens}).success, String(tokens));
 	}
--- /dev/null
+++ b/dispatch/ownership/src/create-duty-index.ts
@@ -0,0 +1,63 @@
+import {hash} from 'node:crypto';
+import type {Configuration, Pool} from '@valvesaddle/types';
+import type {DutyIndex} from './duty-index.ts';
+
+/** Not allowed in the name of a pool. */
+const separator = '#';
+const hashDigits = 8;
+
+/**
+ Creates the index of dispatch duties of a configuration.
+
+ @example
+ createDutyIndex(configuration).chooseDuty('drafting', 'session-7'); // 'drafting', or 'drafting#2'
+ */
+export function createDutyIndex(configuration: Configuration): DutyIndex {
+	const pools = new Map(configuration.pools.map(pool => [pool.name, pool]));
+	const endpointIds = new Map(configuration.pools.map(({name}) => [name, configuration.endpoints.filter(({pool}) => pool === name).map(({id}) => id)]));
+
+	function findDuty(pool: string, endpointId: string): string {
+		return toDuty(pools.get(pool), pool, endpointId);
+	}
+
+	return {
+		chooseDuty(pool, key) {
+			const ids = endpointIds.get(pool) ?? [];
+			const drawn = ids[toNumber(key) % Math.max(1, ids.length)];
+			return findDuty(pool, drawn ?? key);
+		},
+		chooseOther(pool, duty) {
+			const count = pools.get(pool)?.dispatchers ?? 1;
+			if (count === 1) {
+				return undefined;
+			}
+
+			const number = Number(duty.slice(pool.length + separator.length));
+			return `${pool}${separator}${(number + 1) % count}`;
+		},
+		findDuty,
+		getConfiguration(duty) {
+			const name = findPool(duty);
+			return {...configuration, endpoints: configuration.endpoints.filter(({pool, id}) => pool === name && findDuty(pool, id) === duty)};
+		},
+		isDuty(duty) {
+			const pool = pools.get(findPool(duty));
+			const number = Number(duty.split(separator)[1] ?? 0);
+			return pool !== undefined && (pool.dispatchers === 1) === !duty.includes(separator) && number < pool.dispatchers;
+		},
+		findPool,
+	};
+}
+
+function findPool(duty: string): string {
+	const index = duty.indexOf(separator);
+	return index === -1 ? duty : duty.slice(0, index);
+}
+
+function toDuty(pool: Pool | undefined, name: string, key: string): string {
+	return pool === undefined || pool.dispatchers === 1 ? name : `${name}${separator}${toNumber(key) % pool.dispatchers}`;
+}
+
+function toNumber(key: string): number {
+	return Number.parseInt(hash('md5', key).slice(0, hashDigits), 16);
+}
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -122,7 +122,7 @@
 		metrics.increment('dispatch.refused', 1, {class: request.className});
 		return Number.isFinite(waitMs)
 			? toRefusal('ERR_VALVESADDLE_OVERLOADED', `the predicted wait is ${Math.round(waitMs)} ms`, waitMs - requestClass.maximumWaitMs)
-			: toRefusal('ERR_VALVESADDLE_NO_ENDPOINT', `no endpoint of pool "${request.pool}" takes work`, 0);
+			: toRefusal('ERR_VALVESADDLE_NO_ENDPOINT', `no endpoint of pool "${options.pool}" takes work`, 0);
 	}
 
 	function grantWaiting(): void {
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -22,7 +22,7 @@
 			name, keyHashes: [], weight: 1, maximumOpen: 0,
 		})),
 		pools: [{
-			name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52,
+			name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 		}],
 		endpoints: Array.from({length: endpoints}, (_, index) => ({
 			id: `e${index + 1}`, pool: 'drafting', url: `http://127.0.0.1:${index + 1}`, dataCentre: 'dc-1', initialLimit, leaving: false,
@@ -39,14 +39,14 @@
 
 function createRequest(requestId: string, part: Partial<AcquireRequest> = {}): AcquireRequest {
 	return {
-		requestId, pool: 'drafting', account: 'sawmill', className: 'estimate', node: 'n1', dataCentre: 'dc-1', waitedMs: 0, admitted: false, promptTokens: 10, tokensSoFar: 0,
+		requestId, duty: 'drafting', account: 'sawmill', className: 'estimate', node: 'n1', dataCentre: 'dc-1', waitedMs: 0, admitted: false, promptTokens: 10, tokensSoFar: 0,
 		session: undefined, repeatable: true, avoid: [], skipped: [], forced: false, trace: {}, ...part,
 	};
 }
 
 function toRelease(reply: AcquireReply | undefined, part: Partial<ReleaseReport> = {}): ReleaseReport {
 	return {
-		grantId: reply?.kind === 'granted' ? reply.grant.grantId : '', pool: 'drafting', outcome: 'complete', tokens: 100, firstTokenMs: 100, interTokenMs: 20, ...part,
+		grantId: reply?.kind === 'granted' ? reply.grant.grantId : '', duty: 'drafting', outcome: 'complete', tokens: 100, firstTokenMs: 100, interTokenMs: 20, ...part,
 	};
 }
 
@@ -213,7 +213,7 @@
 	const dispatcher = createDispatcher(createConfiguration(1, 1));
 	const inbox = createInbox(dispatcher);
 	dispatcher.register({
-		pool: 'drafting', node: 'n2', grants: [{
+		duty: 'drafting', node: 'n2', grants: [{
 			grantId: 'old', requestId: 'old-request', endpointId: 'e1', account: 'depot', className: 'estimate', tokens: 5,
 		}],
 	});
--- a/fakes/fleet/src/create-demo-configuration.ts
+++ b/fakes/fleet/src/create-demo-configuration.ts
@@ -41,10 +41,10 @@
 		],
 		pools: [
 			{
-				name: 'drafting', kind: 'engine', model: 'drafting', region: 'region-1', repeatable: true, interTokenTargetMs: 52,
+				name: 'drafting', kind: 'engine', model: 'drafting', region: 'region-1', repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 			},
 			{
-				name: 'permits', kind: 'service', model: 'permits', region: 'region-1', repeatable: false, interTokenTargetMs: 52,
+				name: 'permits', kind: 'service', model: 'permits', region: 'region-1', repeatable: false, interTokenTargetMs: 52, dispatchers: 1,
 			},
 		],
 		endpoints: [...engines, {
--- a/node/router/test/failures.test.ts
+++ b/node/router/test/failures.test.ts
@@ -159,6 +159,21 @@
 	t.same((await Promise.all(open)).map(result => getContent(result)), Array.from({length: 6}, () => getExpectedAnswer(80)));
 });
 
+test('a pool is split over more dispatchers while answers are under way, and none is cut off', async t => {
+	const fleet = await startFleet({nodes: 3, engines: Array.from({length: 6}, () => ({stepMs: 3}))});
+	t.teardown(fleet.close);
+	const call = async (tokens: number) => callNode(fleet.nodes[tokens % 3]!.callers, '/v1/chat/completions', {body: createChat(tokens)});
+	const before = Array.from({length: 12}, async (_, index) => call(80 + index));
+	await waitForTokens(fleet, 50);
+	await fleet.apply(configuration => ({...configuration, pools: configuration.pools.map(pool => ({...pool, dispatchers: pool.name === 'drafting' ? 3 : 1}))}));
+	const after = Array.from({length: 30}, async (_, index) => call(10 + index));
+	t.same((await Promise.all(after)).map(result => getContent(result)), Array.from({length: 30}, (_, index) => getExpectedAnswer(10 + index)));
+	t.same((await Promise.all(before)).map(result => getContent(result)), Array.from({length: 12}, (_, index) => getExpectedAnswer(80 + index)));
+	const dispatching = fleet.nodes.flatMap(({router}) => router.status().pools.filter(({pool}) => pool === 'drafting'));
+	t.equal(dispatching.length, 3);
+	t.equal(dispatching.flatMap(({endpoints}) => endpoints).length, 6);
+});
+
 test('a burst over capacity is refused honestly, urgent work is served, and nothing refused had run', async t => {
 	const fleet = await startFleet({
 		nodes: 2, engines: [{stepMs: 4, batch: 4}],
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -96,7 +96,7 @@
 
 		if (held !== undefined) {
 			dispatch.release({
-				grantId: grant.grantId, pool: job.pool.name, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
+				grantId: grant.grantId, outcome: 'cancelled', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined,
 			});
 		}
 
@@ -131,7 +131,6 @@
 		const tokens = progress.tokens - before;
 		dispatch.release({
 			grantId: grant.grantId,
-			pool: job.pool.name,
 			outcome: toReleaseOutcome(result.error),
 			tokens,
 			firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
--- a/outcome/execution/test/decisions.test.ts
+++ b/outcome/execution/test/decisions.test.ts
@@ -10,7 +10,7 @@
 	requestId: 'n1_1',
 	account: 'sawmill',
 	pool: {
-		name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52,
+		name: 'drafting', kind: 'engine', model: 'drafting', region: 'r', repeatable: true, interTokenTargetMs: 52, dispatchers: 1,
 	},
 	requestClass: {
 		name: 'gate', priority: 0, urgent: true, firstTokenTargetMs: 1, maximumWaitMs: 1, weight: 1, floor: 0,
