--- a/bench/burst/src/dispatch-mode.ts
+++ b/bench/burst/src/dispatch-mode.ts
@@ -1,2 +1,4 @@
-/** The two ways that are compared. */
+/**
+The two ways that are compared.
+*/
 export type DispatchMode = 'alone' | 'pool';
--- a/bench/burst/src/format-rows.ts
+++ b/bench/burst/src/format-rows.ts
@@ -9,7 +9,7 @@
  Formats measured rows as a Markdown table.
 
  @example
- formatRows(rows);
+ formatRows([row]).split('\n').at(-1); // '| steady, 0.7 of capacity | pool | …'
  */
 export function formatRows(rows: readonly Row[]): string {
 	return formatTable(header, rows.map(({scenario, mode, summary}) => {
--- a/bench/burst/src/row.ts
+++ b/bench/burst/src/row.ts
@@ -1,7 +1,9 @@
 import type {LoadSummary} from '@valvesaddle/load';
 import type {DispatchMode} from './dispatch-mode.ts';
 
-/** One measured row. */
+/**
+One measured row.
+*/
 export type Row = {
 	readonly scenario: string;
 	readonly mode: DispatchMode;
--- a/bench/capacity/src/create-bench-dispatcher.ts
+++ b/bench/capacity/src/create-bench-dispatcher.ts
@@ -8,7 +8,9 @@
 	readonly limit: number;
 };
 
-/** A dispatcher with the means to ask it. */
+/**
+A dispatcher with the means to ask it.
+*/
 type BenchDispatcher = {
 	readonly dispatcher: PoolDispatcher;
 	readonly createRequest: (number: number) => AcquireRequest;
--- a/bench/capacity/src/measure-claims.ts
+++ b/bench/capacity/src/measure-claims.ts
@@ -96,10 +96,10 @@
 	}
 
 	server.setDelay(kvDelayMs);
-	const before = server.calls()['get'] ?? 0;
+	const before = server.calls().get ?? 0;
 	const takenMs = await claim(createShard(kv, 1), 'fresh');
 	const segments = server.keys().filter(key => key.includes('/segment/')).length;
-	const reads = (server.calls()['get'] ?? 0) - before;
+	const reads = (server.calls().get ?? 0) - before;
 	await kv.close();
 	await server.close();
 	return [String(size), String(segments), String(reads), `${takenMs.toFixed(0)} ms`];
--- a/bench/capacity/src/measure-grants.ts
+++ b/bench/capacity/src/measure-grants.ts
@@ -6,7 +6,10 @@
 import {createLogger} from '@valvesaddle/logger';
 import {createMembership, type Membership} from '@valvesaddle/membership';
 import {
-	acquireRequestSchema, progressMessageSchema, registerRequestSchema, releaseReportSchema,
+	acquireRequestSchema,
+	progressMessageSchema,
+	registerRequestSchema,
+	releaseReportSchema,
 } from '@valvesaddle/messages';
 import {createMetrics, type Metrics} from '@valvesaddle/metrics';
 import {createPeerNetwork, type PeerHandlers} from '@valvesaddle/network';
--- a/bench/capacity/src/measurement.ts
+++ b/bench/capacity/src/measurement.ts
@@ -1,2 +1,4 @@
-/** One measurement; resolves to what it prints, in Markdown. */
+/**
+One measurement; resolves to what it prints, in Markdown.
+*/
 export type Measurement = () => Promise<string>;
--- a/bench/harness/src/bench-node.ts
+++ b/bench/harness/src/bench-node.ts
@@ -1,6 +1,8 @@
 import type {StartedProcess} from './started-process.ts';
 
-/** A router node as a process of its own. */
+/**
+A router node as a process of its own.
+*/
 export type BenchNode = {
 	readonly id: string;
 	readonly process: StartedProcess;
--- a/bench/harness/src/point.ts
+++ b/bench/harness/src/point.ts
@@ -1,4 +1,6 @@
-/** One measured point. */
+/**
+One measured point.
+*/
 export type Point = {
 	readonly x: number;
 	readonly y: number;
--- a/bench/harness/src/process-usage.ts
+++ b/bench/harness/src/process-usage.ts
@@ -1,6 +1,10 @@
-/** What a process used so far. */
+/**
+What a process used so far.
+*/
 export type ProcessUsage = {
-	/** Processor time, in milliseconds. */
+	/**
+	Processor time, in milliseconds.
+	*/
 	readonly cpuMs: number;
 	readonly residentBytes: number;
 };
--- a/bench/harness/src/read-process-usage.ts
+++ b/bench/harness/src/read-process-usage.ts
@@ -1,7 +1,9 @@
 import {readFile} from 'node:fs/promises';
 import type {ProcessUsage} from './process-usage.ts';
 
-/** The kernel counts processor time in hundredths of a second. */
+/**
+The kernel counts processor time in hundredths of a second.
+*/
 const millisecondsPerTick = 10;
 const userTimeField = 11;
 const systemTimeField = 12;
@@ -17,7 +19,7 @@
 	const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
 	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
 	const status = await readFile(`/proc/${pid}/status`, 'utf8');
-	const resident = /^VmRSS:\s+(?<kilobytes>\d+)/mv.exec(status)?.groups?.['kilobytes'];
+	const resident = /^VmRSS:\s+(?<kilobytes>\d+)/mv.exec(status)?.groups?.kilobytes;
 	return {
 		cpuMs: (Number(fields[userTimeField]) + Number(fields[systemTimeField])) * millisecondsPerTick,
 		residentBytes: Number(resident ?? 0) * bytesPerKilobyte,
--- a/bench/harness/src/stand-ins-addresses.ts
+++ b/bench/harness/src/stand-ins-addresses.ts
@@ -1,4 +1,6 @@
-/** Where a process of stand-ins listens. */
+/**
+Where a process of stand-ins listens.
+*/
 export type StandInsAddresses = {
 	readonly kv: string;
 	readonly vmList: string;
--- a/bench/harness/src/stand-ins-plan.ts
+++ b/bench/harness/src/stand-ins-plan.ts
@@ -1,6 +1,8 @@
 import type {FakeEngineOptions} from '@valvesaddle/fake-engine';
 
-/** What a process of stand-ins runs. */
+/**
+What a process of stand-ins runs.
+*/
 export type StandInsPlan = {
 	readonly engines: readonly FakeEngineOptions[];
 };
--- a/bench/load/src/arrival.ts
+++ b/bench/load/src/arrival.ts
@@ -1,9 +1,13 @@
 import type {LoadAccount} from './load-account.ts';
 import type {LoadClass} from './load-class.ts';
 
-/** One request to come. */
+/**
+One request to come.
+*/
 export type Arrival = {
-	/** Milliseconds since the start of the load. */
+	/**
+	Milliseconds since the start of the load.
+	*/
 	readonly at: number;
 	readonly loadClass: LoadClass;
 	readonly account: LoadAccount;
--- a/bench/load/src/load-account.ts
+++ b/bench/load/src/load-account.ts
@@ -1,7 +1,11 @@
-/** A client account in a load. */
+/**
+A client account in a load.
+*/
 export type LoadAccount = {
 	readonly name: string;
 	readonly key: string;
-	/** Part of all requests. */
+	/**
+	Part of all requests.
+	*/
 	readonly part: number;
 };
--- a/bench/overhead/src/main.ts
+++ b/bench/overhead/src/main.ts
@@ -7,7 +7,10 @@
 import process from 'node:process';
 import {Agent} from 'undici';
 import {
-	findPercentile, formatTable, readProcessUsage, startBenchFleet,
+	findPercentile,
+	formatTable,
+	readProcessUsage,
+	startBenchFleet,
 } from '@valvesaddle/bench-harness';
 import {createDemoConfiguration} from '@valvesaddle/fake-fleet';
 import {readAnswer} from './read-answer.ts';
@@ -20,7 +23,7 @@
 	batch: 64, stepMs: 10, stepMsPerRequest: 0, prefillMsPerToken: 0,
 };
 
-const fleet = await startBenchFleet({nodes: 3, engines: [engine], settings: {dispatch: {'warmup_ms': 1}}});
+const fleet = await startBenchFleet({nodes: 3, engines: [engine], settings: {dispatch: {warmup_ms: 1}}});
 const demo = createDemoConfiguration({engineUrls: fleet.standIns.engines, serviceUrl: fleet.standIns.service});
 await fleet.apply({...demo, endpoints: demo.endpoints.map(endpoint => ({...endpoint, initialLimit: 64}))});
 const agent = new Agent();
--- a/bench/overhead/src/sample.ts
+++ b/bench/overhead/src/sample.ts
@@ -1,4 +1,6 @@
-/** Times of one answer, in milliseconds. */
+/**
+Times of one answer, in milliseconds.
+*/
 export type Sample = {
 	readonly firstTokenMs: number;
 	readonly wholeMs: number;
--- a/caller/access/test/access-index.test.ts
+++ b/caller/access/test/access-index.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'tap';
-import {createAccessIndex, hashKey} from '@valvesaddle/access';
 import type {Configuration} from '@valvesaddle/types';
+import {createAccessIndex, hashKey} from '@valvesaddle/access';
 
 const classes = ['gate', 'route', 'estimate'].map((name, priority) => ({
 	name, priority, urgent: priority === 0, firstTokenTargetMs: 1, maximumWaitMs: 1, weight: 1, floor: 0,
--- a/caller/api/src/caller-api.ts
+++ b/caller/api/src/caller-api.ts
@@ -10,6 +10,8 @@
 	Stops to listen and waits until every reply is out.
 	*/
 	readonly close: () => Promise<void>;
-	/** Stops to listen and breaks every open connection. */
+	/**
+	Stops to listen and breaks every open connection.
+	*/
 	readonly cut: () => void;
 };
--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -39,7 +39,7 @@
 	logLevel: 'warning',
 });
 writeFileSync(configFile, JSON.stringify({
-	main: bundle, output: blob, 'disableExperimentalSEAWarning': true, useCodeCache: true, execArgv: ['--max-semi-space-size=4'], execArgvExtension: 'env',
+	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv: ['--max-semi-space-size=4'], execArgvExtension: 'env',
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
 copyFileSync(process.execPath, binary);
--- a/config/follower/src/config-follower.ts
+++ b/config/follower/src/config-follower.ts
@@ -12,7 +12,9 @@
 	The record in force; `undefined` until one is known.
 	*/
 	readonly record: () => ConfigurationRecord | undefined;
-	/** The record in force as it goes over the wire; `undefined` until one is known. */
+	/**
+	The record in force as it goes over the wire; `undefined` until one is known.
+	*/
 	readonly text: () => string | undefined;
 	readonly configuration: () => Configuration;
 	readonly revision: () => number;
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -23,8 +23,10 @@
 	const events = new Emittery<ConfigEvents>();
 	const stop = new AbortController();
 	let current: ConfigurationRecord | undefined;
-	/** Written out when first asked for. */
-	let text: string | undefined;
+	/**
+	Written out when first asked for.
+	*/
+	let written: string | undefined;
 	let isSettled = false;
 	let isReachable = true;
 	let heardStoreAt = Date.now();
@@ -35,7 +37,7 @@
 		}
 
 		current = record;
-		text = undefined;
+		written = undefined;
 		options.metrics.gauge('configuration.revision', record.revision);
 		options.metrics.increment('configuration.changes', 1, {source});
 		options.logger.info({
@@ -116,8 +118,8 @@
 		},
 		record: () => current,
 		text() {
-			text ??= current && formatRecord(current);
-			return text;
+			written ??= current && formatRecord(current);
+			return written;
 		},
 		configuration: () => current?.configuration ?? emptyConfiguration,
 		revision: () => current?.revision ?? 0,
--- a/config/schema/src/compressed-prefix.ts
+++ b/config/schema/src/compressed-prefix.ts
@@ -1,2 +1,4 @@
-/** Begins every compressed record. */
+/**
+Begins every compressed record.
+*/
 export const compressedPrefix = 'gzip:';
--- a/config/schema/src/parse-record.ts
+++ b/config/schema/src/parse-record.ts
@@ -6,7 +6,9 @@
 import {compressedPrefix} from './compressed-prefix.ts';
 import {recordSchema} from './record-schema.ts';
 
-/** Bounds what a record may readCompressed to. */
+/**
+Bounds what a record may readCompressed to.
+*/
 const largestRecordBytes = 64 * 1024 * 1024;
 
 /**
--- a/config/store/src/create-config-store.ts
+++ b/config/store/src/create-config-store.ts
@@ -19,7 +19,9 @@
 */
 const mostRecentChanges = 500;
 const readBackTries = 3;
-/** The service's own limit for a value. */
+/**
+The service's own limit for a value.
+*/
 const largestValueBytes = 1024 * 1024;
 
 type Stored = {
@@ -59,7 +61,9 @@
 		return err(new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_UNKNOWN', `the reply to change "${change.changeId}" was lost`));
 	}
 
-	/** A configuration that no value of the service holds is refused before anything is written. */
+	/**
+	A configuration that no value of the service holds is refused before anything is written.
+	*/
 	function checkSize(text: string): Result<string, ValvesaddleError> {
 		return text.length <= largestValueBytes
 			? ok(text)
--- a/core/types/src/pool.ts
+++ b/core/types/src/pool.ts
@@ -19,6 +19,8 @@
 	Target for the time between tokens, in milliseconds.
 	*/
 	readonly interTokenTargetMs: number;
-	/** Dispatchers over which the pool is split; more than one only when it is too large for one. */
+	/**
+	Dispatchers over which the pool is split; more than one only when it is too large for one.
+	*/
 	readonly dispatchers: number;
 };
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -6,7 +6,10 @@
 } from 'neverthrow';
 import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {
-	AcquireReply, AcquireRequest, Grant, ProgressReport,
+	AcquireReply,
+	AcquireRequest,
+	Grant,
+	ProgressReport,
 } from '@valvesaddle/messages';
 import type {AcquireAsk} from './acquire-ask.ts';
 import type {DispatchClient} from './dispatch-client.ts';
@@ -27,7 +30,9 @@
 A request that waited so long at a dispatcher had been taken into its queue.
 */
 const surelyQueuedMs = 100;
-/** Grants named in one round of progress; bounds the bytes of a node with many streams. */
+/**
+Grants named in one round of progress; bounds the bytes of a node with many streams.
+*/
 const mostReports = 40;
 
 type SettledReply = Exclude<AcquireReply, {readonly kind: 'moved'}>;
@@ -55,7 +60,9 @@
 		return port;
 	}
 
-	/** Duty of a grant, by its endpoint: it may change with the configuration while the grant is open. */
+	/**
+	Duty of a grant, by its endpoint: it may change with the configuration while the grant is open.
+	*/
 	function findDuty({pool, open}: HeldGrant): string {
 		return host.duties().findDuty(pool, open.endpointId);
 	}
@@ -101,7 +108,9 @@
 		}
 	}
 
-	/** Asks the dispatcher of a duty, wherever it is, until it grants or refuses. */
+	/**
+	Asks the dispatcher of a duty, wherever it is, until it grants or refuses.
+	*/
 	async function askDuty(duty: string, asked: AcquireAsk, signal: AbortSignal): Promise<SettledReply> {
 		const {arrivedAt, resumes, pool: _pool, ...rest} = asked;
 		const skipped: string[] = [];
@@ -179,7 +188,9 @@
 		return ok(reply.grant);
 	}
 
-	/** Renews all grants; names only so many of them in one round, those that were not named for longest. */
+	/**
+	Renews all grants; names only so many of them in one round, those that were not named for longest.
+	*/
 	function sendProgress(): void {
 		const due = held.values().take(mostReports).toArray();
 		const duties = new Set(held.values().map(grant => findDuty(grant)));
@@ -191,7 +202,9 @@
 		}
 	}
 
-	/** What is new of a grant; the time of its first token is told once. */
+	/**
+	What is new of a grant; the time of its first token is told once.
+	*/
 	function toReport(grant: HeldGrant): ProgressReport {
 		const {open: {grantId}, tokens, firstTokenMs, isReported} = grant;
 		held.delete(grantId);
--- a/dispatch/client/src/held-grant.ts
+++ b/dispatch/client/src/held-grant.ts
@@ -8,6 +8,8 @@
 	readonly pool: string;
 	readonly tokens: number;
 	readonly firstTokenMs: number | undefined;
-	/** Whether the time of the first token was reported. */
+	/**
+	Whether the time of the first token was reported.
+	*/
 	readonly isReported: boolean;
 };
--- a/dispatch/host/src/create-dispatch-host.ts
+++ b/dispatch/host/src/create-dispatch-host.ts
@@ -149,7 +149,9 @@
 		return reply;
 	}
 
-	/** The dispatcher of a duty; for one that this configuration does not have, all that may have served it instead. */
+	/**
+	The dispatcher of a duty; for one that this configuration does not have, all that may have served it instead.
+	*/
 	function findDispatchers(duty: string): readonly PoolDispatcher[] {
 		const opened = duties.get(duty);
 		if (opened !== undefined) {
--- a/dispatch/host/src/dispatch-host.ts
+++ b/dispatch/host/src/dispatch-host.ts
@@ -27,7 +27,9 @@
 	The node that this one takes for the owner of a duty.
 	*/
 	readonly findOwner: (duty: string, skipped: readonly string[]) => string | undefined;
-	/** Duties under the configuration in force. */
+	/**
+	Duties under the configuration in force.
+	*/
 	readonly duties: () => DutyIndex;
 	readonly status: () => readonly PoolStatus[];
 	readonly close: () => void;
--- a/dispatch/messages/src/acquire-defaults.ts
+++ b/dispatch/messages/src/acquire-defaults.ts
@@ -1,6 +1,8 @@
 import type {AcquireRequest} from './acquire-request.ts';
 
-/** Values that an acquire request has unless it says otherwise; they are not sent. */
+/**
+Values that an acquire request has unless it says otherwise; they are not sent.
+*/
 export const acquireDefaults = {
 	waitedMs: 0,
 	admitted: false,
--- a/dispatch/messages/src/acquire-request-schema.ts
+++ b/dispatch/messages/src/acquire-request-schema.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {acquireDefaults} from './acquire-defaults.ts';
 
-/** Form of an acquire request on the wire. */
+/**
+Form of an acquire request on the wire.
+*/
 export const acquireRequestSchema = z.object({
 	requestId: z.string(),
 	duty: z.string(),
--- a/dispatch/messages/src/acquire-request.ts
+++ b/dispatch/messages/src/acquire-request.ts
@@ -5,7 +5,9 @@
 */
 export type AcquireRequest = {
 	readonly requestId: string;
-	/** Duty of the dispatcher; see `DutyIndex`. */
+	/**
+	Duty of the dispatcher; see `DutyIndex`.
+	*/
 	readonly duty: string;
 	readonly account: string;
 	readonly className: string;
--- a/dispatch/messages/src/cancel-message.ts
+++ b/dispatch/messages/src/cancel-message.ts
@@ -2,7 +2,9 @@
 Takes a waiting request back.
 */
 export type CancelMessage = {
-	/** Duty of the dispatcher; see `DutyIndex`. */
+	/**
+	Duty of the dispatcher; see `DutyIndex`.
+	*/
 	readonly duty: string;
 	readonly requestId: string;
 };
--- a/dispatch/messages/src/release-report.ts
+++ b/dispatch/messages/src/release-report.ts
@@ -5,7 +5,9 @@
 */
 export type ReleaseReport = {
 	readonly grantId: string;
-	/** Duty of the dispatcher; see `DutyIndex`. */
+	/**
+	Duty of the dispatcher; see `DutyIndex`.
+	*/
 	readonly duty: string;
 	readonly outcome: ReleaseOutcome;
 	readonly tokens: number;
--- a/dispatch/ownership/src/create-duty-index.ts
+++ b/dispatch/ownership/src/create-duty-index.ts
@@ -2,7 +2,9 @@
 import type {Configuration, Pool} from '@valvesaddle/types';
 import type {DutyIndex} from './duty-index.ts';
 
-/** Not allowed in the name of a pool. */
+/**
+Not allowed in the name of a pool.
+*/
 const separator = '#';
 const hashDigits = 8;
 
--- a/dispatch/ownership/test/duty-index.test.ts
+++ b/dispatch/ownership/test/duty-index.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {test} from 'tap';
-import {createDutyIndex} from '@valvesaddle/ownership';
 import type {Configuration} from '@valvesaddle/types';
+import {createDutyIndex} from '@valvesaddle/ownership';
 
 function createConfiguration(dispatchers: number, endpoints: number): Configuration {
 	return {
--- a/dispatch/policy/src/choose-endpoint.ts
+++ b/dispatch/policy/src/choose-endpoint.ts
@@ -20,10 +20,12 @@
 		}
 
 		const milliseconds = estimateFirstToken(endpoint, need);
-		if (milliseconds < bestMs) {
-			best = endpoint;
-			bestMs = milliseconds;
+		if (!(milliseconds < bestMs)) {
+			continue;
 		}
+
+		best = endpoint;
+		bestMs = milliseconds;
 	}
 
 	return best;
--- a/dispatch/pool/src/create-grant-table.ts
+++ b/dispatch/pool/src/create-grant-table.ts
@@ -2,7 +2,9 @@
 import type {GrantEntry} from './grant-entry.ts';
 import type {GrantTable} from './grant-table.ts';
 
-/** A node that is heard names each of its grants at least once in so many leases. */
+/**
+A node that is heard names each of its grants at least once in so many leases.
+*/
 const leasesUnnamed = 20;
 
 /**
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -55,7 +55,9 @@
 	const lengths = createLengthModel();
 	const sessions = createSessionTable();
 	const openedAt = Date.now();
-	/** Tells this dispatcher's grants from those of others; short, since every report names it. */
+	/**
+	Tells this dispatcher's grants from those of others; short, since every report names it.
+	*/
 	const epoch = randomUUID().slice(0, epochLength);
 	let classes: ReadonlyMap<string, RequestClass> = new Map();
 	let interTokenTargetMs = defaultInterTokenMs;
--- a/dispatch/pool/src/create-slot-index.ts
+++ b/dispatch/pool/src/create-slot-index.ts
@@ -1,8 +1,15 @@
-import {hasSlot, type EndpointNeed, type EndpointView, type GrantMode} from '@valvesaddle/policy';
+import {
+	hasSlot,
+	type EndpointNeed,
+	type EndpointView,
+	type GrantMode,
+} from '@valvesaddle/policy';
 import type {SlotIndex} from './slot-index.ts';
 
 const modes: readonly GrantMode[] = ['urgent', 'shared', 'floor'];
-/** A configuration allows no larger floor, so an endpoint without a slot under this one has none under any. */
+/**
+A configuration allows no larger floor, so an endpoint without a slot under this one has none under any.
+*/
 const largestFloor = 0.3;
 
 type Needs = Readonly<Record<GrantMode, EndpointNeed>>;
@@ -57,7 +64,9 @@
 	};
 }
 
-/** For each rule the need that most endpoints can meet. */
+/**
+For each rule the need that most endpoints can meet.
+*/
 function createNeeds(headroom: number): Needs {
 	const widest: Omit<EndpointNeed, 'mode'> = {
 		headroom, floor: largestFloor, promptTokens: 0, dataCentre: '', sessionEndpoint: undefined, avoid: [], mayProbe: true,
--- a/dispatch/pool/src/endpoint-table.ts
+++ b/dispatch/pool/src/endpoint-table.ts
@@ -27,7 +27,9 @@
 	readonly views: () => readonly EndpointView[];
 	readonly configured: () => readonly Endpoint[];
 	readonly sums: () => PoolSums;
-	/** Endpoints that may have a slot under a rule. */
+	/**
+	Endpoints that may have a slot under a rule.
+	*/
 	readonly candidates: SlotIndex['candidates'];
 	readonly setHeadroom: SlotIndex['setHeadroom'];
 };
--- a/dispatch/pool/src/grant-table.ts
+++ b/dispatch/pool/src/grant-table.ts
@@ -12,7 +12,9 @@
 	*/
 	readonly replace: (entry: GrantEntry) => void;
 	readonly remove: (grantId: string) => GrantEntry | undefined;
-	/** Notes a sign of life of a node, which renews all its grants for a lease. */
+	/**
+	Notes a sign of life of a node, which renews all its grants for a lease.
+	*/
 	readonly renewNode: (node: string, now: number) => void;
 	/**
 	Removes the grants whose node was silent for a lease, or did not name them for many leases although it was heard;
--- a/dispatch/pool/src/pool-sums.ts
+++ b/dispatch/pool/src/pool-sums.ts
@@ -1,9 +1,15 @@
-/** Sums over the endpoints of a pool. */
+/**
+Sums over the endpoints of a pool.
+*/
 export type PoolSums = {
-	/** Limits of the endpoints in use. */
+	/**
+	Limits of the endpoints in use.
+	*/
 	readonly slots: number;
 	readonly inFlight: number;
 	readonly urgentInFlight: number;
-	/** Endpoints in use. */
+	/**
+	Endpoints in use.
+	*/
 	readonly live: number;
 };
--- a/node/router/src/create-catch-up.ts
+++ b/node/router/src/create-catch-up.ts
@@ -3,7 +3,9 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import type {CatchUp} from './catch-up.ts';
 
-/** The watch on the key-value service usually brings a change within this time. */
+/**
+The watch on the key-value service usually brings a change within this time.
+*/
 const patienceMs = 300;
 
 type CatchUpOptions = {
--- a/outcome/execution/src/create-claim-holder.ts
+++ b/outcome/execution/src/create-claim-holder.ts
@@ -36,10 +36,12 @@
 			return end;
 		},
 		async release() {
-			if (isHeld) {
-				isHeld = false;
-				await claims.release(question);
+			if (!isHeld) {
+				return;
 			}
+
+			isHeld = false;
+			await claims.release(question);
 		},
 	};
 }
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -2,7 +2,10 @@
 import {toValvesaddleError, type ValvesaddleError} from '@valvesaddle/error';
 import type {Grant} from '@valvesaddle/messages';
 import {
-	advanceOutcome, firstOutcome, type Outcome, type OutcomeEvent,
+	advanceOutcome,
+	firstOutcome,
+	type Outcome,
+	type OutcomeEvent,
 } from '@valvesaddle/state';
 import {createClaimHolder} from './create-claim-holder.ts';
 import {decideNextStep} from './decide-next-step.ts';
@@ -51,7 +54,9 @@
 		outcome = advanceOutcome(outcome, event);
 	}
 
-	/** Gives the request up; its claim goes back where it surely did not run, so that the caller may send it again. */
+	/**
+	Gives the request up; its claim goes back where it surely did not run, so that the caller may send it again.
+	*/
 	async function endWithError(error: ValvesaddleError, event: OutcomeEvent = 'give-up'): Promise<AnswerEnd> {
 		advance(event);
 		if (outcome.ran === 'no') {
@@ -85,7 +90,9 @@
 		return grant.value;
 	}
 
-	/** Claims the request under a grant; gives the grant back when it may not run here. */
+	/**
+	Claims the request under a grant; gives the grant back when it may not run here.
+	*/
 	async function claim(grant: Grant): Promise<AnswerEnd | undefined> {
 		let held: AnswerEnd | undefined;
 		try {
@@ -159,7 +166,9 @@
 		return next === 'end' ? endWithError(error) : undefined;
 	}
 
-	/** One grant and one attempt; `undefined` when another one follows. */
+	/**
+	One grant and one attempt; `undefined` when another one follows.
+	*/
 	async function runOnce(): Promise<AnswerEnd | undefined> {
 		let grant: Grant;
 		try {
@@ -188,7 +197,9 @@
 		return end;
 	}
 
-	/** Looks whether the key was used before, so that a repetition does not wait for a grant. */
+	/**
+	Looks whether the key was used before, so that a repetition does not wait for a grant.
+	*/
 	async function findHeld(): Promise<AnswerEnd | undefined> {
 		try {
 			return await claimHolder.findOther();
--- a/outcome/execution/src/decide-next-step.ts
+++ b/outcome/execution/src/decide-next-step.ts
@@ -3,16 +3,22 @@
 import type {NextStep} from './next-step.ts';
 import type {Progress} from './progress.ts';
 
-/** Endpoints tried for one request. */
+/**
+Endpoints tried for one request.
+*/
 const mostAttempts = 5;
 
 type FailedAttempt = {
 	readonly error: ValvesaddleError;
 	readonly job: Job;
 	readonly progress: Progress;
-	/** Attempts of the request so far, this one included. */
+	/**
+	Attempts of the request so far, this one included.
+	*/
 	readonly attempts: number;
-	/** Takes a retry out of the budgets; false when they hold none. */
+	/**
+	Takes a retry out of the budgets; false when they hold none.
+	*/
 	readonly canSpend: () => boolean;
 };
 
@@ -34,6 +40,6 @@
 		return 'retry';
 	}
 
-	const mayRunAgain = job.claim === undefined && (progress.tokens > 0 || canSpend());
-	return mayRunAgain ? 'retry' : 'end';
+	const isMayRunAgain = job.claim === undefined && (progress.tokens > 0 || canSpend());
+	return isMayRunAgain ? 'retry' : 'end';
 }
--- a/outcome/execution/src/execution.ts
+++ b/outcome/execution/src/execution.ts
@@ -1,7 +1,11 @@
 import type {AnswerEnd} from '@valvesaddle/answers';
 
-/** The execution of one request. */
+/**
+The execution of one request.
+*/
 export type Execution = {
-	/** Runs it to its end. */
+	/**
+	Runs it to its end.
+	*/
 	readonly run: () => Promise<AnswerEnd>;
 };
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -114,7 +114,8 @@
 			usedAt = Date.now();
 			pending++;
 			try {
-				return await client.request(method, parameters);
+				const answer: unknown = await client.request(method, parameters);
+				return answer;
 			} finally {
 				pending--;
 				usedAt = Date.now();
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -16,7 +16,9 @@
 const nodeHeader = 'x-valvesaddle-node';
 const largestMessageBytes = 2 * 1024 * 1024;
 const ticksPerSilence = 6;
-/** Small windows: messages are short and alike, and every link holds its own. */
+/**
+Small windows: messages are short and alike, and every link holds its own.
+*/
 const compression: PerMessageDeflateOptions = {
 	threshold: 0, serverMaxWindowBits: 11, clientMaxWindowBits: 11, zlibDeflateOptions: {level: 1, memLevel: 4},
 };
--- a/peer/network/src/peer-network-options.ts
+++ b/peer/network/src/peer-network-options.ts
@@ -19,7 +19,9 @@
 	A link that was silent for so long while in use is broken, in milliseconds.
 	*/
 	readonly silenceMs: number;
-	/** Whether messages are compressed: a quarter of the bytes for three times the processor time. */
+	/**
+	Whether messages are compressed: a quarter of the bytes for three times the processor time.
+	*/
 	readonly isCompressed: boolean;
 	readonly metrics: Metrics;
 };
--- a/xo.config.js
+++ b/xo.config.js
@@ -38,13 +38,19 @@
 			'@typescript-eslint/no-floating-promises': 'off',
 			'unicorn/no-await-expression-member': 'off',
 			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
 			'node-test/no-import-test-files': 'off',
 		},
 	},
 	{
 		// Clipanion declares commands with functions that begin with a capital.
 		files: ['cli/**'],
-		rules: {'new-cap': 'off', 'unicorn/no-process-exit': 'off'},
+		rules: {'new-cap': 'off'},
+	},
+	{
+		// Programs: they end by themselves, and are built with tools of the root.
+		files: ['cli/**', 'bench/**'],
+		rules: {'unicorn/no-process-exit': 'off', 'import-x/no-extraneous-dependencies': 'off'},
 	},
 	{
 		// The packages are private and built together: exact versions, one engine, exports that the workspace resolves.
