--- a/bench/burst/src/run-scenario.ts
+++ b/bench/burst/src/run-scenario.ts
@@ -1,6 +1,6 @@
 import {startBenchFleet} from '@valvesaddle/bench-harness';
 import {createDemoConfiguration} from '@valvesaddle/fake-fleet';
-import {runLoad, summarizeLoad} from '@valvesaddle/load';
+import {runLoad, summarizeLoad, type LoadPlan} from '@valvesaddle/load';
 import type {Configuration} from '@valvesaddle/types';
 import {request} from 'undici';
 import type {DispatchMode} from './dispatch-mode.ts';
@@ -9,6 +9,9 @@
 
 const nodes = 3;
 const initialLimit = 24;
+const warmUpMs = 4000;
+const warmUpPerSecond = 60;
+const warmUpTokens = 10;
 
 type Counts = {
 	readonly tokens: number;
@@ -23,12 +26,15 @@
 export async function runScenario(scenario: Scenario, mode: DispatchMode): Promise<Row> {
 	const fleet = await startBenchFleet({nodes, engines: scenario.engines, settings: {dispatch: {mode}}});
 	try {
+		const addresses = fleet.nodes.map(({callers}) => callers);
 		const configuration = createDemoConfiguration({engineUrls: fleet.standIns.engines, serviceUrl: fleet.standIns.service});
 		await fleet.apply(withTargets(configuration, scenario));
+		await runLoad(createWarmUp(scenario.plan), addresses);
+		const before = await countGenerated(fleet.standIns.engines);
 		const disturbing = scenario.disturb?.(fleet);
-		const results = await runLoad(scenario.plan, fleet.nodes.map(({callers}) => callers));
+		const results = await runLoad(scenario.plan, addresses);
 		await disturbing;
-		const generated = await countGenerated(fleet.standIns.engines);
+		const generated = await countGenerated(fleet.standIns.engines) - before;
 		return {scenario: scenario.name, mode, summary: summarizeLoad(scenario.plan, results, generated)};
 	} finally {
 		await fleet.close();
@@ -49,6 +55,19 @@
 	};
 }
 
+/**
+A short light load before the measured one: connections are open and code is optimised, as in a running fleet.
+*/
+function createWarmUp(plan: LoadPlan): LoadPlan {
+	return {
+		...plan,
+		classes: plan.classes.map(({burst, ...loadClass}) => ({...loadClass, meanTokens: warmUpTokens})),
+		requestsPerSecond: warmUpPerSecond,
+		lengthMs: warmUpMs,
+		seed: plan.seed + 1,
+	};
+}
+
 async function countGenerated(engines: readonly string[]): Promise<number> {
 	let tokens = 0;
 	for (const url of engines) {
--- a/bench/overhead/src/main.ts
+++ b/bench/overhead/src/main.ts
@@ -17,7 +17,11 @@
 import type {Sample} from './sample.ts';
 
 const concurrency = [1, 8, 32];
-const rounds = 12;
+const rounds = 20;
+/**
+Requests before the first measured one, so that both ways run optimised code.
+*/
+const warmUpRequests = 600;
 const tokens = 100;
 const engine = {
 	batch: 64, stepMs: 10, stepMsPerRequest: 0, prefillMsPerToken: 0,
@@ -35,6 +39,11 @@
 	return Promise.all(Array.from({length: count}, async (_, index) => readAnswer({url: urls[index % urls.length]!, tokens, agent})));
 }
 
+for (let sent = 0; sent < warmUpRequests; sent += 32) {
+	// eslint-disable-next-line no-await-in-loop -- bounds how many are open
+	await runRound([direct, ...routed], 32);
+}
+
 for (const count of concurrency) {
 	const directSamples: Sample[] = [];
 	const routedSamples: Sample[] = [];
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -1,16 +1,19 @@
-import {hash, randomBytes} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
 import {ValvesaddleError} from '@valvesaddle/error';
-import type {Job, JobClaim} from '@valvesaddle/execution';
-import type {ClientAccount, Pool} from '@valvesaddle/types';
+import type {JobClaim} from '@valvesaddle/execution';
+import {closeServer, formatServerAddress} from '@valvesaddle/http-server';
+import type {ClientAccount} from '@valvesaddle/types';
+import {buildChatJob} from './build-chat-job.ts';
+import {buildServiceJob} from './build-service-job.ts';
+import type {Caller} from './caller.ts';
 import type {CallerApi} from './caller-api.ts';
 import type {CallerApiOptions} from './caller-api-options.ts';
-import {estimatePromptTokens} from './estimate-prompt-tokens.ts';
 import {getHeader} from './get-header.ts';
 import {headerNames} from './header-names.ts';
-import {parseChatBody} from './parse-chat-body.ts';
+import type {JobOptions} from './job-options.ts';
+import type {JobPlan} from './job-plan.ts';
 import {parseEventId} from './parse-event-id.ts';
 import {readBody} from './read-body.ts';
 import type {ReplyContext} from './reply-context.ts';
@@ -19,18 +22,24 @@
 import {writeStreamReply} from './write-stream-reply.ts';
 import {writeWholeReply} from './write-whole-reply.ts';
 
-const fingerprintLength = 22;
-const requestIdBytes = 12;
 const noRequest = '-';
-const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<rest>(?:\/[^?]*)?)(?<query>\?.*)?$/v;
-const tracedHeaders = ['traceparent', 'tracestate'];
+
+type Handler = (caller: Caller, response: ServerResponse) => Promise<void>;
+
+type RawHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+type JobBuilder = (caller: Caller, text: string, options: JobOptions) => JobPlan;
 
 type Write = (context: ReplyContext) => Promise<AnswerEnd | undefined>;
 
-type Caller = {
-	readonly request: IncomingMessage;
+type Reply = {
+	readonly caller: Caller;
 	readonly response: ServerResponse;
-	readonly account: ClientAccount;
+	readonly source: AnswerSource;
+	readonly model: string;
+	readonly offset: number;
+	readonly write: Write;
+	readonly claim: JobClaim | undefined;
 };
 
 /**
@@ -58,10 +67,8 @@
 		sendError(response, end, noRequest);
 	}
 
-	/**
-	Wraps a handler that needs a known caller and a node that takes requests.
-	*/
-	function handle(act: (caller: Caller) => Promise<void>): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+	/** Wraps a handler that needs a known caller. */
+	function withCaller(handle: Handler): RawHandler {
 		return async (request, response) => {
 			if (options.isLeaving()) {
 				response.setHeader('connection', 'close');
@@ -73,14 +80,14 @@
 					throw account.error;
 				}
 
-				await act({request, response, account: account.value});
+				await handle({request, account: account.value}, response);
 			} catch (error) {
 				sendFailure(response, error);
 			}
 		};
 	}
 
-	function checkTaken({account}: Caller): void {
+	function checkTaken(account: ClientAccount): void {
 		const refusal = options.refusal();
 		if (refusal !== undefined) {
 			throw refusal;
@@ -91,22 +98,26 @@
 		}
 	}
 
-	/**
-	Writes the answer; follows to the attempt that holds the claim where there is one.
-	*/
-	async function writeReply(caller: Caller, context: Omit<ReplyContext, 'response' | 'isGone'>, write: Write, claim: JobClaim | undefined): Promise<void> {
-		const {response} = caller;
+	/** Writes the answer; follows to the attempt that holds the claim where there is one. */
+	async function writeReply(reply: Reply): Promise<void> {
+		const {response, source, model, offset, write} = reply;
 		let isGone = false;
-		context.source.attach();
+		source.attach();
 		response.once('close', () => {
 			isGone = true;
-			context.source.detach();
+			source.detach();
+		});
+		const held = await write({
+			response, source, model, offset, isGone: () => isGone,
 		});
-		const held = await write({...context, response, isGone: () => isGone});
-		if (held?.kind !== 'held') {
-			return;
+		if (held?.kind === 'held') {
+			await write({
+				response, source: await findHeld(reply, held), model, offset: 0, isGone: () => isGone,
+			});
 		}
+	}
 
+	async function findHeld({caller, claim}: Reply, held: Extract<AnswerEnd, {readonly kind: 'held'}>): Promise<AnswerSource> {
 		if (held.fingerprint !== claim?.fingerprint) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_IDEMPOTENCY_KEY_REUSED', 'the key stands for a different request');
 		}
@@ -116,86 +127,41 @@
 			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read`);
 		}
 
-		await write({
-			...context, source, offset: 0, response, isGone: () => isGone,
-		});
+		return source;
 	}
 
-	async function handleChat(caller: Caller): Promise<void> {
-		checkTaken(caller);
-		const text = await readBody(caller.request, options.bodyBytes);
-		const body = parseChatBody(text);
-		const access = options.access().resolve({
-			account: caller.account.name, kind: 'engine', model: body.model, region: options.region, className: getHeader(caller.request, headerNames.className),
-		});
-		if (access.isErr()) {
-			throw access.error;
-		}
-
-		const job: Job = {
-			...toJobBase(caller, text, access.value.pool),
-			...access.value,
-			session: getHeader(caller.request, headerNames.session) ?? body.user,
-			promptTokens: estimatePromptTokens(body.messages),
-			work: {kind: 'engine', body},
-		};
-		const source = options.executor.start(job);
-		await writeReply(caller, {source, model: body.model, offset: 0}, body.stream === true ? writeStreamReply : writeWholeReply, job.claim);
-	}
-
-	async function handleService(caller: Caller): Promise<void> {
-		checkTaken(caller);
-		const {request} = caller;
-		const groups = servicePath.exec(request.url ?? '')?.groups ?? {};
-		const model = groups.service ?? '';
-		const body = await readBody(request, options.bodyBytes);
-		const access = options.access().resolve({
-			account: caller.account.name, kind: 'service', model, region: options.region, className: getHeader(request, headerNames.className),
+	function createJobHandler(build: JobBuilder): RawHandler {
+		return withCaller(async (caller, response) => {
+			checkTaken(caller.account);
+			const text = await readBody(caller.request, options.bodyBytes);
+			const {job, model, isStreamed} = build(caller, text, {node: options.node, region: options.region, access: options.access()});
+			await writeReply({
+				caller, response, source: options.executor.start(job), model, offset: 0, write: isStreamed ? writeStreamReply : writeWholeReply, claim: job.claim,
+			});
 		});
-		if (access.isErr()) {
-			throw access.error;
-		}
-
-		const path = `${groups.rest ?? ''}${groups.query ?? ''}`;
-		const method = request.method ?? 'GET';
-		const job: Job = {
-			...toJobBase(caller, `${method} ${path}\n${body}`, access.value.pool),
-			...access.value,
-			session: undefined,
-			promptTokens: 0,
-			work: {
-				kind: 'service', method, path: path === '' ? '/' : path, contentType: getHeader(request, 'content-type') ?? 'application/json', body,
-			},
-		};
-		await writeReply(caller, {source: options.executor.start(job), model, offset: 0}, writeWholeReply, job.claim);
-	}
-
-	function toJobBase({request, account}: Caller, text: string, pool: Pool): Pick<Job, 'requestId' | 'account' | 'claim' | 'trace' | 'arrivedAt'> {
-		return {
-			requestId: `${options.node}_${randomBytes(requestIdBytes).toString('hex')}`,
-			account: account.name,
-			claim: toClaim(request, text, pool),
-			trace: pickTrace(request),
-			arrivedAt: Date.now(),
-		};
 	}
 
-	async function handleReconnect(caller: Caller): Promise<void> {
-		const position = parseEventId(getHeader(caller.request, headerNames.lastEventId) ?? `${(caller.request.url ?? '').split('/').at(-1)}:0`);
-		const source: AnswerSource | undefined = position && await options.findAnswer(position.requestId, caller.account.name);
+	async function handleReconnect(caller: Caller, response: ServerResponse): Promise<void> {
+		const {request, account} = caller;
+		const eventId = getHeader(request, headerNames.lastEventId) ?? `${(request.url ?? '').split('/').at(-1)}:0`;
+		const position = parseEventId(eventId);
+		const source = position && await options.findAnswer(position.requestId, account.name);
 		if (position === undefined || source === undefined) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', 'no answer is kept under this id');
 		}
 
 		options.metrics.increment('callers.reconnects');
-		await writeReply(caller, {source, model: '', offset: position.offset}, writeStreamReply, undefined);
+		await writeReply({
+			caller, response, source, model: '', offset: position.offset, write: writeStreamReply, claim: undefined,
+		});
 	}
 
-	service.post('/v1/chat/completions', handle(handleChat));
-	service.get('/v1/requests/:id', handle(handleReconnect));
-	service.all('/v1/services/:service', handle(handleService));
-	service.all('/v1/services/:service/*', handle(handleService));
-	service.get('/v1/models', handle(async ({account, response}) => {
+	const handleService = createJobHandler(buildServiceJob);
+	service.post('/v1/chat/completions', createJobHandler(buildChatJob));
+	service.get('/v1/requests/:id', withCaller(handleReconnect));
+	service.all('/v1/services/:service', handleService);
+	service.all('/v1/services/:service/*', handleService);
+	service.get('/v1/models', withCaller(async ({account}, response) => {
 		const data = options.access().models(account.name).map(id => ({id, object: 'model'}));
 		response.setHeader('content-type', 'application/json');
 		response.end(JSON.stringify({object: 'list', data}));
@@ -211,36 +177,12 @@
 	return {
 		async listen() {
 			await service.start(options.port, options.host);
-			const address = server.address();
-			return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
-		},
-		async close() {
-			const {promise, resolve} = Promise.withResolvers<void>();
-			server.close(() => {
-				resolve();
-			});
-			server.closeIdleConnections();
-			await promise;
+			return formatServerAddress(server);
 		},
+		close: async () => closeServer(server),
 		cut() {
 			server.close();
 			server.closeAllConnections();
 		},
 	};
 }
-
-function toClaim(request: IncomingMessage, text: string, pool: Pool): JobClaim | undefined {
-	const key = getHeader(request, headerNames.idempotencyKey);
-	if (key === undefined && !pool.repeatable) {
-		throw new ValvesaddleError('ERR_VALVESADDLE_IDEMPOTENCY_KEY_REQUIRED', `requests to "${pool.model}" run at most once`);
-	}
-
-	return key === undefined ? undefined : {key, fingerprint: hash('sha256', text, 'base64url').slice(0, fingerprintLength)};
-}
-
-function pickTrace({headers}: IncomingMessage): Readonly<Record<string, string>> {
-	return Object.fromEntries(tracedHeaders.flatMap(name => {
-		const value = headers[name];
-		return typeof value === 'string' ? [[name, value]] : [];
-	}));
-}
--- /dev/null
+++ b/core/http-server/src/close-server.ts
@@ -0,0 +1,20 @@
+import type {Server} from 'node:http';
+
+/**
+ Stops a server and waits until its open requests have ended; does nothing when it does not listen.
+
+ @example
+ await closeServer(server);
+ */
+export async function closeServer(server: Server): Promise<void> {
+	if (!server.listening) {
+		return;
+	}
+
+	const {promise, resolve} = Promise.withResolvers<void>();
+	server.close(() => {
+		resolve();
+	});
+	server.closeIdleConnections();
+	await promise;
+}
--- /dev/null
+++ b/core/http-server/src/index.ts
@@ -0,0 +1,3 @@
+export {closeServer} from './close-server.ts';
+export {formatServerAddress} from './format-server-address.ts';
+export {startServer} from './start-server.ts';
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -8,13 +8,13 @@
 import type {
 	AcquireReply,
 	AcquireRequest,
+	DispatchPort,
 	Grant,
 	ProgressReport,
 } from '@valvesaddle/messages';
 import type {AcquireAsk} from './acquire-ask.ts';
 import type {DispatchClient} from './dispatch-client.ts';
 import type {DispatchClientOptions} from './dispatch-client-options.ts';
-import type {DispatchPort} from './dispatch-port.ts';
 import type {HeldGrant} from './held-grant.ts';
 import {createRemotePort} from './create-remote-port.ts';
 
--- a/dispatch/client/src/create-remote-port.ts
+++ b/dispatch/client/src/create-remote-port.ts
@@ -1,6 +1,5 @@
 import type {PeerNetwork} from '@valvesaddle/network';
-import {acquireReplySchema, toAcquireMessage} from '@valvesaddle/messages';
-import type {DispatchPort} from './dispatch-port.ts';
+import {acquireReplySchema, toAcquireMessage, type DispatchPort} from '@valvesaddle/messages';
 
 /**
  Creates the dispatcher's methods on another node.
--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -98,9 +98,11 @@
 		},
 	};
 	const client = createDispatchClient({
-		node: 'n1', dataCentre: 'dc-1', host, network, membership: {suspect(node: string) {
-			suspects.push(node);
-		}} as unknown as Membership, progressMs: 1_000_000,
+		node: 'n1', dataCentre: 'dc-1', host, network, membership: {
+			suspect(node: string) {
+				suspects.push(node);
+			},
+		} as unknown as Membership, progressMs: 1_000_000,
 		metrics: createMetrics(), logger: createLogger({node: 'n1', level: 'silent'}),
 	});
 	return {
--- a/dispatch/host/src/dispatch-host.ts
+++ b/dispatch/host/src/dispatch-host.ts
@@ -1,23 +1,11 @@
-import type {
-	AcquireReply,
-	AcquireRequest,
-	CancelMessage,
-	ProgressMessage,
-	RegisterRequest,
-	ReleaseReport,
-} from '@valvesaddle/messages';
+import type {DispatchPort} from '@valvesaddle/messages';
 import type {DutyIndex} from '@valvesaddle/ownership';
 import type {PoolStatus} from '@valvesaddle/pool';
 
 /**
 Carries the dispatch duties of a node: opens the dispatcher of a pool when first asked, closes it when the duty moves.
 */
-export type DispatchHost = {
-	readonly acquire: (request: AcquireRequest) => Promise<AcquireReply>;
-	readonly cancel: (message: CancelMessage) => void;
-	readonly release: (report: ReleaseReport) => void;
-	readonly progress: (message: ProgressMessage) => void;
-	readonly register: (request: RegisterRequest) => void;
+export type DispatchHost = DispatchPort & {
 	readonly dropNode: (node: string) => void;
 	/**
 	Hands a new configuration to the open dispatchers.
--- a/dispatch/messages/src/index.ts
+++ b/dispatch/messages/src/index.ts
@@ -5,6 +5,7 @@
 export {acquireRequestSchema} from './acquire-request-schema.ts';
 export type {CancelMessage} from './cancel-message.ts';
 export {cancelMessageSchema} from './cancel-message-schema.ts';
+export type {DispatchPort} from './dispatch-port.ts';
 export type {Grant} from './grant.ts';
 export type {OpenGrant} from './open-grant.ts';
 export type {ProgressMessage} from './progress-message.ts';
--- a/dispatch/policy/src/adjust-limit.ts
+++ b/dispatch/policy/src/adjust-limit.ts
@@ -1,6 +1,10 @@
 import type {EndpointView} from './endpoint-view.ts';
 
-const tolerance = 1.05;
+/**
+The limit falls above this part of the target and grows below the other, so that it rests a little under the target.
+*/
+const fallsAbove = 0.95;
+const growsBelow = 0.85;
 const decrease = 0.9;
 const increase = 1;
 /**
@@ -33,14 +37,14 @@
 	}
 
 	const sinceMs = target.now - endpoint.limitChangedAt;
-	if (endpoint.interTokenMs > target.interTokenMs * tolerance) {
+	if (endpoint.interTokenMs > target.interTokenMs * fallsAbove) {
 		const isDue = sinceMs >= decreasePauseMs && endpoint.limit > smallestLimit;
 		return isDue ? withLimit(endpoint, Math.max(smallestLimit, endpoint.limit * decrease), target.now) : endpoint;
 	}
 
 	const isUsed = endpoint.inFlight >= endpoint.limit * usedPart;
 	const isDue = sinceMs >= increasePauseMs && endpoint.limit < largestLimit;
-	return isUsed && isDue && endpoint.interTokenMs < target.interTokenMs * decrease
+	return isUsed && isDue && endpoint.interTokenMs < target.interTokenMs * growsBelow
 		? withLimit(endpoint, Math.min(largestLimit, endpoint.limit + increase), target.now)
 		: endpoint;
 }
--- a/operator/server/src/create-operator-server.ts
+++ b/operator/server/src/create-operator-server.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {closeServer, startServer} from '@valvesaddle/http-server';
 import {OperatorService} from '@valvesaddle/operator-schema';
 import {createOperatorHandlers} from './create-operator-handlers.ts';
 import type {OperatorServer} from './operator-server.ts';
@@ -22,21 +23,7 @@
 	}));
 
 	return {
-		async listen() {
-			const {promise, resolve, reject} = Promise.withResolvers<void>();
-			server.once('error', reject);
-			server.listen(options.port, options.host, resolve);
-			await promise;
-			const address = server.address();
-			return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
-		},
-		async close() {
-			const {promise, resolve} = Promise.withResolvers<void>();
-			server.close(() => {
-				resolve();
-			});
-			server.closeIdleConnections();
-			await promise;
-		},
+		listen: async () => startServer(server, options),
+		close: async () => closeServer(server),
 	};
 }
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -5,6 +5,7 @@
 import {ResultAsync} from 'neverthrow';
 import {WebSocket, WebSocketServer, type PerMessageDeflateOptions} from 'ws';
 import {ValvesaddleError} from '@valvesaddle/error';
+import {closeServer, startServer} from '@valvesaddle/http-server';
 import {createPeerLink} from './create-peer-link.ts';
 import {fromRpcError} from './from-rpc-error.ts';
 import type {PeerEvents} from './peer-events.ts';
@@ -127,11 +128,7 @@
 			socketServer.on('connection', (socket, request) => {
 				addLink(String(request.headers[nodeHeader]), socket);
 			});
-			const {promise, resolve, reject} = Promise.withResolvers<void>();
-			httpServer.once('error', reject);
-			httpServer.listen(options.port, options.host, resolve);
-			await promise;
-			return formatAddress(httpServer);
+			return startServer(httpServer, options);
 		},
 		call: (node, method, parameters) => ResultAsync.fromPromise(callNode(node, method, parameters), thrown => toPeerError(thrown)),
 		notify(node, method, parameters) {
@@ -159,15 +156,9 @@
 			}
 
 			socketServer?.close();
-			if (!httpServer?.listening) {
-				return;
+			if (httpServer !== undefined) {
+				await closeServer(httpServer);
 			}
-
-			const {promise, resolve} = Promise.withResolvers<void>();
-			httpServer.close(() => {
-				resolve();
-			});
-			await promise;
 		},
 	};
 }
@@ -178,11 +169,6 @@
 	return given.length === expected.length && timingSafeEqual(given, expected) && request.headers[nodeHeader] !== undefined;
 }
 
-function formatAddress(server: Server): string {
-	const address = server.address();
-	return typeof address === 'object' && address !== null ? `${address.address}:${address.port}` : String(address);
-}
-
 function toPeerError(thrown: unknown): ValvesaddleError {
 	const error = fromRpcError(thrown);
 	const isBroken = error.code === 'ERR_VALVESADDLE_INTERNAL' || error.code === 'ERR_VALVESADDLE_MESSAGE_INVALID';
