--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -1,6 +1,5 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import {createAccessIndex} from '@valvesaddle/access';
-import {createAnswerStore, type AnswerSource} from '@valvesaddle/answers';
+import {createAnswerStore} from '@valvesaddle/answers';
 import {createCallerApi} from '@valvesaddle/caller-api';
 import {createClaimClient} from '@valvesaddle/claims';
 import {createAloneClient} from '@valvesaddle/alone';
@@ -20,10 +19,11 @@
 import {createTracing} from '@valvesaddle/tracing';
 import type {Endpoint} from '@valvesaddle/types';
 import {createVmListClient} from '@valvesaddle/vm-list';
+import {createAnswerFinder} from './create-answer-finder.ts';
 import {createCatchUp} from './create-catch-up.ts';
+import {createDrain} from './create-drain.ts';
 import {createHealth} from './create-health.ts';
 import {createPeerHandlers} from './create-peer-handlers.ts';
-import {createRemoteAnswer} from './create-remote-answer.ts';
 import type {Router} from './router.ts';
 import type {RouterOptions} from './router-options.ts';
 import {parseAddress} from './parse-address.ts';
@@ -130,32 +130,15 @@
 		return follower.configuration().pools.some(({name, kind}) => name === pool && kind === 'engine');
 	}
 
-	async function findAnswer(requestId: string, account: string): Promise<AnswerSource | undefined> {
-		const local = answers.find(requestId);
-		if (local !== undefined) {
-			return local.account === account ? local : undefined;
-		}
-
-		const holder = requestId.slice(0, requestId.lastIndexOf('_'));
-		if (holder === node || membership.findAddress(holder) === undefined) {
-			return undefined;
-		}
-
-		const probe = await network.call(holder, 'answer.read', {requestId, account, offset: 0});
-		return probe.isOk()
-			? createRemoteAnswer({
-				network, holder, requestId, account,
-			})
-			: undefined;
-	}
-
 	const callerApi = createCallerApi({
 		node,
 		region,
 		...parseAddress(settings.listen.callers),
 		executor,
 		access: () => access,
-		findAnswer,
+		findAnswer: createAnswerFinder({
+			node, answers, membership, network,
+		}),
 		refusal: health.refusal,
 		isReady: () => health.state() === 'ready',
 		isLeaving: () => health.state() === 'draining',
@@ -169,7 +152,7 @@
 		follower,
 		status: getStatus,
 		drain() {
-			void drain();
+			void drainOnRequest();
 		},
 		metrics,
 	});
@@ -215,31 +198,15 @@
 		await metrics.close();
 	}
 
-	async function waitUntilIdle(): Promise<void> {
-		if (executor.open() > 0) {
-			await executor.events.once('idle');
-		}
-	}
-
-	let draining: Promise<void> | undefined;
+	const drain = createDrain({
+		node, graceMs: settings.drain.grace_ms, health, membership, network, executor, callerApi, closeAll,
+	});
 
-	async function runDrain(): Promise<void> {
-		health.markDraining();
-		membership.markLeaving(node);
-		network.broadcast('peer.leaving', {});
-		await delay(settings.drain.grace_ms);
-		health.refuseNew();
-		await waitUntilIdle();
-		await callerApi.close();
-		await closeAll();
+	async function drainOnRequest(): Promise<void> {
+		await drain();
 		onDrained?.();
 	}
 
-	async function drain(): Promise<void> {
-		draining ??= runDrain();
-		return draining;
-	}
-
 	return {
 		metrics,
 		tracing,
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -70,6 +70,12 @@
 		return link;
 	}
 
+	function isPeer(request: IncomingMessage): boolean {
+		const isKnown = hasToken(request, options.token);
+		metrics.increment('peer.refused', isKnown ? 0 : 1);
+		return isKnown;
+	}
+
 	async function openLink(node: string): Promise<PeerLink> {
 		const address = options.findAddress(node);
 		if (address === undefined || isClosed) {
@@ -123,7 +129,7 @@
 				server: httpServer,
 				perMessageDeflate: options.isCompressed ? compression : false,
 				maxPayload: largestMessageBytes,
-				verifyClient: ({req}: {req: IncomingMessage}) => hasToken(req, options.token),
+				verifyClient: ({req}: {req: IncomingMessage}) => isPeer(req),
 			});
 			socketServer.on('connection', (socket, request) => {
 				addLink(String(request.headers[nodeHeader]), socket);
