--- a/caller/api/src/build-job-base.ts
+++ b/caller/api/src/build-job-base.ts
@@ -13,11 +13,15 @@
 const requestIdBytes = 12;
 const tracedHeaders = ['traceparent', 'tracestate'];
 
-/** What a job holds whatever it asks for. */
+/**
+What a job holds whatever it asks for.
+*/
 type JobBase = Access & Pick<Job, 'requestId' | 'account' | 'claim' | 'trace' | 'arrivedAt'>;
 
 type Asked = Pick<AccessQuestion, 'kind' | 'model'> & {
-	/** What makes two requests the same, for a key that is used again. */
+	/**
+	What makes two requests the same, for a key that is used again.
+	*/
 	readonly text: string;
 };
 
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -67,7 +67,9 @@
 		sendError(response, end, noRequest);
 	}
 
-	/** Wraps a handler that needs a known caller. */
+	/**
+	Wraps a handler that needs a known caller.
+	*/
 	function withCaller(handle: Handler): RawHandler {
 		return async (request, response) => {
 			if (options.isLeaving()) {
@@ -98,7 +100,9 @@
 		}
 	}
 
-	/** Writes the answer; follows to the attempt that holds the claim where there is one. */
+	/**
+	Writes the answer; follows to the attempt that holds the claim where there is one.
+	*/
 	async function writeReply(reply: Reply): Promise<void> {
 		const {response, source, model, offset, write} = reply;
 		let isGone = false;
--- a/config/store/test/config-store.test.ts
+++ b/config/store/test/config-store.test.ts
@@ -30,6 +30,19 @@
 	t.equal((await store.read())._unsafeUnwrap()?.revision, 1);
 });
 
+test('a change made against an older revision gets a conflict and changes nothing', async t => {
+	const {store} = await startStore(t);
+	await store.apply(createChange('one', 0));
+	await store.apply(createChange('two', 1));
+	for (const expectedRevision of [0, 1, 3]) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		const late = await store.apply(createChange(`late-${expectedRevision}`, expectedRevision));
+		t.equal(late.isErr() && late.error.code, 'ERR_VALVESADDLE_CONFIGURATION_CONFLICT');
+	}
+
+	t.equal((await store.read())._unsafeUnwrap()?.changeId, 'two');
+});
+
 test('a change sent again with its id is answered with its first revision and applied once', async t => {
 	const {store} = await startStore(t);
 	await store.apply(createChange('one', 0));
--- a/core/http-server/src/start-server.ts
+++ b/core/http-server/src/start-server.ts
@@ -1,10 +1,14 @@
 import type {Server} from 'node:http';
 import {formatServerAddress} from './format-server-address.ts';
 
-/** Where a server listens. */
+/**
+Where a server listens.
+*/
 type ListenPlace = {
 	readonly host: string;
-	/** 0 for any free port. */
+	/**
+	0 for any free port.
+	*/
 	readonly port: number;
 };
 
--- a/dispatch/messages/src/dispatch-port.ts
+++ b/dispatch/messages/src/dispatch-port.ts
@@ -5,7 +5,9 @@
 import type {RegisterRequest} from './register-request.ts';
 import type {ReleaseReport} from './release-report.ts';
 
-/** The dispatcher's methods, on this node or another. */
+/**
+The dispatcher's methods, on this node or another.
+*/
 export type DispatchPort = {
 	readonly acquire: (request: AcquireRequest) => Promise<AcquireReply>;
 	readonly cancel: (message: CancelMessage) => void;
--- a/endpoint/service/test/service-client.test.ts
+++ b/endpoint/service/test/service-client.test.ts
@@ -29,7 +29,7 @@
 	let seen: unknown;
 	const server = await startFakeServer({
 		handle(request, response) {
-			seen = [request.method, request.path, request.body, request.headers['idempotency-key'], request.headers['traceparent']];
+			seen = [request.method, request.path, request.body, request.headers['idempotency-key'], request.headers.traceparent];
 			response.statusCode = 201;
 			response.setHeader('content-type', 'text/plain');
 			response.end('done');
--- a/node/router/src/create-answer-finder.ts
+++ b/node/router/src/create-answer-finder.ts
@@ -10,7 +10,9 @@
 	readonly network: PeerNetwork;
 };
 
-/** Finds where an answer of an account can be read; `undefined` when no node that can be reached holds it. */
+/**
+Finds where an answer of an account can be read; `undefined` when no node that can be reached holds it.
+*/
 type AnswerFinder = (requestId: string, account: string) => Promise<AnswerSource | undefined>;
 
 /**
@@ -32,8 +34,10 @@
 		}
 
 		const probe = await network.call(holder, 'answer.read', {requestId, account, offset: 0});
-		return probe.isOk() ? createRemoteAnswer({
-			network, holder, requestId, account,
-		}) : undefined;
+		return probe.isOk()
+			? createRemoteAnswer({
+				network, holder, requestId, account,
+			})
+			: undefined;
 	};
 }
--- a/node/router/src/create-drain.ts
+++ b/node/router/src/create-drain.ts
@@ -7,14 +7,18 @@
 
 type DrainOptions = {
 	readonly node: string;
-	/** Time for the balancer to notice, in which new requests are still taken. */
+	/**
+	Time for the balancer to notice, in which new requests are still taken.
+	*/
 	readonly graceMs: number;
 	readonly health: Health;
 	readonly membership: Membership;
 	readonly network: PeerNetwork;
 	readonly executor: Executor;
 	readonly callerApi: CallerApi;
-	/** Closes all tasks once nothing is open. */
+	/**
+	Closes all tasks once nothing is open.
+	*/
 	readonly closeAll: () => Promise<void>;
 };
 
--- a/node/router/test/failures.test.ts
+++ b/node/router/test/failures.test.ts
@@ -68,8 +68,11 @@
 	await t.rejects(broken);
 	const rest = await callNode(fleet.nodes[1]!.callers, `/v1/requests/${requestId}`, {headers: {'last-event-id': `${requestId}:7`}});
 	t.equal(getContent(rest), getExpectedAnswer(50).split(' ').slice(7).join(' '));
-	const stranger = await callNode(fleet.nodes[1]!.callers, `/v1/requests/${requestId}`, {key: fleetKeys.otherCaller});
-	t.match(stranger, {status: 404, json: {error: {code: 'ERR_VALVESADDLE_UNKNOWN_REQUEST'}}});
+	for (const node of fleet.nodes) {
+		// eslint-disable-next-line no-await-in-loop -- one node after the other
+		const stranger = await callNode(node.callers, `/v1/requests/${requestId}`, {key: fleetKeys.otherCaller});
+		t.match(stranger, {status: 404, json: {error: {code: 'ERR_VALVESADDLE_UNKNOWN_REQUEST'}}}, node.id);
+	}
 });
 
 async function findRequestId(fleet: Fleet): Promise<string> {
