feat: cut an attempt short when its engine is silent

Cause: an engine that freezes keeps its connections open; until now only the general limits told, 60 s for the first token, so an urgent request that met one missed its target by a minute. Test: fails by its time-out without the change.

--- a/bench/burst/src/create-scenarios.ts
+++ b/bench/burst/src/create-scenarios.ts
@@ -100,6 +100,15 @@
 				await setControl(fleet.standIns.engines[0]!, 'crash', '');
 			},
 		},
+		{
+			name: 'an engine freezes with its connections open',
+			engines,
+			plan: createPlan(0.8),
+			async disturb(fleet) {
+				await delay(disturbedAfterMs);
+				await setControl(fleet.standIns.engines[0]!, 'fault', 'freeze');
+			},
+		},
 		{
 			name: 'the dispatching node freezes for 5 s',
 			engines,
--- a/node/router/test/failures.test.ts
+++ b/node/router/test/failures.test.ts
@@ -42,6 +42,19 @@
 	});
 }
 
+test('an engine that freezes before its first token holds urgent requests up only until their limit', async t => {
+	const fleet = await startFleet({
+		nodes: 1,
+		engines: [{stepMs: 2}, {stepMs: 2}],
+		configure: configuration => ({...configuration, classes: configuration.classes.map(requestClass => ({...requestClass, firstTokenTargetMs: 200}))}),
+	});
+	t.teardown(fleet.close);
+	fleet.engines[0]!.setFault('freeze');
+	const results = await Promise.all(Array.from({length: 4}, async () => callNode(fleet.nodes[0]!.callers, '/v1/chat/completions', {body: createChat(10)})));
+	t.same(results.map(result => getContent(result)), Array.from({length: 4}, () => getExpectedAnswer(10)));
+	t.ok(fleet.nodes[0]!.router.metrics.total('attempts.failed') > 0);
+});
+
 test('the dispatcher\'s node dies: no stream is cut, waiting requests keep waiting and are served', async t => {
 	const fleet = await startFleet({
 		nodes: 3, engines: [{stepMs: 3}],
--- a/outcome/execution/src/attempt.ts
+++ b/outcome/execution/src/attempt.ts
@@ -21,4 +21,6 @@
 	Called at the first sign of an answer.
 	*/
 	readonly onFirst: () => void;
+	/** Whether the budgets hold a retry. */
+	readonly mayRetry: () => boolean;
 };
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -122,6 +122,7 @@
 				firstAt = Date.now();
 				advance('first-answer');
 			},
+			mayRetry: () => options.budgets.canSpend(job.account, job.pool.name),
 		};
 		let result: AttemptResult;
 		try {
--- a/outcome/execution/src/create-retry-budgets.ts
+++ b/outcome/execution/src/create-retry-budgets.ts
@@ -20,6 +20,7 @@
 				budgets.set(key, addToBudget(getBudget(key)));
 			}
 		},
+		canSpend: (account, pool) => [`account/${account}`, `pool/${pool}`].every(key => takeFromBudget(getBudget(key)) !== undefined),
 		spend(account, pool) {
 			const accountBudget = takeFromBudget(getBudget(`account/${account}`));
 			const poolBudget = takeFromBudget(getBudget(`pool/${pool}`));
--- a/outcome/execution/src/run-engine-attempt.ts
+++ b/outcome/execution/src/run-engine-attempt.ts
@@ -1,8 +1,12 @@
 import type {AnswerEnd} from '@valvesaddle/answers';
 import type {DispatchClient} from '@valvesaddle/client';
 import type {EngineClient} from '@valvesaddle/engine';
+import {ValvesaddleError} from '@valvesaddle/error';
 import type {Attempt} from './attempt.ts';
+import {createSilenceWatch} from './create-silence-watch.ts';
 import type {EngineWork} from './engine-work.ts';
+import {getSilenceLimits} from './get-silence-limits.ts';
+import type {SilenceWatch} from './silence-watch.ts';
 
 /**
 Clients that an attempt at an engine uses.
@@ -20,6 +24,17 @@
  const end = await runEngineAttempt(attempt, work, {engines, dispatch});
  */
 export async function runEngineAttempt(attempt: Attempt, work: EngineWork, {engines, dispatch}: EngineTools): Promise<AnswerEnd> {
+	const watch = createSilenceWatch({limits: getSilenceLimits(attempt.job), signal: attempt.signal, mayCut: attempt.mayRetry});
+	try {
+		return await readStream(attempt, watch, work, {engines, dispatch});
+	} catch (error) {
+		throw watch.isCut() ? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'the engine was silent for too long', {cause: error}) : error;
+	} finally {
+		watch.close();
+	}
+}
+
+async function readStream(attempt: Attempt, watch: SilenceWatch, work: EngineWork, {engines, dispatch}: EngineTools): Promise<AnswerEnd> {
 	const {job, grant, log, progress} = attempt;
 	const startedAt = Date.now();
 	const before = progress.tokens;
@@ -32,7 +47,7 @@
 		textSoFar: progress.text,
 		tokensSoFar: progress.tokens,
 		trace: attempt.hop.carrier,
-	}, attempt.signal);
+	}, watch.signal);
 	for await (const event of stream) {
 		if (event.kind === 'finish') {
 			finishReason = event.reason;
@@ -46,6 +61,7 @@
 			attempt.onFirst();
 		}
 
+		watch.recordToken();
 		progress.text += event.text;
 		progress.tokens++;
 		progress.isPlainText &&= isPlainText(event.delta);
--- /dev/null
+++ b/outcome/execution/test/silence-watch.test.ts
@@ -0,0 +1,51 @@
+import {Clock} from 'clock-mock';
+import {test, type Test} from 'tap';
+import {createSilenceWatch} from '../src/create-silence-watch.ts';
+
+const limits = {beforeFirstTokenMs: 1000, betweenTokensMs: 200};
+
+function start(t: Test, mayCut = true) {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const own = new AbortController();
+	return {clock, own, watch: createSilenceWatch({limits, signal: own.signal, mayCut: () => mayCut})};
+}
+
+test('an attempt without a first token is cut at its limit and not before', t => {
+	const {clock, watch} = start(t);
+	clock.advance(999);
+	t.notOk(watch.signal.aborted);
+	clock.advance(1);
+	t.ok(watch.signal.aborted);
+	t.ok(watch.isCut());
+	t.end();
+});
+
+test('each token gives the attempt its whole limit again', t => {
+	const {clock, watch} = start(t);
+	for (let token = 0; token < 20; token++) {
+		watch.recordToken();
+		clock.advance(199);
+	}
+
+	t.notOk(watch.isCut());
+	clock.advance(1);
+	t.ok(watch.isCut());
+	t.end();
+});
+
+test('without budget for a retry an attempt is not cut before its first token', t => {
+	const {clock, watch} = start(t, false);
+	clock.advance(5000);
+	t.notOk(watch.isCut());
+	t.end();
+});
+
+test('a request that its caller gave up is aborted, but not for silence', t => {
+	const {own, watch} = start(t);
+	own.abort();
+	t.ok(watch.signal.aborted);
+	t.notOk(watch.isCut());
+	watch.close();
+	t.end();
+});
