--- a/cli/valvesaddle/src/dev-command.ts
+++ b/cli/valvesaddle/src/dev-command.ts
@@ -22,15 +22,9 @@
 	engines = Option.String('--engines', '2', {description: 'Model engines'});
 	once = Option.Boolean('--once', false, {description: 'Send one request, print its answer and trace, and exit'});
 
-	async run(): Promise<number> {
-		const engines = Array.from({length: Number(this.engines)}, () => ({}));
-		const fleet = await startFleet({nodes: Number(this.nodes), engines});
-		await (this.once ? this.sendOnce(fleet) : this.waitForSignal(fleet));
-		await fleet.close();
-		return exitCodes.done;
-	}
-
-	/** Sends one request and prints the spans of its hops. */
+	/**
+	Sends one request and prints the spans of its hops.
+	*/
 	private async sendOnce({nodes}: Fleet): Promise<void> {
 		// The first node dispatches the pool, so that a request through the last one crosses nodes.
 		await sendChat({
@@ -58,4 +52,12 @@
 		this.print(`curl -N http://${first?.callers}/v1/chat/completions -H 'authorization: Bearer ${fleetKeys.caller}' -d '${body}'`);
 		await runUntilSignal();
 	}
+
+	async run(): Promise<number> {
+		const engines = Array.from({length: Number(this.engines)}, () => ({}));
+		const fleet = await startFleet({nodes: Number(this.nodes), engines});
+		await (this.once ? this.sendOnce(fleet) : this.waitForSignal(fleet));
+		await fleet.close();
+		return exitCodes.done;
+	}
 }
--- a/outcome/claims/src/create-claim-journal.ts
+++ b/outcome/claims/src/create-claim-journal.ts
@@ -7,7 +7,9 @@
 import {createClaimStorage} from './create-claim-storage.ts';
 import {createClaimTable} from './create-claim-table.ts';
 
-/** A head is written whole with every batch, so it is kept small. */
+/**
+A head is written whole with every batch, so it is kept small.
+*/
 const fullSegmentEntries = 64;
 /**
 A head read so recently need not be read again before a lookup; a write finds out by itself.
--- a/outcome/execution/src/attempt.ts
+++ b/outcome/execution/src/attempt.ts
@@ -21,6 +21,8 @@
 	Called at the first sign of an answer.
 	*/
 	readonly onFirst: () => void;
-	/** Whether the budgets hold a retry. */
+	/**
+	Whether the budgets hold a retry.
+	*/
 	readonly mayRetry: () => boolean;
 };
--- a/outcome/execution/src/create-silence-watch.ts
+++ b/outcome/execution/src/create-silence-watch.ts
@@ -4,7 +4,9 @@
 type SilenceWatchOptions = {
 	readonly limits: SilenceLimits;
 	readonly signal: AbortSignal;
-	/** Whether an attempt without a first token may be cut, since its retry needs budget. */
+	/**
+	Whether an attempt without a first token may be cut, since its retry needs budget.
+	*/
 	readonly mayCut: () => boolean;
 };
 
--- a/outcome/execution/src/get-silence-limits.ts
+++ b/outcome/execution/src/get-silence-limits.ts
@@ -2,10 +2,14 @@
 import type {SilenceLimits} from './silence-limits.ts';
 
 const shortestMs = 500;
-/** First-token targets that an attempt may take: by then the target is missed, and another endpoint is the better bet. */
+/**
+First-token targets that an attempt may take: by then the target is missed, and another endpoint is the better bet.
+*/
 const urgentTargets = 2;
 const sharedTargets = 4;
-/** Steps that an urgent answer may pause; engines pause lower work for urgent work, so that one has no such limit. */
+/**
+Steps that an urgent answer may pause; engines pause lower work for urgent work, so that one has no such limit.
+*/
 const urgentSteps = 40;
 
 /**
--- a/outcome/execution/src/silence-limits.ts
+++ b/outcome/execution/src/silence-limits.ts
@@ -1,4 +1,6 @@
-/** How long an attempt may be silent before it is cut short and goes on elsewhere, in milliseconds. */
+/**
+How long an attempt may be silent before it is cut short and goes on elsewhere, in milliseconds.
+*/
 export type SilenceLimits = {
 	readonly beforeFirstTokenMs: number;
 	readonly betweenTokensMs: number;
--- a/outcome/execution/src/silence-watch.ts
+++ b/outcome/execution/src/silence-watch.ts
@@ -1,10 +1,18 @@
-/** Watches an attempt for silence. */
+/**
+Watches an attempt for silence.
+*/
 export type SilenceWatch = {
-	/** Aborted when the attempt was silent for too long, or by the request's own signal. */
+	/**
+	Aborted when the attempt was silent for too long, or by the request's own signal.
+	*/
 	readonly signal: AbortSignal;
-	/** Notes a token. */
+	/**
+	Notes a token.
+	*/
 	readonly recordToken: () => void;
-	/** Whether the attempt was cut short for its silence. */
+	/**
+	Whether the attempt was cut short for its silence.
+	*/
 	readonly isCut: () => boolean;
 	readonly close: () => void;
 };
--- a/outcome/execution/test/silence-watch.test.ts
+++ b/outcome/execution/test/silence-watch.test.ts
@@ -4,11 +4,11 @@
 
 const limits = {beforeFirstTokenMs: 1000, betweenTokensMs: 200};
 
-function start(t: Test, mayCut = true) {
+function start(t: Test, canCut = true) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const own = new AbortController();
-	return {clock, own, watch: createSilenceWatch({limits, signal: own.signal, mayCut: () => mayCut})};
+	return {clock, own, watch: createSilenceWatch({limits, signal: own.signal, mayCut: () => canCut})};
 }
 
 test('an attempt without a first token is cut at its limit and not before', t => {
