--- a/cli/valvesaddle/src/main.ts
+++ b/cli/valvesaddle/src/main.ts
@@ -14,6 +14,11 @@
 import {StandInCommand} from './stand-in-command.ts';
 import {StatusCommand} from './status-command.ts';
 
+// A reader that has seen enough, such as `head`, is no failure.
+process.stdout.on('error', () => {
+	process.exit();
+});
+
 const cli = new Cli({binaryLabel: 'valvesaddle', binaryName: 'valvesaddle', binaryVersion: '0.1.0'});
 const commands = [
 	CheckSettingsCommand,
