fix: keep measured rows when a later one fails

The comparison ended with the row of the crashing engine: the control that asks for the crash was cut off with it. The stand-in now answers first.

--- a/bench/burst/src/main.ts
+++ b/bench/burst/src/main.ts
@@ -19,18 +19,19 @@
 const results = path.resolve(import.meta.dirname, '../../results');
 const rows: Row[] = [];
 const scenarios = createScenarios().filter(scenario => wanted.every(word => scenario.name.includes(word)));
+const name = wanted.length === 0 ? 'burst' : 'burst-part';
+await mkdir(results, {recursive: true});
 for (const scenario of scenarios) {
 	for (const mode of modes) {
 		// eslint-disable-next-line no-await-in-loop -- one at a time, so that they do not disturb each other
 		const row = await runScenario(scenario, mode);
 		rows.push(row);
+		// eslint-disable-next-line no-await-in-loop -- what was measured is kept if a later row fails
+		await writeFile(path.join(results, `${name}.json`), JSON.stringify(rows, undefined, '\t'));
 		process.stdout.write(`${formatRows([row]).split('\n').at(-1)}\n`);
 	}
 }
 
-await mkdir(results, {recursive: true});
-const name = wanted.length === 0 ? 'burst' : 'burst-part';
-await writeFile(path.join(results, `${name}.json`), JSON.stringify(rows, undefined, '\t'));
 await writeFile(path.join(results, `${name}.svg`), await drawRows(rows));
 process.stdout.write(`\n${formatRows(rows)}\n`);
 process.exit();
--- a/fakes/engine/src/start-fake-engine.ts
+++ b/fakes/engine/src/start-fake-engine.ts
@@ -11,6 +11,7 @@
 	host: '127.0.0.1', port: 0, batch: 16, stepMs: 10, stepMsPerRequest: 1, prefillMsPerToken: 0.2, reportLagMs: 0, defaultTokens: 16, cachedPrefixes: 64,
 };
 const charactersPerToken = 4;
+const crashDelayMs = 20;
 
 /**
  Starts a stand-in for a model engine: it streams chat completions, batches continuously, slows down with its batch,
@@ -171,7 +172,8 @@
 			isLeaving = value === 'true';
 		},
 		crash() {
-			server.cut();
+			// After the reply to this control is out.
+			setTimeout(server.cut, crashDelayMs);
 		},
 	};
 
