--- a/bench/capacity/src/measure-fleet.ts
+++ b/bench/capacity/src/measure-fleet.ts
@@ -39,6 +39,8 @@
 	readonly cpuPart: number;
 	readonly residentBytes: number;
 	readonly bytesPerSecond: number;
+	/** Calls on the key-value service, all nodes together. */
+	readonly kvCallsPerSecond: number;
 	readonly spreadMs: number;
 };
 
@@ -56,8 +58,8 @@
 		samples.push(await measureSize(nodes));
 	}
 
-	const table = formatTable(['nodes', 'CPU of a core', 'resident', 'control bytes/s', 'change in force everywhere'], samples.map(sample => [
-		String(sample.nodes), `${(sample.cpuPart * 100).toFixed(2)} %`, `${(sample.residentBytes / 1e6).toFixed(0)} MB`, sample.bytesPerSecond.toFixed(0), `${sample.spreadMs.toFixed(0)} ms`,
+	const table = formatTable(['nodes', 'CPU of a core', 'resident', 'control bytes/s', 'key-value calls/s of the fleet', 'change in force everywhere'], samples.map(sample => [
+		String(sample.nodes), `${(sample.cpuPart * 100).toFixed(2)} %`, `${(sample.residentBytes / 1e6).toFixed(0)} MB`, sample.bytesPerSecond.toFixed(0), sample.kvCallsPerSecond.toFixed(1), `${sample.spreadMs.toFixed(0)} ms`,
 	]));
 	const fits: ReadonlyArray<readonly [string, Line, number]> = [
 		['CPU, % of a core', fitSamples(samples, ({cpuPart}) => cpuPart * 100), 3],
@@ -94,6 +96,7 @@
 async function measureIdle(fleet: BenchFleet, sink: CounterSink): Promise<Omit<Sample, 'nodes' | 'spreadMs'>> {
 	const before = await readAll(fleet);
 	const bytesBefore = addUpBytes(sink);
+	const callsBefore = sink.total('kv.calls');
 	await delay(measuredMs);
 	const after = await readAll(fleet);
 	const bytes = addUpBytes(sink) - bytesBefore;
@@ -102,6 +105,7 @@
 		cpuPart: (addUp(after, ({cpuMs}) => cpuMs) - addUp(before, ({cpuMs}) => cpuMs)) / measuredMs / count,
 		residentBytes: addUp(after, ({residentBytes}) => residentBytes) / count,
 		bytesPerSecond: bytes / (measuredMs / 1000) / count,
+		kvCallsPerSecond: (sink.total('kv.calls') - callsBefore) / (measuredMs / 1000),
 	};
 }
 
