--- a/bench/capacity/src/measure-fleet.ts
+++ b/bench/capacity/src/measure-fleet.ts
@@ -39,7 +39,9 @@
 	readonly cpuPart: number;
 	readonly residentBytes: number;
 	readonly bytesPerSecond: number;
-	/** Calls on the key-value service, all nodes together. */
+	/**
+	Calls on the key-value service, all nodes together.
+	*/
 	readonly kvCallsPerSecond: number;
 	readonly spreadMs: number;
 };
