refactor: one way to pass a result's failure on, and no state that nobody reads

Removed: the time of the key-value service's last answer, a node state that was never entered and an error code that was never thrown. The index of duties groups the endpoints once instead of searching them for every pool at each change of members.

--- a/cli/valvesaddle/src/read-settings-file.ts
+++ b/cli/valvesaddle/src/read-settings-file.ts
@@ -1,5 +1,5 @@
 import {readFile} from 'node:fs/promises';
-import {ValvesaddleError} from '@valvesaddle/error';
+import {unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {parseSettings, type Settings} from '@valvesaddle/settings';
 
 /**
@@ -17,10 +17,5 @@
 		throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', `the file "${path}" cannot be read`, {cause: error});
 	}
 
-	const settings = parseSettings(text);
-	if (settings.isErr()) {
-		throw settings.error;
-	}
-
-	return settings.value;
+	return unwrapResult(parseSettings(text));
 }
--- a/config/follower/src/config-follower.ts
+++ b/config/follower/src/config-follower.ts
@@ -30,9 +30,5 @@
 	Whether the key-value service has said whether there is a configuration at all.
 	*/
 	readonly isSettled: () => boolean;
-	/**
-	Last time that the key-value service answered, in milliseconds since the epoch.
-	*/
-	readonly heardStoreAt: () => number;
 	readonly close: () => void;
 };
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -29,7 +29,6 @@
 	let written: string | undefined;
 	let isSettled = false;
 	let isReachable = true;
-	let heardStoreAt = Date.now();
 
 	function offer(record: ConfigurationRecord, source: string): void {
 		if (record.revision <= (current?.revision ?? 0)) {
@@ -58,10 +57,6 @@
 	}
 
 	function recordReachable(isReachableNow: boolean, reason: string): void {
-		if (isReachableNow) {
-			heardStoreAt = Date.now();
-		}
-
 		if (isReachableNow === isReachable) {
 			return;
 		}
@@ -126,7 +121,6 @@
 		offer,
 		offerText,
 		isSettled: () => isSettled,
-		heardStoreAt: () => heardStoreAt,
 		close() {
 			stop.abort();
 		},
--- a/core/error/src/error-table.ts
+++ b/core/error/src/error-table.ts
@@ -86,9 +86,6 @@
 	ERR_VALVESADDLE_PEER_UNREACHABLE: {
 		status: 503, ran: undefined, retryable: true, hint: 'The other node did not answer in time.',
 	},
-	ERR_VALVESADDLE_PEER_REJECTED: {
-		status: 403, ran: undefined, retryable: false, hint: 'All nodes of a fleet need the same peer.token.',
-	},
 	ERR_VALVESADDLE_MESSAGE_INVALID: {
 		status: 400, ran: undefined, retryable: false, hint: 'The message does not have the documented form; compare the versions of both sides.',
 	},
--- a/core/error/src/index.ts
+++ b/core/error/src/index.ts
@@ -5,3 +5,4 @@
 export {errorTable} from './error-table.ts';
 export {toValvesaddleError} from './to-valvesaddle-error.ts';
 export {ValvesaddleError} from './valvesaddle-error.ts';
+export {unwrapResult} from './unwrap-result.ts';
--- /dev/null
+++ b/core/error/src/unwrap-result.ts
@@ -0,0 +1,17 @@
+import type {Result} from 'neverthrow';
+import type {ValvesaddleError} from './valvesaddle-error.ts';
+
+/**
+ Value of a result, for code that passes failures on by throwing them.
+
+ @throws The result's error.
+ @example
+ const entry = unwrapResult(await kv.get('key'));
+ */
+export function unwrapResult<Value>(result: Result<Value, ValvesaddleError>): Value {
+	if (result.isErr()) {
+		throw result.error;
+	}
+
+	return result.value;
+}
--- a/dispatch/client/src/create-remote-port.ts
+++ b/dispatch/client/src/create-remote-port.ts
@@ -1,3 +1,4 @@
+import {unwrapResult} from '@valvesaddle/error';
 import type {PeerNetwork} from '@valvesaddle/network';
 import {acquireReplySchema, toAcquireMessage, type DispatchPort} from '@valvesaddle/messages';
 
@@ -11,12 +12,8 @@
 export function createRemotePort(network: PeerNetwork, node: string): DispatchPort {
 	return {
 		async acquire(request) {
-			const result = await network.call(node, 'dispatch.acquire', toAcquireMessage(request));
-			if (result.isErr()) {
-				throw result.error;
-			}
-
-			return acquireReplySchema.parse(result.value);
+			const reply = unwrapResult(await network.call(node, 'dispatch.acquire', toAcquireMessage(request)));
+			return acquireReplySchema.parse(reply);
 		},
 		cancel(message) {
 			network.notify(node, 'dispatch.cancel', message);
--- a/dispatch/ownership/src/create-duty-index.ts
+++ b/dispatch/ownership/src/create-duty-index.ts
@@ -16,7 +16,7 @@
  */
 export function createDutyIndex(configuration: Configuration): DutyIndex {
 	const pools = new Map(configuration.pools.map(pool => [pool.name, pool]));
-	const endpointIds = new Map(configuration.pools.map(({name}) => [name, configuration.endpoints.filter(({pool}) => pool === name).map(({id}) => id)]));
+	const endpoints = Map.groupBy(configuration.endpoints, ({pool}) => pool);
 
 	function findDuty(pool: string, endpointId: string): string {
 		return toDuty(pools.get(pool), pool, endpointId);
@@ -24,9 +24,9 @@
 
 	return {
 		chooseDuty(pool, key) {
-			const ids = endpointIds.get(pool) ?? [];
-			const drawn = ids[toNumber(key) % Math.max(1, ids.length)];
-			return findDuty(pool, drawn ?? key);
+			const inPool = endpoints.get(pool) ?? [];
+			const drawn = inPool[toNumber(key) % Math.max(1, inPool.length)];
+			return findDuty(pool, drawn?.id ?? key);
 		},
 		chooseOther(pool, duty) {
 			const count = pools.get(pool)?.dispatchers ?? 1;
@@ -40,7 +40,7 @@
 		findDuty,
 		getConfiguration(duty) {
 			const name = findPool(duty);
-			return {...configuration, endpoints: configuration.endpoints.filter(({pool, id}) => pool === name && findDuty(pool, id) === duty)};
+			return {...configuration, endpoints: (endpoints.get(name) ?? []).filter(({pool, id}) => findDuty(pool, id) === duty)};
 		},
 		isDuty(duty) {
 			const pool = pools.get(findPool(duty));
--- a/fakes/fleet/src/start-fleet.ts
+++ b/fakes/fleet/src/start-fleet.ts
@@ -57,7 +57,7 @@
 			changeId: `change-${revision + 1}`, expectedRevision: revision, configuration: configuration as never,
 		});
 		revision = reply.revision;
-		await waitUntil(() => nodes.every(({router}) => router.status().state === 'stopped' || router.status().revision >= revision));
+		await waitUntil(() => nodes.every(({router}) => router.status().revision >= revision));
 		return revision;
 	}
 
--- a/node/router/src/create-health.ts
+++ b/node/router/src/create-health.ts
@@ -90,7 +90,6 @@
 		starting: () => new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'the node has no configuration yet', {retryAfterMs}),
 		isolated: () => new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'the node reaches no other node and no key-value service', {retryAfterMs}),
 		draining: () => drain === 'refuse' ? new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node is leaving', {retryAfterMs}) : undefined,
-		stopped: () => new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node is leaving', {retryAfterMs}),
 		ready: () => undefined,
 	};
 
--- a/node/router/src/node-state.ts
+++ b/node/router/src/node-state.ts
@@ -5,6 +5,5 @@
  - `ready`: takes requests.
  - `isolated`: reaches neither the key-value service nor any other node; refuses new requests.
  - `draining`: finishes what is open; refuses new requests after the grace time.
- - `stopped`: gone.
  */
-export type NodeState = 'starting' | 'ready' | 'isolated' | 'draining' | 'stopped';
+export type NodeState = 'starting' | 'ready' | 'isolated' | 'draining';
--- a/operator/server/src/create-operator-handlers.ts
+++ b/operator/server/src/create-operator-handlers.ts
@@ -1,7 +1,6 @@
 import type {HandlerContext, ServiceImpl} from '@connectrpc/connect';
-import type {Result} from 'neverthrow';
 import {compareConfigurations, emptyConfiguration} from '@valvesaddle/config-schema';
-import {ValvesaddleError} from '@valvesaddle/error';
+import {unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {authorizeOperator, type Operator, type OperatorRole} from '@valvesaddle/operator-access';
 import type {OperatorService} from '@valvesaddle/operator-schema';
 import {fromConfigurationMessage} from './from-configuration-message.ts';
@@ -24,7 +23,7 @@
 		metrics.increment('operators.calls', 1, {call: name});
 		try {
 			const authorization = context.requestHeader.get('authorization') ?? undefined;
-			const operator = unwrap(authorizeOperator(options.operators, authorization, role));
+			const operator = unwrapResult(authorizeOperator(options.operators, authorization, role));
 			return await act(operator);
 		} catch (error) {
 			metrics.increment('operators.refused', 1, {call: name});
@@ -51,13 +50,13 @@
 				throw new ValvesaddleError('ERR_VALVESADDLE_CONFIGURATION_INVALID', 'configuration: is missing');
 			}
 
-			const configuration = unwrap(fromConfigurationMessage(request.configuration));
+			const configuration = unwrapResult(fromConfigurationMessage(request.configuration));
 			const differences = [...compareConfigurations(follower.configuration(), configuration)];
 			if (request.dryRun) {
 				return {revision: request.expectedRevision + 1, differences};
 			}
 
-			const record = unwrap(await store.apply({
+			const record = unwrapResult(await store.apply({
 				changeId: request.changeId, expectedRevision: request.expectedRevision, configuration, author: operator.name,
 			}));
 			// A change that was accepted earlier comes back with its old revision and the newest configuration.
@@ -68,7 +67,7 @@
 			return {revision: record.revision, differences};
 		}),
 		getRevision: async (request, context) => handle('get-revision', 'viewer', context, async () => {
-			const record = unwrap(await store.readRevision(request.revision));
+			const record = unwrapResult(await store.readRevision(request.revision));
 			if (record === undefined) {
 				throw new ValvesaddleError('ERR_VALVESADDLE_NOT_FOUND', `revision ${request.revision} is not known`);
 			}
@@ -95,11 +94,3 @@
 		}),
 	};
 }
-
-function unwrap<Value>(result: Result<Value, ValvesaddleError>): Value {
-	if (result.isErr()) {
-		throw result.error;
-	}
-
-	return result.value;
-}
--- a/outcome/claims/src/create-claim-client.ts
+++ b/outcome/claims/src/create-claim-client.ts
@@ -4,7 +4,7 @@
 	ResultAsync,
 	type Result,
 } from 'neverthrow';
-import {ValvesaddleError, toValvesaddleError} from '@valvesaddle/error';
+import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {rankOwners} from '@valvesaddle/ownership';
 import type {ClaimAnswer} from './claim-answer.ts';
 import {claimAnswerSchema} from './claim-answer-schema.ts';
@@ -79,12 +79,7 @@
 		release: toResult('release'),
 		find: toResult('find'),
 		async serve(method, question) {
-			const result = await getShard(findShardNumber(question))[method](question);
-			if (result.isErr()) {
-				throw result.error;
-			}
-
-			return result.value;
+			return unwrapResult(await getShard(findShardNumber(question))[method](question));
 		},
 		size() {
 			let sum = 0;
--- a/outcome/claims/src/create-claim-storage.ts
+++ b/outcome/claims/src/create-claim-storage.ts
@@ -1,5 +1,4 @@
-import type {Result} from 'neverthrow';
-import {ValvesaddleError} from '@valvesaddle/error';
+import {unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import type {KvStore} from '@valvesaddle/kv';
 import type {ClaimHead} from './claim-head.ts';
 import {claimSegmentSchema} from './claim-segment-schema.ts';
@@ -21,25 +20,25 @@
 	const prefix = `valvesaddle/claims/${shard}`;
 
 	async function readSegment(number: number): Promise<ClaimSegment | undefined> {
-		const entry = unwrap(await kv.get(`${prefix}/segment/${number}`));
+		const entry = unwrapResult(await kv.get(`${prefix}/segment/${number}`));
 		return entry && parseSegment(entry.value);
 	}
 
 	async function removeOld(segment: ClaimSegment): Promise<void> {
 		const old = segment.number - countKept(segment, windowMs);
 		if (old >= 0) {
-			unwrap(await kv.delete(`${prefix}/segment/${old}`));
+			unwrapResult(await kv.delete(`${prefix}/segment/${old}`));
 		}
 	}
 
 	return {
 		async readHead() {
-			const entry = unwrap(await kv.get(`${prefix}/head`));
+			const entry = unwrapResult(await kv.get(`${prefix}/head`));
 			return entry === undefined
 				? {head: {number: 0, entries: []}, modifyIndex: 0}
 				: {head: parseSegment(entry.value), modifyIndex: entry.modifyIndex};
 		},
-		writeHead: async (head, modifyIndex) => unwrap(await kv.compareAndSwap(`${prefix}/head`, JSON.stringify(head), modifyIndex)),
+		writeHead: async (head, modifyIndex) => unwrapResult(await kv.compareAndSwap(`${prefix}/head`, JSON.stringify(head), modifyIndex)),
 		async readArchived(newest, oldest) {
 			const found: ClaimSegment[] = [];
 			for (let next = newest; next >= oldest; next -= readsAtOnce) {
@@ -57,20 +56,12 @@
 			return found.toReversed();
 		},
 		async archive(segment) {
-			unwrap(await kv.compareAndSwap(`${prefix}/segment/${segment.number}`, JSON.stringify(segment), 0));
+			unwrapResult(await kv.compareAndSwap(`${prefix}/segment/${segment.number}`, JSON.stringify(segment), 0));
 			await removeOld(segment);
 		},
 	};
 }
 
-function unwrap<Value>(result: Result<Value, ValvesaddleError>): Value {
-	if (result.isErr()) {
-		throw result.error;
-	}
-
-	return result.value;
-}
-
 function parseSegment(text: string): ClaimHead {
 	try {
 		return claimSegmentSchema.parse(JSON.parse(text));
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -1,5 +1,5 @@
 import type {AnswerEnd, AnswerLog} from '@valvesaddle/answers';
-import {toValvesaddleError, type ValvesaddleError} from '@valvesaddle/error';
+import {toValvesaddleError, unwrapResult, type ValvesaddleError} from '@valvesaddle/error';
 import type {Grant} from '@valvesaddle/messages';
 import {
 	advanceOutcome,
@@ -83,11 +83,7 @@
 			trace: wait.carrier,
 		}, signal);
 		wait.end();
-		if (grant.isErr()) {
-			throw grant.error;
-		}
-
-		return grant.value;
+		return unwrapResult(grant);
 	}
 
 	/**
