--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -1,6 +1,6 @@
 /**
  Builds the one binary: a bundle, put into a copy of the Node.js that runs this script as a single executable
- application. Output: `dist/valvesaddle`.
+ application. Output: `dist/valvesaddle`, or in the folder named as argument.
  */
 import {execFileSync} from 'node:child_process';
 import {
@@ -14,7 +14,7 @@
 import {build} from 'esbuild';
 
 const root = path.resolve(import.meta.dirname, '../..');
-const dist = path.join(root, 'dist');
+const dist = path.join(root, process.argv[2] ?? 'dist');
 const bundle = path.join(dist, 'valvesaddle.cjs');
 const blob = path.join(dist, 'valvesaddle.blob');
 const binary = path.join(dist, 'valvesaddle');
--- a/cli/valvesaddle/src/base-command.ts
+++ b/cli/valvesaddle/src/base-command.ts
@@ -1,7 +1,6 @@
-import {ConnectError, Code} from '@connectrpc/connect';
-import {Command} from 'clipanion';
-import {toValvesaddleError} from '@valvesaddle/error';
+import {Code, ConnectError} from '@connectrpc/connect';
 import {exitCodes} from './exit-codes.ts';
+import {PlainCommand} from './plain-command.ts';
 
 const connectExitCodes: Readonly<Partial<Record<Code, number>>> = {
 	[Code.InvalidArgument]: exitCodes.invalid,
@@ -10,27 +9,15 @@
 };
 
 /**
-A command that prints failures with their code and hint instead of a stack.
+A command that may call a node as an operator.
 */
-export abstract class BaseCommand extends Command {
-	abstract run(): Promise<number>;
-
-	async execute(): Promise<number> {
-		try {
-			return await this.run();
-		} catch (error) {
-			if (error instanceof ConnectError) {
-				this.context.stderr.write(`${error.rawMessage}\n`);
-				return connectExitCodes[error.code] ?? exitCodes.failed;
-			}
-
-			const failure = toValvesaddleError(error);
-			this.context.stderr.write(`${failure.code}: ${failure.message}\nHint: ${failure.traits.hint}\n`);
-			return failure.traits.status < 500 ? exitCodes.invalid : exitCodes.failed;
+export abstract class BaseCommand extends PlainCommand {
+	protected override fail(error: unknown): number {
+		if (error instanceof ConnectError) {
+			this.context.stderr.write(`${error.rawMessage}\n`);
+			return connectExitCodes[error.code] ?? exitCodes.failed;
 		}
-	}
 
-	protected print(text: string): void {
-		this.context.stdout.write(`${text}\n`);
+		return super.fail(error);
 	}
 }
--- /dev/null
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -0,0 +1,56 @@
+import {z} from 'zod';
+
+const address = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.5:7100"');
+const milliseconds = z.int().min(1).max(86_400_000);
+
+/**
+Form of a gateway node's settings file. All times are in milliseconds.
+*/
+export const gatewaySettingsSchema = z.strictObject({
+	node: z.strictObject({name: z.string().min(1), data_centre: z.string(), region: z.string()}),
+	listen: z.strictObject({callers: address, ready: address, peers: address}),
+	store: z.strictObject({
+		address,
+		timeout_ms: milliseconds.default(1000),
+		watch_ms: milliseconds.default(25_000),
+		gather_ms: milliseconds.default(60),
+		retry_ms: milliseconds.default(400),
+		lease_ms: milliseconds.default(8000),
+		lapse_grace_ms: milliseconds.default(2000),
+	}),
+	retry: z.strictObject({
+		ratio: z.number().min(0).default(0.1),
+		slack: z.number().min(0).default(10),
+		window_ms: milliseconds.default(10_000),
+		/**
+		Nodes that are taken to share the slack before more are known.
+		*/
+		assumed_nodes: z.int().min(1).default(8),
+	}).prefault({}),
+	selection: z.strictObject({
+		long_prompt_tokens: z.int().min(1).default(5000),
+		long_share: z.number().min(0).max(1).default(0.55),
+		reuse_ms: milliseconds.default(10_000),
+		reread_ms_per_token: z.number().min(0).default(0.3),
+		prefill_tokens_per_ms: z.number().positive().default(50),
+	}).prefault({}),
+	peers: z.strictObject({
+		silence_ms: milliseconds.default(1200),
+		news_ms: milliseconds.default(20),
+		heartbeat_ms: milliseconds.default(250),
+	}).prefault({}),
+	limits: z.strictObject({
+		connect_ms: milliseconds.default(400),
+		keep_alive_ms: milliseconds.default(4000),
+	}).prefault({}),
+	drain: z.strictObject({
+		grace_ms: milliseconds.default(8000),
+		/**
+		Time after which the balancer has taken the node out.
+		*/
+		balancer_ms: milliseconds.default(2500),
+	}).prefault({}),
+	observe: z.strictObject({
+		log_level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+	}).prefault({}),
+});
--- /dev/null
+++ b/config/settings/src/gateway-settings.ts
@@ -0,0 +1,7 @@
+import type {z} from 'zod';
+import type {gatewaySettingsSchema} from './gateway-settings-schema.ts';
+
+/**
+Settings of a gateway node.
+*/
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -1,3 +1,5 @@
 export {checkSettings} from './check-settings.ts';
+export type {GatewaySettings} from './gateway-settings.ts';
+export {parseGatewaySettings} from './parse-gateway-settings.ts';
 export {parseSettings} from './parse-settings.ts';
 export type {Settings} from './settings.ts';
--- a/config/settings/src/parse-settings.ts
+++ b/config/settings/src/parse-settings.ts
@@ -1,7 +1,7 @@
-import {err, ok, type Result} from 'neverthrow';
-import {parse, TomlError} from 'smol-toml';
-import {ValvesaddleError} from '@valvesaddle/error';
+import type {Result} from 'neverthrow';
+import type {ValvesaddleError} from '@valvesaddle/error';
 import {checkSettings} from './check-settings.ts';
+import {parseToml} from './parse-toml.ts';
 import type {Settings} from './settings.ts';
 
 /**
@@ -11,14 +11,5 @@
  parseSettings('[node]\nid = "a1"').isErr(); // true: parts are missing
  */
 export function parseSettings(text: string): Result<Settings, ValvesaddleError> {
-	let table: unknown;
-	try {
-		table = parse(text);
-	} catch (error) {
-		const where = error instanceof TomlError ? `line ${error.line}, column ${error.column}: ` : '';
-		const reason = error instanceof Error ? error.message.split('\n', 1)[0] : String(error);
-		return err(new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', `${where}${reason}`, {cause: error}));
-	}
-
-	return checkSettings(table, text).andThen(settings => ok(settings));
+	return parseToml(text).andThen(table => checkSettings(table, text));
 }
--- a/core/error/src/error-table.ts
+++ b/core/error/src/error-table.ts
@@ -32,6 +32,24 @@
 	ERR_VALVESADDLE_NOT_FOUND: {
 		status: 404, ran: 'no', retryable: false, hint: 'See the README for the paths that are served.',
 	},
+	ERR_VALVESADDLE_NO_ROUTE: {
+		status: 404, ran: 'no', retryable: false, hint: 'Use a host and a path that a route of the configuration covers.',
+	},
+	ERR_VALVESADDLE_MALFORMED_REQUEST: {
+		status: 400, ran: 'no', retryable: false, hint: 'Send a request that HTTP/1.1 allows, with a path that begins with a slash.',
+	},
+	ERR_VALVESADDLE_HEADERS_TOO_LARGE: {
+		status: 431, ran: 'no', retryable: false, hint: 'Send smaller headers, or raise the limit in the configuration.',
+	},
+	ERR_VALVESADDLE_ENDPOINTS_BUSY: {
+		status: 503, ran: 'no', retryable: true, hint: 'Every endpoint tried refused before running it; come back after Retry-After.',
+	},
+	ERR_VALVESADDLE_TIMEOUT_UNSENT: {
+		status: 503, ran: 'no', retryable: true, hint: 'The time of the route or of the caller was over before the request could be sent.',
+	},
+	ERR_VALVESADDLE_TIMEOUT: {
+		status: 504, ran: 'maybe', retryable: true, hint: 'The time of the route or of the caller was over while an endpoint worked on it.',
+	},
 	ERR_VALVESADDLE_OVERLOADED: {
 		status: 429, ran: 'no', retryable: true, hint: 'The predicted wait is too long for the class; come back after Retry-After.',
 	},
@@ -74,6 +92,9 @@
 	ERR_VALVESADDLE_KV_UNKNOWN_OUTCOME: {
 		status: 504, ran: undefined, retryable: true, hint: 'The reply of the key-value service was lost; read back before trying again.',
 	},
+	ERR_VALVESADDLE_KV_HISTORY_LOST: {
+		status: 410, ran: undefined, retryable: true, hint: 'List the prefix anew and watch from the revision of the list.',
+	},
 	ERR_VALVESADDLE_CONFIGURATION_INVALID: {
 		status: 400, ran: undefined, retryable: false, hint: 'Mend every fault that the message names; nothing was changed.',
 	},
--- /dev/null
+++ b/gateway/cluster-view/src/belief-source.ts
@@ -0,0 +1,4 @@
+/**
+Where a belief comes from.
+*/
+export type BeliefSource = 'store' | 'peer';
--- /dev/null
+++ b/gateway/cluster-view/src/cluster-state.ts
@@ -0,0 +1,15 @@
+import type {GatewayConfiguration, GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+
+/**
+All that a node believes, as it tells a peer that is behind.
+*/
+export type ClusterState = {
+	readonly revision: number;
+	readonly configuration: GatewayConfiguration | undefined;
+	readonly endpoints: ReadonlyArray<{readonly endpoint: ServingEndpoint; readonly revision: number}>;
+	readonly nodes: readonly GatewayNode[];
+	/**
+	Whether the node was in touch with the store all the while, so that what is missing here was removed and did not lapse.
+	*/
+	readonly isSteady: boolean;
+};
--- /dev/null
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -0,0 +1,31 @@
+import type Emittery from 'emittery';
+import type {ClusterChanges, GatewayConfiguration, GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {BeliefSource} from './belief-source.ts';
+import type {ClusterEvents} from './cluster-events.ts';
+import type {ClusterState} from './cluster-state.ts';
+
+/**
+What a node believes of the cluster. A belief gives way only to one of a higher revision.
+*/
+export type ClusterView = {
+	readonly events: Emittery<ClusterEvents>;
+	readonly revision: () => number;
+	readonly configuration: () => GatewayConfiguration | undefined;
+	readonly endpoints: () => readonly ServingEndpoint[];
+	readonly nodes: () => readonly GatewayNode[];
+	/**
+	Takes over what has changed.
+	*/
+	readonly applyChanges: (changes: ClusterChanges, source: BeliefSource) => void;
+	/**
+	Takes over everything that a source holds; what it lacks was removed.
+	*/
+	readonly applyAll: (changes: ClusterChanges, source: BeliefSource) => void;
+	/**
+	Until that time, on the steady clock in milliseconds, removed endpoints count as lapsed and are kept.
+	*/
+	readonly setLapseUntil: (time: number) => void;
+	readonly exportState: (isSteady: boolean) => ClusterState;
+	readonly importState: (state: ClusterState) => void;
+	readonly close: () => void;
+};
--- /dev/null
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -0,0 +1,165 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import type {ClusterChanges} from '@valvesaddle/gateway-types';
+import type {StoreFollower} from './store-follower.ts';
+import type {StoreFollowerOptions} from './store-follower-options.ts';
+
+/**
+Renewals in the term of a lease.
+*/
+const renewalsPerLease = 4;
+/**
+Share of a pause that is drawn by lot, so that nodes do not call in step.
+*/
+const jitterShare = 0.5;
+
+/**
+ Creates the follower of the store: a list at first and after every gap, then one watch after the other. Renewals of the
+ node's lease show whether the store still answers while a watch waits.
+
+ @example
+ const follower = createStoreFollower({store, view, self, watchMs: 25_000, gatherMs: 50, retryMs: 400, leaseMs: 8000, lapseGraceMs: 2000, logger, metrics});
+ follower.start();
+ */
+export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
+	const {store, view, logger, metrics} = options;
+	let isClosed = false;
+	let isReachable = false;
+	let wasLost = false;
+	let reachableSince = 0;
+	let lease: string | undefined;
+	/**
+	Settled when the store is lost, so that nobody waits for a watch that will not answer.
+	*/
+	let lost = Promise.withResolvers<'lost'>();
+
+	function markReachable(): void {
+		if (isReachable) {
+			return;
+		}
+
+		isReachable = true;
+		reachableSince = performance.now();
+		lost = Promise.withResolvers<'lost'>();
+		if (wasLost) {
+			view.setLapseUntil(reachableSince + options.lapseGraceMs);
+		}
+
+		logger.info({name: 'kv-state', reachable: true});
+	}
+
+	function markLost(reason: string): void {
+		metrics.increment('gateway.store-failures');
+		if (isReachable) {
+			isReachable = false;
+			wasLost = true;
+			logger.warn({name: 'kv-state', reachable: false, reason});
+		}
+
+		lost.resolve('lost');
+	}
+
+	async function pause(milliseconds: number): Promise<void> {
+		await wait(milliseconds * (1 - (jitterShare * Math.random())), undefined, {ref: false});
+	}
+
+	async function listOnce(): Promise<boolean> {
+		const listed = await store.list();
+		return listed.match(changes => {
+			markReachable();
+			view.applyAll(changes, 'store');
+			return true;
+		}, error => {
+			markLost(error.message);
+			return false;
+		});
+	}
+
+	async function watchOnce(): Promise<boolean> {
+		const watched = await Promise.race([store.watch(view.revision(), options.watchMs), lost.promise]);
+		if (watched === 'lost') {
+			return false;
+		}
+
+		return watched.match((changes: ClusterChanges) => {
+			view.applyChanges(changes, 'store');
+			return true;
+		}, error => {
+			metrics.increment('gateway.watches-cut');
+			logger.info({name: 'store-watch-cut', reason: error.message, revision: view.revision()});
+			return false;
+		});
+	}
+
+	async function follow(): Promise<void> {
+		while (!isClosed) {
+			// eslint-disable-next-line no-await-in-loop -- a list, then watches until one fails
+			if (!await listOnce()) {
+				// eslint-disable-next-line no-await-in-loop -- the next try comes after a pause
+				await pause(options.retryMs);
+				continue;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- one watch after the other
+			while (!isClosed && await watchOnce()) {
+				// eslint-disable-next-line no-await-in-loop -- changes of this time come together
+				await pause(options.gatherMs);
+			}
+		}
+	}
+
+	async function register(): Promise<void> {
+		const registered = await store.register(options.self, options.leaseMs);
+		registered.match(opened => {
+			lease = opened;
+		}, error => {
+			logger.warn({name: 'node-registration', isDone: false, reason: error.message});
+		});
+	}
+
+	async function renewOnce(): Promise<void> {
+		if (lease === undefined) {
+			await register();
+			return;
+		}
+
+		const renewed = await store.renew(lease);
+		renewed.match(isHeld => {
+			if (!isHeld) {
+				lease = undefined;
+			}
+		}, error => {
+			markLost(error.message);
+		});
+	}
+
+	async function keepLease(): Promise<void> {
+		while (!isClosed) {
+			if (isReachable) {
+				// eslint-disable-next-line no-await-in-loop -- one renewal after the other
+				await renewOnce();
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- the pause between renewals
+			await pause(isReachable && lease !== undefined ? options.leaseMs / renewalsPerLease : options.retryMs);
+		}
+	}
+
+	return {
+		start() {
+			void follow();
+			void keepLease();
+		},
+		isReachable: () => isReachable,
+		isSteady: () => isReachable && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
+		async close() {
+			isClosed = true;
+			lost.resolve('lost');
+			if (lease !== undefined && isReachable) {
+				const released = await store.release(lease);
+				released.mapErr(error => {
+					logger.info({name: 'node-registration', isDone: false, reason: error.message});
+				});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -0,0 +1,56 @@
+import type {VersionedMap} from './versioned-map.ts';
+
+/**
+Marks of removed entries that are kept; far more than one watch can be behind.
+*/
+const mostMarks = 10_000;
+
+/**
+ Creates a map of entries with revisions.
+
+ @example
+ const map = createVersionedMap<string>();
+ map.set('a', 'new', 7);
+ map.set('a', 'old', 5); // false
+ */
+export function createVersionedMap<Value>(): VersionedMap<Value> {
+	const entries = new Map<string, {readonly value: Value; readonly revision: number}>();
+	const marks = new Map<string, number>();
+
+	function isNewer(id: string, revision: number): boolean {
+		return revision > (entries.get(id)?.revision ?? marks.get(id) ?? -1);
+	}
+
+	function addMark(id: string, revision: number): void {
+		marks.delete(id);
+		marks.set(id, revision);
+		if (marks.size > mostMarks) {
+			const [oldest = ''] = marks.keys();
+			marks.delete(oldest);
+		}
+	}
+
+	return {
+		get: id => entries.get(id)?.value,
+		values: () => [...entries.values()].map(({value}) => value),
+		entries: () => [...entries.values()],
+		set(id, value, revision) {
+			if (!isNewer(id, revision)) {
+				return false;
+			}
+
+			marks.delete(id);
+			entries.set(id, {value, revision});
+			return true;
+		},
+		remove(id, revision) {
+			if (!isNewer(id, revision)) {
+				return false;
+			}
+
+			addMark(id, revision);
+			return entries.delete(id);
+		},
+		listMissing: (listed, revision) => [...entries].filter(([id, entry]) => !listed.has(id) && entry.revision <= revision).map(([id]) => id),
+	};
+}
--- /dev/null
+++ b/gateway/cluster-view/src/store-follower-options.ts
@@ -0,0 +1,35 @@
+import type {ClusterStore, GatewayNode} from '@valvesaddle/gateway-types';
+import type {Logger} from '@valvesaddle/logger';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {ClusterView} from './cluster-view.ts';
+
+/**
+Options of `createStoreFollower`. All times are in milliseconds.
+*/
+export type StoreFollowerOptions = {
+	readonly store: ClusterStore;
+	readonly view: ClusterView;
+	readonly self: GatewayNode;
+	/**
+	How long one watch waits.
+	*/
+	readonly watchMs: number;
+	/**
+	Pause between two watches; changes that come meanwhile arrive together.
+	*/
+	readonly gatherMs: number;
+	/**
+	Pause before a call that failed is tried again.
+	*/
+	readonly retryMs: number;
+	/**
+	Term of the lease on the node's own entry.
+	*/
+	readonly leaseMs: number;
+	/**
+	How long after the return of the store a missing endpoint may still come back.
+	*/
+	readonly lapseGraceMs: number;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+};
--- /dev/null
+++ b/gateway/cluster-view/src/store-follower.ts
@@ -0,0 +1,18 @@
+/**
+Keeps a cluster view up to date from the store, and the node's own entry there.
+*/
+export type StoreFollower = {
+	readonly start: () => void;
+	/**
+	Whether the store answered last.
+	*/
+	readonly isReachable: () => boolean;
+	/**
+	Whether the store has answered for long enough that nothing can have lapsed.
+	*/
+	readonly isSteady: () => boolean;
+	/**
+	Ends the node's entry and stops.
+	*/
+	readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/gateway/cluster-view/src/versioned-map.ts
@@ -0,0 +1,20 @@
+/**
+Entries with the revision that last changed them. Removals leave a mark, so that an older entry does not come back.
+*/
+export type VersionedMap<Value> = {
+	readonly get: (id: string) => Value | undefined;
+	readonly values: () => readonly Value[];
+	readonly entries: () => ReadonlyArray<{readonly value: Value; readonly revision: number}>;
+	/**
+	Sets an entry unless a newer revision is known; tells whether it did.
+	*/
+	readonly set: (id: string, value: Value, revision: number) => boolean;
+	/**
+	Removes an entry unless a newer revision is known; tells whether there was one.
+	*/
+	readonly remove: (id: string, revision: number) => boolean;
+	/**
+	Ids of entries that are not listed and not newer than the revision.
+	*/
+	readonly listMissing: (listed: ReadonlySet<string>, revision: number) => readonly string[];
+};
--- /dev/null
+++ b/gateway/exchange/src/exchange-client.ts
@@ -0,0 +1,15 @@
+import type {Exchange} from './exchange.ts';
+import type {ExchangeListener} from './exchange-listener.ts';
+import type {ExchangeRequest} from './exchange-request.ts';
+
+/**
+Keeps connections to endpoints and sends requests over them, one at a time on each.
+*/
+export type ExchangeClient = {
+	readonly send: (request: ExchangeRequest, listener: ExchangeListener) => Exchange;
+	/**
+	Closes the connections to an address once their exchanges have ended.
+	*/
+	readonly closeAddress: (address: string) => void;
+	readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/gateway/exchange/src/index.ts
@@ -0,0 +1,8 @@
+export {createEventRelay} from './create-event-relay.ts';
+export {createExchangeClient} from './create-exchange-client.ts';
+export type {EventRelay} from './event-relay.ts';
+export type {Exchange} from './exchange.ts';
+export type {ExchangeClient} from './exchange-client.ts';
+export type {ExchangeClientOptions} from './exchange-client-options.ts';
+export type {ExchangeListener} from './exchange-listener.ts';
+export type {ExchangeRequest} from './exchange-request.ts';
--- /dev/null
+++ b/gateway/forwarding/src/create-forwarder.ts
@@ -0,0 +1,29 @@
+import {createForwardTask} from './create-forward-task.ts';
+import type {Forwarder} from './forwarder.ts';
+import type {ForwarderOptions} from './forwarder-options.ts';
+
+/**
+ Creates the forwarder of a node.
+
+ @example
+ const forwarder = createForwarder({wire, selector, exchanges, budget, logger, metrics});
+ const task = forwarder.forward(request, reply);
+ */
+export function createForwarder(options: ForwarderOptions): Forwarder {
+	let open = 0;
+
+	return {
+		forward(request, reply) {
+			open++;
+			options.budget.earn(request.pool);
+			return createForwardTask(options, {
+				request,
+				reply,
+				onOver() {
+					open--;
+				},
+			});
+		},
+		countOpen: () => open,
+	};
+}
--- /dev/null
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -0,0 +1,18 @@
+import type {ExchangeClient} from '@valvesaddle/exchange';
+import type {WireFormat} from '@valvesaddle/gateway-types';
+import type {Logger} from '@valvesaddle/logger';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {RetryBudget} from '@valvesaddle/retry-budget';
+import type {Selector} from '@valvesaddle/selection';
+
+/**
+Options of `createForwarder`.
+*/
+export type ForwarderOptions = {
+	readonly wire: WireFormat;
+	readonly selector: Selector;
+	readonly exchanges: ExchangeClient;
+	readonly budget: RetryBudget;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+};
--- /dev/null
+++ b/gateway/forwarding/src/index.ts
@@ -0,0 +1,7 @@
+export {createForwarder} from './create-forwarder.ts';
+export type {ForwardRequest} from './forward-request.ts';
+export type {ForwardTask} from './forward-task.ts';
+export type {Forwarder} from './forwarder.ts';
+export type {ForwarderOptions} from './forwarder-options.ts';
+export {pickTarget} from './pick-target.ts';
+export type {Reply} from './reply.ts';
--- /dev/null
+++ b/gateway/front/src/create-front.ts
@@ -0,0 +1,125 @@
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import restana from 'restana';
+import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
+import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
+import {startServer} from '@valvesaddle/http-server';
+import {countHeaderBytes} from './count-header-bytes.ts';
+import {createReply} from './create-reply.ts';
+import type {Front} from './front.ts';
+import type {FrontOptions} from './front-options.ts';
+import {readWholeBody} from './read-whole-body.ts';
+import {sendRefusal} from './send-refusal.ts';
+
+/**
+When a caller may come back to a node that has no configuration yet, in milliseconds.
+*/
+const comeBackMs = 300;
+/**
+Largest head that the parser takes, in bytes; the configuration's limit is checked besides.
+*/
+const largestHeadBytes = 128 * 1024;
+/**
+How often connections are checked for heads that take too long, in milliseconds.
+*/
+const checkMs = 500;
+
+/**
+ Creates the front: it reads a request within the limits, asks the configuration for its route and client account, and
+ hands it to the forwarder.
+
+ @example
+ const front = createFront(options);
+ await front.listen();
+ */
+export function createFront(options: FrontOptions): Front {
+	const {logger, metrics} = options;
+	const server = createServer({
+		maxHeaderSize: largestHeadBytes, requestTimeout: 0, noDelay: true, connectionsCheckingInterval: checkMs,
+	});
+	// Routes come from the configuration, so every path takes the default route.
+	restana({
+		server,
+		defaultRoute(request: IncomingMessage, response: ServerResponse) {
+			void handleRequest(request, response);
+		},
+	});
+
+	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
+		metrics.increment('gateway.refused', 1, {code: error.code});
+		const {requestId = '-'} = options.wire.readRequest(request.headers);
+		logger.info({
+			name: 'request-refused', request: requestId, code: error.code, reason: error.message, version: options.routes()?.version,
+		});
+		// A body that was not read would be taken for the next request.
+		sendRefusal(response, error, options.isLeaving() || !request.complete);
+	}
+
+	function buildRequest(request: IncomingMessage, arrivedAt: number): Omit<ForwardRequest, 'body'> {
+		const index = options.routes();
+		if (index === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration is known yet', {retryAfterMs: comeBackMs});
+		}
+
+		const {headerBytes} = options.limits();
+		if (countHeaderBytes(request) > headerBytes) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_HEADERS_TOO_LARGE', `over ${headerBytes} bytes`);
+		}
+
+		const path = request.url ?? '';
+		if (!path.startsWith('/')) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_MALFORMED_REQUEST', 'the path does not begin with a slash');
+		}
+
+		const facts = options.wire.readRequest(request.headers);
+		const route = unwrapResult(index.findRoute(request.headers.host ?? '', path));
+		const account = unwrapResult(index.authenticate(route, facts.apiKey));
+		const pool = pickTarget(route.targets, Math.random())?.pool ?? '';
+		return {
+			facts, route, version: index.version, account, pool, isEnginePool: index.findPool(pool)?.engine !== undefined,
+			method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, arrivedAt,
+		};
+	}
+
+	async function forward(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const head = buildRequest(request, performance.now());
+		const body = await readWholeBody(request, options.limits().bodyBytes);
+		if (response.destroyed) {
+			return;
+		}
+
+		logger.info({
+			name: 'request-admitted', request: head.facts.requestId ?? '-', route: head.route.name, version: head.version, account: head.account?.name,
+			priority: head.account?.priority ?? head.route.priority, promptTokens: head.facts.promptTokens, waitMs: head.facts.waitMs,
+		});
+		const task = options.forwarder.forward({...head, body}, createReply(response, options.isLeaving));
+		response.once('close', task.cancel);
+	}
+
+	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		metrics.increment('gateway.requests');
+		try {
+			await forward(request, response);
+		} catch (error) {
+			refuse(request, response, toValvesaddleError(error));
+		}
+	}
+
+	return {
+		listen: async () => startServer(server, options),
+		configure() {
+			const {headerTimeoutMs, idleTimeoutMs} = options.limits();
+			server.headersTimeout = headerTimeoutMs;
+			server.keepAliveTimeout = idleTimeoutMs;
+		},
+		async drain() {
+			const {promise, resolve} = Promise.withResolvers<void>();
+			server.close(() => {
+				resolve();
+			});
+			await promise;
+		},
+		cut() {
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/gateway/front/src/read-whole-body.ts
@@ -0,0 +1,41 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {ValvesaddleError} from '@valvesaddle/error';
+
+/**
+ Reads the body of a request.
+
+ @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` above the limit, `ERR_VALVESADDLE_CANCELLED` when the caller goes away meanwhile.
+ @example
+ const body = await readWholeBody(request, 4_194_304);
+ */
+export async function readWholeBody(request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> {
+	const announced = Number(request.headers['content-length'] ?? 0);
+	if (announced > limitBytes) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `${announced} bytes announced, ${limitBytes} allowed`);
+	}
+
+	if (announced === 0 && request.headers['transfer-encoding'] === undefined) {
+		return undefined;
+	}
+
+	const {promise, resolve, reject} = Promise.withResolvers<Uint8Array>();
+	const pieces: Buffer[] = [];
+	let bytes = 0;
+	request.on('data', (piece: Buffer) => {
+		bytes += piece.length;
+		if (bytes > limitBytes) {
+			reject(new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `over ${limitBytes} bytes`));
+			return;
+		}
+
+		pieces.push(piece);
+	});
+	request.once('end', () => {
+		resolve(Buffer.concat(pieces));
+	});
+	request.once('close', () => {
+		reject(new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away within the body'));
+	});
+	return promise;
+}
--- /dev/null
+++ b/gateway/retry-budget/src/index.ts
@@ -0,0 +1,3 @@
+export {createRetryBudget} from './create-retry-budget.ts';
+export type {RetryBudget} from './retry-budget.ts';
+export type {RetryBudgetOptions} from './retry-budget-options.ts';
--- /dev/null
+++ b/gateway/selection/src/create-load-table.ts
@@ -0,0 +1,59 @@
+import type {EndpointLoad} from './endpoint-load.ts';
+import type {LoadTable} from './load-table.ts';
+
+const noLoad: EndpointLoad = {open: 0, prefillTokens: 0};
+
+/**
+ Creates the table of work at endpoints.
+
+ @example
+ const loads = createLoadTable();
+ loads.add('i-7f', 1, 6000);
+ loads.get('i-7f').open; // 1
+ */
+export function createLoadTable(): LoadTable {
+	const own = new Map<string, EndpointLoad>();
+	const peers = new Map<string, Map<string, EndpointLoad>>();
+	const changed = new Set<string>();
+
+	return {
+		get(endpoint) {
+			let {open, prefillTokens} = own.get(endpoint) ?? noLoad;
+			for (const loads of peers.values()) {
+				const load = loads.get(endpoint);
+				if (load !== undefined) {
+					open += load.open;
+					prefillTokens += load.prefillTokens;
+				}
+			}
+
+			return {open, prefillTokens};
+		},
+		add(endpoint, open, prefillTokens) {
+			const before = own.get(endpoint) ?? noLoad;
+			own.set(endpoint, {open: before.open + open, prefillTokens: Math.max(0, before.prefillTokens + prefillTokens)});
+			changed.add(endpoint);
+		},
+		applyPeer(node, endpoint, load) {
+			const loads = peers.get(node) ?? new Map<string, EndpointLoad>();
+			loads.set(endpoint, load);
+			peers.set(node, loads);
+		},
+		removePeer(node) {
+			peers.delete(node);
+		},
+		removeEndpoint(endpoint) {
+			own.delete(endpoint);
+			changed.delete(endpoint);
+			for (const loads of peers.values()) {
+				loads.delete(endpoint);
+			}
+		},
+		takeChanged() {
+			const news = [...changed].map(endpoint => [endpoint, own.get(endpoint) ?? noLoad] as const);
+			changed.clear();
+			return news;
+		},
+		listOwn: () => [...own],
+	};
+}
--- /dev/null
+++ b/gateway/selection/src/endpoint-load.ts
@@ -0,0 +1,13 @@
+/**
+Work of one node at one endpoint.
+*/
+export type EndpointLoad = {
+	/**
+	Requests that are open.
+	*/
+	readonly open: number;
+	/**
+	Prompt tokens that are still to be read before first tokens.
+	*/
+	readonly prefillTokens: number;
+};
--- /dev/null
+++ b/gateway/selection/src/load-news.ts
@@ -0,0 +1,10 @@
+import type {EndpointLoad} from './endpoint-load.ts';
+import type {Placement} from './placement.ts';
+
+/**
+What one node tells its peers of its own work: loads that have changed, in full, and new placements.
+*/
+export type LoadNews = {
+	readonly loads: ReadonlyArray<readonly [endpoint: string, load: EndpointLoad]>;
+	readonly placements: readonly Placement[];
+};
--- /dev/null
+++ b/gateway/selection/src/load-table.ts
@@ -0,0 +1,23 @@
+import type {EndpointLoad} from './endpoint-load.ts';
+
+/**
+Work at each endpoint, the node's own and what its peers have told.
+*/
+export type LoadTable = {
+	readonly get: (endpoint: string) => EndpointLoad;
+	/**
+	Adds to the node's own work.
+	*/
+	readonly add: (endpoint: string, open: number, prefillTokens: number) => void;
+	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
+	readonly removePeer: (node: string) => void;
+	readonly removeEndpoint: (endpoint: string) => void;
+	/**
+	The node's own work at endpoints where it has changed since the last call.
+	*/
+	readonly takeChanged: () => ReadonlyArray<readonly [endpoint: string, load: EndpointLoad]>;
+	/**
+	The node's own work at all endpoints.
+	*/
+	readonly listOwn: () => ReadonlyArray<readonly [endpoint: string, load: EndpointLoad]>;
+};
--- /dev/null
+++ b/gateway/selection/src/placement.ts
@@ -0,0 +1,14 @@
+/**
+A prompt that was sent to an endpoint.
+*/
+export type Placement = {
+	readonly endpoint: string;
+	/**
+	Shared parts of the prompt, in its order.
+	*/
+	readonly parts: readonly string[];
+	/**
+	Tokens that the endpoint had to add to its cache.
+	*/
+	readonly tokens: number;
+};
--- /dev/null
+++ b/gateway/selection/src/selection.ts
@@ -0,0 +1,17 @@
+import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+
+/**
+An endpoint with what spoke for it.
+*/
+export type Selection = {
+	readonly endpoint: ServingEndpoint;
+	/**
+	Predicted time to the first token or answer, in milliseconds.
+	*/
+	readonly costMs: number;
+	/**
+	Prompt tokens that the endpoint is believed to hold.
+	*/
+	readonly heldTokens: number;
+	readonly candidates: number;
+};
--- /dev/null
+++ b/gateway/selection/src/selector-options.ts
@@ -0,0 +1,25 @@
+/**
+Options of `createSelector`.
+*/
+export type SelectorOptions = {
+	/**
+	Prompts of more tokens are long.
+	*/
+	readonly longPromptTokens: number;
+	/**
+	Part of a pool's endpoints that takes long prompts.
+	*/
+	readonly longShare: number;
+	/**
+	Time within which reading a shared part again counts as waste, in milliseconds.
+	*/
+	readonly reuseMs: number;
+	/**
+	Milliseconds of delay that are borne to save one token from being read again.
+	*/
+	readonly rereadMsPerToken: number;
+	/**
+	Prompt tokens that an engine reads in a millisecond, until it is learned.
+	*/
+	readonly prefillTokensPerMs: number;
+};
--- /dev/null
+++ b/gateway/selection/src/selector.ts
@@ -0,0 +1,33 @@
+import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {LoadNews} from './load-news.ts';
+import type {OpenWork} from './open-work.ts';
+import type {Selection} from './selection.ts';
+import type {SelectionQuestion} from './selection-question.ts';
+
+/**
+Chooses endpoints and keeps the books that the choice needs.
+*/
+export type Selector = {
+	readonly addEndpoint: (endpoint: ServingEndpoint) => void;
+	readonly removeEndpoint: (id: string) => void;
+	readonly setPools: (pools: readonly ServicePool[]) => void;
+	/**
+	Best endpoint that is ready and was not tried; `undefined` when there is none.
+	*/
+	readonly choose: (question: SelectionQuestion) => Selection | undefined;
+	/**
+	Books a request at the chosen endpoint.
+	*/
+	readonly open: (selection: Selection, question: SelectionQuestion) => OpenWork;
+	readonly findAddress: (id: string) => string | undefined;
+	/**
+	News for peers since the last call; `undefined` when there are none.
+	*/
+	readonly takeNews: () => LoadNews | undefined;
+	/**
+	The node's own work in full, for a peer that has just come.
+	*/
+	readonly listOwn: () => LoadNews;
+	readonly applyNews: (node: string, news: LoadNews) => void;
+	readonly removeNode: (node: string) => void;
+};
--- /dev/null
+++ b/gateway/types/src/answer-facts.ts
@@ -0,0 +1,26 @@
+/**
+What the head of an endpoint's answer says, decoded.
+*/
+export type AnswerFacts = {
+	/**
+	Request that it answers, as the endpoint echoes it.
+	*/
+	readonly requestId: string | undefined;
+	/**
+	Whether the endpoint vouches for the body.
+	*/
+	readonly isSigned: boolean;
+	/**
+	Whether the endpoint says that it did not and will not run the request.
+	*/
+	readonly isNotRun: boolean;
+	readonly isEventStream: boolean;
+	/**
+	Whether something on the way has encoded the body.
+	*/
+	readonly isEncoded: boolean;
+	/**
+	Whether another instance answers at the address.
+	*/
+	readonly isMisdirected: boolean;
+};
--- /dev/null
+++ b/gateway/types/src/cluster-change.ts
@@ -0,0 +1,14 @@
+import type {GatewayConfiguration} from './gateway-configuration.ts';
+import type {GatewayNode} from './gateway-node.ts';
+import type {ServingEndpoint} from './serving-endpoint.ts';
+
+/**
+One change that the store reports, at its revision.
+*/
+export type ClusterChange =
+	| {readonly kind: 'configuration'; readonly revision: number; readonly configuration: GatewayConfiguration}
+	| {readonly kind: 'endpoint'; readonly revision: number; readonly endpoint: ServingEndpoint}
+	| {readonly kind: 'endpoint-removed'; readonly revision: number; readonly id: string}
+	| {readonly kind: 'node'; readonly revision: number; readonly node: GatewayNode}
+	| {readonly kind: 'node-removed'; readonly revision: number; readonly id: string}
+	| {readonly kind: 'unreadable'; readonly revision: number; readonly key: string; readonly reason: string};
--- /dev/null
+++ b/gateway/types/src/gateway-node.ts
@@ -0,0 +1,17 @@
+/**
+A gateway node as it registered itself for its peers.
+*/
+export type GatewayNode = {
+	/**
+	New at each start of the process.
+	*/
+	readonly id: string;
+	/**
+	`ip:port` for peers.
+	*/
+	readonly address: string;
+	/**
+	Secret that peers present to this node.
+	*/
+	readonly token: string;
+};
--- /dev/null
+++ b/gateway/types/src/service-pool.ts
@@ -0,0 +1,16 @@
+import type {EngineTraits} from './engine-traits.ts';
+
+/**
+Endpoints that can stand in for each other.
+*/
+export type ServicePool = {
+	readonly name: string;
+	/**
+	Connections that one endpoint accepts from all nodes together.
+	*/
+	readonly maximumConnections: number;
+	/**
+	Set for pools of model engines.
+	*/
+	readonly engine: EngineTraits | undefined;
+};
--- /dev/null
+++ b/node/gateway/src/create-gateway.ts
@@ -0,0 +1,177 @@
+import {randomBytes} from 'node:crypto';
+import {setTimeout as wait} from 'node:timers/promises';
+import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {createExchangeClient} from '@valvesaddle/exchange';
+import {createFleetStore} from '@valvesaddle/fleet-store';
+import {createForwarder} from '@valvesaddle/forwarding';
+import {createFront} from '@valvesaddle/front';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics, createMetricsPage} from '@valvesaddle/metrics';
+import {createPeerNetwork} from '@valvesaddle/network';
+import {createRetryBudget} from '@valvesaddle/retry-budget';
+import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
+import {createSelector} from '@valvesaddle/selection';
+import {platformWire} from '@valvesaddle/wire';
+import {createPeerSync} from './create-peer-sync.ts';
+import {createReadyServer} from './create-ready-server.ts';
+import {defaultLimits} from './default-limits.ts';
+import type {Gateway} from './gateway.ts';
+import type {GatewayOptions} from './gateway-options.ts';
+import {parseListenAddress} from './parse-listen-address.ts';
+
+/**
+Bytes of the random parts of a node's id and token.
+*/
+const idBytes = 4;
+const tokenBytes = 18;
+/**
+Part of the grace time that is left unused, for what still has to be written.
+*/
+const unusedGraceShare = 0.2;
+
+/**
+ Creates a gateway node from its settings: all tasks, wired together.
+
+ @example
+ const gateway = createGateway({settings});
+ await gateway.start();
+ */
+export function createGateway({settings}: GatewayOptions): Gateway {
+	const {node: {name}, listen, store: storeSettings, retry, selection, drain: drainSettings, peers} = settings;
+	const self = {id: `${name}.${randomBytes(idBytes).toString('hex')}`, address: listen.peers, token: randomBytes(tokenBytes).toString('base64url')};
+	const page = createMetricsPage();
+	const metrics = createMetrics({node: name, page});
+	const logger = createLogger({node: self.id, level: settings.observe.log_level, to: 'output'});
+	const view = createClusterView({logger, metrics});
+	const store = createFleetStore({
+		address: storeSettings.address,
+		timeoutMs: storeSettings.timeout_ms,
+		onCall(call, milliseconds, isDone) {
+			metrics.increment('store.calls', 1, {call});
+			metrics.increment('store.calls-failed', isDone ? 0 : 1, {call});
+			metrics.timing('store.call', milliseconds, {call});
+		},
+	});
+	const follower = createStoreFollower({
+		store,
+		view,
+		self,
+		watchMs: storeSettings.watch_ms,
+		gatherMs: storeSettings.gather_ms,
+		retryMs: storeSettings.retry_ms,
+		leaseMs: storeSettings.lease_ms,
+		lapseGraceMs: storeSettings.lapse_grace_ms,
+		logger,
+		metrics,
+	});
+	const network = createPeerNetwork({
+		node: self.id,
+		...parseListenAddress(listen.peers),
+		token: self.token,
+		findAddress: id => view.nodes().find(node => node.id === id)?.address,
+		findToken: id => view.nodes().find(node => node.id === id)?.token ?? '',
+		silenceMs: peers.silence_ms,
+		isCompressed: false,
+		metrics,
+	});
+	const selector = createSelector({
+		longPromptTokens: selection.long_prompt_tokens,
+		longShare: selection.long_share,
+		reuseMs: selection.reuse_ms,
+		rereadMsPerToken: selection.reread_ms_per_token,
+		prefillTokensPerMs: selection.prefill_tokens_per_ms,
+	});
+	const {sync, handlers} = createPeerSync({
+		node: self.id, network, view, follower, selector, newsMs: peers.news_ms, heartbeatMs: peers.heartbeat_ms, logger, metrics,
+	});
+	let mostNodes = retry.assumed_nodes;
+	const budget = createRetryBudget({
+		ratio: retry.ratio, slack: retry.slack, windowMs: retry.window_ms, countNodes: () => mostNodes,
+	});
+	const exchanges = createExchangeClient({
+		connectMs: settings.limits.connect_ms,
+		keepAliveMs: settings.limits.keep_alive_ms,
+		onConnect() {
+			metrics.increment('gateway.connections');
+		},
+	});
+	const forwarder = createForwarder({
+		wire: platformWire, selector, exchanges, budget, logger, metrics,
+	});
+	let routes: RouteIndex | undefined;
+	let isLeaving = false;
+	const front = createFront({
+		...parseListenAddress(listen.callers),
+		wire: platformWire,
+		forwarder,
+		routes: () => routes,
+		limits: () => view.configuration()?.limits ?? defaultLimits,
+		isLeaving: () => isLeaving,
+		logger,
+		metrics,
+	});
+	const ready = createReadyServer({
+		...parseListenAddress(listen.ready),
+		isReady: () => routes !== undefined && !isLeaving,
+		readMetrics: page.format,
+	});
+
+	view.events.on('configuration', ({data: {configuration}}) => {
+		routes = createRouteIndex(configuration);
+		selector.setPools(configuration.pools);
+		front.configure();
+	});
+	view.events.on('endpoint', ({data: {endpoint}}) => {
+		selector.addEndpoint(endpoint);
+	});
+	view.events.on('endpointRemoved', ({data: {id}}) => {
+		const address = selector.findAddress(id);
+		selector.removeEndpoint(id);
+		if (address !== undefined) {
+			exchanges.closeAddress(address);
+		}
+	});
+	view.events.on('node', () => {
+		mostNodes = Math.max(mostNodes, view.nodes().length);
+	});
+
+	async function close(): Promise<void> {
+		sync.close();
+		await follower.close();
+		view.close();
+		await Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]);
+		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
+		await logger.flush();
+	}
+
+	async function drain(): Promise<void> {
+		isLeaving = true;
+		logger.info({name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen()});
+		const usableMs = drainSettings.grace_ms * (1 - unusedGraceShare);
+		const isOver = new AbortController();
+		// The balancer needs a few misses to send no more callers here.
+		await wait(Math.min(drainSettings.balancer_ms, usableMs));
+		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms, undefined, {signal: isOver.signal, ref: false})]);
+		front.cut();
+		await close();
+	}
+
+	return {
+		async start() {
+			logger.info({name: 'node-state', from: 'stopped', to: 'starting', open: 0});
+			const [callers, readyAddress, peerAddress] = [await front.listen(), await ready.listen(), await network.listen(handlers)];
+			follower.start();
+			sync.start();
+			logger.info({name: 'listening', what: 'callers', address: callers});
+			return {callers, ready: readyAddress, peers: peerAddress};
+		},
+		drain,
+		reload(changed) {
+			logger.info({name: 'settings-read', isAccepted: true, reason: changed.node.name});
+		},
+		rejectReload(error) {
+			logger.warn({name: 'settings-read', isAccepted: false, reason: error instanceof Error ? error.message : String(error)});
+		},
+		close,
+	};
+}
--- /dev/null
+++ b/node/gateway/src/gateway-addresses.ts
@@ -0,0 +1,8 @@
+/**
+Where a gateway node listens.
+*/
+export type GatewayAddresses = {
+	readonly callers: string;
+	readonly ready: string;
+	readonly peers: string;
+};
--- /dev/null
+++ b/node/gateway/src/index.ts
@@ -0,0 +1,3 @@
+export {createGateway} from './create-gateway.ts';
+export type {Gateway} from './gateway.ts';
+export type {GatewayOptions} from './gateway-options.ts';
--- /dev/null
+++ b/node/gateway/src/load-news-schema.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+
+const load = z.object({open: z.int().min(0), prefillTokens: z.number().min(0)});
+const placement = z.object({endpoint: z.string(), parts: z.array(z.string()), tokens: z.number().min(0)});
+
+/**
+Form of the news of work that nodes send each other.
+*/
+export const loadNewsSchema = z.object({
+	loads: z.array(z.tuple([z.string(), load])),
+	placements: z.array(placement),
+});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -1,8 +1,8 @@
 /**
-A change of state worth a line. `name` says which; the rest are its facts.
+A change of state or a decision worth a line. `name` says which; the rest are its facts.
 */
 export type LogEvent =
-	| {readonly name: 'node-state'; readonly from: string; readonly to: string}
+	| {readonly name: 'node-state'; readonly from: string; readonly to: string; readonly open?: number}
 	| {readonly name: 'configuration-in-force'; readonly revision: number; readonly changeId: string; readonly source: string}
 	| {readonly name: 'configuration-rejected'; readonly reason: string}
 	| {readonly name: 'kv-state'; readonly reachable: boolean; readonly reason?: string}
@@ -13,4 +13,30 @@
 	| {readonly name: 'endpoint-state'; readonly pool: string; readonly endpoint: string; readonly from: string; readonly to: string}
 	| {readonly name: 'claim-shard-reloaded'; readonly shard: number; readonly claims: number}
 	| {readonly name: 'listening'; readonly what: string; readonly address: string}
-	| {readonly name: 'internal-failure'; readonly where: string; readonly reason: string};
+	| {readonly name: 'internal-failure'; readonly where: string; readonly reason: string}
+	| {readonly name: 'endpoint-believed'; readonly endpoint: string; readonly pool?: string; readonly state: string; readonly revision: number; readonly source: string}
+	| {readonly name: 'endpoint-lapsed'; readonly endpoint: string; readonly revision: number; readonly graceMs: number}
+	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
+	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
+	| {readonly name: 'settings-read'; readonly isAccepted: boolean; readonly reason: string}
+	| {readonly name: 'node-registration'; readonly isDone: boolean; readonly reason: string}
+	| {
+		readonly name: 'request-admitted'; readonly request: string; readonly route: string; readonly version: number;
+		readonly account: string | undefined; readonly priority: number; readonly promptTokens: number; readonly waitMs: number | undefined;
+	}
+	| {
+		readonly name: 'request-refused'; readonly request: string; readonly code: string; readonly reason: string;
+		readonly version: number | undefined;
+	}
+	| {
+		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
+		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
+	}
+	| {
+		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
+		readonly mayHaveRun: boolean; readonly isRetried: boolean;
+	}
+	| {
+		readonly name: 'request-ended'; readonly request: string; readonly route: string; readonly outcome: string; readonly status: number;
+		readonly elapsedMs: number; readonly firstByteMs: number | undefined; readonly tries: number; readonly runs: number;
+	};
--- a/observe/metrics/src/create-metrics.ts
+++ b/observe/metrics/src/create-metrics.ts
@@ -32,12 +32,14 @@
 		increment(name, by = 1, tags = {}) {
 			sums.set(name, (sums.get(name) ?? 0) + by);
 			client?.increment(name, by, tags);
+			options.page?.increment(name, by, tags);
 		},
 		gauge(name, value, tags = {}) {
 			client?.gauge(name, value, tags);
 		},
 		timing(name, milliseconds, tags = {}) {
 			client?.timing(name, milliseconds, tags);
+			options.page?.observe(name, milliseconds, tags);
 		},
 		total: name => sums.get(name) ?? 0,
 		totals: () => Object.fromEntries(sums),
--- a/observe/metrics/src/metrics-options.ts
+++ b/observe/metrics/src/metrics-options.ts
@@ -1,3 +1,5 @@
+import type {MetricsPage} from './metrics-page.ts';
+
 /**
 Options of `createMetrics`; without a host nothing is sent, only summed up.
 */
@@ -8,4 +10,8 @@
 	readonly host?: string | undefined;
 	readonly port?: number | undefined;
 	readonly node?: string | undefined;
+	/**
+	Page that shows the same figures as text.
+	*/
+	readonly page?: MetricsPage;
 };
--- /dev/null
+++ b/observe/metrics/src/metrics-page.ts
@@ -0,0 +1,13 @@
+import type {MetricTags} from './metric-tags.ts';
+
+/**
+Counters and histograms as text, for whoever reads the node's metrics address.
+*/
+export type MetricsPage = {
+	readonly increment: (name: string, by: number, tags: MetricTags) => void;
+	/**
+	Records a duration in milliseconds.
+	*/
+	readonly observe: (name: string, milliseconds: number, tags: MetricTags) => void;
+	readonly format: () => Promise<string>;
+};
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -83,7 +83,7 @@
 		}
 
 		const socket = new WebSocket(`ws://${address}`, {
-			headers: {authorization: `Bearer ${options.token}`, [nodeHeader]: options.node},
+			headers: {authorization: `Bearer ${options.findToken?.(node) ?? options.token}`, [nodeHeader]: options.node},
 			handshakeTimeout: options.silenceMs,
 			perMessageDeflate: options.isCompressed ? compression : false,
 			maxPayload: largestMessageBytes,
--- a/peer/network/src/peer-network-options.ts
+++ b/peer/network/src/peer-network-options.ts
@@ -8,7 +8,7 @@
 	readonly host: string;
 	readonly port: number;
 	/**
-	Shared secret of the fleet.
+	Secret that peers have to present: the fleet's, or the node's own.
 	*/
 	readonly token: string;
 	/**
@@ -16,6 +16,10 @@
 	*/
 	readonly findAddress: (node: string) => string | undefined;
 	/**
+	Secret of a node, where each has its own; the fleet's secret otherwise.
+	*/
+	readonly findToken?: (node: string) => string;
+	/**
 	A link that was silent for so long while in use is broken, in milliseconds.
 	*/
 	readonly silenceMs: number;
