--- a/cli/valvesaddle/src/gateway-command.ts
+++ b/cli/valvesaddle/src/gateway-command.ts
@@ -1,9 +1,9 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {Command, Option} from 'clipanion';
-import {unwrapResult} from '@valvesaddle/error';
+import {unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {createGateway} from '@valvesaddle/gateway';
-import {parseGatewaySettings} from '@valvesaddle/settings';
+import {parseGatewaySettings, type GatewaySettings} from '@valvesaddle/settings';
 import {exitCodes} from './exit-codes.ts';
 import {PlainCommand} from './plain-command.ts';
 import {runUntilSignal} from './run-until-signal.ts';
@@ -19,7 +19,7 @@
 		examples: [['Run a node', 'valvesaddle gateway --settings gateway.toml']],
 	});
 
-	settings = Option.String('--settings', {required: true, env: 'VALVESADDLE_SETTINGS', description: 'Settings file in TOML'});
+	settings = Option.String('--settings', {env: 'VALVESADDLE_SETTINGS', description: 'Settings file in TOML'});
 
 	async run(): Promise<number> {
 		const gateway = createGateway({settings: await this.#readSettings()});
@@ -32,7 +32,11 @@
 		return exitCodes.done;
 	}
 
-	async #readSettings() {
+	async #readSettings(): Promise<GatewaySettings> {
+		if (this.settings === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no settings file is named: pass --settings or set VALVESADDLE_SETTINGS');
+		}
+
 		return unwrapResult(parseGatewaySettings(await readFile(this.settings, 'utf8')));
 	}
 }
