--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -1,5 +1,6 @@
 import {Pool, type Dispatcher} from 'undici';
 import {ValvesaddleError} from '@valvesaddle/error';
+import {createStrictConnector} from './create-strict-connector.ts';
 import type {ExchangeClient} from './exchange-client.ts';
 import type {ExchangeClientOptions} from './exchange-client-options.ts';
 import type {ExchangeListener} from './exchange-listener.ts';
@@ -32,7 +33,7 @@
 			// The gateway's own timers decide; these would end an answer that is only slow.
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: {timeout: options.connectMs},
+			connect: createStrictConnector({timeout: options.connectMs}),
 			keepAliveTimeout: options.keepAliveMs,
 			keepAliveMaxTimeout: longestKeepAliveMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -23,6 +23,20 @@
 */
 const comeBackMs = 300;
 
+/**
+Part of the latency objective after which an endpoint that has not begun to answer is taken for stuck.
+*/
+const patienceShare = 0.6;
+/**
+Factor on the predicted time to the first byte below which an endpoint is never taken for stuck.
+*/
+const patienceFactor = 3;
+/**
+Pauses within a stream, in pause objectives and in milliseconds, after which its endpoint is taken for stuck.
+*/
+const stuckPauses = 4;
+const leastStuckMs = 700;
+
 type Answer = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
@@ -65,12 +79,14 @@
 	let firstByteMs: number | undefined;
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
+	let patience: NodeJS.Timeout | undefined;
 
 	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
 
 	function closeTask(outcome: string, status: number): void {
 		isOver = true;
 		clearTimeout(timer);
+		clearTimeout(patience);
 		const elapsedMs = Math.round(performance.now() - request.arrivedAt);
 		metrics.increment('gateway.ended', 1, {outcome});
 		metrics.timing('gateway.total', elapsedMs);
@@ -99,7 +115,29 @@
 			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', 'not sent in time', {retryAfterMs: comeBackMs}));
 	}
 
+	/**
+	Gives an endpoint some time for its next byte; a request that may be repeated then goes elsewhere.
+	*/
+	function startPatience(milliseconds: number): void {
+		clearTimeout(patience);
+		if (isRepeatable(route)) {
+			patience = setTimeout(() => {
+				if (canTryAgain()) {
+					stopAttempt('failed');
+					handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
+				}
+			}, milliseconds);
+		}
+	}
+
+	function canTryAgain(): boolean {
+		return runs < route.maximumAttempts && selector.choose({
+			pool: request.pool, promptTokens: facts.promptTokens, parts: facts.parts, tried,
+		}) !== undefined;
+	}
+
 	function stopAttempt(end: 'failed' | 'cancelled'): void {
+		clearTimeout(patience);
 		exchange?.abort();
 		exchange = undefined;
 		work?.close(end);
@@ -131,6 +169,7 @@
 			name: 'request-sent', request: id, endpoint: endpoint.id, pool: request.pool, attempt: tries, version: request.version,
 			candidates: selection.candidates, costMs: Math.round(selection.costMs), heldTokens: selection.heldTokens, remainingMs: Math.round(remainingMs),
 		});
+		startPatience(Math.max(patienceShare * route.latencyObjectiveMs, request.isEnginePool ? patienceFactor * selection.costMs : 0));
 		exchange = exchanges.send({
 			address: endpoint.address,
 			method: request.method,
@@ -164,6 +203,10 @@
 			},
 			onData(chunk) {
 				opened.markBegun();
+				if (route.kind === 'stream') {
+					startPatience(Math.max(leastStuckMs, stuckPauses * route.pauseObjectiveMs));
+				}
+
 				firstByteMs ??= Math.round(performance.now() - request.arrivedAt);
 				return answer === undefined || takeData(answer, chunk);
 			},
@@ -218,6 +261,7 @@
 	}
 
 	function handleEnd(answer: Answer, opened: OpenWork): void {
+		clearTimeout(patience);
 		exchange = undefined;
 		work = undefined;
 		if (answer.verdict === 'not-run') {
@@ -246,6 +290,7 @@
 	}
 
 	function handleFailure(failure: Failure): void {
+		clearTimeout(patience);
 		exchange = undefined;
 		work = undefined;
 		relay?.restart();
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -22,6 +22,10 @@
 How often connections are checked for heads that take too long, in milliseconds.
 */
 const checkMs = 500;
+/**
+How often a node that leaves closes connections that have become idle, in milliseconds.
+*/
+const idleCheckMs = 100;
 
 /**
  Creates the front: it reads a request within the limits, asks the configuration for its route and client account, and
@@ -113,10 +117,15 @@
 		},
 		async drain() {
 			const {promise, resolve} = Promise.withResolvers<void>();
+			// A connection whose answer had begun before is idle only later.
+			const timer = setInterval(() => {
+				server.closeIdleConnections();
+			}, idleCheckMs);
 			server.close(() => {
 				resolve();
 			});
 			await promise;
+			clearInterval(timer);
 		},
 		cut() {
 			server.closeAllConnections();
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -25,9 +25,13 @@
 const idBytes = 4;
 const tokenBytes = 18;
 /**
-Part of the grace time that is left unused, for what still has to be written.
+Part of the grace time that is left unused, for what still has to be closed and written.
 */
-const unusedGraceShare = 0.2;
+const unusedGraceShare = 0.07;
+/**
+How long a node that stops waits for the store and its peers, in milliseconds.
+*/
+const closeMs = 200;
 
 /**
  Creates a gateway node from its settings: all tasks, wired together.
@@ -137,9 +141,9 @@
 
 	async function close(): Promise<void> {
 		sync.close();
-		await follower.close();
+		await Promise.race([follower.close(), wait(closeMs)]);
 		view.close();
-		await Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]);
+		await Promise.race([Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs)]);
 		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
 		await logger.flush();
 	}
@@ -148,10 +152,9 @@
 		isLeaving = true;
 		logger.info({name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen()});
 		const usableMs = drainSettings.grace_ms * (1 - unusedGraceShare);
-		const isOver = new AbortController();
 		// The balancer needs a few misses to send no more callers here.
 		await wait(Math.min(drainSettings.balancer_ms, usableMs));
-		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms, undefined, {signal: isOver.signal, ref: false})]);
+		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms)]);
 		front.cut();
 		await close();
 	}
