--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -37,6 +37,11 @@
 const stuckPauses = 4;
 const leastStuckMs = 700;
 
+/**
+Another instance has taken over the address.
+*/
+const misdirectedStatus = 421;
+
 type Answer = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
@@ -216,7 +221,7 @@
 				}
 			},
 			onFailure(error) {
-				opened.close('failed');
+				opened.close(wasSent ? 'failed' : 'gone');
 				handleFailure({reason: error.message, mayHaveRun: wasSent});
 			},
 		});
@@ -266,7 +271,7 @@
 		work = undefined;
 		if (answer.verdict === 'not-run') {
 			runs--;
-			opened.close('rejected');
+			opened.close(answer.status === misdirectedStatus ? 'gone' : 'rejected');
 			handleFailure({reason: `refused with ${answer.status}`, mayHaveRun: false});
 		} else if (answer.verdict === 'run-failed') {
 			opened.close('failed');
--- a/gateway/selection/src/choose-lane.ts
+++ b/gateway/selection/src/choose-lane.ts
@@ -1,13 +1,6 @@
+import type {Lanes} from './lanes.ts';
 import {rankByHash} from './rank-by-hash.ts';
 
-/**
-Endpoints of a pool parted by the length of the prompts that they take.
-*/
-type Lanes = {
-	readonly long: ReadonlySet<string>;
-	readonly short: ReadonlySet<string>;
-};
-
 const laneKey = 'lane';
 
 /**
--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -26,17 +26,23 @@
 export function createFailureTable(): FailureTable {
 	const table = new Map<string, Failures>();
 
+	function addFailures(endpoint: string, least: number): void {
+		const count = Math.max(least, (table.get(endpoint)?.count ?? 0) + 1);
+		const ejections = count - failuresToEject;
+		const pause = ejections < 0 ? 0 : Math.min(longestEjectionMs, firstEjectionMs * (2 ** ejections));
+		table.set(endpoint, {count, until: performance.now() + pause});
+	}
+
 	return {
 		record(endpoint, isFailed) {
-			if (!isFailed) {
+			if (isFailed) {
+				addFailures(endpoint, 1);
+			} else {
 				table.delete(endpoint);
-				return;
 			}
-
-			const count = (table.get(endpoint)?.count ?? 0) + 1;
-			const ejections = count - failuresToEject;
-			const pause = ejections < 0 ? 0 : Math.min(longestEjectionMs, firstEjectionMs * (2 ** ejections));
-			table.set(endpoint, {count, until: performance.now() + pause});
+		},
+		eject(endpoint) {
+			addFailures(endpoint, failuresToEject);
 		},
 		isEjected(endpoint) {
 			const failures = table.get(endpoint);
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,5 +1,6 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import {chooseLane} from './choose-lane.ts';
+import type {Lanes} from './lanes.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
@@ -16,6 +17,14 @@
 */
 const msPerOpenStream = 3;
 /**
+Wait for one more request beyond an engine's slots, in milliseconds: about the time between two ends at a full engine.
+*/
+const msPerQueued = 40;
+/**
+Harm that a long prompt does to one stream beside it, as a delay that is borne to avoid it, in milliseconds.
+*/
+const msPerDisturbedStream = 10;
+/**
 Advantage of the endpoint that all nodes would take for a prompt that nobody holds, in milliseconds: two nodes that get the
 same prompt at once then agree.
 */
@@ -35,6 +44,10 @@
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
+	/**
+	Lanes of each pool, until its endpoints change.
+	*/
+	const lanes = new Map<string, Lanes>();
 	let placements: Placement[] = [];
 
 	function listReady(pool: string): readonly ServingEndpoint[] {
@@ -44,23 +57,41 @@
 	/**
 	The first of the lists that is not empty: each asks for less than the one before.
 	*/
-	function listCandidates(ready: readonly ServingEndpoint[], lane: ReadonlySet<string>, tried: ReadonlySet<string>): readonly ServingEndpoint[] {
+	function listCandidates(ready: readonly ServingEndpoint[], tried: ReadonlySet<string>): readonly ServingEndpoint[] {
 		const untried = ready.filter(({id}) => !tried.has(id));
 		const sound = untried.filter(({id}) => !failures.isEjected(id));
-		const inLane = sound.filter(({id}) => lane.has(id));
-		return [inLane, sound, untried].find(list => list.length > 0) ?? [];
+		return sound.length > 0 ? sound : untried;
+	}
+
+	function getLanes(pool: string, ready: readonly ServingEndpoint[]): Lanes {
+		const known = lanes.get(pool) ?? chooseLane(ready.map(({id}) => id), options.longShare);
+		lanes.set(pool, known);
+		return known;
+	}
+
+	/**
+	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
+	*/
+	function measureLaneCost(isLong: boolean, endpoint: string, lane: Lanes, open: number): number {
+		if (isLong) {
+			return lane.long.has(endpoint) ? 0 : options.leaveLaneMs + (open * msPerDisturbedStream);
+		}
+
+		return lane.short.has(endpoint) ? 0 : options.leaveLaneMs;
 	}
 
-	function chooseForPrompt(candidates: readonly ServingEndpoint[], question: SelectionQuestion): Selection | undefined {
+	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
+		const isLong = question.promptTokens > options.longPromptTokens;
 		const recentTokens = prefixes.countRecent(question.parts);
 		const key = question.parts.slice(0, -1).map(({id}) => id).join(',');
 		const [agreed] = recentTokens === 0 ? rankByHash(key, candidates.map(({id}) => id)) : [];
 		const rated = candidates.map(endpoint => {
 			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
 			const {open, prefillTokens} = loads.get(endpoint.id);
-			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / options.prefillTokensPerMs) + (open * msPerOpenStream);
+			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
+			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / options.prefillTokensPerMs) + (open * msPerOpenStream) + queueMs;
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
-			const score = costMs + wasteMs - (endpoint.id === agreed ? sameChoiceMs : 0);
+			const score = costMs + wasteMs + measureLaneCost(isLong, endpoint.id, lane, open) - (endpoint.id === agreed ? sameChoiceMs : 0);
 			return {
 				endpoint, heldTokens, costMs, score, candidates: candidates.length,
 			};
@@ -77,16 +108,30 @@
 
 	function choose(question: SelectionQuestion): Selection | undefined {
 		const ready = listReady(question.pool);
-		const ids = ready.map(({id}) => id);
-		if (pools.get(question.pool)?.engine === undefined) {
-			return chooseByLoad(listCandidates(ready, new Set(ids), question.tried));
-		}
-
-		const lanes = chooseLane(ids, options.longShare);
-		const lane = question.promptTokens > options.longPromptTokens ? lanes.long : lanes.short;
-		return chooseForPrompt(listCandidates(ready, lane, question.tried), question);
+		const candidates = listCandidates(ready, question.tried);
+		return pools.get(question.pool)?.engine === undefined
+			? chooseByLoad(candidates)
+			: chooseForPrompt(candidates, getLanes(question.pool, ready), question);
 	}
 
+	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
+		done(id) {
+			failures.record(id, false);
+		},
+		rejected(id) {
+			failures.record(id, false);
+		},
+		failed(id) {
+			failures.record(id, true);
+		},
+		gone(id) {
+			failures.eject(id);
+		},
+		cancelled() {
+			// Says nothing about the endpoint.
+		},
+	};
+
 	function open({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
 		const missing = Math.max(0, question.promptTokens - heldTokens);
 		let unread = missing;
@@ -112,9 +157,7 @@
 
 				isClosed = true;
 				loads.add(id, -1, -unread);
-				if (end !== 'cancelled') {
-					failures.record(id, end === 'failed');
-				}
+				settlers[end](id);
 			},
 		};
 	}
@@ -122,9 +165,11 @@
 	return {
 		addEndpoint(endpoint) {
 			endpoints.set(endpoint.id, endpoint);
+			lanes.delete(endpoint.pool);
 			prefixes.setCapacity(endpoint.id, pools.get(endpoint.pool)?.engine?.cacheTokens ?? Infinity);
 		},
 		removeEndpoint(id) {
+			lanes.delete(endpoints.get(id)?.pool ?? '');
 			endpoints.delete(id);
 			loads.removeEndpoint(id);
 			prefixes.removeEndpoint(id);
--- a/gateway/selection/src/open-work.ts
+++ b/gateway/selection/src/open-work.ts
@@ -10,6 +10,7 @@
 };
 
 /**
-How a request ended at an endpoint: `done`, `failed` by the endpoint, `rejected` before it ran, or `cancelled` by us.
+How a request ended at an endpoint: `done`, `failed` by the endpoint, `rejected` before it ran, `gone` when the endpoint
+could not be reached or another one answers at its address, or `cancelled` by us.
 */
-type WorkEnd = 'done' | 'failed' | 'rejected' | 'cancelled';
+type WorkEnd = 'done' | 'failed' | 'rejected' | 'gone' | 'cancelled';
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly longShare: number;
 	/**
+	Delay for which a prompt leaves the endpoints that are meant for its length, in milliseconds.
+	*/
+	readonly leaveLaneMs: number;
+	/**
 	Time within which reading a shared part again counts as waste, in milliseconds.
 	*/
 	readonly reuseMs: number;
