--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -30,7 +30,7 @@
 	selection: z.strictObject({
 		long_prompt_tokens: z.int().min(1).default(5000),
 		long_share: z.number().min(0).max(1).default(0.55),
-		leave_lane_ms: milliseconds.default(200),
+		leave_lane_share: z.number().min(0).default(1),
 		reuse_ms: milliseconds.default(10_000),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {createEventRelay, type Exchange} from '@valvesaddle/exchange';
-import type {OpenWork, Selection} from '@valvesaddle/selection';
+import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
@@ -76,6 +76,9 @@
 	const deadlineAt = request.arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
 	const relay = route.kind === 'stream' && route.isResumable ? createEventRelay(facts.lastEventId) : undefined;
 	const tried = new Set<string>();
+	const question: SelectionQuestion = {
+		pool: request.pool, objectiveMs: route.latencyObjectiveMs, promptTokens: facts.promptTokens, parts: facts.parts, tried,
+	};
 	let tries = 0;
 	let runs = 0;
 	let arrivals = 0;
@@ -136,9 +139,7 @@
 	}
 
 	function canTryAgain(): boolean {
-		return runs < route.maximumAttempts && selector.choose({
-			pool: request.pool, promptTokens: facts.promptTokens, parts: facts.parts, tried,
-		}) !== undefined;
+		return runs < route.maximumAttempts && selector.choose(question) !== undefined;
 	}
 
 	function stopAttempt(end: 'failed' | 'cancelled'): void {
@@ -150,9 +151,6 @@
 	}
 
 	function startAttempt(): void {
-		const question = {
-			pool: request.pool, promptTokens: facts.promptTokens, parts: facts.parts, tried,
-		};
 		const selection = tries < mostTries ? selector.choose(question) : undefined;
 		if (selection === undefined) {
 			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: comeBackMs}));
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -30,6 +30,11 @@
 */
 const sameChoiceMs = 40;
 
+type LaneQuestion = {
+	readonly isLong: boolean;
+	readonly objectiveMs: number;
+};
+
 /**
  Creates the selector of a node.
 
@@ -72,12 +77,13 @@
 	/**
 	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
 	*/
-	function measureLaneCost(isLong: boolean, endpoint: string, lane: Lanes, open: number): number {
+	function measureLaneCost({isLong, objectiveMs}: LaneQuestion, endpoint: string, lane: Lanes, open: number): number {
+		const leaveMs = options.leaveLaneShare * objectiveMs;
 		if (isLong) {
-			return lane.long.has(endpoint) ? 0 : options.leaveLaneMs + (open * msPerDisturbedStream);
+			return lane.long.has(endpoint) ? 0 : leaveMs + (open * msPerDisturbedStream);
 		}
 
-		return lane.short.has(endpoint) ? 0 : options.leaveLaneMs;
+		return lane.short.has(endpoint) ? 0 : leaveMs;
 	}
 
 	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
@@ -91,7 +97,7 @@
 			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
 			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / options.prefillTokensPerMs) + (open * msPerOpenStream) + queueMs;
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
-			const score = costMs + wasteMs + measureLaneCost(isLong, endpoint.id, lane, open) - (endpoint.id === agreed ? sameChoiceMs : 0);
+			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, open) - (endpoint.id === agreed ? sameChoiceMs : 0);
 			return {
 				endpoint, heldTokens, costMs, score, candidates: candidates.length,
 			};
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -11,9 +11,9 @@
 	*/
 	readonly longShare: number;
 	/**
-	Delay for which a prompt leaves the endpoints that are meant for its length, in milliseconds.
+	Delay for which a prompt leaves the endpoints that are meant for its length, in latency objectives of its route.
 	*/
-	readonly leaveLaneMs: number;
+	readonly leaveLaneShare: number;
 	/**
 	Time within which reading a shared part again counts as waste, in milliseconds.
 	*/
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -81,7 +81,7 @@
 	const selector = createSelector({
 		longPromptTokens: selection.long_prompt_tokens,
 		longShare: selection.long_share,
-		leaveLaneMs: selection.leave_lane_ms,
+		leaveLaneShare: selection.leave_lane_share,
 		reuseMs: selection.reuse_ms,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
