--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -23,7 +23,7 @@
 /**
 Harm that a long prompt does to one stream beside it, as a delay that is borne to avoid it, in milliseconds.
 */
-const msPerDisturbedStream = 10;
+const msPerDisturbedStream = 200;
 /**
 Advantage of the endpoint that all nodes would take for a prompt that nobody holds, in milliseconds: two nodes that get the
 same prompt at once then agree.
