--- a/gateway/selection/src/choose-lane.ts
+++ b/gateway/selection/src/choose-lane.ts
@@ -8,15 +8,14 @@
  part alike. A pool of one endpoint is not parted.
 
  @example
- chooseLane(['i-1', 'i-2'], 0.55).long.size; // 1
+ chooseLane(['i-1', 'i-2'], 1).long.size; // 1
  */
-export function chooseLane(endpoints: readonly string[], longShare: number): Lanes {
+export function chooseLane(endpoints: readonly string[], longCount: number): Lanes {
 	if (endpoints.length < 2) {
 		const all = new Set(endpoints);
 		return {long: all, short: all};
 	}
 
-	const count = Math.min(endpoints.length - 1, Math.max(1, Math.round(longShare * endpoints.length)));
 	const ranked = rankByHash(laneKey, endpoints);
-	return {long: new Set(ranked.slice(0, count)), short: new Set(ranked.slice(count))};
+	return {long: new Set(ranked.slice(0, longCount)), short: new Set(ranked.slice(longCount))};
 }
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,6 +1,7 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
-import {chooseLane} from './choose-lane.ts';
 import type {Lanes} from './lanes.ts';
+import type {LaneModel} from './lane-model.ts';
+import {createLaneModel} from './create-lane-model.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
@@ -49,12 +50,18 @@
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
-	/**
-	Lanes of each pool, until its endpoints change.
-	*/
-	const lanes = new Map<string, Lanes>();
+	const laneModels = new Map<string, LaneModel>();
 	let placements: Placement[] = [];
 
+	function isLongPrompt({promptTokens}: SelectionQuestion): boolean {
+		return promptTokens > options.longPromptTokens;
+	}
+
+	function addPlacement(placement: Placement): void {
+		prefixes.add(placement);
+		getLaneModel(placement.pool).record(placement.isLong, placement.tokens);
+	}
+
 	function listReady(pool: string): readonly ServingEndpoint[] {
 		return [...endpoints.values()].filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready');
 	}
@@ -68,10 +75,12 @@
 		return sound.length > 0 ? sound : untried;
 	}
 
-	function getLanes(pool: string, ready: readonly ServingEndpoint[]): Lanes {
-		const known = lanes.get(pool) ?? chooseLane(ready.map(({id}) => id), options.longShare);
-		lanes.set(pool, known);
-		return known;
+	function getLaneModel(pool: string): LaneModel {
+		const model = laneModels.get(pool) ?? createLaneModel({
+			longShare: options.longShare, shortWeight: options.shortWeight, averageMs: options.laneAverageMs,
+		});
+		laneModels.set(pool, model);
+		return model;
 	}
 
 	/**
@@ -87,7 +96,7 @@
 	}
 
 	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
-		const isLong = question.promptTokens > options.longPromptTokens;
+		const isLong = isLongPrompt(question);
 		const recentTokens = prefixes.countRecent(question.parts);
 		const key = question.parts.slice(0, -1).map(({id}) => id).join(',');
 		const [agreed] = recentTokens === 0 ? rankByHash(key, candidates.map(({id}) => id)) : [];
@@ -117,7 +126,7 @@
 		const candidates = listCandidates(ready, question.tried);
 		return pools.get(question.pool)?.engine === undefined
 			? chooseByLoad(candidates)
-			: chooseForPrompt(candidates, getLanes(question.pool, ready), question);
+			: chooseForPrompt(candidates, getLaneModel(question.pool).getLanes(ready.map(({id}) => id)), question);
 	}
 
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
@@ -144,8 +153,10 @@
 		let isClosed = false;
 		loads.add(id, 1, missing);
 		if (question.promptTokens > 0) {
-			const placement = {endpoint: id, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing};
-			prefixes.add(placement);
+			const placement = {
+				endpoint: id, pool: question.pool, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing, isLong: isLongPrompt(question),
+			};
+			addPlacement(placement);
 			placements.push(placement);
 		}
 
@@ -171,11 +182,9 @@
 	return {
 		addEndpoint(endpoint) {
 			endpoints.set(endpoint.id, endpoint);
-			lanes.delete(endpoint.pool);
 			prefixes.setCapacity(endpoint.id, pools.get(endpoint.pool)?.engine?.cacheTokens ?? Infinity);
 		},
 		removeEndpoint(id) {
-			lanes.delete(endpoints.get(id)?.pool ?? '');
 			endpoints.delete(id);
 			loads.removeEndpoint(id);
 			prefixes.removeEndpoint(id);
@@ -206,7 +215,7 @@
 			}
 
 			for (const placement of news.placements) {
-				prefixes.add(placement);
+				addPlacement(placement);
 			}
 		},
 		removeNode: loads.removePeer,
--- /dev/null
+++ b/gateway/selection/src/lane-model.ts
@@ -0,0 +1,12 @@
+import type {Lanes} from './lanes.ts';
+
+/**
+Parts the endpoints of a pool by what its lanes are asked for.
+*/
+export type LaneModel = {
+	/**
+	Records tokens that have to be read for a prompt.
+	*/
+	readonly record: (isLong: boolean, tokens: number) => void;
+	readonly getLanes: (endpoints: readonly string[]) => Lanes;
+};
--- a/gateway/selection/src/placement.ts
+++ b/gateway/selection/src/placement.ts
@@ -3,6 +3,7 @@
 */
 export type Placement = {
 	readonly endpoint: string;
+	readonly pool: string;
 	/**
 	Shared parts of the prompt, in its order.
 	*/
@@ -11,4 +12,8 @@
 	Tokens that the endpoint had to add to its cache.
 	*/
 	readonly tokens: number;
+	/**
+	Whether it counts as long.
+	*/
+	readonly isLong: boolean;
 };
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -7,10 +7,18 @@
 	*/
 	readonly longPromptTokens: number;
 	/**
-	Part of a pool's endpoints that takes long prompts.
+	Part of a pool's endpoints that takes long prompts while little is known of the demand.
 	*/
 	readonly longShare: number;
 	/**
+	How many times more room a token of a short prompt gets than one of a long prompt.
+	*/
+	readonly shortWeight: number;
+	/**
+	Time over which the demand of the lanes is averaged, in milliseconds.
+	*/
+	readonly laneAverageMs: number;
+	/**
 	Delay for which a prompt leaves the endpoints that are meant for its length, in latency objectives of its route.
 	*/
 	readonly leaveLaneShare: number;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -81,6 +81,8 @@
 	const selector = createSelector({
 		longPromptTokens: selection.long_prompt_tokens,
 		longShare: selection.long_share,
+		shortWeight: selection.short_weight,
+		laneAverageMs: selection.lane_average_ms,
 		leaveLaneShare: selection.leave_lane_share,
 		reuseMs: selection.reuse_ms,
 		rereadMsPerToken: selection.reread_ms_per_token,
--- a/node/gateway/src/load-news-schema.ts
+++ b/node/gateway/src/load-news-schema.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 
 const load = z.object({open: z.int().min(0), prefillTokens: z.number().min(0)});
-const placement = z.object({endpoint: z.string(), parts: z.array(z.string()), tokens: z.number().min(0)});
+const placement = z.object({
+	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: z.number().min(0), isLong: z.boolean(),
+});
 
 /**
 Form of the news of work that nodes send each other.
