--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -30,7 +30,9 @@
 	selection: z.strictObject({
 		long_prompt_tokens: z.int().min(1).default(5000),
 		long_share: z.number().min(0).max(1).default(0.55),
-		short_weight: z.number().positive().default(1.6),
+		short_use: z.number().positive().default(0.5),
+		long_use: z.number().positive().default(0.8),
+		short_fill_use: z.number().positive().default(0.6),
 		lane_average_ms: milliseconds.default(3000),
 		leave_lane_share: z.number().min(0).default(1),
 		reuse_ms: milliseconds.default(10_000),
--- a/gateway/selection/src/create-lane-model.ts
+++ b/gateway/selection/src/create-lane-model.ts
@@ -1,4 +1,5 @@
 import {chooseLane} from './choose-lane.ts';
+import type {LaneDemand} from './lane-demand.ts';
 import type {LaneModel} from './lane-model.ts';
 import type {Lanes} from './lanes.ts';
 
@@ -7,13 +8,17 @@
 */
 type LaneModelOptions = {
 	/**
-	Part of the endpoints for long prompts while little is known.
+	Part of the endpoints for long prompts while there is little demand.
 	*/
 	readonly longShare: number;
 	/**
-	How many times more room a short prompt's token gets: streams beside it must not pause.
+	Part of an endpoint's reading that short prompts may use: streams beside them must not pause.
 	*/
-	readonly shortWeight: number;
+	readonly shortUse: number;
+	/**
+	Part of an endpoint's reading that long prompts may use.
+	*/
+	readonly longUse: number;
 	/**
 	Time over which demand is averaged, in milliseconds.
 	*/
@@ -21,29 +26,32 @@
 };
 
 /**
-Tokens of the average demand that the first share counts for.
+Demand that the first share counts for, in endpoints.
 */
-const priorTokens = 20_000;
+const priorNeed = 0.5;
 /**
 How far the wanted number of endpoints has to be off before one changes its lane.
 */
-const hysteresis = 0.75;
+const hysteresis = 0.7;
 
 /**
- Creates the model of a pool's lanes. The long lane grows and shrinks by whole endpoints in an order that all nodes share,
- so that nodes which see the same demand part the pool alike.
+ Creates the model of a pool's lanes. Each lane gets room by its demand; where there is not enough, short prompts go first,
+ since they are the more urgent ones and suffer most from the others. Endpoints change lanes one by one in an order that all
+ nodes share, so nodes that see the same demand part the pool alike.
 
  @example
- const lanes = createLaneModel({longShare: 0.55, shortWeight: 1.6, averageMs: 3000});
+ const lanes = createLaneModel({longShare: 0.55, shortUse: 0.5, longUse: 0.8, averageMs: 3000});
  lanes.record(true, 6000);
- lanes.getLanes(['i-1', 'i-2', 'i-3']).long.size; // 2
+ lanes.getLanes(['i-1', 'i-2', 'i-3'], {shortFill: 0.2, tokensPerMs: 60}).long.size; // 2
  */
-export function createLaneModel({longShare, shortWeight, averageMs}: LaneModelOptions): LaneModel {
+export function createLaneModel(options: LaneModelOptions): LaneModel {
+	const {longShare, shortUse, longUse, averageMs} = options;
 	let longTokens = 0;
 	let shortTokens = 0;
 	let decayedAt = performance.now();
 	let count = 0;
-	let cached: {readonly key: string; readonly lanes: Lanes} | undefined;
+	let key = '';
+	let lanes: Lanes = {long: new Set(), short: new Set()};
 
 	function decay(): void {
 		const now = performance.now();
@@ -53,11 +61,15 @@
 		decayedAt = now;
 	}
 
-	function countLong(endpoints: number): number {
+	function measureWanted(endpoints: number, {shortFill, tokensPerMs}: LaneDemand): number {
+		const long = (longTokens / averageMs / tokensPerMs / longUse) + (priorNeed * longShare);
+		const short = Math.max(shortTokens / averageMs / tokensPerMs / shortUse, shortFill) + (priorNeed * (1 - longShare));
+		return long + short <= endpoints ? endpoints * long / (long + short) : endpoints - short;
+	}
+
+	function countLong(endpoints: number, demand: LaneDemand): number {
 		decay();
-		const long = longTokens + (priorTokens * longShare);
-		const short = (shortTokens * shortWeight) + (priorTokens * (1 - longShare));
-		const wanted = endpoints * long / (long + short);
+		const wanted = measureWanted(endpoints, demand);
 		if (count < 1 || count >= endpoints || Math.abs(wanted - count) > hysteresis) {
 			count = Math.min(endpoints - 1, Math.max(1, Math.round(wanted)));
 		}
@@ -71,14 +83,16 @@
 			longTokens += isLong ? tokens : 0;
 			shortTokens += isLong ? 0 : tokens;
 		},
-		getLanes(endpoints) {
-			const long = endpoints.length < 2 ? 0 : countLong(endpoints.length);
-			const key = `${long} ${endpoints.join(' ')}`;
-			if (cached?.key !== key) {
-				cached = {key, lanes: chooseLane(endpoints, long)};
+		getLanes(endpoints, demand) {
+			const long = endpoints.length < 2 ? 0 : countLong(endpoints.length, demand);
+			const newKey = `${long} ${endpoints.join(' ')}`;
+			if (key !== newKey) {
+				key = newKey;
+				lanes = chooseLane(endpoints, long);
 			}
 
-			return cached.lanes;
+			return lanes;
 		},
+		lastLanes: () => lanes,
 	};
 }
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -2,6 +2,8 @@
 import type {Lanes} from './lanes.ts';
 import type {LaneModel} from './lane-model.ts';
 import {createLaneModel} from './create-lane-model.ts';
+import {createReadingRate} from './create-reading-rate.ts';
+import type {ReadingRate} from './reading-rate.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
@@ -51,6 +53,7 @@
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
 	const laneModels = new Map<string, LaneModel>();
+	const rates = new Map<string, ReadingRate>();
 	let placements: Placement[] = [];
 
 	function isLongPrompt({promptTokens}: SelectionQuestion): boolean {
@@ -77,12 +80,25 @@
 
 	function getLaneModel(pool: string): LaneModel {
 		const model = laneModels.get(pool) ?? createLaneModel({
-			longShare: options.longShare, shortWeight: options.shortWeight, averageMs: options.laneAverageMs,
+			longShare: options.longShare, shortUse: options.shortUse, longUse: options.longUse, averageMs: options.laneAverageMs,
 		});
 		laneModels.set(pool, model);
 		return model;
 	}
 
+	function getRate(pool: string): ReadingRate {
+		const rate = rates.get(pool) ?? createReadingRate(options.prefillTokensPerMs);
+		rates.set(pool, rate);
+		return rate;
+	}
+
+	function partPool(pool: string, ready: readonly ServingEndpoint[]): Lanes {
+		const model = getLaneModel(pool);
+		const {short} = model.lastLanes();
+		const shortFill = ready.reduce((sum, {id, slots}) => sum + (short.has(id) ? loads.get(id).open / slots : 0), 0) / options.shortFillUse;
+		return model.getLanes(ready.map(({id}) => id), {shortFill, tokensPerMs: getRate(pool).get()});
+	}
+
 	/**
 	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
 	*/
@@ -97,6 +113,7 @@
 
 	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
 		const isLong = isLongPrompt(question);
+		const tokensPerMs = getRate(question.pool).get();
 		const recentTokens = prefixes.countRecent(question.parts);
 		const key = question.parts.slice(0, -1).map(({id}) => id).join(',');
 		const [agreed] = recentTokens === 0 ? rankByHash(key, candidates.map(({id}) => id)) : [];
@@ -104,7 +121,7 @@
 			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
 			const {open, prefillTokens} = loads.get(endpoint.id);
 			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
-			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / options.prefillTokensPerMs) + (open * msPerOpenStream) + queueMs;
+			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / tokensPerMs) + (open * msPerOpenStream) + queueMs;
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
 			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, open) - (endpoint.id === agreed ? sameChoiceMs : 0);
 			return {
@@ -126,7 +143,7 @@
 		const candidates = listCandidates(ready, question.tried);
 		return pools.get(question.pool)?.engine === undefined
 			? chooseByLoad(candidates)
-			: chooseForPrompt(candidates, getLaneModel(question.pool).getLanes(ready.map(({id}) => id)), question);
+			: chooseForPrompt(candidates, partPool(question.pool, ready), question);
 	}
 
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
@@ -149,6 +166,7 @@
 
 	function open({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
 		const missing = Math.max(0, question.promptTokens - heldTokens);
+		const openedAt = performance.now();
 		let unread = missing;
 		let isClosed = false;
 		loads.add(id, 1, missing);
@@ -162,10 +180,13 @@
 
 		return {
 			markBegun() {
-				if (!isClosed) {
-					loads.add(id, 0, -unread);
-					unread = 0;
+				if (isClosed || unread === 0) {
+					return;
 				}
+
+				getRate(question.pool).record(unread, performance.now() - openedAt);
+				loads.add(id, 0, -unread);
+				unread = 0;
 			},
 			close(end) {
 				if (isClosed) {
--- a/gateway/selection/src/lane-model.ts
+++ b/gateway/selection/src/lane-model.ts
@@ -1,3 +1,4 @@
+import type {LaneDemand} from './lane-demand.ts';
 import type {Lanes} from './lanes.ts';
 
 /**
@@ -8,5 +9,9 @@
 	Records tokens that have to be read for a prompt.
 	*/
 	readonly record: (isLong: boolean, tokens: number) => void;
-	readonly getLanes: (endpoints: readonly string[]) => Lanes;
+	readonly getLanes: (endpoints: readonly string[], demand: LaneDemand) => Lanes;
+	/**
+	Lanes as they were parted last.
+	*/
+	readonly lastLanes: () => Lanes;
 };
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -11,9 +11,14 @@
 	*/
 	readonly longShare: number;
 	/**
-	How many times more room a token of a short prompt gets than one of a long prompt.
+	Part of an engine's reading that short prompts may use, and long ones.
 	*/
-	readonly shortWeight: number;
+	readonly shortUse: number;
+	readonly longUse: number;
+	/**
+	Part of an engine's slots that short prompts may use.
+	*/
+	readonly shortFillUse: number;
 	/**
 	Time over which the demand of the lanes is averaged, in milliseconds.
 	*/
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -81,7 +81,9 @@
 	const selector = createSelector({
 		longPromptTokens: selection.long_prompt_tokens,
 		longShare: selection.long_share,
-		shortWeight: selection.short_weight,
+		shortUse: selection.short_use,
+		longUse: selection.long_use,
+		shortFillUse: selection.short_fill_use,
 		laneAverageMs: selection.lane_average_ms,
 		leaveLaneShare: selection.leave_lane_share,
 		reuseMs: selection.reuse_ms,
