--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -85,6 +85,8 @@
 	let isOver = false;
 	let isBegun = false;
 	let firstByteMs: number | undefined;
+	let lastPieceAt = 0;
+	let longestPauseMs = 0;
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
 	let patience: NodeJS.Timeout | undefined;
@@ -99,7 +101,7 @@
 		metrics.increment('gateway.ended', 1, {outcome});
 		metrics.timing('gateway.total', elapsedMs);
 		logger.info({
-			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs, tries, runs,
+			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs, longestPauseMs: Math.round(longestPauseMs), tries, runs,
 		});
 		onOver();
 	}
@@ -210,7 +212,7 @@
 					startPatience(Math.max(leastStuckMs, stuckPauses * route.pauseObjectiveMs));
 				}
 
-				firstByteMs ??= Math.round(performance.now() - request.arrivedAt);
+				recordPiece();
 				return answer === undefined || takeData(answer, chunk);
 			},
 			onEnd() {
@@ -225,6 +227,18 @@
 		});
 	}
 
+	function recordPiece(): void {
+		const now = performance.now();
+		if (firstByteMs === undefined) {
+			firstByteMs = Math.round(now - request.arrivedAt);
+			metrics.timing('gateway.first-byte', firstByteMs);
+		} else {
+			longestPauseMs = Math.max(longestPauseMs, now - lastPieceAt);
+		}
+
+		lastPieceAt = now;
+	}
+
 	function beginStream(answer: Answer): void {
 		if (isBegun) {
 			return;
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -15,6 +15,7 @@
 	const own = new Map<string, EndpointLoad>();
 	const peers = new Map<string, Map<string, EndpointLoad>>();
 	const changed = new Set<string>();
+	let unseenFactor = 1;
 
 	return {
 		get(endpoint) {
@@ -27,7 +28,7 @@
 				}
 			}
 
-			return {open, prefillTokens};
+			return {open: open * unseenFactor, prefillTokens: prefillTokens * unseenFactor};
 		},
 		add(endpoint, open, prefillTokens) {
 			const before = own.get(endpoint) ?? noLoad;
@@ -39,6 +40,9 @@
 			loads.set(endpoint, load);
 			peers.set(node, loads);
 		},
+		setUnseenFactor(factor) {
+			unseenFactor = factor;
+		},
 		removePeer(node) {
 			peers.delete(node);
 		},
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -54,6 +54,7 @@
 	const failures = createFailureTable();
 	const laneModels = new Map<string, LaneModel>();
 	const rates = new Map<string, ReadingRate>();
+	let unseenFactor = 1;
 	let placements: Placement[] = [];
 
 	function isLongPrompt({promptTokens}: SelectionQuestion): boolean {
@@ -62,7 +63,7 @@
 
 	function addPlacement(placement: Placement): void {
 		prefixes.add(placement);
-		getLaneModel(placement.pool).record(placement.isLong, placement.tokens);
+		getLaneModel(placement.pool).record(placement.isLong, placement.tokens * unseenFactor);
 	}
 
 	function listReady(pool: string): readonly ServingEndpoint[] {
@@ -239,6 +240,10 @@
 				addPlacement(placement);
 			}
 		},
+		setUnseenFactor(factor) {
+			unseenFactor = factor;
+			loads.setUnseenFactor(factor);
+		},
 		removeNode: loads.removePeer,
 	};
 }
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -10,6 +10,7 @@
 	*/
 	readonly add: (endpoint: string, open: number, prefillTokens: number) => void;
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
+	readonly setUnseenFactor: (factor: number) => void;
 	readonly removePeer: (node: string) => void;
 	readonly removeEndpoint: (endpoint: string) => void;
 	/**
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -29,5 +29,9 @@
 	*/
 	readonly listOwn: () => LoadNews;
 	readonly applyNews: (node: string, news: LoadNews) => void;
+	/**
+	Sets how many times the known work stands for all of it, while peers cannot be heard.
+	*/
+	readonly setUnseenFactor: (factor: number) => void;
 	readonly removeNode: (node: string) => void;
 };
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -51,6 +51,7 @@
 	*/
 	function openLinks(): void {
 		const connected = new Set(network.connected());
+		selector.setUnseenFactor(Math.max(1, view.nodes().length / (connected.size + 1)));
 		for (const {id} of view.nodes()) {
 			if (id > options.node && !connected.has(id)) {
 				network.notify(id, 'load.news', selector.listOwn());
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -38,5 +38,5 @@
 	}
 	| {
 		readonly name: 'request-ended'; readonly request: string; readonly route: string; readonly outcome: string; readonly status: number;
-		readonly elapsedMs: number; readonly firstByteMs: number | undefined; readonly tries: number; readonly runs: number;
+		readonly elapsedMs: number; readonly firstByteMs: number | undefined; readonly longestPauseMs: number; readonly tries: number; readonly runs: number;
 	};
