--- a/cli/valvesaddle/src/gateway-command.ts
+++ b/cli/valvesaddle/src/gateway-command.ts
@@ -21,6 +21,14 @@
 
 	settings = Option.String('--settings', {env: 'VALVESADDLE_SETTINGS', description: 'Settings file in TOML'});
 
+	async #readSettings(): Promise<GatewaySettings> {
+		if (this.settings === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no settings file is named: pass --settings or set VALVESADDLE_SETTINGS');
+		}
+
+		return unwrapResult(parseGatewaySettings(await readFile(this.settings, 'utf8')));
+	}
+
 	async run(): Promise<number> {
 		const gateway = createGateway({settings: await this.#readSettings()});
 		process.on('SIGHUP', () => {
@@ -31,12 +39,4 @@
 		await gateway.drain();
 		return exitCodes.done;
 	}
-
-	async #readSettings(): Promise<GatewaySettings> {
-		if (this.settings === undefined) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no settings file is named: pass --settings or set VALVESADDLE_SETTINGS');
-		}
-
-		return unwrapResult(parseGatewaySettings(await readFile(this.settings, 'utf8')));
-	}
 }
--- a/cli/valvesaddle/src/main.ts
+++ b/cli/valvesaddle/src/main.ts
@@ -12,11 +12,19 @@
 A gateway node loads only what it runs: memory and start-up time count on small machines.
 */
 const smallCommands: Readonly<Record<string, Load>> = {
-	gateway: async () => [(await import('./gateway-command.ts')).GatewayCommand],
+	async gateway() {
+		const module = await import('./gateway-command.ts');
+		return [module.GatewayCommand];
+	},
 };
 
+async function loadAll(): Promise<readonly CommandClass[]> {
+	const {mainCommands} = await import('./main-commands.ts');
+	return mainCommands;
+}
+
 async function runCommand(words: readonly string[]): Promise<number> {
-	const load: Load = smallCommands[words[0] ?? ''] ?? (async () => (await import('./main-commands.ts')).mainCommands);
+	const load = smallCommands[words[0] ?? ''] ?? loadAll;
 	const cli = new Cli({binaryLabel: 'valvesaddle', binaryName: 'valvesaddle', binaryVersion: '0.1.0'});
 	for (const command of await load()) {
 		cli.register(command);
--- a/config/settings/src/validate-table.ts
+++ b/config/settings/src/validate-table.ts
@@ -6,6 +6,8 @@
 /**
  Checks a table of settings against its form and fills in defaults. The error names every fault with its key and line.
 
+ @param schema - The form.
+ @param table - The settings as read.
  @param text - The file that the table comes from, to name lines; empty when there is none.
  @example
  validateTable(settingsSchema, {node: {id: 'a1'}}, '').isErr(); // true
--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -1,5 +1,10 @@
 import type Emittery from 'emittery';
-import type {ClusterChanges, GatewayConfiguration, GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {
+	ClusterChanges,
+	GatewayConfiguration,
+	GatewayNode,
+	ServingEndpoint,
+} from '@valvesaddle/gateway-types';
 import type {BeliefSource} from './belief-source.ts';
 import type {ClusterEvents} from './cluster-events.ts';
 import type {ClusterState} from './cluster-state.ts';
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -1,6 +1,10 @@
 import Emittery from 'emittery';
 import type {
-	ClusterChange, ClusterChanges, GatewayConfiguration, GatewayNode, ServingEndpoint,
+	ClusterChange,
+	ClusterChanges,
+	GatewayConfiguration,
+	GatewayNode,
+	ServingEndpoint,
 } from '@valvesaddle/gateway-types';
 import type {BeliefSource} from './belief-source.ts';
 import type {ClusterEvents} from './cluster-events.ts';
@@ -39,7 +43,9 @@
 		}
 
 		metrics.increment('gateway.endpoints-removed');
-		logger.info({name: 'endpoint-believed', endpoint: id, state: 'gone', revision: at, source});
+		logger.info({
+			name: 'endpoint-believed', endpoint: id, state: 'gone', revision: at, source,
+		});
 		void events.emit('endpointRemoved', {id});
 	}
 
@@ -58,7 +64,9 @@
 
 			configuration = change.configuration;
 			metrics.increment('gateway.configurations');
-			logger.info({name: 'configuration-in-force', revision: configuration.version, changeId: String(change.revision), source});
+			logger.info({
+				name: 'configuration-in-force', revision: configuration.version, changeId: String(change.revision), source,
+			});
 			void events.emit('configuration', {configuration});
 		},
 		endpoint({endpoint, revision: at}, source) {
@@ -69,7 +77,9 @@
 
 			lapsed.delete(endpoint.id);
 			if (before?.state !== endpoint.state) {
-				logger.info({name: 'endpoint-believed', endpoint: endpoint.id, pool: endpoint.pool, state: endpoint.state, revision: at, source});
+				logger.info({
+					name: 'endpoint-believed', endpoint: endpoint.id, pool: endpoint.pool, state: endpoint.state, revision: at, source,
+				});
 			}
 
 			void events.emit('endpoint', {endpoint});
@@ -96,7 +106,9 @@
 		},
 		unreadable({key, reason, revision: at}) {
 			metrics.increment('gateway.entries-unreadable');
-			logger.warn({name: 'store-entry-unreadable', key, revision: at, reason});
+			logger.warn({
+				name: 'store-entry-unreadable', key, revision: at, reason,
+			});
 		},
 	};
 
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -3,6 +3,8 @@
 import type {StoreFollower} from './store-follower.ts';
 import type {StoreFollowerOptions} from './store-follower-options.ts';
 
+type Outcome = 'done' | 'failed';
+
 /**
 Renewals in the term of a lease.
 */
@@ -22,7 +24,7 @@
  */
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
 	const {store, view, logger, metrics} = options;
-	let isClosed = false;
+	const closing = new AbortController();
 	let isReachable = false;
 	let wasLost = false;
 	let reachableSince = 0;
@@ -62,45 +64,45 @@
 		await wait(milliseconds * (1 - (jitterShare * Math.random())), undefined, {ref: false});
 	}
 
-	async function listOnce(): Promise<boolean> {
+	async function listOnce(): Promise<Outcome> {
 		const listed = await store.list();
 		return listed.match(changes => {
 			markReachable();
 			view.applyAll(changes, 'store');
-			return true;
+			return 'done';
 		}, error => {
 			markLost(error.message);
-			return false;
+			return 'failed';
 		});
 	}
 
-	async function watchOnce(): Promise<boolean> {
+	async function watchOnce(): Promise<Outcome> {
 		const watched = await Promise.race([store.watch(view.revision(), options.watchMs), lost.promise]);
 		if (watched === 'lost') {
-			return false;
+			return 'failed';
 		}
 
 		return watched.match((changes: ClusterChanges) => {
 			view.applyChanges(changes, 'store');
-			return true;
+			return 'done';
 		}, error => {
 			metrics.increment('gateway.watches-cut');
 			logger.info({name: 'store-watch-cut', reason: error.message, revision: view.revision()});
-			return false;
+			return 'failed';
 		});
 	}
 
 	async function follow(): Promise<void> {
-		while (!isClosed) {
+		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- a list, then watches until one fails
-			if (!await listOnce()) {
+			if (await listOnce() === 'failed') {
 				// eslint-disable-next-line no-await-in-loop -- the next try comes after a pause
 				await pause(options.retryMs);
 				continue;
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one watch after the other
-			while (!isClosed && await watchOnce()) {
+			while (!closing.signal.aborted && await watchOnce() === 'done') {
 				// eslint-disable-next-line no-await-in-loop -- changes of this time come together
 				await pause(options.gatherMs);
 			}
@@ -133,7 +135,7 @@
 	}
 
 	async function keepLease(): Promise<void> {
-		while (!isClosed) {
+		while (!closing.signal.aborted) {
 			if (isReachable) {
 				// eslint-disable-next-line no-await-in-loop -- one renewal after the other
 				await renewOnce();
@@ -152,14 +154,16 @@
 		isReachable: () => isReachable,
 		isSteady: () => isReachable && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
 		async close() {
-			isClosed = true;
+			closing.abort();
 			lost.resolve('lost');
-			if (lease !== undefined && isReachable) {
-				const released = await store.release(lease);
-				released.mapErr(error => {
-					logger.info({name: 'node-registration', isDone: false, reason: error.message});
-				});
+			if (lease === undefined || !isReachable) {
+				return;
 			}
+
+			const released = await store.release(lease);
+			released.mapErr(error => {
+				logger.info({name: 'node-registration', isDone: false, reason: error.message});
+			});
 		},
 	};
 }
--- a/gateway/cluster-view/src/create-versioned-map.ts
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -24,16 +24,18 @@
 	function addMark(id: string, revision: number): void {
 		marks.delete(id);
 		marks.set(id, revision);
-		if (marks.size > mostMarks) {
-			const [oldest = ''] = marks.keys();
-			marks.delete(oldest);
+		if (marks.size <= mostMarks) {
+			return;
 		}
+
+		const [oldest = ''] = marks.keys();
+		marks.delete(oldest);
 	}
 
 	return {
 		get: id => entries.get(id)?.value,
-		values: () => [...entries.values()].map(({value}) => value),
-		entries: () => [...entries.values()],
+		values: () => entries.values().map(({value}) => value).toArray(),
+		entries: () => entries.values().toArray(),
 		set(id, value, revision) {
 			if (!isNewer(id, revision)) {
 				return false;
--- a/gateway/exchange/src/create-event-relay.ts
+++ b/gateway/exchange/src/create-event-relay.ts
@@ -14,20 +14,22 @@
  */
 export function createEventRelay(firstAfter: number): EventRelay {
 	let lastId = firstAfter;
-	let rest: Buffer = Buffer.alloc(0);
+	let rest = Buffer.alloc(0);
 
 	return {
 		push(chunk) {
 			let data = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
-			const passed: Buffer[] = [];
+			const passed: Uint8Array[] = [];
 			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary)) {
 				const event = data.subarray(0, end + boundary.length);
 				data = data.subarray(end + boundary.length);
 				const id = idPattern.exec(event.toString('latin1'))?.groups?.id;
-				if (id === undefined || Number(id) > lastId) {
-					lastId = id === undefined ? lastId : Number(id);
-					passed.push(event);
+				if (!(id === undefined || Number(id) > lastId)) {
+					continue;
 				}
+
+				lastId = id === undefined ? lastId : Number(id);
+				passed.push(event);
 			}
 
 			rest = Buffer.from(data);
--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -67,32 +67,38 @@
 					}
 				},
 				onResponseData(current, chunk) {
-					if (!isOver && !listener.onData(chunk)) {
+					if (!isOver && listener.onData(chunk) === 'pause') {
 						current.pause();
 					}
 				},
 				onResponseEnd() {
-					if (!isOver) {
-						isOver = true;
-						listener.onEnd();
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					listener.onEnd();
 				},
 				onResponseError(_controller, cause) {
-					if (!isOver) {
-						isOver = true;
-						listener.onFailure(new ValvesaddleError(wasSent ? 'ERR_VALVESADDLE_ENDPOINT_FAILED' : 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN', cause.message, {cause}));
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					listener.onFailure(new ValvesaddleError(wasSent ? 'ERR_VALVESADDLE_ENDPOINT_FAILED' : 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN', cause.message, {cause}));
 				},
 			};
 			getPool(address).dispatch({
-				method: method as Dispatcher.HttpMethod, path, headers, body: body === undefined || body.length === 0 ? null : body,
+				method, path, headers, body: body === undefined || body.length === 0 ? null : body,
 			}, handler);
 			return {
 				abort() {
-					if (!isOver) {
-						isOver = true;
-						controller?.abort(new Error('aborted'));
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					controller?.abort(new Error('aborted'));
 				},
 				resume() {
 					controller?.resume();
@@ -106,7 +112,7 @@
 			pool?.close().catch(() => undefined);
 		},
 		async close() {
-			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+			await Promise.all(pools.values().map(async pool => pool.destroy()));
 		},
 	};
 }
--- a/gateway/exchange/src/exchange-listener.ts
+++ b/gateway/exchange/src/exchange-listener.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {ValvesaddleError} from '@valvesaddle/error';
+import type {Flow} from './flow.ts';
 
 /**
 Is told what happens to an exchange. `onEnd` or `onFailure` comes last, and only one of them.
@@ -11,9 +12,9 @@
 	readonly onSent: () => void;
 	readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
 	/**
-	A piece of the body; `false` asks to pause until `resume` is called.
+	A piece of the body; `pause` asks for no more until `resume` is called.
 	*/
-	readonly onData: (chunk: Uint8Array) => boolean;
+	readonly onData: (chunk: Uint8Array) => Flow;
 	/**
 	The answer is whole.
 	*/
--- /dev/null
+++ b/gateway/exchange/src/flow.ts
@@ -0,0 +1,4 @@
+/**
+Whether a reader wants more.
+*/
+export type Flow = 'more' | 'pause';
--- a/gateway/exchange/src/index.ts
+++ b/gateway/exchange/src/index.ts
@@ -6,3 +6,4 @@
 export type {ExchangeClientOptions} from './exchange-client-options.ts';
 export type {ExchangeListener} from './exchange-listener.ts';
 export type {ExchangeRequest} from './exchange-request.ts';
+export type {Flow} from './flow.ts';
--- /dev/null
+++ b/gateway/forwarding/src/can-repeat.ts
@@ -0,0 +1,28 @@
+import type {Route} from '@valvesaddle/gateway-types';
+import {isRepeatable} from './is-repeatable.ts';
+
+/**
+What has become of a request so far.
+*/
+type RepeatQuestion = {
+	readonly route: Route;
+	/**
+	Whether the endpoint that failed may have begun to run it.
+	*/
+	readonly mayHaveRun: boolean;
+	/**
+	Endpoints that may have run it.
+	*/
+	readonly runs: number;
+};
+
+/**
+ Tells whether a request may be sent to another endpoint: never one that may have run and is not repeatable, and no more
+ often than its route allows.
+
+ @example
+ canRepeat({route: {...route, kind: 'unsafe'}, mayHaveRun: true, runs: 1}); // false
+ */
+export function canRepeat({route, mayHaveRun, runs}: RepeatQuestion): boolean {
+	return runs < Math.max(1, route.maximumAttempts) && (!mayHaveRun || isRepeatable(route));
+}
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,14 +1,22 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingHttpHeaders} from 'node:http';
 import {ValvesaddleError} from '@valvesaddle/error';
-import {createEventRelay, type Exchange} from '@valvesaddle/exchange';
+import {
+	createEventRelay,
+	type Exchange,
+	type ExchangeListener,
+	type Flow,
+} from '@valvesaddle/exchange';
 import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
+import type {AttemptAnswer} from './attempt-answer.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
+import {canRepeat} from './can-repeat.ts';
+import {createPieceClock} from './create-piece-clock.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
+import {getPatience} from './get-patience.ts';
 import {isRepeatable} from './is-repeatable.ts';
 import {judgeAnswer} from './judge-answer.ts';
-import type {Verdict} from './verdict.ts';
 
 /**
 Endpoints that may refuse or be unreachable, one after the other, before the caller is told so.
@@ -22,48 +30,13 @@
 When a caller may come back, in milliseconds, as long as no measured wait says better.
 */
 const comeBackMs = 300;
-
-/**
-Part of the latency objective after which an endpoint that has not begun to answer is taken for stuck.
-*/
-const patienceShare = 0.6;
-/**
-Factor on the predicted time to the first byte below which an endpoint is never taken for stuck.
-*/
-const patienceFactor = 3;
-/**
-Pauses within a stream, in pause objectives and in milliseconds, after which its endpoint is taken for stuck.
-*/
-const stuckPauses = 4;
-const leastStuckMs = 700;
-
 /**
 Another instance has taken over the address.
 */
 const misdirectedStatus = 421;
 
-type Answer = {
-	readonly status: number;
-	readonly headers: IncomingHttpHeaders;
-	readonly verdict: Verdict;
-	readonly pieces: Uint8Array[];
-	bytes: number;
-};
-
-type Failure = {
-	readonly reason: string;
-	/**
-	Whether the endpoint may have begun to run the request.
-	*/
-	readonly mayHaveRun: boolean;
-	/**
-	An endpoint's own failure, passed on when no other try is left.
-	*/
-	readonly answer?: Answer | undefined;
-};
-
 /**
- Starts to carry a request to one final answer. The task owns its timer and the exchange that is under way.
+ Starts to carry a request to one final answer. The task owns its timers and the exchange that is under way.
 
  @example
  const task = createForwardTask(options, {request, reply, onOver() {}});
@@ -73,8 +46,10 @@
 	const {selector, exchanges, wire, logger, metrics} = options;
 	const {facts, route} = request;
 	const id = facts.requestId ?? '-';
-	const deadlineAt = request.arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
+	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
+	const deadlineAt = request.arrivedAt + waitMs;
 	const relay = route.kind === 'stream' && route.isResumable ? createEventRelay(facts.lastEventId) : undefined;
+	const clock = createPieceClock(request.arrivedAt, metrics);
 	const tried = new Set<string>();
 	const question: SelectionQuestion = {
 		pool: request.pool, objectiveMs: route.latencyObjectiveMs, promptTokens: facts.promptTokens, parts: facts.parts, tried,
@@ -84,9 +59,6 @@
 	let arrivals = 0;
 	let isOver = false;
 	let isBegun = false;
-	let firstByteMs: number | undefined;
-	let lastPieceAt = 0;
-	let longestPauseMs = 0;
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
 	let patience: NodeJS.Timeout | undefined;
@@ -101,7 +73,7 @@
 		metrics.increment('gateway.ended', 1, {outcome});
 		metrics.timing('gateway.total', elapsedMs);
 		logger.info({
-			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs, longestPauseMs: Math.round(longestPauseMs), tries, runs,
+			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs: clock.firstMs(), longestPauseMs: clock.longestPauseMs(), tries, runs,
 		});
 		onOver();
 	}
@@ -121,8 +93,8 @@
 		const wasSent = runs > 0;
 		stopAttempt('cancelled');
 		refuse(wasSent
-			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${Math.round(deadlineAt - request.arrivedAt)} ms`)
-			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', 'not sent in time', {retryAfterMs: comeBackMs}));
+			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${waitMs} ms`)
+			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', `not sent within ${waitMs} ms`, {retryAfterMs: comeBackMs}));
 	}
 
 	/**
@@ -130,18 +102,18 @@
 	*/
 	function startPatience(milliseconds: number): void {
 		clearTimeout(patience);
-		if (isRepeatable(route)) {
-			patience = setTimeout(() => {
-				if (canTryAgain()) {
-					stopAttempt('failed');
-					handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
-				}
-			}, milliseconds);
+		if (!isRepeatable(route)) {
+			return;
 		}
-	}
 
-	function canTryAgain(): boolean {
-		return runs < route.maximumAttempts && selector.choose(question) !== undefined;
+		patience = setTimeout(() => {
+			if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
+				return;
+			}
+
+			stopAttempt('failed');
+			handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
+		}, milliseconds);
 	}
 
 	function stopAttempt(end: 'failed' | 'cancelled'): void {
@@ -166,15 +138,13 @@
 	}
 
 	function sendTo(selection: Selection, opened: OpenWork): void {
-		const {endpoint} = selection;
+		const {endpoint, costMs, heldTokens, candidates} = selection;
 		const remainingMs = deadlineAt - performance.now();
-		let answer: Answer | undefined;
-		let wasSent = false;
 		logger.info({
 			name: 'request-sent', request: id, endpoint: endpoint.id, pool: request.pool, attempt: tries, version: request.version,
-			candidates: selection.candidates, costMs: Math.round(selection.costMs), heldTokens: selection.heldTokens, remainingMs: Math.round(remainingMs),
+			candidates, costMs: Math.round(costMs), heldTokens, remainingMs: Math.round(remainingMs),
 		});
-		startPatience(Math.max(patienceShare * route.latencyObjectiveMs, request.isEnginePool ? patienceFactor * selection.costMs : 0));
+		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
 			address: endpoint.address,
 			method: request.method,
@@ -187,7 +157,14 @@
 				urgency: request.isEnginePool ? request.account?.priority ?? route.priority : undefined,
 				lastEventId: isBegun ? relay?.lastEventId() ?? -1 : -1,
 			}),
-		}, {
+		}, createListener(opened));
+	}
+
+	function createListener(opened: OpenWork): ExchangeListener {
+		let answer: AttemptAnswer | undefined;
+		let wasSent = false;
+
+		return {
 			onSent() {
 				wasSent = true;
 				runs++;
@@ -208,12 +185,12 @@
 			},
 			onData(chunk) {
 				opened.markBegun();
+				clock.record();
 				if (route.kind === 'stream') {
-					startPatience(Math.max(leastStuckMs, stuckPauses * route.pauseObjectiveMs));
+					startPatience(getPatience(route, 0).pauseMs);
 				}
 
-				recordPiece();
-				return answer === undefined || takeData(answer, chunk);
+				return answer === undefined ? 'more' : takeData(answer, chunk);
 			},
 			onEnd() {
 				if (answer !== undefined) {
@@ -224,22 +201,10 @@
 				opened.close(wasSent ? 'failed' : 'gone');
 				handleFailure({reason: error.message, mayHaveRun: wasSent});
 			},
-		});
+		};
 	}
 
-	function recordPiece(): void {
-		const now = performance.now();
-		if (firstByteMs === undefined) {
-			firstByteMs = Math.round(now - request.arrivedAt);
-			metrics.timing('gateway.first-byte', firstByteMs);
-		} else {
-			longestPauseMs = Math.max(longestPauseMs, now - lastPieceAt);
-		}
-
-		lastPieceAt = now;
-	}
-
-	function beginStream(answer: Answer): void {
+	function beginStream(answer: AttemptAnswer): void {
 		if (isBegun) {
 			return;
 		}
@@ -248,39 +213,38 @@
 		reply.begin(answer.status, wire.writeAnswer(answer.headers));
 	}
 
-	function takeData(answer: Answer, chunk: Uint8Array): boolean {
+	function takeData(answer: AttemptAnswer, chunk: Uint8Array): Flow {
 		if (answer.verdict === 'stream') {
 			const bytes = relay === undefined ? chunk : relay.push(chunk).bytes;
-			return bytes.length === 0 || writePiece(bytes);
+			return bytes.length === 0 ? 'more' : writePiece(bytes);
 		}
 
 		answer.bytes += chunk.length;
 		if (answer.bytes > largestWholeBytes) {
 			stopAttempt('failed');
 			handleFailure({reason: `answer of over ${largestWholeBytes} bytes`, mayHaveRun: true});
-			return true;
+			return 'more';
 		}
 
 		answer.pieces.push(chunk);
-		return true;
+		return 'more';
 	}
 
-	function writePiece(bytes: Uint8Array): boolean {
+	function writePiece(bytes: Uint8Array): Flow {
 		if (reply.write(bytes)) {
-			return true;
+			return 'more';
 		}
 
 		const paused = exchange;
+		// A caller that reads slowly says nothing about the endpoint.
+		clearTimeout(patience);
 		reply.onDrain(() => {
 			paused?.resume();
 		});
-		return false;
+		return 'pause';
 	}
 
-	function handleEnd(answer: Answer, opened: OpenWork): void {
-		clearTimeout(patience);
-		exchange = undefined;
-		work = undefined;
+	function handleEnd(answer: AttemptAnswer, opened: OpenWork): void {
 		if (answer.verdict === 'not-run') {
 			runs--;
 			opened.close(answer.status === misdirectedStatus ? 'gone' : 'rejected');
@@ -297,7 +261,8 @@
 		}
 	}
 
-	function passOn(answer: Answer): void {
+	function passOn(answer: AttemptAnswer): void {
+		exchange = undefined;
 		closeTask('answered', answer.status);
 		if (answer.verdict === 'stream') {
 			reply.end();
@@ -306,13 +271,14 @@
 		}
 	}
 
-	function handleFailure(failure: Failure): void {
+	function handleFailure(failure: AttemptFailure): void {
 		clearTimeout(patience);
 		exchange = undefined;
 		work = undefined;
 		relay?.restart();
-		const canRepeat = !failure.mayHaveRun || isRepeatable(route);
-		const isRetried = canRepeat && runs < Math.max(1, route.maximumAttempts) && (arrivals === 0 || options.budget.spend(request.pool));
+		// An attempt that never arrived takes nothing from the budget.
+		const isAllowed = canRepeat({route, mayHaveRun: failure.mayHaveRun, runs});
+		const isRetried = isAllowed && (arrivals === 0 || options.budget.spend(request.pool));
 		metrics.increment(isRetried ? 'gateway.retries' : 'gateway.given-up');
 		logger.info({
 			name: 'attempt-failed', request: id, attempt: tries, reason: failure.reason, mayHaveRun: failure.mayHaveRun, isRetried,
@@ -326,10 +292,10 @@
 		}
 	}
 
-	function toRefusal(failure: Failure): ValvesaddleError {
+	function toRefusal({reason}: AttemptFailure): ValvesaddleError {
 		return runs > 0
-			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', failure.reason)
-			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', failure.reason, {retryAfterMs: comeBackMs});
+			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', reason)
+			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', reason, {retryAfterMs: comeBackMs});
 	}
 
 	startAttempt();
--- /dev/null
+++ b/gateway/forwarding/src/create-piece-clock.ts
@@ -0,0 +1,32 @@
+import type {Metrics} from '@valvesaddle/metrics';
+import type {PieceClock} from './piece-clock.ts';
+
+/**
+ Creates the clock of an answer's pieces.
+
+ @example
+ const clock = createPieceClock(performance.now(), metrics);
+ clock.record();
+ clock.longestPauseMs(); // 0
+ */
+export function createPieceClock(arrivedAt: number, metrics: Metrics): PieceClock {
+	let firstMs: number | undefined;
+	let lastAt = 0;
+	let longestPauseMs = 0;
+
+	return {
+		record() {
+			const now = performance.now();
+			if (firstMs === undefined) {
+				firstMs = Math.round(now - arrivedAt);
+				metrics.timing('gateway.first-byte', firstMs);
+			} else {
+				longestPauseMs = Math.max(longestPauseMs, now - lastAt);
+			}
+
+			lastAt = now;
+		},
+		firstMs: () => firstMs,
+		longestPauseMs: () => Math.round(longestPauseMs),
+	};
+}
--- /dev/null
+++ b/gateway/forwarding/src/piece-clock.ts
@@ -0,0 +1,14 @@
+/**
+When the pieces of an answer came.
+*/
+export type PieceClock = {
+	readonly record: () => void;
+	/**
+	Milliseconds from the request's arrival to the first piece; `undefined` before it.
+	*/
+	readonly firstMs: () => number | undefined;
+	/**
+	Longest time between two pieces, in milliseconds.
+	*/
+	readonly longestPauseMs: () => number;
+};
--- a/gateway/front/src/read-whole-body.ts
+++ b/gateway/front/src/read-whole-body.ts
@@ -20,9 +20,9 @@
 	}
 
 	const {promise, resolve, reject} = Promise.withResolvers<Uint8Array>();
-	const pieces: Buffer[] = [];
+	const pieces: Uint8Array[] = [];
 	let bytes = 0;
-	request.on('data', (piece: Buffer) => {
+	request.on('data', (piece: Uint8Array) => {
 		bytes += piece.length;
 		if (bytes > limitBytes) {
 			reject(new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `over ${limitBytes} bytes`));
--- a/gateway/front/src/send-refusal.ts
+++ b/gateway/front/src/send-refusal.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {ValvesaddleError} from '@valvesaddle/error';
 
@@ -16,18 +17,18 @@
 	}
 
 	const {status, ran, hint} = error.traits;
-	const body = JSON.stringify({error: {
-		code: error.code, message: error.message, hint, ran,
-	}});
-	const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))];
-	if (error.retryAfterMs !== undefined) {
-		headers.push('retry-after', String(error.retryAfterMs / msPerSecond));
-	}
-
-	if (isLast) {
-		headers.push('connection', 'close');
-	}
-
-	response.writeHead(status, headers);
+	const body = JSON.stringify({
+		error: {
+			code: error.code, message: error.message, hint, ran,
+		},
+	});
+	response.writeHead(status, [
+		'content-type',
+		'application/json',
+		'content-length',
+		String(Buffer.byteLength(body)),
+		...(error.retryAfterMs === undefined ? [] : ['retry-after', String(error.retryAfterMs / msPerSecond)]),
+		...(isLast ? ['connection', 'close'] : []),
+	]);
 	response.end(body);
 }
--- a/gateway/routes/src/create-route-index.ts
+++ b/gateway/routes/src/create-route-index.ts
@@ -42,11 +42,7 @@
 		},
 		authenticate(route, apiKey) {
 			const account = apiKey === undefined ? undefined : accounts.get(hashApiKey(apiKey));
-			if (account !== undefined || route.isPublic || configuration.accounts.length === 0) {
-				return ok(account);
-			}
-
-			return err(new ValvesaddleError('ERR_VALVESADDLE_UNAUTHENTICATED', `no client account of version ${configuration.version} holds the key`));
+			return account !== undefined || route.isPublic || configuration.accounts.length === 0 ? ok(account) : err(new ValvesaddleError('ERR_VALVESADDLE_UNAUTHENTICATED', `no client account of version ${configuration.version} holds the key`));
 		},
 		findPool: name => pools.get(name),
 	};
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -22,10 +22,12 @@
 			let {open, prefillTokens} = own.get(endpoint) ?? noLoad;
 			for (const loads of peers.values()) {
 				const load = loads.get(endpoint);
-				if (load !== undefined) {
-					open += load.open;
-					prefillTokens += load.prefillTokens;
+				if (load === undefined) {
+					continue;
 				}
+
+				open += load.open;
+				prefillTokens += load.prefillTokens;
 			}
 
 			return {open: open * unseenFactor, prefillTokens: prefillTokens * unseenFactor};
--- a/gateway/selection/src/create-prefix-model.ts
+++ b/gateway/selection/src/create-prefix-model.ts
@@ -73,7 +73,7 @@
 			let tokens = 0;
 			for (const part of listShared(prompt)) {
 				const holders = parts.get(part.id);
-				if (holders !== undefined && [...holders.values()].some(({at}) => at >= oldest)) {
+				if (holders?.values().some(({at}) => at >= oldest)) {
 					tokens += part.tokens;
 				}
 			}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -67,7 +67,7 @@
 	}
 
 	function listReady(pool: string): readonly ServingEndpoint[] {
-		return [...endpoints.values()].filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready');
+		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready').toArray();
 	}
 
 	/**
@@ -165,7 +165,7 @@
 		},
 	};
 
-	function open({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
+	function openWork({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
 		const missing = Math.max(0, question.promptTokens - heldTokens);
 		const openedAt = performance.now();
 		let unread = missing;
@@ -223,7 +223,7 @@
 			}
 		},
 		choose,
-		open,
+		open: openWork,
 		findAddress: id => endpoints.get(id)?.address,
 		takeNews() {
 			const news = {loads: loads.takeChanged(), placements};
--- a/gateway/selection/src/rank-by-hash.ts
+++ b/gateway/selection/src/rank-by-hash.ts
@@ -9,6 +9,6 @@
 export function rankByHash(key: string, names: readonly string[]): readonly string[] {
 	return names
 		.map(name => ({name, score: hash('md5', `${key}\n${name}`)}))
-		.toSorted((a, b) => a.score < b.score ? 1 : -1)
+		.toSorted((a, b) => b.score.localeCompare(a.score))
 		.map(({name}) => name);
 }
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -155,7 +155,9 @@
 
 	async function drain(): Promise<void> {
 		isLeaving = true;
-		logger.info({name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen()});
+		logger.info({
+			name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen(),
+		});
 		const usableMs = drainSettings.grace_ms * (1 - unusedGraceShare);
 		// The balancer needs a few misses to send no more callers here.
 		await wait(Math.min(drainSettings.balancer_ms, usableMs));
@@ -166,7 +168,9 @@
 
 	return {
 		async start() {
-			logger.info({name: 'node-state', from: 'stopped', to: 'starting', open: 0});
+			logger.info({
+				name: 'node-state', from: 'stopped', to: 'starting', open: 0,
+			});
 			const [callers, readyAddress, peerAddress] = [await front.listen(), await ready.listen(), await network.listen(handlers)];
 			follower.start();
 			sync.start();
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -26,12 +26,16 @@
 		isAsking = false;
 		answered.match(state => {
 			const parsed = clusterStateSchema.safeParse(state);
-			if (parsed.success) {
-				metrics.increment('gateway.states-from-peers');
-				view.importState(parsed.data);
+			if (!parsed.success) {
+				return;
 			}
+
+			metrics.increment('gateway.states-from-peers');
+			view.importState(parsed.data);
 		}, error => {
-			logger.info({name: 'peer-state', peer: node, reachable: false, reason: error.message});
+			logger.info({
+				name: 'peer-state', peer: node, reachable: false, reason: error.message,
+			});
 		});
 	}
 
@@ -65,7 +69,7 @@
 		},
 		'cluster.heartbeat'(parameters, node) {
 			const {revision, isSteady} = heartbeatSchema.parse(parameters);
-			if (isSteady && revision > view.revision() && !isAsking) {
+			if (isSteady && !isAsking && revision > view.revision()) {
 				void askState(node);
 			}
 		},
--- a/observe/logger/src/create-bounded-sink.ts
+++ b/observe/logger/src/create-bounded-sink.ts
@@ -49,7 +49,9 @@
 		}
 
 		if (dropped > 0) {
-			lines.push(`${JSON.stringify({level: 40, time: Date.now(), lines: dropped, msg: 'log-lines-dropped'})}\n`);
+			lines.push(`${JSON.stringify({
+				level: 40, time: Date.now(), lines: dropped, msg: 'log-lines-dropped',
+			})}\n`);
 			dropped = 0;
 		}
 
--- a/observe/logger/src/create-logger.ts
+++ b/observe/logger/src/create-logger.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {destination, pino} from 'pino';
 import {createBoundedSink} from './create-bounded-sink.ts';
 import type {LogEvent} from './log-event.ts';
--- a/observe/metrics/src/create-metrics-page.ts
+++ b/observe/metrics/src/create-metrics-page.ts
@@ -47,5 +47,5 @@
 }
 
 function formatName(name: string): string {
-	return `valvesaddle_${name.replaceAll(/[^a-z\d]/gv, '_')}`;
+	return `valvesaddle_${name.replaceAll(/[^\da-z]/gv, '_')}`;
 }
