--- /dev/null
+++ b/fakes/endpoint/src/fake-endpoint.ts
@@ -0,0 +1,16 @@
+import type {ArrivedRequest} from './arrived-request.ts';
+import type {EndpointBehaviour} from './endpoint-behaviour.ts';
+
+/**
+A stand-in for an endpoint.
+*/
+export type FakeEndpoint = {
+	readonly address: string;
+	readonly setBehaviour: (behaviour: EndpointBehaviour) => void;
+	readonly arrived: () => readonly ArrivedRequest[];
+	/**
+	Connections that the other side has closed.
+	*/
+	readonly closedConnections: () => number;
+	readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/fakes/endpoint/src/start-fake-endpoint.ts
@@ -0,0 +1,90 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type Socket} from 'node:net';
+import type {ArrivedRequest} from './arrived-request.ts';
+import {behaviours} from './behaviours.ts';
+import type {EndpointBehaviour} from './endpoint-behaviour.ts';
+import type {FakeEndpoint} from './fake-endpoint.ts';
+
+const headEnd = '\r\n\r\n';
+
+/**
+ Starts a stand-in for an endpoint. It reads requests with a length and answers as its behaviour says.
+
+ @example
+ const endpoint = await startFakeEndpoint();
+ endpoint.setBehaviour(behaviours.notRun);
+ */
+export async function startFakeEndpoint(): Promise<FakeEndpoint> {
+	const arrived: ArrivedRequest[] = [];
+	const sockets = new Set<Socket>();
+	let behaviour: EndpointBehaviour = behaviours.whole;
+	let connections = 0;
+	let closed = 0;
+
+	const server = createServer(socket => {
+		const connection = ++connections;
+		let data = Buffer.alloc(0);
+		sockets.add(socket);
+		socket.on('error', () => {
+			// The other side may break a connection at any time.
+		});
+		socket.on('close', () => {
+			sockets.delete(socket);
+			closed++;
+		});
+		socket.on('data', piece => {
+			data = Buffer.concat([data, piece]);
+			for (let request = readRequest(data); request !== undefined; request = readRequest(data)) {
+				data = data.subarray(request.bytes);
+				const whole = {...request.parsed, connection};
+				arrived.push(whole);
+				behaviour(whole, socket);
+			}
+		});
+	});
+	const {promise, resolve} = Promise.withResolvers<void>();
+	server.listen(0, '127.0.0.1', resolve);
+	await promise;
+	const place = server.address();
+
+	return {
+		address: `127.0.0.1:${typeof place === 'object' && place !== null ? place.port : 0}`,
+		setBehaviour(newBehaviour) {
+			behaviour = newBehaviour;
+		},
+		arrived: () => arrived,
+		closedConnections: () => closed,
+		async close() {
+			const ended = Promise.withResolvers<void>();
+			server.close(() => {
+				ended.resolve();
+			});
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			await ended.promise;
+		},
+	};
+}
+
+type ReadRequest = {
+	readonly bytes: number;
+	readonly parsed: Omit<ArrivedRequest, 'connection'>;
+};
+
+function readRequest(data: Uint8Array): ReadRequest | undefined {
+	const text = Buffer.from(data).toString('latin1');
+	const end = text.indexOf(headEnd);
+	if (end === -1) {
+		return undefined;
+	}
+
+	const [line = '', ...rows] = text.slice(0, end).split('\r\n');
+	const headers = new Map(rows.map(row => {
+		const colon = row.indexOf(':');
+		return [row.slice(0, colon).toLowerCase(), row.slice(colon + 1).trim()] as const;
+	}));
+	const bytes = end + headEnd.length + Number(headers.get('content-length') ?? 0);
+	return text.length < bytes ? undefined : {bytes, parsed: {line, headers, body: text.slice(end + headEnd.length, bytes)}};
+}
--- /dev/null
+++ b/fakes/fleet-store/src/fake-fleet-store.ts
@@ -0,0 +1,23 @@
+import type {FakeServer} from '@valvesaddle/fake-http';
+import type {StoreFault} from './store-fault.ts';
+
+/**
+A stand-in for the metadata store.
+*/
+export type FakeFleetStore = FakeServer & {
+	/**
+	Writes as the operator or an endpoint does.
+	*/
+	readonly put: (key: string, value: unknown) => void;
+	readonly remove: (key: string) => void;
+	readonly keys: () => readonly string[];
+	readonly setFault: (fault: StoreFault | undefined) => void;
+	/**
+	Calls so far, by their name.
+	*/
+	readonly calls: () => ReadonlyMap<string, number>;
+	/**
+	Ends a lease and drops its keys, as when its time is over.
+	*/
+	readonly endLeases: () => void;
+};
--- /dev/null
+++ b/fakes/fleet-store/src/index.ts
@@ -0,0 +1,3 @@
+export type {FakeFleetStore} from './fake-fleet-store.ts';
+export {startFakeFleetStore} from './start-fake-fleet-store.ts';
+export type {StoreFault} from './store-fault.ts';
--- /dev/null
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -0,0 +1,103 @@
+import {Clock} from 'clock-mock';
+import {test, type Test} from 'tap';
+import {createClusterView} from '@valvesaddle/cluster-view';
+import type {ClusterChange, GatewayConfiguration, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
+
+const endpoint: ServingEndpoint = {
+	id: 'i-1', pool: 'p', address: '10.0.0.1:80', dataCentre: 'a', slots: 4, state: 'ready',
+};
+
+function createView(t: Test) {
+	const view = createClusterView({logger: createLogger({node: 'n', level: 'silent'}), metrics: createMetrics()});
+	t.teardown(view.close);
+	return view;
+}
+
+function toChange(id: string, revision: number, state: ServingEndpoint['state'] = 'ready'): ClusterChange {
+	return {kind: 'endpoint', revision, endpoint: {...endpoint, id, state}};
+}
+
+function toConfiguration(version: number): GatewayConfiguration {
+	return {
+		version, routes: [], pools: [], limits: {headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1}, accounts: [],
+	};
+}
+
+test('an older configuration never comes back, whoever brings it', t => {
+	const view = createView(t);
+	view.applyChanges({revision: 5, changes: [{kind: 'configuration', revision: 5, configuration: toConfiguration(7)}]}, 'store');
+	for (const source of ['store', 'peer'] as const) {
+		view.applyAll({revision: 9, changes: [{kind: 'configuration', revision: 9, configuration: toConfiguration(6)}]}, source);
+		t.equal(view.configuration()?.version, 7);
+	}
+
+	view.applyAll({revision: 10, changes: []}, 'store');
+	t.equal(view.configuration()?.version, 7, 'a list without one takes none away');
+	t.end();
+});
+
+test('an endpoint that was removed does not come back by older news', t => {
+	const view = createView(t);
+	view.applyAll({revision: 5, changes: [toChange('i-1', 3), toChange('i-2', 4)]}, 'store');
+	view.applyChanges({revision: 6, changes: [{kind: 'endpoint-removed', revision: 6, id: 'i-1'}]}, 'store');
+	view.importState({
+		revision: 5, configuration: undefined, endpoints: [{endpoint, revision: 3}], nodes: [], isSteady: true,
+	});
+	t.same(view.endpoints().map(({id}) => id), ['i-2']);
+	view.applyChanges({revision: 7, changes: [toChange('i-1', 7)]}, 'store');
+	t.equal(view.endpoints().length, 2);
+	t.end();
+});
+
+test('what a list lacks was removed, unless it is newer than the list', t => {
+	const view = createView(t);
+	view.applyChanges({revision: 8, changes: [toChange('i-1', 3), toChange('i-2', 8)]}, 'store');
+	view.applyAll({revision: 6, changes: []}, 'store');
+	t.same(view.endpoints().map(({id}) => id), ['i-2']);
+	t.end();
+});
+
+test('entries that lapsed in an outage have their time to come back, and are gone after it', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const view = createView(t);
+	view.applyAll({revision: 5, changes: [toChange('i-1', 3), toChange('i-2', 4), toChange('i-3', 5)]}, 'store');
+	view.setLapseUntil(performance.now() + 2000);
+	view.applyAll({revision: 9, changes: [toChange('i-3', 5)]}, 'store');
+	t.equal(view.endpoints().length, 3);
+	clock.advance(1500);
+	view.applyChanges({revision: 10, changes: [toChange('i-1', 10)]}, 'store');
+	clock.advance(499);
+	t.equal(view.endpoints().length, 3);
+	clock.advance(1);
+	t.same(view.endpoints().map(({id}) => id).toSorted((a, b) => a.localeCompare(b)), ['i-1', 'i-3']);
+	t.end();
+});
+
+test('a peer that was in touch with the store all the while is believed at once about removals, another is not', t => {
+	const view = createView(t);
+	view.applyAll({revision: 5, changes: [toChange('i-1', 3)]}, 'store');
+	view.setLapseUntil(performance.now() + 60_000);
+	const state = {
+		revision: 9, configuration: toConfiguration(4), endpoints: [], nodes: [],
+	};
+	view.importState({...state, isSteady: false});
+	t.equal(view.endpoints().length, 1);
+	t.equal(view.configuration()?.version, 4);
+	t.equal(view.revision(), 5, 'the store is still asked from the own revision');
+	view.importState({...state, isSteady: true});
+	t.equal(view.endpoints().length, 0);
+	t.equal(view.revision(), 9);
+	t.end();
+});
+
+test('an entry that cannot be read hides no other', t => {
+	const view = createView(t);
+	view.applyAll({revision: 5, changes: [{
+		kind: 'unreadable', revision: 2, key: 'servers/x', reason: 'no JSON',
+	}, toChange('i-1', 3)]}, 'store');
+	t.equal(view.endpoints().length, 1);
+	t.end();
+});
--- /dev/null
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -0,0 +1,96 @@
+import {test, type Test} from 'tap';
+import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
+import {waitUntil} from '@valvesaddle/fake-fleet';
+import {createFleetStore} from '@valvesaddle/fleet-store';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
+
+const service = {
+	service: 'p', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready',
+};
+
+/**
+Long enough for the busiest machine, but where a test is about silence.
+*/
+const patientMs = 10_000;
+
+async function startFollower(t: Test, {timeoutMs = patientMs, lapseGraceMs = 50} = {}) {
+	const server = await startFakeFleetStore();
+	server.put('op/config', {version: 1, routes: [], services: []});
+	for (const id of ['i-1', 'i-2', 'i-3', 'i-4']) {
+		server.put(`servers/${id}`, service);
+	}
+
+	const logger = createLogger({node: 'n', level: 'silent'});
+	const metrics = createMetrics();
+	const store = createFleetStore({address: server.address, timeoutMs, onCall() {}});
+	const view = createClusterView({logger, metrics});
+	const follower = createStoreFollower({
+		store, view, self: {id: 'n1', address: '10.0.0.9:7', token: 'secret'}, watchMs: 20_000, gatherMs: 1, retryMs: 10, leaseMs: 1000, lapseGraceMs, logger, metrics,
+	});
+	t.teardown(async () => {
+		await follower.close();
+		view.close();
+		await store.close();
+		await server.close();
+	});
+	follower.start();
+	await waitUntil(() => view.endpoints().length === 4);
+	return {server, view, follower};
+}
+
+test('a node follows every page of the store and every change', async t => {
+	const {server, view} = await startFollower(t);
+	t.equal(view.configuration()?.version, 1);
+	server.put('servers/i-2', {...service, state: 'draining'});
+	server.remove('servers/i-3');
+	server.put('op/config', {version: 5, routes: [], services: []});
+	await waitUntil(() => view.configuration()?.version === 5);
+	await waitUntil(() => view.endpoints().length === 3);
+	t.equal(view.endpoints().find(({id}) => id === 'i-2')?.state, 'draining');
+});
+
+test('a node registers itself, and again when its lease has ended', async t => {
+	const {server, view} = await startFollower(t);
+	await waitUntil(() => view.nodes().some(({id}) => id === 'n1'));
+	server.endLeases();
+	await waitUntil(() => view.nodes().length === 0);
+	await waitUntil(() => view.nodes().some(({id}) => id === 'n1'));
+	t.ok(server.keys().includes('gateway/nodes/n1'));
+});
+
+test('a store that has dropped its history is listed anew', async t => {
+	const {server, view} = await startFollower(t);
+	await waitUntil(() => server.calls().get('kv-watch') === 1);
+	server.setFault('compact');
+	server.cut();
+	server.remove('servers/i-1');
+	await waitUntil(() => view.endpoints().length === 3);
+	t.ok((server.calls().get('kv-range') ?? 0) >= 2);
+});
+
+test('a silent store is noticed by the renewals while the watch waits, and its return brings everything', async t => {
+	const {server, view, follower} = await startFollower(t, {timeoutMs: 100});
+	await waitUntil(() => view.nodes().length === 1);
+	server.setFault('silent');
+	await waitUntil(() => !follower.isReachable());
+	server.put('op/config', {version: 9, routes: [], services: []});
+	t.equal(view.endpoints().length, 4, 'beliefs stay');
+	server.setFault(undefined);
+	await waitUntil(() => view.configuration()?.version === 9);
+});
+
+test('endpoints that lapsed while the store refused are kept until the time of grace is over', async t => {
+	const {server, view, follower} = await startFollower(t, {lapseGraceMs: 3_600_000});
+	server.setFault('refuse');
+	await waitUntil(() => !follower.isReachable());
+	server.remove('servers/i-1');
+	server.remove('servers/i-2');
+	server.setFault(undefined);
+	await waitUntil(() => follower.isReachable());
+	server.put('servers/i-5', service);
+	await waitUntil(() => view.endpoints().some(({id}) => id === 'i-5'));
+	t.same(view.endpoints().map(({id}) => id), ['i-1', 'i-2', 'i-3', 'i-4', 'i-5']);
+	t.notOk(follower.isSteady(), 'peers are not told that what is missing was removed');
+});
--- /dev/null
+++ b/gateway/exchange/test/exchange-client.test.ts
@@ -0,0 +1,115 @@
+import {Buffer} from 'node:buffer';
+import {test, type Test} from 'tap';
+import {createExchangeClient, type ExchangeClient} from '@valvesaddle/exchange';
+import {behaviours, startFakeEndpoint, type EndpointBehaviour} from '@valvesaddle/fake-endpoint';
+
+async function startPair(t: Test, behaviour: EndpointBehaviour) {
+	const endpoint = await startFakeEndpoint();
+	endpoint.setBehaviour(behaviour);
+	const client = createExchangeClient({connectMs: 5000, keepAliveMs: 60_000});
+	t.teardown(async () => {
+		await client.close();
+		await endpoint.close();
+	});
+	return {endpoint, client};
+}
+
+type Outcome = {
+	status: number;
+	wasSent: boolean;
+	body: string;
+	end: string;
+};
+
+async function send(client: ExchangeClient, address: string, id = 'a'): Promise<Outcome> {
+	const {promise, resolve} = Promise.withResolvers<Outcome>();
+	const outcome = {status: 0, wasSent: false, body: '', end: ''};
+	client.send({
+		address, method: 'POST', path: '/x', headers: ['X-Attempt-Id', id], body: Buffer.from('body'),
+	}, {
+		onSent() {
+			outcome.wasSent = true;
+		},
+		onHead(status) {
+			outcome.status = status;
+		},
+		onData(chunk) {
+			outcome.body += String(Buffer.from(chunk));
+			return 'more';
+		},
+		onEnd() {
+			resolve({...outcome, end: 'whole'});
+		},
+		onFailure(error) {
+			resolve({...outcome, end: error.code});
+		},
+	});
+	return promise;
+}
+
+const cases: ReadonlyArray<readonly [keyof typeof behaviours, end: string]> = [
+	['whole', 'whole'],
+	['unframed', 'whole'],
+	['unframedReset', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['truncated', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['reset', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+	['stream', 'whole'],
+	['brokenStream', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
+];
+
+for (const [behaviour, end] of cases) {
+	test(`an endpoint that answers "${behaviour}" ends as ${end}`, async t => {
+		const {endpoint, client} = await startPair(t, behaviours[behaviour]);
+		const outcome = await send(client, endpoint.address);
+		t.equal(outcome.end, end);
+		t.ok(outcome.wasSent);
+	});
+}
+
+test('an endpoint that cannot be reached has surely not run the request', async t => {
+	const {endpoint, client} = await startPair(t, behaviours.whole);
+	await endpoint.close();
+	t.match(await send(client, endpoint.address), {end: 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN', wasSent: false});
+});
+
+test('a connection is used again after a whole answer, but not after one byte too many', async t => {
+	const {endpoint, client} = await startPair(t, behaviours.whole);
+	await send(client, endpoint.address, 'a');
+	await send(client, endpoint.address, 'b');
+	t.same(endpoint.arrived().map(({connection}) => connection), [1, 1]);
+	endpoint.setBehaviour(behaviours.twice);
+	t.match(await send(client, endpoint.address, 'c'), {end: 'whole', body: 'first'});
+	endpoint.setBehaviour(behaviours.whole);
+	t.match(await send(client, endpoint.address, 'd'), {end: 'whole', body: /^body of/v});
+	t.same(endpoint.arrived().map(({connection}) => connection), [1, 1, 1, 2]);
+});
+
+test('aborting closes the connection, so that the endpoint stops', async t => {
+	const {endpoint, client} = await startPair(t, behaviours.silent);
+	const sent = Promise.withResolvers<void>();
+	const exchange = client.send({
+		address: endpoint.address, method: 'GET', path: '/', headers: [], body: undefined,
+	}, {
+		onSent: sent.resolve,
+		onHead() {
+			t.fail('nothing is told after an abort');
+		},
+		onData: () => 'more',
+		onEnd() {
+			t.fail('nothing is told after an abort');
+		},
+		onFailure() {
+			t.fail('nothing is told after an abort');
+		},
+	});
+	await sent.promise;
+	exchange.abort();
+	while (endpoint.closedConnections() === 0) {
+		// eslint-disable-next-line no-await-in-loop -- polls
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	t.equal(endpoint.closedConnections(), 1);
+});
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -285,7 +285,7 @@
 		});
 		if (isRetried) {
 			startAttempt();
-		} else if (failure.answer !== undefined && !isBegun) {
+		} else if (!isBegun && failure.answer !== undefined) {
 			passOn(failure.answer);
 		} else {
 			refuse(toRefusal(failure));
--- a/gateway/forwarding/src/get-patience.ts
+++ b/gateway/forwarding/src/get-patience.ts
@@ -25,7 +25,6 @@
 /**
  Tells how long to wait for an endpoint's first byte and between pieces.
 
- @param route
  @param route - Sets the objectives.
  @param predictedMs - Predicted time to the first byte; 0 when nothing is predicted.
  @example
--- /dev/null
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -0,0 +1,61 @@
+import {Clock} from 'clock-mock';
+import {test} from 'tap';
+import {createRetryBudget} from '@valvesaddle/retry-budget';
+
+function countSpent(spend: (pool: string) => boolean): number {
+	let spent = 0;
+	while (spend('p')) {
+		spent++;
+	}
+
+	return spent;
+}
+
+test('the nodes of a fleet together never spend more than the fleet may', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const nodes = 8;
+	let spent = 0;
+	for (let node = 0; node < nodes; node++) {
+		const budget = createRetryBudget({
+			ratio: 0.2, slack: 56, windowMs: 10_000, countNodes: () => nodes,
+		});
+		for (let request = 0; request < 100; request++) {
+			budget.earn('p');
+		}
+
+		spent += countSpent(budget.spend);
+	}
+
+	t.ok(spent > 100);
+	t.ok(spent <= (0.2 * 100 * nodes) + 56);
+	t.end();
+});
+
+test('what was spent comes back when the window has passed, and requests of old count no more', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const budget = createRetryBudget({
+		ratio: 0.2, slack: 10, windowMs: 10_000, countNodes: () => 1,
+	});
+	for (let request = 0; request < 50; request++) {
+		budget.earn('p');
+	}
+
+	t.equal(countSpent(budget.spend), 16);
+	clock.advance(9999);
+	t.equal(countSpent(budget.spend), 0);
+	clock.advance(2);
+	t.equal(countSpent(budget.spend), 8);
+	t.end();
+});
+
+test('pools have budgets of their own', t => {
+	const budget = createRetryBudget({
+		ratio: 0, slack: 2, windowMs: 10_000, countNodes: () => 1,
+	});
+	t.ok(budget.spend('p'));
+	t.notOk(budget.spend('p'));
+	t.ok(budget.spend('q'));
+	t.end();
+});
