--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -7,6 +7,7 @@
 	chmodSync,
 	copyFileSync,
 	mkdirSync,
+	rmSync,
 	writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
@@ -42,6 +43,8 @@
 	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv: ['--max-semi-space-size=4'], execArgvExtension: 'env',
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
+// A binary that runs cannot be written over.
+rmSync(binary, {force: true});
 copyFileSync(process.execPath, binary);
 chmodSync(binary, 0o755);
 execFileSync(process.execPath, [
--- a/fakes/endpoint/src/fake-endpoint.ts
+++ b/fakes/endpoint/src/fake-endpoint.ts
@@ -1,3 +1,4 @@
+import type {behaviours} from './behaviours.ts';
 import type {ArrivedRequest} from './arrived-request.ts';
 import type {EndpointBehaviour} from './endpoint-behaviour.ts';
 
@@ -7,6 +8,10 @@
 export type FakeEndpoint = {
 	readonly address: string;
 	readonly setBehaviour: (behaviour: EndpointBehaviour) => void;
+	/**
+	Answers requests that were left without an answer, as another behaviour does.
+	*/
+	readonly answerOpen: (behaviour: keyof typeof behaviours) => void;
 	readonly arrived: () => readonly ArrivedRequest[];
 	/**
 	Connections that the other side has closed.
--- a/fakes/endpoint/src/start-fake-endpoint.ts
+++ b/fakes/endpoint/src/start-fake-endpoint.ts
@@ -18,6 +18,7 @@
 	const arrived: ArrivedRequest[] = [];
 	const sockets = new Set<Socket>();
 	let behaviour: EndpointBehaviour = behaviours.whole;
+	const open: Array<{readonly request: ArrivedRequest; readonly socket: Socket; readonly written: number}> = [];
 	let connections = 0;
 	let closed = 0;
 
@@ -38,6 +39,7 @@
 				data = data.subarray(request.bytes);
 				const whole = {...request.parsed, connection};
 				arrived.push(whole);
+				open.push({request: whole, socket, written: socket.bytesWritten});
 				behaviour(whole, socket);
 			}
 		});
@@ -52,6 +54,13 @@
 		setBehaviour(newBehaviour) {
 			behaviour = newBehaviour;
 		},
+		answerOpen(kind) {
+			for (const {request, socket, written} of open) {
+				if (!socket.destroyed && socket.bytesWritten === written) {
+					behaviours[kind](request, socket);
+				}
+			}
+		},
 		arrived: () => arrived,
 		closedConnections: () => closed,
 		async close() {
--- a/fakes/fleet-store/src/start-fake-fleet-store.ts
+++ b/fakes/fleet-store/src/start-fake-fleet-store.ts
@@ -67,16 +67,18 @@
 
 	function answerWatch(watch: Waiting): void {
 		const events = history.filter(entry => entry.revision > watch.after && entry.key.startsWith(watch.prefix));
-		if (events.length > 0) {
-			waiting.delete(watch);
-			answer(watch.response, 200, {events, 'as-of': revision});
+		if (events.length === 0) {
+			return;
 		}
+
+		waiting.delete(watch);
+		answer(watch.response, 200, {events, 'as-of': revision});
 	}
 
 	function endLease(lease: number): void {
 		leases.delete(lease);
 		revision++;
-		for (const entry of entries.values().filter(held => held.lease === lease).toArray()) {
+		for (const entry of entries.values().filter(held => held.lease === lease)) {
 			write({
 				key: entry.key, revision, lease, removed: true,
 			});
@@ -128,7 +130,7 @@
 		'kv-lease'({body}, response) {
 			lastLease++;
 			leases.add(lastLease);
-			answer(response, 200, {...JSON.parse(body) as object, lease: lastLease});
+			answer(response, 200, {...JSON.parse(body) as Record<string, unknown>, lease: lastLease});
 		},
 		'kv-keep'(_request, response, lease) {
 			answer(response, leases.has(Number(lease)) ? 200 : 404, {});
@@ -141,7 +143,7 @@
 
 	const server = await startFakeServer({
 		handle(request, response) {
-			const [, , name = '', argument = ''] = request.path.split('/');
+			const [name = '', argument = ''] = request.path.split('/').slice(2);
 			calls.set(name, (calls.get(name) ?? 0) + 1);
 			if (fault === 'silent') {
 				return;
--- a/gateway/cluster-view/test/cluster-view.test.ts
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -1,9 +1,9 @@
 import {Clock} from 'clock-mock';
 import {test, type Test} from 'tap';
-import {createClusterView} from '@valvesaddle/cluster-view';
 import type {ClusterChange, GatewayConfiguration, ServingEndpoint} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
+import {createClusterView} from '@valvesaddle/cluster-view';
 
 const endpoint: ServingEndpoint = {
 	id: 'i-1', pool: 'p', address: '10.0.0.1:80', dataCentre: 'a', slots: 4, state: 'ready',
@@ -21,7 +21,9 @@
 
 function toConfiguration(version: number): GatewayConfiguration {
 	return {
-		version, routes: [], pools: [], limits: {headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1}, accounts: [],
+		version, routes: [], pools: [], limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		}, accounts: [],
 	};
 }
 
@@ -95,9 +97,11 @@
 
 test('an entry that cannot be read hides no other', t => {
 	const view = createView(t);
-	view.applyAll({revision: 5, changes: [{
-		kind: 'unreadable', revision: 2, key: 'servers/x', reason: 'no JSON',
-	}, toChange('i-1', 3)]}, 'store');
+	view.applyAll({
+		revision: 5, changes: [{
+			kind: 'unreadable', revision: 2, key: 'servers/x', reason: 'no JSON',
+		}, toChange('i-1', 3)],
+	}, 'store');
 	t.equal(view.endpoints().length, 1);
 	t.end();
 });
--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -1,10 +1,10 @@
 import {test, type Test} from 'tap';
-import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
 import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {createFleetStore} from '@valvesaddle/fleet-store';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
+import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
 
 const service = {
 	service: 'p', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready',
@@ -24,7 +24,11 @@
 
 	const logger = createLogger({node: 'n', level: 'silent'});
 	const metrics = createMetrics();
-	const store = createFleetStore({address: server.address, timeoutMs, onCall() {}});
+	const store = createFleetStore({
+		address: server.address, timeoutMs, onCall() {
+		// Nothing is counted here.
+		},
+	});
 	const view = createClusterView({logger, metrics});
 	const follower = createStoreFollower({
 		store, view, self: {id: 'n1', address: '10.0.0.9:7', token: 'secret'}, watchMs: 20_000, gatherMs: 1, retryMs: 10, leaseMs: 1000, lapseGraceMs, logger, metrics,
--- a/gateway/exchange/src/create-connection-pool.ts
+++ b/gateway/exchange/src/create-connection-pool.ts
@@ -91,7 +91,7 @@
 		},
 		close() {
 			isClosed = true;
-			for (const client of idle.slice()) {
+			for (const client of idle) {
 				closeClient(client);
 			}
 		},
--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -38,7 +38,7 @@
 			let wasSent = false;
 			let isOver = false;
 			connection.dispatch({
-				method: method as Dispatcher.HttpMethod, path, headers, body: body === undefined || body.length === 0 ? null : body,
+				method, path, headers, body: body === undefined || body.length === 0 ? null : body,
 			}, {
 				onRequestStart(started) {
 					controller = started;
@@ -62,25 +62,31 @@
 				},
 				onResponseEnd() {
 					pool.giveBack(connection);
-					if (!isOver) {
-						isOver = true;
-						listener.onEnd();
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					listener.onEnd();
 				},
 				onResponseError(_controller, cause) {
 					pool.drop(connection);
-					if (!isOver) {
-						isOver = true;
-						listener.onFailure(new ValvesaddleError(wasSent ? 'ERR_VALVESADDLE_ENDPOINT_FAILED' : 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN', cause.message, {cause}));
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					listener.onFailure(new ValvesaddleError(wasSent ? 'ERR_VALVESADDLE_ENDPOINT_FAILED' : 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN', cause.message, {cause}));
 				},
 			});
 			return {
 				abort() {
-					if (!isOver) {
-						isOver = true;
-						controller?.abort(new Error('aborted'));
+					if (isOver) {
+						return;
 					}
+
+					isOver = true;
+					controller?.abort(new Error('aborted'));
 				},
 				resume() {
 					controller?.resume();
--- a/gateway/exchange/test/exchange-client.test.ts
+++ b/gateway/exchange/test/exchange-client.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {test, type Test} from 'tap';
-import {createExchangeClient, type ExchangeClient} from '@valvesaddle/exchange';
 import {behaviours, startFakeEndpoint, type EndpointBehaviour} from '@valvesaddle/fake-endpoint';
+import {createExchangeClient, type ExchangeClient} from '@valvesaddle/exchange';
 
 async function startPair(t: Test, behaviour: EndpointBehaviour) {
 	const endpoint = await startFakeEndpoint();
@@ -23,7 +23,9 @@
 
 async function send(client: ExchangeClient, address: string, id = 'a'): Promise<Outcome> {
 	const {promise, resolve} = Promise.withResolvers<Outcome>();
-	const outcome = {status: 0, wasSent: false, body: '', end: ''};
+	const outcome = {
+		status: 0, wasSent: false, body: '', end: '',
+	};
 	client.send({
 		address, method: 'POST', path: '/x', headers: ['X-Attempt-Id', id], body: Buffer.from('body'),
 	}, {
@@ -47,7 +49,7 @@
 	return promise;
 }
 
-const cases: ReadonlyArray<readonly [keyof typeof behaviours, end: string]> = [
+const cases: ReadonlyArray<readonly [behaviour: keyof typeof behaviours, end: string]> = [
 	['whole', 'whole'],
 	['unframed', 'whole'],
 	['unframedReset', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -128,6 +128,7 @@
 			clearInterval(timer);
 		},
 		cut() {
+			server.close();
 			server.closeAllConnections();
 		},
 	};
--- a/gateway/retry-budget/test/retry-budget.test.ts
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -1,10 +1,10 @@
 import {Clock} from 'clock-mock';
 import {test} from 'tap';
-import {createRetryBudget} from '@valvesaddle/retry-budget';
+import {createRetryBudget, type RetryBudget} from '@valvesaddle/retry-budget';
 
-function countSpent(spend: (pool: string) => boolean): number {
+function countSpent(budget: RetryBudget): number {
 	let spent = 0;
-	while (spend('p')) {
+	while (budget.spend('p')) {
 		spent++;
 	}
 
@@ -24,7 +24,7 @@
 			budget.earn('p');
 		}
 
-		spent += countSpent(budget.spend);
+		spent += countSpent(budget);
 	}
 
 	t.ok(spent > 100);
@@ -42,11 +42,11 @@
 		budget.earn('p');
 	}
 
-	t.equal(countSpent(budget.spend), 16);
+	t.equal(countSpent(budget), 16);
 	clock.advance(9999);
-	t.equal(countSpent(budget.spend), 0);
+	t.equal(countSpent(budget), 0);
 	clock.advance(2);
-	t.equal(countSpent(budget.spend), 8);
+	t.equal(countSpent(budget), 8);
 	t.end();
 });
 
--- a/gateway/routes/test/route-index.test.ts
+++ b/gateway/routes/test/route-index.test.ts
@@ -8,9 +8,13 @@
 
 const configuration: GatewayConfiguration = {
 	version: 3,
-	routes: [base, {...base, name: 'long', prefix: '/a/b/'}, {...base, name: 'open', prefix: '/open/', isPublic: true}, {...base, name: 'other', host: 'Other.example'}],
+	routes: [base, {...base, name: 'long', prefix: '/a/b/'}, {
+		...base, name: 'open', prefix: '/open/', isPublic: true,
+	}, {...base, name: 'other', host: 'Other.example'}],
 	pools: [{name: 'p', maximumConnections: 10, engine: undefined}],
-	limits: {headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
 	accounts: [{name: 'sawmill', keyHashes: [hashApiKey('key')], priority: 0}],
 };
 
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -84,9 +84,11 @@
 	const {id, work} = send(selector, question);
 	work.close('done');
 	t.equal(selector.choose(question)?.heldTokens, 2800);
-	selector.applyNews('n2', {loads: [], placements: [{
-		endpoint: id, pool: 'engines', parts: ['else'], tokens: 500_000, isLong: false,
-	}]});
+	selector.applyNews('n2', {
+		loads: [], placements: [{
+			endpoint: id, pool: 'engines', parts: ['else'], tokens: 500_000, isLong: false,
+		}],
+	});
 	t.equal(selector.choose(question)?.heldTokens, 0);
 	t.end();
 });
@@ -135,7 +137,9 @@
 	selector.addEndpoint(createEndpoint('p-1', {pool: 'plain'}));
 	selector.addEndpoint(createEndpoint('p-2', {pool: 'plain'}));
 	const question = createQuestion({pool: 'plain', promptTokens: 0, parts: []});
-	const failing = createQuestion({pool: 'plain', promptTokens: 0, parts: [], tried: new Set(['p-2'])});
+	const failing = createQuestion({
+		pool: 'plain', promptTokens: 0, parts: [], tried: new Set(['p-2']),
+	});
 	send(selector, failing).work.close('failed');
 	selector.applyNews('n2', {loads: [['p-2', {open: 9, prefillTokens: 0}]], placements: []});
 	t.equal(choose(selector, question), 'p-1');
@@ -153,7 +157,11 @@
 test('a node tells of its own work in full, and only of what has changed', t => {
 	const {selector} = createFilled(t, ['i-1']);
 	const {work} = send(selector, createQuestion());
-	t.match(selector.takeNews(), {loads: [['i-1', {open: 1, prefillTokens: 800}]], placements: [{endpoint: 'i-1', parts: ['shared'], tokens: 800, isLong: false}]});
+	t.match(selector.takeNews(), {
+		loads: [['i-1', {open: 1, prefillTokens: 800}]], placements: [{
+			endpoint: 'i-1', parts: ['shared'], tokens: 800, isLong: false,
+		}],
+	});
 	t.equal(selector.takeNews(), undefined);
 	work.markBegun();
 	t.match(selector.takeNews(), {loads: [['i-1', {open: 1, prefillTokens: 0}]], placements: []});
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -145,10 +145,11 @@
 	});
 
 	async function close(): Promise<void> {
+		front.cut();
 		sync.close();
-		await Promise.race([follower.close(), wait(closeMs)]);
+		await Promise.race([follower.close(), wait(closeMs, undefined, {ref: false})]);
 		view.close();
-		await Promise.race([Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs)]);
+		await Promise.race([Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs, undefined, {ref: false})]);
 		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
 		await logger.flush();
 	}
@@ -161,8 +162,7 @@
 		const usableMs = drainSettings.grace_ms * (1 - unusedGraceShare);
 		// The balancer needs a few misses to send no more callers here.
 		await wait(Math.min(drainSettings.balancer_ms, usableMs));
-		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms)]);
-		front.cut();
+		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms, undefined, {ref: false})]);
 		await close();
 	}
 
--- /dev/null
+++ b/node/gateway/test/gateway.test.ts
@@ -0,0 +1,110 @@
+import {request as sendRaw, type IncomingMessage} from 'node:http';
+import {once} from 'node:events';
+import {test} from 'tap';
+import {waitUntil} from '@valvesaddle/fake-fleet';
+import {startPlatform} from './start-platform.ts';
+
+test('a node without configuration is not ready and refuses with a time to come back', async t => {
+	const platform = await startPlatform(t);
+	t.notOk(await platform.isReady());
+	const answer = await platform.call('/safe/x');
+	t.equal(answer.status, 503);
+	t.equal(answer.headers['retry-after'], '0.3');
+	await platform.open();
+	t.equal((await platform.call('/safe/x')).status, 200);
+});
+
+test('what the configuration does not allow is refused and sent nowhere', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	t.equal((await platform.call('/unknown/x')).status, 404);
+	t.equal((await platform.call('/safe/x', {key: 'wrong'})).status, 401);
+	t.equal((await platform.call('/safe/x', {headers: {host: 'other.example'}})).status, 404);
+	t.equal((await platform.call('/safe/x', {headers: {'x-long': 'x'.repeat(3000)}})).status, 431);
+	t.equal((await platform.call('/safe/x', {body: 'x'.repeat(1001)})).status, 413);
+	t.equal((await platform.call('/empty/x')).status, 503);
+	t.equal(platform.arrived.length, 0);
+});
+
+test('a request reaches the endpoint as the caller sent it, with the account and the time that is left', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	await platform.call('/unsafe/x?y=%2F', {body: 'some body', headers: {'x-deadline-ms': '4000', 'x-tenant': 'forged'}});
+	const [arrived] = platform.arrived;
+	t.equal(arrived?.line, 'POST /unsafe/x?y=%2F HTTP/1.1');
+	t.equal(arrived?.body, 'some body');
+	t.equal(arrived?.headers.get('x-tenant'), 'sawmill');
+	t.match(arrived?.headers.get('x-target-replica'), /^i-[01]$/v);
+	t.notOk(arrived?.headers.has('authorization'));
+	const left = Number(arrived?.headers.get('x-deadline-ms'));
+	t.ok(left > 0 && left <= 4000);
+});
+
+test('a request that is over its time gets its final answer at once, with what is known about the run', async t => {
+	const platform = await startPlatform(t, ['silent']);
+	await platform.open();
+	const answer = await platform.call('/short/x');
+	t.equal(answer.status, 504);
+	t.match(answer.text, '"ran":"maybe"');
+	t.equal(platform.arrived.length, 1);
+});
+
+test('when a caller goes away its endpoint is told to stop', async t => {
+	const platform = await startPlatform(t, ['silent']);
+	await platform.open();
+	const caller = new AbortController();
+	const call = platform.call('/unsafe/x', {signal: caller.signal}).catch(() => 'gone');
+	await waitUntil(() => platform.arrived.length === 1);
+	caller.abort();
+	t.equal(await call, 'gone');
+	await waitUntil(() => platform.endpoints.some(endpoint => endpoint.closedConnections() > 0));
+	t.equal(platform.arrived.length, 1);
+});
+
+test('an endpoint that drains or is gone gets no new work', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	platform.store.remove('servers/i-0');
+	platform.store.put('servers/i-1', {
+		service: 'register', address: platform.endpoints[1]?.address, zone: 'a', slots: 4, state: 'draining',
+	});
+	await waitUntil(async () => (await platform.call('/safe/x')).status === 503);
+	const before = platform.arrived.length;
+	t.equal((await platform.call('/safe/x')).status, 503);
+	t.equal(platform.arrived.length, before);
+});
+
+test('a new configuration is in force without a gap, and an older one never comes back', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	const [first] = platform.configuration.routes;
+	platform.store.put('op/config', {...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}]});
+	await waitUntil(async () => (await platform.call('/new/x')).status === 200);
+	platform.store.put('op/config', {...platform.configuration, version: 4});
+	platform.store.put('servers/i-9', {
+		service: 'nobody', address: '127.0.0.1:1', zone: 'a', slots: 1, state: 'ready',
+	});
+	t.equal((await platform.call('/safe/x')).status, 404);
+	t.equal((await platform.call('/new/x')).status, 200);
+});
+
+test('a node that leaves is not ready, finishes what is open, and tells callers to close their connections', async t => {
+	const platform = await startPlatform(t, ['silent', 'whole']);
+	await platform.open();
+	const [host, port] = platform.addresses.callers.split(':', 2);
+	const raw = sendRaw({
+		host, port, path: '/unsafe/x', headers: {host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': 'a1'},
+	});
+	raw.end();
+	await waitUntil(() => platform.arrived.length === 1);
+	const drained = platform.gateway.drain();
+	await waitUntil(async () => !await platform.isReady().catch(() => false));
+	const responded = once(raw, 'response') as Promise<[IncomingMessage]>;
+	platform.endpoints[0]?.answerOpen('whole');
+	platform.endpoints[1]?.answerOpen('whole');
+	const [response] = await responded;
+	response.resume();
+	t.equal(response.statusCode, 200);
+	t.equal(response.headers.connection, 'close');
+	await drained;
+});
--- /dev/null
+++ b/node/gateway/test/outcomes.test.ts
@@ -0,0 +1,126 @@
+import {test} from 'tap';
+import type {behaviours} from '@valvesaddle/fake-endpoint';
+import {startPlatform} from './start-platform.ts';
+
+type Case = {
+	readonly path: string;
+	readonly turns: ReadonlyArray<keyof typeof behaviours>;
+	readonly status: number;
+	readonly arrivals: number;
+	readonly text?: RegExp;
+};
+
+const allEvents = /^id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n$/v;
+
+const cases: readonly Case[] = [
+	{
+		path: '/safe/x', turns: ['whole'], status: 200, arrivals: 1, text: /^body of GET \/safe\/x HTTP\/1\.1$/v,
+	},
+	{
+		path: '/safe/x', turns: ['reset', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['failed', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['failed'], status: 500, arrivals: 2, text: /^failed$/v,
+	},
+	{
+		path: '/safe/x', turns: ['unsigned', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['encoded', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['otherRequest', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['truncated', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['unframedReset', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['unframed'], status: 200, arrivals: 1, text: /^whole to the end$/v,
+	},
+	{
+		path: '/safe/x', turns: ['twice'], status: 200, arrivals: 1, text: /^first$/v,
+	},
+	{
+		path: '/unsafe/x', turns: ['reset', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['truncated', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['unframedReset', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['unsigned', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['otherRequest', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['unmarkedRefusal', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['failed', 'whole'], status: 500, arrivals: 1, text: /^failed$/v,
+	},
+	{
+		path: '/unsafe/x', turns: ['notRun', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/unsafe/x', turns: ['misdirected', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/unsafe/x', turns: ['notRun'], status: 503, arrivals: 2, text: /"ran":"no"/v,
+	},
+	{
+		path: '/stream/x', turns: ['stream'], status: 200, arrivals: 1, text: allEvents,
+	},
+	{
+		path: '/stream/x', turns: ['brokenStream', 'stream'], status: 200, arrivals: 1, text: /^id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\n[\s\S]*\(broken\)$/v,
+	},
+	{
+		path: '/stream/x', turns: ['reset', 'stream'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/resumable/x', turns: ['brokenStream', 'stream'], status: 200, arrivals: 2, text: allEvents,
+	},
+	{
+		path: '/resumable/x', turns: ['reset', 'stream'], status: 200, arrivals: 2, text: allEvents,
+	},
+	{
+		path: '/resumable/x', turns: ['brokenStream', 'reset'], status: 200, arrivals: 2, text: /\(broken\)$/v,
+	},
+	{
+		path: '/resumable/x', turns: ['brokenStream', 'unsigned'], status: 200, arrivals: 2, text: /\(broken\)$/v,
+	},
+];
+
+for (const {
+	path, turns, status, arrivals, text,
+} of cases) {
+	test(`${path} is answered ${status} after ${arrivals} arrivals when endpoints answer ${turns.join(', ')}`, async t => {
+		const platform = await startPlatform(t, turns);
+		await platform.open();
+		const answer = await platform.call(path);
+		t.equal(answer.status, status);
+		t.equal(platform.arrived.length, arrivals);
+		if (text !== undefined) {
+			t.match(answer.text, text);
+		}
+
+		const isEndpointsOwn = [200, 500].includes(status);
+		t.equal(answer.headers['x-response-seal'] !== undefined, isEndpointsOwn, 'only an endpoint vouches for an answer');
+		t.equal(answer.headers['retry-after'] !== undefined, status === 503);
+	});
+}
+
+test('a stream that is taken up elsewhere names its last whole event', async t => {
+	const platform = await startPlatform(t, ['brokenStream', 'stream']);
+	await platform.open();
+	await platform.call('/resumable/x');
+	t.same(platform.arrived.map(({headers}) => headers.get('last-event-id')), [undefined, '1']);
+});
--- /dev/null
+++ b/node/gateway/test/start-platform.ts
@@ -0,0 +1,155 @@
+import {Buffer} from 'node:buffer';
+import type {Test} from 'tap';
+import {
+	behaviours,
+	startFakeEndpoint,
+	type ArrivedRequest,
+	type EndpointBehaviour,
+} from '@valvesaddle/fake-endpoint';
+import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
+import {waitUntil} from '@valvesaddle/fake-fleet';
+import {parseGatewaySettings} from '@valvesaddle/settings';
+import {Agent, request} from 'undici';
+import {createGateway} from '@valvesaddle/gateway';
+
+const route = {
+	host: 'permits.example', 'timeout-ms': 60_000, 'target-latency-ms': 50_000, priority: 1, service: 'register', 'max-attempts': 2, public: false,
+};
+
+/**
+Configuration of the tests' platform: a route of every kind.
+*/
+const configuration = {
+	version: 1,
+	routes: [
+		{
+			...route, name: 'safe', prefix: '/safe/', kind: 'safe',
+		},
+		{
+			...route, name: 'unsafe', prefix: '/unsafe/', kind: 'unsafe',
+		},
+		{
+			...route, name: 'stream', prefix: '/stream/', kind: 'streaming',
+		},
+		{
+			...route, name: 'resumable', prefix: '/resumable/', kind: 'streaming', 'stream-resume': true,
+		},
+		{
+			...route, name: 'short', prefix: '/short/', kind: 'unsafe', 'timeout-ms': 50,
+		},
+		{
+			...route, name: 'empty', prefix: '/empty/', kind: 'safe', service: 'nobody',
+		},
+	],
+	services: [{name: 'register'}, {name: 'nobody'}],
+	limits: {'max-header-bytes': 2000, 'max-body-bytes': 1000},
+	tenants: [{name: 'sawmill', 'api-keys': ['key']}],
+};
+
+/**
+ Starts a gateway between a stand-in store and two stand-in endpoints. The endpoints answer the requests that arrive, on
+ whichever of them, by the given behaviours in turn; the last one stays.
+
+ @example
+ const platform = await startPlatform(t, ['reset', 'whole']);
+ const answer = await platform.call('/safe/x');
+ */
+export async function startPlatform(t: Test, turns: ReadonlyArray<keyof typeof behaviours> = ['whole']) {
+	const store = await startFakeFleetStore();
+	const endpoints = [await startFakeEndpoint(), await startFakeEndpoint()];
+	const arrived: ArrivedRequest[] = [];
+	const answerInTurn: EndpointBehaviour = (arrivedRequest, socket) => {
+		const turn = turns[Math.min(arrived.length, turns.length - 1)] ?? 'whole';
+		arrived.push(arrivedRequest);
+		behaviours[turn](arrivedRequest, socket);
+	};
+
+	const gateway = createGateway({
+		settings: parseGatewaySettings(`
+			[node]
+			name = "n1"
+			data_centre = "a"
+			region = "r"
+			[listen]
+			callers = "127.0.0.1:0"
+			ready = "127.0.0.1:0"
+			peers = "127.0.0.1:0"
+			[store]
+			address = "${store.address}"
+			timeout_ms = 10000
+			retry_ms = 5
+			gather_ms = 1
+			[retry]
+			slack = 1000
+			[limits]
+			connect_ms = 10000
+			[drain]
+			grace_ms = 60000
+			balancer_ms = 1
+			[observe]
+			log_level = "silent"
+		`)._unsafeUnwrap(),
+	});
+	const addresses = await gateway.start();
+	const agent = new Agent();
+	t.teardown(async () => {
+		await agent.destroy();
+		await gateway.close();
+		await Promise.all(endpoints.map(async endpoint => endpoint.close()));
+		await store.close();
+	});
+
+	async function isReady(): Promise<boolean> {
+		const {statusCode, body} = await request(`http://${addresses.ready}/valvesaddle/ready`, {dispatcher: agent});
+		await body.dump();
+		return statusCode === 200;
+	}
+
+	/**
+	Calls the gateway as a client account; the body of an answer that breaks off ends with `(broken)`.
+	*/
+	async function call(path: string, {key = 'key', body, headers = {}, signal}: CallOptions = {}) {
+		const response = await request(`http://${addresses.callers}${path}`, {
+			method: body === undefined ? 'GET' : 'POST',
+			headers: {
+				host: 'permits.example', authorization: `Bearer ${key}`, 'x-attempt-id': 'a1', ...headers,
+			},
+			body: body ?? null,
+			dispatcher: agent,
+			...(signal !== undefined && {signal}),
+		});
+		let text = '';
+		try {
+			for await (const chunk of response.body) {
+				text += String(Buffer.from(chunk as Uint8Array));
+			}
+		} catch {
+			text += '(broken)';
+		}
+
+		return {status: response.statusCode, headers: response.headers, text};
+	}
+
+	async function open(): Promise<void> {
+		for (const [index, endpoint] of endpoints.entries()) {
+			endpoint.setBehaviour(answerInTurn);
+			store.put(`servers/i-${index}`, {
+				service: 'register', address: endpoint.address, zone: 'a', slots: 4, state: 'ready',
+			});
+		}
+
+		store.put('op/config', configuration);
+		await waitUntil(isReady);
+	}
+
+	return {
+		store, endpoints, arrived, gateway, addresses, configuration, isReady, call, open,
+	};
+}
+
+type CallOptions = {
+	readonly key?: string;
+	readonly body?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly signal?: AbortSignal;
+};
