--- a/gateway/selection/src/lane-demand.ts
+++ b/gateway/selection/src/lane-demand.ts
@@ -7,11 +7,6 @@
 	*/
 	readonly shortFill: number;
 	/**
-	Prompt tokens that endpoints for long prompts still have to read, and those for short ones.
-	*/
-	readonly longBacklog: number;
-	readonly shortBacklog: number;
-	/**
 	Prompt tokens that one endpoint reads in a millisecond.
 	*/
 	readonly tokensPerMs: number;
