--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -28,10 +28,11 @@
 */
 const msPerDisturbedStream = 200;
 /**
-Advantage of the endpoint that all nodes would take for a prompt that nobody holds, in milliseconds: two nodes that get the
-same prompt at once then agree.
+Advantage of the endpoint that all nodes would take for a prompt of which they know no holder, as a part of what reading its
+shared parts again would weigh: nodes that get the same prompt at once then agree, and nodes that start anew go where the
+prompt was sent before.
 */
-const sameChoiceMs = 40;
+const sameChoiceShare = 0.1;
 
 type LaneQuestion = {
 	readonly isLong: boolean;
@@ -117,14 +118,16 @@
 		const tokensPerMs = getRate(question.pool).get();
 		const recentTokens = prefixes.countRecent(question.parts);
 		const key = question.parts.slice(0, -1).map(({id}) => id).join(',');
-		const [agreed] = recentTokens === 0 ? rankByHash(key, candidates.map(({id}) => id)) : [];
+		const laneIds = candidates.map(({id}) => id).filter(id => (isLong ? lane.long : lane.short).has(id));
+		const [agreed] = recentTokens === 0 ? rankByHash(key, laneIds) : [];
+		const agreedMs = sameChoiceShare * options.rereadMsPerToken * question.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
 		const rated = candidates.map(endpoint => {
 			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
 			const {open, prefillTokens} = loads.get(endpoint.id);
 			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
 			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / tokensPerMs) + (open * msPerOpenStream) + queueMs;
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
-			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, open) - (endpoint.id === agreed ? sameChoiceMs : 0);
+			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, open) - (endpoint.id === agreed ? agreedMs : 0);
 			return {
 				endpoint, heldTokens, costMs, score, candidates: candidates.length,
 			};
