--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -1,14 +1,16 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {LoadTable} from './load-table.ts';
 
-const noLoad: EndpointLoad = {open: 0, prefillTokens: 0};
+const noLoad: EndpointLoad = {
+	open: 0, prefillTokens: 0, longTokens: 0, shortOpen: 0,
+};
 
 /**
  Creates the table of work at endpoints.
 
  @example
  const loads = createLoadTable();
- loads.add('i-7f', 1, 6000);
+ loads.add('i-7f', {open: 1, prefillTokens: 6000, longTokens: 6000, shortOpen: 0});
  loads.get('i-7f').open; // 1
  */
 export function createLoadTable(): LoadTable {
@@ -32,9 +34,8 @@
 
 			return {open: open * unseenFactor, prefillTokens: prefillTokens * unseenFactor};
 		},
-		add(endpoint, open, prefillTokens) {
-			const before = own.get(endpoint) ?? noLoad;
-			own.set(endpoint, {open: before.open + open, prefillTokens: Math.max(0, before.prefillTokens + prefillTokens)});
+		add(endpoint, change) {
+			own.set(endpoint, addLoads(own.get(endpoint) ?? noLoad, change));
 			changed.add(endpoint);
 		},
 		applyPeer(node, endpoint, load) {
@@ -63,3 +64,12 @@
 		listOwn: () => [...own],
 	};
 }
+
+function addLoads(a: EndpointLoad, b: EndpointLoad): EndpointLoad {
+	return {
+		open: Math.max(0, a.open + b.open),
+		prefillTokens: Math.max(0, a.prefillTokens + b.prefillTokens),
+		longTokens: Math.max(0, a.longTokens + b.longTokens),
+		shortOpen: Math.max(0, a.shortOpen + b.shortOpen),
+	};
+}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -7,6 +7,7 @@
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
+import type {EndpointLoad} from './endpoint-load.ts';
 import type {OpenWork} from './open-work.ts';
 import type {Placement} from './placement.ts';
 import {rankByHash} from './rank-by-hash.ts';
@@ -28,6 +29,14 @@
 */
 const msPerDisturbedStream = 200;
 /**
+The same within the lane: such a stream is left from before the engine changed its lane, in milliseconds.
+*/
+const msPerMovedStream = 10;
+/**
+Harm that a token of a long prompt does to a short one that comes to its engine, in milliseconds.
+*/
+const msPerLongToken = 0.02;
+/**
 Advantage of the endpoint that all nodes would take for a prompt of which they know no holder, as a part of what reading its
 shared parts again would weigh: nodes that get the same prompt at once then agree, and nodes that start anew go where the
 prompt was sent before.
@@ -104,13 +113,14 @@
 	/**
 	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
 	*/
-	function measureLaneCost({isLong, objectiveMs}: LaneQuestion, endpoint: string, lane: Lanes, open: number): number {
+	function measureLaneCost({isLong, objectiveMs}: LaneQuestion, endpoint: string, lane: Lanes, {longTokens, shortOpen}: EndpointLoad): number {
 		const leaveMs = options.leaveLaneShare * objectiveMs;
 		if (isLong) {
-			return lane.long.has(endpoint) ? 0 : leaveMs + (open * msPerDisturbedStream);
+			return lane.long.has(endpoint) ? shortOpen * msPerMovedStream : leaveMs + (shortOpen * msPerDisturbedStream);
 		}
 
-		return lane.short.has(endpoint) ? 0 : leaveMs;
+		// An engine that has just changed its lane still reads what it got before.
+		return lane.short.has(endpoint) ? Math.min(leaveMs, longTokens * msPerLongToken) : leaveMs;
 	}
 
 	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
@@ -123,11 +133,12 @@
 		const agreedMs = sameChoiceShare * options.rereadMsPerToken * question.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
 		const rated = candidates.map(endpoint => {
 			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
-			const {open, prefillTokens} = loads.get(endpoint.id);
+			const load = loads.get(endpoint.id);
+			const {open, prefillTokens} = load;
 			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
 			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / tokensPerMs) + (open * msPerOpenStream) + queueMs;
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
-			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, open) - (endpoint.id === agreed ? agreedMs : 0);
+			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, load) - (endpoint.id === agreed ? agreedMs : 0);
 			return {
 				endpoint, heldTokens, costMs, score, candidates: candidates.length,
 			};
@@ -173,10 +184,11 @@
 		const openedAt = performance.now();
 		let unread = missing;
 		let isClosed = false;
-		loads.add(id, 1, missing);
+		const isLong = isLongPrompt(question);
+		loads.add(id, toLoad(isLong, 1, missing));
 		if (question.promptTokens > 0) {
 			const placement = {
-				endpoint: id, pool: question.pool, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing, isLong: isLongPrompt(question),
+				endpoint: id, pool: question.pool, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing, isLong,
 			};
 			addPlacement(placement);
 			placements.push(placement);
@@ -189,7 +201,7 @@
 				}
 
 				getRate(question.pool).record(unread, performance.now() - openedAt);
-				loads.add(id, 0, -unread);
+				loads.add(id, toLoad(isLong, 0, -unread));
 				unread = 0;
 			},
 			close(end) {
@@ -198,7 +210,7 @@
 				}
 
 				isClosed = true;
-				loads.add(id, -1, -unread);
+				loads.add(id, toLoad(isLong, -1, -unread));
 				settlers[end](id);
 			},
 		};
@@ -250,3 +262,9 @@
 		removeNode: loads.removePeer,
 	};
 }
+
+function toLoad(isLong: boolean, open: number, tokens: number): EndpointLoad {
+	return {
+		open, prefillTokens: tokens, longTokens: isLong ? tokens : 0, shortOpen: isLong ? 0 : open,
+	};
+}
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -10,4 +10,12 @@
 	Prompt tokens that are still to be read before first tokens.
 	*/
 	readonly prefillTokens: number;
+	/**
+	Those of them that belong to long prompts.
+	*/
+	readonly longTokens: number;
+	/**
+	Requests with short prompts that are open.
+	*/
+	readonly shortOpen: number;
 };
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -8,7 +8,7 @@
 	/**
 	Adds to the node's own work.
 	*/
-	readonly add: (endpoint: string, open: number, prefillTokens: number) => void;
+	readonly add: (endpoint: string, change: EndpointLoad) => void;
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
 	readonly setUnseenFactor: (factor: number) => void;
 	readonly removePeer: (node: string) => void;
--- a/node/gateway/src/load-news-schema.ts
+++ b/node/gateway/src/load-news-schema.ts
@@ -1,6 +1,9 @@
 import {z} from 'zod';
 
-const load = z.object({open: z.int().min(0), prefillTokens: z.number().min(0)});
+const amount = z.number().min(0);
+const load = z.object({
+	open: amount, prefillTokens: amount, longTokens: amount, shortOpen: amount,
+});
 const placement = z.object({
 	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: z.number().min(0), isLong: z.boolean(),
 });
