--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -21,18 +21,17 @@
 
 	return {
 		get(endpoint) {
-			let {open, prefillTokens} = own.get(endpoint) ?? noLoad;
+			let sum = own.get(endpoint) ?? noLoad;
 			for (const loads of peers.values()) {
-				const load = loads.get(endpoint);
-				if (load === undefined) {
-					continue;
-				}
-
-				open += load.open;
-				prefillTokens += load.prefillTokens;
+				sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
 			}
 
-			return {open: open * unseenFactor, prefillTokens: prefillTokens * unseenFactor};
+			return {
+				open: sum.open * unseenFactor,
+				prefillTokens: sum.prefillTokens * unseenFactor,
+				longTokens: sum.longTokens * unseenFactor,
+				shortOpen: sum.shortOpen * unseenFactor,
+			};
 		},
 		add(endpoint, change) {
 			own.set(endpoint, addLoads(own.get(endpoint) ?? noLoad, change));
