test: a late write of the stand-in takes effect before the next write, not after a time

Cause: the write was bound to 30 ms of real time, so on a busy machine it won the race against the read-back and the change was answered as accepted. Ruled out: the store's own settling, which reads back by the change's id either way.

--- a/cli/valvesaddle/src/main-commands.ts
+++ b/cli/valvesaddle/src/main-commands.ts
@@ -13,6 +13,7 @@
 import {ServeCommand} from './serve-command.ts';
 import {StandInCommand} from './stand-in-command.ts';
 import {StatusCommand} from './status-command.ts';
+import {TraceCommand} from './trace-command.ts';
 
 /**
 All commands.
@@ -32,6 +33,7 @@
 	ServeCommand,
 	StandInCommand,
 	StatusCommand,
+	TraceCommand,
 	Builtins.HelpCommand,
 	Builtins.VersionCommand,
 ];
--- /dev/null
+++ b/config/settings/test/gateway-settings.test.ts
@@ -0,0 +1,29 @@
+import {readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {test} from 'tap';
+import {parseGatewaySettings} from '@valvesaddle/settings';
+
+const template = path.resolve(import.meta.dirname, '../../../deploy/settings.toml');
+
+const values: Readonly<Record<string, string>> = {
+	'node-name': 'n1', zone: 'a', region: 'r', 'listen.front': '10.0.0.1:1', 'listen.ready': '10.0.0.1:2', ip: '10.0.0.1', 'internal-port-range.0': '7340', 'platform.address': '10.0.0.2:3', 'bounds.retry-budget-ratio': '0.2', 'bounds.budget-slack': '56', 'bounds.budget-window-s': '10', 'bounds.reuse-window-s': '10', 'bounds.grace-s': '8',
+};
+
+test('the template of the deployment, filled in, is a valid file', async t => {
+	const text = await readFile(template, 'utf8');
+	const filled = text.replaceAll(/\{\{(?<name>[^\}]+)\}\}/gv, (_match, name: string) => values[name] ?? `missing ${name}`);
+	const settings = parseGatewaySettings(filled)._unsafeUnwrap();
+	t.match(settings, {
+		node: {name: 'n1'}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_ms: 10_000}, drain: {grace_ms: 8000}, selection: {reuse_ms: 10_000},
+	});
+});
+
+test('every fault is named with its key', t => {
+	const error = parseGatewaySettings('[node]\nname = "n1"\n[retry]\nratio = -1\nunknown = 2\n')._unsafeUnwrapErr();
+	t.equal(error.code, 'ERR_VALVESADDLE_SETTINGS_INVALID');
+	for (const key of ['node.data_centre', 'listen', 'store', 'retry.ratio (line 4)', 'retry.unknown (line 5)']) {
+		t.match(error.message, key);
+	}
+
+	t.end();
+});
--- a/fakes/kv/src/kv-fault.ts
+++ b/fakes/kv/src/kv-fault.ts
@@ -4,7 +4,7 @@
  - `refuse`: answered 503, without effect.
  - `drop-before`: the connection breaks, without effect.
  - `drop-after`: the connection breaks after the effect.
- - `late`: the connection breaks at once, the effect comes a little later.
+ - `late`: the connection breaks at once, the effect comes before the next write.
  - `freeze`: no answer while the fault lasts, without effect.
  - `garbage`: an answer that is not JSON.
  */
--- a/fakes/kv/src/start-fake-kv.ts
+++ b/fakes/kv/src/start-fake-kv.ts
@@ -16,7 +16,7 @@
 };
 
 const prefix = '/v1/kv/';
-const lateMs = 30;
+const frozenPollMs = 30;
 const largestValue = 1024 * 1024;
 
 /**
@@ -28,6 +28,7 @@
  */
 export async function startFakeKv(options: FakeKvOptions = {}): Promise<FakeKv> {
 	const items = new Map<string, Item>();
+	const lateWrites: Array<() => void> = [];
 	const calls: Record<string, number> = {};
 	const watchers = new Set<() => void>();
 	let index = 1;
@@ -114,13 +115,13 @@
 			},
 			late() {
 				response.destroy();
-				setTimeout(run, lateMs);
+				lateWrites.push(run);
 			},
 			async freeze() {
 				const isFrozen = (): boolean => fault === 'freeze';
 				while (isFrozen() && !response.destroyed) {
 					// eslint-disable-next-line no-await-in-loop -- until the fault is over
-					await delay(lateMs);
+					await delay(frozenPollMs);
 				}
 
 				response.destroy();
@@ -143,6 +144,11 @@
 
 	async function handleWrite(key: string, request: FakeRequest, response: ServerResponse): Promise<void> {
 		addCall(request.method.toLowerCase());
+		// A late write takes effect between the reads after it and the next write: the order is the same on every machine.
+		for (const runLate of lateWrites.splice(0)) {
+			runLate();
+		}
+
 		const run = (): string => effects[request.method]?.(key, request) ?? 'false';
 		const runOnly = (): void => {
 			run();
