--- a/cli/valvesaddle/src/check-settings-command.ts
+++ b/cli/valvesaddle/src/check-settings-command.ts
@@ -13,7 +13,11 @@
 	static override readonly paths = [['check-settings']];
 	static override readonly usage = Command.Usage({
 		description: 'Checks a settings file and names every fault with its key and line.',
-		examples: [['Check a file', 'valvesaddle check-settings node.toml'], ['Print it with all defaults', 'valvesaddle check-settings --print node.toml'], ['Check a gateway node\'s file', 'valvesaddle check-settings --gateway gateway.toml']],
+		examples: [
+			['Check a file', 'valvesaddle check-settings node.toml'],
+			['Print it with all defaults', 'valvesaddle check-settings --print node.toml'],
+			['Check a gateway node\'s file', 'valvesaddle check-settings --gateway gateway.toml'],
+		],
 	});
 
 	file = Option.String();
--- a/cli/valvesaddle/src/main.ts
+++ b/cli/valvesaddle/src/main.ts
@@ -18,13 +18,13 @@
 	},
 };
 
-async function loadAll(): Promise<readonly CommandClass[]> {
+async function listAllCommands(): Promise<readonly CommandClass[]> {
 	const {mainCommands} = await import('./main-commands.ts');
 	return mainCommands;
 }
 
 async function runCommand(words: readonly string[]): Promise<number> {
-	const load = smallCommands[words[0] ?? ''] ?? loadAll;
+	const load = smallCommands[words[0] ?? ''] ?? listAllCommands;
 	const cli = new Cli({binaryLabel: 'valvesaddle', binaryName: 'valvesaddle', binaryVersion: '0.1.0'});
 	for (const command of await load()) {
 		cli.register(command);
--- a/cli/valvesaddle/src/trace-command.ts
+++ b/cli/valvesaddle/src/trace-command.ts
@@ -18,6 +18,14 @@
 	request = Option.String();
 	files = Option.Rest({required: 1});
 
+	async #readLog(file: string): Promise<string> {
+		try {
+			return await readFile(file, 'utf8');
+		} catch (error) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', `the file "${file}" cannot be read`, {cause: error});
+		}
+	}
+
 	async run(): Promise<number> {
 		const texts = await Promise.all(this.files.map(async file => this.#readLog(file)));
 		const lines = listRequestLines(this.request, texts);
@@ -27,12 +35,4 @@
 
 		return lines.length === 0 ? exitCodes.failed : exitCodes.done;
 	}
-
-	async #readLog(file: string): Promise<string> {
-		try {
-			return await readFile(file, 'utf8');
-		} catch (error) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', `the file "${file}" cannot be read`, {cause: error});
-		}
-	}
 }
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -1,5 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import type {ClusterChanges} from '@valvesaddle/gateway-types';
+import {measureFleet} from './measure-fleet.ts';
 import type {StoreFollower} from './store-follower.ts';
 import type {StoreFollowerOptions} from './store-follower-options.ts';
 
@@ -60,7 +61,7 @@
 		lost.resolve('lost');
 	}
 
-	async function pause(milliseconds: number): Promise<void> {
+	async function waitAbout(milliseconds: number): Promise<void> {
 		await wait(milliseconds * (1 - (jitterShare * Math.random())), undefined, {ref: false});
 	}
 
@@ -92,19 +93,19 @@
 		});
 	}
 
-	async function follow(): Promise<void> {
+	async function runWatches(): Promise<void> {
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- a list, then watches until one fails
 			if (await listOnce() === 'failed') {
 				// eslint-disable-next-line no-await-in-loop -- the next try comes after a pause
-				await pause(options.retryMs);
+				await waitAbout(options.retryMs);
 				continue;
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one watch after the other
 			while (!closing.signal.aborted && await watchOnce() === 'done') {
 				// eslint-disable-next-line no-await-in-loop -- changes of this time come together
-				await pause(options.gatherMs);
+				await waitAbout(options.gatherMs * measureFleet(view.nodes().length));
 			}
 		}
 	}
@@ -118,7 +119,7 @@
 		});
 	}
 
-	async function renewOnce(): Promise<void> {
+	async function updateLease(): Promise<void> {
 		if (lease === undefined) {
 			await register();
 			return;
@@ -134,22 +135,22 @@
 		});
 	}
 
-	async function keepLease(): Promise<void> {
+	async function runRenewals(): Promise<void> {
 		while (!closing.signal.aborted) {
 			if (isReachable) {
 				// eslint-disable-next-line no-await-in-loop -- one renewal after the other
-				await renewOnce();
+				await updateLease();
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the pause between renewals
-			await pause(isReachable && lease !== undefined ? options.leaseMs / renewalsPerLease : options.retryMs);
+			await waitAbout(isReachable && lease !== undefined ? options.leaseMs / renewalsPerLease : options.retryMs);
 		}
 	}
 
 	return {
 		start() {
-			void follow();
-			void keepLease();
+			void runWatches();
+			void runRenewals();
 		},
 		isReachable: () => isReachable,
 		isSteady: () => isReachable && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
--- a/gateway/forwarding/src/judge-answer.ts
+++ b/gateway/forwarding/src/classify-answer.ts
@@ -7,12 +7,12 @@
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /**
- Judges the head of an endpoint's answer.
+ Classifies the head of an endpoint's answer.
 
  @example
- judgeAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false}, 'a'); // 'whole'
+ classifyAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false}, 'a'); // 'whole'
  */
-export function judgeAnswer(status: number, facts: AnswerFacts, requestId: string | undefined): Verdict {
+export function classifyAnswer(status: number, facts: AnswerFacts, requestId: string | undefined): Verdict {
 	if (facts.requestId !== undefined && facts.requestId !== requestId) {
 		return 'untrusted';
 	}
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -16,7 +16,7 @@
 import type {ForwarderOptions} from './forwarder-options.ts';
 import {getPatience} from './get-patience.ts';
 import {isRepeatable} from './is-repeatable.ts';
-import {judgeAnswer} from './judge-answer.ts';
+import {classifyAnswer} from './classify-answer.ts';
 
 /**
 Endpoints that may refuse or be unreachable, one after the other, before the caller is told so.
@@ -91,7 +91,7 @@
 
 	function handleDeadline(): void {
 		const wasSent = runs > 0;
-		stopAttempt('cancelled');
+		endAttempt('cancelled');
 		refuse(wasSent
 			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${waitMs} ms`)
 			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', `not sent within ${waitMs} ms`, {retryAfterMs: comeBackMs}));
@@ -111,12 +111,12 @@
 				return;
 			}
 
-			stopAttempt('failed');
+			endAttempt('failed');
 			handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
 		}, milliseconds);
 	}
 
-	function stopAttempt(end: 'failed' | 'cancelled'): void {
+	function endAttempt(end: 'failed' | 'cancelled'): void {
 		clearTimeout(patience);
 		exchange?.abort();
 		exchange = undefined;
@@ -171,15 +171,15 @@
 				arrivals++;
 			},
 			onHead(status, headers) {
-				const verdict = judgeAnswer(status, wire.readAnswer(status, headers), facts.requestId);
+				const verdict = classifyAnswer(status, wire.readAnswer(status, headers), facts.requestId);
 				answer = {
 					status, headers, verdict, pieces: [], bytes: 0,
 				};
 				if (verdict === 'stream') {
-					beginStream(answer);
+					startStream(answer);
 				} else if (verdict === 'untrusted') {
 					// What follows on the connection cannot be told apart from other answers.
-					stopAttempt('failed');
+					endAttempt('failed');
 					handleFailure({reason: `untrusted answer ${status}`, mayHaveRun: true});
 				}
 			},
@@ -204,7 +204,7 @@
 		};
 	}
 
-	function beginStream(answer: AttemptAnswer): void {
+	function startStream(answer: AttemptAnswer): void {
 		if (isBegun) {
 			return;
 		}
@@ -221,7 +221,7 @@
 
 		answer.bytes += chunk.length;
 		if (answer.bytes > largestWholeBytes) {
-			stopAttempt('failed');
+			endAttempt('failed');
 			handleFailure({reason: `answer of over ${largestWholeBytes} bytes`, mayHaveRun: true});
 			return 'more';
 		}
@@ -257,11 +257,11 @@
 			handleFailure({reason: 'the stream ended within an event', mayHaveRun: true});
 		} else {
 			opened.close('done');
-			passOn(answer);
+			answerCaller(answer);
 		}
 	}
 
-	function passOn(answer: AttemptAnswer): void {
+	function answerCaller(answer: AttemptAnswer): void {
 		exchange = undefined;
 		closeTask('answered', answer.status);
 		if (answer.verdict === 'stream') {
@@ -286,7 +286,7 @@
 		if (isRetried) {
 			startAttempt();
 		} else if (!isBegun && failure.answer !== undefined) {
-			passOn(failure.answer);
+			answerCaller(failure.answer);
 		} else {
 			refuse(toRefusal(failure));
 		}
@@ -306,7 +306,7 @@
 				return;
 			}
 
-			stopAttempt('cancelled');
+			endAttempt('cancelled');
 			closeTask('cancelled', 0);
 		},
 	};
--- a/gateway/routes/src/create-route-index.ts
+++ b/gateway/routes/src/create-route-index.ts
@@ -42,7 +42,9 @@
 		},
 		authenticate(route, apiKey) {
 			const account = apiKey === undefined ? undefined : accounts.get(hashApiKey(apiKey));
-			return account !== undefined || route.isPublic || configuration.accounts.length === 0 ? ok(account) : err(new ValvesaddleError('ERR_VALVESADDLE_UNAUTHENTICATED', `no client account of version ${configuration.version} holds the key`));
+			const isAllowed = account !== undefined || route.isPublic || configuration.accounts.length === 0;
+			const reason = `no client account of version ${configuration.version} holds the key`;
+			return isAllowed ? ok(account) : err(new ValvesaddleError('ERR_VALVESADDLE_UNAUTHENTICATED', reason));
 		},
 		findPool: name => pools.get(name),
 	};
--- a/gateway/selection/src/create-lane-model.ts
+++ b/gateway/selection/src/create-lane-model.ts
@@ -53,7 +53,7 @@
 	let key = '';
 	let lanes: Lanes = {long: new Set(), short: new Set()};
 
-	function decay(): void {
+	function applyDecay(): void {
 		const now = performance.now();
 		const factor = Math.exp((decayedAt - now) / averageMs);
 		longTokens *= factor;
@@ -68,7 +68,7 @@
 	}
 
 	function countLong(endpoints: number, demand: LaneDemand): number {
-		decay();
+		applyDecay();
 		const wanted = measureWanted(endpoints, demand);
 		if (count < 1 || count >= endpoints || Math.abs(wanted - count) > hysteresis) {
 			count = Math.min(endpoints - 1, Math.max(1, Math.round(wanted)));
@@ -79,7 +79,7 @@
 
 	return {
 		record(isLong, tokens) {
-			decay();
+			applyDecay();
 			longTokens += isLong ? tokens : 0;
 			shortTokens += isLong ? 0 : tokens;
 		},
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -103,7 +103,7 @@
 		return rate;
 	}
 
-	function partPool(pool: string, ready: readonly ServingEndpoint[]): Lanes {
+	function getPoolLanes(pool: string, ready: readonly ServingEndpoint[]): Lanes {
 		const model = getLaneModel(pool);
 		const {short} = model.lastLanes();
 		const shortFill = ready.reduce((sum, {id, slots}) => sum + (short.has(id) ? loads.get(id).open / slots : 0), 0) / options.shortFillUse;
@@ -158,7 +158,7 @@
 		const candidates = listCandidates(ready, question.tried);
 		return pools.get(question.pool)?.engine === undefined
 			? chooseByLoad(candidates)
-			: chooseForPrompt(candidates, partPool(question.pool, ready), question);
+			: chooseForPrompt(candidates, getPoolLanes(question.pool, ready), question);
 	}
 
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,3 +1,5 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {measureFleet} from '@valvesaddle/cluster-view';
 import {clusterStateSchema} from './cluster-state-schema.ts';
 import {heartbeatSchema} from './heartbeat-schema.ts';
 import {loadNewsSchema} from './load-news-schema.ts';
@@ -18,7 +20,7 @@
 export function createPeerSync(options: PeerSyncOptions): {readonly sync: PeerSync; readonly handlers: Handlers} {
 	const {network, view, follower, selector, logger, metrics} = options;
 	let isAsking = false;
-	const timers: NodeJS.Timeout[] = [];
+	const closing = new AbortController();
 
 	async function askState(node: string): Promise<void> {
 		isAsking = true;
@@ -39,6 +41,17 @@
 		});
 	}
 
+	/**
+	Runs a step again and again, less often in a larger fleet.
+	*/
+	async function runRepeatedly(milliseconds: number, step: () => void): Promise<void> {
+		while (!closing.signal.aborted) {
+			step();
+			// eslint-disable-next-line no-await-in-loop -- one step after the other
+			await wait(milliseconds * measureFleet(view.nodes().length), undefined, {ref: false});
+		}
+	}
+
 	function sendNews(): void {
 		const news = selector.takeNews();
 		if (news !== undefined) {
@@ -88,15 +101,14 @@
 	return {
 		sync: {
 			start() {
-				timers.push(setInterval(sendNews, options.newsMs), setInterval(() => {
+				void runRepeatedly(options.newsMs, sendNews);
+				void runRepeatedly(options.heartbeatMs, () => {
 					sendHeartbeat();
 					openLinks();
-				}, options.heartbeatMs));
+				});
 			},
 			close() {
-				for (const timer of timers) {
-					clearInterval(timer);
-				}
+				closing.abort();
 			},
 		},
 		handlers,
