--- /dev/null
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -0,0 +1,76 @@
+import {test} from 'tap';
+import type {AnswerFacts, Route, RouteKind} from '@valvesaddle/gateway-types';
+import {canRepeat} from '../src/can-repeat.ts';
+import {classifyAnswer} from '../src/classify-answer.ts';
+import {getPatience} from '../src/get-patience.ts';
+import {pickTarget} from '../src/pick-target.ts';
+
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', kind: 'safe', timeoutMs: 4000, latencyObjectiveMs: 300, priority: 1, targets: [], maximumAttempts: 2, isPublic: false, isResumable: false, pauseObjectiveMs: 0,
+};
+
+const well: AnswerFacts = {
+	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false,
+};
+
+test('what may have run is repeated only where it may run twice, and within the attempts of its route', t => {
+	const cases: ReadonlyArray<readonly [kind: RouteKind, isResumable: boolean, mayHaveRun: boolean, runs: number, isAllowed: boolean]> = [
+		['safe', false, true, 1, true],
+		['safe', false, true, 2, false],
+		['unsafe', false, true, 1, false],
+		['unsafe', true, true, 1, false],
+		['unsafe', false, false, 0, true],
+		['unsafe', false, false, 2, false],
+		['stream', false, true, 1, false],
+		['stream', true, true, 1, true],
+		['stream', true, true, 2, false],
+	];
+	for (const [kind, isResumable, mayHaveRun, runs, isAllowed] of cases) {
+		t.equal(canRepeat({route: {...route, kind, isResumable}, mayHaveRun, runs}), isAllowed, `${kind} ${String(isResumable)} ${String(mayHaveRun)} ${runs}`);
+	}
+
+	t.ok(canRepeat({route: {...route, maximumAttempts: 0}, mayHaveRun: false, runs: 0}), 'at least one endpoint is tried');
+	t.end();
+});
+
+test('only an answer that an endpoint vouches for, to this request, is passed on', t => {
+	const cases: ReadonlyArray<readonly [status: number, change: Partial<AnswerFacts>, verdict: string]> = [
+		[200, {}, 'whole'],
+		[200, {isEventStream: true}, 'stream'],
+		[204, {isSigned: false}, 'untrusted'],
+		[200, {requestId: 'b'}, 'untrusted'],
+		[200, {requestId: undefined}, 'untrusted'],
+		[200, {isEncoded: true}, 'untrusted'],
+		[404, {}, 'whole'],
+		[500, {}, 'run-failed'],
+		[503, {}, 'untrusted'],
+		[429, {}, 'untrusted'],
+		[408, {}, 'untrusted'],
+		[503, {isNotRun: true}, 'not-run'],
+		[421, {isNotRun: true, isMisdirected: true}, 'not-run'],
+		[503, {isNotRun: true, requestId: 'b'}, 'untrusted'],
+	];
+	for (const [status, change, verdict] of cases) {
+		t.equal(classifyAnswer(status, {...well, ...change}, 'a'), verdict, `${status} ${JSON.stringify(change)}`);
+	}
+
+	t.end();
+});
+
+test('patience follows the objective, but never falls below what was predicted', t => {
+	t.equal(getPatience(route, 0).firstMs, 180);
+	t.equal(getPatience(route, 500).firstMs, 1500);
+	t.equal(getPatience({...route, pauseObjectiveMs: 120}, 0).pauseMs, 700);
+	t.equal(getPatience({...route, pauseObjectiveMs: 600}, 0).pauseMs, 2400);
+	t.end();
+});
+
+test('targets are drawn by weight, and one without weight never', t => {
+	const targets = [{pool: 'a', weight: 90}, {pool: 'b', weight: 10}, {pool: 'c', weight: 0}];
+	t.equal(pickTarget(targets, 0)?.pool, 'a');
+	t.equal(pickTarget(targets, 0.899)?.pool, 'a');
+	t.equal(pickTarget(targets, 0.9)?.pool, 'b');
+	t.equal(pickTarget(targets, 0.999999)?.pool, 'b');
+	t.equal(pickTarget([], 0.5), undefined);
+	t.end();
+});
