--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -17,6 +17,7 @@
 import {getPatience} from './get-patience.ts';
 import {isRepeatable} from './is-repeatable.ts';
 import {classifyAnswer} from './classify-answer.ts';
+import {rankUrgency} from './rank-urgency.ts';
 
 /**
 Endpoints that may refuse or be unreachable, one after the other, before the caller is told so.
@@ -154,7 +155,7 @@
 				endpoint: endpoint.id,
 				account: request.account?.name,
 				remainingMs,
-				urgency: request.isEnginePool ? request.account?.priority ?? route.priority : undefined,
+				urgency: request.isEnginePool ? rankUrgency(route, request.account) : undefined,
 				lastEventId: isBegun ? relay?.lastEventId() ?? -1 : -1,
 			}),
 		}, createListener(opened));
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -4,6 +4,7 @@
 import {classifyAnswer} from '../src/classify-answer.ts';
 import {getPatience} from '../src/get-patience.ts';
 import {pickTarget} from '../src/pick-target.ts';
+import {rankUrgency} from '../src/rank-urgency.ts';
 
 const route: Route = {
 	name: 'r', host: 'h', prefix: '/', kind: 'safe', timeoutMs: 4000, latencyObjectiveMs: 300, priority: 1, targets: [], maximumAttempts: 2, isPublic: false, isResumable: false, pauseObjectiveMs: 0,
@@ -74,3 +75,11 @@
 	t.equal(pickTarget([], 0.5), undefined);
 	t.end();
 });
+
+test('the client account goes before the route, and routes of equal accounts keep their order', t => {
+	const order: ReadonlyArray<readonly [account: number | undefined, priority: number]> = [[undefined, 0], [undefined, 1], [0, 2], [1, 0], [1, 1], [1, 2], [2, 0]];
+	const ranks = order.map(([priority, routePriority]) => rankUrgency({...route, priority: routePriority}, {name: 'a', keyHashes: [], priority}));
+	t.same(ranks, ranks.toSorted((a, b) => a - b));
+	t.equal(new Set(ranks).size, ranks.length, 'none is like another');
+	t.end();
+});
