--- a/gateway/forwarding/src/rank-urgency.ts
+++ b/gateway/forwarding/src/rank-urgency.ts
@@ -1,20 +1,19 @@
 import type {GatewayAccount, Route} from '@valvesaddle/gateway-types';
 
 /**
-Ranks of routes within one rank of client accounts.
+Ranks of client accounts within one rank of routes.
 */
-const routeRanks = 4;
+const accountRanks = 2;
 
 /**
- Rank of a request at an endpoint, 0 first: the client account's priority goes before the route's, which orders requests
- of equal accounts. Without it all requests of equal accounts would be alike at the engine, and the newest of them would
- be preempted however urgent its route is.
+ Rank of a request at an endpoint, 0 first: by its route, and by the client account among requests of equal routes. By the
+ account first, the drafts of a favoured account would preempt the urgent questions of all others.
 
  @param route - The request's route.
  @param account - The client account; `undefined` for a public route.
  @example
- rankUrgency({...route, priority: 2}, {name: 'sawmill', keyHashes: [], priority: 1}); // 6
+ rankUrgency({...route, priority: 2}, {name: 'sawmill', keyHashes: [], priority: 1}); // 5
  */
 export function rankUrgency(route: Route, account: GatewayAccount | undefined): number {
-	return ((account?.priority ?? 0) * routeRanks) + Math.min(routeRanks - 1, route.priority);
+	return (route.priority * accountRanks) + Math.min(accountRanks - 1, account?.priority ?? 0);
 }
