--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -7,13 +7,23 @@
 Form of a gateway node's settings file. All times are in milliseconds.
 */
 export const gatewaySettingsSchema = z.strictObject({
-	node: z.strictObject({name: z.string().min(1), data_centre: z.string(), region: z.string()}),
+	node: z.strictObject({
+		name: z.string().min(1),
+		data_centre: z.string(),
+		region: z.string(),
+		/**
+		Share of one core that the node may use, and how many usual cores that one is worth.
+		*/
+		cpu_share: z.number().positive().default(1),
+		core_speed: z.number().positive().default(1),
+	}),
 	listen: z.strictObject({callers: address, ready: address, peers: address}),
 	store: z.strictObject({
 		address,
 		timeout_ms: milliseconds.default(1000),
-		watch_ms: milliseconds.default(25_000),
+		watch_ms: milliseconds.default(3000),
 		gather_ms: milliseconds.default(60),
+		settle_ms: milliseconds.default(300),
 		retry_ms: milliseconds.default(400),
 		lease_ms: milliseconds.default(8000),
 		lapse_grace_ms: milliseconds.default(2000),
@@ -43,6 +53,14 @@
 		silence_ms: milliseconds.default(1200),
 		news_ms: milliseconds.default(20),
 		heartbeat_ms: milliseconds.default(250),
+		/**
+		Largest fleet in which every node is linked with every other.
+		*/
+		mesh_nodes: z.int().min(1).default(16),
+		/**
+		Time after which a relay that could not be reached is tried again.
+		*/
+		suspect_ms: milliseconds.default(8000),
 	}).prefault({}),
 	limits: z.strictObject({
 		connect_ms: milliseconds.default(400),
--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -6,7 +6,7 @@
 const template = path.resolve(import.meta.dirname, '../../../deploy/settings.toml');
 
 const values: Readonly<Record<string, string>> = {
-	'node-name': 'n1', zone: 'a', region: 'r', 'listen.front': '10.0.0.1:1', 'listen.ready': '10.0.0.1:2', ip: '10.0.0.1', 'internal-port-range.0': '7340', 'platform.address': '10.0.0.2:3', 'bounds.retry-budget-ratio': '0.2', 'bounds.budget-slack': '56', 'bounds.budget-window-s': '10', 'bounds.reuse-window-s': '10', 'bounds.grace-s': '8',
+	'node-name': 'n1', zone: 'a', region: 'r', 'listen.front': '10.0.0.1:1', 'listen.ready': '10.0.0.1:2', ip: '10.0.0.1', 'internal-port-range.0': '7340', 'platform.address': '10.0.0.2:3', 'bounds.retry-budget-ratio': '0.2', 'bounds.budget-slack': '56', 'bounds.budget-window-s': '10', 'bounds.reuse-window-s': '10', 'bounds.grace-s': '8', 'limits.cpu-share': '0.675', 'limits.cores': '2',
 };
 
 test('the template of the deployment, filled in, is a valid file', async t => {
@@ -18,7 +18,7 @@
 
 	const settings = parseGatewaySettings(filled)._unsafeUnwrap();
 	t.match(settings, {
-		node: {name: 'n1'}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_ms: 10_000}, drain: {grace_ms: 8000}, selection: {reuse_ms: 10_000},
+		node: {name: 'n1', cpu_share: 0.675, core_speed: 2}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_ms: 10_000}, drain: {grace_ms: 8000}, selection: {reuse_ms: 10_000},
 	});
 });
 
--- /dev/null
+++ b/core/ranking/src/index.ts
@@ -0,0 +1,1 @@
+export {rankByHash} from './rank-by-hash.ts';
--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -66,6 +66,9 @@
 			// Not used by the client.
 		},
 		connected: () => [],
+		disconnect() {
+			// Nothing is open.
+		},
 		async close() {
 			// Nothing is open.
 		},
--- a/gateway/cluster-view/src/cluster-events.ts
+++ b/gateway/cluster-view/src/cluster-events.ts
@@ -1,4 +1,10 @@
-import type {GatewayConfiguration, GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {
+	ClusterChanges,
+	GatewayConfiguration,
+	GatewayNode,
+	ServingEndpoint,
+} from '@valvesaddle/gateway-types';
+import type {BeliefSource} from './belief-source.ts';
 
 /**
 What a cluster view tells of.
@@ -9,4 +15,8 @@
 	endpointRemoved: {readonly id: string};
 	node: {readonly node: GatewayNode};
 	nodeRemoved: {readonly id: string};
+	/**
+	The revision went on from `after`, by changes that leave no gap.
+	*/
+	advanced: {readonly after: number; readonly changes: ClusterChanges; readonly source: BeliefSource};
 };
--- a/gateway/cluster-view/src/cluster-state.ts
+++ b/gateway/cluster-view/src/cluster-state.ts
@@ -7,7 +7,7 @@
 	readonly revision: number;
 	readonly configuration: GatewayConfiguration | undefined;
 	readonly endpoints: ReadonlyArray<{readonly endpoint: ServingEndpoint; readonly revision: number}>;
-	readonly nodes: readonly GatewayNode[];
+	readonly nodes: ReadonlyArray<{readonly node: GatewayNode; readonly revision: number}>;
 	/**
 	Whether the node was in touch with the store all the while, so that what is missing here was removed and did not lapse.
 	*/
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -16,6 +16,8 @@
 	readonly [Kind in ClusterChange['kind']]: (change: Extract<ClusterChange, {readonly kind: Kind}>, source: BeliefSource) => void;
 };
 
+type Removal = Extract<ClusterChange, {readonly kind: 'endpoint-removed' | 'node-removed'}>;
+
 /**
  Creates a node's view of the cluster, empty at first.
 
@@ -28,16 +30,15 @@
 	const endpoints = createVersionedMap<ServingEndpoint>();
 	const nodes = createVersionedMap<GatewayNode>();
 	/**
-	Endpoints that were removed while entries may have lapsed, with the revision of the removal.
+	Endpoints and nodes that were removed while entries may have lapsed.
 	*/
-	const lapsed = new Map<string, number>();
+	const lapsed = new Map<string, Removal>();
 	let configuration: GatewayConfiguration | undefined;
 	let revision = -1;
 	let lapseUntil = 0;
 	let lapseTimer: NodeJS.Timeout | undefined;
 
-	function removeEndpoint(id: string, at: number, source: BeliefSource): void {
-		lapsed.delete(id);
+	function removeEndpoint({id, revision: at}: Removal, source: BeliefSource): void {
 		if (!endpoints.remove(id, at)) {
 			return;
 		}
@@ -49,11 +50,45 @@
 		void events.emit('endpointRemoved', {id});
 	}
 
+	function removeNode({id, revision: at}: Removal): void {
+		if (nodes.remove(id, at)) {
+			void events.emit('nodeRemoved', {id});
+		}
+	}
+
+	const removers: Readonly<Record<Removal['kind'], (removal: Removal, source: BeliefSource) => void>> = {
+		'endpoint-removed': removeEndpoint,
+		'node-removed': removeNode,
+	};
+
 	function expireLapsed(): void {
 		lapseTimer = undefined;
-		for (const [id, at] of lapsed) {
-			removeEndpoint(id, at, 'store');
+		for (const removal of lapsed.values()) {
+			removers[removal.kind](removal, 'store');
 		}
+
+		lapsed.clear();
+	}
+
+	/**
+	An entry that may only have lapsed while the store was away is kept until it has had time to come back.
+	*/
+	function applyRemoval(removal: Removal, source: BeliefSource, isKnown: boolean): void {
+		const now = performance.now();
+		if (!isKnown || source !== 'store' || now >= lapseUntil) {
+			lapsed.delete(removal.id);
+			removers[removal.kind](removal, source);
+			return;
+		}
+
+		if (!lapsed.has(removal.id)) {
+			logger.info({
+				name: 'entry-lapsed', id: removal.id, revision: removal.revision, graceMs: Math.round(lapseUntil - now),
+			});
+		}
+
+		lapsed.set(removal.id, removal);
+		lapseTimer ??= setTimeout(expireLapsed, lapseUntil - now);
 	}
 
 	const handlers: Handlers = {
@@ -84,25 +119,26 @@
 
 			void events.emit('endpoint', {endpoint});
 		},
-		'endpoint-removed'({id, revision: at}, source) {
-			const now = performance.now();
-			if (source !== 'store' || now >= lapseUntil || endpoints.get(id) === undefined) {
-				removeEndpoint(id, at, source);
+		'endpoint-removed'(change, source) {
+			applyRemoval(change, source, endpoints.get(change.id) !== undefined);
+		},
+		node({node, revision: at}) {
+			lapsed.delete(node.id);
+			if (!nodes.set(node.id, node, at)) {
 				return;
 			}
 
-			lapsed.set(id, at);
-			lapseTimer ??= setTimeout(expireLapsed, lapseUntil - now);
-		},
-		node({node, revision: at}) {
-			if (nodes.set(node.id, node, at)) {
-				void events.emit('node', {node});
+			// A process that was started anew has taken the place of the one before.
+			for (const {value: {id, address}, revision: registeredAt} of nodes.entries()) {
+				if (address === node.address && registeredAt < at) {
+					removeNode({kind: 'node-removed', id, revision: at});
+				}
 			}
+
+			void events.emit('node', {node});
 		},
-		'node-removed'({id, revision: at}) {
-			if (nodes.remove(id, at)) {
-				void events.emit('nodeRemoved', {id});
-			}
+		'node-removed'(change, source) {
+			applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
 		unreadable({key, reason, revision: at}) {
 			metrics.increment('gateway.entries-unreadable');
@@ -117,7 +153,7 @@
 		handle(change, source);
 	}
 
-	function applyChanges(changes: ClusterChanges, source: BeliefSource): void {
+	function applyEach(changes: ClusterChanges, source: BeliefSource): void {
 		for (const change of changes.changes) {
 			applyChange(change, source);
 		}
@@ -125,6 +161,14 @@
 		revision = Math.max(revision, changes.revision);
 	}
 
+	function applyChanges(changes: ClusterChanges, source: BeliefSource): void {
+		const after = revision;
+		applyEach(changes, source);
+		if (revision > after) {
+			void events.emit('advanced', {after, changes, source});
+		}
+	}
+
 	function applyAll(changes: ClusterChanges, source: BeliefSource): void {
 		const listedEndpoints = new Set(changes.changes.flatMap(change => change.kind === 'endpoint' ? [change.endpoint.id] : []));
 		const listedNodes = new Set(changes.changes.flatMap(change => change.kind === 'node' ? [change.node.id] : []));
@@ -136,7 +180,7 @@
 			applyChange({kind: 'node-removed', id, revision: changes.revision}, source);
 		}
 
-		applyChanges(changes, source);
+		applyEach(changes, source);
 	}
 
 	return {
@@ -154,7 +198,7 @@
 			revision,
 			configuration,
 			endpoints: endpoints.entries().map(({value, revision: at}) => ({endpoint: value, revision: at})),
-			nodes: nodes.values(),
+			nodes: nodes.entries().map(({value, revision: at}) => ({node: value, revision: at})),
 			isSteady,
 		}),
 		importState(state) {
@@ -163,7 +207,7 @@
 			}
 
 			const changes: ClusterChange[] = state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint', revision: at, endpoint}));
-			changes.push(...state.nodes.map(node => ({kind: 'node' as const, revision: state.revision, node})));
+			changes.push(...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})));
 			const apply = state.isSteady && state.revision > revision ? applyAll : applyChanges;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -11,6 +11,10 @@
 */
 const renewalsPerLease = 4;
 /**
+Most that the term of a lease grows with the fleet: so long may a node that was lost stay listed.
+*/
+const longestTermFactor = 2;
+/**
 Share of a pause that is drawn by lot, so that nodes do not call in step.
 */
 const jitterShare = 0.5;
@@ -20,13 +24,17 @@
  node's lease show whether the store still answers while a watch waits.
 
  @example
- const follower = createStoreFollower({store, view, self, watchMs: 25_000, gatherMs: 50, retryMs: 400, leaseMs: 8000, lapseGraceMs: 2000, logger, metrics});
+ const follower = createStoreFollower({store, view, self, watchMs: 25_000, gatherMs: 50, settleMs: 300, retryMs: 400, leaseMs: 8000, lapseGraceMs: 2000, isNeeded: () => true, logger, metrics});
  follower.start();
  */
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
 	const {store, view, logger, metrics} = options;
 	const closing = new AbortController();
 	let isReachable = false;
+	/**
+	Whether the view holds all that the store held at its revision.
+	*/
+	let isFollowing = false;
 	let wasLost = false;
 	let reachableSince = 0;
 	let lease: string | undefined;
@@ -70,6 +78,7 @@
 		return listed.match(changes => {
 			markReachable();
 			view.applyAll(changes, 'store');
+			isFollowing = true;
 			return 'done';
 		}, error => {
 			markLost(error.message);
@@ -93,25 +102,53 @@
 		});
 	}
 
+	/**
+	A list, then watches until one fails or others watch for this node.
+	*/
+	async function watchStore(): Promise<void> {
+		if (await listOnce() === 'failed') {
+			await waitAbout(options.retryMs * measureFleet(view.nodes().length));
+			return;
+		}
+
+		// At a start of the whole fleet most entries come within this time.
+		await waitAbout(options.settleMs);
+		// eslint-disable-next-line no-await-in-loop -- one watch after the other
+		while (!closing.signal.aborted && options.isNeeded() && await watchOnce() === 'done') {
+			// eslint-disable-next-line no-await-in-loop -- changes of this time come together
+			await waitAbout(options.gatherMs);
+		}
+	}
+
 	async function runWatches(): Promise<void> {
 		while (!closing.signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop -- a list, then watches until one fails
-			if (await listOnce() === 'failed') {
-				// eslint-disable-next-line no-await-in-loop -- the next try comes after a pause
-				await waitAbout(options.retryMs);
-				continue;
+			const isNeeded = options.isNeeded();
+			if (isNeeded !== isFollowing) {
+				metrics.increment('gateway.follow-changes');
 			}
 
-			// eslint-disable-next-line no-await-in-loop -- one watch after the other
-			while (!closing.signal.aborted && await watchOnce() === 'done') {
-				// eslint-disable-next-line no-await-in-loop -- changes of this time come together
-				await waitAbout(options.gatherMs * measureFleet(view.nodes().length));
-			}
+			isFollowing = false;
+			// eslint-disable-next-line no-await-in-loop -- one turn after the other
+			await (isNeeded ? watchStore() : waitAbout(options.retryMs));
 		}
 	}
 
+	/**
+	Terms are longer in a large fleet, so that the renewals of all stay few.
+	*/
+	function measureTerm(): number {
+		return options.leaseMs * Math.min(longestTermFactor, measureFleet(view.nodes().length));
+	}
+
+	/**
+	A node that watches for others has to notice a silent store soon.
+	*/
+	function measureRenewal(): number {
+		return (options.isNeeded() ? options.leaseMs : measureTerm()) / renewalsPerLease;
+	}
+
 	async function register(): Promise<void> {
-		const registered = await store.register(options.self, options.leaseMs);
+		const registered = await store.register(options.self, measureTerm());
 		registered.match(opened => {
 			lease = opened;
 		}, error => {
@@ -126,24 +163,31 @@
 		}
 
 		const renewed = await store.renew(lease);
-		renewed.match(isHeld => {
-			if (!isHeld) {
-				lease = undefined;
+		const isHeld = renewed.unwrapOr(true);
+		renewed.match(() => {
+			if (!isFollowing) {
+				markReachable();
 			}
 		}, error => {
 			markLost(error.message);
 		});
+		if (isHeld) {
+			return;
+		}
+
+		lease = undefined;
+		await register();
 	}
 
 	async function runRenewals(): Promise<void> {
 		while (!closing.signal.aborted) {
-			if (isReachable) {
+			if (isReachable || lease !== undefined) {
 				// eslint-disable-next-line no-await-in-loop -- one renewal after the other
 				await updateLease();
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the pause between renewals
-			await waitAbout(isReachable && lease !== undefined ? options.leaseMs / renewalsPerLease : options.retryMs);
+			await waitAbout(isReachable && lease !== undefined ? measureRenewal() : options.retryMs);
 		}
 	}
 
@@ -153,7 +197,7 @@
 			void runRenewals();
 		},
 		isReachable: () => isReachable,
-		isSteady: () => isReachable && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
+		isSteady: () => isReachable && isFollowing && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
 		async close() {
 			closing.abort();
 			lost.resolve('lost');
--- a/gateway/cluster-view/src/store-follower-options.ts
+++ b/gateway/cluster-view/src/store-follower-options.ts
@@ -19,6 +19,10 @@
 	*/
 	readonly gatherMs: number;
 	/**
+	Pause between the list and the first watch, in which the entries of a fleet that starts at once come together.
+	*/
+	readonly settleMs: number;
+	/**
 	Pause before a call that failed is tried again.
 	*/
 	readonly retryMs: number;
@@ -30,6 +34,10 @@
 	How long after the return of the store a missing endpoint may still come back.
 	*/
 	readonly lapseGraceMs: number;
+	/**
+	Whether this node has to watch the store itself; in a large fleet a few nodes do so for all.
+	*/
+	readonly isNeeded: () => boolean;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- a/gateway/cluster-view/test/cluster-view.test.ts
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -1,6 +1,11 @@
 import {Clock} from 'clock-mock';
 import {test, type Test} from 'tap';
-import type {ClusterChange, GatewayConfiguration, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {
+	ClusterChange,
+	GatewayConfiguration,
+	GatewayNode,
+	ServingEndpoint,
+} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
 import {createClusterView} from '@valvesaddle/cluster-view';
@@ -105,3 +110,34 @@
 	t.equal(view.endpoints().length, 1);
 	t.end();
 });
+
+function toNode(id: string, address: string): GatewayNode {
+	return {
+		id, address, token: 'x', dataCentre: 'a', capacity: 1,
+	};
+}
+
+test('a node that was started anew replaces the one before at its address, and older news does not bring it back', t => {
+	const view = createView(t);
+	view.applyChanges({revision: 5, changes: [{kind: 'node', revision: 5, node: toNode('n1.old', '10.0.0.1:7')}, {kind: 'node', revision: 5, node: toNode('n2', '10.0.0.2:7')}]}, 'store');
+	view.applyChanges({revision: 8, changes: [{kind: 'node', revision: 8, node: toNode('n1.new', '10.0.0.1:7')}]}, 'store');
+	t.same(view.nodes().map(({id}) => id), ['n2', 'n1.new']);
+	view.importState({
+		revision: 6, configuration: undefined, endpoints: [], nodes: [{node: toNode('n1.old', '10.0.0.1:7'), revision: 5}], isSteady: false,
+	});
+	t.same(view.nodes().map(({id}) => id), ['n2', 'n1.new']);
+	t.end();
+});
+
+test('nodes whose entries lapsed in an outage stay known until they have had time to register again', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const view = createView(t);
+	view.applyChanges({revision: 5, changes: [{kind: 'node', revision: 5, node: toNode('n1', '10.0.0.1:7')}]}, 'store');
+	view.setLapseUntil(performance.now() + 2000);
+	view.applyChanges({revision: 6, changes: [{kind: 'node-removed', revision: 6, id: 'n1'}]}, 'store');
+	t.equal(view.nodes().length, 1);
+	clock.advance(2000);
+	t.equal(view.nodes().length, 0);
+	t.end();
+});
--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -15,7 +15,13 @@
 */
 const patientMs = 10_000;
 
-async function startFollower(t: Test, {timeoutMs = patientMs, lapseGraceMs = 50} = {}) {
+type FollowerChange = {
+	readonly timeoutMs?: number;
+	readonly lapseGraceMs?: number;
+	readonly isNeeded?: () => boolean;
+};
+
+async function startFollower(t: Test, {timeoutMs = patientMs, lapseGraceMs = 50, isNeeded = () => true}: FollowerChange = {}) {
 	const server = await startFakeFleetStore();
 	server.put('op/config', {version: 1, routes: [], services: []});
 	for (const id of ['i-1', 'i-2', 'i-3', 'i-4']) {
@@ -31,7 +37,20 @@
 	});
 	const view = createClusterView({logger, metrics});
 	const follower = createStoreFollower({
-		store, view, self: {id: 'n1', address: '10.0.0.9:7', token: 'secret'}, watchMs: 20_000, gatherMs: 1, retryMs: 10, leaseMs: 1000, lapseGraceMs, logger, metrics,
+		store,
+		view,
+		self: {
+			id: 'n1', address: '10.0.0.9:7', token: 'secret', dataCentre: 'a', capacity: 1,
+		},
+		watchMs: 20_000,
+		gatherMs: 1,
+		settleMs: 1,
+		retryMs: 10,
+		leaseMs: 1000,
+		lapseGraceMs,
+		isNeeded,
+		logger,
+		metrics,
 	});
 	t.teardown(async () => {
 		await follower.close();
@@ -59,9 +78,10 @@
 	const {server, view} = await startFollower(t);
 	await waitUntil(() => view.nodes().some(({id}) => id === 'n1'));
 	server.endLeases();
-	await waitUntil(() => view.nodes().length === 0);
+	t.notOk(server.keys().includes('gateway/nodes/n1'));
+	await waitUntil(() => server.keys().includes('gateway/nodes/n1'));
 	await waitUntil(() => view.nodes().some(({id}) => id === 'n1'));
-	t.ok(server.keys().includes('gateway/nodes/n1'));
+	t.equal(view.nodes().length, 1);
 });
 
 test('a store that has dropped its history is listed anew', async t => {
@@ -98,3 +118,21 @@
 	t.same(view.endpoints().map(({id}) => id), ['i-1', 'i-2', 'i-3', 'i-4', 'i-5']);
 	t.notOk(follower.isSteady(), 'peers are not told that what is missing was removed');
 });
+
+test('a node for which others watch makes no calls but renewals, and follows again when it must', async t => {
+	let isNeeded = true;
+	const {server, view, follower} = await startFollower(t, {isNeeded: () => isNeeded});
+	await waitUntil(() => follower.isSteady() && view.nodes().length === 1);
+	isNeeded = false;
+	server.put('servers/i-5', service);
+	await waitUntil(() => !follower.isSteady());
+	const before = server.calls().get('kv-watch');
+	const renewed = server.calls().get('kv-keep') ?? 0;
+	server.put('op/config', {version: 9, routes: [], services: []});
+	await waitUntil(() => (server.calls().get('kv-keep') ?? 0) > renewed + 1);
+	t.equal(server.calls().get('kv-watch'), before);
+	t.equal(view.configuration()?.version, 1);
+	isNeeded = true;
+	await waitUntil(() => view.configuration()?.version === 9);
+	t.ok(follower.isSteady());
+});
--- a/gateway/selection/src/choose-lane.ts
+++ b/gateway/selection/src/choose-lane.ts
@@ -1,5 +1,5 @@
+import {rankByHash} from '@valvesaddle/ranking';
 import type {Lanes} from './lanes.ts';
-import {rankByHash} from './rank-by-hash.ts';
 
 const laneKey = 'lane';
 
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -1,9 +1,7 @@
+import {addLoads} from './add-loads.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {LoadTable} from './load-table.ts';
-
-const noLoad: EndpointLoad = {
-	open: 0, prefillTokens: 0, longTokens: 0, shortOpen: 0,
-};
+import {noLoad} from './no-load.ts';
 
 /**
  Creates the table of work at endpoints.
@@ -63,12 +61,3 @@
 		listOwn: () => [...own],
 	};
 }
-
-function addLoads(a: EndpointLoad, b: EndpointLoad): EndpointLoad {
-	return {
-		open: Math.max(0, a.open + b.open),
-		prefillTokens: Math.max(0, a.prefillTokens + b.prefillTokens),
-		longTokens: Math.max(0, a.longTokens + b.longTokens),
-		shortOpen: Math.max(0, a.shortOpen + b.shortOpen),
-	};
-}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,4 +1,5 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {rankByHash} from '@valvesaddle/ranking';
 import type {Lanes} from './lanes.ts';
 import type {LaneModel} from './lane-model.ts';
 import {createLaneModel} from './create-lane-model.ts';
@@ -10,7 +11,6 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {OpenWork} from './open-work.ts';
 import type {Placement} from './placement.ts';
-import {rankByHash} from './rank-by-hash.ts';
 import type {Selection} from './selection.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 import type {Selector} from './selector.ts';
--- a/gateway/selection/src/index.ts
+++ b/gateway/selection/src/index.ts
@@ -1,6 +1,8 @@
+export {addLoads} from './add-loads.ts';
 export {createSelector} from './create-selector.ts';
 export type {EndpointLoad} from './endpoint-load.ts';
 export type {LoadNews} from './load-news.ts';
+export {noLoad} from './no-load.ts';
 export type {OpenWork} from './open-work.ts';
 export type {Placement} from './placement.ts';
 export type {Selection} from './selection.ts';
--- /dev/null
+++ b/gateway/selection/src/no-load.ts
@@ -0,0 +1,8 @@
+import type {EndpointLoad} from './endpoint-load.ts';
+
+/**
+Load of an endpoint without work.
+*/
+export const noLoad: EndpointLoad = {
+	open: 0, prefillTokens: 0, longTokens: 0, shortOpen: 0,
+};
--- a/gateway/types/src/gateway-node.ts
+++ b/gateway/types/src/gateway-node.ts
@@ -14,4 +14,9 @@
 	Secret that peers present to this node.
 	*/
 	readonly token: string;
+	readonly dataCentre: string;
+	/**
+	Share of a usual core that it may use; the stronger nodes of a data centre carry more for the fleet.
+	*/
+	readonly capacity: number;
 };
--- /dev/null
+++ b/node/gateway/src/belief-sync.ts
@@ -0,0 +1,21 @@
+import type {ClusterState} from '@valvesaddle/cluster-view';
+
+/**
+Exchange of beliefs on the cluster with peers.
+*/
+export type BeliefSync = {
+	readonly sendHeartbeat: () => void;
+	/**
+	Takes in a peer's message; throws `ZodError` for one of a wrong form.
+	*/
+	readonly applyHeartbeat: (parameters: unknown, node: string) => void;
+	readonly applyChanges: (parameters: unknown, node: string) => void;
+	/**
+	All that this node believes, for a peer that asks.
+	*/
+	readonly exportState: () => ClusterState;
+	/**
+	Whether this node has to ask the store itself, as a follower for others or since no peer has confirmed anything of late.
+	*/
+	readonly isStoreNeeded: () => boolean;
+};
--- /dev/null
+++ b/node/gateway/src/create-belief-sync.ts
@@ -0,0 +1,120 @@
+import type {ClusterView, StoreFollower} from '@valvesaddle/cluster-view';
+import type {Logger} from '@valvesaddle/logger';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {PeerNetwork} from '@valvesaddle/network';
+import type {BeliefSync} from './belief-sync.ts';
+import {changesSchema} from './changes-schema.ts';
+import {clusterStateSchema} from './cluster-state-schema.ts';
+import {heartbeatSchema} from './heartbeat-schema.ts';
+import type {LinkPlan} from './link-plan.ts';
+
+/**
+Options of `createBeliefSync`.
+*/
+type BeliefSyncOptions = {
+	readonly network: PeerNetwork;
+	readonly links: LinkPlan;
+	readonly view: ClusterView;
+	readonly follower: Pick<StoreFollower, 'isSteady'>;
+	/**
+	Age of the last confirmation from the store, in milliseconds, over which a node trusts no peer and asks the store itself.
+	*/
+	readonly confirmMs: number;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+};
+
+/**
+Age that stands for a confirmation that never was, in milliseconds.
+*/
+const neverMs = 1e9;
+
+/**
+ Creates the exchange of beliefs with peers. Followers of the store pass changes on as they come; a node that has missed
+ some asks the peer whose heartbeat shows a higher revision. A node that the store refuses thus stays up to date.
+
+ @example
+ const beliefs = createBeliefSync(options);
+ beliefs.sendHeartbeat();
+ beliefs.isStoreNeeded();
+ */
+export function createBeliefSync(options: BeliefSyncOptions): BeliefSync {
+	const {network, links, view, follower, logger, metrics} = options;
+	let isAsking = false;
+	let isFollowing = true;
+	let confirmedAt = -Infinity;
+
+	function measureAge(): number {
+		if (follower.isSteady()) {
+			confirmedAt = performance.now();
+		}
+
+		return Math.min(neverMs, Math.round(performance.now() - confirmedAt));
+	}
+
+	function isConfirmed(): boolean {
+		return measureAge() <= options.confirmMs;
+	}
+
+	async function askState(node: string): Promise<void> {
+		isAsking = true;
+		const answered = await network.call(node, 'cluster.state', {});
+		isAsking = false;
+		answered.match(state => {
+			const parsed = clusterStateSchema.safeParse(state);
+			if (!parsed.success) {
+				logger.warn({
+					name: 'peer-state', peer: node, reachable: true, reason: `its state cannot be read: ${parsed.error.message}`,
+				});
+				return;
+			}
+
+			metrics.increment('gateway.states-from-peers');
+			view.importState(parsed.data);
+		}, error => {
+			logger.info({
+				name: 'peer-state', peer: node, reachable: false, reason: error.message,
+			});
+		});
+	}
+
+	view.events.on('advanced', ({data: {after, changes, source}}) => {
+		const isOwn = source === 'store';
+		if (links.isMesh() || (isOwn && !follower.isSteady())) {
+			return;
+		}
+
+		network.broadcast('cluster.changes', {after, changes}, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
+	});
+
+	return {
+		sendHeartbeat() {
+			network.broadcast('cluster.heartbeat', {revision: view.revision(), confirmedAgoMs: measureAge()});
+		},
+		applyHeartbeat(parameters, node) {
+			const {revision, confirmedAgoMs} = heartbeatSchema.parse(parameters);
+			confirmedAt = Math.max(confirmedAt, performance.now() - confirmedAgoMs);
+			if (!isAsking && confirmedAgoMs <= options.confirmMs && revision > view.revision()) {
+				void askState(node);
+			}
+		},
+		applyChanges(parameters, node) {
+			const {after, changes} = changesSchema.parse(parameters);
+			if (after <= view.revision()) {
+				view.applyChanges(changes, 'peer');
+			} else if (!isAsking) {
+				void askState(node);
+			}
+		},
+		exportState: () => view.exportState(isConfirmed()),
+		isStoreNeeded() {
+			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed();
+			if (isNeeded !== isFollowing) {
+				isFollowing = isNeeded;
+				logger.info({name: 'store-following', isFollowing, confirmedAgoMs: measureAge()});
+			}
+
+			return isNeeded;
+		},
+	};
+}
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -5,6 +5,7 @@
 import {createFleetStore} from '@valvesaddle/fleet-store';
 import {createForwarder} from '@valvesaddle/forwarding';
 import {createFront} from '@valvesaddle/front';
+import type {GatewayNode} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics, createMetricsPage} from '@valvesaddle/metrics';
 import {createPeerNetwork} from '@valvesaddle/network';
@@ -42,7 +43,13 @@
  */
 export function createGateway({settings}: GatewayOptions): Gateway {
 	const {node: {name}, listen, store: storeSettings, retry, selection, drain: drainSettings, peers} = settings;
-	const self = {id: `${name}.${randomBytes(idBytes).toString('hex')}`, address: listen.peers, token: randomBytes(tokenBytes).toString('base64url')};
+	const self: GatewayNode = {
+		id: `${name}.${randomBytes(idBytes).toString('hex')}`,
+		address: listen.peers,
+		token: randomBytes(tokenBytes).toString('base64url'),
+		dataCentre: settings.node.data_centre,
+		capacity: settings.node.cpu_share * settings.node.core_speed,
+	};
 	const page = createMetricsPage();
 	const metrics = createMetrics({node: name, page});
 	const logger = createLogger({node: self.id, level: settings.observe.log_level, to: 'output'});
@@ -62,9 +69,11 @@
 		self,
 		watchMs: storeSettings.watch_ms,
 		gatherMs: storeSettings.gather_ms,
+		settleMs: storeSettings.settle_ms,
 		retryMs: storeSettings.retry_ms,
 		leaseMs: storeSettings.lease_ms,
 		lapseGraceMs: storeSettings.lapse_grace_ms,
+		isNeeded: () => sync.isStoreNeeded(),
 		logger,
 		metrics,
 	});
@@ -91,7 +100,17 @@
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 	});
 	const {sync, handlers} = createPeerSync({
-		node: self.id, network, view, follower, selector, newsMs: peers.news_ms, heartbeatMs: peers.heartbeat_ms, logger, metrics,
+		self,
+		network,
+		view,
+		follower,
+		selector,
+		newsMs: peers.news_ms,
+		heartbeatMs: peers.heartbeat_ms,
+		meshNodes: peers.mesh_nodes,
+		suspectMs: peers.suspect_ms,
+		logger,
+		metrics,
 	});
 	let mostNodes = retry.assumed_nodes;
 	const budget = createRetryBudget({
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,16 +1,24 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {measureFleet} from '@valvesaddle/cluster-view';
-import {clusterStateSchema} from './cluster-state-schema.ts';
-import {heartbeatSchema} from './heartbeat-schema.ts';
-import {loadNewsSchema} from './load-news-schema.ts';
+import {createBeliefSync} from './create-belief-sync.ts';
+import {createLinkPlan} from './create-link-plan.ts';
+import {createNewsSync} from './create-news-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
 import type {PeerSyncOptions} from './peer-sync-options.ts';
 
 type Handlers = Readonly<Record<string, (parameters: unknown, node: string) => unknown>>;
 
 /**
- Creates the exchange of beliefs and work with peers, and the handlers for their messages. A node that is behind a peer
- asks it for its state, so a node that the store refuses stays up to date.
+Most that the pause between messages on work grows with the fleet: news must stay younger than a short stream.
+*/
+const longestNewsFactor = 3;
+/**
+Heartbeats that may be missed before a link counts as silent, or a confirmation of the store as too old.
+*/
+const missedHeartbeats = 6;
+
+/**
+ Creates the exchange of beliefs and work with peers, and the handlers for their messages.
 
  @example
  const {sync, handlers} = createPeerSync(options);
@@ -18,99 +26,69 @@
  sync.start();
  */
 export function createPeerSync(options: PeerSyncOptions): {readonly sync: PeerSync; readonly handlers: Handlers} {
-	const {network, view, follower, selector, logger, metrics} = options;
-	let isAsking = false;
+	const {self, network, view, follower, selector, heartbeatMs, logger, metrics} = options;
 	const closing = new AbortController();
+	const silenceMs = missedHeartbeats * heartbeatMs;
+	const links = createLinkPlan({
+		self, network, view, meshNodes: options.meshNodes, silenceMs, suspectMs: options.suspectMs, logger,
+		introduce(node) {
+			news.introduce(node);
+		},
+	});
+	const news = createNewsSync({
+		node: self.id, network, links, selector, countNodes: () => view.nodes().length,
+	});
+	const beliefs = createBeliefSync({
+		network, links, view, follower, confirmMs: silenceMs, logger, metrics,
+	});
 
-	async function askState(node: string): Promise<void> {
-		isAsking = true;
-		const answered = await network.call(node, 'cluster.state', {});
-		isAsking = false;
-		answered.match(state => {
-			const parsed = clusterStateSchema.safeParse(state);
-			if (!parsed.success) {
-				return;
-			}
-
-			metrics.increment('gateway.states-from-peers');
-			view.importState(parsed.data);
-		}, error => {
-			logger.info({
-				name: 'peer-state', peer: node, reachable: false, reason: error.message,
-			});
-		});
-	}
-
-	/**
-	Runs a step again and again, less often in a larger fleet.
-	*/
-	async function runRepeatedly(milliseconds: number, step: () => void): Promise<void> {
+	async function runRepeatedly(measurePause: () => number, step: () => void): Promise<void> {
 		while (!closing.signal.aborted) {
 			step();
 			// eslint-disable-next-line no-await-in-loop -- one step after the other
-			await wait(milliseconds * measureFleet(view.nodes().length), undefined, {ref: false});
+			await wait(measurePause(), undefined, {ref: false});
 		}
 	}
 
-	function sendNews(): void {
-		const news = selector.takeNews();
-		if (news !== undefined) {
-			network.broadcast('load.news', news);
-		}
-	}
-
-	function sendHeartbeat(): void {
-		network.broadcast('cluster.heartbeat', {revision: view.revision(), isSteady: follower.isSteady()});
-	}
-
 	/**
-	Of two nodes the one with the smaller id opens the link.
+	Hears a message: whatever it says, its sender is alive.
 	*/
-	function openLinks(): void {
-		const connected = new Set(network.connected());
-		selector.setUnseenFactor(Math.max(1, view.nodes().length / (connected.size + 1)));
-		for (const {id} of view.nodes()) {
-			if (id > options.node && !connected.has(id)) {
-				network.notify(id, 'load.news', selector.listOwn());
-			}
-		}
+	function withSign(handle: (parameters: unknown, node: string) => unknown): Handlers[string] {
+		return (parameters, node) => {
+			links.markHeard(node);
+			return handle(parameters, node);
+		};
 	}
 
-	const handlers: Handlers = {
-		'load.news'(parameters, node) {
-			selector.applyNews(node, loadNewsSchema.parse(parameters));
-		},
-		'cluster.heartbeat'(parameters, node) {
-			const {revision, isSteady} = heartbeatSchema.parse(parameters);
-			if (isSteady && !isAsking && revision > view.revision()) {
-				void askState(node);
-			}
-		},
-		'cluster.state': () => view.exportState(follower.isSteady()),
-	};
-
 	network.events.on('lost', ({data: {node}}) => {
-		selector.removeNode(node);
+		news.removeLink(node);
 		logger.info({name: 'peer-state', peer: node, reachable: false});
 	});
 	network.events.on('found', ({data: {node}}) => {
 		logger.info({name: 'peer-state', peer: node, reachable: true});
-		network.notify(node, 'load.news', selector.listOwn());
+		news.introduce(node);
 	});
 
 	return {
 		sync: {
 			start() {
-				void runRepeatedly(options.newsMs, sendNews);
-				void runRepeatedly(options.heartbeatMs, () => {
-					sendHeartbeat();
-					openLinks();
+				void runRepeatedly(() => options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length)), news.send);
+				void runRepeatedly(() => heartbeatMs, () => {
+					links.update();
+					beliefs.sendHeartbeat();
 				});
 			},
+			isStoreNeeded: beliefs.isStoreNeeded,
 			close() {
 				closing.abort();
 			},
 		},
-		handlers,
+		handlers: {
+			'load.news': withSign(news.applyNews),
+			'load.bundle': withSign(news.applyBundle),
+			'cluster.heartbeat': withSign(beliefs.applyHeartbeat),
+			'cluster.changes': withSign(beliefs.applyChanges),
+			'cluster.state': withSign(beliefs.exportState),
+		},
 	};
 }
--- /dev/null
+++ b/node/gateway/src/link-plan.ts
@@ -0,0 +1,34 @@
+/**
+A node's links to others: all to all in a small fleet, by way of relays in a larger one.
+*/
+export type LinkPlan = {
+	/**
+	Opens and breaks links as the plan and the last signs of life ask for.
+	*/
+	readonly update: () => void;
+	/**
+	Notes a sign of life.
+	*/
+	readonly markHeard: (node: string) => void;
+	readonly isRelay: (node: string) => boolean;
+	/**
+	Whether this node follows the store for others.
+	*/
+	readonly isFollower: () => boolean;
+	/**
+	Whether every node is linked with every other.
+	*/
+	readonly isMesh: () => boolean;
+	/**
+	The relay that this node is linked to; `undefined` for a relay.
+	*/
+	readonly parent: () => string | undefined;
+	/**
+	Linked relays: the others for a relay, the parent for any other node.
+	*/
+	readonly listRelays: () => readonly string[];
+	/**
+	Linked nodes that are no relays themselves.
+	*/
+	readonly listMembers: () => readonly string[];
+};
--- /dev/null
+++ b/node/gateway/src/news-sync.ts
@@ -0,0 +1,22 @@
+/**
+Exchange of news of work with peers.
+*/
+export type NewsSync = {
+	/**
+	Tells what is new since the last call.
+	*/
+	readonly send: () => void;
+	/**
+	Tells a node all that it has to know, as it has just been linked.
+	*/
+	readonly introduce: (node: string) => void;
+	/**
+	Takes in a peer's message; throws `ZodError` for one of a wrong form.
+	*/
+	readonly applyNews: (parameters: unknown, node: string) => void;
+	readonly applyBundle: (parameters: unknown, node: string) => void;
+	/**
+	Forgets all that was heard over a link that is lost.
+	*/
+	readonly removeLink: (node: string) => void;
+};
--- a/node/gateway/src/peer-sync-options.ts
+++ b/node/gateway/src/peer-sync-options.ts
@@ -1,4 +1,5 @@
 import type {ClusterView, StoreFollower} from '@valvesaddle/cluster-view';
+import type {GatewayNode} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerNetwork} from '@valvesaddle/network';
@@ -8,10 +9,10 @@
 Options of `createPeerSync`. All times are in milliseconds.
 */
 export type PeerSyncOptions = {
-	readonly node: string;
+	readonly self: GatewayNode;
 	readonly network: PeerNetwork;
 	readonly view: ClusterView;
-	readonly follower: StoreFollower;
+	readonly follower: Pick<StoreFollower, 'isSteady'>;
 	readonly selector: Selector;
 	/**
 	Between two messages on the node's work.
@@ -21,6 +22,14 @@
 	Between two messages on the revision that the node knows.
 	*/
 	readonly heartbeatMs: number;
+	/**
+	Largest fleet in which every node is linked with every other.
+	*/
+	readonly meshNodes: number;
+	/**
+	Time after which a relay that could not be reached is tried again.
+	*/
+	readonly suspectMs: number;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -27,16 +27,44 @@
 	isSteady: true,
 };
 
+type SyncChange = {
+	/**
+	Nodes with an open link.
+	*/
+	readonly connected?: readonly string[];
+	readonly meshNodes?: number;
+	readonly silenceBeatMs?: number;
+	readonly isSteady?: boolean;
+	readonly capacity?: number;
+};
+
+const centres = ['a', 'b', 'c', 'd'] as const;
+
+function toNode(id: string, dataCentre = 'a'): GatewayNode {
+	return {
+		id, address: `${id}:1`, token: 'x', dataCentre, capacity: 1,
+	};
+}
+
+/**
+Fleet of 40 nodes, `n1` among them, in which four strong ones are followers of the store.
+*/
+function createFleet(): readonly GatewayNode[] {
+	return Array.from({length: 40}, (_, index) => ({...toNode(index < 8 ? `r${index}` : `n${index - 7}`, centres[index % centres.length]), capacity: index < 8 ? 2 : 1}));
+}
+
 /**
 A node `n1` whose store does not answer, with a peer `n2` that is up to date.
 */
-function createSync(t: Test) {
+function createSync(t: Test, {connected = ['n2'], meshNodes = 16, silenceBeatMs = 1000, isSteady = false, capacity = 1}: SyncChange = {}) {
 	const logger = createLogger({node: 'n1', level: 'silent'});
 	const metrics = createMetrics();
 	const view = createClusterView({logger, metrics});
 	const events = new Emittery<PeerEvents>();
 	const calls: string[] = [];
 	const notified: Array<readonly [node: string, method: string]> = [];
+	const broadcasts: Array<readonly [method: string, parameters: unknown, nodes: readonly string[] | undefined]> = [];
+	const links = new Set(connected);
 	const network: PeerNetwork = {
 		events,
 		listen: async () => '',
@@ -46,11 +74,15 @@
 		},
 		notify(node, method) {
 			notified.push([node, method]);
+			links.add(node);
+		},
+		broadcast(method, parameters, nodes) {
+			broadcasts.push([method, parameters, nodes]);
 		},
-		broadcast() {
-			// Nobody listens.
+		connected: () => [...links],
+		disconnect(node) {
+			links.delete(node);
 		},
-		connected: () => ['n2'],
 		async close() {
 			// Nothing is open.
 		},
@@ -59,22 +91,15 @@
 		longPromptTokens: 5000, longShare: 0.5, shortUse: 0.5, longUse: 0.8, shortFillUse: 0.6, laneAverageMs: 3000, leaveLaneShare: 1, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50,
 	});
 	const {sync, handlers} = createPeerSync({
-		node: 'n1',
+		self: {...toNode('n1'), capacity},
 		network,
 		view,
-		follower: {
-			start() {
-				// The store does not answer.
-			},
-			isReachable: () => false,
-			isSteady: () => false,
-			async close() {
-				// Nothing was started.
-			},
-		},
+		follower: {isSteady: () => isSteady},
 		selector,
 		newsMs: 1,
-		heartbeatMs: 1,
+		heartbeatMs: silenceBeatMs,
+		meshNodes,
+		suspectMs: 3_600_000,
 		logger,
 		metrics,
 	});
@@ -83,23 +108,27 @@
 		view.close();
 	});
 	return {
-		view, events, calls, notified, selector, sync, handlers,
+		view, events, calls, notified, broadcasts, links, selector, sync, handlers,
 	};
 }
 
+function addNodes({view}: ReturnType<typeof createSync>, nodes: readonly GatewayNode[]): void {
+	view.applyChanges({revision: 3, changes: nodes.map(node => ({kind: 'node' as const, revision: 3, node}))}, 'peer');
+}
+
 test('a node that the store refuses learns configuration and drains from a peer that is ahead', async t => {
 	const {view, calls, handlers} = createSync(t);
-	handlers['cluster.heartbeat']?.({revision: 9, isSteady: true}, 'n2');
+	handlers['cluster.heartbeat']?.({revision: 9, confirmedAgoMs: 20}, 'n2');
 	await waitUntil(() => view.configuration()?.version === 4);
 	t.same(view.endpoints().map(({state}) => state), ['draining']);
 	t.equal(view.revision(), 9);
-	handlers['cluster.heartbeat']?.({revision: 9, isSteady: true}, 'n2');
+	handlers['cluster.heartbeat']?.({revision: 9, confirmedAgoMs: 20}, 'n2');
 	t.same(calls, ['cluster.state of n2'], 'a peer that is not ahead is not asked');
 });
 
-test('a peer that lost the store itself is not asked', t => {
+test('a peer that lost the store itself, and has heard of none that has not, is not asked', t => {
 	const {calls, handlers} = createSync(t);
-	handlers['cluster.heartbeat']?.({revision: 9, isSteady: false}, 'n2');
+	handlers['cluster.heartbeat']?.({revision: 9, confirmedAgoMs: 60_000}, 'n2');
 	t.same(calls, []);
 	t.end();
 });
@@ -107,25 +136,120 @@
 test('messages of a wrong form change nothing', t => {
 	const {view, handlers} = createSync(t);
 	t.throws(() => handlers['cluster.heartbeat']?.({revision: 'nine'}, 'n2'));
-	t.throws(() => handlers['load.news']?.({loads: [['i-1', {open: -1}]], placements: []}, 'n2'));
+	t.throws(() => handlers['cluster.changes']?.({after: 1}, 'n2'));
+	t.throws(() => handlers['load.news']?.({
+		origin: 'n2', nodes: 1, loads: [['i-1', {open: -1}]], placements: [],
+	}, 'n2'));
 	t.equal(view.revision(), -1);
 	t.end();
 });
 
 test('of two nodes the one with the smaller id opens the link, and a new peer is told all own work', async t => {
-	const {view, events, notified, sync} = createSync(t);
-	const toNode = (id: string): GatewayNode => ({id, address: '10.0.0.2:1', token: 'x'});
-	view.applyChanges({revision: 3, changes: ['n0', 'n2', 'n3'].map(id => ({kind: 'node' as const, revision: 3, node: toNode(id)}))}, 'peer');
-	sync.start();
-	await waitUntil(() => notified.length > 0);
-	t.same(notified[0], ['n3', 'load.news'], 'n0 opens its own link, n2 is linked');
-	sync.close();
-	notified.length = 0;
-	await events.emit('found', {node: 'n2'});
-	t.same(notified, [['n2', 'load.news']]);
+	const setup = createSync(t);
+	addNodes(setup, ['n0', 'n2', 'n3'].map(id => toNode(id)));
+	setup.sync.start();
+	await waitUntil(() => setup.notified.length > 0);
+	t.same(setup.notified[0], ['n3', 'load.news'], 'n0 opens its own link, n2 is linked');
+	setup.sync.close();
+	setup.notified.length = 0;
+	await setup.events.emit('found', {node: 'n2'});
+	t.same(setup.notified, [['n2', 'load.news']]);
+});
+
+test('in a large fleet a node keeps one link, to a relay of its data centre', async t => {
+	const setup = createSync(t, {connected: ['n2', 'n3', 'r1']});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	const [parent = ''] = setup.links;
+	t.match(parent, /^r[04]$/v);
+});
+
+test('a relay that stays silent is left for another', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 5});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => new Set(setup.notified.map(([node]) => node)).size >= 3);
+	const asked = [...new Set(setup.notified.map(([node]) => node))];
+	t.match(asked[0], /^r[04]$/v);
+	t.match(asked[1], /^r[04]$/v, 'the other one of the data centre comes next');
+	t.match(asked[2], /^r[123567]$/v, 'then one farther away');
+});
+
+test('only a follower, and a node that has heard no confirmation of late, asks the store itself', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 100});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	t.ok(setup.sync.isStoreNeeded(), 'nothing is confirmed yet');
+	setup.handlers['cluster.heartbeat']?.({revision: 3, confirmedAgoMs: 0}, 'r0');
+	t.notOk(setup.sync.isStoreNeeded());
+	setup.handlers['cluster.heartbeat']?.({revision: 3, confirmedAgoMs: 5000}, 'r0');
+	t.notOk(setup.sync.isStoreNeeded(), 'an older confirmation takes nothing back');
+	await waitUntil(() => setup.sync.isStoreNeeded());
+	t.ok(setup.sync.isStoreNeeded(), 'six heartbeats without one are too long');
+});
+
+test('changes that leave no gap are applied as they come, others are asked for', async t => {
+	const {view, calls, handlers} = createSync(t);
+	const toChanges = (after: number, revision: number) => ({
+		after, changes: {revision, changes: [{kind: 'node', revision, node: toNode(`m${revision}`)}]},
+	});
+	handlers['cluster.changes']?.(toChanges(-1, 4), 'n2');
+	t.equal(view.revision(), 4);
+	handlers['cluster.changes']?.(toChanges(6, 7), 'n2');
+	await waitUntil(() => view.revision() === 9);
+	t.same(calls, ['cluster.state of n2']);
+});
+
+test('a relay passes changes on to its members alone, and a follower also to relays', async t => {
+	for (const isSteady of [false, true]) {
+		const setup = createSync(t, {
+			connected: ['r2', 'n5', 'n6'], meshNodes: 3, isSteady, capacity: 9,
+		});
+		addNodes(setup, [{...toNode('r2'), capacity: 8}, toNode('n5'), toNode('n6')]);
+		setup.sync.start();
+		// eslint-disable-next-line no-await-in-loop -- one case after the other
+		await waitUntil(() => setup.broadcasts.some(([method]) => method === 'cluster.heartbeat'));
+		setup.broadcasts.length = 0;
+		setup.view.applyChanges({revision: 5, changes: []}, isSteady ? 'store' : 'peer');
+		// eslint-disable-next-line no-await-in-loop -- one case after the other
+		await waitUntil(() => setup.broadcasts.some(([method]) => method === 'cluster.changes'));
+		const [, parameters, nodes] = setup.broadcasts.find(([method]) => method === 'cluster.changes') ?? [];
+		t.match(parameters, {after: 3, changes: {revision: 5}});
+		t.same(nodes, isSteady ? ['r2', 'n5', 'n6'] : ['n5', 'n6']);
+		setup.sync.close();
+	}
+});
+
+test('the work of nodes that a lost relay told of is forgotten with it', async t => {
+	const {events, selector, handlers} = createSync(t, {connected: []});
+	selector.setPools([{name: 'p', maximumConnections: 10, engine: undefined}]);
+	for (const id of ['i-1', 'i-2']) {
+		selector.addEndpoint({
+			id, pool: 'p', address: `${id}:1`, dataCentre: 'a', slots: 4, state: 'ready',
+		});
+	}
+
+	const question = {
+		pool: 'p', objectiveMs: 100, promptTokens: 0, parts: [], tried: new Set<string>(),
+	};
+	const load = (open: number) => ({
+		open, prefillTokens: 0, longTokens: 0, shortOpen: 0,
+	});
+	handlers['load.bundle']?.([{
+		origin: 'n7', nodes: 1, loads: [['i-1', load(9)]], placements: [],
+	}], 'r0');
+	t.equal(selector.choose(question)?.endpoint.id, 'i-2');
+	handlers['load.news']?.({
+		origin: 'n3', nodes: 1, loads: [['i-2', load(5)]], placements: [],
+	}, 'n3');
+	t.equal(selector.choose(question)?.endpoint.id, 'i-2');
+	await events.emit('lost', {node: 'r0'});
+	t.equal(selector.choose(question)?.endpoint.id, 'i-1');
 });
 
-test('what every node tells every other comes less often in a larger fleet, up to a bound', t => {
+test('what nodes tell the store comes less often in a larger fleet, up to a bound', t => {
 	t.equal(measureFleet(0), 1);
 	t.equal(measureFleet(9), 1);
 	t.equal(measureFleet(90), 10);
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -15,7 +15,9 @@
 	| {readonly name: 'listening'; readonly what: string; readonly address: string}
 	| {readonly name: 'internal-failure'; readonly where: string; readonly reason: string}
 	| {readonly name: 'endpoint-believed'; readonly endpoint: string; readonly pool?: string; readonly state: string; readonly revision: number; readonly source: string}
-	| {readonly name: 'endpoint-lapsed'; readonly endpoint: string; readonly revision: number; readonly graceMs: number}
+	| {readonly name: 'entry-lapsed'; readonly id: string; readonly revision: number; readonly graceMs: number}
+	| {readonly name: 'overlay-changed'; readonly nodes: number; readonly relays: number; readonly isRelay: boolean; readonly parent: string | undefined}
+	| {readonly name: 'store-following'; readonly isFollowing: boolean; readonly confirmedAgoMs: number}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
 	| {readonly name: 'settings-read'; readonly isAccepted: boolean; readonly reason: string}
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -144,8 +144,9 @@
 				metrics.increment('peer.notifications-lost');
 			});
 		},
-		broadcast(method, parameters) {
-			for (const link of links.values()) {
+		broadcast(method, parameters, nodes) {
+			const targets = nodes === undefined ? links.values().toArray() : nodes.flatMap(node => links.get(node) ?? []);
+			for (const link of targets) {
 				try {
 					link.notify(method, parameters);
 				} catch {
@@ -154,6 +155,9 @@
 			}
 		},
 		connected: () => links.keys().toArray(),
+		disconnect(node) {
+			links.get(node)?.close();
+		},
 		async close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/peer/network/src/peer-network.ts
+++ b/peer/network/src/peer-network.ts
@@ -22,12 +22,16 @@
 	*/
 	readonly notify: (node: string, method: string, parameters: unknown) => void;
 	/**
-	Sends a notification over every link that is open now.
+	Sends a notification over every link that is open now, or over those to the given nodes.
 	*/
-	readonly broadcast: (method: string, parameters: unknown) => void;
+	readonly broadcast: (method: string, parameters: unknown, nodes?: readonly string[]) => void;
 	/**
 	Nodes with an open link.
 	*/
 	readonly connected: () => readonly string[];
+	/**
+	Breaks the link to a node that is silent or no longer needed; the next message opens a new one.
+	*/
+	readonly disconnect: (node: string) => void;
 	readonly close: () => Promise<void>;
 };
