--- a/gateway/news/test/news-relay.test.ts
+++ b/gateway/news/test/news-relay.test.ts
@@ -4,7 +4,7 @@
 
 function toLoad(open: number): EndpointLoad {
 	return {
-		open, prefillTokens: open * 100, longTokens: 0, shortOpen: open,
+		open, prefillTokens: open * 100, longTokens: 0, shortOpen: open, readTokens: open * 10, readMs: open,
 	};
 }
 
--- a/gateway/selection/src/create-lane-model.ts
+++ b/gateway/selection/src/create-lane-model.ts
@@ -42,7 +42,7 @@
  @example
  const lanes = createLaneModel({longShare: 0.55, shortUse: 0.5, longUse: 0.8, averageMs: 3000});
  lanes.record(true, 6000);
- lanes.getLanes(['i-1', 'i-2', 'i-3'], {shortFill: 0.2, tokensPerMs: 60}).long.size; // 2
+ lanes.getLanes(['i-1', 'i-2', 'i-3'], {shortFill: 0.2, tokensPerMs: 60, slow: new Set()}).long.size; // 2
  */
 export function createLaneModel(options: LaneModelOptions): LaneModel {
 	const {longShare, shortUse, longUse, averageMs} = options;
@@ -85,10 +85,10 @@
 		},
 		getLanes(endpoints, demand) {
 			const long = endpoints.length < 2 ? 0 : countLong(endpoints.length, demand);
-			const newKey = `${long} ${endpoints.join(' ')}`;
+			const newKey = `${long} ${endpoints.join(' ')} ${endpoints.filter(id => demand.slow.has(id)).join(' ')}`;
 			if (key !== newKey) {
 				key = newKey;
-				lanes = chooseLane(endpoints, long);
+				lanes = chooseLane(endpoints, long, demand.slow);
 			}
 
 			return lanes;
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -3,12 +3,17 @@
 import type {LoadTable} from './load-table.ts';
 import {noLoad} from './no-load.ts';
 
+/**
+What is left of earlier readings with each new one, so that the pace follows an endpoint within some ten of them.
+*/
+const keptPart = 0.9;
+
 /**
  Creates the table of work at endpoints.
 
  @example
  const loads = createLoadTable();
- loads.add('i-7f', {open: 1, prefillTokens: 6000, longTokens: 6000, shortOpen: 0});
+ loads.add('i-7f', {...noLoad, open: 1, prefillTokens: 6000, longTokens: 6000});
  loads.get('i-7f').open; // 1
  */
 export function createLoadTable(): LoadTable {
@@ -29,12 +34,21 @@
 				prefillTokens: sum.prefillTokens * unseenFactor,
 				longTokens: sum.longTokens * unseenFactor,
 				shortOpen: sum.shortOpen * unseenFactor,
+				readTokens: sum.readTokens,
+				readMs: sum.readMs,
 			};
 		},
 		add(endpoint, change) {
 			own.set(endpoint, addLoads(own.get(endpoint) ?? noLoad, change));
 			changed.add(endpoint);
 		},
+		recordReading(endpoint, tokens, milliseconds) {
+			const before = own.get(endpoint) ?? noLoad;
+			own.set(endpoint, {
+				...before, readTokens: (before.readTokens * keptPart) + tokens, readMs: (before.readMs * keptPart) + milliseconds,
+			});
+			changed.add(endpoint);
+		},
 		applyPeer(node, endpoint, load) {
 			const loads = peers.get(node) ?? new Map<string, EndpointLoad>();
 			loads.set(endpoint, load);
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,14 +1,10 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
-import {rankByHash} from '@valvesaddle/ranking';
-import type {Lanes} from './lanes.ts';
-import type {LaneModel} from './lane-model.ts';
-import {createLaneModel} from './create-lane-model.ts';
-import {createReadingRate} from './create-reading-rate.ts';
-import type {ReadingRate} from './reading-rate.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
+import {createPromptChooser} from './create-prompt-chooser.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
+import {noLoad} from './no-load.ts';
 import type {OpenWork} from './open-work.ts';
 import type {Placement} from './placement.ts';
 import type {Selection} from './selection.ts';
@@ -17,35 +13,25 @@
 import type {SelectorOptions} from './selector-options.ts';
 
 /**
-Delay that one more open stream adds for the others, in milliseconds; small, so that it only settles ties.
+Prompts that are shorter say more about the way to the engine than about its reading, in tokens.
 */
-const msPerOpenStream = 3;
+const leastReadTokens = 1000;
 /**
-Wait for one more request beyond an engine's slots, in milliseconds: about the time between two ends at a full engine.
+Prompts that were before it, as a part of a prompt's own tokens, up to which its reading says something of the endpoint.
 */
-const msPerQueued = 40;
+const queuedShare = 0.2;
 /**
-Harm that a long prompt does to one stream beside it, as a delay that is borne to avoid it, in milliseconds.
+Time to the first token that is not spent reading, in milliseconds.
 */
-const msPerDisturbedStream = 200;
-/**
-The same within the lane: such a stream is left from before the engine changed its lane, in milliseconds.
-*/
-const msPerMovedStream = 10;
-/**
-Harm that a token of a long prompt does to a short one that comes to its engine, in milliseconds.
-*/
-const msPerLongToken = 0.02;
-/**
-Advantage of the endpoint that all nodes would take for a prompt of which they know no holder, as a part of what reading its
-shared parts again would weigh: nodes that get the same prompt at once then agree, and nodes that start anew go where the
-prompt was sent before.
-*/
-const sameChoiceShare = 0.1;
+const unreadingMs = 10;
 
-type LaneQuestion = {
-	readonly isLong: boolean;
-	readonly objectiveMs: number;
+type Reading = {
+	/**
+	Tokens of the prompt, and of prompts before it, that had not been read when it was sent.
+	*/
+	readonly unread: number;
+	readonly tokensBefore: number;
+	readonly milliseconds: number;
 };
 
 /**
@@ -62,8 +48,7 @@
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
-	const laneModels = new Map<string, LaneModel>();
-	const rates = new Map<string, ReadingRate>();
+	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let placements: Placement[] = [];
 
@@ -73,7 +58,7 @@
 
 	function addPlacement(placement: Placement): void {
 		prefixes.add(placement);
-		getLaneModel(placement.pool).record(placement.isLong, placement.tokens * unseenFactor);
+		chooser.recordDemand(placement.pool, placement.isLong, placement.tokens * unseenFactor);
 	}
 
 	function listReady(pool: string): readonly ServingEndpoint[] {
@@ -89,63 +74,6 @@
 		return sound.length > 0 ? sound : untried;
 	}
 
-	function getLaneModel(pool: string): LaneModel {
-		const model = laneModels.get(pool) ?? createLaneModel({
-			longShare: options.longShare, shortUse: options.shortUse, longUse: options.longUse, averageMs: options.laneAverageMs,
-		});
-		laneModels.set(pool, model);
-		return model;
-	}
-
-	function getRate(pool: string): ReadingRate {
-		const rate = rates.get(pool) ?? createReadingRate(options.prefillTokensPerMs);
-		rates.set(pool, rate);
-		return rate;
-	}
-
-	function getPoolLanes(pool: string, ready: readonly ServingEndpoint[]): Lanes {
-		const model = getLaneModel(pool);
-		const {short} = model.lastLanes();
-		const shortFill = ready.reduce((sum, {id, slots}) => sum + (short.has(id) ? loads.get(id).open / slots : 0), 0) / options.shortFillUse;
-		return model.getLanes(ready.map(({id}) => id), {shortFill, tokensPerMs: getRate(pool).get()});
-	}
-
-	/**
-	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
-	*/
-	function measureLaneCost({isLong, objectiveMs}: LaneQuestion, endpoint: string, lane: Lanes, {longTokens, shortOpen}: EndpointLoad): number {
-		const leaveMs = options.leaveLaneShare * objectiveMs;
-		if (isLong) {
-			return lane.long.has(endpoint) ? shortOpen * msPerMovedStream : leaveMs + (shortOpen * msPerDisturbedStream);
-		}
-
-		// An engine that has just changed its lane still reads what it got before.
-		return lane.short.has(endpoint) ? Math.min(leaveMs, longTokens * msPerLongToken) : leaveMs;
-	}
-
-	function chooseForPrompt(candidates: readonly ServingEndpoint[], lane: Lanes, question: SelectionQuestion): Selection | undefined {
-		const isLong = isLongPrompt(question);
-		const tokensPerMs = getRate(question.pool).get();
-		const recentTokens = prefixes.countRecent(question.parts);
-		const key = question.parts.slice(0, -1).map(({id}) => id).join(',');
-		const laneIds = candidates.map(({id}) => id).filter(id => (isLong ? lane.long : lane.short).has(id));
-		const [agreed] = recentTokens === 0 ? rankByHash(key, laneIds) : [];
-		const agreedMs = sameChoiceShare * options.rereadMsPerToken * question.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
-		const rated = candidates.map(endpoint => {
-			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
-			const load = loads.get(endpoint.id);
-			const {open, prefillTokens} = load;
-			const queueMs = Math.max(0, open + 1 - endpoint.slots) * msPerQueued;
-			const costMs = ((prefillTokens + question.promptTokens - heldTokens) / tokensPerMs) + (open * msPerOpenStream) + queueMs;
-			const wasteMs = Math.max(0, recentTokens - heldTokens) * options.rereadMsPerToken;
-			const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lane, load) - (endpoint.id === agreed ? agreedMs : 0);
-			return {
-				endpoint, heldTokens, costMs, score, candidates: candidates.length,
-			};
-		});
-		return rated.toSorted((a, b) => a.score - b.score)[0];
-	}
-
 	function chooseByLoad(candidates: readonly ServingEndpoint[]): Selection | undefined {
 		const rated = candidates.map(endpoint => ({
 			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.id).open + Math.random()) / endpoint.slots, candidates: candidates.length,
@@ -158,7 +86,7 @@
 		const candidates = listCandidates(ready, question.tried);
 		return pools.get(question.pool)?.engine === undefined
 			? chooseByLoad(candidates)
-			: chooseForPrompt(candidates, getPoolLanes(question.pool, ready), question);
+			: chooser.choose(ready, candidates, question);
 	}
 
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
@@ -179,9 +107,18 @@
 		},
 	};
 
+	function recordReading(pool: string, endpoint: string, {unread, tokensBefore, milliseconds}: Reading): void {
+		chooser.recordReading(pool, unread, milliseconds);
+		// Behind other prompts it would show the queue, not the endpoint.
+		if (unread >= leastReadTokens && tokensBefore <= queuedShare * unread) {
+			loads.recordReading(endpoint, unread + tokensBefore, Math.max(1, milliseconds - unreadingMs));
+		}
+	}
+
 	function openWork({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
 		const missing = Math.max(0, question.promptTokens - heldTokens);
 		const openedAt = performance.now();
+		const {prefillTokens: tokensBefore} = loads.get(id);
 		let unread = missing;
 		let isClosed = false;
 		const isLong = isLongPrompt(question);
@@ -200,7 +137,7 @@
 					return;
 				}
 
-				getRate(question.pool).record(unread, performance.now() - openedAt);
+				recordReading(question.pool, id, {unread, tokensBefore, milliseconds: performance.now() - openedAt});
 				loads.add(id, toLoad(isLong, 0, -unread));
 				unread = 0;
 			},
@@ -265,6 +202,6 @@
 
 function toLoad(isLong: boolean, open: number, tokens: number): EndpointLoad {
 	return {
-		open, prefillTokens: tokens, longTokens: isLong ? tokens : 0, shortOpen: isLong ? 0 : open,
+		...noLoad, open, prefillTokens: tokens, longTokens: isLong ? tokens : 0, shortOpen: isLong ? 0 : open,
 	};
 }
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -18,4 +18,9 @@
 	Requests with short prompts that are open.
 	*/
 	readonly shortOpen: number;
+	/**
+	Prompt tokens that it read of late, with those that were before them, and the milliseconds that this took: its pace.
+	*/
+	readonly readTokens: number;
+	readonly readMs: number;
 };
--- a/gateway/selection/src/lane-demand.ts
+++ b/gateway/selection/src/lane-demand.ts
@@ -10,4 +10,8 @@
 	Prompt tokens that one endpoint reads in a millisecond.
 	*/
 	readonly tokensPerMs: number;
+	/**
+	Endpoints that read more slowly than others of the pool.
+	*/
+	readonly slow: ReadonlySet<string>;
 };
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -9,6 +9,10 @@
 	Adds to the node's own work.
 	*/
 	readonly add: (endpoint: string, change: EndpointLoad) => void;
+	/**
+	Notes that an endpoint read so many prompt tokens in so many milliseconds.
+	*/
+	readonly recordReading: (endpoint: string, tokens: number, milliseconds: number) => void;
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
 	readonly setUnseenFactor: (factor: number) => void;
 	readonly removePeer: (node: string) => void;
--- a/gateway/selection/test/lane-model.test.ts
+++ b/gateway/selection/test/lane-model.test.ts
@@ -6,6 +6,7 @@
 const options = {
 	longShare: 0.5, shortUse: 0.5, longUse: 0.8, averageMs: 3000,
 };
+const slow: ReadonlySet<string> = new Set();
 const endpoints = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'];
 
 test('each lane has at least one endpoint, whatever is asked for', t => {
@@ -16,7 +17,7 @@
 		model.record(true, long);
 		model.record(false, short);
 		const ids = Array.from({length: count}, (_value, index) => `i-${index}`);
-		const lanes = model.getLanes(ids, {shortFill, tokensPerMs: 50});
+		const lanes = model.getLanes(ids, {shortFill, tokensPerMs: 50, slow});
 		return lanes.long.size > 0 && lanes.short.size > 0 && lanes.long.size + lanes.short.size === count;
 	}));
 	t.end();
@@ -25,7 +26,7 @@
 test('the lane with more demand has more endpoints, and short prompts go first when there are too few', t => {
 	const clock = new Clock();
 	t.teardown(clock.enter());
-	const idle = {shortFill: 0, tokensPerMs: 50};
+	const idle = {shortFill: 0, tokensPerMs: 50, slow};
 	const long = createLaneModel(options);
 	long.record(true, 300_000);
 	t.ok(long.getLanes(endpoints, idle).long.size >= 4);
@@ -43,7 +44,7 @@
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const model = createLaneModel(options);
-	const idle = {shortFill: 0, tokensPerMs: 50};
+	const idle = {shortFill: 0, tokensPerMs: 50, slow};
 	model.record(true, 200_000);
 	model.record(false, 100_000);
 	const before = model.getLanes(endpoints, idle);
@@ -58,10 +59,22 @@
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const model = createLaneModel(options);
-	const idle = {shortFill: 0, tokensPerMs: 50};
+	const idle = {shortFill: 0, tokensPerMs: 50, slow};
 	model.record(true, 500_000);
 	t.equal(model.getLanes(endpoints, idle).long.size, 5);
 	clock.advance(30_000);
 	t.equal(model.getLanes(endpoints, idle).long.size, 3);
 	t.end();
 });
+
+test('slow endpoints take the long prompts first, so that pauses within short streams stay short', t => {
+	const model = createLaneModel(options);
+	model.record(true, 100_000);
+	model.record(false, 100_000);
+	for (const id of endpoints) {
+		const {long} = model.getLanes(endpoints, {shortFill: 0, tokensPerMs: 50, slow: new Set([id])});
+		t.ok(long.has(id));
+	}
+
+	t.end();
+});
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -38,7 +38,7 @@
 
 function toLoad(open: number, prefillTokens: number): EndpointLoad {
 	return {
-		open, prefillTokens, longTokens: 0, shortOpen: open,
+		open, prefillTokens, longTokens: 0, shortOpen: open, readTokens: 0, readMs: 0,
 	};
 }
 
@@ -181,3 +181,48 @@
 	t.match(selector.listOwn(), {loads: [['i-1', toLoad(0, 0)]]});
 	t.end();
 });
+
+/**
+Reads a prompt of 2,000 tokens at each endpoint in turn, with the given milliseconds to the first token.
+*/
+function readPrompts(selector: Selector, clock: Clock, times: Readonly<Record<string, number>>): void {
+	for (let turn = 0; turn < 12; turn++) {
+		for (const [id, milliseconds] of Object.entries(times)) {
+			const question = createQuestion({promptTokens: 2000, parts: [{id: `${id}-${turn}`, tokens: 2000}], tried: new Set(Object.keys(times).filter(other => other !== id))});
+			const {work} = send(selector, question);
+			clock.advance(milliseconds);
+			work.markBegun();
+			work.close('done');
+		}
+	}
+}
+
+test('long prompts keep to the engines that read slowly', t => {
+	for (const slow of ['i-1', 'i-2', 'i-3', 'i-4']) {
+		const {selector, clock} = createFilled(t, ['i-1', 'i-2', 'i-3', 'i-4']);
+		readPrompts(selector, clock, {
+			'i-1': 50, 'i-2': 50, 'i-3': 50, 'i-4': 50, [slow]: 65,
+		});
+		clock.advance(60_000);
+		for (let index = 0; index < 5; index++) {
+			t.not(choose(selector, createQuestion({parts: [{id: `new-${index}`, tokens: 600}, {id: 'own', tokens: 200}]})), slow);
+		}
+	}
+
+	t.end();
+});
+
+test('a prompt that waited behind others says nothing of its engine', t => {
+	const {selector, clock} = createFilled(t, ['i-1', 'i-2']);
+	readPrompts(selector, clock, {'i-1': 50, 'i-2': 50});
+	const before = selector.listOwn().loads.map(([, {readTokens}]) => readTokens);
+	const question = createQuestion({promptTokens: 4000, parts: [{id: 'queue', tokens: 4000}], tried: new Set(['i-2'])});
+	const first = send(selector, question);
+	const second = send(selector, question);
+	clock.advance(500);
+	second.work.markBegun();
+	t.same(selector.listOwn().loads.map(([, {readTokens}]) => readTokens), before);
+	first.work.markBegun();
+	t.not(selector.listOwn().loads.map(([, {readTokens}]) => readTokens)[0], before[0]);
+	t.end();
+});
--- a/node/gateway/src/news-schema.ts
+++ b/node/gateway/src/news-schema.ts
@@ -2,7 +2,7 @@
 
 const amount = z.number().min(0);
 const load = z.object({
-	open: amount, prefillTokens: amount, longTokens: amount, shortOpen: amount,
+	open: amount, prefillTokens: amount, longTokens: amount, shortOpen: amount, readTokens: amount, readMs: amount,
 });
 const placement = z.object({
 	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: amount, isLong: z.boolean(),
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -235,7 +235,7 @@
 		pool: 'p', objectiveMs: 100, promptTokens: 0, parts: [], tried: new Set<string>(),
 	};
 	const load = (open: number) => ({
-		open, prefillTokens: 0, longTokens: 0, shortOpen: 0,
+		open, prefillTokens: 0, longTokens: 0, shortOpen: 0, readTokens: 0, readMs: 0,
 	});
 	handlers['load.bundle']?.([{
 		origin: 'n7', nodes: 1, loads: [['i-1', load(9)]], placements: [],
