feat: a soak of gateway processes under seeded faults from outside

Stand-ins of store and endpoints in one process, each node in its own; signals, a link that delays, resets or falls silent, a store and endpoints that misbehave, changes of configuration, all in overlapping series by a seed. Nine promises are checked from what callers and endpoints saw.

--- /dev/null
+++ b/bench/soak/src/check-promises.ts
@@ -0,0 +1,143 @@
+import type {Breach} from './breach.ts';
+import type {AppliedFault} from './applied-fault.ts';
+import type {FaultKind} from './fault-kind.ts';
+import type {Attempt} from './attempt.ts';
+import type {Observation} from './observation.ts';
+import type {Run} from './run.ts';
+
+/**
+Statuses that promise that a request did not run.
+*/
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/**
+Bound for a change to be in force and for a leaving endpoint to get no new work, in milliseconds, while nothing disturbs the
+nodes or the store; the platform's bound is 2,000.
+*/
+const boundMs = 4000;
+/**
+A node or the store counts as disturbed for so long after the fault, in milliseconds.
+*/
+const settleMs = 3000;
+/**
+Kinds of fault that keep beliefs from spreading.
+*/
+const disturbingKinds: ReadonlySet<FaultKind> = new Set(['stop', 'kill', 'killAll', 'pause', 'storeRefuse', 'storeSilent', 'storeCompact', 'storeLose', 'cutSilent', 'cutReset', 'cutSlow']);
+/**
+Kinds of fault that cut requests off, whatever a node does.
+*/
+const abruptKinds: ReadonlySet<FaultKind> = new Set(['kill', 'killAll', 'pause']);
+/**
+Events of a stream of the stand-in.
+*/
+const events = 8;
+/**
+Part of the requests in the calm at the end that have to be served, of each kind.
+*/
+const leastServed = 0.75;
+
+/**
+Tells what was seen against a promise.
+*/
+type Check = (observation: Observation, runs: ReadonlyMap<string, readonly Run[]>) => readonly string[];
+
+function isCalm(faults: readonly AppliedFault[], from: number, until: number): boolean {
+	return faults.every(fault => !disturbingKinds.has(fault.kind) || fault.until + settleMs < from || fault.at > until);
+}
+
+function formatAttempt({id, path, node, pid, sentAt, status}: Attempt, detail: string): string {
+	return `${id} ${path} at ${node} (${pid}), sent at ${sentAt} ms, status ${status}: ${detail}`;
+}
+
+function parseEvents(body: string): readonly number[] {
+	return body.matchAll(/^id: (?<id>\d+)$/gmv).map(match => Number(match.groups?.id)).toArray();
+}
+
+function isStream({kind}: Attempt): boolean {
+	return kind === 'stream' || kind === 'resumable';
+}
+
+const checks: Readonly<Record<string, Check>> = {
+	'each caller gets its own whole answer'({attempts}) {
+		return attempts
+			.filter(attempt => attempt.status === 200 && attempt.isWhole && !attempt.body.includes(`for ${attempt.id}\n`))
+			.map(attempt => formatAttempt(attempt, JSON.stringify(attempt.body.slice(0, 80))));
+	},
+	'a stream has no gap and no event twice'({attempts}) {
+		return attempts.filter(attempt => isStream(attempt) && attempt.status === 200).flatMap(attempt => {
+			const ids = parseEvents(attempt.body);
+			const hasGap = ids.some((id, index) => id !== index);
+			const isShort = attempt.isWhole && ids.length !== events;
+			return hasGap || isShort ? [formatAttempt(attempt, ids.join(' '))] : [];
+		});
+	},
+	'non-repeatable work runs at most once'({attempts}, runs) {
+		return attempts
+			.filter(({kind, id}) => (kind === 'unsafe' || kind === 'stream') && (runs.get(id)?.length ?? 0) > 1)
+			.map(attempt => formatAttempt(attempt, `ran ${runs.get(attempt.id)?.length} times`));
+	},
+	'"not run" means not run'({attempts}, runs) {
+		return attempts
+			.filter(({kind, status, id}) => (kind === 'unsafe' || kind === 'stream') && notRunStatuses.has(status) && runs.has(id))
+			.map(attempt => formatAttempt(attempt, 'it ran'));
+	},
+	'a leaving endpoint gets no new work'({runs, drains, faults}) {
+		return drains.filter(({at}) => isCalm(faults, at - boundMs, at + boundMs)).flatMap(({endpoint, at}) => runs
+			.filter(run => run.endpoint === endpoint && run.at > at + boundMs)
+			.map(run => (`${run.id} came to ${endpoint} ${run.at - at} ms after it said that it leaves`)));
+	},
+	'an accepted configuration is in force in seconds'({attempts, versions, faults}) {
+		return attempts.filter(({path}) => path.startsWith('/v')).flatMap(attempt => {
+			const asked = Number(attempt.path.split('/', 2)[1]?.slice(1));
+			const accepted = versions.find(({version}) => version === asked)?.at ?? Infinity;
+			const replaced = versions.find(({version}) => version === asked + 1)?.at ?? Infinity;
+			const isDue = attempt.sentAt > accepted + boundMs && attempt.endedAt < replaced;
+			const isOver = attempt.sentAt > replaced + boundMs;
+			const isWrong = (isDue && attempt.status === 404) || (isOver && attempt.status === 200);
+			return isWrong && isCalm(faults, attempt.sentAt - boundMs, attempt.sentAt) ? [formatAttempt(attempt, `accepted at ${accepted} ms, replaced at ${replaced} ms`)] : [];
+		});
+	},
+	'a configuration never goes back to an older one'({attempts}) {
+		const seen = new Map<number, {readonly version: number; readonly at: number}>();
+		return attempts.filter(({path, status}) => path.startsWith('/v') && status === 200).toSorted((a, b) => a.sentAt - b.sentAt).flatMap(attempt => {
+			const version = Number(attempt.path.split('/', 2)[1]?.slice(1));
+			const before = seen.get(attempt.pid);
+			if (before !== undefined && version < before.version && attempt.sentAt > before.at) {
+				return [formatAttempt(attempt, `version ${before.version} was seen at ${before.at} ms`)];
+			}
+
+			if (before === undefined || version > before.version) {
+				seen.set(attempt.pid, {version, at: attempt.endedAt});
+			}
+
+			return [];
+		});
+	},
+	'a graceful shutdown cuts off nothing'({attempts, faults}, runs) {
+		const stops = faults.filter(({kind}) => kind === 'stop');
+		const abrupt = faults.filter(({kind}) => abruptKinds.has(kind));
+		return attempts.filter(attempt => runs.has(attempt.id) && (attempt.status === 0 || !attempt.isWhole)).flatMap(attempt => {
+			const isAbrupt = abrupt.some(fault => fault.at - 50 < attempt.endedAt && attempt.sentAt < fault.until + 50);
+			const isSpoiled = runs.get(attempt.id)?.some(run => run.isSpoiled) ?? false;
+			const isStopped = stops.some(fault => attempt.node === `n${fault.target}` && fault.at < attempt.endedAt);
+			return isStopped && !isAbrupt && !isSpoiled ? [formatAttempt(attempt, 'the connection ended without a whole answer')] : [];
+		});
+	},
+	'every kind of request is served once faults are over'({attempts, calmFrom}) {
+		const late = attempts.filter(({sentAt, path}) => sentAt > calmFrom && !path.startsWith('/v'));
+		return Map.groupBy(late, ({kind}) => kind).entries().flatMap(([kind, group]) => {
+			const served = group.filter(({status, isWhole}) => status === 200 && isWhole).length;
+			return served < leastServed * group.length ? [`${kind}: ${served} of ${group.length}`] : [];
+		}).toArray();
+	},
+};
+
+/**
+ Checks what callers and endpoints saw against the promises.
+
+ @example
+ checkPromises(observation); // [] when all were kept
+ */
+export function checkPromises(observation: Observation): readonly Breach[] {
+	const runs = Map.groupBy(observation.runs, ({id}) => id);
+	return Object.entries(checks).flatMap(([promise, check]) => check(observation, runs).map(detail => ({promise, detail})));
+}
--- /dev/null
+++ b/bench/soak/src/create-fault-handlers.ts
@@ -0,0 +1,105 @@
+import type {FakeFleetStore, StoreFault} from '@valvesaddle/fake-fleet-store';
+import type {AppliedFault} from './applied-fault.ts';
+import type {FaultHandler} from './fault-handler.ts';
+import type {FaultKind} from './fault-kind.ts';
+import type {LinkMode} from './link-mode.ts';
+import type {SoakEndpoint} from './soak-endpoint.ts';
+import type {SoakNode} from './soak-node.ts';
+
+type FaultOptions = {
+	readonly store: Pick<FakeFleetStore, 'setFault' | 'cut'>;
+	readonly nodes: () => readonly SoakNode[];
+	/**
+	By place; another may take one's place at any time.
+	*/
+	readonly endpoints: readonly SoakEndpoint[];
+	readonly publishConfiguration: () => void;
+	readonly moveEndpoint: (place: number) => Promise<void>;
+};
+
+/**
+ Creates what each kind of fault does.
+
+ @example
+ createFaultHandlers(options).kill.begin(fault);
+ */
+export function createFaultHandlers(options: FaultOptions): Readonly<Record<FaultKind, FaultHandler>> {
+	const {store, nodes, endpoints, publishConfiguration, moveEndpoint} = options;
+
+	function setLink({target}: AppliedFault, mode: LinkMode): void {
+		nodes()[target]?.link.setMode(mode);
+	}
+
+	function createStoreFault(fault: StoreFault): FaultHandler {
+		return {
+			begin() {
+				store.setFault(fault);
+				if (fault === 'compact') {
+					store.cut();
+				}
+			},
+			end() {
+				store.setFault(undefined);
+			},
+		};
+	}
+
+	function createEndpointFault(kind: FaultKind): FaultHandler {
+		return {
+			begin({target}) {
+				endpoints[target]?.setFault(kind);
+			},
+			end({target}) {
+				endpoints[target]?.setFault(undefined);
+			},
+		};
+	}
+
+	function createLinkFault(mode: LinkMode): FaultHandler {
+		return {
+			begin(fault) {
+				setLink(fault, mode);
+			},
+			end(fault) {
+				// What an open connection has missed cannot be made up for.
+				setLink(fault, 'reset');
+				setLink(fault, 'open');
+			},
+		};
+	}
+
+	function createSignal(name: Parameters<SoakNode['signal']>[0]): FaultHandler['begin'] {
+		return ({target}) => {
+			nodes()[target]?.signal(name);
+		};
+	}
+
+	return {
+		stop: {begin: createSignal('SIGTERM')},
+		kill: {begin: createSignal('SIGKILL')},
+		killAll: {
+			begin() {
+				for (const node of nodes()) {
+					node.signal('SIGKILL');
+				}
+			},
+		},
+		pause: {begin: createSignal('SIGSTOP'), end: createSignal('SIGCONT')},
+		storeRefuse: createStoreFault('refuse'),
+		storeSilent: createStoreFault('silent'),
+		storeCompact: createStoreFault('compact'),
+		storeLose: createStoreFault('lose'),
+		cutSilent: createLinkFault('silent'),
+		cutReset: createLinkFault('reset'),
+		cutSlow: createLinkFault('slow'),
+		break: createEndpointFault('break'),
+		spoil: createEndpointFault('spoil'),
+		refuse: createEndpointFault('refuse'),
+		leave: {
+			begin({target}) {
+				void moveEndpoint(target);
+			},
+		},
+		configure: {begin: publishConfiguration},
+	};
+}
--- /dev/null
+++ b/bench/soak/src/observation.ts
@@ -0,0 +1,25 @@
+import type {AppliedFault} from './applied-fault.ts';
+import type {Attempt} from './attempt.ts';
+import type {Run} from './run.ts';
+
+/**
+All that callers and endpoints saw in a run.
+*/
+export type Observation = {
+	readonly attempts: readonly Attempt[];
+	readonly runs: readonly Run[];
+	readonly faults: readonly AppliedFault[];
+	/**
+	When each version of the configuration was accepted by the store; version `n` has the route `/v<n>/` and no older one of
+	this form.
+	*/
+	readonly versions: ReadonlyArray<{readonly version: number; readonly at: number}>;
+	/**
+	When each endpoint told the store that it is leaving.
+	*/
+	readonly drains: ReadonlyArray<{readonly endpoint: string; readonly at: number}>;
+	/**
+	From here on there was no fault.
+	*/
+	readonly calmFrom: number;
+};
--- /dev/null
+++ b/bench/soak/src/plan-faults.ts
@@ -0,0 +1,64 @@
+import type {AppliedFault} from './applied-fault.ts';
+import type {FaultKind} from './fault-kind.ts';
+
+type PlanOptions = {
+	readonly random: () => number;
+	/**
+	Length of the time in which faults come, in milliseconds.
+	*/
+	readonly lengthMs: number;
+	readonly nodes: number;
+	readonly endpoints: number;
+};
+
+const kinds: readonly FaultKind[] = [
+	'stop',
+	'kill',
+	'killAll',
+	'pause',
+	'storeRefuse',
+	'storeSilent',
+	'storeCompact',
+	'storeLose',
+	'cutSilent',
+	'cutReset',
+	'cutSlow',
+	'break',
+	'spoil',
+	'refuse',
+	'leave',
+	'configure',
+	'configure',
+	'stop',
+	'break',
+];
+/**
+Faults that strike endpoints; the others strike nodes, or all of them.
+*/
+const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave']);
+/**
+Mean time between two faults, and how long one lasts, in milliseconds.
+*/
+const meanGapMs = 700;
+const shortestMs = 400;
+const longestMs = 3000;
+
+/**
+ Plans the faults of a run: any kind, at any time, several at once.
+
+ @example
+ planFaults({random: createRandom(7), lengthMs: 10_000, nodes: 3, endpoints: 4}).length;
+ */
+export function planFaults({random, lengthMs, nodes, endpoints}: PlanOptions): readonly AppliedFault[] {
+	const faults: AppliedFault[] = [];
+	for (let at = random() * meanGapMs; at < lengthMs; at += -Math.log(1 - random()) * meanGapMs) {
+		const kind = kinds[Math.floor(random() * kinds.length)] ?? 'kill';
+		const until = Math.min(lengthMs, at + shortestMs + (random() * (longestMs - shortestMs)));
+		const target = Math.floor(random() * (endpointKinds.has(kind) ? endpoints : nodes));
+		faults.push({
+			kind, at: Math.round(at), until: Math.round(until), target,
+		});
+	}
+
+	return faults;
+}
--- /dev/null
+++ b/bench/soak/src/run-caller.ts
@@ -0,0 +1,126 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {Client, type Dispatcher} from 'undici';
+import type {Attempt} from './attempt.ts';
+import type {SoakNode} from './soak-node.ts';
+
+type CallerOptions = {
+	/**
+	Number of the caller, for its ids.
+	*/
+	readonly number: number;
+	readonly random: () => number;
+	readonly now: () => number;
+	/**
+	Nodes that a balancer would send a new connection to.
+	*/
+	readonly listReady: () => readonly SoakNode[];
+	/**
+	Versions of the configuration whose routes are asked for.
+	*/
+	readonly listVersions: () => readonly number[];
+	readonly isOver: () => boolean;
+	readonly onAttempt: (attempt: Attempt) => void;
+};
+
+const kinds = ['safe', 'unsafe', 'stream', 'resumable'] as const;
+const longestThinkMs = 60;
+const patienceMs = 6000;
+/**
+Part of the requests that ask which configuration is in force.
+*/
+const versionShare = 0.15;
+
+/**
+ Runs a caller until the run is over: it keeps its connection to a node for as long as the node does, one request after the
+ other, and tells what became of each.
+
+ @example
+ await runCaller({number: 1, random, now, listReady, listVersions, isOver, onAttempt});
+ */
+export async function runCaller(options: CallerOptions): Promise<void> {
+	const {random, now} = options;
+	let count = 0;
+	let node: SoakNode | undefined;
+	let client: Client | undefined;
+
+	function closeConnection(): void {
+		void client?.destroy();
+		client = undefined;
+		node = undefined;
+	}
+
+	function openConnection(): void {
+		const ready = options.listReady();
+		node = ready[Math.floor(random() * ready.length)];
+		client = node && new Client(`http://${node.callers}`, {connect: {timeout: 1000}, headersTimeout: patienceMs, bodyTimeout: patienceMs});
+		client?.on('disconnect', closeConnection);
+	}
+
+	function pickPath(): Pick<Attempt, 'kind' | 'path'> {
+		const versions = options.listVersions();
+		if (random() < versionShare && versions.length > 0) {
+			return {kind: 'safe', path: `/v${versions[Math.floor(random() * versions.length)]}/x`};
+		}
+
+		const kind = kinds[Math.floor(random() * kinds.length)] ?? 'safe';
+		return {kind, path: `/${kind}/x`};
+	}
+
+	async function sendOne(target: SoakNode, connection: Client): Promise<void> {
+		count++;
+		const id = `c${options.number}-${count}`;
+		const {kind, path} = pickPath();
+		const sent = {
+			id, path, kind, node: target.name, pid: target.pid(), sentAt: now(),
+		};
+		let status = 0;
+		let isWhole = false;
+		let body = '';
+		try {
+			const response = await connection.request({
+				method: 'GET', path, headers: {
+					host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': id, 'x-deadline-ms': String(patienceMs),
+				},
+			});
+			status = response.statusCode;
+			body = await readBody(response.body, text => {
+				body += text;
+			});
+			isWhole = true;
+		} catch {
+			// What is missing shows in the attempt; the connection is of no more use.
+			closeConnection();
+		}
+
+		options.onAttempt({
+			...sent, endedAt: now(), status, isWhole, body,
+		});
+	}
+
+	while (!options.isOver()) {
+		if (client === undefined) {
+			openConnection();
+		}
+
+		if (client !== undefined && node !== undefined) {
+			// eslint-disable-next-line no-await-in-loop -- one request after the other
+			await sendOne(node, client);
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- the caller's pause
+		await wait(random() * longestThinkMs);
+	}
+
+	closeConnection();
+}
+
+async function readBody(stream: Dispatcher.ResponseData['body'], onText: (text: string) => void): Promise<string> {
+	let whole = '';
+	for await (const chunk of stream) {
+		const text = String(chunk);
+		whole += text;
+		onText(text);
+	}
+
+	return whole;
+}
--- /dev/null
+++ b/bench/soak/src/run-soak.ts
@@ -0,0 +1,160 @@
+import {mkdtemp} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as wait} from 'node:timers/promises';
+import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
+import {createRandom} from '@valvesaddle/load';
+import type {AppliedFault} from './applied-fault.ts';
+import type {Attempt} from './attempt.ts';
+import {checkPromises} from './check-promises.ts';
+import {createFaultHandlers} from './create-fault-handlers.ts';
+import {createSoakConfiguration} from './create-soak-configuration.ts';
+import type {Observation} from './observation.ts';
+import {planFaults} from './plan-faults.ts';
+import type {Run} from './run.ts';
+import {runCaller} from './run-caller.ts';
+import type {SoakEndpoint} from './soak-endpoint.ts';
+import type {SoakNode} from './soak-node.ts';
+import type {SoakResult} from './soak-result.ts';
+import {startNode} from './start-node.ts';
+import {startSoakEndpoint} from './start-soak-endpoint.ts';
+
+type SoakOptions = {
+	readonly seed: number;
+	/**
+	How long faults come, in seconds; some calm follows.
+	*/
+	readonly seconds: number;
+	readonly nodes?: number;
+	readonly callers?: number;
+};
+
+const endpointCount = 4;
+/**
+Calm after the last fault, and the end of it in which everything has to be served, in milliseconds.
+*/
+const calmMs = 6000;
+const servedMs = 2000;
+const readyCheckMs = 100;
+
+/**
+ Runs nodes, callers and endpoints under the faults of a seed, and checks the promises.
+
+ @example
+ const {breaches} = await runSoak({seed: 7, seconds: 10});
+ */
+export async function runSoak({seed, seconds, nodes: nodeCount = 3, callers = 12}: SoakOptions): Promise<SoakResult> {
+	const random = createRandom(seed);
+	const folder = await mkdtemp(path.join(tmpdir(), `soak-${seed}-`));
+	const store = await startFakeFleetStore();
+	const startedAt = performance.now();
+	const now = (): number => Math.round(performance.now() - startedAt);
+	const attempts: Attempt[] = [];
+	const runs: Run[] = [];
+	const versions: Array<{version: number; at: number}> = [];
+	const drains: Array<{endpoint: string; at: number}> = [];
+	const endpoints: SoakEndpoint[] = [];
+	let ready: readonly SoakNode[] = [];
+	let endAt = Infinity;
+	let lastEndpoint = 0;
+
+	async function addEndpoint(place: number): Promise<void> {
+		lastEndpoint++;
+		const endpoint = await startSoakEndpoint({
+			id: `e${lastEndpoint}`, random, now, onRun(run) {
+				runs.push(run);
+			},
+		});
+		endpoints[place] = endpoint;
+		registerEndpoint(endpoint, 'ready');
+	}
+
+	function registerEndpoint({id, address}: SoakEndpoint, state: 'ready' | 'draining'): void {
+		store.put(`servers/${id}`, {
+			service: 'desk', address, zone: 'a', slots: 8, state,
+		});
+	}
+
+	function publishConfiguration(): void {
+		const version = versions.length + 1;
+		store.put('op/config', createSoakConfiguration(version));
+		versions.push({version, at: now()});
+	}
+
+	/**
+	The endpoint serves on for as long as a platform's would; another takes its place.
+	*/
+	async function moveEndpoint(place: number): Promise<void> {
+		const leaving = endpoints[place];
+		if (leaving === undefined) {
+			return;
+		}
+
+		await addEndpoint(place);
+		registerEndpoint(leaving, 'draining');
+		drains.push({endpoint: leaving.id, at: now()});
+	}
+
+	const handlers = createFaultHandlers({
+		store, nodes: () => nodes, endpoints, publishConfiguration, moveEndpoint,
+	});
+
+	async function applyFault(fault: AppliedFault, from: number): Promise<AppliedFault> {
+		await wait(fault.at);
+		handlers[fault.kind].begin(fault);
+		await wait(fault.until - fault.at);
+		handlers[fault.kind].end?.(fault);
+		return {...fault, at: fault.at + from, until: fault.until + from};
+	}
+
+	async function watchReady(): Promise<void> {
+		while (now() < endAt) {
+			// eslint-disable-next-line no-await-in-loop -- asks again and again, as a balancer does
+			const answers = await Promise.all(nodes.map(async node => node.isReady()));
+			ready = nodes.filter((_node, index) => answers[index]);
+			// eslint-disable-next-line no-await-in-loop -- the balancer's pause
+			await wait(readyCheckMs);
+		}
+	}
+
+	const nodes = await Promise.all(Array.from({length: nodeCount}, async (_value, index) => startNode({name: `n${index}`, store: store.address, folder})));
+	for (let place = 0; place < endpointCount; place++) {
+		// eslint-disable-next-line no-await-in-loop -- in the order of their numbers
+		await addEndpoint(place);
+	}
+
+	publishConfiguration();
+	const watching = watchReady();
+	while (ready.length < nodeCount) {
+		// eslint-disable-next-line no-await-in-loop -- polls
+		await wait(readyCheckMs);
+	}
+
+	const from = now();
+	const calling = Array.from({length: callers}, async (_value, number) => runCaller({
+		number,
+		random: createRandom((seed * 1000) + number),
+		now,
+		listReady: () => ready,
+		listVersions: () => versions.slice(-2).map(({version}) => version),
+		isOver: () => now() >= endAt,
+		onAttempt(attempt) {
+			attempts.push(attempt);
+		},
+	}));
+	const plan = planFaults({
+		random, lengthMs: seconds * 1000, nodes: nodeCount, endpoints: endpointCount,
+	});
+	const faults = await Promise.all(plan.map(async fault => applyFault(fault, from)));
+	await wait(calmMs);
+	endAt = now() + servedMs;
+	const calmFrom = now();
+	await Promise.all([watching, ...calling]);
+	await Promise.all([...nodes.map(async node => node.close()), ...endpoints.map(async endpoint => endpoint.close()), store.close()]);
+	const observation: Observation = {
+		attempts, runs, faults, versions, drains, calmFrom,
+	};
+	return {
+		seed, folder, breaches: checkPromises(observation), observation,
+	};
+}
--- /dev/null
+++ b/bench/soak/src/soak-endpoint.ts
@@ -0,0 +1,11 @@
+import type {FaultKind} from './fault-kind.ts';
+
+/**
+An endpoint under the soak's control, new for each place that one leaves.
+*/
+export type SoakEndpoint = {
+	readonly id: string;
+	readonly address: string;
+	readonly setFault: (kind: FaultKind | undefined) => void;
+	readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/bench/soak/src/start-node.ts
@@ -0,0 +1,109 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream} from 'node:fs';
+import {writeFile} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import {request} from 'undici';
+import type {SoakNode} from './soak-node.ts';
+import {startLink} from './start-link.ts';
+
+type NodeOptions = {
+	readonly name: string;
+	readonly store: string;
+	/**
+	Folder for its settings and logs.
+	*/
+	readonly folder: string;
+};
+
+const program = path.resolve(import.meta.dirname, '../../../cli/valvesaddle/src/main.ts');
+const askMs = 500;
+
+/**
+ Starts a gateway node as a process. Whatever ends the process, it is started again, as a platform does.
+
+ @example
+ const node = await startNode({name: 'n0', store: '127.0.0.1:8223', folder});
+ node.signal('SIGTERM');
+ */
+export async function startNode({name, store, folder}: NodeOptions): Promise<SoakNode> {
+	const link = await startLink(store);
+	const [callers, ready, peers] = await Promise.all([findFreeAddress(), findFreeAddress(), findFreeAddress()]);
+	const file = path.join(folder, `${name}.toml`);
+	await writeFile(file, `
+		[node]
+		name = "${name}"
+		data_centre = "a"
+		region = "r"
+		[listen]
+		callers = "${callers}"
+		ready = "${ready}"
+		peers = "${peers}"
+		[store]
+		address = "${link.address}"
+		[retry]
+		slack = 1000
+		[drain]
+		grace_ms = 8000
+		balancer_ms = 500
+	`);
+	const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
+	let child: ChildProcess;
+	let isClosed = false;
+
+	function startProgram(): void {
+		child = spawn(process.execPath, [program, 'gateway', '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
+		child.stdout?.pipe(log, {end: false});
+		child.stderr?.pipe(log, {end: false});
+		child.once('exit', () => {
+			if (!isClosed) {
+				startProgram();
+			}
+		});
+	}
+
+	startProgram();
+
+	return {
+		name,
+		callers,
+		link,
+		pid: () => child.pid ?? 0,
+		async isReady() {
+			try {
+				const {statusCode, body} = await request(`http://${ready}/valvesaddle/ready`, {headersTimeout: askMs, signal: AbortSignal.timeout(askMs)});
+				await body.dump();
+				return statusCode === 200;
+			} catch {
+				// A process that is down or stands still is not ready.
+				return false;
+			}
+		},
+		signal(signal) {
+			child.kill(signal);
+		},
+		async close() {
+			isClosed = true;
+			link.close();
+			if (child.exitCode === null && child.signalCode === null) {
+				const gone = once(child, 'exit');
+				child.kill('SIGKILL');
+				await gone;
+			}
+
+			log.end();
+		},
+	};
+}
+
+async function findFreeAddress(): Promise<string> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const place = server.address();
+	server.close();
+	await once(server, 'close');
+	return `127.0.0.1:${typeof place === 'object' && place !== null ? place.port : 0}`;
+}
--- /dev/null
+++ b/bench/soak/test/check-promises.test.ts
@@ -0,0 +1,84 @@
+import {test} from 'tap';
+import {checkPromises, type Observation} from '@valvesaddle/bench-soak';
+
+type Attempt = Observation['attempts'][number];
+
+function createAttempt(change: Partial<Attempt> = {}): Attempt {
+	return {
+		id: 'c1-1', path: '/unsafe/x', kind: 'unsafe', node: 'n0', pid: 7, sentAt: 1000, endedAt: 1100, status: 200, isWhole: true, body: 'for c1-1\n', ...change,
+	};
+}
+
+function check(change: Partial<Observation>): readonly string[] {
+	const observation: Observation = {
+		attempts: [], runs: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+	};
+	return checkPromises(observation).map(({promise}) => promise);
+}
+
+const run = {
+	id: 'c1-1', endpoint: 'e1', at: 1010, isSpoiled: false,
+};
+const stop = {
+	kind: 'stop', at: 1050, until: 2000, target: 0,
+} as const;
+
+function formatEvents(ids: readonly number[]): string {
+	return ids.map(id => `id: ${id}\ndata: for c1-1\n\n`).join('');
+}
+
+const kept: ReadonlyArray<readonly [name: string, observation: Partial<Observation>]> = [
+	['a whole answer of its own', {attempts: [createAttempt()], runs: [run]}],
+	['a refusal of what did not run', {attempts: [createAttempt({status: 503, body: ''})]}],
+	['a failure of what may have run', {attempts: [createAttempt({status: 502, body: ''})], runs: [run]}],
+	['a second run of what may be repeated', {attempts: [createAttempt({kind: 'safe'})], runs: [run, run]}],
+	['an answer that the endpoint broke off at a node that stops', {attempts: [createAttempt({status: 0, isWhole: false})], runs: [{...run, isSpoiled: true}], faults: [stop]}],
+	['an old route shortly after its version was replaced', {attempts: [createAttempt({path: '/v1/x', kind: 'safe', sentAt: 6000})], runs: [run], versions: [{version: 1, at: 0}, {version: 2, at: 5000}]}],
+	['new work at a leaving endpoint shortly after it said so', {runs: [{...run, at: 2000}], drains: [{endpoint: 'e1', at: 1000}]}],
+	['a stream that broke off between events', {attempts: [createAttempt({kind: 'stream', isWhole: false, body: formatEvents([0, 1])})], runs: [run]}],
+];
+
+test('what the promises allow is no breach', t => {
+	for (const [name, observation] of kept) {
+		t.same(check(observation), [], name);
+	}
+
+	t.end();
+});
+
+const broken: ReadonlyArray<readonly [promise: string, observation: Partial<Observation>]> = [
+	['each caller gets its own whole answer', {attempts: [createAttempt({body: 'for c9-9\n'})], runs: [run]}],
+	['a stream has no gap and no event twice', {attempts: [createAttempt({kind: 'stream', body: formatEvents([0, 1, 3]), isWhole: false})], runs: [run]}],
+	['a stream has no gap and no event twice', {attempts: [createAttempt({kind: 'resumable', body: formatEvents([0, 1])})], runs: [run]}],
+	['non-repeatable work runs at most once', {attempts: [createAttempt()], runs: [run, {...run, endpoint: 'e2'}]}],
+	['"not run" means not run', {attempts: [createAttempt({status: 503})], runs: [run]}],
+	['a leaving endpoint gets no new work', {runs: [{...run, at: 9000}], drains: [{endpoint: 'e1', at: 1000}]}],
+	['an accepted configuration is in force in seconds', {
+		attempts: [createAttempt({
+			path: '/v2/x', kind: 'safe', sentAt: 20_000, endedAt: 20_010, status: 404,
+		})], versions: [{version: 1, at: 0}, {version: 2, at: 5000}],
+	}],
+	['an accepted configuration is in force in seconds', {
+		attempts: [createAttempt({
+			path: '/v1/x', kind: 'safe', sentAt: 20_000, endedAt: 20_010,
+		})], runs: [run], versions: [{version: 1, at: 0}, {version: 2, at: 5000}],
+	}],
+	['a configuration never goes back to an older one', {
+		attempts: [createAttempt({
+			path: '/v2/x', kind: 'safe', sentAt: 5100, endedAt: 5200,
+		}), createAttempt({
+			path: '/v1/x', kind: 'safe', sentAt: 5300, endedAt: 5400,
+		})],
+		versions: [{version: 1, at: 0}, {version: 2, at: 5000}],
+	}],
+	['a graceful shutdown cuts off nothing', {attempts: [createAttempt({status: 0, isWhole: false, body: ''})], runs: [run], faults: [stop]}],
+	['every kind of request is served once faults are over', {attempts: [createAttempt({sentAt: 200_000, status: 502})]}],
+];
+
+test('every promise that is broken is seen', t => {
+	for (const [promise, observation] of broken) {
+		t.ok(check(observation).includes(promise), promise);
+	}
+
+	t.end();
+});
