feat: figures on an address of their own, the age of peers' news in each choice; a node leaves a broken relay at once

Cause: lines did not say how old the work of others was in a choice, metrics could not be fetched while an incident is examined, and a node waited 1.5 s for a relay whose link had broken. Also: the writing of an answer is a part of its own beside the tries, addresses are split in one place, and unused facts of pools and of the event relay are gone. Pauses between watches grow with the fleet up to six times: all nodes that start at once watch for some seconds until relays confirm the store to them.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -17,7 +17,12 @@
 		cpu_share: z.number().positive().default(1),
 		core_speed: z.number().positive().default(1),
 	}),
-	listen: z.strictObject({callers: address, ready: address, peers: address}),
+	/**
+	Figures are always shown on the ready address, and on `metrics` too when it is set.
+	*/
+	listen: z.strictObject({
+		callers: address, ready: address, peers: address, metrics: address.optional(),
+	}),
 	store: z.strictObject({
 		address,
 		timeout_ms: milliseconds.default(1000),
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -15,6 +15,10 @@
 */
 const longestTermFactor = 2;
 /**
+Most that the pause between two watches grows with the fleet: a change has to be in force everywhere in seconds.
+*/
+const longestGatherFactor = 6;
+/**
 Share of a pause that is drawn by lot, so that nodes do not call in step.
 */
 const jitterShare = 0.5;
@@ -116,7 +120,7 @@
 		// eslint-disable-next-line no-await-in-loop -- one watch after the other
 		while (!closing.signal.aborted && options.isNeeded() && await watchOnce() === 'done') {
 			// eslint-disable-next-line no-await-in-loop -- changes of this time come together
-			await waitAbout(options.gatherMs);
+			await waitAbout(options.gatherMs * Math.min(longestGatherFactor, measureFleet(view.nodes().length)));
 		}
 	}
 
--- a/gateway/exchange/src/create-event-relay.ts
+++ b/gateway/exchange/src/create-event-relay.ts
@@ -9,7 +9,7 @@
 
  @example
  const relay = createEventRelay(-1);
- relay.push(Buffer.from('id: 0\ndata: a\n\nid: 1\nda')).events; // 1
+ relay.push(Buffer.from('id: 0\ndata: a\n\nid: 1\nda')).length; // 14
  relay.lastEventId(); // 0
  */
 export function createEventRelay(firstAfter: number): EventRelay {
@@ -33,7 +33,7 @@
 			}
 
 			rest = Buffer.from(data);
-			return {bytes: passed.length === 1 ? passed[0]! : Buffer.concat(passed), events: passed.length};
+			return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
 		},
 		restart() {
 			rest = Buffer.alloc(0);
--- a/gateway/exchange/src/event-relay.ts
+++ b/gateway/exchange/src/event-relay.ts
@@ -1,19 +1,11 @@
-/**
-What a piece of an event stream holds.
-*/
-type RelayedEvents = {
-	/**
-	Whole events that were not passed on before.
-	*/
-	readonly bytes: Uint8Array;
-	readonly events: number;
-};
-
 /**
 Passes on whole events of a stream, each once, over several runs of one request.
 */
 export type EventRelay = {
-	readonly push: (chunk: Uint8Array) => RelayedEvents;
+	/**
+	Takes in a piece of a stream; returns the whole events in it that were not passed on before.
+	*/
+	readonly push: (chunk: Uint8Array) => Uint8Array;
 	/**
 	A new run begins: a half event of the one before is dropped.
 	*/
--- a/gateway/forwarding/src/classify-answer.ts
+++ b/gateway/forwarding/src/classify-answer.ts
@@ -17,6 +17,10 @@
 		return 'untrusted';
 	}
 
+	if (facts.isMisdirected) {
+		return 'misdirected';
+	}
+
 	if (facts.isNotRun) {
 		return 'not-run';
 	}
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,15 +1,10 @@
-import {Buffer} from 'node:buffer';
 import {ValvesaddleError} from '@valvesaddle/error';
-import {
-	createEventRelay,
-	type Exchange,
-	type ExchangeListener,
-	type Flow,
-} from '@valvesaddle/exchange';
+import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
 import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {canRepeat} from './can-repeat.ts';
+import {createAnswerWriter} from './create-answer-writer.ts';
 import {createPieceClock} from './create-piece-clock.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
@@ -31,10 +26,6 @@
 When a caller may come back, in milliseconds, as long as no measured wait says better.
 */
 const comeBackMs = 300;
-/**
-Another instance has taken over the address.
-*/
-const misdirectedStatus = 421;
 
 /**
  Starts to carry a request to one final answer. The task owns its timers and the exchange that is under way.
@@ -49,7 +40,7 @@
 	const id = facts.requestId ?? '-';
 	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
 	const deadlineAt = request.arrivedAt + waitMs;
-	const relay = route.kind === 'stream' && route.isResumable ? createEventRelay(facts.lastEventId) : undefined;
+	const writer = createAnswerWriter({request, reply, wire});
 	const clock = createPieceClock(request.arrivedAt, metrics);
 	const tried = new Set<string>();
 	const question: SelectionQuestion = {
@@ -59,7 +50,6 @@
 	let runs = 0;
 	let arrivals = 0;
 	let isOver = false;
-	let isBegun = false;
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
 	let patience: NodeJS.Timeout | undefined;
@@ -80,7 +70,7 @@
 	}
 
 	function refuse(error: ValvesaddleError): void {
-		if (isBegun) {
+		if (writer.isBegun()) {
 			closeTask('broken-off', 0);
 			reply.cut();
 			return;
@@ -126,7 +116,9 @@
 	}
 
 	function startAttempt(): void {
+		const askedAt = performance.now();
 		const selection = tries < mostTries ? selector.choose(question) : undefined;
+		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
 			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: comeBackMs}));
 			return;
@@ -139,11 +131,11 @@
 	}
 
 	function sendTo(selection: Selection, opened: OpenWork): void {
-		const {endpoint, costMs, heldTokens, candidates} = selection;
+		const {endpoint, costMs, heldTokens, candidates, newsAgeMs, unseenFactor} = selection;
 		const remainingMs = deadlineAt - performance.now();
 		logger.info({
 			name: 'request-sent', request: id, endpoint: endpoint.id, pool: request.pool, attempt: tries, version: request.version,
-			candidates, costMs: Math.round(costMs), heldTokens, remainingMs: Math.round(remainingMs),
+			candidates, costMs: Math.round(costMs), heldTokens, remainingMs: Math.round(remainingMs), newsAgeMs, unseenFactor: Math.round(unseenFactor * 10) / 10,
 		});
 		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
@@ -156,7 +148,7 @@
 				account: request.account?.name,
 				remainingMs,
 				urgency: request.isEnginePool ? rankUrgency(route, request.account) : undefined,
-				lastEventId: isBegun ? relay?.lastEventId() ?? -1 : -1,
+				lastEventId: writer.lastEventId(),
 			}),
 		}, createListener(opened));
 	}
@@ -177,7 +169,7 @@
 					status, headers, verdict, pieces: [], bytes: 0,
 				};
 				if (verdict === 'stream') {
-					startStream(answer);
+					writer.begin(answer);
 				} else if (verdict === 'untrusted') {
 					// What follows on the connection cannot be told apart from other answers.
 					endAttempt('failed');
@@ -205,19 +197,9 @@
 		};
 	}
 
-	function startStream(answer: AttemptAnswer): void {
-		if (isBegun) {
-			return;
-		}
-
-		isBegun = true;
-		reply.begin(answer.status, wire.writeAnswer(answer.headers));
-	}
-
 	function takeData(answer: AttemptAnswer, chunk: Uint8Array): Flow {
 		if (answer.verdict === 'stream') {
-			const bytes = relay === undefined ? chunk : relay.push(chunk).bytes;
-			return bytes.length === 0 ? 'more' : writePiece(bytes);
+			return writePiece(chunk);
 		}
 
 		answer.bytes += chunk.length;
@@ -231,29 +213,29 @@
 		return 'more';
 	}
 
-	function writePiece(bytes: Uint8Array): Flow {
-		if (reply.write(bytes)) {
+	function writePiece(chunk: Uint8Array): Flow {
+		if (writer.write(chunk)) {
 			return 'more';
 		}
 
 		const paused = exchange;
 		// A caller that reads slowly says nothing about the endpoint.
 		clearTimeout(patience);
-		reply.onDrain(() => {
+		writer.onDrain(() => {
 			paused?.resume();
 		});
 		return 'pause';
 	}
 
 	function handleEnd(answer: AttemptAnswer, opened: OpenWork): void {
-		if (answer.verdict === 'not-run') {
+		if (answer.verdict === 'not-run' || answer.verdict === 'misdirected') {
 			runs--;
-			opened.close(answer.status === misdirectedStatus ? 'gone' : 'rejected');
+			opened.close(answer.verdict === 'misdirected' ? 'gone' : 'rejected');
 			handleFailure({reason: `refused with ${answer.status}`, mayHaveRun: false});
 		} else if (answer.verdict === 'run-failed') {
 			opened.close('failed');
 			handleFailure({reason: `failed with ${answer.status}`, mayHaveRun: true, answer});
-		} else if (answer.verdict === 'stream' && relay?.hasRest() === true) {
+		} else if (answer.verdict === 'stream' && writer.hasRest()) {
 			opened.close('failed');
 			handleFailure({reason: 'the stream ended within an event', mayHaveRun: true});
 		} else {
@@ -265,18 +247,14 @@
 	function answerCaller(answer: AttemptAnswer): void {
 		exchange = undefined;
 		closeTask('answered', answer.status);
-		if (answer.verdict === 'stream') {
-			reply.end();
-		} else {
-			reply.answer(answer.status, wire.writeAnswer(answer.headers), Buffer.concat(answer.pieces));
-		}
+		writer.end(answer);
 	}
 
 	function handleFailure(failure: AttemptFailure): void {
 		clearTimeout(patience);
 		exchange = undefined;
 		work = undefined;
-		relay?.restart();
+		writer.dropRest();
 		// An attempt that never arrived takes nothing from the budget.
 		const isAllowed = canRepeat({route, mayHaveRun: failure.mayHaveRun, runs});
 		const isRetried = isAllowed && (arrivals === 0 || options.budget.spend(request.pool));
@@ -286,7 +264,7 @@
 		});
 		if (isRetried) {
 			startAttempt();
-		} else if (!isBegun && failure.answer !== undefined) {
+		} else if (failure.answer !== undefined && !writer.isBegun()) {
 			answerCaller(failure.answer);
 		} else {
 			refuse(toRefusal(failure));
--- a/gateway/forwarding/src/create-piece-clock.ts
+++ b/gateway/forwarding/src/create-piece-clock.ts
@@ -22,6 +22,7 @@
 				metrics.timing('gateway.first-byte', firstMs);
 			} else {
 				longestPauseMs = Math.max(longestPauseMs, now - lastAt);
+				metrics.timing('gateway.pause', now - lastAt);
 			}
 
 			lastAt = now;
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -48,7 +48,7 @@
 		[429, {}, 'untrusted'],
 		[408, {}, 'untrusted'],
 		[503, {isNotRun: true}, 'not-run'],
-		[421, {isNotRun: true, isMisdirected: true}, 'not-run'],
+		[421, {isNotRun: true, isMisdirected: true}, 'misdirected'],
 		[503, {isNotRun: true, requestId: 'b'}, 'untrusted'],
 	];
 	for (const [status, change, verdict] of cases) {
--- a/gateway/routes/test/route-index.test.ts
+++ b/gateway/routes/test/route-index.test.ts
@@ -11,7 +11,7 @@
 	routes: [base, {...base, name: 'long', prefix: '/a/b/'}, {
 		...base, name: 'open', prefix: '/open/', isPublic: true,
 	}, {...base, name: 'other', host: 'Other.example'}],
-	pools: [{name: 'p', maximumConnections: 10, engine: undefined}],
+	pools: [{name: 'p', engine: undefined}],
 	limits: {
 		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -10,8 +10,8 @@
 import type {PaceModel} from './pace-model.ts';
 import type {PrefixModel} from './prefix-model.ts';
 import type {PromptChooser} from './prompt-chooser.ts';
+import type {Rating} from './rating.ts';
 import type {ReadingRate} from './reading-rate.ts';
-import type {Selection} from './selection.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 import type {SelectorOptions} from './selector-options.ts';
 
@@ -138,7 +138,7 @@
 			const [agreed] = recentTokens === 0 ? rankByHash(shared.map(({id}) => id).join(','), candidates.map(({id}) => id).filter(id => lane.has(id))) : [];
 			const agreedMs = sameChoiceShare * settings.rereadMsPerToken * countTokens(shared);
 			const tokensPerMs = pool.rate.get();
-			let best: (Selection & {readonly score: number}) | undefined;
+			let best: (Rating & {readonly score: number}) | undefined;
 			for (const endpoint of candidates) {
 				const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
 				const costMs = measureDelay(loads.get(endpoint.id), endpoint.slots, question.promptTokens - heldTokens, tokensPerMs * pool.paces.getFactor(endpoint.id));
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -7,6 +7,7 @@
 import {noLoad} from './no-load.ts';
 import type {OpenWork} from './open-work.ts';
 import type {Placement} from './placement.ts';
+import type {Rating} from './rating.ts';
 import type {Selection} from './selection.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 import type {Selector} from './selector.ts';
@@ -50,6 +51,7 @@
 	const failures = createFailureTable();
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
+	let newsAt: number | undefined;
 	let placements: Placement[] = [];
 
 	function isLongPrompt({promptTokens}: SelectionQuestion): boolean {
@@ -74,7 +76,7 @@
 		return sound.length > 0 ? sound : untried;
 	}
 
-	function chooseByLoad(candidates: readonly ServingEndpoint[]): Selection | undefined {
+	function chooseByLoad(candidates: readonly ServingEndpoint[]): Rating | undefined {
 		const rated = candidates.map(endpoint => ({
 			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.id).open + Math.random()) / endpoint.slots, candidates: candidates.length,
 		}));
@@ -84,9 +86,10 @@
 	function choose(question: SelectionQuestion): Selection | undefined {
 		const ready = listReady(question.pool);
 		const candidates = listCandidates(ready, question.tried);
-		return pools.get(question.pool)?.engine === undefined
+		const rating = pools.get(question.pool)?.engine === undefined
 			? chooseByLoad(candidates)
 			: chooser.choose(ready, candidates, question);
+		return rating && {...rating, unseenFactor, newsAgeMs: newsAt === undefined ? -1 : Math.round(performance.now() - newsAt)};
 	}
 
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
@@ -184,6 +187,7 @@
 		},
 		listOwn: () => ({loads: loads.listOwn(), placements: []}),
 		applyNews(node, news) {
+			newsAt = performance.now();
 			for (const [endpoint, load] of news.loads) {
 				loads.applyPeer(node, endpoint, load);
 			}
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -1,5 +1,5 @@
 import type {ServingEndpoint} from '@valvesaddle/gateway-types';
-import type {Selection} from './selection.ts';
+import type {Rating} from './rating.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 
 /**
@@ -9,7 +9,7 @@
 	/**
 	Best of the candidates, which are some of the endpoints that are ready; `undefined` when there are none.
 	*/
-	readonly choose: (ready: readonly ServingEndpoint[], candidates: readonly ServingEndpoint[], question: SelectionQuestion) => Selection | undefined;
+	readonly choose: (ready: readonly ServingEndpoint[], candidates: readonly ServingEndpoint[], question: SelectionQuestion) => Rating | undefined;
 	/**
 	Records tokens that have to be read for a prompt, on whichever node.
 	*/
--- a/gateway/selection/src/selection.ts
+++ b/gateway/selection/src/selection.ts
@@ -1,17 +1,15 @@
-import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {Rating} from './rating.ts';
 
 /**
-An endpoint with what spoke for it.
+The endpoint that was chosen, and how much was known of the work of others.
 */
-export type Selection = {
-	readonly endpoint: ServingEndpoint;
+export type Selection = Rating & {
 	/**
-	Predicted time to the first token or answer, in milliseconds.
+	Milliseconds since any other node told of its work; -1 when none has.
 	*/
-	readonly costMs: number;
+	readonly newsAgeMs: number;
 	/**
-	Prompt tokens that the endpoint is believed to hold.
+	How many times the known work was taken to stand for all of it.
 	*/
-	readonly heldTokens: number;
-	readonly candidates: number;
+	readonly unseenFactor: number;
 };
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -22,7 +22,7 @@
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const selector = createSelector(options);
-	selector.setPools([{name: 'engines', maximumConnections: 100, engine: {slots: 64, cacheTokens: 600_000}}, {name: 'plain', maximumConnections: 10, engine: undefined}]);
+	selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}, {name: 'plain', engine: undefined}]);
 	for (const id of ids) {
 		selector.addEndpoint(createEndpoint(id));
 	}
@@ -71,7 +71,7 @@
 test('prompts that share parts keep to the endpoint that holds them, on every node that was told', t => {
 	const {selector} = createFilled(t, ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6']);
 	const other = createSelector(options);
-	other.setPools([{name: 'engines', maximumConnections: 100, engine: {slots: 64, cacheTokens: 600_000}}]);
+	other.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
 	for (const id of ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6']) {
 		other.addEndpoint(createEndpoint(id));
 	}
--- a/gateway/types/src/service-pool.ts
+++ b/gateway/types/src/service-pool.ts
@@ -6,10 +6,6 @@
 export type ServicePool = {
 	readonly name: string;
 	/**
-	Connections that one endpoint accepts from all nodes together.
-	*/
-	readonly maximumConnections: number;
-	/**
 	Set for pools of model engines.
 	*/
 	readonly engine: EngineTraits | undefined;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -1,11 +1,13 @@
 import {randomBytes} from 'node:crypto';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {toValvesaddleError} from '@valvesaddle/error';
 import {createExchangeClient} from '@valvesaddle/exchange';
 import {createFleetStore} from '@valvesaddle/fleet-store';
 import {createForwarder} from '@valvesaddle/forwarding';
 import {createFront} from '@valvesaddle/front';
 import type {GatewayNode} from '@valvesaddle/gateway-types';
+import {parseAddress} from '@valvesaddle/http-server';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics, createMetricsPage} from '@valvesaddle/metrics';
 import {createPeerNetwork} from '@valvesaddle/network';
@@ -18,7 +20,6 @@
 import {defaultLimits} from './default-limits.ts';
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
-import {parseListenAddress} from './parse-listen-address.ts';
 
 /**
 Bytes of the random parts of a node's id and token.
@@ -28,7 +29,7 @@
 /**
 Part of the grace time that is left unused, for what still has to be closed and written.
 */
-const unusedGraceShare = 0.07;
+const unusedGraceShare = 0.1;
 /**
 How long a node that stops waits for the store and its peers, in milliseconds.
 */
@@ -79,7 +80,7 @@
 	});
 	const network = createPeerNetwork({
 		node: self.id,
-		...parseListenAddress(listen.peers),
+		...parseAddress(listen.peers),
 		token: self.token,
 		findAddress: id => view.nodes().find(node => node.id === id)?.address,
 		findToken: id => view.nodes().find(node => node.id === id)?.token ?? '',
@@ -129,7 +130,7 @@
 	let routes: RouteIndex | undefined;
 	let isLeaving = false;
 	const front = createFront({
-		...parseListenAddress(listen.callers),
+		...parseAddress(listen.callers),
 		wire: platformWire,
 		forwarder,
 		routes: () => routes,
@@ -139,10 +140,11 @@
 		metrics,
 	});
 	const ready = createReadyServer({
-		...parseListenAddress(listen.ready),
+		...parseAddress(listen.ready),
 		isReady: () => routes !== undefined && !isLeaving,
 		readMetrics: page.format,
 	});
+	const metricsServer = listen.metrics === undefined ? undefined : createReadyServer({...parseAddress(listen.metrics), isReady: () => true, readMetrics: page.format});
 
 	view.events.on('configuration', ({data: {configuration}}) => {
 		routes = createRouteIndex(configuration);
@@ -168,11 +170,22 @@
 		sync.close();
 		await Promise.race([follower.close(), wait(closeMs, undefined, {ref: false})]);
 		view.close();
-		await Promise.race([Promise.all([network.close(), ready.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs, undefined, {ref: false})]);
+		await Promise.race([Promise.all([network.close(), ready.close(), metricsServer?.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs, undefined, {ref: false})]);
 		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
 		await logger.flush();
 	}
 
+	/**
+	The node serves callers also where its figures cannot be asked for.
+	*/
+	async function startMetrics(): Promise<void> {
+		try {
+			await metricsServer?.listen();
+		} catch (error) {
+			logger.warn({name: 'metrics-unavailable', address: listen.metrics ?? '', reason: toValvesaddleError(error).message});
+		}
+	}
+
 	async function drain(): Promise<void> {
 		isLeaving = true;
 		logger.info({
@@ -191,6 +204,7 @@
 				name: 'node-state', from: 'stopped', to: 'starting', open: 0,
 			});
 			const [callers, readyAddress, peerAddress] = [await front.listen(), await ready.listen(), await network.listen(handlers)];
+			await startMetrics();
 			follower.start();
 			sync.start();
 			logger.info({name: 'listening', what: 'callers', address: callers});
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -165,6 +165,16 @@
 		markHeard(node) {
 			heardAt.set(node, performance.now());
 		},
+		markLost(node) {
+			heardAt.delete(node);
+			if (node !== parent) {
+				return;
+			}
+
+			const now = performance.now();
+			suspectedAt.set(node, now);
+			updateParent(now);
+		},
 		isRelay,
 		isFollower: () => overlay.followers.has(self.id),
 		isMesh: () => overlay.isMesh,
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -62,6 +62,7 @@
 
 	network.events.on('lost', ({data: {node}}) => {
 		news.removeLink(node);
+		links.markLost(node);
 		logger.info({name: 'peer-state', peer: node, reachable: false});
 	});
 	network.events.on('found', ({data: {node}}) => {
--- a/node/gateway/src/link-plan.ts
+++ b/node/gateway/src/link-plan.ts
@@ -10,6 +10,10 @@
 	Notes a sign of life.
 	*/
 	readonly markHeard: (node: string) => void;
+	/**
+	Notes that a link broke; a node whose relay it was moves to another one at once.
+	*/
+	readonly markLost: (node: string) => void;
 	readonly isRelay: (node: string) => boolean;
 	/**
 	Whether this node follows the store for others.
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -13,7 +13,7 @@
 const peerState: ClusterState = {
 	revision: 9,
 	configuration: {
-		version: 4, routes: [], pools: [{name: 'p', maximumConnections: 10, engine: undefined}], limits: {
+		version: 4, routes: [], pools: [{name: 'p', engine: undefined}], limits: {
 			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 		}, accounts: [],
 	},
@@ -176,6 +176,18 @@
 	t.match(asked[2], /^r[123567]$/v, 'then one farther away');
 });
 
+test('a node whose relay breaks off moves to another one at once', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 60_000});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	const [first = ''] = setup.links;
+	setup.links.delete(first);
+	await setup.events.emit('lost', {node: first});
+	t.equal(setup.links.size, 1);
+	t.notOk(setup.links.has(first));
+});
+
 test('only a follower, and a node that has heard no confirmation of late, asks the store itself', async t => {
 	const setup = createSync(t, {connected: [], silenceBeatMs: 100});
 	addNodes(setup, createFleet());
@@ -224,7 +236,7 @@
 
 test('the work of nodes that a lost relay told of is forgotten with it', async t => {
 	const {events, selector, handlers} = createSync(t, {connected: []});
-	selector.setPools([{name: 'p', maximumConnections: 10, engine: undefined}]);
+	selector.setPools([{name: 'p', engine: undefined}]);
 	for (const id of ['i-1', 'i-2']) {
 		selector.addEndpoint({
 			id, pool: 'p', address: `${id}:1`, dataCentre: 'a', slots: 4, state: 'ready',
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -10,6 +10,7 @@
 import {createExecutor} from '@valvesaddle/execution';
 import {createDispatchHost} from '@valvesaddle/host';
 import {createKvClient} from '@valvesaddle/kv';
+import {parseAddress} from '@valvesaddle/http-server';
 import {createLogger} from '@valvesaddle/logger';
 import {createMembership} from '@valvesaddle/membership';
 import {createMetrics} from '@valvesaddle/metrics';
@@ -26,7 +27,6 @@
 import {createPeerHandlers} from './create-peer-handlers.ts';
 import type {Router} from './router.ts';
 import type {RouterOptions} from './router-options.ts';
-import {parseAddress} from './parse-address.ts';
 
 /**
 Peers asked for their configuration while the key-value service does not answer.
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -21,6 +21,7 @@
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
 	| {readonly name: 'settings-read'; readonly isAccepted: boolean; readonly reason: string}
+	| {readonly name: 'metrics-unavailable'; readonly address: string; readonly reason: string}
 	| {readonly name: 'node-registration'; readonly isDone: boolean; readonly reason: string}
 	| {
 		readonly name: 'request-admitted'; readonly request: string; readonly route: string; readonly version: number;
@@ -33,6 +34,7 @@
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
+		readonly newsAgeMs: number; readonly unseenFactor: number;
 	}
 	| {
 		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
