fix: bounds in fractions of seconds, and installations that do not name a bound

Cause: the template wrote seconds as milliseconds by adding three zeros, so 7.5 s or a missing bound made a settings file that a node refuses: it would not start there. Ruled out: computing in the template, which has no arithmetic. Test: the template filled in with a fraction, and without any bound (both failed before).

--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -46,7 +46,7 @@
 		[retry]
 		slack = 1000
 		[drain]
-		grace_ms = 8000
+		grace_s = 8
 		balancer_ms = 500
 	`);
 	const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -1,10 +1,14 @@
 import {z} from 'zod';
 
 const address = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.5:7100"');
+/**
+The platform states some bounds in seconds, with fractions.
+*/
+const seconds = z.number().positive().max(86_400);
 const milliseconds = z.int().min(1).max(86_400_000);
 
 /**
-Form of a gateway node's settings file. All times are in milliseconds.
+Form of a gateway node's settings file. Times are in milliseconds, those named `_s` in seconds.
 */
 export const gatewaySettingsSchema = z.strictObject({
 	node: z.strictObject({
@@ -36,7 +40,7 @@
 	retry: z.strictObject({
 		ratio: z.number().min(0).default(0.1),
 		slack: z.number().min(0).default(10),
-		window_ms: milliseconds.default(10_000),
+		window_s: seconds.default(10),
 		/**
 		Nodes that are taken to share the slack before more are known.
 		*/
@@ -50,7 +54,7 @@
 		short_fill_use: z.number().positive().default(0.6),
 		lane_average_ms: milliseconds.default(3000),
 		leave_lane_share: z.number().min(0).default(1),
-		reuse_ms: milliseconds.default(10_000),
+		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
 	}).prefault({}),
@@ -72,7 +76,7 @@
 		keep_alive_ms: milliseconds.default(4000),
 	}).prefault({}),
 	drain: z.strictObject({
-		grace_ms: milliseconds.default(8000),
+		grace_s: seconds.default(8),
 		/**
 		Time after which the balancer has taken the node out.
 		*/
--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -6,19 +6,23 @@
 const template = path.resolve(import.meta.dirname, '../../../deploy/settings.toml');
 
 const values: Readonly<Record<string, string>> = {
-	'node-name': 'n1', zone: 'a', region: 'r', 'listen.front': '10.0.0.1:1', 'listen.ready': '10.0.0.1:2', ip: '10.0.0.1', 'internal-port-range.0': '7340', 'platform.address': '10.0.0.2:3', 'bounds.retry-budget-ratio': '0.2', 'bounds.budget-slack': '56', 'bounds.budget-window-s': '10', 'bounds.reuse-window-s': '10', 'bounds.grace-s': '8', 'limits.cpu-share': '0.675', 'limits.cores': '2',
+	'node-name': 'n1', zone: 'a', region: 'r', 'listen.front': '10.0.0.1:1', 'listen.ready': '10.0.0.1:2', ip: '10.0.0.1', 'internal-port-range.0': '7340', 'platform.address': '10.0.0.2:3', 'bounds.retry-budget-ratio': '0.2', 'bounds.budget-slack': '56', 'bounds.budget-window-s': '7.5', 'bounds.reuse-window-s': '10', 'bounds.grace-s': '8', 'limits.cpu-share': '0.675', 'limits.cores': '2',
 };
 
-test('the template of the deployment, filled in, is a valid file', async t => {
-	const text = await readFile(template, 'utf8');
-	let filled = text;
-	for (const [name, value] of Object.entries(values)) {
-		filled = filled.split(`{{${name}}}`).join(value);
-	}
+/**
+Fills a template in as the platform does: a section is left out where its value is missing.
+*/
+function fillTemplate(text: string, given: Readonly<Record<string, string>>): string {
+	const fields = new Map(Object.entries(given));
+	return text
+		.replaceAll(/\{\{#(?<name>[\w\-.]+)\}\}(?<inner>.*?)\{\{\/\k<name>\}\}/gsv, (_section, name: string, inner: string) => fields.has(name) ? inner : '')
+		.replaceAll(/\{\{(?<name>[\w\-.]+)\}\}/gv, (_field, name: string) => fields.get(name) ?? '');
+}
 
-	const settings = parseGatewaySettings(filled)._unsafeUnwrap();
+test('the template of the deployment, filled in, is a valid file', async t => {
+	const settings = parseGatewaySettings(fillTemplate(await readFile(template, 'utf8'), values))._unsafeUnwrap();
 	t.match(settings, {
-		node: {name: 'n1', cpu_share: 0.675, core_speed: 2}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_ms: 10_000}, drain: {grace_ms: 8000}, selection: {reuse_ms: 10_000},
+		node: {name: 'n1', cpu_share: 0.675, core_speed: 2}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_s: 7.5}, drain: {grace_s: 8}, selection: {reuse_s: 10},
 	});
 });
 
@@ -31,3 +35,11 @@
 
 	t.end();
 });
+
+test('an installation that names no bounds gets the defaults', async t => {
+	const fields = Object.fromEntries(Object.entries(values).filter(([name]) => !name.startsWith('bounds.')));
+	const settings = parseGatewaySettings(fillTemplate(await readFile(template, 'utf8'), fields))._unsafeUnwrap();
+	t.match(settings, {
+		retry: {ratio: 0.1, slack: 10, window_s: 10}, drain: {grace_s: 8}, selection: {reuse_s: 10},
+	});
+});
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -106,6 +106,10 @@
 		});
 	}
 
+	function measureGather(): number {
+		return options.gatherMs * Math.min(longestGatherFactor, measureFleet(view.nodes().length));
+	}
+
 	/**
 	A list, then watches until one fails or others watch for this node.
 	*/
@@ -120,7 +124,7 @@
 		// eslint-disable-next-line no-await-in-loop -- one watch after the other
 		while (!closing.signal.aborted && options.isNeeded() && await watchOnce() === 'done') {
 			// eslint-disable-next-line no-await-in-loop -- changes of this time come together
-			await waitAbout(options.gatherMs * Math.min(longestGatherFactor, measureFleet(view.nodes().length)));
+			await waitAbout(measureGather());
 		}
 	}
 
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -21,6 +21,7 @@
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
 
+const msPerSecond = 1000;
 /**
 Bytes of the random parts of a node's id and token.
 */
@@ -96,7 +97,7 @@
 		shortFillUse: selection.short_fill_use,
 		laneAverageMs: selection.lane_average_ms,
 		leaveLaneShare: selection.leave_lane_share,
-		reuseMs: selection.reuse_ms,
+		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 	});
@@ -115,7 +116,7 @@
 	});
 	let mostNodes = retry.assumed_nodes;
 	const budget = createRetryBudget({
-		ratio: retry.ratio, slack: retry.slack, windowMs: retry.window_ms, countNodes: () => mostNodes,
+		ratio: retry.ratio, slack: retry.slack, windowMs: retry.window_s * msPerSecond, countNodes: () => mostNodes,
 	});
 	const exchanges = createExchangeClient({
 		connectMs: settings.limits.connect_ms,
@@ -191,7 +192,7 @@
 		logger.info({
 			name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen(),
 		});
-		const usableMs = drainSettings.grace_ms * (1 - unusedGraceShare);
+		const usableMs = drainSettings.grace_s * msPerSecond * (1 - unusedGraceShare);
 		// The balancer needs a few misses to send no more callers here.
 		await wait(Math.min(drainSettings.balancer_ms, usableMs));
 		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms, undefined, {ref: false})]);
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -84,7 +84,7 @@
 			[limits]
 			connect_ms = 10000
 			[drain]
-			grace_ms = 60000
+			grace_s = 60
 			balancer_ms = 1
 			[observe]
 			log_level = "silent"
