--- a/bench/capacity/src/main.ts
+++ b/bench/capacity/src/main.ts
@@ -10,6 +10,7 @@
 import {measureConfiguration} from './measure-configuration.ts';
 import {measureDecisions} from './measure-decisions.ts';
 import {measureFleet} from './measure-fleet.ts';
+import {measureGateways} from './measure-gateways.ts';
 import {measureGrants} from './measure-grants.ts';
 import {measureMemory} from './measure-memory.ts';
 
@@ -20,6 +21,7 @@
 	configuration: measureConfiguration,
 	grants: measureGrants,
 	fleet: measureFleet,
+	gateways: measureGateways,
 };
 const results = path.resolve(import.meta.dirname, '../../results');
 await mkdir(results, {recursive: true});
--- a/bench/soak/src/soak-node.ts
+++ b/bench/soak/src/soak-node.ts
@@ -7,6 +7,10 @@
 	readonly name: string;
 	readonly callers: string;
 	/**
+	Address for health checks and figures.
+	*/
+	readonly ready: string;
+	/**
 	Its way to the store.
 	*/
 	readonly link: Link;
--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -69,6 +69,7 @@
 	return {
 		name,
 		callers,
+		ready,
 		link,
 		pid: () => child.pid ?? 0,
 		async isReady() {
