--- a/bench/capacity/src/measure-gateways.ts
+++ b/bench/capacity/src/measure-gateways.ts
@@ -3,8 +3,8 @@
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {formatTable, readProcessUsage} from '@valvesaddle/bench-harness';
-import {createSoakConfiguration, startNode, type SoakNode} from '@valvesaddle/bench-soak';
-import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
+import {startNode, type SoakNode} from '@valvesaddle/bench-soak';
+import {createFakeConfiguration, startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {request} from 'undici';
 
 /**
@@ -46,7 +46,7 @@
 async function measureSize(size: number): Promise<string[]> {
 	const folder = await mkdtemp(path.join(tmpdir(), 'gateways-'));
 	const store = await startFakeFleetStore();
-	store.put('op/config', createSoakConfiguration(1));
+	store.publish(createFakeConfiguration(1));
 	const nodes = await Promise.all(Array.from({length: size}, async (_value, index) => startNode({name: `n${index}`, store: store.address, folder})));
 	await wait(settleMs);
 	const before = await Promise.all(nodes.map(async node => readUsage(node)));
--- a/bench/soak/src/index.ts
+++ b/bench/soak/src/index.ts
@@ -1,7 +1,6 @@
 export {checkPromises} from './check-promises.ts';
 export type {Breach} from './breach.ts';
 export type {Observation} from './observation.ts';
-export {createSoakConfiguration} from './create-soak-configuration.ts';
 export {planFaults} from './plan-faults.ts';
 export {runSoak} from './run-soak.ts';
 export type {SoakNode} from './soak-node.ts';
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -2,13 +2,12 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
-import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
+import {createFakeConfiguration, startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {createRandom} from '@valvesaddle/load';
 import type {AppliedFault} from './applied-fault.ts';
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
-import {createSoakConfiguration} from './create-soak-configuration.ts';
 import type {Observation} from './observation.ts';
 import {planFaults} from './plan-faults.ts';
 import type {Run} from './run.ts';
@@ -70,14 +69,14 @@
 	}
 
 	function registerEndpoint({id, address}: SoakEndpoint, state: 'ready' | 'draining'): void {
-		store.put(`servers/${id}`, {
-			service: 'desk', address, zone: 'a', slots: 8, state,
+		store.registerEndpoint(id, {
+			pool: 'desk', address, slots: 8, state,
 		});
 	}
 
 	function publishConfiguration(): void {
 		const version = versions.length + 1;
-		store.put('op/config', createSoakConfiguration(version));
+		store.publish(createFakeConfiguration(version));
 		versions.push({version, at: now()});
 	}
 
--- a/bench/soak/src/start-link.ts
+++ b/bench/soak/src/start-link.ts
@@ -1,4 +1,5 @@
 import {connect, createServer, type Socket} from 'node:net';
+import {startListening} from '@valvesaddle/fake-http';
 import type {Link} from './link.ts';
 import type {LinkMode} from './link-mode.ts';
 
@@ -46,13 +47,10 @@
 		forwardData(near, far);
 		forwardData(far, near);
 	});
-	const {promise, resolve} = Promise.withResolvers<void>();
-	server.listen(0, '127.0.0.1', resolve);
-	await promise;
-	const place = server.address();
+	const address = await startListening(server);
 
 	return {
-		address: `127.0.0.1:${typeof place === 'object' && place !== null ? place.port : 0}`,
+		address,
 		setMode(newMode) {
 			mode = newMode;
 			for (const socket of newMode === 'reset' ? sockets : []) {
--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -5,6 +5,7 @@
 import {createServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
+import {startListening} from '@valvesaddle/fake-http';
 import {request} from 'undici';
 import type {SoakNode} from './soak-node.ts';
 import {startLink} from './start-link.ts';
@@ -101,10 +102,8 @@
 
 async function findFreeAddress(): Promise<string> {
 	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const place = server.address();
+	const address = await startListening(server);
 	server.close();
 	await once(server, 'close');
-	return `127.0.0.1:${typeof place === 'object' && place !== null ? place.port : 0}`;
+	return address;
 }
--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -1,6 +1,13 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Socket} from 'node:net';
-import {startFakeEndpoint, type ArrivedRequest} from '@valvesaddle/fake-endpoint';
+import {
+	formatAnswer,
+	formatStreamHead,
+	notRunMark,
+	signature,
+	startFakeEndpoint,
+	type ArrivedRequest,
+} from '@valvesaddle/fake-endpoint';
 import type {FaultKind} from './fault-kind.ts';
 import type {Run} from './run.ts';
 import type {SoakEndpoint} from './soak-endpoint.ts';
@@ -26,10 +33,6 @@
 */
 const struckShare = 0.4;
 
-function formatHead(status: string, id: string, rows: readonly string[]): string {
-	return [`HTTP/1.1 ${status}`, `x-attempt-id: ${id}`, ...rows, '', ''].join('\r\n');
-}
-
 function formatChunk(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
@@ -45,17 +48,18 @@
 	const fake = await startFakeEndpoint();
 	let fault: FaultKind | undefined;
 
-	function answerPlain(socket: Socket, id: string, isSpoiled: boolean): void {
-		const body = `for ${id}\n`;
-		const rows = ['x-response-seal: seal', `content-length: ${body.length}`];
+	function answerPlain(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): void {
+		const body = `for ${request.requestId}\n`;
 		// A spoiled answer is followed by one that nobody asked for.
-		socket.write(formatHead('200 OK', id, rows) + body + (isSpoiled ? `${formatHead('200 OK', 'nobody', rows)}${body}` : ''));
+		const extra = isSpoiled ? formatAnswer('200 OK', {requestId: 'nobody'}, signature, body) : '';
+		socket.write(formatAnswer('200 OK', request, signature, body) + extra);
 	}
 
-	async function answerStream(socket: Socket, request: ArrivedRequest, id: string, isSpoiled: boolean): Promise<void> {
-		const from = Number(request.headers.get('last-event-id') ?? -1) + 1;
+	async function answerStream(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): Promise<void> {
+		const {requestId: id, lastEventId} = request;
+		const from = lastEventId + 1;
 		const isBroken = isSpoiled && random() < 0.7;
-		socket.write(formatHead('200 OK', id, ['x-response-seal: seal', 'content-type: text/event-stream', 'transfer-encoding: chunked']));
+		socket.write(formatStreamHead(request));
 		for (let event = from; event < events; event++) {
 			if (isBroken && event > from + 2) {
 				socket.write(formatChunk(`id: ${event}\nda`), () => {
@@ -73,10 +77,10 @@
 	}
 
 	async function runRequest(request: ArrivedRequest, socket: Socket): Promise<void> {
-		const id = request.headers.get('x-attempt-id') ?? '';
+		const {requestId: id} = request;
 		const isStruck = fault !== undefined && random() < struckShare;
 		if (isStruck && fault === 'refuse') {
-			socket.write(formatHead('503 Service Unavailable', id, ['x-not-executed: 1', 'content-length: 0']));
+			socket.write(formatAnswer('503 Service Unavailable', request, notRunMark, ''));
 			return;
 		}
 
@@ -85,7 +89,7 @@
 			id, endpoint, at: now(), isSpoiled,
 		});
 		if (request.line.includes('/stream/') || request.line.includes('/resumable/')) {
-			await answerStream(socket, request, id, isSpoiled);
+			await answerStream(socket, request, isSpoiled);
 			return;
 		}
 
@@ -93,7 +97,7 @@
 		if (isSpoiled && fault === 'break') {
 			socket.resetAndDestroy();
 		} else {
-			answerPlain(socket, id, isSpoiled);
+			answerPlain(socket, request, isSpoiled);
 		}
 	}
 
--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -36,7 +36,7 @@
 	t.end();
 });
 
-test('an installation that names no bounds gets the defaults', async t => {
+test('a deployment that names no bounds gets the defaults', async t => {
 	const fields = Object.fromEntries(Object.entries(values).filter(([name]) => !name.startsWith('bounds.')));
 	const settings = parseGatewaySettings(fillTemplate(await readFile(template, 'utf8'), fields))._unsafeUnwrap();
 	t.match(settings, {
--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -1,23 +1,15 @@
-import type {ArrivedRequest} from './arrived-request.ts';
 import type {EndpointBehaviour} from './endpoint-behaviour.ts';
+import {formatAnswer} from './format-answer.ts';
+import {formatHead} from './format-head.ts';
+import {formatStreamHead} from './format-stream-head.ts';
+import {notRunMark} from './not-run-mark.ts';
+import {signature} from './signature.ts';
 
-type Head = Readonly<Record<string, string>>;
-
-const signature = {'x-response-seal': 'seal'};
 /**
 Events of a whole stream.
 */
 const events = 4;
 
-function formatHead(status: string, request: ArrivedRequest, headers: Head): string {
-	const rows = Object.entries({'x-attempt-id': request.headers.get('x-attempt-id') ?? '', ...headers}).map(([name, value]) => `${name}: ${value}\r\n`);
-	return `HTTP/1.1 ${status}\r\n${rows.join('')}\r\n`;
-}
-
-function formatAnswer(status: string, request: ArrivedRequest, headers: Head, body: string): string {
-	return formatHead(status, request, {...headers, 'content-length': String(body.length)}) + body;
-}
-
 function formatEvents(from: number, to: number): string {
 	let text = '';
 	for (let id = from; id < to; id++) {
@@ -28,10 +20,6 @@
 	return text;
 }
 
-function formatStreamHead(request: ArrivedRequest): string {
-	return formatHead('200 OK', request, {...signature, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked'});
-}
-
 /**
 Answers of endpoints that are well, that refuse, and that fail in every way the gateway has to tell apart.
 */
@@ -40,7 +28,7 @@
 		socket.write(formatAnswer('200 OK', request, signature, `body of ${request.line}`));
 	},
 	notRun(request, socket) {
-		socket.write(formatAnswer('503 Service Unavailable', request, {'x-not-executed': '1'}, ''));
+		socket.write(formatAnswer('503 Service Unavailable', request, notRunMark, ''));
 	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
@@ -61,7 +49,7 @@
 		socket.write(formatAnswer('200 OK', request, {...signature, 'content-encoding': 'gzip'}, 'zip'));
 	},
 	otherRequest(request, socket) {
-		socket.write(formatAnswer('200 OK', {...request, headers: new Map([['x-attempt-id', 'other']])}, signature, 'of another'));
+		socket.write(formatAnswer('200 OK', {requestId: 'other'}, signature, 'of another'));
 	},
 	/**
 	A second answer follows at once.
@@ -95,7 +83,7 @@
 		// Never answers.
 	},
 	stream(request, socket) {
-		const from = Number(request.headers.get('last-event-id') ?? -1) + 1;
+		const from = request.lastEventId + 1;
 		socket.write(`${formatStreamHead(request) + formatEvents(from, events)}0\r\n\r\n`);
 	},
 	/**
--- /dev/null
+++ b/fakes/endpoint/src/format-stream-head.ts
@@ -0,0 +1,13 @@
+import type {ArrivedRequest} from './arrived-request.ts';
+import {formatHead} from './format-head.ts';
+import {signature} from './signature.ts';
+
+/**
+ Formats the head of a stream of events, which come in chunks.
+
+ @example
+ formatStreamHead(request);
+ */
+export function formatStreamHead(request: Pick<ArrivedRequest, 'requestId'>): string {
+	return formatHead('200 OK', request, {...signature, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked'});
+}
--- /dev/null
+++ b/fakes/endpoint/src/signature.ts
@@ -0,0 +1,4 @@
+/**
+Header by which an endpoint vouches for an answer.
+*/
+export const signature = {'x-response-seal': 'seal'} as const;
--- a/fakes/endpoint/src/start-fake-endpoint.ts
+++ b/fakes/endpoint/src/start-fake-endpoint.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type Socket} from 'node:net';
+import {startListening} from '@valvesaddle/fake-http';
 import type {ArrivedRequest} from './arrived-request.ts';
 import {behaviours} from './behaviours.ts';
 import type {EndpointBehaviour} from './endpoint-behaviour.ts';
@@ -44,13 +45,10 @@
 			}
 		});
 	});
-	const {promise, resolve} = Promise.withResolvers<void>();
-	server.listen(0, '127.0.0.1', resolve);
-	await promise;
-	const place = server.address();
+	const address = await startListening(server);
 
 	return {
-		address: `127.0.0.1:${typeof place === 'object' && place !== null ? place.port : 0}`,
+		address,
 		setBehaviour(newBehaviour) {
 			behaviour = newBehaviour;
 		},
@@ -95,5 +93,11 @@
 		return [row.slice(0, colon).toLowerCase(), row.slice(colon + 1).trim()] as const;
 	}));
 	const bytes = end + headEnd.length + Number(headers.get('content-length') ?? 0);
-	return text.length < bytes ? undefined : {bytes, parsed: {line, headers, body: text.slice(end + headEnd.length, bytes)}};
+	return text.length < bytes
+		? undefined
+		: {
+			bytes, parsed: {
+				line, headers, requestId: headers.get('x-attempt-id') ?? '', lastEventId: Number(headers.get('last-event-id') ?? -1), body: text.slice(end + headEnd.length, bytes),
+			},
+		};
 }
--- a/bench/soak/src/create-soak-configuration.ts
+++ b/fakes/fleet-store/src/create-fake-configuration.ts
@@ -6,9 +6,9 @@
  Creates the configuration of a version: a route of every kind, and `/v<version>/`, which no other version has.
 
  @example
- createSoakConfiguration(3).routes.length; // 5
+ createFakeConfiguration(3).routes.length; // 5
  */
-export function createSoakConfiguration(version: number) {
+export function createFakeConfiguration(version: number) {
 	return {
 		version,
 		routes: [
--- a/fakes/fleet-store/src/fake-fleet-store.ts
+++ b/fakes/fleet-store/src/fake-fleet-store.ts
@@ -1,4 +1,5 @@
 import type {FakeServer} from '@valvesaddle/fake-http';
+import type {EndpointEntry} from './endpoint-entry.ts';
 import type {StoreFault} from './store-fault.ts';
 
 /**
@@ -10,6 +11,14 @@
 	*/
 	readonly put: (key: string, value: unknown) => void;
 	readonly remove: (key: string) => void;
+	/**
+	Publishes a configuration as the operator does.
+	*/
+	readonly publish: (configuration: unknown) => void;
+	/**
+	Registers an endpoint, or changes its entry, as the endpoint does.
+	*/
+	readonly registerEndpoint: (id: string, entry: EndpointEntry) => void;
 	readonly keys: () => readonly string[];
 	readonly setFault: (fault: StoreFault | undefined) => void;
 	/**
--- a/fakes/fleet-store/src/start-fake-fleet-store.ts
+++ b/fakes/fleet-store/src/start-fake-fleet-store.ts
@@ -159,12 +159,22 @@
 		},
 	});
 
+	function writeValue(key: string, value: unknown): void {
+		revision++;
+		write({
+			key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision, lease: 0,
+		});
+	}
+
 	return {
 		...server,
-		put(key, value) {
-			revision++;
-			write({
-				key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision, lease: 0,
+		put: writeValue,
+		publish(configuration) {
+			writeValue('op/config', configuration);
+		},
+		registerEndpoint(id, {pool, address, slots, state}) {
+			writeValue(`servers/${id}`, {
+				service: pool, address, zone: 'a', slots, state,
 			});
 		},
 		remove(key) {
