--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -1,4 +1,4 @@
-import {mkdtemp} from 'node:fs/promises';
+import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -52,19 +52,22 @@
 	const runs: Run[] = [];
 	const versions: Array<{version: number; at: number}> = [];
 	const drains: Array<{endpoint: string; at: number}> = [];
+	/**
+	Endpoints in use, by place, and all that ever were.
+	*/
 	const endpoints: SoakEndpoint[] = [];
+	const allEndpoints: SoakEndpoint[] = [];
 	let ready: readonly SoakNode[] = [];
 	let endAt = Infinity;
-	let lastEndpoint = 0;
 
 	async function addEndpoint(place: number): Promise<void> {
-		lastEndpoint++;
 		const endpoint = await startSoakEndpoint({
-			id: `e${lastEndpoint}`, random, now, onRun(run) {
+			id: `e${allEndpoints.length + 1}`, random, now, onRun(run) {
 				runs.push(run);
 			},
 		});
 		endpoints[place] = endpoint;
+		allEndpoints.push(endpoint);
 		registerEndpoint(endpoint, 'ready');
 	}
 
@@ -149,11 +152,16 @@
 	endAt = now() + servedMs;
 	const calmFrom = now();
 	await Promise.all([watching, ...calling]);
-	await Promise.all([...nodes.map(async node => node.close()), ...endpoints.map(async endpoint => endpoint.close()), store.close()]);
+	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
 	const observation: Observation = {
 		attempts, runs, faults, versions, drains, calmFrom,
 	};
+	const breaches = checkPromises(observation);
+	if (breaches.length === 0) {
+		await rm(folder, {recursive: true, force: true});
+	}
+
 	return {
-		seed, folder, breaches: checkPromises(observation), observation,
+		seed, folder, breaches, observation,
 	};
 }
--- a/bench/soak/src/soak-result.ts
+++ b/bench/soak/src/soak-result.ts
@@ -7,7 +7,7 @@
 export type SoakResult = {
 	readonly seed: number;
 	/**
-	Where the logs of the nodes are.
+	Where the logs of the nodes are; removed when no promise was broken.
 	*/
 	readonly folder: string;
 	readonly breaches: readonly Breach[];
