refactor: sum an endpoint's load once for each choice

The lane's part of a choice asked the table for the same load again: a sum over all origins for every candidate, 78 on a grown site, twice in each choice.

--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -52,6 +52,11 @@
 	readonly prefixes: Pick<PrefixModel, 'countHeld' | 'countRecent'>;
 };
 
+type LaneQuestion = {
+	readonly isLong: boolean;
+	readonly objectiveMs: number;
+};
+
 type PoolModel = {
 	readonly lanes: LaneModel;
 	readonly rate: ReadingRate;
@@ -107,8 +112,7 @@
 	/**
 	Delay for which a prompt may leave its lane. A long one that does so harms every stream that is open beside it.
 	*/
-	function measureLaneCost(isLong: boolean, objectiveMs: number, endpoint: string, lanes: Lanes): number {
-		const {longTokens, shortOpen} = loads.get(endpoint);
+	function measureLaneCost({isLong, objectiveMs}: LaneQuestion, endpoint: string, lanes: Lanes, {longTokens, shortOpen}: EndpointLoad): number {
 		const leaveMs = settings.leaveLaneShare * objectiveMs;
 		if (isLong) {
 			return lanes.long.has(endpoint) ? shortOpen * msPerMovedStream : leaveMs + (shortOpen * msPerDisturbedStream);
@@ -141,9 +145,10 @@
 			let best: (Rating & {readonly score: number}) | undefined;
 			for (const endpoint of candidates) {
 				const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
-				const costMs = measureDelay(loads.get(endpoint.id), endpoint.slots, question.promptTokens - heldTokens, tokensPerMs * pool.paces.getFactor(endpoint.id));
+				const load = loads.get(endpoint.id);
+				const costMs = measureDelay(load, endpoint.slots, question.promptTokens - heldTokens, tokensPerMs * pool.paces.getFactor(endpoint.id));
 				const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
-				const score = costMs + wasteMs + measureLaneCost(isLong, question.objectiveMs, endpoint.id, lanes) - (endpoint.id === agreed ? agreedMs : 0);
+				const score = costMs + wasteMs + measureLaneCost({isLong, objectiveMs: question.objectiveMs}, endpoint.id, lanes, load) - (endpoint.id === agreed ? agreedMs : 0);
 				if (best === undefined || score < best.score) {
 					best = {
 						endpoint, heldTokens, costMs, score, candidates: candidates.length,
