fix: a node that alone lost the store gives up removed endpoints as soon as its peers do

Now a call that began before the store was reached again says nothing of it, and a peer in touch with the store all the while is asked also at the same revision. Three tests, each fails without its part.

--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -30,6 +30,10 @@
 	Until that time, on the steady clock in milliseconds, removed endpoints count as lapsed and are kept.
 	*/
 	readonly setLapseUntil: (time: number) => void;
+	/**
+	Whether entries are kept that may only have lapsed.
+	*/
+	readonly hasLapsed: () => boolean;
 	readonly exportState: (isSteady: boolean) => ClusterState;
 	readonly importState: (state: ClusterState) => void;
 	readonly close: () => void;
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -194,6 +194,7 @@
 		setLapseUntil(time) {
 			lapseUntil = time;
 		},
+		hasLapsed: () => lapsed.size > 0,
 		exportState: isSteady => ({
 			revision,
 			configuration,
@@ -208,7 +209,9 @@
 
 			const changes: ClusterChange[] = state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint', revision: at, endpoint}));
 			changes.push(...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})));
-			const apply = state.isSteady && state.revision > revision ? applyAll : applyChanges;
+			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse.
+			const isAhead = state.revision > revision || (state.revision === revision && lapsed.size > 0);
+			const apply = isAhead && state.isSteady ? applyAll : applyChanges;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -58,8 +58,15 @@
 		logger.info({name: 'kv-state', reachable: true});
 	}
 
-	function markLost(reason: string): void {
+	/**
+	A call that failed after the store was reached again, and began before, says nothing of the store now.
+	*/
+	function markLost(reason: string, startedAt: number): void {
 		metrics.increment('gateway.store-failures');
+		if (isReachable && startedAt < reachableSince) {
+			return;
+		}
+
 		if (isReachable) {
 			isReachable = false;
 			wasLost = true;
@@ -74,6 +81,7 @@
 	}
 
 	async function listOnce(): Promise<Outcome> {
+		const startedAt = performance.now();
 		const listed = await store.list();
 		return listed.match(changes => {
 			markReachable();
@@ -81,7 +89,7 @@
 			isFollowing = true;
 			return 'done';
 		}, error => {
-			markLost(error.message);
+			markLost(error.message, startedAt);
 			return 'failed';
 		});
 	}
@@ -164,6 +172,7 @@
 			return;
 		}
 
+		const startedAt = performance.now();
 		const renewed = await store.renew(lease);
 		const isHeld = renewed.unwrapOr(true);
 		renewed.match(() => {
@@ -171,7 +180,7 @@
 				markReachable();
 			}
 		}, error => {
-			markLost(error.message);
+			markLost(error.message, startedAt);
 		});
 		if (isHeld) {
 			return;
--- a/gateway/cluster-view/test/cluster-view.test.ts
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -100,6 +100,24 @@
 	t.end();
 });
 
+test('what a node alone took for lapsed is gone as soon as a steady peer at the same revision says so', t => {
+	const view = createView(t);
+	view.applyAll({revision: 5, changes: [toChange('i-1', 3)]}, 'store');
+	view.setLapseUntil(performance.now() + 60_000);
+	view.applyChanges({revision: 9, changes: [{kind: 'endpoint-removed', id: 'i-1', revision: 9}]}, 'store');
+	t.equal(view.endpoints().length, 1);
+	t.ok(view.hasLapsed());
+	const state = {
+		revision: 9, configuration: undefined, endpoints: [], nodes: [],
+	};
+	view.importState({...state, isSteady: false});
+	t.equal(view.endpoints().length, 1);
+	view.importState({...state, isSteady: true});
+	t.equal(view.endpoints().length, 0);
+	t.notOk(view.hasLapsed());
+	t.end();
+});
+
 test('an entry that cannot be read hides no other', t => {
 	const view = createView(t);
 	view.applyAll({
--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -1,4 +1,11 @@
+import {
+	err,
+	errAsync,
+	okAsync,
+	ResultAsync,
+} from 'neverthrow';
 import {test, type Test} from 'tap';
+import {ValvesaddleError} from '@valvesaddle/error';
 import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {createFleetStore} from '@valvesaddle/fleet-store';
@@ -120,6 +127,66 @@
 	t.notOk(follower.isSteady(), 'peers are not told that what is missing was removed');
 });
 
+test('a call that was under way when the store came back, and fails after that, does not begin a new outage', async t => {
+	const renewal = Promise.withResolvers<void>();
+	const failure = new ValvesaddleError('ERR_VALVESADDLE_KV_UNAVAILABLE', 'timed out');
+	let isAway = false;
+	let isBack = false;
+	let graces = 0;
+	let renewals = 0;
+	const never = new Promise(() => {
+		// Waits for changes that do not come.
+	});
+	const isLeft = Promise.withResolvers<void>();
+	const logger = createLogger({node: 'n', level: 'silent'});
+	const metrics = createMetrics();
+	const view = createClusterView({logger, metrics});
+	const follower = createStoreFollower({
+		store: {
+			list: () => isAway ? errAsync(failure) : okAsync({revision: 1, changes: []}),
+			watch: () => new ResultAsync((isBack ? never : isLeft.promise).then(() => err(failure))),
+			register: () => okAsync('lease'),
+			renew() {
+				renewals++;
+				return renewals > 1 ? okAsync(true) : new ResultAsync(renewal.promise.then(() => err(failure)));
+			},
+			release: () => okAsync(undefined),
+			async close() {
+				// Nothing is open.
+			},
+		},
+		view: {
+			...view,
+			setLapseUntil(time) {
+				graces++;
+				view.setLapseUntil(time);
+			},
+		},
+		self: {
+			id: 'n1', address: '10.0.0.9:7', token: 'secret', dataCentre: 'a', capacity: 1,
+		},
+		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isNeeded: () => true, logger, metrics,
+	});
+	t.teardown(async () => {
+		await follower.close();
+		view.close();
+	});
+	follower.start();
+	await waitUntil(() => renewals === 1);
+	isAway = true;
+	isLeft.resolve();
+	await waitUntil(() => !follower.isReachable());
+	isAway = false;
+	isBack = true;
+	await waitUntil(() => follower.isReachable());
+	const failures = metrics.total('gateway.store-failures');
+	renewal.resolve();
+	await waitUntil(() => metrics.total('gateway.store-failures') > failures);
+	t.ok(follower.isReachable());
+	await waitUntil(() => renewals > 3);
+	t.equal(graces, 1, 'the time of grace begins once');
+});
+
 test('a node for which others watch makes no calls but renewals, and follows again when it must', async t => {
 	let isNeeded = true;
 	const {server, view, follower} = await startFollower(t, {isNeeded: () => isNeeded});
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -56,6 +56,13 @@
 		return measureAge() <= options.confirmMs;
 	}
 
+	/**
+	A peer at the same revision also helps out: it knows whether what this node keeps as lapsed was removed.
+	*/
+	function isBehind(peerRevision: number): boolean {
+		return peerRevision > view.revision() || (view.hasLapsed() && peerRevision === view.revision());
+	}
+
 	async function askState(node: string): Promise<void> {
 		isAsking = true;
 		const answered = await network.call(node, 'cluster.state', {});
@@ -94,7 +101,7 @@
 		applyHeartbeat(parameters, node) {
 			const {revision, confirmedAgoMs} = heartbeatSchema.parse(parameters);
 			confirmedAt = Math.max(confirmedAt, performance.now() - confirmedAgoMs);
-			if (!isAsking && confirmedAgoMs <= options.confirmMs && revision > view.revision()) {
+			if (!isAsking && confirmedAgoMs <= options.confirmMs && isBehind(revision)) {
 				void askState(node);
 			}
 		},
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -126,6 +126,18 @@
 	t.same(calls, ['cluster.state of n2'], 'a peer that is not ahead is not asked');
 });
 
+test('a node that keeps an entry as lapsed asks a peer at its own revision whether it was removed', async t => {
+	const {view, calls, handlers} = createSync(t);
+	view.applyAll({revision: 5, changes: [{kind: 'endpoint', revision: 3, endpoint: {...peerState.endpoints[0]!.endpoint, id: 'i-2', state: 'ready'}}]}, 'store');
+	view.setLapseUntil(performance.now() + 60_000);
+	view.applyChanges({revision: 9, changes: [{kind: 'endpoint-removed', id: 'i-2', revision: 9}]}, 'store');
+	t.same(view.endpoints().map(({id}) => id), ['i-2']);
+	handlers['cluster.heartbeat']?.({revision: 9, confirmedAgoMs: 20}, 'n2');
+	await waitUntil(() => !view.hasLapsed());
+	t.same(view.endpoints().map(({id}) => id), ['i-1']);
+	t.same(calls, ['cluster.state of n2']);
+});
+
 test('a peer that lost the store itself, and has heard of none that has not, is not asked', t => {
 	const {calls, handlers} = createSync(t);
 	handlers['cluster.heartbeat']?.({revision: 9, confirmedAgoMs: 60_000}, 'n2');
