--- a/bench/load/src/index.ts
+++ b/bench/load/src/index.ts
@@ -1,4 +1,3 @@
-export {createRandom} from './create-random.ts';
 export type {ClassSummary} from './class-summary.ts';
 export type {LoadAccount} from './load-account.ts';
 export type {LoadClass} from './load-class.ts';
--- a/bench/load/src/plan-arrivals.ts
+++ b/bench/load/src/plan-arrivals.ts
@@ -1,5 +1,5 @@
+import {createRandom} from '@valvesaddle/random';
 import type {Arrival} from './arrival.ts';
-import {createRandom} from './create-random.ts';
 import type {LoadClass} from './load-class.ts';
 import type {LoadPlan} from './load-plan.ts';
 
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createFakeConfiguration, startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
-import {createRandom} from '@valvesaddle/load';
+import {createRandom} from '@valvesaddle/random';
 import type {AppliedFault} from './applied-fault.ts';
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -1,5 +1,5 @@
 import {test} from 'tap';
-import {createRandom} from '@valvesaddle/load';
+import {createRandom} from '@valvesaddle/random';
 import {failedSeeds} from '../src/failed-seeds.ts';
 import {planFaults, runSoak} from '@valvesaddle/bench-soak';
 
--- /dev/null
+++ b/core/random/src/index.ts
@@ -0,0 +1,1 @@
+export {createRandom} from './create-random.ts';
