feat: place prompts by the pauses that reading causes; what is late goes behind

Ruled out: wrong predictions (mean 701 against 789 ms). Lanes by a length of 5,000 tokens and their shares are gone; each engine's reading counts as harm to the streams that are open there and as a risk for those to come, by the pause that was observed. Load is told by rank. Drafts that cannot be in time rank behind the others of their route. An emulator runs the real forwarder and selector; its tests replay the load.

--- /dev/null
+++ b/emulator/fleet/src/caller-outcome.ts
@@ -0,0 +1,14 @@
+/**
+How a caller's request ended, over all its tries.
+*/
+export type CallerOutcome = {
+	readonly className: string;
+	/**
+	Time at which the caller first asked, in milliseconds.
+	*/
+	readonly askedAt: number;
+	readonly end: 'inTime' | 'firstLate' | 'pauseLate' | 'refused' | 'failed' | 'abandoned';
+	readonly wasTurnedAway: boolean;
+	readonly owed: number;
+	readonly earned: number;
+};
--- /dev/null
+++ b/emulator/fleet/src/emulated-node.ts
@@ -0,0 +1,11 @@
+import type {Forwarder} from '@valvesaddle/forwarding';
+import type {Selector} from '@valvesaddle/selection';
+
+/**
+The deciding part of a gateway node.
+*/
+export type EmulatedNode = {
+	readonly id: string;
+	readonly selector: Selector;
+	readonly forwarder: Forwarder;
+};
--- /dev/null
+++ b/emulator/fleet/src/emulation-load.ts
@@ -0,0 +1,24 @@
+import type {EngineSpeed} from '@valvesaddle/emulator-engine';
+import type {CallerClass} from './caller-class.ts';
+import type {EmulationFault} from './emulation-fault.ts';
+
+/**
+A site and what comes to it. Times are in milliseconds.
+*/
+export type EmulationLoad = {
+	readonly name: string;
+	readonly lengthMs: number;
+	readonly nodes: number;
+	/**
+	How often nodes tell each other of their work, and how long that and a request to an engine are under way.
+	*/
+	readonly newsMs: number;
+	readonly linkMs: number;
+	/**
+	Factor on all times, for each engine.
+	*/
+	readonly slowness: readonly number[];
+	readonly engine: EngineSpeed;
+	readonly classes: readonly CallerClass[];
+	readonly faults: readonly EmulationFault[];
+};
--- /dev/null
+++ b/emulator/fleet/src/prompt.ts
@@ -0,0 +1,14 @@
+import type {RequestFacts} from '@valvesaddle/gateway-types';
+
+/**
+A caller's request with what only the engine learns.
+*/
+export type Prompt = {
+	readonly facts: RequestFacts;
+	readonly events: number;
+	/**
+	Credit of an answer in time and of a late one.
+	*/
+	readonly worth: number;
+	readonly lateWorth: number;
+};
--- /dev/null
+++ b/emulator/fleet/src/run-emulation.ts
@@ -0,0 +1,148 @@
+import {Clock} from 'clock-mock';
+import {randomExponential} from 'd3-random';
+import {createRandom} from '@valvesaddle/random';
+import type {CallerClass} from './caller-class.ts';
+import type {CallerOutcome} from './caller-outcome.ts';
+import {createEmulatedEndpoint} from './create-emulated-endpoint.ts';
+import {createEmulatedExchanges} from './create-emulated-exchanges.ts';
+import {createEmulatedNode} from './create-emulated-node.ts';
+import {createEmulationClock} from './create-emulation-clock.ts';
+import {createPromptSource} from './create-prompt-source.ts';
+import type {EmulatedEndpoint} from './emulated-endpoint.ts';
+import type {EmulatedNode} from './emulated-node.ts';
+import type {EmulationClock} from './emulation-clock.ts';
+import type {EmulationFault} from './emulation-fault.ts';
+import type {EmulationLoad} from './emulation-load.ts';
+import type {EmulationOptions} from './emulation-options.ts';
+import type {EmulationReport} from './emulation-report.ts';
+import {startCaller} from './start-caller.ts';
+import {summarizeOutcomes} from './summarize-outcomes.ts';
+
+const msPerSecond = 1000;
+/**
+Time after the last request in which what is open may end, in milliseconds.
+*/
+const tailMs = 20_000;
+
+const faultHandlers: Readonly<Record<EmulationFault['kind'], (clock: EmulationClock, endpoint: EmulatedEndpoint, fault: EmulationFault) => void>> = {
+	crash(_clock, endpoint) {
+		endpoint.crash();
+	},
+	dark(clock, endpoint, {forMs}) {
+		endpoint.setDark(true);
+		clock.add(forMs, () => {
+			endpoint.setDark(false);
+		});
+	},
+	slow(clock, endpoint, {factor, forMs}) {
+		endpoint.setSlowness(factor);
+		clock.add(forMs, () => {
+			endpoint.setSlowness(1);
+		});
+	},
+};
+
+/**
+ Runs a load against emulated engines through the real decisions of the nodes, and sums up what its callers saw. The clock of
+ the runtime is paused meanwhile.
+
+ @example
+ runEmulation({load, seed: 7, selection}).worth; // 0.93
+ */
+export function runEmulation({load, seed, selection}: EmulationOptions): EmulationReport {
+	const paused = new Clock();
+	const exit = paused.enter();
+	try {
+		const random = createRandom(seed);
+		const clock = createEmulationClock(paused);
+		const source = createPromptSource(random, load.engine.tokensPerEvent);
+		const endpoints = new Map(load.slowness.map((slowness, index) => [`e-${index}`, createEmulatedEndpoint({
+			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs,
+		})]));
+		const exchanges = createEmulatedExchanges({endpoints, findPrompt: source.find});
+		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
+			id: `n-${index}`, load, selection, exchanges, endpoints: endpoints.keys().toArray(),
+		}));
+		const outcomes: CallerOutcome[] = [];
+		for (const node of nodes) {
+			startNews(clock, node, nodes, load);
+		}
+
+		for (const kind of load.classes) {
+			startArrivals({
+				clock, kind, random, lengthMs: load.lengthMs,
+			}, () => {
+				startCaller({
+					clock,
+					kind,
+					prompt: source.draw(kind),
+					chooseNode: () => nodes[Math.floor(random() * nodes.length)]!,
+					onOutcome(outcome) {
+						outcomes.push(outcome);
+					},
+				});
+			});
+		}
+
+		for (const fault of load.faults) {
+			clock.add(fault.atMs, () => {
+				faultHandlers[fault.kind](clock, endpoints.get(`e-${fault.engine}`)!, fault);
+			});
+		}
+
+		clock.run(load.lengthMs + tailMs);
+		return {...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray())};
+	} finally {
+		exit();
+	}
+}
+
+function startNews(clock: EmulationClock, node: EmulatedNode, nodes: readonly EmulatedNode[], load: EmulationLoad): void {
+	const news = node.selector.takeNews();
+	if (news !== undefined) {
+		clock.add(load.linkMs, () => {
+			for (const other of nodes) {
+				if (other !== node) {
+					other.selector.applyNews(node.id, news);
+				}
+			}
+		});
+	}
+
+	if (clock.now() < load.lengthMs + tailMs) {
+		clock.add(load.newsMs, () => {
+			startNews(clock, node, nodes, load);
+		});
+	}
+}
+
+type Arrivals = {
+	readonly clock: EmulationClock;
+	readonly kind: CallerClass;
+	readonly random: () => number;
+	readonly lengthMs: number;
+};
+
+function startArrivals(arrivals: Arrivals, start: () => void): void {
+	const {clock, kind, random, lengthMs} = arrivals;
+	const now = clock.now();
+	const factor = kind.bursts.find(({atMs, forMs}) => now >= atMs && now < atMs + forMs)?.factor ?? 1;
+	const pauseMs = randomExponential.source(random)(kind.perSecond * factor / msPerSecond)();
+	if (now + pauseMs > lengthMs) {
+		return;
+	}
+
+	clock.add(pauseMs, () => {
+		start();
+		startArrivals(arrivals, start);
+	});
+}
+
+function countReading(endpoints: readonly EmulatedEndpoint[]): Pick<EmulationReport, 'readTokens' | 'readAgainTokens' | 'preempted'> {
+	const counts = endpoints.map(endpoint => endpoint.counts());
+	return {
+		readTokens: counts.reduce((sum, {read}) => sum + read, 0),
+		readAgainTokens: counts.reduce((sum, {readAgain}) => sum + readAgain, 0),
+		preempted: counts.reduce((sum, {preempted}) => sum + preempted, 0),
+	};
+}
--- /dev/null
+++ b/emulator/loads/src/index.ts
@@ -0,0 +1,1 @@
+export {createDraftsBesideQueries} from './create-drafts-beside-queries.ts';
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -44,7 +44,15 @@
 	const clock = createPieceClock(request.arrivedAt, metrics);
 	const tried = new Set<string>();
 	const question: SelectionQuestion = {
-		pool: request.pool, objectiveMs: route.latencyObjectiveMs, promptTokens: facts.promptTokens, parts: facts.parts, tried,
+		pool: request.pool,
+		objectiveMs: route.latencyObjectiveMs,
+		pauseObjectiveMs: route.pauseObjectiveMs,
+		objectiveLeftMs: route.latencyObjectiveMs,
+		urgency: rankUrgency(route, request.account, false),
+		lateUrgency: rankUrgency(route, request.account, true),
+		promptTokens: facts.promptTokens,
+		parts: facts.parts,
+		tried,
 	};
 	let tries = 0;
 	let runs = 0;
@@ -117,7 +125,7 @@
 
 	function startAttempt(): void {
 		const askedAt = performance.now();
-		const selection = tries < mostTries ? selector.choose(question) : undefined;
+		const selection = tries < mostTries ? selector.choose({...question, objectiveLeftMs: request.arrivedAt + route.latencyObjectiveMs - askedAt}) : undefined;
 		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
 			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: comeBackMs}));
@@ -131,11 +139,24 @@
 	}
 
 	function sendTo(selection: Selection, opened: OpenWork): void {
-		const {endpoint, costMs, heldTokens, candidates, newsAgeMs, unseenFactor} = selection;
+		const {endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor} = selection;
 		const remainingMs = deadlineAt - performance.now();
 		logger.info({
-			name: 'request-sent', request: id, endpoint: endpoint.id, pool: request.pool, attempt: tries, version: request.version,
-			candidates, costMs: Math.round(costMs), heldTokens, remainingMs: Math.round(remainingMs), newsAgeMs, unseenFactor: Math.round(unseenFactor * 10) / 10,
+			name: 'request-sent',
+			request: id,
+			endpoint: endpoint.id,
+			pool: request.pool,
+			attempt: tries,
+			version: request.version,
+			candidates,
+			costMs: Math.round(costMs),
+			harmMs: Math.round(harmMs),
+			heldTokens,
+			unreadTokens: facts.promptTokens - heldTokens,
+			urgency,
+			remainingMs: Math.round(remainingMs),
+			newsAgeMs,
+			unseenFactor: Math.round(unseenFactor * 10) / 10,
 		});
 		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
@@ -147,7 +168,7 @@
 				endpoint: endpoint.id,
 				account: request.account?.name,
 				remainingMs,
-				urgency: request.isEnginePool ? rankUrgency(route, request.account) : undefined,
+				urgency: request.isEnginePool ? selection.urgency : undefined,
 				lastEventId: writer.lastEventId(),
 			}),
 		}, createListener(opened));
@@ -177,7 +198,7 @@
 				}
 			},
 			onData(chunk) {
-				opened.markBegun();
+				opened.markPiece();
 				clock.record();
 				if (route.kind === 'stream') {
 					startPatience(getPatience(route, 0).pauseMs);
--- a/gateway/forwarding/src/rank-urgency.ts
+++ b/gateway/forwarding/src/rank-urgency.ts
@@ -1,9 +1,9 @@
 import type {GatewayAccount, Route} from '@valvesaddle/gateway-types';
 
 /**
-Ranks of client accounts within one rank of routes.
+Ranks within one rank of routes: two of client accounts, and the last for requests that cannot be in time.
 */
-const accountRanks = 2;
+const ranks = 3;
 
 /**
  Rank of a request at an endpoint, 0 first: by its route, and by the client account among requests of equal routes. By the
@@ -11,9 +11,10 @@
 
  @param route - The request's route.
  @param account - The client account; `undefined` for a public route.
+ @param isLate - Whether the request cannot be in time.
  @example
- rankUrgency({...route, priority: 2}, {name: 'sawmill', keyHashes: [], priority: 1}); // 5
+ rankUrgency({...route, priority: 2}, {name: 'sawmill', keyHashes: [], priority: 1}, false); // 7
  */
-export function rankUrgency(route: Route, account: GatewayAccount | undefined): number {
-	return (route.priority * accountRanks) + Math.min(accountRanks - 1, account?.priority ?? 0);
+export function rankUrgency(route: Route, account: GatewayAccount | undefined, isLate: boolean): number {
+	return (route.priority * ranks) + (isLate ? ranks - 1 : Math.min(ranks - 2, account?.priority ?? 0));
 }
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -9,10 +9,14 @@
 export function addLoads(a: EndpointLoad, b: EndpointLoad): EndpointLoad {
 	return {
 		open: Math.max(0, a.open + b.open),
-		prefillTokens: Math.max(0, a.prefillTokens + b.prefillTokens),
-		longTokens: Math.max(0, a.longTokens + b.longTokens),
-		shortOpen: Math.max(0, a.shortOpen + b.shortOpen),
+		unread: addRanks(a.unread, b.unread),
+		sensitivity: Math.max(0, a.sensitivity + b.sensitivity),
 		readTokens: a.readTokens + b.readTokens,
 		readMs: a.readMs + b.readMs,
 	};
 }
+
+function addRanks(a: readonly number[], b: readonly number[]): readonly number[] {
+	const [longer, shorter] = a.length >= b.length ? [a, b] : [b, a];
+	return shorter.length === 0 ? longer : longer.map((tokens, rank) => Math.max(0, tokens + (shorter[rank] ?? 0)));
+}
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -13,7 +13,7 @@
 
  @example
  const loads = createLoadTable();
- loads.add('i-7f', {...noLoad, open: 1, prefillTokens: 6000, longTokens: 6000});
+ loads.add('i-7f', {...noLoad, open: 1, unread: [6000]});
  loads.get('i-7f').open; // 1
  */
 export function createLoadTable(): LoadTable {
@@ -31,9 +31,8 @@
 
 			return {
 				open: sum.open * unseenFactor,
-				prefillTokens: sum.prefillTokens * unseenFactor,
-				longTokens: sum.longTokens * unseenFactor,
-				shortOpen: sum.shortOpen * unseenFactor,
+				unread: unseenFactor === 1 ? sum.unread : sum.unread.map(tokens => tokens * unseenFactor),
+				sensitivity: sum.sensitivity * unseenFactor,
 				readTokens: sum.readTokens,
 				readMs: sum.readMs,
 			};
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,4 +1,5 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {countUnread} from './count-unread.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
@@ -26,6 +27,21 @@
 */
 const unreadingMs = 10;
 
+/**
+Shorter pauses say nothing of reading, in milliseconds.
+*/
+const leastPauseMs = 20;
+
+type Pause = {
+	readonly pool: string;
+	readonly endpoint: string;
+	readonly pauseMs: number;
+	/**
+	Time that the endpoint needed, at the beginning of the pause, to read what it had.
+	*/
+	readonly backlogMs: number;
+};
+
 type Reading = {
 	/**
 	Tokens of the prompt, and of prompts before it, that had not been read when it was sent.
@@ -39,7 +55,7 @@
  Creates the selector of a node.
 
  @example
- const selector = createSelector({longPromptTokens: 5000, longShare: 0.55, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50});
+ const selector = createSelector({harmWeight: 1, riskWeight: 1, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50});
  selector.addEndpoint(endpoint);
  const selection = selector.choose({pool: 'drafting', promptTokens: 900, parts, tried: new Set()});
  */
@@ -54,13 +70,9 @@
 	let newsAt: number | undefined;
 	let placements: Placement[] = [];
 
-	function isLongPrompt({promptTokens}: SelectionQuestion): boolean {
-		return promptTokens > options.longPromptTokens;
-	}
-
 	function addPlacement(placement: Placement): void {
 		prefixes.add(placement);
-		chooser.recordDemand(placement.pool, placement.isLong, placement.tokens * unseenFactor);
+		chooser.recordDemand(placement.pool, placement.endpoint, placement.tokens);
 	}
 
 	function listReady(pool: string): readonly ServingEndpoint[] {
@@ -76,9 +88,9 @@
 		return sound.length > 0 ? sound : untried;
 	}
 
-	function chooseByLoad(candidates: readonly ServingEndpoint[]): Rating | undefined {
+	function chooseByLoad(candidates: readonly ServingEndpoint[], question: SelectionQuestion): Rating | undefined {
 		const rated = candidates.map(endpoint => ({
-			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.id).open + Math.random()) / endpoint.slots, candidates: candidates.length,
+			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.id).open + Math.random()) / endpoint.slots, harmMs: 0, urgency: question.urgency, candidates: candidates.length,
 		}));
 		return rated.toSorted((a, b) => a.costMs - b.costMs)[0];
 	}
@@ -87,7 +99,7 @@
 		const ready = listReady(question.pool);
 		const candidates = listCandidates(ready, question.tried);
 		const rating = pools.get(question.pool)?.engine === undefined
-			? chooseByLoad(candidates)
+			? chooseByLoad(candidates, question)
 			: chooser.choose(ready, candidates, question);
 		return rating && {...rating, unseenFactor, newsAgeMs: newsAt === undefined ? -1 : Math.round(performance.now() - newsAt)};
 	}
@@ -118,31 +130,80 @@
 		}
 	}
 
-	function openWork({endpoint: {id}, heldTokens}: Selection, question: SelectionQuestion): OpenWork {
-		const missing = Math.max(0, question.promptTokens - heldTokens);
+	/**
+	A pause counts when the endpoint had so much to read at its beginning that it read all the while.
+	*/
+	function recordPause({pool, endpoint, pauseMs, backlogMs}: Pause): void {
+		if (pauseMs >= leastPauseMs && backlogMs >= pauseMs) {
+			chooser.getPauses(pool).recordPause(pauseMs, chooser.getPace(pool, endpoint).factor);
+		}
+	}
+
+	function measureBacklog(pool: string, endpoint: string): number {
+		return countUnread(loads.get(endpoint)) / chooser.getPace(pool, endpoint).tokensPerMs;
+	}
+
+	function openWork({endpoint: {id}, heldTokens, urgency}: Selection, question: SelectionQuestion): OpenWork {
+		const {pool, pauseObjectiveMs, promptTokens} = question;
+		const missing = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
-		const {prefillTokens: tokensBefore} = loads.get(id);
+		const tokensBefore = countUnread(loads.get(id));
+		const isStream = promptTokens > 0 && pauseObjectiveMs > 0;
+		const sensitivity = isStream ? chooser.getPauses(pool).toSensitivity(pauseObjectiveMs) : 0;
 		let unread = missing;
+		let begunAt: number | undefined;
+		let pieceAt = 0;
+		let backlogMs = 0;
+		let isInTime = true;
 		let isClosed = false;
-		const isLong = isLongPrompt(question);
-		loads.add(id, toLoad(isLong, 1, missing));
-		if (question.promptTokens > 0) {
+		loads.add(id, toLoad(1, urgency, missing));
+		if (promptTokens > 0) {
 			const placement = {
-				endpoint: id, pool: question.pool, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing, isLong,
+				endpoint: id, pool, parts: question.parts.slice(0, -1).map(part => part.id), tokens: missing,
 			};
 			addPlacement(placement);
 			placements.push(placement);
 		}
 
+		function markBegun(now: number): void {
+			begunAt = now;
+			if (unread > 0) {
+				recordReading(pool, id, {unread, tokensBefore, milliseconds: now - openedAt});
+			}
+
+			loads.add(id, {...toLoad(0, urgency, -unread), sensitivity});
+			unread = 0;
+		}
+
+		function markPause(now: number): void {
+			const pauseMs = now - pieceAt;
+			recordPause({
+				pool, endpoint: id, pauseMs, backlogMs,
+			});
+			if (!(isInTime && pauseMs > pauseObjectiveMs)) {
+				return;
+			}
+
+			// Later pauses do it no more harm.
+			isInTime = false;
+			loads.add(id, {...noLoad, sensitivity: -sensitivity});
+		}
+
 		return {
-			markBegun() {
-				if (isClosed || unread === 0) {
+			markPiece() {
+				if (isClosed) {
 					return;
 				}
 
-				recordReading(question.pool, id, {unread, tokensBefore, milliseconds: performance.now() - openedAt});
-				loads.add(id, toLoad(isLong, 0, -unread));
-				unread = 0;
+				const now = performance.now();
+				if (begunAt === undefined) {
+					markBegun(now);
+				} else if (isStream) {
+					markPause(now);
+				}
+
+				pieceAt = now;
+				backlogMs = isStream ? measureBacklog(pool, id) : 0;
 			},
 			close(end) {
 				if (isClosed) {
@@ -150,7 +211,11 @@
 				}
 
 				isClosed = true;
-				loads.add(id, toLoad(isLong, -1, -unread));
+				if (begunAt !== undefined && isStream) {
+					chooser.getPauses(pool).recordStream(performance.now() - begunAt);
+				}
+
+				loads.add(id, {...toLoad(-1, urgency, -unread), sensitivity: begunAt !== undefined && isInTime ? -sensitivity : 0});
 				settlers[end](id);
 			},
 		};
@@ -166,6 +231,7 @@
 			loads.removeEndpoint(id);
 			prefixes.removeEndpoint(id);
 			failures.removeEndpoint(id);
+			chooser.removeEndpoint(id);
 		},
 		setPools(newPools) {
 			pools.clear();
@@ -204,8 +270,6 @@
 	};
 }
 
-function toLoad(isLong: boolean, open: number, tokens: number): EndpointLoad {
-	return {
-		...noLoad, open, prefillTokens: tokens, longTokens: isLong ? tokens : 0, shortOpen: isLong ? 0 : open,
-	};
+function toLoad(open: number, urgency: number, tokens: number): EndpointLoad {
+	return {...noLoad, open, unread: tokens === 0 ? [] : Array.from({length: urgency + 1}, (_value, rank) => rank === urgency ? tokens : 0)};
 }
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -7,17 +7,13 @@
 	*/
 	readonly open: number;
 	/**
-	Prompt tokens that are still to be read before first tokens.
+	Prompt tokens that are still to be read before first tokens, by the rank of their requests, 0 first.
 	*/
-	readonly prefillTokens: number;
+	readonly unread: readonly number[];
 	/**
-	Those of them that belong to long prompts.
+	How much its open streams suffer from pauses: the sum of their sensitivities.
 	*/
-	readonly longTokens: number;
-	/**
-	Requests with short prompts that are open.
-	*/
-	readonly shortOpen: number;
+	readonly sensitivity: number;
 	/**
 	Prompt tokens that it read of late, with those that were before them, and the milliseconds that this took: its pace.
 	*/
--- a/gateway/selection/src/open-work.ts
+++ b/gateway/selection/src/open-work.ts
@@ -3,9 +3,9 @@
 */
 export type OpenWork = {
 	/**
-	The endpoint has begun to answer.
+	A piece of the answer has come; the first one shows that the prompt was read.
 	*/
-	readonly markBegun: () => void;
+	readonly markPiece: () => void;
 	readonly close: (end: WorkEnd) => void;
 };
 
--- a/gateway/selection/src/placement.ts
+++ b/gateway/selection/src/placement.ts
@@ -12,8 +12,4 @@
 	Tokens that the endpoint had to add to its cache.
 	*/
 	readonly tokens: number;
-	/**
-	Whether it counts as long.
-	*/
-	readonly isLong: boolean;
 };
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -1,9 +1,10 @@
 import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {PauseModel} from './pause-model.ts';
 import type {Rating} from './rating.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 
 /**
-Chooses among model engines: by prompts that they hold, work that they have, and lanes for long and short prompts.
+Chooses among model engines: by prompts that they hold, work that they have, and the pauses that reading would cause.
 */
 export type PromptChooser = {
 	/**
@@ -11,11 +12,17 @@
 	*/
 	readonly choose: (ready: readonly ServingEndpoint[], candidates: readonly ServingEndpoint[], question: SelectionQuestion) => Rating | undefined;
 	/**
-	Records tokens that have to be read for a prompt, on whichever node.
+	Records tokens that an endpoint has to read for a prompt, on whichever node.
 	*/
-	readonly recordDemand: (pool: string, isLong: boolean, tokens: number) => void;
+	readonly recordDemand: (pool: string, endpoint: string, tokens: number) => void;
 	/**
 	Records that an endpoint of a pool read so many tokens for a prompt within so many milliseconds.
 	*/
 	readonly recordReading: (pool: string, tokens: number, milliseconds: number) => void;
+	/**
+	Pace of an endpoint against the pool's median, and tokens that it reads in a millisecond.
+	*/
+	readonly getPace: (pool: string, endpoint: string) => {readonly factor: number; readonly tokensPerMs: number};
+	readonly getPauses: (pool: string) => PauseModel;
+	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/rating.ts
+++ b/gateway/selection/src/rating.ts
@@ -10,6 +10,14 @@
 	*/
 	readonly costMs: number;
 	/**
+	Weight of the streams that are expected to be late by pauses there, the request's own included, in milliseconds of delay.
+	*/
+	readonly harmMs: number;
+	/**
+	Rank of the request there, 0 first.
+	*/
+	readonly urgency: number;
+	/**
 	Prompt tokens that the endpoint is believed to hold.
 	*/
 	readonly heldTokens: number;
--- a/gateway/selection/src/selection-question.ts
+++ b/gateway/selection/src/selection-question.ts
@@ -9,6 +9,19 @@
 	Latency objective of the route, in milliseconds.
 	*/
 	readonly objectiveMs: number;
+	/**
+	Longest pause between pieces that is still in time, in milliseconds; 0 when none is set.
+	*/
+	readonly pauseObjectiveMs: number;
+	/**
+	Milliseconds of the latency objective that are left.
+	*/
+	readonly objectiveLeftMs: number;
+	/**
+	Rank of the request at an engine, 0 first, and its rank there when it cannot be in time.
+	*/
+	readonly urgency: number;
+	readonly lateUrgency: number;
 	readonly promptTokens: number;
 	readonly parts: readonly PromptPart[];
 	/**
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -3,30 +3,17 @@
 */
 export type SelectorOptions = {
 	/**
-	Prompts of more tokens are long.
+	Weight of an open stream that reading a prompt beside it would make late, in latency objectives of the prompt's route.
 	*/
-	readonly longPromptTokens: number;
+	readonly harmWeight: number;
 	/**
-	Part of a pool's endpoints that takes long prompts while little is known of the demand.
+	Weight of the chance that a stream is made late by what its endpoint reads, in latency objectives of its route.
 	*/
-	readonly longShare: number;
+	readonly riskWeight: number;
 	/**
-	Part of an engine's reading that short prompts may use, and long ones.
+	Predicted delay, in what is left of the objective, over which a prompt goes behind those that can be in time.
 	*/
-	readonly shortUse: number;
-	readonly longUse: number;
-	/**
-	Part of an engine's slots that short prompts may use.
-	*/
-	readonly shortFillUse: number;
-	/**
-	Time over which the demand of the lanes is averaged, in milliseconds.
-	*/
-	readonly laneAverageMs: number;
-	/**
-	Delay for which a prompt leaves the endpoints that are meant for its length, in latency objectives of its route.
-	*/
-	readonly leaveLaneShare: number;
+	readonly lateFactor: number;
 	/**
 	Time within which reading a shared part again counts as waste, in milliseconds.
 	*/
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -91,13 +91,9 @@
 		metrics,
 	});
 	const selector = createSelector({
-		longPromptTokens: selection.long_prompt_tokens,
-		longShare: selection.long_share,
-		shortUse: selection.short_use,
-		longUse: selection.long_use,
-		shortFillUse: selection.short_fill_use,
-		laneAverageMs: selection.lane_average_ms,
-		leaveLaneShare: selection.leave_lane_share,
+		harmWeight: selection.harm_weight,
+		riskWeight: selection.risk_weight,
+		lateFactor: selection.late_factor,
 		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
--- a/node/gateway/src/news-schema.ts
+++ b/node/gateway/src/news-schema.ts
@@ -1,11 +1,15 @@
 import {z} from 'zod';
 
 const amount = z.number().min(0);
+/**
+Ranks of requests at an engine.
+*/
+const mostRanks = 64;
 const load = z.object({
-	open: amount, prefillTokens: amount, longTokens: amount, shortOpen: amount, readTokens: amount, readMs: amount,
+	open: amount, unread: z.array(amount).max(mostRanks), sensitivity: amount, readTokens: amount, readMs: amount,
 });
 const placement = z.object({
-	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: amount, isLong: z.boolean(),
+	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: amount,
 });
 
 /**
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -34,7 +34,7 @@
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
-		readonly newsAgeMs: number; readonly unseenFactor: number;
+		readonly newsAgeMs: number; readonly unseenFactor: number; readonly harmMs: number; readonly urgency: number; readonly unreadTokens: number;
 	}
 	| {
 		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
