--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -53,11 +53,14 @@
 	selection: z.strictObject({
 		harm_weight: z.number().min(0).default(1),
 		risk_weight: z.number().min(0).default(1),
-		late_factor: z.number().positive().default(1.3),
 		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
 	}).prefault({}),
+	admission: z.strictObject({
+		late_factor: z.number().positive().default(1.3),
+		return_factor: z.number().positive().default(1.5),
+	}).prefault({}),
 	peers: z.strictObject({
 		silence_ms: milliseconds.default(1200),
 		news_ms: milliseconds.default(20),
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -1,3 +1,4 @@
+import {createUsualWaits, type AdmissionSettings} from '@valvesaddle/admission';
 import type {ExchangeClient} from '@valvesaddle/exchange';
 import {createForwarder} from '@valvesaddle/forwarding';
 import type {Logger} from '@valvesaddle/logger';
@@ -12,6 +13,7 @@
 	readonly id: string;
 	readonly load: EmulationLoad;
 	readonly selection: SelectorOptions;
+	readonly admission: AdmissionSettings;
 	readonly exchanges: ExchangeClient;
 	readonly endpoints: readonly string[];
 };
@@ -58,9 +60,9 @@
  Creates a node of the emulation from the real packages.
 
  @example
- const node = createEmulatedNode({id: 'n-0', load, selection, exchanges, endpoints: ['e-0']});
+ const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0']});
  */
-export function createEmulatedNode({id, load, selection, exchanges, endpoints}: EmulatedNodeOptions): EmulatedNode {
+export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints}: EmulatedNodeOptions): EmulatedNode {
 	const selector = createSelector(selection);
 	selector.setPools([{name: 'engines', engine: {slots: load.engine.slots, cacheTokens: load.engine.cacheTokens}}]);
 	for (const endpoint of endpoints) {
@@ -76,7 +78,7 @@
 		id,
 		selector,
 		forwarder: createForwarder({
-			wire: emulatorWire, selector, exchanges, budget, logger, metrics,
+			wire: emulatorWire, selector, exchanges, budget, waits: createUsualWaits(), admission, logger, metrics,
 		}),
 	};
 }
--- a/emulator/fleet/src/emulation-options.ts
+++ b/emulator/fleet/src/emulation-options.ts
@@ -1,3 +1,4 @@
+import type {AdmissionSettings} from '@valvesaddle/admission';
 import type {SelectorOptions} from '@valvesaddle/selection';
 import type {EmulationLoad} from './emulation-load.ts';
 
@@ -8,4 +9,5 @@
 	readonly load: EmulationLoad;
 	readonly seed: number;
 	readonly selection: SelectorOptions;
+	readonly admission: AdmissionSettings;
 };
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -20,6 +20,10 @@
 
 const msPerSecond = 1000;
 /**
+Added to the seed for the draws of the nodes, which must not follow those of the load.
+*/
+const drawSeed = 1_000_003;
+/**
 Time after the last request in which what is open may end, in milliseconds.
 */
 const tailMs = 20_000;
@@ -44,14 +48,16 @@
 
 /**
  Runs a load against emulated engines through the real decisions of the nodes, and sums up what its callers saw. The clock of
- the runtime is paused meanwhile.
+ the runtime is paused and its random numbers are seeded meanwhile.
 
  @example
- runEmulation({load, seed: 7, selection}).worth; // 0.93
+ runEmulation({load, seed: 7, selection, admission}).worth; // 0.93
  */
-export function runEmulation({load, seed, selection}: EmulationOptions): EmulationReport {
+export function runEmulation({load, seed, selection, admission}: EmulationOptions): EmulationReport {
 	const paused = new Clock();
 	const exit = paused.enter();
+	const {random: unseeded} = Math;
+	Math.random = createRandom(seed + drawSeed);
 	try {
 		const random = createRandom(seed);
 		const clock = createEmulationClock(paused);
@@ -61,7 +67,7 @@
 		})]));
 		const exchanges = createEmulatedExchanges({endpoints, findPrompt: source.find});
 		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
-			id: `n-${index}`, load, selection, exchanges, endpoints: endpoints.keys().toArray(),
+			id: `n-${index}`, load, selection, admission, exchanges, endpoints: endpoints.keys().toArray(),
 		}));
 		const outcomes: CallerOutcome[] = [];
 		for (const node of nodes) {
@@ -93,6 +99,7 @@
 		clock.run(load.lengthMs + tailMs);
 		return {...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray())};
 	} finally {
+		Math.random = unseeded;
 		exit();
 	}
 }
--- /dev/null
+++ b/gateway/admission/src/decide-admission.ts
@@ -0,0 +1,24 @@
+import type {Admission} from './admission.ts';
+import type {AdmissionQuestion} from './admission-question.ts';
+import type {AdmissionSettings} from './admission-settings.ts';
+
+/**
+Part of the time to come back by which it is spread, so that callers that were refused together do not return together.
+*/
+const spread = 0.5;
+
+/**
+ Decides on a request for a model engine. A request that can be in time is sent. One that cannot is refused at once, as long
+ as its caller has not come back already: in a burst it would only make others late, and its caller can be served after it.
+ A caller that has come back is never refused again, but served behind those that can be in time.
+
+ @example
+ decideAdmission({predictedMs: 900, objectiveMs: 600, elapsedMs: 0, isRepeat: false, draw: 0.5}, {lateFactor: 1.3, returnFactor: 1}).kind; // 'refuse'
+ */
+export function decideAdmission({predictedMs, objectiveMs, elapsedMs, isRepeat, draw}: AdmissionQuestion, {lateFactor, returnFactor}: AdmissionSettings): Admission {
+	if (predictedMs <= lateFactor * (objectiveMs - elapsedMs)) {
+		return {kind: 'send'};
+	}
+
+	return isRepeat || elapsedMs > objectiveMs ? {kind: 'send-late'} : {kind: 'refuse', retryAfterMs: predictedMs * returnFactor * (1 + (spread * (draw - 0.5)))};
+}
--- /dev/null
+++ b/gateway/admission/test/admission.test.ts
@@ -0,0 +1,63 @@
+import {test} from 'tap';
+import {createUsualWaits, decideAdmission, type AdmissionQuestion} from '@valvesaddle/admission';
+
+const settings = {lateFactor: 1.3, returnFactor: 1.5};
+const question: AdmissionQuestion = {
+	predictedMs: 400, objectiveMs: 600, elapsedMs: 0, isRepeat: false, draw: 0.5,
+};
+
+test('what is predicted decides: in time, behind the others, or back later', t => {
+	const cases: ReadonlyArray<readonly [change: Partial<AdmissionQuestion>, kind: string]> = [
+		[{}, 'send'],
+		[{predictedMs: 780}, 'send'],
+		[{predictedMs: 781}, 'refuse'],
+		[{predictedMs: 400, elapsedMs: 300}, 'refuse'],
+		[{predictedMs: 400, elapsedMs: 300, isRepeat: true}, 'send-late'],
+		[{predictedMs: 100, elapsedMs: 300, isRepeat: true}, 'send'],
+		[{predictedMs: 60_000, isRepeat: true}, 'send-late'],
+		[{predictedMs: 1, elapsedMs: 5000}, 'send-late'],
+	];
+	for (const [change, kind] of cases) {
+		t.equal(decideAdmission({...question, ...change}, settings).kind, kind, JSON.stringify(change));
+	}
+
+	t.end();
+});
+
+test('callers that are refused together are told to come back at different times, later when more waits', t => {
+	const returns = [0, 0.5, 0.999].map(draw => decideAdmission({...question, predictedMs: 1000, draw}, settings));
+	t.match(returns, [{retryAfterMs: 1125}, {retryAfterMs: 1500}, {kind: 'refuse'}]);
+	const [early, , late] = returns.map(admission => admission.kind === 'refuse' ? admission.retryAfterMs : 0);
+	t.ok(late! > early! * 1.6);
+	t.match(decideAdmission({...question, predictedMs: 2000}, settings), {retryAfterMs: 3000});
+	t.end();
+});
+
+test('a caller that comes back is told by what is left of its wait', t => {
+	const waits = createUsualWaits();
+	for (let request = 0; request < 20; request++) {
+		t.equal(waits.record('drafts', 6000 - (request % 3 * 5)), 0);
+	}
+
+	const spentMs = waits.record('drafts', 4500);
+	t.ok(spentMs > 1400 && spentMs < 1510, String(spentMs));
+	t.equal(waits.record('queries', 4500), 0, 'each route has its own');
+	t.end();
+});
+
+test('neither one caller with a long wait nor many repeats move the usual wait far', t => {
+	const waits = createUsualWaits();
+	for (let request = 0; request < 50; request++) {
+		waits.record('drafts', 6000);
+		waits.record('drafts', 3000);
+	}
+
+	t.ok(waits.record('drafts', 3000) > 2500);
+	waits.record('drafts', 15_000);
+	for (let request = 0; request < 300; request++) {
+		waits.record('drafts', 6000);
+	}
+
+	t.equal(waits.record('drafts', 6000), 0);
+	t.end();
+});
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,3 +1,4 @@
+import {decideAdmission, type Admission} from '@valvesaddle/admission';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
 import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
@@ -35,7 +36,7 @@
  task.cancel();
  */
 export function createForwardTask(options: ForwarderOptions, {request, reply, onOver}: ForwardTaskOptions): ForwardTask {
-	const {selector, exchanges, wire, logger, metrics} = options;
+	const {selector, exchanges, waits, wire, logger, metrics} = options;
 	const {facts, route} = request;
 	const id = facts.requestId ?? '-';
 	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
@@ -47,13 +48,15 @@
 		pool: request.pool,
 		objectiveMs: route.latencyObjectiveMs,
 		pauseObjectiveMs: route.pauseObjectiveMs,
-		objectiveLeftMs: route.latencyObjectiveMs,
 		urgency: rankUrgency(route, request.account, false),
-		lateUrgency: rankUrgency(route, request.account, true),
 		promptTokens: facts.promptTokens,
 		parts: facts.parts,
 		tried,
 	};
+	/**
+	What the caller spent on earlier tries, in milliseconds.
+	*/
+	const spentMs = facts.waitMs === undefined ? 0 : waits.record(route.name, waitMs);
 	let tries = 0;
 	let runs = 0;
 	let arrivals = 0;
@@ -72,7 +75,7 @@
 		metrics.increment('gateway.ended', 1, {outcome});
 		metrics.timing('gateway.total', elapsedMs);
 		logger.info({
-			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs: clock.firstMs(), longestPauseMs: clock.longestPauseMs(), tries, runs,
+			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs: clock.firstMs(), longestPauseMs: clock.longestPauseMs(), pieces: clock.pieces(), tries, runs,
 		});
 		onOver();
 	}
@@ -115,6 +118,18 @@
 		}, milliseconds);
 	}
 
+	/**
+	No node hears of the endpoint any more: a request that may be repeated goes elsewhere at once.
+	*/
+	function handleSilence(): void {
+		if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
+			return;
+		}
+
+		endAttempt('cancelled');
+		handleFailure({reason: 'silent to all nodes', mayHaveRun: true});
+	}
+
 	function endAttempt(end: 'failed' | 'cancelled'): void {
 		clearTimeout(patience);
 		exchange?.abort();
@@ -125,16 +140,48 @@
 
 	function startAttempt(): void {
 		const askedAt = performance.now();
-		const selection = tries < mostTries ? selector.choose({...question, objectiveLeftMs: request.arrivedAt + route.latencyObjectiveMs - askedAt}) : undefined;
+		const selection = tries < mostTries ? selector.choose(question) : undefined;
 		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
 			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: comeBackMs}));
 			return;
 		}
 
+		const admission = admit(selection.costMs);
+		if (admission.kind === 'refuse') {
+			refuse(new ValvesaddleError('ERR_VALVESADDLE_OVERLOADED', `first token predicted after ${Math.round(selection.costMs)} ms`, {retryAfterMs: admission.retryAfterMs}));
+		} else {
+			openAt(admission.kind === 'send-late' ? selector.choose({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection);
+		}
+	}
+
+	/**
+	Only model engines read prompts, so that a wait there can be predicted.
+	*/
+	function admit(predictedMs: number): Admission {
+		if (!request.isEnginePool || route.kind !== 'stream') {
+			return {kind: 'send'};
+		}
+
+		const elapsedMs = spentMs + performance.now() - request.arrivedAt;
+		const admission = decideAdmission({
+			predictedMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRepeat: spentMs > 0 || tries > 0, draw: Math.random(),
+		}, options.admission);
+		if (admission.kind !== 'send') {
+			metrics.increment('gateway.admission', 1, {kind: admission.kind});
+			logger.info({
+				name: 'request-admission', request: id, kind: admission.kind, predictedMs: Math.round(predictedMs), objectiveMs: route.latencyObjectiveMs, elapsedMs: Math.round(elapsedMs),
+			});
+		}
+
+		return admission;
+	}
+
+	function openAt(selection: Selection): void {
 		tries++;
 		tried.add(selection.endpoint.id);
 		work = selector.open(selection, question);
+		work.onSilent(handleSilence);
 		sendTo(selection, work);
 	}
 
@@ -242,6 +289,7 @@
 		const paused = exchange;
 		// A caller that reads slowly says nothing about the endpoint.
 		clearTimeout(patience);
+		work?.markPaused();
 		writer.onDrain(() => {
 			paused?.resume();
 		});
--- a/gateway/forwarding/src/create-piece-clock.ts
+++ b/gateway/forwarding/src/create-piece-clock.ts
@@ -13,10 +13,12 @@
 	let firstMs: number | undefined;
 	let lastAt = 0;
 	let longestPauseMs = 0;
+	let pieces = 0;
 
 	return {
 		record() {
 			const now = performance.now();
+			pieces++;
 			if (firstMs === undefined) {
 				firstMs = Math.round(now - arrivedAt);
 				metrics.timing('gateway.first-byte', firstMs);
@@ -27,6 +29,7 @@
 
 			lastAt = now;
 		},
+		pieces: () => pieces,
 		firstMs: () => firstMs,
 		longestPauseMs: () => Math.round(longestPauseMs),
 	};
--- a/gateway/forwarding/src/forwarder-options.ts
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -1,3 +1,4 @@
+import type {AdmissionSettings, UsualWaits} from '@valvesaddle/admission';
 import type {ExchangeClient} from '@valvesaddle/exchange';
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
@@ -13,6 +14,8 @@
 	readonly selector: Selector;
 	readonly exchanges: ExchangeClient;
 	readonly budget: RetryBudget;
+	readonly waits: UsualWaits;
+	readonly admission: AdmissionSettings;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- a/gateway/forwarding/src/piece-clock.ts
+++ b/gateway/forwarding/src/piece-clock.ts
@@ -4,6 +4,10 @@
 export type PieceClock = {
 	readonly record: () => void;
 	/**
+	Pieces so far.
+	*/
+	readonly pieces: () => number;
+	/**
 	Milliseconds from the request's arrival to the first piece; `undefined` before it.
 	*/
 	readonly firstMs: () => number | undefined;
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -93,7 +93,7 @@
 
 		logger.info({
 			name: 'request-admitted', request: head.facts.requestId ?? '-', route: head.route.name, version: head.version, account: head.account?.name,
-			priority: head.account?.priority ?? head.route.priority, promptTokens: head.facts.promptTokens, waitMs: head.facts.waitMs,
+			priority: head.account?.priority ?? head.route.priority, promptTokens: head.facts.promptTokens, outputTokens: head.facts.outputTokens, waitMs: head.facts.waitMs,
 		});
 		const task = options.forwarder.forward({...head, body}, createReply(response, options.isLeaving));
 		response.once('close', task.cancel);
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -11,6 +11,8 @@
 		open: Math.max(0, a.open + b.open),
 		unread: addRanks(a.unread, b.unread),
 		sensitivity: Math.max(0, a.sensitivity + b.sensitivity),
+		witnesses: a.witnesses + b.witnesses,
+		silent: a.silent + b.silent,
 		readTokens: a.readTokens + b.readTokens,
 		readMs: a.readMs + b.readMs,
 	};
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -33,6 +33,8 @@
 				open: sum.open * unseenFactor,
 				unread: unseenFactor === 1 ? sum.unread : sum.unread.map(tokens => tokens * unseenFactor),
 				sensitivity: sum.sensitivity * unseenFactor,
+				witnesses: sum.witnesses,
+				silent: sum.silent,
 				readTokens: sum.readTokens,
 				readMs: sum.readMs,
 			};
@@ -48,6 +50,15 @@
 			});
 			changed.add(endpoint);
 		},
+		setSilence(endpoint, witnesses, silent) {
+			const before = own.get(endpoint) ?? noLoad;
+			if (before.witnesses === witnesses && before.silent === silent) {
+				return;
+			}
+
+			own.set(endpoint, {...before, witnesses, silent});
+			changed.add(endpoint);
+		},
 		applyPeer(node, endpoint, load) {
 			const loads = peers.get(node) ?? new Map<string, EndpointLoad>();
 			loads.set(endpoint, load);
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -84,7 +84,8 @@
 		return (settings.harmWeight * others) + (settings.riskWeight * own);
 	}
 
-	function chooseWith(pool: PoolModel, candidates: readonly ServingEndpoint[], question: SelectionQuestion, urgency: number): Rating | undefined {
+	function chooseBest(pool: PoolModel, candidates: readonly ServingEndpoint[], question: SelectionQuestion): Rating | undefined {
+		const {urgency} = question;
 		const shared = question.parts.slice(0, -1);
 		const recentTokens = prefixes.countRecent(question.parts);
 		const [agreed] = recentTokens === 0 ? rankByHash(shared.map(({id}) => id).join(','), candidates.map(({id}) => id)) : [];
@@ -114,10 +115,7 @@
 		choose(ready, candidates, question) {
 			const pool = getPool(question.pool);
 			updatePaces(pool, ready);
-			const inTime = chooseWith(pool, candidates, question, question.urgency);
-			return inTime === undefined || inTime.costMs <= settings.lateFactor * question.objectiveLeftMs
-				? inTime
-				: chooseWith(pool, candidates, question, question.lateUrgency);
+			return chooseBest(pool, candidates, question);
 		},
 		recordDemand(name, endpoint, tokens) {
 			const {rate, paces, pauses} = getPool(name);
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -3,6 +3,7 @@
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
+import {createSilenceWatch} from './create-silence-watch.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 import {noLoad} from './no-load.ts';
@@ -32,6 +33,18 @@
 */
 const leastPauseMs = 20;
 
+/**
+Silence after which an endpoint that owes pieces is taken for dark: a few times the longest pause that reading makes, within
+bounds, in milliseconds.
+*/
+const silencePauses = 2.5;
+const leastSilenceMs = 400;
+const longestSilenceMs = 1000;
+/**
+Times the predicted time to the first piece after which it is overdue.
+*/
+const overdueFactor = 2;
+
 type Pause = {
 	readonly pool: string;
 	readonly endpoint: string;
@@ -65,6 +78,11 @@
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
+	const silence = createSilenceWatch();
+	/**
+	What is to be done for each request at an endpoint when it falls silent.
+	*/
+	const silentHandlers = new Map<string, Map<symbol, () => void>>();
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let newsAt: number | undefined;
@@ -131,10 +149,10 @@
 	}
 
 	/**
-	A pause counts when the endpoint had so much to read at its beginning that it read all the while.
+	A pause counts when the endpoint had so much to read at its beginning that it read all the while, and still has at its end.
 	*/
 	function recordPause({pool, endpoint, pauseMs, backlogMs}: Pause): void {
-		if (pauseMs >= leastPauseMs && backlogMs >= pauseMs) {
+		if (pauseMs >= leastPauseMs && backlogMs >= pauseMs && countUnread(loads.get(endpoint)) > 0) {
 			chooser.getPauses(pool).recordPause(pauseMs, chooser.getPace(pool, endpoint).factor);
 		}
 	}
@@ -143,12 +161,13 @@
 		return countUnread(loads.get(endpoint)) / chooser.getPace(pool, endpoint).tokensPerMs;
 	}
 
-	function openWork({endpoint: {id}, heldTokens, urgency}: Selection, question: SelectionQuestion): OpenWork {
+	function openWork({endpoint: {id}, heldTokens, urgency, costMs}: Selection, question: SelectionQuestion): OpenWork {
 		const {pool, pauseObjectiveMs, promptTokens} = question;
 		const missing = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
 		const tokensBefore = countUnread(loads.get(id));
 		const isStream = promptTokens > 0 && pauseObjectiveMs > 0;
+		const work = isStream ? silence.open(id, openedAt + (overdueFactor * costMs) + measureSilence(pool)) : undefined;
 		const sensitivity = isStream ? chooser.getPauses(pool).toSensitivity(pauseObjectiveMs) : 0;
 		let unread = missing;
 		let begunAt: number | undefined;
@@ -196,6 +215,10 @@
 				}
 
 				const now = performance.now();
+				if (work !== undefined) {
+					silence.markPiece(id, work);
+				}
+
 				if (begunAt === undefined) {
 					markBegun(now);
 				} else if (isStream) {
@@ -205,12 +228,31 @@
 				pieceAt = now;
 				backlogMs = isStream ? measureBacklog(pool, id) : 0;
 			},
+			markPaused() {
+				if (work !== undefined && !isClosed) {
+					silence.markPaused(id, work);
+				}
+			},
+			onSilent(handler) {
+				if (work === undefined) {
+					return;
+				}
+
+				const handlers = silentHandlers.get(id) ?? new Map<symbol, () => void>();
+				handlers.set(work, handler);
+				silentHandlers.set(id, handlers);
+			},
 			close(end) {
 				if (isClosed) {
 					return;
 				}
 
 				isClosed = true;
+				if (work !== undefined) {
+					silence.close(id, work);
+					silentHandlers.get(id)?.delete(work);
+				}
+
 				if (begunAt !== undefined && isStream) {
 					chooser.getPauses(pool).recordStream(performance.now() - begunAt);
 				}
@@ -221,6 +263,34 @@
 		};
 	}
 
+	function measureSilence(pool: string): number {
+		return Math.min(longestSilenceMs, Math.max(leastSilenceMs, silencePauses * chooser.getPauses(pool).pauseMs()));
+	}
+
+	/**
+	An endpoint from which no node has heard that ought to have is left, by new requests and by those that may move.
+	*/
+	function updateSilence(): void {
+		for (const {id, pool} of endpoints.values()) {
+			const isSilent = silence.isSilent(id, measureSilence(pool));
+			loads.setSilence(id, isSilent === undefined ? 0 : 1, isSilent === true ? 1 : 0);
+			const {witnesses, silent} = loads.get(id);
+			if (silent === 0 || silent < witnesses) {
+				continue;
+			}
+
+			if (!failures.isEjected(id)) {
+				failures.eject(id);
+			}
+
+			const handlers = silentHandlers.get(id)?.values().toArray() ?? [];
+			silentHandlers.delete(id);
+			for (const handle of handlers) {
+				handle();
+			}
+		}
+	}
+
 	return {
 		addEndpoint(endpoint) {
 			endpoints.set(endpoint.id, endpoint);
@@ -231,6 +301,8 @@
 			loads.removeEndpoint(id);
 			prefixes.removeEndpoint(id);
 			failures.removeEndpoint(id);
+			silence.removeEndpoint(id);
+			silentHandlers.delete(id);
 			chooser.removeEndpoint(id);
 		},
 		setPools(newPools) {
@@ -247,6 +319,7 @@
 		open: openWork,
 		findAddress: id => endpoints.get(id)?.address,
 		takeNews() {
+			updateSilence();
 			const news = {loads: loads.takeChanged(), placements};
 			placements = [];
 			return news.loads.length === 0 && news.placements.length === 0 ? undefined : news;
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -15,6 +15,11 @@
 	*/
 	readonly sensitivity: number;
 	/**
+	1 when the node ought to have heard of it of late, and 1 when it has not.
+	*/
+	readonly witnesses: number;
+	readonly silent: number;
+	/**
 	Prompt tokens that it read of late, with those that were before them, and the milliseconds that this took: its pace.
 	*/
 	readonly readTokens: number;
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -13,6 +13,10 @@
 	Notes that an endpoint read so many prompt tokens in so many milliseconds.
 	*/
 	readonly recordReading: (endpoint: string, tokens: number, milliseconds: number) => void;
+	/**
+	Sets whether this node ought to have heard of an endpoint, and whether it has not.
+	*/
+	readonly setSilence: (endpoint: string, witnesses: number, silent: number) => void;
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
 	readonly setUnseenFactor: (factor: number) => void;
 	readonly removePeer: (node: string) => void;
--- a/gateway/selection/src/open-work.ts
+++ b/gateway/selection/src/open-work.ts
@@ -6,6 +6,14 @@
 	A piece of the answer has come; the first one shows that the prompt was read.
 	*/
 	readonly markPiece: () => void;
+	/**
+	The caller reads slowly, so that the endpoint has to wait.
+	*/
+	readonly markPaused: () => void;
+	/**
+	Sets what is to be done when no node hears of the endpoint any more.
+	*/
+	readonly onSilent: (handler: () => void) => void;
 	readonly close: (end: WorkEnd) => void;
 };
 
--- a/gateway/selection/src/selection-question.ts
+++ b/gateway/selection/src/selection-question.ts
@@ -14,14 +14,9 @@
 	*/
 	readonly pauseObjectiveMs: number;
 	/**
-	Milliseconds of the latency objective that are left.
-	*/
-	readonly objectiveLeftMs: number;
-	/**
-	Rank of the request at an engine, 0 first, and its rank there when it cannot be in time.
+	Rank of the request at an engine, 0 first.
 	*/
 	readonly urgency: number;
-	readonly lateUrgency: number;
 	readonly promptTokens: number;
 	readonly parts: readonly PromptPart[];
 	/**
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -11,10 +11,6 @@
 	*/
 	readonly riskWeight: number;
 	/**
-	Predicted delay, in what is left of the objective, over which a prompt goes behind those that can be in time.
-	*/
-	readonly lateFactor: number;
-	/**
 	Time within which reading a shared part again counts as waste, in milliseconds.
 	*/
 	readonly reuseMs: number;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -1,5 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {setTimeout as wait} from 'node:timers/promises';
+import {createUsualWaits} from '@valvesaddle/admission';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
 import {toValvesaddleError} from '@valvesaddle/error';
 import {createExchangeClient} from '@valvesaddle/exchange';
@@ -44,7 +45,7 @@
  await gateway.start();
  */
 export function createGateway({settings}: GatewayOptions): Gateway {
-	const {node: {name}, listen, store: storeSettings, retry, selection, drain: drainSettings, peers} = settings;
+	const {node: {name}, listen, store: storeSettings, retry, selection, admission, drain: drainSettings, peers} = settings;
 	const self: GatewayNode = {
 		id: `${name}.${randomBytes(idBytes).toString('hex')}`,
 		address: listen.peers,
@@ -93,7 +94,6 @@
 	const selector = createSelector({
 		harmWeight: selection.harm_weight,
 		riskWeight: selection.risk_weight,
-		lateFactor: selection.late_factor,
 		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
@@ -123,7 +123,14 @@
 		},
 	});
 	const forwarder = createForwarder({
-		wire: platformWire, selector, exchanges, budget, logger, metrics,
+		wire: platformWire,
+		selector,
+		exchanges,
+		budget,
+		waits: createUsualWaits(),
+		admission: {lateFactor: admission.late_factor, returnFactor: admission.return_factor},
+		logger,
+		metrics,
 	});
 	let routes: RouteIndex | undefined;
 	let isLeaving = false;
--- a/node/gateway/src/news-schema.ts
+++ b/node/gateway/src/news-schema.ts
@@ -6,7 +6,7 @@
 */
 const mostRanks = 64;
 const load = z.object({
-	open: amount, unread: z.array(amount).max(mostRanks), sensitivity: amount, readTokens: amount, readMs: amount,
+	open: amount, unread: z.array(amount).max(mostRanks), sensitivity: amount, witnesses: amount, silent: amount, readTokens: amount, readMs: amount,
 });
 const placement = z.object({
 	endpoint: z.string(), pool: z.string(), parts: z.array(z.string()), tokens: amount,
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -25,12 +25,17 @@
 	| {readonly name: 'node-registration'; readonly isDone: boolean; readonly reason: string}
 	| {
 		readonly name: 'request-admitted'; readonly request: string; readonly route: string; readonly version: number;
-		readonly account: string | undefined; readonly priority: number; readonly promptTokens: number; readonly waitMs: number | undefined;
+		readonly account: string | undefined; readonly priority: number; readonly promptTokens: number; readonly outputTokens: number;
+		readonly waitMs: number | undefined;
 	}
 	| {
 		readonly name: 'request-refused'; readonly request: string; readonly code: string; readonly reason: string;
 		readonly version: number | undefined;
 	}
+	| {
+		readonly name: 'request-admission'; readonly request: string; readonly kind: string; readonly predictedMs: number; readonly objectiveMs: number;
+		readonly elapsedMs: number;
+	}
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
@@ -42,5 +47,5 @@
 	}
 	| {
 		readonly name: 'request-ended'; readonly request: string; readonly route: string; readonly outcome: string; readonly status: number;
-		readonly elapsedMs: number; readonly firstByteMs: number | undefined; readonly longestPauseMs: number; readonly tries: number; readonly runs: number;
+		readonly elapsedMs: number; readonly firstByteMs: number | undefined; readonly longestPauseMs: number; readonly pieces: number; readonly tries: number; readonly runs: number;
 	};
