--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,10 +1,10 @@
-import {decideAdmission, type Admission} from '@valvesaddle/admission';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
 import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {canRepeat} from './can-repeat.ts';
+import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
 import {createPieceClock} from './create-piece-clock.ts';
 import type {ForwardTask} from './forward-task.ts';
@@ -36,12 +36,13 @@
  task.cancel();
  */
 export function createForwardTask(options: ForwarderOptions, {request, reply, onOver}: ForwardTaskOptions): ForwardTask {
-	const {selector, exchanges, waits, wire, logger, metrics} = options;
+	const {selector, exchanges, wire, logger, metrics} = options;
 	const {facts, route} = request;
 	const id = facts.requestId ?? '-';
 	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
 	const deadlineAt = request.arrivedAt + waitMs;
 	const writer = createAnswerWriter({request, reply, wire});
+	const admitter = createAdmitter(options, request, waitMs);
 	const clock = createPieceClock(request.arrivedAt, metrics);
 	const tried = new Set<string>();
 	const question: SelectionQuestion = {
@@ -53,10 +54,6 @@
 		parts: facts.parts,
 		tried,
 	};
-	/**
-	What the caller spent on earlier tries, in milliseconds.
-	*/
-	const spentMs = facts.waitMs === undefined ? 0 : waits.record(route.name, waitMs);
 	let tries = 0;
 	let runs = 0;
 	let arrivals = 0;
@@ -147,7 +144,7 @@
 			return;
 		}
 
-		const admission = admit(selection);
+		const admission = admitter.decide(selection, tries > 0);
 		if (admission.kind === 'refuse') {
 			refuse(new ValvesaddleError('ERR_VALVESADDLE_OVERLOADED', `first token predicted after ${Math.round(selection.costMs)} ms`, {retryAfterMs: admission.retryAfterMs}));
 		} else {
@@ -155,28 +152,6 @@
 		}
 	}
 
-	/**
-	Only model engines read prompts, so that a wait there can be predicted.
-	*/
-	function admit({costMs: predictedMs, readMs}: Selection): Admission {
-		if (!request.isEnginePool || route.kind !== 'stream') {
-			return {kind: 'send'};
-		}
-
-		const elapsedMs = spentMs + performance.now() - request.arrivedAt;
-		const admission = decideAdmission({
-			predictedMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRepeat: spentMs > 0 || tries > 0, draw: Math.random(),
-		}, options.admission);
-		if (admission.kind !== 'send') {
-			metrics.increment('gateway.admission', 1, {kind: admission.kind});
-			logger.info({
-				name: 'request-admission', request: id, kind: admission.kind, predictedMs: Math.round(predictedMs), readMs: Math.round(readMs), objectiveMs: route.latencyObjectiveMs, elapsedMs: Math.round(elapsedMs),
-			});
-		}
-
-		return admission;
-	}
-
 	function openAt(selection: Selection): void {
 		tries++;
 		tried.add(selection.endpoint.id);
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -20,35 +20,55 @@
 	const own = new Map<string, EndpointLoad>();
 	const peers = new Map<string, Map<string, EndpointLoad>>();
 	const changed = new Set<string>();
+	/**
+	Endpoints that some node has found silent.
+	*/
+	const suspects = new Set<string>();
+	/**
+	Sums over all nodes, until one of their parts changes.
+	*/
+	const sums = new Map<string, EndpointLoad>();
 	let unseenFactor = 1;
 
-	return {
-		get(endpoint) {
-			let sum = own.get(endpoint) ?? noLoad;
-			for (const loads of peers.values()) {
-				sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
-			}
+	function setOwn(endpoint: string, load: EndpointLoad): void {
+		own.set(endpoint, load);
+		changed.add(endpoint);
+		sums.delete(endpoint);
+	}
 
-			return {
-				open: sum.open * unseenFactor,
-				unread: unseenFactor === 1 ? sum.unread : sum.unread.map(tokens => tokens * unseenFactor),
-				sensitivity: sum.sensitivity * unseenFactor,
-				witnesses: sum.witnesses,
-				silent: sum.silent,
-				readTokens: sum.readTokens,
-				readMs: sum.readMs,
-			};
-		},
+	function measureSum(endpoint: string): EndpointLoad {
+		let sum = own.get(endpoint) ?? noLoad;
+		for (const loads of peers.values()) {
+			sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
+		}
+
+		return {
+			open: sum.open * unseenFactor,
+			unread: unseenFactor === 1 ? sum.unread : sum.unread.map(tokens => tokens * unseenFactor),
+			sensitivity: sum.sensitivity * unseenFactor,
+			witnesses: sum.witnesses,
+			silent: sum.silent,
+			readTokens: sum.readTokens,
+			readMs: sum.readMs,
+		};
+	}
+
+	function get(endpoint: string): EndpointLoad {
+		const sum = sums.get(endpoint) ?? measureSum(endpoint);
+		sums.set(endpoint, sum);
+		return sum;
+	}
+
+	return {
+		get,
 		add(endpoint, change) {
-			own.set(endpoint, addLoads(own.get(endpoint) ?? noLoad, change));
-			changed.add(endpoint);
+			setOwn(endpoint, addLoads(own.get(endpoint) ?? noLoad, change));
 		},
 		recordReading(endpoint, tokens, milliseconds) {
 			const before = own.get(endpoint) ?? noLoad;
-			own.set(endpoint, {
+			setOwn(endpoint, {
 				...before, readTokens: (before.readTokens * keptPart) + tokens, readMs: (before.readMs * keptPart) + milliseconds,
 			});
-			changed.add(endpoint);
 		},
 		setSilence(endpoint, witnesses, silent) {
 			const before = own.get(endpoint) ?? noLoad;
@@ -56,23 +76,47 @@
 				return;
 			}
 
-			own.set(endpoint, {...before, witnesses, silent});
-			changed.add(endpoint);
+			setOwn(endpoint, {...before, witnesses, silent});
+			suspects.add(endpoint);
+		},
+		listSilent() {
+			for (const endpoint of suspects) {
+				if (get(endpoint).silent === 0) {
+					suspects.delete(endpoint);
+				}
+			}
+
+			return [...suspects].filter(endpoint => {
+				const {witnesses, silent} = get(endpoint);
+				return silent >= witnesses;
+			});
 		},
 		applyPeer(node, endpoint, load) {
 			const loads = peers.get(node) ?? new Map<string, EndpointLoad>();
 			loads.set(endpoint, load);
 			peers.set(node, loads);
+			sums.delete(endpoint);
+			if (load.silent > 0) {
+				suspects.add(endpoint);
+			}
 		},
 		setUnseenFactor(factor) {
+			if (factor === unseenFactor) {
+				return;
+			}
+
 			unseenFactor = factor;
+			sums.clear();
 		},
 		removePeer(node) {
 			peers.delete(node);
+			sums.clear();
 		},
 		removeEndpoint(endpoint) {
 			own.delete(endpoint);
 			changed.delete(endpoint);
+			suspects.delete(endpoint);
+			sums.delete(endpoint);
 			for (const loads of peers.values()) {
 				loads.delete(endpoint);
 			}
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -4,6 +4,7 @@
 import {createPaceModel} from './create-pace-model.ts';
 import {createPauseModel} from './create-pause-model.ts';
 import {createReadingRate} from './create-reading-rate.ts';
+import type {EndpointLoad} from './endpoint-load.ts';
 import type {LoadTable} from './load-table.ts';
 import {measureDelay} from './measure-delay.ts';
 import type {PaceModel} from './pace-model.ts';
@@ -73,8 +74,7 @@
 	/**
 	Streams that are expected to be late by their pauses: those that are open at the endpoint, and the request's own.
 	*/
-	function measureHarm({pauses, paces, rate}: PoolModel, endpoint: string, unread: number, {pauseObjectiveMs}: SelectionQuestion): number {
-		const load = loads.get(endpoint);
+	function measureHarm({pauses, paces, rate}: PoolModel, endpoint: string, load: EndpointLoad, unread: number, {pauseObjectiveMs}: SelectionQuestion): number {
 		const factor = paces.getFactor(endpoint);
 		const backlogMs = countUnread(load) / (rate.get() * factor);
 		const backlogHarm = pauses.toHarm(backlogMs, factor);
@@ -95,12 +95,13 @@
 		for (const endpoint of candidates) {
 			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
 			const unread = question.promptTokens - heldTokens;
+			const load = loads.get(endpoint.id);
 			const endpointTokensPerMs = tokensPerMs * pool.paces.getFactor(endpoint.id);
 			const costMs = measureDelay({
-				load: loads.get(endpoint.id), slots: endpoint.slots, urgency, unread, tokensPerMs: endpointTokensPerMs,
+				load, slots: endpoint.slots, urgency, unread, tokensPerMs: endpointTokensPerMs,
 			});
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
-			const harmMs = question.objectiveMs * measureHarm(pool, endpoint.id, unread, question);
+			const harmMs = question.objectiveMs * measureHarm(pool, endpoint.id, load, unread, question);
 			const score = costMs + wasteMs + harmMs - (endpoint.id === agreed ? agreedMs : 0);
 			if (best === undefined || score < best.score) {
 				best = {
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -17,6 +17,10 @@
 	Sets whether this node ought to have heard of an endpoint, and whether it has not.
 	*/
 	readonly setSilence: (endpoint: string, witnesses: number, silent: number) => void;
+	/**
+	Endpoints from which no node has heard that ought to have.
+	*/
+	readonly listSilent: () => readonly string[];
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
 	readonly setUnseenFactor: (factor: number) => void;
 	readonly removePeer: (node: string) => void;
