--- /dev/null
+++ b/bench/experiment/src/experiment-schema.ts
@@ -0,0 +1,22 @@
+import {z} from 'zod';
+
+const weight = z.number().min(0);
+const factor = z.number().positive();
+
+/**
+Form of an experiment's file. A variant names what it changes; the rest is as the gateway has it by default.
+*/
+export const experimentSchema = z.strictObject({
+	load: z.enum(['drafts-beside-queries', 'drafts-beside-faults']),
+	seeds: z.int().min(1).max(1000).default(5),
+	variants: z.record(z.string(), z.strictObject({
+		harm_weight: weight.default(1),
+		risk_weight: weight.default(1),
+		reread_ms_per_token: weight.default(0.3),
+		late_factor: factor.default(1.3),
+		wait_factor: weight.default(0.5),
+		return_factor: factor.default(1.5),
+		nodes: z.int().min(1).max(400).optional(),
+		news_ms: z.int().min(1).optional(),
+	})).refine(variants => Object.keys(variants).length > 0, 'name at least one variant'),
+});
--- /dev/null
+++ b/bench/experiment/src/experiment.ts
@@ -0,0 +1,7 @@
+import type {z} from 'zod';
+import type {experimentSchema} from './experiment-schema.ts';
+
+/**
+An experiment as its file says it.
+*/
+export type Experiment = z.infer<typeof experimentSchema>;
--- /dev/null
+++ b/bench/experiment/src/index.ts
@@ -0,0 +1,3 @@
+export {formatTable} from './format-table.ts';
+export {parseExperiment} from './parse-experiment.ts';
+export {runVariant} from './run-variant.ts';
--- /dev/null
+++ b/bench/experiment/src/spread.ts
@@ -0,0 +1,8 @@
+/**
+A figure over the seeds of a variant.
+*/
+export type Spread = {
+	readonly mean: number;
+	readonly least: number;
+	readonly most: number;
+};
--- a/config/settings/src/find-key-line.ts
+++ b/config/settings/src/find-key-line.ts
@@ -1,5 +1,6 @@
 /**
- Finds the line of a key in a TOML text whose tables are written as `[table]`; `undefined` when it is not there.
+ Finds the line of a key in a TOML text whose tables are written as `[table]` or `[table.part]`; `undefined` when it is not
+ there.
 
  @example
  findKeyLine('[node]\nid = "A 1"', ['node', 'id']); // 2
@@ -11,7 +12,12 @@
 		const header = /^\s*\[{1,2}(?<name>[^\]]+)\]{1,2}/v.exec(line)?.groups?.name;
 		current = header?.trim() ?? current;
 		const name = /^\s*(?<name>[\w\-]+)\s*=/v.exec(line)?.groups?.name;
-		if (current === table && name !== undefined && (name === key || path.includes(name))) {
+		if (name === undefined) {
+			continue;
+		}
+
+		const isWhole = (current === '' ? name : `${current}.${name}`) === path.join('.');
+		if (isWhole || (current === table && (name === key || path.includes(name)))) {
 			return index + 1;
 		}
 	}
--- a/emulator/loads/src/index.ts
+++ b/emulator/loads/src/index.ts
@@ -1,1 +1,2 @@
+export {createDraftsBesideFaults} from './create-drafts-beside-faults.ts';
 export {createDraftsBesideQueries} from './create-drafts-beside-queries.ts';
--- a/node/gateway/test/gateway.test.ts
+++ b/node/gateway/test/gateway.test.ts
@@ -88,23 +88,64 @@
 	t.equal((await platform.call('/new/x')).status, 200);
 });
 
-test('a node that leaves is not ready, finishes what is open, and tells callers to close their connections', async t => {
+test('a caller that goes away from a request that may be repeated is not served elsewhere either', async t => {
 	const platform = await startPlatform(t, ['silent', 'whole']);
 	await platform.open();
-	const [host, port] = platform.addresses.callers.split(':', 2);
-	const raw = sendRaw({
-		host, port, path: '/unsafe/x', headers: {host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': 'a1'},
-	});
-	raw.end();
+	const caller = new AbortController();
+	const call = platform.call('/safe/x', {signal: caller.signal}).catch(() => 'gone');
 	await waitUntil(() => platform.arrived.length === 1);
-	const drained = platform.gateway.drain();
-	await waitUntil(async () => !await platform.isReady().catch(() => false));
-	const responded = once(raw, 'response') as Promise<[IncomingMessage]>;
-	platform.endpoints[0]?.answerOpen('whole');
-	platform.endpoints[1]?.answerOpen('whole');
-	const [response] = await responded;
-	response.resume();
-	t.equal(response.statusCode, 200);
-	t.equal(response.headers.connection, 'close');
-	await drained;
+	caller.abort();
+	t.equal(await call, 'gone');
+	await waitUntil(() => platform.endpoints.some(endpoint => endpoint.closedConnections() > 0));
+	t.equal((await platform.call('/safe/y')).status, 200);
+	t.same(platform.arrived.map(({line}) => line), ['GET /safe/x HTTP/1.1', 'GET /safe/y HTTP/1.1']);
 });
+
+test('an endpoint whose leaving a node has seen gets no new work while the store is away', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	platform.store.put('servers/i-1', {
+		service: 'register', address: platform.endpoints[1]?.address, zone: 'a', slots: 4, state: 'draining',
+	});
+	await waitUntil(async () => {
+		const before = platform.endpoints[1]?.arrived().length;
+		for (let request = 0; request < 8; request++) {
+			// eslint-disable-next-line no-await-in-loop -- one request after the other
+			await platform.call('/safe/x');
+		}
+
+		return platform.endpoints[1]?.arrived().length === before;
+	});
+	platform.store.setFault('silent');
+	const before = platform.endpoints[1]?.arrived().length;
+	for (let request = 0; request < 20; request++) {
+		// eslint-disable-next-line no-await-in-loop -- one request after the other
+		t.equal((await platform.call('/safe/x')).status, 200);
+	}
+
+	t.equal(platform.endpoints[1]?.arrived().length, before);
+});
+
+for (const fault of [undefined, 'silent', 'refuse'] as const) {
+	test(`a node that leaves is not ready, finishes what is open, and tells callers to close their connections; store: ${fault ?? 'well'}`, async t => {
+		const platform = await startPlatform(t, ['silent', 'whole']);
+		await platform.open();
+		platform.store.setFault(fault);
+		const [host, port] = platform.addresses.callers.split(':', 2);
+		const raw = sendRaw({
+			host, port, path: '/unsafe/x', headers: {host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': 'a1'},
+		});
+		raw.end();
+		await waitUntil(() => platform.arrived.length === 1);
+		const drained = platform.gateway.drain();
+		await waitUntil(async () => !await platform.isReady().catch(() => false));
+		const responded = once(raw, 'response') as Promise<[IncomingMessage]>;
+		platform.endpoints[0]?.answerOpen('whole');
+		platform.endpoints[1]?.answerOpen('whole');
+		const [response] = await responded;
+		response.resume();
+		t.equal(response.statusCode, 200);
+		t.equal(response.headers.connection, 'close');
+		await drained;
+	});
+}
