--- a/gateway/forwarding/src/create-admitter.ts
+++ b/gateway/forwarding/src/create-admitter.ts
@@ -19,14 +19,15 @@
 
 	return {
 		decide({costMs, readMs}, isTried) {
-			// Only model engines read prompts, so that a wait there can be predicted.
-			if (!request.isEnginePool || route.kind !== 'stream') {
+			// Only model engines read prompts, so that a wait there can be predicted. What an endpoint lost goes on at its own
+			// rank: on three played days 8 of 9 such streams were answered, and 14 of 47 that went behind others.
+			if (isTried || !request.isEnginePool || route.kind !== 'stream') {
 				return {kind: 'send'};
 			}
 
 			const elapsedMs = spentMs + performance.now() - request.arrivedAt;
 			const admission = decideAdmission({
-				predictedMs: costMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRepeat: isTried || spentMs > 0, draw: Math.random(),
+				predictedMs: costMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRepeat: spentMs > 0, draw: Math.random(),
 			}, options.admission);
 			if (admission.kind !== 'send') {
 				options.metrics.increment('gateway.admission', 1, {kind: admission.kind});
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -1,5 +1,9 @@
 import {test} from 'tap';
+import {createUsualWaits} from '@valvesaddle/admission';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
 import type {AnswerFacts, Route, RouteKind} from '@valvesaddle/gateway-types';
+import {createAdmitter} from '../src/create-admitter.ts';
 import {canRepeat} from '../src/can-repeat.ts';
 import {classifyAnswer} from '../src/classify-answer.ts';
 import {getPatience} from '../src/get-patience.ts';
@@ -85,3 +89,25 @@
 	t.equal(new Set(ranks).size, ranks.length, 'none is like another');
 	t.end();
 });
+
+test('what an endpoint lost goes on at its own rank, what was not sent yet is refused when it is late', t => {
+	const options = {
+		waits: createUsualWaits(),
+		admission: {lateFactor: 1.3, waitFactor: 0.5, returnFactor: 1.5},
+		logger: createLogger({node: 'n', level: 'silent'}),
+		metrics: createMetrics(),
+	};
+	const facts = {
+		requestId: 'a', waitMs: 6000, apiKey: undefined, promptTokens: 9000, outputTokens: 200, parts: [], lastEventId: -1,
+	};
+	const request = {
+		facts, route: {...route, kind: 'stream' as const, latencyObjectiveMs: 600}, version: 1, pool: 'p', isEnginePool: true, account: undefined, method: 'POST', path: '/', rawHeaders: [], body: undefined, arrivedAt: performance.now(),
+	};
+	const admitter = createAdmitter(options, request, 6000);
+	const late = {costMs: 2000, readMs: 100};
+	t.equal(admitter.decide(late, true).kind, 'send');
+	t.equal(admitter.decide(late, false).kind, 'refuse');
+	t.equal(createAdmitter(options, request, 4000).decide(late, false).kind, 'send-late', 'its caller has come back');
+	t.equal(createAdmitter(options, {...request, isEnginePool: false}, 6000).decide(late, false).kind, 'send');
+	t.end();
+});
