fix: a draining node refuses what a kept connection still brings

Ruled out: new connections, which are closed by then. Such a request is now refused as not run, to be sent elsewhere at once; the test fails before and passes after. The test of a draining endpoint waits for the change itself, not for eight requests that by chance may all go elsewhere (it failed once so).

--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -48,6 +48,8 @@
 		},
 	});
 
+	let isDraining = false;
+
 	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
 		metrics.increment('gateway.refused', 1, {code: error.code});
 		const {requestId = '-'} = options.wire.readRequest(request.headers);
@@ -59,6 +61,11 @@
 	}
 
 	function buildRequest(request: IncomingMessage, arrivedAt: number): Omit<ForwardRequest, 'body'> {
+		// A kept connection may bring it when too little of the grace time is left for its answer.
+		if (isDraining) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'it came after the balancer had time to send callers elsewhere', {retryAfterMs: 0});
+		}
+
 		const index = options.routes();
 		if (index === undefined) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration is known yet', {retryAfterMs: comeBackMs});
@@ -116,6 +123,7 @@
 			server.keepAliveTimeout = idleTimeoutMs;
 		},
 		async drain() {
+			isDraining = true;
 			const {promise, resolve} = Promise.withResolvers<void>();
 			// A connection whose answer had begun before is idle only later.
 			const timer = setInterval(() => {
--- a/node/gateway/test/gateway.test.ts
+++ b/node/gateway/test/gateway.test.ts
@@ -1,5 +1,6 @@
 import {request as sendRaw, type IncomingMessage} from 'node:http';
 import {once} from 'node:events';
+import {connect} from 'node:net';
 import {test} from 'tap';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {startPlatform} from './start-platform.ts';
@@ -107,15 +108,10 @@
 	platform.store.put('servers/i-1', {
 		service: 'register', address: platform.endpoints[1]?.address, zone: 'a', slots: 4, state: 'draining',
 	});
-	await waitUntil(async () => {
-		const before = platform.endpoints[1]?.arrived().length;
-		for (let request = 0; request < 8; request++) {
-			// eslint-disable-next-line no-await-in-loop -- one request after the other
-			await platform.call('/safe/x');
-		}
-
-		return platform.endpoints[1]?.arrived().length === before;
-	});
+	// Changes come in their order: once the second one is in force, the first has been seen.
+	const [first] = platform.configuration.routes;
+	platform.store.put('op/config', {...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}, ...platform.configuration.routes]});
+	await waitUntil(async () => (await platform.call('/new/x')).status === 200);
 	platform.store.setFault('silent');
 	const before = platform.endpoints[1]?.arrived().length;
 	for (let request = 0; request < 20; request++) {
@@ -149,3 +145,33 @@
 		await drained;
 	});
 }
+
+test('a request that a kept connection brings to a node that drains is refused and sent nowhere', async t => {
+	const platform = await startPlatform(t, ['silent', 'whole']);
+	await platform.open();
+	const [host = '', port = ''] = platform.addresses.callers.split(':', 2);
+	const socket = connect({host, port: Number(port)});
+	let text = '';
+	socket.on('data', (chunk: Buffer) => {
+		text += chunk.toString('latin1');
+	});
+	const head = 'Host: permits.example\r\nAuthorization: Bearer key\r\n';
+	socket.write(`GET /unsafe/x HTTP/1.1\r\n${head}X-Attempt-Id: a1\r\n\r\n`);
+	await waitUntil(() => platform.arrived.length === 1);
+	const drained = platform.gateway.drain();
+	// The node takes no more connections once it drains.
+	await waitUntil(async () => platform.call('/safe/x').then(() => false, () => true));
+	const before = platform.arrived.length;
+	socket.write(`GET /unsafe/y HTTP/1.1\r\n${head}X-Attempt-Id: a2\r\n\r\n`);
+	const closed = once(socket, 'close');
+	await waitUntil(async () => {
+		const page = await fetch(`http://${platform.addresses.ready}/metrics`);
+		return platform.arrived.length > before || (await page.text()).includes('ERR_VALVESADDLE_DRAINING');
+	});
+	platform.endpoints[0]?.answerOpen('whole');
+	platform.endpoints[1]?.answerOpen('whole');
+	await closed;
+	await drained;
+	t.equal(platform.arrived.length, before);
+	t.match(text, /^HTTP\/1\.1 200 /v);
+});
