--- a/gateway/forwarding/src/create-admitter.ts
+++ b/gateway/forwarding/src/create-admitter.ts
@@ -20,7 +20,7 @@
 	return {
 		decide({costMs, readMs}, isTried) {
 			// Only model engines read prompts, so that a wait there can be predicted. What an endpoint lost goes on at its own
-			// rank: on three played days 8 of 9 such streams were answered, and 14 of 47 that went behind others.
+			// rank: in three played days 8 of 9 such streams were answered, and 14 of 53 that went behind others.
 			if (isTried || !request.isEnginePool || route.kind !== 'stream') {
 				return {kind: 'send'};
 			}
