feat: lines and gauges for what a node knows, from whom, and which peer it sees ahead

Cause: a node that stayed on an old configuration wrote no line that told why. Change: a line for each rise of the revision, each step about a peer that is ahead and each state taken; gauges of the version in force, the highest heard of, and the time behind it. Heartbeats carry the version for this. No decision reads it.

--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -158,7 +158,18 @@
 			applyChange(change, source);
 		}
 
-		revision = Math.max(revision, changes.revision);
+		setRevision(changes, source);
+	}
+
+	function setRevision(changes: ClusterChanges, source: BeliefSource): void {
+		if (changes.revision <= revision) {
+			return;
+		}
+
+		logger.info({
+			name: 'beliefs-advanced', from: revision, to: changes.revision, changes: changes.changes.length, version: configuration?.version, source,
+		});
+		revision = changes.revision;
 	}
 
 	function applyChanges(changes: ClusterChanges, source: BeliefSource): void {
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -28,6 +28,16 @@
 Age that stands for a confirmation that never was, in milliseconds.
 */
 const neverMs = 1e9;
+/**
+Stands for the version of a configuration that is not known.
+*/
+const noVersion = -1;
+
+type Heartbeat = {
+	readonly revision: number;
+	readonly version: number;
+	readonly confirmedAgoMs: number;
+};
 
 /**
  Creates the exchange of beliefs with peers. Followers of the store pass changes on as they come; a node that has missed
@@ -43,6 +53,12 @@
 	let isAsking = false;
 	let isFollowing = true;
 	let confirmedAt = -Infinity;
+	let heardVersion = noVersion;
+	/**
+	When this node's configuration was last the newest that it had heard of, on the steady clock.
+	*/
+	let currentAt = performance.now();
+	let lastAhead = '';
 
 	function measureAge(): number {
 		if (follower.isSteady()) {
@@ -63,7 +79,51 @@
 		return peerRevision > view.revision() || (view.hasLapsed() && peerRevision === view.revision());
 	}
 
+	function getVersion(): number {
+		return view.configuration()?.version ?? noVersion;
+	}
+
+	/**
+	How far this node's configuration is behind the newest that it has heard of, and since when.
+	*/
+	function recordHeard(version: number): void {
+		const now = performance.now();
+		heardVersion = Math.max(heardVersion, version);
+		if (getVersion() >= heardVersion) {
+			currentAt = now;
+		}
+
+		metrics.gauge('gateway.configuration-version', getVersion());
+		metrics.gauge('gateway.configuration-heard', heardVersion);
+		metrics.gauge('gateway.configuration-behind-ms', Math.round(now - currentAt));
+	}
+
+	/**
+	One line for each step taken about a peer that is ahead; heartbeats that bring nothing new write none.
+	*/
+	function recordAhead(node: string, {revision, version, confirmedAgoMs}: Heartbeat): void {
+		const step = chooseStep(confirmedAgoMs);
+		const fact = [node, revision, view.revision(), version, getVersion(), step].join(' ');
+		if (fact === lastAhead) {
+			return;
+		}
+
+		lastAhead = fact;
+		logger.info({
+			name: 'peer-ahead', peer: node, peerRevision: revision, revision: view.revision(), peerVersion: version, version: getVersion(), confirmedAgoMs, step,
+		});
+	}
+
+	function chooseStep(confirmedAgoMs: number): string {
+		if (isAsking) {
+			return 'wait for an answer';
+		}
+
+		return confirmedAgoMs <= options.confirmMs ? 'ask' : 'leave, not confirmed';
+	}
+
 	async function askState(node: string): Promise<void> {
+		const startedAt = performance.now();
 		isAsking = true;
 		const answered = await network.call(node, 'cluster.state', {});
 		isAsking = false;
@@ -77,6 +137,10 @@
 			}
 
 			metrics.increment('gateway.states-from-peers');
+			logger.info({
+				name: 'peer-state-taken', peer: node, peerRevision: parsed.data.revision, peerVersion: parsed.data.configuration?.version ?? noVersion,
+				elapsedMs: Math.round(performance.now() - startedAt),
+			});
 			view.importState(parsed.data);
 		}, error => {
 			logger.info({
@@ -96,10 +160,16 @@
 
 	return {
 		sendHeartbeat() {
-			network.broadcast('cluster.heartbeat', {revision: view.revision(), confirmedAgoMs: measureAge()});
+			network.broadcast('cluster.heartbeat', {revision: view.revision(), version: getVersion(), confirmedAgoMs: measureAge()});
 		},
 		applyHeartbeat(parameters, node) {
-			const {revision, confirmedAgoMs} = heartbeatSchema.parse(parameters);
+			const heartbeat = heartbeatSchema.parse(parameters);
+			const {revision, version, confirmedAgoMs} = heartbeat;
+			recordHeard(version);
+			if (isBehind(revision) || version > getVersion()) {
+				recordAhead(node, heartbeat);
+			}
+
 			confirmedAt = Math.max(confirmedAt, performance.now() - confirmedAgoMs);
 			if (!isAsking && confirmedAgoMs <= options.confirmMs && isBehind(revision)) {
 				void askState(node);
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -18,6 +18,15 @@
 	| {readonly name: 'entry-lapsed'; readonly id: string; readonly revision: number; readonly graceMs: number}
 	| {readonly name: 'overlay-changed'; readonly nodes: number; readonly relays: number; readonly isRelay: boolean; readonly parent: string | undefined}
 	| {readonly name: 'store-following'; readonly isFollowing: boolean; readonly confirmedAgoMs: number}
+	| {
+		readonly name: 'beliefs-advanced'; readonly from: number; readonly to: number; readonly changes: number; readonly version: number | undefined;
+		readonly source: string;
+	}
+	| {
+		readonly name: 'peer-ahead'; readonly peer: string; readonly peerRevision: number; readonly revision: number; readonly peerVersion: number;
+		readonly version: number; readonly confirmedAgoMs: number; readonly step: string;
+	}
+	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
 	| {readonly name: 'settings-read'; readonly isAccepted: boolean; readonly reason: string}
