feat: the delay of peers' messages and the bytes that wait on links are shown

Change: heartbeats carry their time of sending; a histogram of delays, a line when a peer's messages begin or cease to come late, a gauge of the bytes that wait in the process. No decision reads them.

--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -5,6 +5,7 @@
 import type {BeliefSync} from './belief-sync.ts';
 import {changesSchema} from './changes-schema.ts';
 import {clusterStateSchema} from './cluster-state-schema.ts';
+import {createDelayMeter} from './create-delay-meter.ts';
 import {heartbeatSchema} from './heartbeat-schema.ts';
 import type {LinkPlan} from './link-plan.ts';
 
@@ -59,6 +60,11 @@
 	*/
 	let currentAt = performance.now();
 	let lastAhead = '';
+	const delays = createDelayMeter();
+	/**
+	Peers whose messages come late.
+	*/
+	const latePeers = new Set<string>();
 
 	function measureAge(): number {
 		if (follower.isSteady()) {
@@ -98,6 +104,24 @@
 		metrics.gauge('gateway.configuration-behind-ms', Math.round(now - currentAt));
 	}
 
+	function recordDelay(node: string, delayMs: number): void {
+		metrics.timing('peer.delay', delayMs);
+		const isLate = delayMs > options.confirmMs / 2;
+		if (isLate === latePeers.has(node)) {
+			return;
+		}
+
+		if (isLate) {
+			latePeers.add(node);
+		} else {
+			latePeers.delete(node);
+		}
+
+		logger.info({
+			name: 'peer-late', peer: node, isLate, delayMs: Math.round(delayMs),
+		});
+	}
+
 	/**
 	One line for each step taken about a peer that is ahead; heartbeats that bring nothing new write none.
 	*/
@@ -149,6 +173,10 @@
 		});
 	}
 
+	network.events.on('lost', ({data: {node}}) => {
+		delays.remove(node);
+		latePeers.delete(node);
+	});
 	view.events.on('advanced', ({data: {after, changes, source}}) => {
 		const isOwn = source === 'store';
 		if (links.isMesh() || (isOwn && !follower.isSteady())) {
@@ -160,11 +188,14 @@
 
 	return {
 		sendHeartbeat() {
-			network.broadcast('cluster.heartbeat', {revision: view.revision(), version: getVersion(), confirmedAgoMs: measureAge()});
+			network.broadcast('cluster.heartbeat', {
+				revision: view.revision(), version: getVersion(), confirmedAgoMs: measureAge(), sentAt: performance.now(),
+			});
 		},
 		applyHeartbeat(parameters, node) {
 			const heartbeat = heartbeatSchema.parse(parameters);
-			const {revision, version, confirmedAgoMs} = heartbeat;
+			const {revision, version, confirmedAgoMs, sentAt} = heartbeat;
+			recordDelay(node, sentAt === undefined ? 0 : delays.measure(node, sentAt));
 			recordHeard(version);
 			if (isBehind(revision) || version > getVersion()) {
 				recordAhead(node, heartbeat);
--- /dev/null
+++ b/node/gateway/test/delay-meter.test.ts
@@ -0,0 +1,22 @@
+import {Clock} from 'clock-mock';
+import {test} from 'tap';
+import {createDelayMeter} from '../src/create-delay-meter.ts';
+
+test('what a message spent over the quickest one on its link is its delay, whatever the clocks of both ends say', t => {
+	const clock = new Clock();
+	clock.enter();
+	t.teardown(() => {
+		clock.exit();
+	});
+	const delays = createDelayMeter();
+	const offset = 7_000_000;
+	t.equal(delays.measure('n2', performance.now() + offset - 5), 0, 'nothing to compare the first one with');
+	clock.advance(250);
+	t.equal(Math.round(delays.measure('n2', performance.now() + offset - 3005)), 3000, 'it waited for three seconds');
+	t.equal(Math.round(delays.measure('n2', performance.now() + offset - 2)), 0, 'a quicker one sets the usual way');
+	t.equal(Math.round(delays.measure('n2', performance.now() + offset - 5)), 3);
+	t.equal(delays.measure('n3', performance.now() - 5), 0, 'each link has its own');
+	delays.remove('n2');
+	t.equal(delays.measure('n2', performance.now() - 900), 0);
+	t.end();
+});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -26,6 +26,7 @@
 		readonly name: 'peer-ahead'; readonly peer: string; readonly peerRevision: number; readonly revision: number; readonly peerVersion: number;
 		readonly version: number; readonly confirmedAgoMs: number; readonly step: string;
 	}
+	| {readonly name: 'peer-late'; readonly peer: string; readonly isLate: boolean; readonly delayMs: number}
 	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -142,6 +142,7 @@
 				socket.close();
 			}
 		},
+		countWaiting: () => socket.bufferedAmount,
 		close() {
 			socket.terminate();
 		},
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -47,6 +47,8 @@
 		for (const link of all) {
 			link.tick(now);
 		}
+
+		metrics.gauge('peer.bytes-waiting', Math.max(0, ...all.values().map(link => link.countWaiting())));
 	}, options.silenceMs / ticksPerSilence);
 	timer.unref();
 
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -9,5 +9,9 @@
 	Looks after the link: pings while it is in use, closes it after long silence.
 	*/
 	readonly tick: (now: number) => void;
+	/**
+	Bytes that were sent and still wait in this process.
+	*/
+	readonly countWaiting: () => number;
 	readonly close: () => void;
 };
