feat(emulator): many nodes spread beliefs under faults of links and store, on the paused clock

The real cluster view, store follower, peer exchange and peer links run against an emulated store and links.

--- /dev/null
+++ b/emulator/beliefs/src/create-emulated-network.ts
@@ -0,0 +1,148 @@
+import Emittery from 'emittery';
+import {ResultAsync} from 'neverthrow';
+import type {WebSocket} from 'ws';
+import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
+import type {GatewayNode} from '@valvesaddle/gateway-types';
+import type {Metrics} from '@valvesaddle/metrics';
+import {
+	createPeerLink,
+	type PeerEvents,
+	type PeerHandlers,
+	type PeerLink,
+	type PeerNetwork,
+} from '@valvesaddle/network';
+import type {EmulatedSocket} from './emulated-socket.ts';
+import type {LinkHub} from './link-hub.ts';
+
+type EmulatedNetworkOptions = {
+	readonly self: GatewayNode;
+	readonly hub: LinkHub;
+	readonly findAddress: (node: string) => string | undefined;
+	/**
+	A link that was silent for so long while in use is broken, in milliseconds.
+	*/
+	readonly silenceMs: number;
+	readonly metrics: Metrics;
+};
+
+/**
+As the real network looks after its links.
+*/
+const ticksPerSilence = 6;
+
+/**
+ Creates the network of an emulated node: the real links, over emulated sockets.
+
+ @example
+ const network = createEmulatedNetwork({self, hub, findAddress, silenceMs: 1200, metrics});
+ await network.listen({'peer.hello': () => 'hello'});
+ */
+export function createEmulatedNetwork({self, hub, findAddress, silenceMs, metrics}: EmulatedNetworkOptions): PeerNetwork {
+	const events = new Emittery<PeerEvents>();
+	const links = new Map<string, PeerLink>();
+	const opening = new Map<string, Promise<PeerLink>>();
+	const all = new Set<PeerLink>();
+	let handlers: PeerHandlers = {};
+
+	const timer = setInterval(() => {
+		const now = Date.now();
+		for (const link of all) {
+			link.tick(now);
+		}
+	}, silenceMs / ticksPerSilence);
+
+	function addLink(node: string, socket: EmulatedSocket): void {
+		const link = createPeerLink({
+			node, socket: socket as unknown as WebSocket, handlers, silenceMs, metrics,
+			onClose() {
+				all.delete(link);
+				if (links.get(node) !== link) {
+					return;
+				}
+
+				links.delete(node);
+				void events.emit('lost', {node});
+			},
+		});
+		all.add(link);
+		links.set(node, link);
+		void events.emit('found', {node});
+	}
+
+	async function openLink(node: string): Promise<PeerLink> {
+		const address = findAddress(node);
+		if (address === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `the address of ${node} is not known`);
+		}
+
+		await hub.open(self.id, address, silenceMs);
+		const link = links.get(node);
+		if (link === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `the link to ${node} broke`);
+		}
+
+		return link;
+	}
+
+	async function getLink(node: string): Promise<PeerLink> {
+		const existing = links.get(node);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const started = opening.get(node) ?? openLink(node);
+		opening.set(node, started);
+		try {
+			return await started;
+		} finally {
+			opening.delete(node);
+		}
+	}
+
+	async function callNode(node: string, method: string, parameters: unknown): Promise<unknown> {
+		const link = await getLink(node);
+		return link.call(method, parameters);
+	}
+
+	return {
+		events,
+		async listen(peerHandlers) {
+			handlers = peerHandlers;
+			hub.register(self, addLink);
+			return self.address;
+		},
+		call: (node, method, parameters) => ResultAsync.fromPromise(callNode(node, method, parameters), toPeerError),
+		notify(node, method, parameters) {
+			getLink(node).then(link => {
+				link.notify(method, parameters);
+			}).catch(() => {
+				metrics.increment('peer.notifications-lost');
+			});
+		},
+		broadcast(method, parameters, nodes) {
+			const targets = nodes === undefined ? links.values().toArray() : nodes.flatMap(node => links.get(node) ?? []);
+			for (const link of targets) {
+				try {
+					link.notify(method, parameters);
+				} catch {
+					metrics.increment('peer.notifications-lost');
+				}
+			}
+		},
+		connected: () => links.keys().toArray(),
+		disconnect(node) {
+			links.get(node)?.close();
+		},
+		async close() {
+			clearInterval(timer);
+			for (const link of all) {
+				link.close();
+			}
+		},
+	};
+}
+
+function toPeerError(thrown: unknown): ValvesaddleError {
+	const {message} = toValvesaddleError(thrown);
+	return new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', message, {cause: thrown});
+}
--- /dev/null
+++ b/emulator/beliefs/src/create-spreading-node.ts
@@ -0,0 +1,100 @@
+import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {createPeerSync} from '@valvesaddle/gateway';
+import type {ClusterStore, GatewayNode} from '@valvesaddle/gateway-types';
+import type {Logger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
+import type {PeerHandlers} from '@valvesaddle/network';
+import {createSelector} from '@valvesaddle/selection';
+import type {GatewaySettings} from '@valvesaddle/settings';
+import {createEmulatedNetwork} from './create-emulated-network.ts';
+import type {LinkHub} from './link-hub.ts';
+import type {SpreadingNode} from './spreading-node.ts';
+
+type SpreadingNodeOptions = {
+	readonly self: GatewayNode;
+	readonly store: ClusterStore;
+	readonly hub: LinkHub;
+	readonly settings: Pick<GatewaySettings, 'store' | 'peers'>;
+	readonly logger: Logger;
+	/**
+	Whether the node leaves calls for its whole state without an answer now.
+	*/
+	readonly isStateUnanswered: () => boolean;
+};
+
+const stateMethod = 'cluster.state';
+
+/**
+ Creates a node from the real packages, wired as the gateway wires them.
+
+ @example
+ const node = createSpreadingNode({self, store, hub, settings, logger, isStateUnanswered: () => false});
+ node.start();
+ */
+export function createSpreadingNode({self, store, hub, settings, logger, isStateUnanswered}: SpreadingNodeOptions): SpreadingNode {
+	const metrics = createMetrics();
+	const view = createClusterView({logger, metrics});
+	const follower = createStoreFollower({
+		store,
+		view,
+		self,
+		watchMs: settings.store.watch_ms,
+		gatherMs: settings.store.gather_ms,
+		settleMs: settings.store.settle_ms,
+		retryMs: settings.store.retry_ms,
+		leaseMs: settings.store.lease_ms,
+		renewMs: settings.store.renew_ms,
+		lapseGraceMs: settings.store.lapse_grace_ms,
+		isNeeded: () => sync.isStoreNeeded(),
+		logger,
+		metrics,
+	});
+	const network = createEmulatedNetwork({
+		self,
+		hub,
+		findAddress: id => view.nodes().find(node => node.id === id)?.address,
+		silenceMs: settings.peers.silence_ms,
+		metrics,
+	});
+	const {sync, handlers} = createPeerSync({
+		self,
+		network,
+		view,
+		follower,
+		// Nothing is chosen here.
+		selector: createSelector({
+			harmWeight: 0, riskWeight: 0, reuseMs: 1, rereadMsPerToken: 0, prefillTokensPerMs: 1,
+		}),
+		newsMs: settings.peers.news_ms,
+		heartbeatMs: settings.peers.heartbeat_ms,
+		meshNodes: settings.peers.mesh_nodes,
+		suspectMs: settings.peers.suspect_ms,
+		logger,
+		metrics,
+	});
+
+	return {
+		self,
+		view,
+		metrics,
+		start() {
+			void network.listen(withSilence(handlers, isStateUnanswered));
+			follower.start();
+			sync.start();
+		},
+		close() {
+			sync.close();
+			void follower.close();
+			void network.close();
+			view.close();
+		},
+	};
+}
+
+function withSilence(handlers: PeerHandlers, isStateUnanswered: () => boolean): PeerHandlers {
+	const answerState = handlers[stateMethod]!;
+	return {
+		...handlers,
+		[stateMethod]: async (parameters, peer) => isStateUnanswered() ? Promise.withResolvers<never>().promise : answerState(parameters, peer),
+	};
+}
--- /dev/null
+++ b/emulator/beliefs/src/list-role.ts
@@ -0,0 +1,24 @@
+import type {GatewayNode} from '@valvesaddle/gateway-types';
+import {planOverlay} from '@valvesaddle/overlay';
+import type {SpreadingTarget} from './spreading-target.ts';
+
+type RoleQuestion = {
+	readonly role: SpreadingTarget['role'];
+	readonly meshNodes: number;
+};
+
+/**
+ Lists the nodes that have a role in a fleet.
+
+ @example
+ listRole(nodes, {role: 'follower', meshNodes: 16}); // ['n-3.5e1f', 'n-8.07ca']
+ */
+export function listRole(nodes: readonly GatewayNode[], {role, meshNodes}: RoleQuestion): readonly string[] {
+	const {relays, followers} = planOverlay(nodes, {meshNodes});
+	const roleHandlers: Readonly<Record<SpreadingTarget['role'], () => readonly string[]>> = {
+		follower: () => [...followers],
+		relay: () => relays.keys().filter(id => !followers.has(id)).toArray(),
+		member: () => nodes.map(({id}) => id).filter(id => !relays.has(id)),
+	};
+	return roleHandlers[role]();
+}
--- /dev/null
+++ b/emulator/beliefs/src/run-spreading.ts
@@ -0,0 +1,219 @@
+import type {GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {Logger} from '@valvesaddle/logger';
+import {createRandom} from '@valvesaddle/random';
+import {createChangeRecord} from './create-change-record.ts';
+import {createEmulatedConfiguration} from './create-emulated-configuration.ts';
+import {createEmulatedStore} from './create-emulated-store.ts';
+import {createLinkHub} from './create-link-hub.ts';
+import {createPausedRuntime} from './create-paused-runtime.ts';
+import {createSpreadingNode} from './create-spreading-node.ts';
+import {createUsualSettings} from './create-usual-settings.ts';
+import type {EmulatedStore} from './emulated-store.ts';
+import type {FaultTools} from './fault-tools.ts';
+import {listRole} from './list-role.ts';
+import type {SpreadingChange} from './spreading-change.ts';
+import type {SpreadingLine} from './spreading-line.ts';
+import type {SpreadingNode} from './spreading-node.ts';
+import type {SpreadingOptions} from './spreading-options.ts';
+import type {SpreadingReport} from './spreading-report.ts';
+import {startFault} from './start-fault.ts';
+import type {WrittenChange} from './written-change.ts';
+
+/**
+Added to the seed for the draws of the nodes, which must not follow those of links and store.
+*/
+const drawSeed = 1_000_003;
+/**
+Time within which the nodes of a fleet start, in milliseconds.
+*/
+const startSpreadMs = 500;
+/**
+Size of the random part of a node's id, as the gateway draws it.
+*/
+const idValues = 2 ** 32;
+const idDigits = 8;
+const hexadecimal = 16;
+/**
+Version of the configuration that is written before the nodes start.
+*/
+const firstVersion = 1;
+/**
+Endpoints of a subnet in emulated addresses.
+*/
+const subnetSize = 250;
+
+/**
+ Lets the nodes of a fleet spread what is written to the store, under faults, and tells when each of them believed it. The
+ clock of the runtime is paused and its random numbers are seeded meanwhile, so only one such run may be under way.
+
+ @example
+ const {changes} = await runSpreading({nodes: 40, dataCentres: ['a', 'b'], endpoints: 60, lengthMs: 12_000, seed: 7, links, changes: [{kind: 'configuration', atMs: 8000}], faults: []});
+ changes[0].missing; // []
+ */
+export async function runSpreading(options: SpreadingOptions): Promise<SpreadingReport> {
+	const runtime = createPausedRuntime(options.seed + drawSeed);
+	try {
+		return await runFleet(options, runtime);
+	} finally {
+		runtime.close();
+	}
+}
+
+async function runFleet(options: SpreadingOptions, runtime: FaultTools['runtime']): Promise<SpreadingReport> {
+	const random = createRandom(options.seed);
+	const settings = options.settings ?? createUsualSettings();
+	const lines: SpreadingLine[] = [];
+	const stateUnanswered = new Set<string>();
+	const lost = new Set<string>();
+	const store = createEmulatedStore({timeoutMs: settings.store.timeout_ms, random});
+	const hub = createLinkHub({traits: options.links, random});
+	const nodes = Array.from({length: options.nodes}, (_value, index): SpreadingNode => {
+		const self = createSelf(index, options.dataCentres, random);
+		return createSpreadingNode({
+			self,
+			store: store.open(self),
+			hub,
+			settings,
+			logger: createLineLogger(event => {
+				if (options.isLogged) {
+					lines.push({atMs: runtime.now(), node: self.id, event});
+				}
+			}),
+			isStateUnanswered: () => stateUnanswered.has(self.id),
+		});
+	});
+	const listLiving = (): readonly SpreadingNode[] => nodes.filter(({self}) => !lost.has(self.id));
+	const endpoints = Array.from({length: options.endpoints}, (_value, index) => createEndpoint(index, options.dataCentres));
+	const record = createChangeRecord({nodes, now: runtime.now});
+	const tools: FaultTools = {
+		runtime,
+		random,
+		store,
+		hub,
+		listNodes: () => nodes.map(({self}) => self.id),
+		findTarget: ({role, nth}) => listRole(listLiving().map(({self}) => self), {role, meshNodes: settings.peers.mesh_nodes})[nth]!,
+		endNode(id) {
+			lost.add(id);
+			nodes.find(({self}) => self.id === id)!.close();
+		},
+		setStateUnanswered(id) {
+			stateUnanswered.add(id);
+		},
+	};
+
+	store.writeConfiguration(createEmulatedConfiguration(firstVersion));
+	for (const endpoint of endpoints) {
+		store.writeEndpoint(endpoint);
+	}
+
+	for (const node of nodes) {
+		runtime.add(startSpreadMs * random(), node.start);
+	}
+
+	for (const fault of options.faults) {
+		runtime.add(fault.atMs, () => {
+			startFault(fault, tools);
+		});
+	}
+
+	let version = firstVersion;
+	for (const change of options.changes) {
+		version += change.kind === 'configuration' ? 1 : 0;
+		const write: WriteOptions = {
+			store, endpoints, version, now: change.atMs,
+		};
+		runtime.add(change.atMs, () => {
+			record.add(writeChange(change, write));
+		});
+	}
+
+	await runtime.advance(options.lengthMs);
+	const report = summarizeNodes(nodes);
+	const changes = record.summarize(listLiving());
+	const storeFigures = {storeCalls: {...store.calls()}, watchesDeaf: store.countDeafWatches()};
+	for (const node of listLiving()) {
+		node.close();
+	}
+
+	return {
+		...report, ...storeFigures, changes, lines,
+	};
+}
+
+function createSelf(index: number, dataCentres: readonly string[], random: () => number): GatewayNode {
+	const drawn = Math.floor(random() * idValues).toString(hexadecimal).padStart(idDigits, '0');
+	return {
+		id: `n-${index}.${drawn}`,
+		address: `10.0.${Math.floor(index / subnetSize)}.${index % subnetSize}:7100`,
+		token: drawn,
+		dataCentre: dataCentres[index % dataCentres.length]!,
+		capacity: 1,
+	};
+}
+
+function createEndpoint(index: number, dataCentres: readonly string[]): ServingEndpoint {
+	return {
+		id: `e-${index}`,
+		pool: 'desk',
+		address: `10.1.${Math.floor(index / subnetSize)}.${index % subnetSize}:8000`,
+		dataCentre: dataCentres[index % dataCentres.length]!,
+		slots: 12,
+		state: 'ready',
+	};
+}
+
+function createLineLogger(write: (event: SpreadingLine['event']) => void): Logger {
+	return {
+		info: write,
+		warn: write,
+		error: write,
+		async flush() {
+			// Nothing is held back.
+		},
+	};
+}
+
+type WriteOptions = {
+	readonly store: EmulatedStore;
+	readonly endpoints: readonly ServingEndpoint[];
+	/**
+	Version of a configuration that is written now.
+	*/
+	readonly version: number;
+	readonly now: number;
+};
+
+function writeChange(change: SpreadingChange, {store, endpoints, version, now}: WriteOptions): WrittenChange {
+	if (change.kind === 'configuration') {
+		store.writeConfiguration(createEmulatedConfiguration(version));
+		return {
+			kind: change.kind, subject: String(version), writtenAtMs: now, isBelieved: view => (view.configuration()?.version ?? 0) >= version,
+		};
+	}
+
+	const endpoint = endpoints[change.endpoint]!;
+	const {id} = endpoint;
+	if (change.kind === 'endpoint-draining') {
+		store.writeEndpoint({...endpoint, state: 'draining'});
+	} else {
+		store.removeEndpoint(id);
+	}
+
+	return {
+		kind: change.kind,
+		subject: id,
+		writtenAtMs: now,
+		// An endpoint that is believed gone takes no requests either.
+		isBelieved: view => view.endpoints().every(known => known.id !== id || (change.kind === 'endpoint-draining' && known.state === 'draining')),
+	};
+}
+
+function summarizeNodes(nodes: readonly SpreadingNode[]): Pick<SpreadingReport, 'statesAsked' | 'bytesSent' | 'messagesSent' | 'watchesCut'> {
+	const sum = (name: string): number => nodes.reduce((total, {metrics}) => total + metrics.total(name), 0);
+	return {
+		statesAsked: sum('gateway.states-from-peers'),
+		bytesSent: sum('peer.bytes-sent'),
+		messagesSent: sum('peer.messages-sent'),
+		watchesCut: sum('gateway.watches-cut'),
+	};
+}
--- /dev/null
+++ b/emulator/beliefs/src/spreading-report.ts
@@ -0,0 +1,46 @@
+import type {SpreadingLine} from './spreading-line.ts';
+
+/**
+When the nodes believed what was written. Times are in milliseconds after the start. Nodes that were lost are left out.
+*/
+export type SpreadingReport = {
+	readonly changes: ReadonlyArray<{
+		readonly kind: string;
+		/**
+		Version of a configuration, or id of an endpoint.
+		*/
+		readonly subject: string;
+		readonly writtenAtMs: number;
+		/**
+		When each node had it, by the node's id; 0 or later.
+		*/
+		readonly believedAtMs: ReadonlyMap<string, number>;
+		/**
+		When the last of those that ever had it did.
+		*/
+		readonly lastAtMs: number;
+		/**
+		Nodes that never had it.
+		*/
+		readonly missing: readonly string[];
+	}>;
+	/**
+	Whole states that nodes had from peers.
+	*/
+	readonly statesAsked: number;
+	readonly bytesSent: number;
+	readonly messagesSent: number;
+	readonly watchesCut: number;
+	/**
+	Watches that came back empty although something had changed.
+	*/
+	readonly watchesDeaf: number;
+	/**
+	Calls on the store, by their name.
+	*/
+	readonly storeCalls: Readonly<Record<string, number>>;
+	/**
+	Empty unless they are asked for.
+	*/
+	readonly lines: readonly SpreadingLine[];
+};
--- /dev/null
+++ b/emulator/beliefs/src/written-change.ts
@@ -0,0 +1,11 @@
+import type {ClusterView} from '@valvesaddle/cluster-view';
+
+/**
+A change that the store has acknowledged.
+*/
+export type WrittenChange = {
+	readonly kind: string;
+	readonly subject: string;
+	readonly writtenAtMs: number;
+	readonly isBelieved: (view: ClusterView) => boolean;
+};
