--- a/emulator/beliefs/src/index.ts
+++ b/emulator/beliefs/src/index.ts
@@ -1,3 +1,4 @@
+export {createUsualSettings} from './create-usual-settings.ts';
 export type {LinkTraits} from './link-traits.ts';
 export {runSpreading} from './run-spreading.ts';
 export type {SpreadingChange} from './spreading-change.ts';
