--- a/emulator/beliefs/src/create-emulated-store.ts
+++ b/emulator/beliefs/src/create-emulated-store.ts
@@ -146,7 +146,7 @@
 		watch.answer.send({revision, changes});
 	}
 
-	function cutWatches(isCut: (watch: Watch) => boolean): void {
+	function failWatches(isCut: (watch: Watch) => boolean): void {
 		for (const watch of waiting) {
 			if (!isCut(watch)) {
 				continue;
@@ -328,7 +328,7 @@
 
 			history = [];
 			historyStart = revision;
-			cutWatches(() => true);
+			failWatches(() => true);
 		},
 		setSlowness(milliseconds) {
 			addedMs = milliseconds;
@@ -339,7 +339,7 @@
 			}
 
 			if (treatment === 'reset') {
-				cutWatches(({node}) => nodes.has(node));
+				failWatches(({node}) => nodes.has(node));
 			}
 		},
 		endNode(node) {
--- a/emulator/beliefs/src/create-socket-pair.ts
+++ b/emulator/beliefs/src/create-socket-pair.ts
@@ -111,7 +111,7 @@
 		});
 	}
 
-	function terminate(): void {
+	function endSocket(): void {
 		if (readyState !== WebSocket.OPEN) {
 			return;
 		}
@@ -127,8 +127,8 @@
 		ping() {
 			send({kind: 'ping', text: ''});
 		},
-		terminate,
-		close: terminate,
+		terminate: endSocket,
+		close: endSocket,
 	}), 'readyState', {get: () => readyState}) as unknown as EmulatedSocket;
 
 	return {
--- a/emulator/beliefs/src/create-usual-settings.ts
+++ b/emulator/beliefs/src/create-usual-settings.ts
@@ -1,12 +1,19 @@
 import {parseGatewaySettings, type GatewaySettings} from '@valvesaddle/settings';
 
+type UsualSettingsOptions = {
+	/**
+	Between two messages on work, in milliseconds; no belief waits for them, and they take the longest to emulate.
+	*/
+	readonly newsMs: number;
+};
+
 /**
- Creates the settings of a node that sets no times of its own.
+ Creates the settings of a node that sets no other times of its own.
 
  @example
- createUsualSettings().peers.heartbeat_ms; // 250
+ createUsualSettings({newsMs: 400}).peers.heartbeat_ms; // 250
  */
-export function createUsualSettings(): Pick<GatewaySettings, 'store' | 'peers'> {
+export function createUsualSettings({newsMs}: UsualSettingsOptions): Pick<GatewaySettings, 'store' | 'peers'> {
 	return parseGatewaySettings(`
 		[node]
 		name = "n"
@@ -18,5 +25,7 @@
 		peers = "127.0.0.1:0"
 		[store]
 		address = "127.0.0.1:0"
+		[peers]
+		news_ms = ${newsMs}
 	`)._unsafeUnwrap();
 }
--- a/emulator/beliefs/src/run-spreading.ts
+++ b/emulator/beliefs/src/run-spreading.ts
@@ -7,7 +7,6 @@
 import {createLinkHub} from './create-link-hub.ts';
 import {createPausedRuntime} from './create-paused-runtime.ts';
 import {createSpreadingNode} from './create-spreading-node.ts';
-import {createUsualSettings} from './create-usual-settings.ts';
 import type {EmulatedStore} from './emulated-store.ts';
 import type {FaultTools} from './fault-tools.ts';
 import {listRole} from './list-role.ts';
@@ -51,7 +50,7 @@
  clock of the runtime is paused and its random numbers are seeded meanwhile, so only one such run may be under way.
 
  @example
- const {changes} = await runSpreading({nodes: 40, dataCentres: ['a', 'b'], endpoints: 60, lengthMs: 12_000, seed: 7, links, changes: [{kind: 'configuration', atMs: 8000}], faults: []});
+ const {changes} = await runSpreading({nodes: 40, dataCentres: ['a', 'b'], endpoints: 60, lengthMs: 12_000, seed: 7, links, settings, changes: [{kind: 'configuration', atMs: 8000}], faults: []});
  changes[0].missing; // []
  */
 export async function runSpreading(options: SpreadingOptions): Promise<SpreadingReport> {
@@ -65,7 +64,7 @@
 
 async function runFleet(options: SpreadingOptions, runtime: FaultTools['runtime']): Promise<SpreadingReport> {
 	const random = createRandom(options.seed);
-	const settings = options.settings ?? createUsualSettings();
+	const {settings} = options;
 	const lines: SpreadingLine[] = [];
 	const stateUnanswered = new Set<string>();
 	const lost = new Set<string>();
--- a/emulator/beliefs/src/spreading-options.ts
+++ b/emulator/beliefs/src/spreading-options.ts
@@ -18,10 +18,7 @@
 	*/
 	readonly changes: readonly SpreadingChange[];
 	readonly faults: readonly SpreadingFault[];
-	/**
-	The settings' defaults where it is not given.
-	*/
-	readonly settings?: Pick<GatewaySettings, 'store' | 'peers'>;
+	readonly settings: Pick<GatewaySettings, 'store' | 'peers'>;
 	/**
 	Whether the nodes' lines are kept for the report.
 	*/
--- a/emulator/beliefs/test/spreading.test.ts
+++ b/emulator/beliefs/test/spreading.test.ts
@@ -17,14 +17,12 @@
 */
 const formedMs = 4000;
 
-const usual = createUsualSettings();
 const fleet: Omit<SpreadingOptions, 'seed' | 'changes' | 'faults'> = {
 	nodes: 40,
 	dataCentres: ['a', 'b', 'c', 'd'],
 	endpoints: 60,
 	lengthMs: formedMs + 6500,
-	// The news of work takes the longest to emulate, and no belief waits for it.
-	settings: {...usual, peers: {...usual.peers, news_ms: 400}},
+	settings: createUsualSettings({newsMs: 400}),
 	links: {
 		nearMs: 0.5, farMs: 12, jitterShare: 0.3, lossShare: 0,
 	},
