--- a/emulator/beliefs/src/create-link-hub.ts
+++ b/emulator/beliefs/src/create-link-hub.ts
@@ -8,6 +8,10 @@
 	readonly node: GatewayNode;
 	readonly accept: (peer: string, socket: EmulatedSocket) => void;
 	end?: 'reset' | 'silence';
+	/**
+	When all that it has sent will have left it, on the runtime's steady clock in milliseconds.
+	*/
+	sentBy: number;
 };
 
 type Link = {
@@ -46,6 +50,19 @@
 		return usualMs * (1 + (traits.jitterShare * random()));
 	}
 
+	/**
+	Time until a message has left its node: all that the node has sent before leaves first, whatever the link.
+	*/
+	function measureUplink(station: Station, bytes: number): number {
+		if (traits.uplinkBytesPerMs === undefined) {
+			return 0;
+		}
+
+		const now = performance.now();
+		station.sentBy = Math.max(now, station.sentBy) + (bytes / traits.uplinkBytesPerMs);
+		return station.sentBy - now;
+	}
+
 	function measureLoss(againMs: number): number {
 		return random() < traits.lossShare ? againMs : 0;
 	}
@@ -56,7 +73,7 @@
 
 	function addLink(from: Station, to: Station): Link {
 		const [near, far] = createSocketPair({
-			measureDelay: () => measureDelay(from, to) + measureLoss(resendMs),
+			measureDelay: (end, bytes) => measureUplink(end === 'near' ? from : to, bytes) + measureDelay(from, to) + measureLoss(resendMs),
 			isCut: () => isCut(from, to),
 			isSilent: () => link.isSilent,
 		});
@@ -87,7 +104,7 @@
 
 	return {
 		register(node, accept) {
-			const station = {node, accept};
+			const station: Station = {node, accept, sentBy: 0};
 			stations.set(node.id, station);
 			byAddress.set(node.address, station);
 		},
--- a/emulator/beliefs/src/create-socket-pair.ts
+++ b/emulator/beliefs/src/create-socket-pair.ts
@@ -4,9 +4,9 @@
 
 type SocketPairOptions = {
 	/**
-	Time that the next message takes, in milliseconds.
+	Time that the next message of that many bytes takes from one end, in milliseconds.
 	*/
-	readonly measureDelay: () => number;
+	readonly measureDelay: (from: 'near' | 'far', bytes: number) => number;
 	/**
 	Whether nothing passes now, so that messages wait.
 	*/
@@ -36,6 +36,11 @@
 */
 const resendMs = 200;
 
+/**
+Bytes that a message takes besides its text: heads of WebSocket, TCP and IP.
+*/
+const frameBytes = 46;
+
 /**
  Creates the two ends of a link. Messages of a direction arrive in order; the far end, which took the link in, is first
  to send, and the near end is open when it hears of that.
@@ -45,17 +50,17 @@
  near.send('{}');
  */
 export function createSocketPair(options: SocketPairOptions): readonly [EmulatedSocket, EmulatedSocket] {
-	const near: SocketEnd = createEnd(createDirection(options, frame => {
+	const near: SocketEnd = createEnd(createDirection({...options, from: 'near'}, frame => {
 		far.receive(frame);
 	}));
-	const far: SocketEnd = createEnd(createDirection(options, frame => {
+	const far: SocketEnd = createEnd(createDirection({...options, from: 'far'}, frame => {
 		near.receive(frame);
 	}));
 	far.send({kind: 'open', text: ''});
 	return [near.socket, far.socket];
 }
 
-function createDirection({measureDelay, isCut, isSilent}: SocketPairOptions, receive: (frame: Frame) => void): Direction {
+function createDirection({from, measureDelay, isCut, isSilent}: SocketPairOptions & {readonly from: 'near' | 'far'}, receive: (frame: Frame) => void): Direction {
 	const queue: Array<{readonly frame: Frame; readonly at: number}> = [];
 	let isWaiting = false;
 
@@ -91,7 +96,7 @@
 	return {
 		send(frame) {
 			const now = performance.now();
-			const at = Math.max(queue.at(-1)?.at ?? 0, Math.ceil(now + measureDelay()));
+			const at = Math.max(queue.at(-1)?.at ?? 0, Math.ceil(now + measureDelay(from, frame.text.length + frameBytes)));
 			queue.push({frame, at});
 			waitFor(at - now);
 		},
@@ -124,8 +129,8 @@
 		send(text: string) {
 			send({kind: 'message', text});
 		},
-		ping() {
-			send({kind: 'ping', text: ''});
+		ping(text = '') {
+			send({kind: 'ping', text});
 		},
 		terminate: endSocket,
 		close: endSocket,
@@ -145,7 +150,7 @@
 			}
 
 			if (kind === 'ping') {
-				send({kind: 'pong', text: ''});
+				send({kind: 'pong', text});
 			}
 
 			events.emit(kind, text);
--- a/emulator/beliefs/src/create-spreading-node.ts
+++ b/emulator/beliefs/src/create-spreading-node.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
 import type {PeerHandlers} from '@valvesaddle/network';
-import {createSelector} from '@valvesaddle/selection';
+import {createSelector, type LoadNews} from '@valvesaddle/selection';
 import type {GatewaySettings} from '@valvesaddle/settings';
 import {createEmulatedNetwork} from './create-emulated-network.ts';
 import type {LinkHub} from './link-hub.ts';
@@ -17,6 +17,10 @@
 	readonly settings: Pick<GatewaySettings, 'store' | 'peers'>;
 	readonly logger: Logger;
 	/**
+	What the node has to tell of its work; nothing where it is not given.
+	*/
+	readonly takeNews?: () => LoadNews;
+	/**
 	Whether the node leaves calls for its whole state without an answer now.
 	*/
 	readonly isStateUnanswered: () => boolean;
@@ -31,7 +35,7 @@
  const node = createSpreadingNode({self, store, hub, settings, logger, isStateUnanswered: () => false});
  node.start();
  */
-export function createSpreadingNode({self, store, hub, settings, logger, isStateUnanswered}: SpreadingNodeOptions): SpreadingNode {
+export function createSpreadingNode({self, store, hub, settings, logger, takeNews, isStateUnanswered}: SpreadingNodeOptions): SpreadingNode {
 	const metrics = createMetrics();
 	const view = createClusterView({logger, metrics});
 	const follower = createStoreFollower({
@@ -56,15 +60,16 @@
 		silenceMs: settings.peers.silence_ms,
 		metrics,
 	});
+	// Nothing is chosen here.
+	const selector = createSelector({
+		harmWeight: 0, riskWeight: 0, reuseMs: 1, rereadMsPerToken: 0, prefillTokensPerMs: 1,
+	});
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
 		view,
 		follower,
-		// Nothing is chosen here.
-		selector: createSelector({
-			harmWeight: 0, riskWeight: 0, reuseMs: 1, rereadMsPerToken: 0, prefillTokensPerMs: 1,
-		}),
+		selector: takeNews === undefined ? selector : {...selector, takeNews},
 		newsMs: settings.peers.news_ms,
 		heartbeatMs: settings.peers.heartbeat_ms,
 		meshNodes: settings.peers.mesh_nodes,
--- a/emulator/beliefs/src/link-traits.ts
+++ b/emulator/beliefs/src/link-traits.ts
@@ -15,4 +15,8 @@
 	Share of the messages that are lost once, and come when they have been sent again; what follows on the link waits for them.
 	*/
 	readonly lossShare: number;
+	/**
+	Bytes that each node can send in a millisecond, over all its links; without a limit where it is not given.
+	*/
+	readonly uplinkBytesPerMs?: number;
 };
--- a/emulator/beliefs/src/run-spreading.ts
+++ b/emulator/beliefs/src/run-spreading.ts
@@ -3,6 +3,7 @@
 import {createRandom} from '@valvesaddle/random';
 import {createChangeRecord} from './create-change-record.ts';
 import {createEmulatedConfiguration} from './create-emulated-configuration.ts';
+import {createEmulatedNews} from './create-emulated-news.ts';
 import {createEmulatedStore} from './create-emulated-store.ts';
 import {createLinkHub} from './create-link-hub.ts';
 import {createPausedRuntime} from './create-paused-runtime.ts';
@@ -82,6 +83,7 @@
 					lines.push({atMs: runtime.now(), node: self.id, event});
 				}
 			}),
+			...(options.work !== undefined && {takeNews: createEmulatedNews({work: options.work, endpoints: options.endpoints, random})}),
 			isStateUnanswered: () => stateUnanswered.has(self.id),
 		});
 	});
--- a/emulator/beliefs/src/spreading-options.ts
+++ b/emulator/beliefs/src/spreading-options.ts
@@ -1,4 +1,5 @@
 import type {GatewaySettings} from '@valvesaddle/settings';
+import type {EmulatedWork} from './emulated-work.ts';
 import type {LinkTraits} from './link-traits.ts';
 import type {SpreadingChange} from './spreading-change.ts';
 import type {SpreadingFault} from './spreading-fault.ts';
@@ -20,6 +21,10 @@
 	readonly faults: readonly SpreadingFault[];
 	readonly settings: Pick<GatewaySettings, 'store' | 'peers'>;
 	/**
+	Work that each node has to tell of with each message, as if it sent requests; none where it is not given.
+	*/
+	readonly work?: EmulatedWork;
+	/**
 	Whether the nodes' lines are kept for the report.
 	*/
 	readonly isLogged?: boolean;
--- a/emulator/beliefs/test/spreading.test.ts
+++ b/emulator/beliefs/test/spreading.test.ts
@@ -39,11 +39,9 @@
 }
 
 /**
-In a large fleet some nodes kept an old configuration for many seconds and answered 404 for routes that it lacks, and kept
-sending to an endpoint that drained. The store's watches had heard nothing for a second. In that second a configuration was
-written, and the wait of a watch ended: it came back without any change, but with the newest revision of the store. The node
-took the revision for its own and passed it on. From then on it, and all that heard of it, counted as up to date without
-having the configuration, and nodes at the same revision ask each other for nothing.
+A watch whose wait ends without any change confirms nothing after the revision that it began at. One that comes back empty with
+the newest revision of the store, while the watches hear nothing, must not make a node count as up to date: nodes at the same
+revision would ask each other for nothing. This was not seen on a running fleet; nothing would have mended it there.
 */
 test('what was written while the watches of the store heard nothing is believed everywhere in time after they are cut', async t => {
 	// The configuration before lets the four followers begin new watches, whose waits of 3 s end about when the quiet does: in
