fix: news of work are told to links that have taken in what was sent before

Cause: a relay told each member of everybody's work 17 times a second, whatever had left its link. On an uplink of 10 Mbit/s up to 3.0 MB/s were sent where 1.25 MB/s pass; the queue grew without bound and new configurations, heartbeats and answers waited at its end. Change: a link counts the bytes that the other end has not confirmed (a ping in the same stream carries the count, its answer brings it back); over 16 KiB the link is not ready and news wait, per link, each load as last known. What must arrive soon is sent in any case. Ruled out: a revision without its content, an ask without an end, a confirmation too old to ask.

--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -65,6 +65,7 @@
 		broadcast() {
 			// Not used by the client.
 		},
+		isReady: () => true,
 		connected: () => [],
 		disconnect() {
 			// Nothing is open.
--- a/gateway/news/src/create-news-relay.ts
+++ b/gateway/news/src/create-news-relay.ts
@@ -5,8 +5,15 @@
 	type LoadNews,
 	type Placement,
 } from '@valvesaddle/selection';
+import {createPendingNews} from './create-pending-news.ts';
 import type {NewsRelay} from './news-relay.ts';
 import type {OriginNews} from './origin-news.ts';
+import type {PendingNews} from './pending-news.ts';
+
+/**
+Placements that are kept for another relay; older ones are hints that prompts since then have overtaken.
+*/
+const mostPlacements = 256;
 
 type Origin = {
 	readonly isMember: boolean;
@@ -14,10 +21,9 @@
 	readonly loads: Map<string, EndpointLoad>;
 };
 
-type Pending = {
-	readonly nodes: number;
-	readonly loads: ReadonlyMap<string, EndpointLoad>;
-	readonly placements: readonly Placement[];
+type RelayLink = {
+	readonly changed: Set<string>;
+	placements: readonly Placement[];
 };
 
 /**
@@ -27,13 +33,12 @@
  @example
  const relay = createNewsRelay({node: 'n1'});
  relay.addMember({origin: 'n7', nodes: 1, loads: [['i-7f', load]], placements: []});
- relay.takeForRelays()?.nodes; // 2
+ relay.takeForRelay('r2')?.nodes; // 2
  */
 export function createNewsRelay({node}: {readonly node: string}): NewsRelay {
 	const origins = new Map<string, Origin>([[node, {isMember: true, nodes: 1, loads: new Map()}]]);
-	const changed = new Set<string>();
-	let placements: Placement[] = [];
-	let pending = new Map<string, Pending>();
+	const relayLinks = new Map<string, RelayLink>();
+	const memberLinks = new Map<string, PendingNews>();
 
 	function listMembers(): readonly Origin[] {
 		return origins.values().filter(({isMember}) => isMember).toArray();
@@ -54,11 +59,14 @@
 		};
 	}
 
-	function addPending({origin, nodes, loads, placements: added}: OriginNews): void {
-		const before = pending.get(origin);
-		pending.set(origin, {
-			nodes, loads: new Map([...before?.loads ?? [], ...loads]), placements: [...before?.placements ?? [], ...added],
-		});
+	function addForRelays(endpoints: Iterable<string>, placements: readonly Placement[]): void {
+		const added = [...endpoints];
+		for (const link of relayLinks.values()) {
+			link.placements = [...link.placements, ...placements].slice(-mostPlacements);
+			for (const endpoint of added) {
+				link.changed.add(endpoint);
+			}
+		}
 	}
 
 	function addNews(news: OriginNews, isMember: boolean): void {
@@ -66,16 +74,33 @@
 		origins.set(news.origin, {isMember, nodes: news.nodes, loads});
 		for (const [endpoint, load] of news.loads) {
 			loads.set(endpoint, load);
-			if (isMember) {
-				changed.add(endpoint);
-			}
 		}
 
 		if (isMember) {
-			placements.push(...news.placements);
+			addForRelays(news.loads.map(([endpoint]) => endpoint), news.placements);
+		}
+
+		for (const pending of memberLinks.values()) {
+			pending.add(news);
 		}
+	}
 
-		addPending(news);
+	function openRelayLink(relay: string): RelayLink {
+		const link: RelayLink = {changed: new Set(listMembers().flatMap(({loads}) => loads.keys().toArray())), placements: []};
+		relayLinks.set(relay, link);
+		return link;
+	}
+
+	function openMemberLink(member: string): PendingNews {
+		const pending = createPendingNews();
+		for (const [origin, {nodes, loads}] of origins) {
+			pending.add({
+				origin, nodes, loads: loads.entries().toArray(), placements: [],
+			});
+		}
+
+		memberLinks.set(member, pending);
+		return pending;
 	}
 
 	return {
@@ -94,33 +119,30 @@
 				return;
 			}
 
-			pending.set(origin, {nodes: 0, loads: new Map(), placements: []});
-			for (const endpoint of removed.isMember ? removed.loads.keys() : []) {
-				changed.add(endpoint);
+			addForRelays(removed.isMember ? removed.loads.keys() : [], []);
+			for (const pending of memberLinks.values()) {
+				pending.removeOrigin(origin);
 			}
 		},
-		takeForRelays() {
-			if (changed.size === 0 && placements.length === 0) {
+		takeForRelay(relay) {
+			const isNew = !relayLinks.has(relay);
+			const link = relayLinks.get(relay) ?? openRelayLink(relay);
+			if (!isNew && link.changed.size === 0 && link.placements.length === 0) {
 				return undefined;
 			}
 
-			const news = toGroupNews(changed, placements);
-			changed.clear();
-			placements = [];
+			const news = toGroupNews(link.changed, link.placements);
+			link.changed.clear();
+			link.placements = [];
 			return news;
 		},
-		takeForMembers() {
-			const news = toList(pending);
-			pending = new Map();
-			return news;
+		takeForMember(member) {
+			const pending = memberLinks.get(member) ?? openMemberLink(member);
+			return pending.take();
+		},
+		removeLink(linked) {
+			relayLinks.delete(linked);
+			memberLinks.delete(linked);
 		},
-		listForRelay: () => toGroupNews(new Set(listMembers().flatMap(({loads}) => loads.keys().toArray())), []),
-		listForMember: () => toList(new Map(origins.entries().map(([origin, {nodes, loads}]) => [origin, {nodes, loads, placements: []}]))),
 	};
 }
-
-function toList(news: ReadonlyMap<string, Pending>): readonly OriginNews[] {
-	return news.entries().map(([origin, {nodes, loads, placements}]) => ({
-		origin, nodes, loads: loads.entries().toArray(), placements,
-	})).toArray();
-}
--- a/gateway/news/src/news-relay.ts
+++ b/gateway/news/src/news-relay.ts
@@ -2,7 +2,8 @@
 import type {OriginNews} from './origin-news.ts';
 
 /**
-Keeps what a node has to pass on of its own and others' work.
+Keeps what a node has to pass on of its own and others' work. What a linked node was not yet told is kept for it alone, each
+load as it is last known, so that one that can take little is told less often, and never of what has been overtaken.
 */
 export type NewsRelay = {
 	readonly addOwn: (news: LoadNews) => void;
@@ -19,16 +20,15 @@
 	*/
 	readonly removeOrigin: (origin: string) => void;
 	/**
-	What other relays are to be told since the last call: one sum for the node and its members.
+	What another relay is to be told since the last call, all at the first one: one sum for the node and its members.
 	*/
-	readonly takeForRelays: () => OriginNews | undefined;
+	readonly takeForRelay: (relay: string) => OriginNews | undefined;
 	/**
-	What members are to be told since the last call.
+	What a member is to be told since the last call, all at the first one.
 	*/
-	readonly takeForMembers: () => readonly OriginNews[];
+	readonly takeForMember: (member: string) => readonly OriginNews[];
 	/**
-	The same in full, for one that has just been linked.
+	Forgets what a linked node was told, as its link is lost or new.
 	*/
-	readonly listForRelay: () => OriginNews;
-	readonly listForMember: () => readonly OriginNews[];
+	readonly removeLink: (node: string) => void;
 };
--- a/node/gateway/src/create-news-sync.ts
+++ b/node/gateway/src/create-news-sync.ts
@@ -64,6 +64,20 @@
 		relay.removeOrigin(origin);
 	}
 
+	function sendToRelay(node: string): void {
+		const news = relay.takeForRelay(node);
+		if (news !== undefined) {
+			network.notify(node, 'load.news', news);
+		}
+	}
+
+	function sendToMember(node: string): void {
+		const bundle = relay.takeForMember(node);
+		if (bundle.length > 0) {
+			network.notify(node, 'load.bundle', bundle);
+		}
+	}
+
 	return {
 		send() {
 			updateUnseen();
@@ -72,21 +86,22 @@
 				relay.addOwn(own);
 			}
 
-			const sum = relay.takeForRelays();
-			if (sum !== undefined) {
-				network.broadcast('load.news', sum, links.listRelays());
+			// What waits in a full link would keep newer changes of the configuration behind it.
+			const relays = links.listRelays().filter(node => network.isReady(node));
+			const members = links.listMembers().filter(node => network.isReady(node));
+			for (const node of relays) {
+				sendToRelay(node);
 			}
 
-			const bundle = relay.takeForMembers();
-			const members = links.listMembers();
-			if (bundle.length > 0 && members.length > 0) {
-				network.broadcast('load.bundle', bundle, members);
+			for (const node of members) {
+				sendToMember(node);
 			}
 		},
 		introduce(node) {
-			network.notify(node, 'load.news', relay.listForRelay());
+			relay.removeLink(node);
+			sendToRelay(node);
 			if (links.isRelay(self) && !links.isRelay(node)) {
-				network.notify(node, 'load.bundle', relay.listForMember());
+				sendToMember(node);
 			}
 		},
 		applyNews(parameters, node) {
@@ -104,6 +119,7 @@
 			}
 		},
 		removeLink(node) {
+			relay.removeLink(node);
 			for (const [origin, {via}] of origins) {
 				if (via === node) {
 					removeOrigin(origin);
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -74,11 +74,11 @@
 	return {
 		sync: {
 			start() {
-				void runRepeatedly(() => options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length)), news.send);
 				void runRepeatedly(() => heartbeatMs, () => {
 					links.update();
 					beliefs.sendHeartbeat();
 				});
+				void runRepeatedly(() => options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length)), news.send);
 			},
 			isStoreNeeded: beliefs.isStoreNeeded,
 			close() {
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -65,6 +65,10 @@
 	const notified: Array<readonly [node: string, method: string]> = [];
 	const broadcasts: Array<readonly [method: string, parameters: unknown, nodes: readonly string[] | undefined]> = [];
 	const links = new Set(connected);
+	/**
+	Nodes that have not taken in what was sent before.
+	*/
+	const full = new Set<string>();
 	const network: PeerNetwork = {
 		events,
 		listen: async () => '',
@@ -76,6 +80,7 @@
 			notified.push([node, method]);
 			links.add(node);
 		},
+		isReady: node => !full.has(node),
 		broadcast(method, parameters, nodes) {
 			broadcasts.push([method, parameters, nodes]);
 		},
@@ -108,7 +113,7 @@
 		view.close();
 	});
 	return {
-		view, events, calls, notified, broadcasts, links, selector, sync, handlers,
+		view, events, calls, notified, broadcasts, links, full, selector, sync, handlers,
 	};
 }
 
@@ -283,3 +288,16 @@
 	t.equal(measureFleet(380), 12);
 	t.end();
 });
+
+test('work is told to links that have taken in what was sent before, heartbeats to all', async t => {
+	const setup = createSync(t, {connected: ['n2', 'n3'], silenceBeatMs: 5});
+	addNodes(setup, ['n2', 'n3'].map(id => toNode(id)));
+	setup.full.add('n3');
+	setup.sync.start();
+	await waitUntil(() => setup.notified.some(([node]) => node === 'n2') && setup.broadcasts.some(([method]) => method === 'cluster.heartbeat'));
+	t.notOk(setup.notified.some(([node]) => node === 'n3'));
+	setup.full.clear();
+	await waitUntil(() => setup.notified.some(([node, method]) => node === 'n3' && method === 'load.news'));
+	const heartbeats = setup.broadcasts.filter(broadcast => broadcast[0] === 'cluster.heartbeat');
+	t.ok(heartbeats.every(broadcast => broadcast[2] === undefined), 'to every open link');
+});
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -22,6 +22,12 @@
 */
 const pingPart = 3;
 
+/**
+Bytes that may be under way to a node before it counts as not ready: little enough that those of twenty nodes pass an uplink of
+7 Mbit/s within 0.4 s, and many times what a link carries within its round trip.
+*/
+const windowBytes = 16 * 1024;
+
 /**
  Creates a link over an open socket. The link owns the socket.
 
@@ -40,6 +46,12 @@
 	*/
 	let unansweredSince = 0;
 	let pending = 0;
+	let sentBytes = 0;
+	let confirmedBytes = 0;
+	/**
+	Bytes that a ping under way will confirm; 0 when there is none.
+	*/
+	let probedBytes = 0;
 
 	const server = new JSONRPCServer({
 		errorListener() {
@@ -64,6 +76,31 @@
 		metrics.increment('peer.bytes-sent', text.length);
 		metrics.increment('peer.messages-sent');
 		socket.send(text);
+		sentBytes += text.length;
+		updateProbe();
+	}
+
+	function countUnconfirmed(): number {
+		return sentBytes - confirmedBytes;
+	}
+
+	/**
+	A ping follows what was sent in the same stream, so its answer confirms all that was sent before it.
+	*/
+	function updateProbe(): void {
+		if (!(probedBytes === 0 && countUnconfirmed() > windowBytes / 2)) {
+			return;
+		}
+
+		probedBytes = sentBytes;
+		socket.ping(String(sentBytes));
+	}
+
+	function applyPong(data: RawData): void {
+		markHeard();
+		confirmedBytes = Math.max(confirmedBytes, Number(toText(data)));
+		probedBytes = 0;
+		updateProbe();
 	}
 
 	async function handleMessage(data: RawData): Promise<void> {
@@ -98,7 +135,7 @@
 			metrics.increment('peer.messages-invalid');
 		});
 	});
-	socket.on('pong', markHeard);
+	socket.on('pong', applyPong);
 	socket.on('ping', markHeard);
 	socket.on('error', () => {
 		metrics.increment('peer.link-errors');
@@ -137,12 +174,13 @@
 			} else if (pending > 0 && now - Math.max(heardAt, pingedAt) >= options.silenceMs / pingPart) {
 				pingedAt = now;
 				unansweredSince ||= now;
-				socket.ping();
+				socket.ping(String(sentBytes));
 			} else if (pending === 0 && now - Math.max(usedAt, heardAt) >= idleMs) {
 				socket.close();
 			}
 		},
-		countWaiting: () => socket.bufferedAmount,
+		countUnconfirmed,
+		isReady: () => countUnconfirmed() <= windowBytes,
 		close() {
 			socket.terminate();
 		},
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -48,7 +48,7 @@
 			link.tick(now);
 		}
 
-		metrics.gauge('peer.bytes-waiting', Math.max(0, ...all.values().map(link => link.countWaiting())));
+		metrics.gauge('peer.bytes-waiting', Math.max(0, ...all.values().map(link => link.countUnconfirmed())));
 	}, options.silenceMs / ticksPerSilence);
 	timer.unref();
 
@@ -156,6 +156,7 @@
 				}
 			}
 		},
+		isReady: node => links.get(node)?.isReady() ?? true,
 		connected: () => links.keys().toArray(),
 		disconnect(node) {
 			links.get(node)?.close();
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -10,8 +10,9 @@
 	*/
 	readonly tick: (now: number) => void;
 	/**
-	Bytes that were sent and still wait in this process.
+	Bytes that were sent and that the other node has not yet confirmed.
 	*/
-	readonly countWaiting: () => number;
+	readonly countUnconfirmed: () => number;
+	readonly isReady: () => boolean;
 	readonly close: () => void;
 };
--- a/peer/network/src/peer-network.ts
+++ b/peer/network/src/peer-network.ts
@@ -26,6 +26,11 @@
 	*/
 	readonly broadcast: (method: string, parameters: unknown, nodes?: readonly string[]) => void;
 	/**
+	Whether a node has taken in nearly all that was sent to it. What newer messages replace is only sent when this holds; what
+	must arrive soon is sent in any case, and then waits for little.
+	*/
+	readonly isReady: (node: string) => boolean;
+	/**
 	Nodes with an open link.
 	*/
 	readonly connected: () => readonly string[];
--- a/peer/network/test/peer-network.test.ts
+++ b/peer/network/test/peer-network.test.ts
@@ -136,3 +136,35 @@
 	t.equal((await a.call('b', 'peer.echo', 7))._unsafeUnwrap(), 7);
 	socket.terminate();
 });
+
+test('a node that does not take in what was sent counts as not ready until it has confirmed it', async t => {
+	const addresses = new Map<string, string>();
+	const network = createPeerNetwork({
+		node: 'a', host: '127.0.0.1', port: 0, token, findAddress: name => addresses.get(name), silenceMs: 60_000, isCompressed: false, metrics: createMetrics(),
+	});
+	const server = new WebSocketServer({host: '127.0.0.1', port: 0, autoPong: false});
+	await once(server, 'listening');
+	const bound = server.address();
+	addresses.set('b', typeof bound === 'object' && bound !== null ? `127.0.0.1:${bound.port}` : '');
+	t.teardown(async () => {
+		await network.close();
+		server.close();
+	});
+	const accepted = once(server, 'connection') as Promise<[WebSocket]>;
+	t.ok(network.isReady('b'), 'a message opens the link');
+	network.notify('b', 'news', 'x'.repeat(12_000));
+	const [socket] = await accepted;
+	const [probe] = await once(socket, 'ping') as [Uint8Array];
+	t.ok(network.isReady('b'), 'a window is not full yet');
+	network.broadcast('news', 'x'.repeat(12_000));
+	t.notOk(network.isReady('b'));
+	const probes = once(socket, 'ping') as Promise<[Uint8Array]>;
+	socket.pong(probe);
+	const [second] = await probes;
+	t.ok(network.isReady('b'), 'the first message is confirmed');
+	network.broadcast('news', 'x'.repeat(12_000));
+	t.notOk(network.isReady('b'));
+	socket.pong(second);
+	await once(socket, 'ping');
+	t.ok(network.isReady('b'));
+});
