fix: what a peer says counts from when it was sent, not from when it arrives

Cause: the age of the store's confirmation in a heartbeat was counted from its receipt, and any message was a sign of life of that moment. A heartbeat that had waited 3 to 14 s in a full send queue still said 'confirmed 0 ms ago', so members neither left the relay nor asked the store. Change: what a message spent over the quickest one of its sender counts towards its age, for the confirmation, for the question to a peer that is ahead and for the silence of a link. Ruled out: confirmations too old to ask (they looked too young), asks without an end (changes came late without any ask).

--- a/node/gateway/src/belief-sync.ts
+++ b/node/gateway/src/belief-sync.ts
@@ -11,6 +11,10 @@
 	readonly applyHeartbeat: (parameters: unknown, node: string) => void;
 	readonly applyChanges: (parameters: unknown, node: string) => void;
 	/**
+	What the last heartbeat of a node spent waiting on its way, in milliseconds.
+	*/
+	readonly getDelay: (node: string) => number;
+	/**
 	All that this node believes, for a peer that asks.
 	*/
 	readonly exportState: () => ClusterState;
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -174,9 +174,11 @@
 	}
 
 	network.events.on('lost', ({data: {node}}) => {
-		delays.remove(node);
 		latePeers.delete(node);
 	});
+	view.events.on('nodeRemoved', ({data: {id}}) => {
+		delays.remove(id);
+	});
 	view.events.on('advanced', ({data: {after, changes, source}}) => {
 		const isOwn = source === 'store';
 		if (links.isMesh() || (isOwn && !follower.isSteady())) {
@@ -195,14 +197,17 @@
 		applyHeartbeat(parameters, node) {
 			const heartbeat = heartbeatSchema.parse(parameters);
 			const {revision, version, confirmedAgoMs, sentAt} = heartbeat;
-			recordDelay(node, sentAt === undefined ? 0 : delays.measure(node, sentAt));
+			const delayMs = sentAt === undefined ? 0 : delays.measure(node, sentAt);
+			recordDelay(node, delayMs);
 			recordHeard(version);
 			if (isBehind(revision) || version > getVersion()) {
 				recordAhead(node, heartbeat);
 			}
 
-			confirmedAt = Math.max(confirmedAt, performance.now() - confirmedAgoMs);
-			if (!isAsking && confirmedAgoMs <= options.confirmMs && isBehind(revision)) {
+			// What waited on its way says nothing of the time since it was sent.
+			const ageMs = confirmedAgoMs + delayMs;
+			confirmedAt = Math.max(confirmedAt, performance.now() - ageMs);
+			if (!isAsking && ageMs <= options.confirmMs && isBehind(revision)) {
 				void askState(node);
 			}
 		},
@@ -214,6 +219,7 @@
 				void askState(node);
 			}
 		},
+		getDelay: delays.get,
 		exportState: () => view.exportState(isConfirmed()),
 		isStoreNeeded() {
 			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed();
--- a/node/gateway/src/create-delay-meter.ts
+++ b/node/gateway/src/create-delay-meter.ts
@@ -2,7 +2,7 @@
 
 /**
  Creates the meter of delays. Steady clocks of two processes differ by a constant, so the smallest difference between sending
- and receipt on a link stands for its usual way, and what is over it was spent waiting, in a queue or by a process that stood
+ and receipt of a node's messages stands for its usual way, and what is over it was spent waiting, in a queue or by a process that stood
  still.
 
  @example
@@ -11,16 +11,20 @@
  */
 export function createDelayMeter(): DelayMeter {
 	const quickest = new Map<string, number>();
+	const last = new Map<string, number>();
 
 	return {
 		measure(node, sentAt) {
 			const difference = performance.now() - sentAt;
 			const least = Math.min(difference, quickest.get(node) ?? difference);
 			quickest.set(node, least);
+			last.set(node, difference - least);
 			return difference - least;
 		},
+		get: node => last.get(node) ?? 0,
 		remove(node) {
 			quickest.delete(node);
+			last.delete(node);
 		},
 	};
 }
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -180,8 +180,8 @@
 				updateParent(now);
 			}
 		},
-		markHeard(node) {
-			heardAt.set(node, performance.now());
+		markHeard(node, at) {
+			heardAt.set(node, Math.max(at, heardAt.get(node) ?? at));
 		},
 		markLost(node) {
 			heardAt.delete(node);
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -51,11 +51,11 @@
 	}
 
 	/**
-	Hears a message: whatever it says, its sender is alive.
+	Hears a message: whatever it says, its sender was alive when it was sent.
 	*/
 	function withSign(handle: (parameters: unknown, node: string) => unknown): Handlers[string] {
 		return (parameters, node) => {
-			links.markHeard(node);
+			links.markHeard(node, performance.now() - beliefs.getDelay(node));
 			return handle(parameters, node);
 		};
 	}
--- a/node/gateway/src/delay-meter.ts
+++ b/node/gateway/src/delay-meter.ts
@@ -8,7 +8,11 @@
 	*/
 	readonly measure: (node: string, sentAt: number) => number;
 	/**
-	Forgets a link that is lost.
+	What the last message of a node spent waiting, in milliseconds; what it sends besides comes in the same stream.
+	*/
+	readonly get: (node: string) => number;
+	/**
+	Forgets a node that has left.
 	*/
 	readonly remove: (node: string) => void;
 };
--- a/node/gateway/src/link-plan.ts
+++ b/node/gateway/src/link-plan.ts
@@ -7,9 +7,9 @@
 	*/
 	readonly update: () => void;
 	/**
-	Notes a sign of life.
+	Notes a sign of life that was sent at that time, on this node's steady clock in milliseconds.
 	*/
-	readonly markHeard: (node: string) => void;
+	readonly markHeard: (node: string, at: number) => void;
 	/**
 	Notes that a link broke; a node whose relay it was moves to another one at once.
 	*/
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -301,3 +301,34 @@
 	const heartbeats = setup.broadcasts.filter(broadcast => broadcast[0] === 'cluster.heartbeat');
 	t.ok(heartbeats.every(broadcast => broadcast[2] === undefined), 'to every open link');
 });
+
+test('a heartbeat that waited on its way confirms nothing since it was sent', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 10_000});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	const clockOffset = 5_000_000;
+	const beat = (waitedMs: number, confirmedAgoMs: number) => ({revision: 9, confirmedAgoMs, sentAt: performance.now() + clockOffset - waitedMs});
+	setup.handlers['cluster.heartbeat']?.(beat(0, 120_000), 'r0');
+	t.ok(setup.sync.isStoreNeeded(), 'nothing is confirmed yet');
+	setup.handlers['cluster.heartbeat']?.(beat(120_000, 0), 'r0');
+	t.ok(setup.sync.isStoreNeeded(), 'the store was confirmed two minutes ago');
+	t.same(setup.calls, [], 'nor is a peer asked whose word is that old');
+	setup.handlers['cluster.heartbeat']?.(beat(1000, 1000), 'r0');
+	t.notOk(setup.sync.isStoreNeeded());
+	t.same(setup.calls, ['cluster.state of r0']);
+});
+
+test('a relay whose messages wait for long on their way is left for another', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 20});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	const [first = ''] = setup.links;
+	setup.handlers['cluster.heartbeat']?.({revision: 3, confirmedAgoMs: 0, sentAt: performance.now()}, first);
+	await waitUntil(() => {
+		setup.handlers['cluster.heartbeat']?.({revision: 3, confirmedAgoMs: 0, sentAt: performance.now() - 3_600_000}, first);
+		return !setup.links.has(first);
+	});
+	t.equal(setup.links.size, 1);
+});
