fix: an open question to a peer holds up no other, and a newer configuration is asked for at once

Cause: a node asked one peer at a time and waited for its answer as long as the link lived, so one that was never answered kept it behind for good; a newer configuration was only asked for of a peer whose word of the store was young, though versions only rise; and a node that peers left behind never turned to the store while its relay confirmed it. Change: 750 ms for an answer, which is taken in also later; heartbeats carry the version, a newer one is asked for whatever the age; 1.5 s behind a version make a node ask the store. The watch over versions and the taking of states are modules of their own.

--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -4,8 +4,9 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import type {BeliefSync} from './belief-sync.ts';
 import {changesSchema} from './changes-schema.ts';
-import {clusterStateSchema} from './cluster-state-schema.ts';
 import {createDelayMeter} from './create-delay-meter.ts';
+import {createStateTaker} from './create-state-taker.ts';
+import {createVersionWatch} from './create-version-watch.ts';
 import {heartbeatSchema} from './heartbeat-schema.ts';
 import type {LinkPlan} from './link-plan.ts';
 
@@ -30,16 +31,16 @@
 */
 const neverMs = 1e9;
 /**
-Stands for the version of a configuration that is not known.
+What a peer knows, and how long ago the store confirmed that nothing may have lapsed there, in milliseconds.
 */
-const noVersion = -1;
-
-type Heartbeat = {
+type Word = {
 	readonly revision: number;
 	readonly version: number;
-	readonly confirmedAgoMs: number;
+	readonly ageMs: number;
 };
 
+type Step = 'none' | 'ask' | 'wait for an answer' | 'leave, not confirmed';
+
 /**
  Creates the exchange of beliefs with peers. Followers of the store pass changes on as they come; a node that has missed
  some asks the peer whose heartbeat shows a higher revision. A node that the store refuses thus stays up to date.
@@ -51,16 +52,14 @@
  */
 export function createBeliefSync(options: BeliefSyncOptions): BeliefSync {
 	const {network, links, view, follower, logger, metrics} = options;
-	let isAsking = false;
 	let isFollowing = true;
 	let confirmedAt = -Infinity;
-	let heardVersion = noVersion;
-	/**
-	When this node's configuration was last the newest that it had heard of, on the steady clock.
-	*/
-	let currentAt = performance.now();
 	let lastAhead = '';
 	const delays = createDelayMeter();
+	const versions = createVersionWatch({view, metrics});
+	const states = createStateTaker({
+		network, view, patienceMs: options.confirmMs / 2, logger, metrics,
+	});
 	/**
 	Peers whose messages come late.
 	*/
@@ -79,29 +78,17 @@
 	}
 
 	/**
-	A peer at the same revision also helps out: it knows whether what this node keeps as lapsed was removed.
+	Whether some peer has had a newer configuration for longer than peers need to pass one on.
 	*/
-	function isBehind(peerRevision: number): boolean {
-		return peerRevision > view.revision() || (view.hasLapsed() && peerRevision === view.revision());
-	}
-
-	function getVersion(): number {
-		return view.configuration()?.version ?? noVersion;
+	function isLeftBehind(): boolean {
+		return versions.measureBehind() > options.confirmMs;
 	}
 
 	/**
-	How far this node's configuration is behind the newest that it has heard of, and since when.
+	A peer at the same revision also helps out: it knows whether what this node keeps as lapsed was removed.
 	*/
-	function recordHeard(version: number): void {
-		const now = performance.now();
-		heardVersion = Math.max(heardVersion, version);
-		if (getVersion() >= heardVersion) {
-			currentAt = now;
-		}
-
-		metrics.gauge('gateway.configuration-version', getVersion());
-		metrics.gauge('gateway.configuration-heard', heardVersion);
-		metrics.gauge('gateway.configuration-behind-ms', Math.round(now - currentAt));
+	function isBehind(peerRevision: number): boolean {
+		return peerRevision > view.revision() || (view.hasLapsed() && peerRevision === view.revision());
 	}
 
 	function recordDelay(node: string, delayMs: number): void {
@@ -123,53 +110,33 @@
 	}
 
 	/**
-	One line for each step taken about a peer that is ahead; heartbeats that bring nothing new write none.
+	What to do about a peer. A version only rises, so a newer one is asked for whatever the age of the peer's word.
 	*/
-	function recordAhead(node: string, {revision, version, confirmedAgoMs}: Heartbeat): void {
-		const step = chooseStep(confirmedAgoMs);
-		const fact = [node, revision, view.revision(), version, getVersion(), step].join(' ');
-		if (fact === lastAhead) {
-			return;
+	function chooseStep({revision, version, ageMs}: Word): Step {
+		const isNewer = version > versions.get();
+		if (!isNewer && !isBehind(revision)) {
+			return 'none';
 		}
 
-		lastAhead = fact;
-		logger.info({
-			name: 'peer-ahead', peer: node, peerRevision: revision, revision: view.revision(), peerVersion: version, version: getVersion(), confirmedAgoMs, step,
-		});
-	}
-
-	function chooseStep(confirmedAgoMs: number): string {
-		if (isAsking) {
+		if (states.isAsking()) {
 			return 'wait for an answer';
 		}
 
-		return confirmedAgoMs <= options.confirmMs ? 'ask' : 'leave, not confirmed';
+		return isNewer || ageMs <= options.confirmMs ? 'ask' : 'leave, not confirmed';
 	}
 
-	async function askState(node: string): Promise<void> {
-		const startedAt = performance.now();
-		isAsking = true;
-		const answered = await network.call(node, 'cluster.state', {});
-		isAsking = false;
-		answered.match(state => {
-			const parsed = clusterStateSchema.safeParse(state);
-			if (!parsed.success) {
-				logger.warn({
-					name: 'peer-state', peer: node, reachable: true, reason: `its state cannot be read: ${parsed.error.message}`,
-				});
-				return;
-			}
+	/**
+	One line for each step taken about a peer that is ahead; heartbeats that bring nothing new write none.
+	*/
+	function recordAhead(node: string, {revision, version, ageMs}: Word, step: Step): void {
+		const fact = [node, revision, view.revision(), version, versions.get(), step].join(' ');
+		if (step === 'none' || fact === lastAhead) {
+			return;
+		}
 
-			metrics.increment('gateway.states-from-peers');
-			logger.info({
-				name: 'peer-state-taken', peer: node, peerRevision: parsed.data.revision, peerVersion: parsed.data.configuration?.version ?? noVersion,
-				elapsedMs: Math.round(performance.now() - startedAt),
-			});
-			view.importState(parsed.data);
-		}, error => {
-			logger.info({
-				name: 'peer-state', peer: node, reachable: false, reason: error.message,
-			});
+		lastAhead = fact;
+		logger.info({
+			name: 'peer-ahead', peer: node, peerRevision: revision, revision: view.revision(), peerVersion: version, version: versions.get(), ageMs: Math.round(ageMs), step,
 		});
 	}
 
@@ -191,38 +158,35 @@
 	return {
 		sendHeartbeat() {
 			network.broadcast('cluster.heartbeat', {
-				revision: view.revision(), version: getVersion(), confirmedAgoMs: measureAge(), sentAt: performance.now(),
+				revision: view.revision(), version: versions.get(), confirmedAgoMs: measureAge(), sentAt: performance.now(),
 			});
 		},
 		applyHeartbeat(parameters, node) {
-			const heartbeat = heartbeatSchema.parse(parameters);
-			const {revision, version, confirmedAgoMs, sentAt} = heartbeat;
+			const {revision, version, confirmedAgoMs, sentAt} = heartbeatSchema.parse(parameters);
 			const delayMs = sentAt === undefined ? 0 : delays.measure(node, sentAt);
 			recordDelay(node, delayMs);
-			recordHeard(version);
-			if (isBehind(revision) || version > getVersion()) {
-				recordAhead(node, heartbeat);
-			}
-
+			versions.record(version);
 			// What waited on its way says nothing of the time since it was sent.
-			const ageMs = confirmedAgoMs + delayMs;
-			confirmedAt = Math.max(confirmedAt, performance.now() - ageMs);
-			if (!isAsking && ageMs <= options.confirmMs && isBehind(revision)) {
-				void askState(node);
+			const word: Word = {revision, version, ageMs: confirmedAgoMs + delayMs};
+			confirmedAt = Math.max(confirmedAt, performance.now() - word.ageMs);
+			const step = chooseStep(word);
+			recordAhead(node, word, step);
+			if (step === 'ask') {
+				states.ask(node);
 			}
 		},
 		applyChanges(parameters, node) {
 			const {after, changes} = changesSchema.parse(parameters);
 			if (after <= view.revision()) {
 				view.applyChanges(changes, 'peer');
-			} else if (!isAsking) {
-				void askState(node);
+			} else if (!states.isAsking()) {
+				states.ask(node);
 			}
 		},
 		getDelay: delays.get,
 		exportState: () => view.exportState(isConfirmed()),
 		isStoreNeeded() {
-			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed();
+			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed() || isLeftBehind();
 			if (isNeeded !== isFollowing) {
 				isFollowing = isNeeded;
 				logger.info({name: 'store-following', isFollowing, confirmedAgoMs: measureAge()});
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -1,5 +1,5 @@
 import Emittery from 'emittery';
-import {okAsync} from 'neverthrow';
+import {okAsync, ResultAsync} from 'neverthrow';
 import {test, type Test} from 'tap';
 import {createClusterView, measureFleet, type ClusterState} from '@valvesaddle/cluster-view';
 import {waitUntil} from '@valvesaddle/fake-fleet';
@@ -74,7 +74,7 @@
 		listen: async () => '',
 		call(node, method) {
 			calls.push(`${method} of ${node}`);
-			return okAsync(peerState);
+			return setup.isMute ? new ResultAsync(Promise.withResolvers<never>().promise) : okAsync(peerState);
 		},
 		notify(node, method) {
 			notified.push([node, method]);
@@ -112,9 +112,14 @@
 		sync.close();
 		view.close();
 	});
-	return {
+	const setup = {
 		view, events, calls, notified, broadcasts, links, full, selector, sync, handlers,
+		/**
+		Whether peers leave questions open.
+		*/
+		isMute: false,
 	};
+	return setup;
 }
 
 function addNodes({view}: ReturnType<typeof createSync>, nodes: readonly GatewayNode[]): void {
@@ -332,3 +337,36 @@
 	});
 	t.equal(setup.links.size, 1);
 });
+
+test('a newer configuration is asked for whatever the age of the peer\'s word, and an open question keeps no other from being asked', async t => {
+	const setup = createSync(t, {silenceBeatMs: 5});
+	setup.handlers['cluster.heartbeat']?.({revision: 2, version: 4, confirmedAgoMs: 60_000}, 'n2');
+	t.same(setup.calls, ['cluster.state of n2']);
+	await waitUntil(() => setup.view.configuration()?.version === 4);
+	setup.isMute = true;
+	setup.handlers['cluster.heartbeat']?.({revision: 2, version: 5, confirmedAgoMs: 60_000}, 'n3');
+	setup.handlers['cluster.heartbeat']?.({revision: 2, version: 5, confirmedAgoMs: 60_000}, 'n4');
+	t.same(setup.calls.slice(1), ['cluster.state of n3'], 'one peer at a time');
+	await waitUntil(() => {
+		setup.handlers['cluster.heartbeat']?.({revision: 2, version: 5, confirmedAgoMs: 60_000}, 'n4');
+		return setup.calls.includes('cluster.state of n4');
+	});
+	t.equal(setup.view.configuration()?.version, 4);
+});
+
+test('a node that peers leave behind a newer configuration asks the store itself', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 20});
+	addNodes(setup, createFleet());
+	setup.isMute = true;
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	setup.handlers['cluster.heartbeat']?.({revision: 3, version: 9, confirmedAgoMs: 0}, 'r0');
+	t.notOk(setup.sync.isStoreNeeded());
+	await waitUntil(() => {
+		setup.handlers['cluster.heartbeat']?.({revision: 3, version: 9, confirmedAgoMs: 0}, 'r0');
+		return setup.sync.isStoreNeeded();
+	});
+	setup.view.applyChanges({revision: 4, changes: [{kind: 'configuration', revision: 4, configuration: {...peerState.configuration!, version: 9}}]}, 'store');
+	setup.handlers['cluster.heartbeat']?.({revision: 4, version: 9, confirmedAgoMs: 0}, 'r0');
+	t.notOk(setup.sync.isStoreNeeded());
+});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -24,7 +24,7 @@
 	}
 	| {
 		readonly name: 'peer-ahead'; readonly peer: string; readonly peerRevision: number; readonly revision: number; readonly peerVersion: number;
-		readonly version: number; readonly confirmedAgoMs: number; readonly step: string;
+		readonly version: number; readonly ageMs: number; readonly step: string;
 	}
 	| {readonly name: 'peer-late'; readonly peer: string; readonly isLate: boolean; readonly delayMs: number}
 	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number}
