fix: nodes compare what they believe, not only the revision, and pass on what is new whatever way it came

Cause: the revision stood for 'all up to here is known'. A member that took a state in which an entry was still kept as lapsed, or anything else was missing, stood at the same revision as its relay and never asked again; what came by a list or a peer's whole state was not passed on, so it went on with heartbeats and questions, hop by hop. What is new is passed on whatever way it came, without its revision while the passing node is not sure that nothing lapsed. A node that keeps lapsed entries does not call its state complete. Of two nodes at one address the later one stays in any order.

--- a/gateway/cluster-view/src/cluster-events.ts
+++ b/gateway/cluster-view/src/cluster-events.ts
@@ -16,7 +16,7 @@
 	node: {readonly node: GatewayNode};
 	nodeRemoved: {readonly id: string};
 	/**
-	The revision went on from `after`, by changes that leave no gap.
+	What is believed went on from the revision `after`, by changes that leave no gap and whatever way they came.
 	*/
 	advanced: {readonly after: number; readonly changes: ClusterChanges; readonly source: BeliefSource};
 };
--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -31,6 +31,11 @@
 	*/
 	readonly setLapseUntil: (time: number) => void;
 	/**
+	Digest of all that is believed. At the same revision it shows whether two nodes believe the same, which the revision alone
+	does not.
+	*/
+	readonly digest: () => number;
+	/**
 	Whether entries are kept that may only have lapsed.
 	*/
 	readonly hasLapsed: () => boolean;
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -11,13 +11,21 @@
 import type {ClusterView} from './cluster-view.ts';
 import type {ClusterViewOptions} from './cluster-view-options.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
+import {hashEntry} from './hash-entry.ts';
 
 type Handlers = {
-	readonly [Kind in ClusterChange['kind']]: (change: Extract<ClusterChange, {readonly kind: Kind}>, source: BeliefSource) => void;
+	/**
+	Returns what was new.
+	*/
+	readonly [Kind in ClusterChange['kind']]: (change: Extract<ClusterChange, {readonly kind: Kind}>, source: BeliefSource) => News;
 };
 
+type News = readonly ClusterChange[];
+
 type Removal = Extract<ClusterChange, {readonly kind: 'endpoint-removed' | 'node-removed'}>;
 
+const nothing: News = [];
+
 /**
  Creates a node's view of the cluster, empty at first.
 
@@ -38,9 +46,10 @@
 	let lapseUntil = 0;
 	let lapseTimer: NodeJS.Timeout | undefined;
 
-	function removeEndpoint({id, revision: at}: Removal, source: BeliefSource): void {
+	function removeEndpoint(removal: Removal, source: BeliefSource): News {
+		const {id, revision: at} = removal;
 		if (!endpoints.remove(id, at)) {
-			return;
+			return nothing;
 		}
 
 		metrics.increment('gateway.endpoints-removed');
@@ -48,37 +57,43 @@
 			name: 'endpoint-believed', endpoint: id, state: 'gone', revision: at, source,
 		});
 		void events.emit('endpointRemoved', {id});
+		return [removal];
 	}
 
-	function removeNode({id, revision: at}: Removal): void {
-		if (nodes.remove(id, at)) {
-			void events.emit('nodeRemoved', {id});
+	function removeNode(removal: Removal): News {
+		if (!nodes.remove(removal.id, removal.revision)) {
+			return nothing;
 		}
+
+		void events.emit('nodeRemoved', {id: removal.id});
+		return [removal];
 	}
 
-	const removers: Readonly<Record<Removal['kind'], (removal: Removal, source: BeliefSource) => void>> = {
+	const removers: Readonly<Record<Removal['kind'], (removal: Removal, source: BeliefSource) => News>> = {
 		'endpoint-removed': removeEndpoint,
 		'node-removed': removeNode,
 	};
 
 	function expireLapsed(): void {
 		lapseTimer = undefined;
-		for (const removal of lapsed.values()) {
+		const changes = lapsed.values().toArray();
+		lapsed.clear();
+		for (const removal of changes) {
 			removers[removal.kind](removal, 'store');
 		}
 
-		lapsed.clear();
+		// Peers had the revision before, without these removals.
+		void events.emit('advanced', {after: revision, changes: {revision, changes}, source: 'store'});
 	}
 
 	/**
 	An entry that may only have lapsed while the store was away is kept until it has had time to come back.
 	*/
-	function applyRemoval(removal: Removal, source: BeliefSource, isKnown: boolean): void {
+	function applyRemoval(removal: Removal, source: BeliefSource, isKnown: boolean): News {
 		const now = performance.now();
 		if (!isKnown || source !== 'store' || now >= lapseUntil) {
 			lapsed.delete(removal.id);
-			removers[removal.kind](removal, source);
-			return;
+			return removers[removal.kind](removal, source);
 		}
 
 		if (!lapsed.has(removal.id)) {
@@ -89,12 +104,24 @@
 
 		lapsed.set(removal.id, removal);
 		lapseTimer ??= setTimeout(expireLapsed, lapseUntil - now);
+		return nothing;
+	}
+
+	/**
+	A process that was started anew has taken the place of the one before at its address, in whatever order they are heard of.
+	*/
+	function removeReplaced(node: GatewayNode, at: number): void {
+		const sameAddress = nodes.entries().filter(({value: {id, address}}) => address === node.address && id !== node.id);
+		for (const {value: {id}, revision: registeredAt} of sameAddress) {
+			const [replaced, replacedAt] = registeredAt < at ? [id, at] : [node.id, registeredAt];
+			removeNode({kind: 'node-removed', id: replaced, revision: replacedAt});
+		}
 	}
 
 	const handlers: Handlers = {
 		configuration(change, source) {
 			if (change.configuration.version <= (configuration?.version ?? -1)) {
-				return;
+				return nothing;
 			}
 
 			configuration = change.configuration;
@@ -103,11 +130,13 @@
 				name: 'configuration-in-force', revision: configuration.version, changeId: String(change.revision), source,
 			});
 			void events.emit('configuration', {configuration});
+			return [change];
 		},
-		endpoint({endpoint, revision: at}, source) {
+		endpoint(change, source) {
+			const {endpoint, revision: at} = change;
 			const before = endpoints.get(endpoint.id);
 			if (!endpoints.set(endpoint.id, endpoint, at)) {
-				return;
+				return nothing;
 			}
 
 			lapsed.delete(endpoint.id);
@@ -118,47 +147,49 @@
 			}
 
 			void events.emit('endpoint', {endpoint});
+			return [change];
 		},
 		'endpoint-removed'(change, source) {
-			applyRemoval(change, source, endpoints.get(change.id) !== undefined);
+			return applyRemoval(change, source, endpoints.get(change.id) !== undefined);
 		},
-		node({node, revision: at}) {
+		node(change) {
+			const {node, revision: at} = change;
 			lapsed.delete(node.id);
 			if (!nodes.set(node.id, node, at)) {
-				return;
-			}
-
-			// A process that was started anew has taken the place of the one before.
-			for (const {value: {id, address}, revision: registeredAt} of nodes.entries()) {
-				if (address === node.address && registeredAt < at) {
-					removeNode({kind: 'node-removed', id, revision: at});
-				}
+				return nothing;
 			}
 
+			removeReplaced(node, at);
 			void events.emit('node', {node});
+			return [change];
 		},
 		'node-removed'(change, source) {
-			applyRemoval(change, source, nodes.get(change.id) !== undefined);
+			return applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
 		unreadable({key, reason, revision: at}) {
 			metrics.increment('gateway.entries-unreadable');
 			logger.warn({
 				name: 'store-entry-unreadable', key, revision: at, reason,
 			});
+			return nothing;
 		},
 	};
 
-	function applyChange(change: ClusterChange, source: BeliefSource): void {
-		const handle = handlers[change.kind] as (change: ClusterChange, source: BeliefSource) => void;
-		handle(change, source);
+	function applyChange(change: ClusterChange, source: BeliefSource): News {
+		const handle = handlers[change.kind] as (change: ClusterChange, source: BeliefSource) => News;
+		return handle(change, source);
 	}
 
+	/**
+	Takes over changes and tells of what was new in them, so that peers hear of it whatever way it came.
+	*/
 	function applyEach(changes: ClusterChanges, source: BeliefSource): void {
-		for (const change of changes.changes) {
-			applyChange(change, source);
-		}
-
+		const after = revision;
+		const news = changes.changes.flatMap(change => applyChange(change, source));
 		setRevision(changes, source);
+		if (revision > after || news.length > 0) {
+			void events.emit('advanced', {after, changes: {revision, changes: news}, source});
+		}
 	}
 
 	function setRevision(changes: ClusterChanges, source: BeliefSource): void {
@@ -172,26 +203,14 @@
 		revision = changes.revision;
 	}
 
-	function applyChanges(changes: ClusterChanges, source: BeliefSource): void {
-		const after = revision;
-		applyEach(changes, source);
-		if (revision > after) {
-			void events.emit('advanced', {after, changes, source});
-		}
-	}
-
 	function applyAll(changes: ClusterChanges, source: BeliefSource): void {
 		const listedEndpoints = new Set(changes.changes.flatMap(change => change.kind === 'endpoint' ? [change.endpoint.id] : []));
 		const listedNodes = new Set(changes.changes.flatMap(change => change.kind === 'node' ? [change.node.id] : []));
-		for (const id of endpoints.listMissing(listedEndpoints, changes.revision)) {
-			applyChange({kind: 'endpoint-removed', id, revision: changes.revision}, source);
-		}
-
-		for (const id of nodes.listMissing(listedNodes, changes.revision)) {
-			applyChange({kind: 'node-removed', id, revision: changes.revision}, source);
-		}
-
-		applyEach(changes, source);
+		const removals: readonly Removal[] = [
+			...endpoints.listMissing(listedEndpoints, changes.revision).map(id => ({kind: 'endpoint-removed' as const, id, revision: changes.revision})),
+			...nodes.listMissing(listedNodes, changes.revision).map(id => ({kind: 'node-removed' as const, id, revision: changes.revision})),
+		];
+		applyEach({revision: changes.revision, changes: [...removals, ...changes.changes]}, source);
 	}
 
 	return {
@@ -200,11 +219,12 @@
 		configuration: () => configuration,
 		endpoints: endpoints.values,
 		nodes: nodes.values,
-		applyChanges,
+		applyChanges: applyEach,
 		applyAll,
 		setLapseUntil(time) {
 			lapseUntil = time;
 		},
+		digest: () => endpoints.digest() + nodes.digest() + hashEntry('configuration', configuration?.version ?? -1),
 		hasLapsed: () => lapsed.size > 0,
 		exportState: isSteady => ({
 			revision,
@@ -214,15 +234,14 @@
 			isSteady,
 		}),
 		importState(state) {
+			const changes: ClusterChange[] = state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint', revision: at, endpoint}));
+			changes.push(...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})));
 			if (state.configuration !== undefined) {
-				applyChange({kind: 'configuration', revision: state.revision, configuration: state.configuration}, 'peer');
+				changes.push({kind: 'configuration', revision: state.revision, configuration: state.configuration});
 			}
 
-			const changes: ClusterChange[] = state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint', revision: at, endpoint}));
-			changes.push(...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})));
 			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse.
-			const isAhead = state.revision > revision || (state.revision === revision && lapsed.size > 0);
-			const apply = isAhead && state.isSteady ? applyAll : applyChanges;
+			const apply = state.revision >= revision && state.isSteady ? applyAll : applyEach;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
--- a/gateway/cluster-view/src/create-versioned-map.ts
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -1,3 +1,4 @@
+import {hashEntry} from './hash-entry.ts';
 import type {VersionedMap} from './versioned-map.ts';
 
 /**
@@ -16,6 +17,12 @@
 export function createVersionedMap<Value>(): VersionedMap<Value> {
 	const entries = new Map<string, {readonly value: Value; readonly revision: number}>();
 	const marks = new Map<string, number>();
+	let digest = 0;
+
+	function measureEntry(id: string): number {
+		const entry = entries.get(id);
+		return entry === undefined ? 0 : hashEntry(id, entry.revision);
+	}
 
 	function isNewer(id: string, revision: number): boolean {
 		return revision > (entries.get(id)?.revision ?? marks.get(id) ?? -1);
@@ -42,7 +49,9 @@
 			}
 
 			marks.delete(id);
+			digest -= measureEntry(id);
 			entries.set(id, {value, revision});
+			digest += measureEntry(id);
 			return true;
 		},
 		remove(id, revision) {
@@ -51,8 +60,10 @@
 			}
 
 			addMark(id, revision);
+			digest -= measureEntry(id);
 			return entries.delete(id);
 		},
+		digest: () => digest,
 		listMissing: (listed, revision) => [...entries].filter(([id, entry]) => !listed.has(id) && entry.revision <= revision).map(([id]) => id),
 	};
 }
--- a/gateway/cluster-view/src/versioned-map.ts
+++ b/gateway/cluster-view/src/versioned-map.ts
@@ -14,6 +14,10 @@
 	*/
 	readonly remove: (id: string, revision: number) => boolean;
 	/**
+	Digest of all ids with their revisions; two maps with the same entries have the same.
+	*/
+	readonly digest: () => number;
+	/**
 	Ids of entries that are not listed and not newer than the revision.
 	*/
 	readonly listMissing: (listed: ReadonlySet<string>, revision: number) => readonly string[];
--- a/gateway/cluster-view/test/cluster-view.test.ts
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -159,3 +159,57 @@
 	t.equal(view.nodes().length, 0);
 	t.end();
 });
+
+test('the digest is the same for the same beliefs, whatever the way to them, and another for others at the same revision', t => {
+	const view = createView(t);
+	const other = createView(t);
+	view.applyChanges({revision: 5, changes: [toChange('i-1', 3), toChange('i-2', 4)]}, 'store');
+	view.applyChanges({revision: 9, changes: [{kind: 'endpoint-removed', id: 'i-2', revision: 9}, {kind: 'configuration', revision: 8, configuration: toConfiguration(2)}]}, 'store');
+	other.applyChanges({revision: 9, changes: [toChange('i-2', 4), toChange('i-1', 3)]}, 'store');
+	t.equal(other.revision(), view.revision());
+	t.not(other.digest(), view.digest());
+	other.importState(view.exportState(true));
+	t.equal(other.digest(), view.digest());
+	t.same(other.endpoints(), view.endpoints());
+	other.applyChanges({revision: 10, changes: [toChange('i-1', 10, 'draining')]}, 'store');
+	t.not(other.digest(), view.digest());
+	t.end();
+});
+
+test('what is new is told of whatever way it came, and when the time of grace of lapsed entries is over', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const view = createView(t);
+	const told: unknown[] = [];
+	view.events.on('advanced', ({data: {after, changes}}) => {
+		told.push([after, changes.revision, changes.changes.map(({kind}) => kind)]);
+	});
+	view.applyAll({revision: 5, changes: [toChange('i-1', 3), toChange('i-2', 4)]}, 'store');
+	view.applyAll({revision: 7, changes: [toChange('i-1', 3), {kind: 'configuration', revision: 7, configuration: toConfiguration(2)}]}, 'store');
+	view.importState({
+		revision: 6, configuration: toConfiguration(3), endpoints: [], nodes: [], isSteady: false,
+	});
+	view.applyChanges({revision: 7, changes: [toChange('i-1', 3)]}, 'peer');
+	view.setLapseUntil(performance.now() + 2000);
+	view.applyAll({revision: 9, changes: []}, 'store');
+	clock.advance(2000);
+	await Promise.resolve();
+	await view.events.emit('nodeRemoved', {id: 'none'});
+	t.same(told, [
+		[-1, 5, ['endpoint', 'endpoint']],
+		[5, 7, ['endpoint-removed', 'configuration']],
+		[7, 7, ['configuration']],
+		[7, 9, []],
+		[9, 9, ['endpoint-removed']],
+	]);
+});
+
+test('of two nodes at one address the later one stays, in whatever order they are heard of', t => {
+	for (const order of [['n1.old', 'n1.new'], ['n1.new', 'n1.old']]) {
+		const view = createView(t);
+		view.applyAll({revision: 9, changes: order.map(id => ({kind: 'node' as const, revision: id === 'n1.new' ? 8 : 5, node: toNode(id, '10.0.0.1:7')}))}, 'store');
+		t.same(view.nodes().map(({id}) => id), ['n1.new']);
+	}
+
+	t.end();
+});
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -35,6 +35,7 @@
 */
 type Word = {
 	readonly revision: number;
+	readonly digest: number | undefined;
 	readonly version: number;
 	readonly ageMs: number;
 };
@@ -55,6 +56,8 @@
 	let isFollowing = true;
 	let confirmedAt = -Infinity;
 	let lastAhead = '';
+	let comparedDifference = '';
+	let comparedAt = -Infinity;
 	const delays = createDelayMeter();
 	const versions = createVersionWatch({view, metrics});
 	const states = createStateTaker({
@@ -85,10 +88,32 @@
 	}
 
 	/**
-	A peer at the same revision also helps out: it knows whether what this node keeps as lapsed was removed.
+	Whether a peer knows what this node does not. One at the same revision may: whether what is kept here as lapsed was removed,
+	or, as the node that this one hears changes from, what was missed on the way to that revision.
 	*/
-	function isBehind(peerRevision: number): boolean {
-		return peerRevision > view.revision() || (view.hasLapsed() && peerRevision === view.revision());
+	function isBehind(node: string, {revision, digest}: Word): boolean {
+		return revision === view.revision() ? view.hasLapsed() || (links.isSource(node) && isDifferent(digest)) : revision > view.revision();
+	}
+
+	/**
+	Whether a source believes something else at the same revision. The same difference is looked into once in a while, not with
+	each heartbeat.
+	*/
+	function isDifferent(digest: number | undefined): boolean {
+		if (digest === undefined || digest === view.digest()) {
+			return false;
+		}
+
+		const difference = `${digest} ${view.digest()}`;
+		const now = performance.now();
+		if (difference === comparedDifference && now - comparedAt < options.confirmMs) {
+			return false;
+		}
+
+		comparedDifference = difference;
+		comparedAt = now;
+		metrics.increment('gateway.beliefs-different');
+		return true;
 	}
 
 	function recordDelay(node: string, delayMs: number): void {
@@ -112,9 +137,10 @@
 	/**
 	What to do about a peer. A version only rises, so a newer one is asked for whatever the age of the peer's word.
 	*/
-	function chooseStep({revision, version, ageMs}: Word): Step {
+	function chooseStep(node: string, word: Word): Step {
+		const {version, ageMs} = word;
 		const isNewer = version > versions.get();
-		if (!isNewer && !isBehind(revision)) {
+		if (!isNewer && !isBehind(node, word)) {
 			return 'none';
 		}
 
@@ -147,29 +173,35 @@
 		delays.remove(id);
 	});
 	view.events.on('advanced', ({data: {after, changes, source}}) => {
-		const isOwn = source === 'store';
-		if (links.isMesh() || (isOwn && !follower.isSteady())) {
+		if (links.isMesh()) {
 			return;
 		}
 
-		network.broadcast('cluster.changes', {after, changes}, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
+		const isOwn = source === 'store';
+		// While entries may have lapsed here, peers are told what is new, but not that nothing else was removed.
+		const revision = isOwn && !follower.isSteady() ? after : changes.revision;
+		network.broadcast('cluster.changes', {after, changes: {...changes, revision}}, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
 	});
 
 	return {
 		sendHeartbeat() {
 			network.broadcast('cluster.heartbeat', {
-				revision: view.revision(), version: versions.get(), confirmedAgoMs: measureAge(), sentAt: performance.now(),
+				revision: view.revision(),
+				digest: view.hasLapsed() ? undefined : view.digest(),
+				version: versions.get(),
+				confirmedAgoMs: measureAge(),
+				sentAt: performance.now(),
 			});
 		},
 		applyHeartbeat(parameters, node) {
-			const {revision, version, confirmedAgoMs, sentAt} = heartbeatSchema.parse(parameters);
+			const {confirmedAgoMs, sentAt, ...known} = heartbeatSchema.parse(parameters);
 			const delayMs = sentAt === undefined ? 0 : delays.measure(node, sentAt);
 			recordDelay(node, delayMs);
-			versions.record(version);
+			versions.record(known.version);
 			// What waited on its way says nothing of the time since it was sent.
-			const word: Word = {revision, version, ageMs: confirmedAgoMs + delayMs};
+			const word: Word = {...known, digest: known.digest, ageMs: confirmedAgoMs + delayMs};
 			confirmedAt = Math.max(confirmedAt, performance.now() - word.ageMs);
-			const step = chooseStep(word);
+			const step = chooseStep(node, word);
 			recordAhead(node, word, step);
 			if (step === 'ask') {
 				states.ask(node);
@@ -177,14 +209,15 @@
 		},
 		applyChanges(parameters, node) {
 			const {after, changes} = changesSchema.parse(parameters);
-			if (after <= view.revision()) {
-				view.applyChanges(changes, 'peer');
-			} else if (!states.isAsking()) {
+			const hasGap = after > view.revision();
+			// What is newer holds whatever was missed before it; the revision waits for what was missed.
+			view.applyChanges(hasGap ? {...changes, revision: view.revision()} : changes, 'peer');
+			if (hasGap && !states.isAsking()) {
 				states.ask(node);
 			}
 		},
 		getDelay: delays.get,
-		exportState: () => view.exportState(isConfirmed()),
+		exportState: () => view.exportState(isConfirmed() && !view.hasLapsed()),
 		isStoreNeeded() {
 			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed() || isLeftBehind();
 			if (isNeeded !== isFollowing) {
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -113,6 +113,15 @@
 		closeOpened(node => node !== parent);
 	}
 
+	function findSource(): string | undefined {
+		if (overlay.followers.has(self.id)) {
+			return undefined;
+		}
+
+		const connected = new Set(network.connected());
+		return parent ?? [...overlay.followers].find(id => connected.has(id));
+	}
+
 	function closeOpened(isNeedless: (node: string) => boolean): void {
 		for (const node of opened) {
 			if (!isNeedless(node)) {
@@ -195,6 +204,7 @@
 		},
 		isRelay,
 		isFollower: () => overlay.followers.has(self.id),
+		isSource: node => node === findSource(),
 		isMesh: () => overlay.isMesh,
 		parent: () => parent,
 		listRelays: () => isRelay(self.id) ? network.connected().filter(id => isRelay(id)) : network.connected().filter(id => id === parent),
--- a/node/gateway/src/link-plan.ts
+++ b/node/gateway/src/link-plan.ts
@@ -20,6 +20,10 @@
 	*/
 	readonly isFollower: () => boolean;
 	/**
+	Whether this node hears of changes from that one: its relay, or for a relay the first follower that it is linked to.
+	*/
+	readonly isSource: (node: string) => boolean;
+	/**
 	Whether every node is linked with every other.
 	*/
 	readonly isMesh: () => boolean;
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -370,3 +370,49 @@
 	setup.handlers['cluster.heartbeat']?.({revision: 4, version: 9, confirmedAgoMs: 0}, 'r0');
 	t.notOk(setup.sync.isStoreNeeded());
 });
+
+test('a member that missed something on the way to its relay\'s revision asks for it, once for each difference', async t => {
+	const setup = createSync(t, {connected: [], silenceBeatMs: 3000});
+	addNodes(setup, createFleet());
+	setup.sync.start();
+	await waitUntil(() => setup.links.size === 1);
+	const [relay = ''] = setup.links;
+	setup.view.applyChanges({revision: 9, changes: []}, 'peer');
+	const beat = {
+		revision: 9, digest: 1, version: -1, confirmedAgoMs: 0,
+	};
+	setup.handlers['cluster.heartbeat']?.({...beat, digest: setup.view.digest()}, relay);
+	setup.handlers['cluster.heartbeat']?.({...beat, digest: undefined}, relay);
+	setup.handlers['cluster.heartbeat']?.(beat, 'r7');
+	t.same(setup.calls, [], 'not the same, nor a peer that this node does not hear changes from');
+	setup.isMute = true;
+	setup.handlers['cluster.heartbeat']?.(beat, relay);
+	setup.handlers['cluster.heartbeat']?.(beat, relay);
+	t.same(setup.calls, [`cluster.state of ${relay}`]);
+});
+
+test('what is new in changes with a gap before them counts at once, the revision when the gap is closed', t => {
+	const setup = createSync(t);
+	setup.isMute = true;
+	setup.handlers['cluster.changes']?.({after: 6, changes: {revision: 7, changes: [{kind: 'configuration', revision: 7, configuration: {...peerState.configuration, version: 8}}]}}, 'n2');
+	t.equal(setup.view.configuration()?.version, 8);
+	t.equal(setup.view.revision(), -1);
+	t.same(setup.calls, ['cluster.state of n2']);
+	t.end();
+});
+
+test('a follower that is not steady passes on what is new without saying that all up to there is known', async t => {
+	const setup = createSync(t, {
+		connected: ['r2', 'n5'], meshNodes: 3, capacity: 9,
+	});
+	addNodes(setup, [{...toNode('r2'), capacity: 8}, toNode('n5'), toNode('n6')]);
+	setup.sync.start();
+	await waitUntil(() => setup.broadcasts.some(([method]) => method === 'cluster.heartbeat'));
+	setup.broadcasts.length = 0;
+	const listed = setup.view.exportState(true).nodes.map(({node, revision}) => ({kind: 'node' as const, node, revision}));
+	setup.view.applyAll({revision: 5, changes: [...listed, {kind: 'configuration', revision: 5, configuration: {...peerState.configuration!, version: 8}}]}, 'store');
+	await waitUntil(() => setup.broadcasts.some(([method]) => method === 'cluster.changes'));
+	const [, parameters, nodes] = setup.broadcasts.find(([method]) => method === 'cluster.changes') ?? [];
+	t.match(parameters, {after: 3, changes: {revision: 3, changes: [{kind: 'configuration'}]}});
+	t.same(nodes, ['r2', 'n5']);
+});
