fix: a member is told one sum of others' work, in short rows, and so much of it at once

Change: one sum for all nodes but the member itself, rows without names, 200 endpoints a message at most. A relay no longer tells its members its group's sum under its own name beside its own work, which counted work of other members twice for endpoints at which it had none itself.

--- a/emulator/beliefs/src/create-emulated-network.ts
+++ b/emulator/beliefs/src/create-emulated-network.ts
@@ -130,6 +130,7 @@
 				}
 			}
 		},
+		isReady: node => links.get(node)?.isReady() ?? true,
 		connected: () => links.keys().toArray(),
 		disconnect(node) {
 			links.get(node)?.close();
--- a/gateway/news/src/create-news-relay.ts
+++ b/gateway/news/src/create-news-relay.ts
@@ -1,19 +1,22 @@
 import {
 	addLoads,
 	noLoad,
+	subtractLoads,
 	type EndpointLoad,
 	type LoadNews,
 	type Placement,
 } from '@valvesaddle/selection';
-import {createPendingNews} from './create-pending-news.ts';
 import type {NewsRelay} from './news-relay.ts';
 import type {OriginNews} from './origin-news.ts';
-import type {PendingNews} from './pending-news.ts';
 
 /**
-Placements that are kept for another relay; older ones are hints that prompts since then have overtaken.
+Placements that are kept for a link; older ones are hints that prompts since then have overtaken.
 */
-const mostPlacements = 256;
+const mostPlacements = 64;
+/**
+Endpoints that one message tells of, so that what is more important never waits for a long one: some 12 kB.
+*/
+const mostLoads = 200;
 
 type Origin = {
 	readonly isMember: boolean;
@@ -21,14 +24,24 @@
 	readonly loads: Map<string, EndpointLoad>;
 };
 
-type RelayLink = {
+type Link = {
+	/**
+	Endpoints to be told of, the longest waiting first.
+	*/
 	readonly changed: Set<string>;
 	placements: readonly Placement[];
+	/**
+	Nodes that it was told the sum stands for.
+	*/
+	nodes: number;
 };
 
+type Links = Map<string, Link>;
+
 /**
- Creates the relay of a node's news. Other relays get one sum for the node and its members, so that what crosses data centres
- does not grow with the members; members get the sums of other relays, and each other's news as it came.
+ Creates the relay of a node's news. Each linked node gets one sum for all others: relays that of the node and its members, so
+ that what crosses data centres does not grow with the members; a member that of all nodes but itself, so that what it hears
+ does not grow with the fleet.
 
  @example
  const relay = createNewsRelay({node: 'n1'});
@@ -37,31 +50,30 @@
  */
 export function createNewsRelay({node}: {readonly node: string}): NewsRelay {
 	const origins = new Map<string, Origin>([[node, {isMember: true, nodes: 1, loads: new Map()}]]);
-	const relayLinks = new Map<string, RelayLink>();
-	const memberLinks = new Map<string, PendingNews>();
-
-	function listMembers(): readonly Origin[] {
-		return origins.values().filter(({isMember}) => isMember).toArray();
+	const relayLinks: Links = new Map();
+	const memberLinks: Links = new Map();
+	/**
+	Sums over all origins, until one of their parts changes.
+	*/
+	const totals = new Map<string, EndpointLoad>();
+
+	function listOrigins(): readonly Origin[] {
+		return origins.values().toArray();
 	}
 
-	function measureLoad(endpoint: string): EndpointLoad {
-		let sum = noLoad;
-		for (const {loads} of listMembers()) {
-			sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
-		}
-
-		return sum;
+	function listMembers(): readonly Origin[] {
+		return listOrigins().filter(({isMember}) => isMember);
 	}
 
-	function toGroupNews(endpoints: Iterable<string>, newPlacements: readonly Placement[]): OriginNews {
-		return {
-			origin: node, nodes: listMembers().length, loads: [...endpoints].map(endpoint => [endpoint, measureLoad(endpoint)]), placements: newPlacements,
-		};
+	function measureTotal(endpoint: string): EndpointLoad {
+		const total = totals.get(endpoint) ?? sumLoads(listOrigins(), endpoint);
+		totals.set(endpoint, total);
+		return total;
 	}
 
-	function addForRelays(endpoints: Iterable<string>, placements: readonly Placement[]): void {
+	function markChanged(links: Links, endpoints: Iterable<string>, placements: readonly Placement[]): void {
 		const added = [...endpoints];
-		for (const link of relayLinks.values()) {
+		for (const link of links.values()) {
 			link.placements = [...link.placements, ...placements].slice(-mostPlacements);
 			for (const endpoint of added) {
 				link.changed.add(endpoint);
@@ -74,33 +86,38 @@
 		origins.set(news.origin, {isMember, nodes: news.nodes, loads});
 		for (const [endpoint, load] of news.loads) {
 			loads.set(endpoint, load);
+			totals.delete(endpoint);
 		}
 
+		const endpoints = news.loads.map(([endpoint]) => endpoint);
+		markChanged(memberLinks, endpoints, news.placements);
 		if (isMember) {
-			addForRelays(news.loads.map(([endpoint]) => endpoint), news.placements);
-		}
-
-		for (const pending of memberLinks.values()) {
-			pending.add(news);
+			markChanged(relayLinks, endpoints, news.placements);
 		}
 	}
 
-	function openRelayLink(relay: string): RelayLink {
-		const link: RelayLink = {changed: new Set(listMembers().flatMap(({loads}) => loads.keys().toArray())), placements: []};
-		relayLinks.set(relay, link);
+	function findLink(links: Links, linked: string, known: readonly Origin[]): Link {
+		const link = links.get(linked) ?? {changed: new Set(known.flatMap(({loads}) => loads.keys().toArray())), placements: [], nodes: 0};
+		links.set(linked, link);
 		return link;
 	}
 
-	function openMemberLink(member: string): PendingNews {
-		const pending = createPendingNews();
-		for (const [origin, {nodes, loads}] of origins) {
-			pending.add({
-				origin, nodes, loads: loads.entries().toArray(), placements: [],
-			});
+	function takeNews(link: Link, nodes: number, measureLoad: (endpoint: string) => EndpointLoad): OriginNews | undefined {
+		if (link.changed.size === 0 && link.placements.length === 0 && link.nodes === nodes) {
+			return undefined;
+		}
+
+		const endpoints = link.changed.values().take(mostLoads).toArray();
+		const {placements} = link;
+		for (const endpoint of endpoints) {
+			link.changed.delete(endpoint);
 		}
 
-		memberLinks.set(member, pending);
-		return pending;
+		link.placements = [];
+		link.nodes = nodes;
+		return {
+			origin: node, nodes, loads: endpoints.map(endpoint => [endpoint, measureLoad(endpoint)]), placements,
+		};
 	}
 
 	return {
@@ -119,26 +136,23 @@
 				return;
 			}
 
-			addForRelays(removed.isMember ? removed.loads.keys() : [], []);
-			for (const pending of memberLinks.values()) {
-				pending.removeOrigin(origin);
+			for (const endpoint of removed.loads.keys()) {
+				totals.delete(endpoint);
+			}
+
+			markChanged(memberLinks, removed.loads.keys(), []);
+			if (removed.isMember) {
+				markChanged(relayLinks, removed.loads.keys(), []);
 			}
 		},
 		takeForRelay(relay) {
-			const isNew = !relayLinks.has(relay);
-			const link = relayLinks.get(relay) ?? openRelayLink(relay);
-			if (!isNew && link.changed.size === 0 && link.placements.length === 0) {
-				return undefined;
-			}
-
-			const news = toGroupNews(link.changed, link.placements);
-			link.changed.clear();
-			link.placements = [];
-			return news;
+			const members = listMembers();
+			return takeNews(findLink(relayLinks, relay, members), countNodes(members), endpoint => sumLoads(members, endpoint));
 		},
 		takeForMember(member) {
-			const pending = memberLinks.get(member) ?? openMemberLink(member);
-			return pending.take();
+			const own = origins.get(member);
+			const known = listOrigins();
+			return takeNews(findLink(memberLinks, member, known), countNodes(known) - (own?.nodes ?? 0), endpoint => subtractLoads(measureTotal(endpoint), own?.loads.get(endpoint) ?? noLoad));
 		},
 		removeLink(linked) {
 			relayLinks.delete(linked);
@@ -146,3 +160,16 @@
 		},
 	};
 }
+
+function countNodes(origins: readonly Origin[]): number {
+	return origins.reduce((sum, {nodes}) => sum + nodes, 0);
+}
+
+function sumLoads(origins: readonly Origin[], endpoint: string): EndpointLoad {
+	let sum = noLoad;
+	for (const {loads} of origins) {
+		sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
+	}
+
+	return sum;
+}
--- a/gateway/news/src/news-relay.ts
+++ b/gateway/news/src/news-relay.ts
@@ -3,7 +3,7 @@
 
 /**
 Keeps what a node has to pass on of its own and others' work. What a linked node was not yet told is kept for it alone, each
-load as it is last known, so that one that can take little is told less often, and never of what has been overtaken.
+endpoint once, so that one that can take little is told less often, and never of what has been overtaken.
 */
 export type NewsRelay = {
 	readonly addOwn: (news: LoadNews) => void;
@@ -24,9 +24,9 @@
 	*/
 	readonly takeForRelay: (relay: string) => OriginNews | undefined;
 	/**
-	What a member is to be told since the last call, all at the first one.
+	What a member is to be told since the last call, all at the first one: one sum for all nodes but itself.
 	*/
-	readonly takeForMember: (member: string) => readonly OriginNews[];
+	readonly takeForMember: (member: string) => OriginNews | undefined;
 	/**
 	Forgets what a linked node was told, as its link is lost or new.
 	*/
--- a/gateway/news/src/origin-news.ts
+++ b/gateway/news/src/origin-news.ts
@@ -1,12 +1,12 @@
 import type {LoadNews} from '@valvesaddle/selection';
 
 /**
-News of the work of one node, or of a relay and the nodes that are linked to it.
+News of the work of one node, or the sum of several that the node which tells it speaks for.
 */
 export type OriginNews = LoadNews & {
 	readonly origin: string;
 	/**
-	Nodes whose work it stands for; 0 takes back all that was told of the origin.
+	Nodes whose work it stands for.
 	*/
 	readonly nodes: number;
 };
--- /dev/null
+++ b/gateway/selection/src/subtract-loads.ts
@@ -0,0 +1,20 @@
+import {addLoads} from './add-loads.ts';
+import type {EndpointLoad} from './endpoint-load.ts';
+
+/**
+ Takes a part out of a sum of loads; requests, prompts and sensitivity do not fall below 0.
+
+ @example
+ subtractLoads({...noLoad, open: 3}, {...noLoad, open: 2}).open; // 1
+ */
+export function subtractLoads(sum: EndpointLoad, part: EndpointLoad): EndpointLoad {
+	return addLoads(sum, {
+		open: -part.open,
+		unread: part.unread.map(tokens => -tokens),
+		sensitivity: -part.sensitivity,
+		witnesses: -part.witnesses,
+		silent: -part.silent,
+		readTokens: -part.readTokens,
+		readMs: -part.readMs,
+	});
+}
--- a/node/gateway/src/create-news-sync.ts
+++ b/node/gateway/src/create-news-sync.ts
@@ -1,7 +1,7 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import {createNewsRelay, type OriginNews} from '@valvesaddle/news';
 import type {Selector} from '@valvesaddle/selection';
-import {bundleSchema} from './bundle-schema.ts';
+import {formatNews} from './format-news.ts';
 import type {LinkPlan} from './link-plan.ts';
 import {newsSchema} from './news-schema.ts';
 import type {NewsSync} from './news-sync.ts';
@@ -20,14 +20,6 @@
 	readonly countNodes: () => number;
 };
 
-type Origin = {
-	readonly nodes: number;
-	/**
-	Node that told of it.
-	*/
-	readonly via: string;
-};
-
 /**
  Creates the exchange of work with peers: each node tells its own to the relays that it is linked to, relays pass it on.
 
@@ -37,44 +29,19 @@
  */
 export function createNewsSync({node: self, network, links, selector, countNodes}: NewsSyncOptions): NewsSync {
 	const relay = createNewsRelay({node: self});
-	const origins = new Map<string, Origin>();
+	/**
+	Nodes that each linked node's news stand for.
+	*/
+	const origins = new Map<string, number>();
 
 	function updateUnseen(): void {
-		const heard = origins.values().reduce((sum, {nodes}) => sum + nodes, 1);
+		const heard = origins.values().reduce((sum, nodes) => sum + nodes, 1);
 		selector.setUnseenFactor(Math.max(1, countNodes() / heard));
 	}
 
-	function applyNews(news: OriginNews, via: string): void {
-		if (news.origin === self) {
-			return;
-		}
-
-		if (news.nodes === 0) {
-			removeOrigin(news.origin);
-			return;
-		}
-
-		origins.set(news.origin, {nodes: news.nodes, via});
-		selector.applyNews(news.origin, news);
-	}
-
-	function removeOrigin(origin: string): void {
-		origins.delete(origin);
-		selector.removeNode(origin);
-		relay.removeOrigin(origin);
-	}
-
-	function sendToRelay(node: string): void {
-		const news = relay.takeForRelay(node);
+	function sendNews(node: string, news: OriginNews | undefined): void {
 		if (news !== undefined) {
-			network.notify(node, 'load.news', news);
-		}
-	}
-
-	function sendToMember(node: string): void {
-		const bundle = relay.takeForMember(node);
-		if (bundle.length > 0) {
-			network.notify(node, 'load.bundle', bundle);
+			network.notify(node, 'load.news', formatNews(news));
 		}
 	}
 
@@ -90,41 +57,33 @@
 			const relays = links.listRelays().filter(node => network.isReady(node));
 			const members = links.listMembers().filter(node => network.isReady(node));
 			for (const node of relays) {
-				sendToRelay(node);
+				sendNews(node, relay.takeForRelay(node));
 			}
 
 			for (const node of members) {
-				sendToMember(node);
+				sendNews(node, relay.takeForMember(node));
 			}
 		},
 		introduce(node) {
 			relay.removeLink(node);
-			sendToRelay(node);
-			if (links.isRelay(self) && !links.isRelay(node)) {
-				sendToMember(node);
-			}
+			const isMember = links.isRelay(self) && !links.isRelay(node);
+			sendNews(node, isMember ? relay.takeForMember(node) : relay.takeForRelay(node));
 		},
 		applyNews(parameters, node) {
-			const news = {...newsSchema.parse(parameters), origin: node};
-			applyNews(news, node);
+			const news: OriginNews = {...newsSchema.parse(parameters), origin: node};
+			origins.set(node, news.nodes);
+			selector.applyNews(node, news);
 			if (links.isRelay(node)) {
 				relay.addGroup(news);
 			} else {
 				relay.addMember(news);
 			}
 		},
-		applyBundle(parameters, node) {
-			for (const news of bundleSchema.parse(parameters)) {
-				applyNews(news, node);
-			}
-		},
 		removeLink(node) {
 			relay.removeLink(node);
-			for (const [origin, {via}] of origins) {
-				if (via === node) {
-					removeOrigin(origin);
-				}
-			}
+			origins.delete(node);
+			selector.removeNode(node);
+			relay.removeOrigin(node);
 		},
 	};
 }
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -87,7 +87,6 @@
 		},
 		handlers: {
 			'load.news': withSign(news.applyNews),
-			'load.bundle': withSign(news.applyBundle),
 			'cluster.heartbeat': withSign(beliefs.applyHeartbeat),
 			'cluster.changes': withSign(beliefs.applyChanges),
 			'cluster.state': withSign(beliefs.exportState),
--- a/node/gateway/src/news-sync.ts
+++ b/node/gateway/src/news-sync.ts
@@ -14,7 +14,6 @@
 	Takes in a peer's message; throws `ZodError` for one of a wrong form.
 	*/
 	readonly applyNews: (parameters: unknown, node: string) => void;
-	readonly applyBundle: (parameters: unknown, node: string) => void;
 	/**
 	Forgets all that was heard over a link that is lost.
 	*/
