test: a store that is lost before the node is registered

Cause: "endpoints that lapsed while the store refused …" hangs in its first wait when the first watch reaches the store before the fault and the registration after it: a registration that fails does not count as a loss of the store, and without a lease there are no renewals, so nothing ends the watch that waits. Change: a scripted store fails the registration while the watch waits.

--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -1,7 +1,9 @@
 import {
 	err,
 	errAsync,
+	ok,
 	okAsync,
+	type Result,
 	ResultAsync,
 } from 'neverthrow';
 import {test, type Test} from 'tap';
@@ -9,6 +11,7 @@
 import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {createFleetStore} from '@valvesaddle/fleet-store';
+import type {ClusterChanges} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
@@ -187,6 +190,87 @@
 	t.equal(graces, 1, 'the time of grace begins once');
 });
 
+/**
+Starts a follower of a scripted store whose registrations fail from the first watch on, until `isAway` is unset. The watch never answers.
+*/
+function startUnregistered(t: Test, isNeeded: () => boolean) {
+	const failure = new ValvesaddleError('ERR_VALVESADDLE_KV_UNAVAILABLE', 'refused');
+	const state = {
+		isAway: false, lists: 0, registrations: 0, renewals: 0, graces: 0,
+	};
+	const isWatching = Promise.withResolvers<void>();
+	const never = new Promise<Result<ClusterChanges, ValvesaddleError>>(() => {
+		// Waits for changes that do not come.
+	});
+	const logger = createLogger({node: 'n', level: 'silent'});
+	const metrics = createMetrics();
+	const view = createClusterView({logger, metrics});
+	const follower = createStoreFollower({
+		store: {
+			list() {
+				state.lists++;
+				return state.isAway ? errAsync(failure) : okAsync({revision: 1, changes: []});
+			},
+			watch() {
+				state.isAway = state.lists === 1;
+				isWatching.resolve();
+				return new ResultAsync(never);
+			},
+			register() {
+				state.registrations++;
+				return new ResultAsync(isWatching.promise.then(() => state.isAway ? err(failure) : ok('lease')));
+			},
+			renew() {
+				state.renewals++;
+				return okAsync(true);
+			},
+			release: () => okAsync(undefined),
+			async close() {
+				// Nothing is open.
+			},
+		},
+		view: {
+			...view,
+			setLapseUntil(time) {
+				state.graces++;
+				view.setLapseUntil(time);
+			},
+		},
+		self: {
+			id: 'n1', address: '10.0.0.9:7', token: 'secret', dataCentre: 'a', capacity: 1,
+		},
+		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isNeeded, logger, metrics,
+	});
+	t.teardown(async () => {
+		await follower.close();
+		view.close();
+	});
+	follower.start();
+	return {state, follower};
+}
+
+test('a store that is lost before the node is registered is noticed by the registration while the watch waits', async t => {
+	const {state, follower} = startUnregistered(t, () => true);
+	await waitUntil(() => state.registrations > 1);
+	t.notOk(follower.isReachable());
+	t.ok(state.lists > 1, 'the watch is not waited for');
+	state.isAway = false;
+	await waitUntil(() => state.renewals > 0);
+	t.ok(follower.isReachable());
+	t.equal(state.graces, 1, 'what lapsed meanwhile has its time of grace');
+});
+
+test('a node that lost the store before it was registered registers later, though others watch for it by then', async t => {
+	let isNeeded = true;
+	const {state, follower} = startUnregistered(t, () => isNeeded);
+	await waitUntil(() => state.registrations > 0);
+	isNeeded = false;
+	await waitUntil(() => state.isAway && state.registrations > 1);
+	state.isAway = false;
+	await waitUntil(() => state.renewals > 0);
+	t.ok(follower.isReachable());
+});
+
 test('a node for which others watch makes no calls but renewals, and follows again when it must', async t => {
 	let isNeeded = true;
 	const {server, view, follower} = await startFollower(t, {isNeeded: () => isNeeded});
