fix: a registration that fails shows that the store is lost

Cause: only renewals and lists marked the store as lost. A node whose first registration failed, or whose lease had ended, makes no renewals: it held itself for reachable and steady, and waited for its watch, for as long as that lasts: up to 4 s with the settings' watch of 3 s and time limit of 1 s, 31 s at the longest watch that the client asks for. What lapsed meanwhile had no time of grace. Change: a failed registration counts like a failed renewal, a done one like a done renewal. A node that has lost the store goes on registering, since it makes no other calls while others watch for it. While a store loses the answers to every write, a node without a lease now lists anew after each failed registration, as one with a lease does after each failed renewal.

--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -158,11 +158,17 @@
 	}
 
 	async function register(): Promise<void> {
+		const startedAt = performance.now();
 		const registered = await store.register(options.self, options.leaseMs * measureTermFactor());
 		registered.match(opened => {
 			lease = opened;
+			if (!isFollowing) {
+				markReachable();
+			}
 		}, error => {
 			logger.warn({name: 'node-registration', isDone: false, reason: error.message});
+			// Without a lease no renewal shows that the store is lost.
+			markLost(error.message, startedAt);
 		});
 	}
 
@@ -192,7 +198,8 @@
 
 	async function runRenewals(): Promise<void> {
 		while (!closing.signal.aborted) {
-			if (isReachable || lease !== undefined) {
+			// A node for which others watch makes no other calls, so it goes on with these while the store is lost.
+			if (isReachable || wasLost) {
 				// eslint-disable-next-line no-await-in-loop -- one renewal after the other
 				await updateLease();
 			}
