test: watches that are not waited for end and leave their connections to other calls

Cause: on the loss of the store a follower leaves its watch alone but does not end it. It keeps one of the client's three connections until its own time limit, so that two more losses within that time leave none for lists and renewals. The port's watch takes a signal, which no code reads yet.

--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -198,6 +198,7 @@
 	const state = {
 		isAway: false, lists: 0, registrations: 0, renewals: 0, graces: 0,
 	};
+	const signals: Array<AbortSignal | undefined> = [];
 	const isWatching = Promise.withResolvers<void>();
 	const never = new Promise<Result<ClusterChanges, ValvesaddleError>>(() => {
 		// Waits for changes that do not come.
@@ -211,7 +212,8 @@
 				state.lists++;
 				return state.isAway ? errAsync(failure) : okAsync({revision: 1, changes: []});
 			},
-			watch() {
+			watch(_after, _waitMs, signal) {
+				signals.push(signal);
 				state.isAway = state.lists === 1;
 				isWatching.resolve();
 				return new ResultAsync(never);
@@ -246,7 +248,7 @@
 		view.close();
 	});
 	follower.start();
-	return {state, follower};
+	return {state, signals, follower};
 }
 
 test('a store that is lost before the node is registered is noticed by the registration while the watch waits', async t => {
@@ -260,6 +262,18 @@
 	t.equal(state.graces, 1, 'what lapsed meanwhile has its time of grace');
 });
 
+test('a watch that is not waited for is ended, so that it keeps no connection', async t => {
+	const {state, signals, follower} = startUnregistered(t, () => true);
+	await waitUntil(() => state.registrations > 1);
+	t.match(signals, [{aborted: true}]);
+	state.isAway = false;
+	await waitUntil(() => signals.length === 2);
+	t.match(signals, [{aborted: true}, {aborted: false}]);
+	await follower.close();
+	await waitUntil(() => signals[1]?.aborted ?? true);
+	t.match(signals, [{aborted: true}, {aborted: true}]);
+});
+
 test('a node that lost the store before it was registered registers later, though others watch for it by then', async t => {
 	let isNeeded = true;
 	const {state, follower} = startUnregistered(t, () => isNeeded);
--- a/gateway/types/src/cluster-store.ts
+++ b/gateway/types/src/cluster-store.ts
@@ -13,9 +13,9 @@
 	*/
 	readonly list: () => ResultAsync<ClusterChanges, ValvesaddleError>;
 	/**
-	Waits for changes after a revision, for at most `waitMs` milliseconds.
+	Waits for changes after a revision, for at most `waitMs` milliseconds; ends with an error when `signal` is aborted.
 	*/
-	readonly watch: (after: number, waitMs: number) => ResultAsync<ClusterChanges, ValvesaddleError>;
+	readonly watch: (after: number, waitMs: number, signal?: AbortSignal) => ResultAsync<ClusterChanges, ValvesaddleError>;
 	/**
 	Registers a node under a lease of `leaseMs` milliseconds; resolves to the lease.
 	*/
