fix: a watch that is not waited for is ended

Cause: on the loss of the store a follower left its watch alone, but the call went on and kept one of the client's three connections until its own time limit. After three losses within a watch's time lists and renewals found no connection and failed by their own limits, though the store answered; each renewal that failed so left one more watch behind. Conclusion: mended.

--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -95,8 +95,11 @@
 	}
 
 	async function watchOnce(): Promise<Outcome> {
-		const watched = await Promise.race([store.watch(view.revision(), options.watchMs), lost.promise]);
+		const ending = new AbortController();
+		const watched = await Promise.race([store.watch(view.revision(), options.watchMs, ending.signal), lost.promise]);
 		if (watched === 'lost') {
+			// A watch that went on would keep one of the client's few connections from the calls that find the store again.
+			ending.abort();
 			return 'failed';
 		}
 
