fix: a watch that brings nothing raises no revision; what cannot be read of a configuration is known

Cause: the answer of a watch was taken as complete up to the revision that it names, also when it brought no change. Change: such an answer leaves the revision where the watch began. Changes that the gateway has no use for are told as such, so that they still move it on. The view knows when a newer configuration is there that it could not read.

--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -16,6 +16,10 @@
 	readonly events: Emittery<ClusterEvents>;
 	readonly revision: () => number;
 	readonly configuration: () => GatewayConfiguration | undefined;
+	/**
+	Whether a newer configuration than the one in force is there that cannot be read.
+	*/
+	readonly hasUnreadConfiguration: () => boolean;
 	readonly endpoints: () => readonly ServingEndpoint[];
 	readonly nodes: () => readonly GatewayNode[];
 	/**
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -43,6 +43,11 @@
 	const lapsed = new Map<string, Removal>();
 	let configuration: GatewayConfiguration | undefined;
 	let revision = -1;
+	/**
+	Revisions of the configuration in force and of the last one that could not be read.
+	*/
+	let configuredAt = -1;
+	let unreadAt = -1;
 	let lapseUntil = 0;
 	let lapseTimer: NodeJS.Timeout | undefined;
 
@@ -125,6 +130,7 @@
 			}
 
 			configuration = change.configuration;
+			configuredAt = change.revision;
 			metrics.increment('gateway.configurations');
 			logger.info({
 				name: 'configuration-in-force', revision: configuration.version, changeId: String(change.revision), source,
@@ -166,13 +172,15 @@
 		'node-removed'(change, source) {
 			return applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
-		unreadable({key, reason, revision: at}) {
+		unreadable({key, reason, revision: at, isConfiguration}) {
+			unreadAt = isConfiguration ? Math.max(unreadAt, at) : unreadAt;
 			metrics.increment('gateway.entries-unreadable');
 			logger.warn({
 				name: 'store-entry-unreadable', key, revision: at, reason,
 			});
 			return nothing;
 		},
+		other: () => nothing,
 	};
 
 	function applyChange(change: ClusterChange, source: BeliefSource): News {
@@ -217,6 +225,7 @@
 		events,
 		revision: () => revision,
 		configuration: () => configuration,
+		hasUnreadConfiguration: () => unreadAt > configuredAt,
 		endpoints: endpoints.values,
 		nodes: nodes.values,
 		applyChanges: applyEach,
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -104,7 +104,8 @@
 		}
 
 		return watched.match((changes: ClusterChanges) => {
-			view.applyChanges(changes, 'store');
+			// A watch that brings nothing confirms nothing after the revision that it began at.
+			view.applyChanges(changes.changes.length === 0 ? {...changes, revision: view.revision()} : changes, 'store');
 			return 'done';
 		}, error => {
 			metrics.increment('gateway.watches-cut');
--- a/gateway/cluster-view/test/cluster-view.test.ts
+++ b/gateway/cluster-view/test/cluster-view.test.ts
@@ -122,7 +122,7 @@
 	const view = createView(t);
 	view.applyAll({
 		revision: 5, changes: [{
-			kind: 'unreadable', revision: 2, key: 'servers/x', reason: 'no JSON',
+			kind: 'unreadable', revision: 2, key: 'servers/x', reason: 'no JSON', isConfiguration: false,
 		}, toChange('i-1', 3)],
 	}, 'store');
 	t.equal(view.endpoints().length, 1);
--- a/gateway/types/src/cluster-change.ts
+++ b/gateway/types/src/cluster-change.ts
@@ -11,4 +11,14 @@
 	| {readonly kind: 'endpoint-removed'; readonly revision: number; readonly id: string}
 	| {readonly kind: 'node'; readonly revision: number; readonly node: GatewayNode}
 	| {readonly kind: 'node-removed'; readonly revision: number; readonly id: string}
-	| {readonly kind: 'unreadable'; readonly revision: number; readonly key: string; readonly reason: string};
+	| {
+		readonly kind: 'unreadable'; readonly revision: number; readonly key: string; readonly reason: string;
+		/**
+		Whether it is a configuration, so that what is in force now is known to be an older one.
+		*/
+		readonly isConfiguration: boolean;
+	}
+	/**
+	A change that the gateway has no use for; a watch that brings one has heard the store nevertheless.
+	*/
+	| {readonly kind: 'other'; readonly revision: number};
