fix: a node denies nothing on a configuration that may be out of date

Cause: 401, 404, 413 and 431 rested on the configuration at hand, whatever its age; callers do not repeat what was denied. With the store refusing, 8 of 8 looks over 5.1 s gave 404 and 401 for a newer route and key. A newer configuration with one field of another type was left out, and denied as if there were none. What is known is served on.

--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -11,7 +11,7 @@
 import {sendRefusal} from './send-refusal.ts';
 
 /**
-When a caller may come back to a node that has no configuration yet, in milliseconds.
+When a caller may come back to a node that has no configuration yet, or perhaps not the newest, in milliseconds.
 */
 const comeBackMs = 300;
 /**
@@ -27,6 +27,13 @@
 */
 const idleCheckMs = 100;
 
+/**
+What is denied since the configuration does not allow it.
+*/
+const denials: ReadonlySet<string> = new Set([
+	'ERR_VALVESADDLE_NO_ROUTE', 'ERR_VALVESADDLE_UNAUTHENTICATED', 'ERR_VALVESADDLE_HEADERS_TOO_LARGE', 'ERR_VALVESADDLE_BODY_TOO_LARGE',
+]);
+
 /**
  Creates the front: it reads a request within the limits, asks the configuration for its route and client account, and
  hands it to the forwarder.
@@ -60,6 +67,13 @@
 		sendRefusal(response, error, options.isLeaving() || !request.complete);
 	}
 
+	/**
+	A newer configuration may allow what this one does not; callers do not repeat what was denied, so they are asked to come back.
+	*/
+	function toHonestError(error: ValvesaddleError): ValvesaddleError {
+		return !denials.has(error.code) || options.isCurrent() ? error : new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', `the configuration may be out of date: ${error.message}`, {retryAfterMs: comeBackMs});
+	}
+
 	function buildRequest(request: IncomingMessage, arrivedAt: number): Omit<ForwardRequest, 'body'> {
 		// A kept connection may bring it when too little of the grace time is left for its answer.
 		if (isDraining) {
@@ -111,7 +125,7 @@
 		try {
 			await forward(request, response);
 		} catch (error) {
-			refuse(request, response, toValvesaddleError(error));
+			refuse(request, response, toHonestError(toValvesaddleError(error)));
 		}
 	}
 
--- a/gateway/front/src/front-options.ts
+++ b/gateway/front/src/front-options.ts
@@ -21,6 +21,10 @@
 	*/
 	readonly limits: () => CallerLimits;
 	/**
+	Whether the configuration is the newest as far as can be told, so that what it does not allow may be denied.
+	*/
+	readonly isCurrent: () => boolean;
+	/**
 	Whether the node is about to leave, so that callers are told to close their connections.
 	*/
 	readonly isLeaving: () => boolean;
--- a/node/gateway/src/belief-sync.ts
+++ b/node/gateway/src/belief-sync.ts
@@ -19,6 +19,11 @@
 	*/
 	readonly exportState: () => ClusterState;
 	/**
+	Whether the configuration in force is the newest as far as can be told: the store was confirmed of late, and no newer one is
+	heard of.
+	*/
+	readonly isCurrent: () => boolean;
+	/**
 	Whether this node has to ask the store itself, as a follower for others or since no peer has confirmed anything of late.
 	*/
 	readonly isStoreNeeded: () => boolean;
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -218,6 +218,7 @@
 		},
 		getDelay: delays.get,
 		exportState: () => view.exportState(isConfirmed() && !view.hasLapsed()),
+		isCurrent: () => isConfirmed() && !versions.isBehind() && !view.hasUnreadConfiguration(),
 		isStoreNeeded() {
 			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed() || isLeftBehind();
 			if (isNeeded !== isFollowing) {
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -140,6 +140,7 @@
 		forwarder,
 		routes: () => routes,
 		limits: () => view.configuration()?.limits ?? defaultLimits,
+		isCurrent: () => sync.isCurrent(),
 		isLeaving: () => isLeaving,
 		logger,
 		metrics,
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -80,6 +80,7 @@
 				});
 				void runRepeatedly(() => options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length)), news.send);
 			},
+			isCurrent: beliefs.isCurrent,
 			isStoreNeeded: beliefs.isStoreNeeded,
 			close() {
 				closing.abort();
--- a/node/gateway/src/create-version-watch.ts
+++ b/node/gateway/src/create-version-watch.ts
@@ -24,16 +24,21 @@
 		return view.configuration()?.version ?? noVersion;
 	}
 
+	function isBehind(): boolean {
+		return heard > get();
+	}
+
 	function measureBehind(): number {
-		return aheadSince === undefined || heard <= get() ? 0 : performance.now() - aheadSince;
+		return aheadSince !== undefined && isBehind() ? performance.now() - aheadSince : 0;
 	}
 
 	return {
 		get,
+		isBehind,
 		measureBehind,
 		record(version) {
 			heard = Math.max(heard, version);
-			aheadSince = heard > get() ? aheadSince ?? performance.now() : undefined;
+			aheadSince = isBehind() ? aheadSince ?? performance.now() : undefined;
 			metrics.gauge('gateway.configuration-version', get());
 			metrics.gauge('gateway.configuration-heard', heard);
 			metrics.gauge('gateway.configuration-behind-ms', Math.round(measureBehind()));
--- a/node/gateway/src/peer-sync.ts
+++ b/node/gateway/src/peer-sync.ts
@@ -6,6 +6,10 @@
 	/**
 	Whether this node has to watch the store itself.
 	*/
+	/**
+	Whether the configuration in force is the newest as far as can be told.
+	*/
+	readonly isCurrent: () => boolean;
 	readonly isStoreNeeded: () => boolean;
 	readonly close: () => void;
 };
--- a/node/gateway/src/version-watch.ts
+++ b/node/gateway/src/version-watch.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly record: (version: number) => void;
 	/**
+	Whether a newer version than its own is known of.
+	*/
+	readonly isBehind: () => boolean;
+	/**
 	How long a newer version than its own has been known of, in milliseconds; 0 when there is none.
 	*/
 	readonly measureBehind: () => number;
