feat: relays are nodes whose links and processors bear it

Change: what a node can carry is the scarcer of its processor and its link (a new setting, link_mbps); a relay has at least half of the capacity of the strongest node of its data centre, but two there are in any case.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -20,6 +20,10 @@
 		*/
 		cpu_share: z.number().positive().default(1),
 		core_speed: z.number().positive().default(1),
+		/**
+		Megabits a second of the VM's own link.
+		*/
+		link_mbps: z.number().positive().default(1000),
 	}),
 	/**
 	Figures are always shown on the ready address, and on `metrics` too when it is set.
--- a/gateway/overlay/src/plan-overlay.ts
+++ b/gateway/overlay/src/plan-overlay.ts
@@ -20,6 +20,11 @@
 */
 const followerCount = 4;
 const rankKey = 'relay';
+/**
+Part of the capacity of its data centre's strongest node that a relay has at least: a weaker one would get as many members as the
+strongest, and carry them worse than it can.
+*/
+const leastCapacityPart = 0.5;
 
 /**
  Plans the links of a fleet. A small one is a full mesh. In a larger one the square root of its nodes are relays, spread over
@@ -37,7 +42,7 @@
 
 	const centres = Map.groupBy(members, ({dataCentre}) => dataCentre);
 	const perCentre = Math.max(leastRelays, Math.round(Math.sqrt(members.length) / centres.size));
-	const ranked = [...centres].toSorted(([a], [b]) => a.localeCompare(b)).map(([, group]) => rankMembers(group).slice(0, perCentre));
+	const ranked = [...centres].toSorted(([a], [b]) => a.localeCompare(b)).map(([, group]) => pickRelays(rankMembers(group), perCentre));
 	// The first of every data centre come before the second of any.
 	const relays = Array.from({length: perCentre}, (_, rank) => ranked.flatMap(group => group[rank] ?? [])).flat();
 	return {
@@ -47,6 +52,15 @@
 	};
 }
 
+/**
+The strongest of a data centre, so many at most.
+*/
+function pickRelays(ranked: readonly Member[], most: number): readonly Member[] {
+	const least = (ranked[0]?.capacity ?? 0) * leastCapacityPart;
+	const strong = ranked.filter(({capacity}) => capacity >= least);
+	return ranked.slice(0, Math.min(most, Math.max(leastRelays, strong.length)));
+}
+
 /**
 The strongest first; equal ones in an order by hash.
 */
--- a/gateway/overlay/test/overlay.test.ts
+++ b/gateway/overlay/test/overlay.test.ts
@@ -65,3 +65,14 @@
 	t.ok(counts.values().every(({length}) => length > 8 && length < 32));
 	t.end();
 });
+
+test('a node that is far weaker than the strongest of its data centre is no relay when two others are', t => {
+	const strong = [0, 1, 2, 3, 4, 5, 6, 7];
+	const overlay = planOverlay(createFleet(87, strong), {meshNodes: 16});
+	t.same(new Set(overlay.relays.keys()), new Set(strong.map(index => `n${index}`)));
+	const fewer = planOverlay(createFleet(300, [0, 4]), {meshNodes: 16});
+	t.equal([...fewer.relays].filter(relay => relay[1] === 'a').length, 2);
+	t.equal([...fewer.relays].filter(relay => relay[1] === 'b').length, 4, 'equal ones share the work');
+	t.equal([...planOverlay(createFleet(87, [0]), {meshNodes: 16}).relays].filter(relay => relay[1] === 'a').length, 2, 'one alone would leave nobody near when it is lost');
+	t.end();
+});
--- a/gateway/types/src/gateway-node.ts
+++ b/gateway/types/src/gateway-node.ts
@@ -16,7 +16,7 @@
 	readonly token: string;
 	readonly dataCentre: string;
 	/**
-	Share of a usual core that it may use; the stronger nodes of a data centre carry more for the fleet.
+	What it can carry for the fleet, as a share of a usual core; the stronger nodes of a data centre carry more.
 	*/
 	readonly capacity: number;
 };
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -21,6 +21,7 @@
 import {defaultLimits} from './default-limits.ts';
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
+import {measureCapacity} from './measure-capacity.ts';
 
 const msPerSecond = 1000;
 /**
@@ -51,7 +52,7 @@
 		address: listen.peers,
 		token: randomBytes(tokenBytes).toString('base64url'),
 		dataCentre: settings.node.data_centre,
-		capacity: settings.node.cpu_share * settings.node.core_speed,
+		capacity: measureCapacity(settings.node),
 	};
 	const page = createMetricsPage();
 	const metrics = createMetrics({node: name, page});
