fix: what a peer lacks at the same revision is not gone, and no state is asked for behind another

Once nothing may have lapsed any more, followers tell those that have all that was passed on so, in place of whole states that each would ask for.

--- a/gateway/cluster-view/src/cluster-state.ts
+++ b/gateway/cluster-view/src/cluster-state.ts
@@ -1,4 +1,5 @@
 import type {GatewayConfiguration, GatewayNode, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {Removal} from './removal.ts';
 
 /**
 All that a node believes, as it tells a peer that is behind.
@@ -9,6 +10,10 @@
 	readonly endpoints: ReadonlyArray<{readonly endpoint: ServingEndpoint; readonly revision: number}>;
 	readonly nodes: ReadonlyArray<{readonly node: GatewayNode; readonly revision: number}>;
 	/**
+	Endpoints and nodes that were removed of late, with the revisions at which they were.
+	*/
+	readonly removed: readonly Removal[];
+	/**
 	Whether the node was in touch with the store all the while, so that what is missing here was removed and did not lapse.
 	*/
 	readonly isSteady: boolean;
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -12,6 +12,7 @@
 import type {ClusterViewOptions} from './cluster-view-options.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
 import {hashEntry} from './hash-entry.ts';
+import type {Removal} from './removal.ts';
 
 type Handlers = {
 	/**
@@ -22,8 +23,6 @@
 
 type News = readonly ClusterChange[];
 
-type Removal = Extract<ClusterChange, {readonly kind: 'endpoint-removed' | 'node-removed'}>;
-
 const nothing: News = [];
 
 /**
@@ -240,17 +239,23 @@
 			configuration,
 			endpoints: endpoints.entries().map(({value, revision: at}) => ({endpoint: value, revision: at})),
 			nodes: nodes.entries().map(({value, revision: at}) => ({node: value, revision: at})),
+			removed: [
+				...endpoints.marks(-1).map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
+				...nodes.marks(-1).map(mark => ({kind: 'node-removed' as const, ...mark})),
+			],
 			isSteady,
 		}),
 		importState(state) {
-			const changes: ClusterChange[] = state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint', revision: at, endpoint}));
-			changes.push(...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})));
-			if (state.configuration !== undefined) {
-				changes.push({kind: 'configuration', revision: state.revision, configuration: state.configuration});
-			}
-
-			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse.
-			const apply = state.revision >= revision && state.isSteady ? applyAll : applyEach;
+			const changes: readonly ClusterChange[] = [
+				...state.removed,
+				...state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint' as const, revision: at, endpoint})),
+				...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})),
+				...(state.configuration === undefined ? [] : [{kind: 'configuration' as const, revision: state.revision, configuration: state.configuration}]),
+			];
+			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse. At the
+			// same revision only what it has seen removed counts: what it lacks it may have missed itself.
+			const isAhead = state.revision > revision || (state.revision === revision && lapsed.size > 0);
+			const apply = isAhead && state.isSteady ? applyAll : applyEach;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
--- a/gateway/cluster-view/src/create-versioned-map.ts
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -6,6 +6,11 @@
 */
 const mostMarks = 10_000;
 
+/**
+Marks that a peer is told; as many as a busy fleet makes in some hours.
+*/
+const mostMarksTold = 200;
+
 /**
  Creates a map of entries with revisions.
 
@@ -63,6 +68,7 @@
 			digest -= measureEntry(id);
 			return entries.delete(id);
 		},
+		marks: after => [...marks].filter(([, revision]) => revision > after).slice(-mostMarksTold).map(([id, revision]) => ({id, revision})),
 		digest: () => digest,
 		listMissing: (listed, revision) => [...entries].filter(([id, entry]) => !listed.has(id) && entry.revision <= revision).map(([id]) => id),
 	};
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -1,4 +1,5 @@
 import type {ClusterView, StoreFollower} from '@valvesaddle/cluster-view';
+import type {ClusterChanges} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerNetwork} from '@valvesaddle/network';
@@ -31,6 +32,10 @@
 */
 const neverMs = 1e9;
 /**
+Longest pause between two looks into a difference that stays, in milliseconds.
+*/
+const longestComparePauseMs = 60_000;
+/**
 What a peer knows, and how long ago the store confirmed that nothing may have lapsed there, in milliseconds.
 */
 type Word = {
@@ -56,8 +61,12 @@
 	let isFollowing = true;
 	let confirmedAt = -Infinity;
 	let lastAhead = '';
-	let comparedDifference = '';
-	let comparedAt = -Infinity;
+	let compareAgainAt = -Infinity;
+	let comparePauseMs = options.confirmMs;
+	/**
+	Revision before all that was passed on without its own since the store came back.
+	*/
+	let heldFrom: number | undefined;
 	const delays = createDelayMeter();
 	const versions = createVersionWatch({view, metrics});
 	const states = createStateTaker({
@@ -96,22 +105,26 @@
 	}
 
 	/**
-	Whether a source believes something else at the same revision. The same difference is looked into once in a while, not with
-	each heartbeat.
+	Whether a source believes something else at the same revision. A difference that its state does not mend is looked into less
+	and less often.
 	*/
 	function isDifferent(digest: number | undefined): boolean {
-		if (digest === undefined || digest === view.digest()) {
+		if (digest === undefined) {
+			return false;
+		}
+
+		if (digest === view.digest()) {
+			comparePauseMs = options.confirmMs;
 			return false;
 		}
 
-		const difference = `${digest} ${view.digest()}`;
 		const now = performance.now();
-		if (difference === comparedDifference && now - comparedAt < options.confirmMs) {
+		if (now < compareAgainAt) {
 			return false;
 		}
 
-		comparedDifference = difference;
-		comparedAt = now;
+		compareAgainAt = now + comparePauseMs;
+		comparePauseMs = Math.min(longestComparePauseMs, comparePauseMs * 2);
 		metrics.increment('gateway.beliefs-different');
 		return true;
 	}
@@ -144,7 +157,7 @@
 			return 'none';
 		}
 
-		if (states.isAsking()) {
+		if (!states.canAsk(node)) {
 			return 'wait for an answer';
 		}
 
@@ -168,23 +181,39 @@
 
 	network.events.on('lost', ({data: {node}}) => {
 		latePeers.delete(node);
-	});
-	view.events.on('nodeRemoved', ({data: {id}}) => {
-		delays.remove(id);
+		delays.remove(node);
 	});
 	view.events.on('advanced', ({data: {after, changes, source}}) => {
-		if (links.isMesh()) {
+		if (links.isMesh() || links.isMesh()) {
 			return;
 		}
 
 		const isOwn = source === 'store';
 		// While entries may have lapsed here, peers are told what is new, but not that nothing else was removed.
-		const revision = isOwn && !follower.isSteady() ? after : changes.revision;
-		network.broadcast('cluster.changes', {after, changes: {...changes, revision}}, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
+		const isHeld = isOwn && !follower.isSteady();
+		heldFrom = isHeld ? heldFrom ?? after : heldFrom;
+		sendChanges({after, changes: isHeld ? {...changes, revision: after} : changes}, isOwn);
 	});
 
+	function sendChanges(message: {readonly after: number; readonly changes: ClusterChanges}, isOwn: boolean): void {
+		network.broadcast('cluster.changes', message, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
+	}
+
+	/**
+	Once nothing may have lapsed any more, peers are told so: they have all that was passed on since then, and ask for nothing.
+	*/
+	function releaseHeld(): void {
+		if (heldFrom === undefined || !follower.isSteady() || view.hasLapsed()) {
+			return;
+		}
+
+		sendChanges({after: heldFrom, changes: {revision: view.revision(), changes: []}}, true);
+		heldFrom = undefined;
+	}
+
 	return {
 		sendHeartbeat() {
+			releaseHeld();
 			network.broadcast('cluster.heartbeat', {
 				revision: view.revision(),
 				digest: view.hasLapsed() ? undefined : view.digest(),
@@ -212,7 +241,7 @@
 			const hasGap = after > view.revision();
 			// What is newer holds whatever was missed before it; the revision waits for what was missed.
 			view.applyChanges(hasGap ? {...changes, revision: view.revision()} : changes, 'peer');
-			if (hasGap && !states.isAsking()) {
+			if (hasGap && states.canAsk(node)) {
 				states.ask(node);
 			}
 		},
--- a/node/gateway/src/create-state-taker.ts
+++ b/node/gateway/src/create-state-taker.ts
@@ -32,6 +32,10 @@
 	*/
 	let question = 0;
 	let isAsking = false;
+	/**
+	Peers that have not answered yet. Another question would only put a second whole state behind the first.
+	*/
+	const unanswered = new Set<string>();
 
 	function isOpen(asked: number): boolean {
 		return isAsking && asked === question;
@@ -39,7 +43,9 @@
 
 	async function takeState(node: string, asked: number): Promise<void> {
 		const startedAt = performance.now();
+		unanswered.add(node);
 		const answered = await network.call(node, 'cluster.state', {});
+		unanswered.delete(node);
 		isAsking &&= !isOpen(asked);
 		answered.match(state => {
 			const parsed = clusterStateSchema.safeParse(state);
@@ -76,7 +82,7 @@
 	}
 
 	return {
-		isAsking: () => isAsking,
+		canAsk: node => !isAsking && !unanswered.has(node),
 		ask(node) {
 			question++;
 			isAsking = true;
--- a/node/gateway/src/delay-meter.ts
+++ b/node/gateway/src/delay-meter.ts
@@ -12,7 +12,7 @@
 	*/
 	readonly get: (node: string) => number;
 	/**
-	Forgets a node that has left.
+	Forgets a link that is lost: the next one may go another way, and the clock of the machine may have stood still.
 	*/
 	readonly remove: (node: string) => void;
 };
--- a/node/gateway/test/delay-meter.test.ts
+++ b/node/gateway/test/delay-meter.test.ts
@@ -20,3 +20,25 @@
 	t.equal(delays.measure('n2', performance.now() - 900), 0);
 	t.end();
 });
+
+test('a clock that stood still seems late for two minutes at most, one that drifts never', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const delays = createDelayMeter();
+	const stoodStillMs = 10_000;
+	const drift = 50e-6;
+	delays.measure('n2', performance.now());
+	for (let second = 0; second < 120; second++) {
+		clock.advance(1000);
+		delays.measure('n2', performance.now() - stoodStillMs);
+	}
+
+	clock.advance(1000);
+	t.equal(delays.measure('n2', performance.now() - stoodStillMs), 0);
+	for (let minute = 0; minute < 24 * 60; minute++) {
+		clock.advance(60_000);
+		t.ok(delays.measure('n3', performance.now() * (1 - drift)) < 10);
+	}
+
+	t.end();
+});
