--- a/emulator/beliefs/src/change-record.ts
+++ b/emulator/beliefs/src/change-record.ts
@@ -7,8 +7,9 @@
 */
 export type ChangeRecord = {
 	/**
-	Looks at all nodes now, and at each of them whenever its beliefs change.
+	From now on looks at a node whenever its beliefs change.
 	*/
-	readonly add: (change: WrittenChange) => void;
+	readonly addNode: (node: SpreadingNode) => void;
+	readonly addChange: (change: WrittenChange) => void;
 	readonly summarize: (nodes: readonly SpreadingNode[]) => SpreadingReport['changes'];
 };
--- a/emulator/beliefs/src/create-change-record.ts
+++ b/emulator/beliefs/src/create-change-record.ts
@@ -3,7 +3,6 @@
 import type {WrittenChange} from './written-change.ts';
 
 type ChangeRecordOptions = {
-	readonly nodes: readonly SpreadingNode[];
 	/**
 	Milliseconds since the start.
 	*/
@@ -14,11 +13,13 @@
  Creates the record of who believed what, and when.
 
  @example
- const record = createChangeRecord({nodes, now});
- record.add(change);
+ const record = createChangeRecord({now});
+ record.addNode(node);
+ record.addChange(change);
  record.summarize(nodes)[0].lastAtMs; // 10_240
  */
-export function createChangeRecord({nodes, now}: ChangeRecordOptions): ChangeRecord {
+export function createChangeRecord({now}: ChangeRecordOptions): ChangeRecord {
+	const startedAtMs = new Map<SpreadingNode, number>();
 	const written = new Map<WrittenChange, Map<string, number>>();
 
 	function checkNode({self, view}: SpreadingNode): void {
@@ -29,16 +30,16 @@
 		}
 	}
 
-	for (const node of nodes) {
-		node.view.events.on(['configuration', 'endpoint', 'endpointRemoved'], () => {
-			checkNode(node);
-		});
-	}
-
 	return {
-		add(change) {
+		addNode(node) {
+			startedAtMs.set(node, now());
+			node.view.events.on(['configuration', 'endpoint', 'endpointRemoved'], () => {
+				checkNode(node);
+			});
+		},
+		addChange(change) {
 			written.set(change, new Map());
-			for (const node of nodes) {
+			for (const node of startedAtMs.keys()) {
 				checkNode(node);
 			}
 		},
@@ -47,7 +48,7 @@
 			subject,
 			writtenAtMs,
 			believedAtMs,
-			lastAtMs: Math.max(writtenAtMs, ...living.map(({self}) => believedAtMs.get(self.id) ?? 0)),
+			lastAtMs: Math.max(writtenAtMs, ...living.filter(node => startedAtMs.get(node)! <= writtenAtMs).map(({self}) => believedAtMs.get(self.id) ?? 0)),
 			missing: living.map(({self}) => self.id).filter(id => !believedAtMs.has(id)),
 		})),
 	};
--- a/emulator/beliefs/src/fault-tools.ts
+++ b/emulator/beliefs/src/fault-tools.ts
@@ -12,7 +12,15 @@
 	readonly store: EmulatedStore;
 	readonly hub: LinkHub;
 	readonly listNodes: () => readonly string[];
+	readonly listFollowers: () => readonly string[];
 	readonly findTarget: (target: SpreadingTarget) => string;
-	readonly endNode: (node: string) => void;
+	/**
+	Ends a process, or a machine.
+	*/
+	readonly endNode: (node: string, how: 'reset' | 'silence') => void;
+	/**
+	Starts a new process in the place of one that ended.
+	*/
+	readonly startAgain: (node: string) => void;
 	readonly setStateUnanswered: (node: string) => void;
 };
--- a/emulator/beliefs/src/main.ts
+++ b/emulator/beliefs/src/main.ts
@@ -69,6 +69,16 @@
 			kind: 'store-refuses', atMs: faultAtMs, forMs: 6000, how: 'reset', share: 0.8,
 		}],
 	},
+	{
+		name: 'store refuses its followers', faults: [{
+			kind: 'store-refuses', atMs: faultAtMs, forMs: 6000, how: 'reset', share: 'followers',
+		}],
+	},
+	{
+		name: 'node restarted', faults: [{
+			kind: 'node-restarted', atMs: faultAtMs, forMs: 400, target: {role: 'follower', nth: 0},
+		}],
+	},
 	{
 		name: 'store slow', faults: [{
 			kind: 'store-slow', atMs: faultAtMs, forMs: 6000, addedMs: 300,
--- a/emulator/beliefs/src/run-spreading.ts
+++ b/emulator/beliefs/src/run-spreading.ts
@@ -16,6 +16,7 @@
 import type {SpreadingNode} from './spreading-node.ts';
 import type {SpreadingOptions} from './spreading-options.ts';
 import type {SpreadingReport} from './spreading-report.ts';
+import type {SpreadingTarget} from './spreading-target.ts';
 import {startFault} from './start-fault.ts';
 import type {WrittenChange} from './written-change.ts';
 
@@ -33,6 +34,7 @@
 const idValues = 2 ** 32;
 const idDigits = 8;
 const hexadecimal = 16;
+const indexPattern = /^n-(?<index>\d+)\./v;
 /**
 Version of the configuration that is written before the nodes start.
 */
@@ -71,9 +73,11 @@
 	const lost = new Set<string>();
 	const store = createEmulatedStore({timeoutMs: settings.store.timeout_ms, random});
 	const hub = createLinkHub({traits: options.links, random});
-	const nodes = Array.from({length: options.nodes}, (_value, index): SpreadingNode => {
+	const nodes: SpreadingNode[] = [];
+	const record = createChangeRecord({now: runtime.now});
+	const startNode = (index: number): void => {
 		const self = createSelf(index, options.dataCentres, random);
-		return createSpreadingNode({
+		const node = createSpreadingNode({
 			self,
 			store: store.open(self),
 			hub,
@@ -86,21 +90,31 @@
 			...(options.work !== undefined && {takeNews: createEmulatedNews({work: options.work, endpoints: options.endpoints, random})}),
 			isStateUnanswered: () => stateUnanswered.has(self.id),
 		});
-	});
+		nodes.push(node);
+		record.addNode(node);
+		node.start();
+	};
+
 	const listLiving = (): readonly SpreadingNode[] => nodes.filter(({self}) => !lost.has(self.id));
 	const endpoints = Array.from({length: options.endpoints}, (_value, index) => createEndpoint(index, options.dataCentres));
-	const record = createChangeRecord({nodes, now: runtime.now});
+	const listLivingRole = (role: SpreadingTarget['role']): readonly string[] => listRole(listLiving().map(({self}) => self), {role, meshNodes: settings.peers.mesh_nodes});
 	const tools: FaultTools = {
 		runtime,
 		random,
 		store,
 		hub,
 		listNodes: () => nodes.map(({self}) => self.id),
-		findTarget: ({role, nth}) => listRole(listLiving().map(({self}) => self), {role, meshNodes: settings.peers.mesh_nodes})[nth]!,
-		endNode(id) {
+		listFollowers: () => listLivingRole('follower'),
+		findTarget: ({role, nth}) => listLivingRole(role)[nth]!,
+		endNode(id, how) {
 			lost.add(id);
+			hub.endNode(id, how);
+			store.endNode(id);
 			nodes.find(({self}) => self.id === id)!.close();
 		},
+		startAgain(id) {
+			startNode(Number(indexPattern.exec(id)!.groups!.index));
+		},
 		setStateUnanswered(id) {
 			stateUnanswered.add(id);
 		},
@@ -111,8 +125,10 @@
 		store.writeEndpoint(endpoint);
 	}
 
-	for (const node of nodes) {
-		runtime.add(startSpreadMs * random(), node.start);
+	for (let index = 0; index < options.nodes; index++) {
+		runtime.add(startSpreadMs * random(), () => {
+			startNode(index);
+		});
 	}
 
 	for (const fault of options.faults) {
@@ -128,7 +144,7 @@
 			store, endpoints, version, now: change.atMs,
 		};
 		runtime.add(change.atMs, () => {
-			record.add(writeChange(change, write));
+			record.addChange(writeChange(change, write));
 		});
 	}
 
--- a/emulator/beliefs/src/spreading-report.ts
+++ b/emulator/beliefs/src/spreading-report.ts
@@ -16,7 +16,7 @@
 		*/
 		readonly believedAtMs: ReadonlyMap<string, number>;
 		/**
-		When the last of those that ever had it did.
+		When the last of those that ever had it did, but for nodes that were started later.
 		*/
 		readonly lastAtMs: number;
 		/**
--- a/emulator/beliefs/src/start-fault.ts
+++ b/emulator/beliefs/src/start-fault.ts
@@ -24,18 +24,23 @@
 			store.setSlowness(0);
 		});
 	},
-	'store-refuses'(fault, {store, runtime, random, listNodes}) {
-		const refused = new Set(listNodes().filter(() => random() < fault.share));
+	'store-refuses'(fault, {store, runtime, random, listNodes, listFollowers}) {
+		const {share} = fault;
+		const refused = new Set(share === 'followers' ? listFollowers() : listNodes().filter(() => random() < share));
 		store.setTreatment(fault.how, refused);
 		runtime.add(fault.atMs + fault.forMs, () => {
 			store.setTreatment('served', refused);
 		});
 	},
-	'node-lost'(fault, {store, hub, findTarget, endNode}) {
+	'node-lost'(fault, {findTarget, endNode}) {
+		endNode(findTarget(fault.target), fault.how);
+	},
+	'node-restarted'(fault, {runtime, findTarget, endNode, startAgain}) {
 		const node = findTarget(fault.target);
-		hub.endNode(node, fault.how);
-		store.endNode(node);
-		endNode(node);
+		endNode(node, 'reset');
+		runtime.add(fault.atMs + fault.forMs, () => {
+			startAgain(node);
+		});
 	},
 	'links-lost'(fault, {hub, findTarget}) {
 		hub.endLinks(findTarget(fault.target), fault.how);
