fix: a word of the store counts from when it was first heard, not from each time it is passed on

Cause: a relay told others how old its last confirmation was, without the time on the way, and took theirs in the same way; over slow links the word never grew old, so with all followers refused by the store nobody else asked it (40 emulated nodes, 80 ms between data centres: last node after 5.4 s, bound 3 s). Change: heartbeats name the node that was in touch and the number of its word; each counts once.

--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -5,6 +5,7 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import type {BeliefSync} from './belief-sync.ts';
 import {changesSchema} from './changes-schema.ts';
+import {createConfirmationBook} from './create-confirmation-book.ts';
 import {createDelayMeter} from './create-delay-meter.ts';
 import {createStateTaker} from './create-state-taker.ts';
 import {createVersionWatch} from './create-version-watch.ts';
@@ -15,6 +16,7 @@
 Options of `createBeliefSync`.
 */
 type BeliefSyncOptions = {
+	readonly node: string;
 	readonly network: PeerNetwork;
 	readonly links: LinkPlan;
 	readonly view: ClusterView;
@@ -27,10 +29,6 @@
 	readonly metrics: Metrics;
 };
 
-/**
-Age that stands for a confirmation that never was, in milliseconds.
-*/
-const neverMs = 1e9;
 /**
 Longest pause between two looks into a difference that stays, in milliseconds.
 */
@@ -59,7 +57,7 @@
 export function createBeliefSync(options: BeliefSyncOptions): BeliefSync {
 	const {network, links, view, follower, logger, metrics} = options;
 	let isFollowing = true;
-	let confirmedAt = -Infinity;
+	const confirmations = createConfirmationBook({node: options.node});
 	let lastAhead = '';
 	let compareAgainAt = -Infinity;
 	let comparePauseMs = options.confirmMs;
@@ -79,10 +77,10 @@
 
 	function measureAge(): number {
 		if (follower.isSteady()) {
-			confirmedAt = performance.now();
+			confirmations.confirm();
 		}
 
-		return Math.min(neverMs, Math.round(performance.now() - confirmedAt));
+		return confirmations.measureAge();
 	}
 
 	function isConfirmed(): boolean {
@@ -219,17 +217,21 @@
 				digest: view.hasLapsed() ? undefined : view.digest(),
 				version: versions.get(),
 				confirmedAgoMs: measureAge(),
+				confirmation: confirmations.youngest(),
 				sentAt: performance.now(),
 			});
 		},
 		applyHeartbeat(parameters, node) {
-			const {confirmedAgoMs, sentAt, ...known} = heartbeatSchema.parse(parameters);
+			const {confirmedAgoMs, confirmation, sentAt, ...known} = heartbeatSchema.parse(parameters);
 			const delayMs = sentAt === undefined ? 0 : delays.measure(node, sentAt);
 			recordDelay(node, delayMs);
 			versions.record(known.version);
 			// What waited on its way says nothing of the time since it was sent.
 			const word: Word = {...known, digest: known.digest, ageMs: confirmedAgoMs + delayMs};
-			confirmedAt = Math.max(confirmedAt, performance.now() - word.ageMs);
+			if (confirmation !== undefined) {
+				confirmations.record(confirmation, word.ageMs);
+			}
+
 			const step = chooseStep(node, word);
 			recordAhead(node, word, step);
 			if (step === 'ask') {
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -39,7 +39,7 @@
 		node: self.id, network, links, selector, countNodes: () => view.nodes().length,
 	});
 	const beliefs = createBeliefSync({
-		network, links, view, follower, confirmMs: silenceMs, logger, metrics,
+		node: self.id, network, links, view, follower, confirmMs: silenceMs, logger, metrics,
 	});
 
 	async function runRepeatedly(measurePause: () => number, step: () => void): Promise<void> {
