--- a/emulator/beliefs/src/create-emulated-store.ts
+++ b/emulator/beliefs/src/create-emulated-store.ts
@@ -56,8 +56,8 @@
 */
 const sweepMs = 100;
 
-const configurationKey = 'op/config';
-const endpointPrefix = 'servers/';
+const configurationKey = 'configuration';
+const endpointPrefix = 'endpoints/';
 const nodePrefix = 'valvesaddle/nodes/';
 
 /**
@@ -234,7 +234,7 @@
 		for (let after = '', isMore = true; isMore;) {
 			const from = after;
 			// eslint-disable-next-line no-await-in-loop -- the next page begins after the last key of this one
-			const page = await sendCall<Page>('kv-range', node, answer => {
+			const page = await sendCall<Page>('list', node, answer => {
 				answer.send(readPage(from));
 			});
 			first ??= page.revision;
@@ -247,7 +247,7 @@
 	}
 
 	async function watchChanges(node: string, after: number, waitMs: number): Promise<ClusterChanges> {
-		return sendCall('kv-watch', node, answer => {
+		return sendCall('watch', node, answer => {
 			if (after < historyStart) {
 				answer.fail(new ValvesaddleError('ERR_VALVESADDLE_KV_HISTORY_LOST', 'the store answered 410'));
 				return;
@@ -271,12 +271,12 @@
 	}
 
 	async function registerNode(node: GatewayNode, termMs: number): Promise<string> {
-		const lease = await sendCall<string>('kv-lease', node.id, answer => {
+		const lease = await sendCall<string>('open-lease', node.id, answer => {
 			const id = String(++lastLease);
 			leases.set(id, {termMs, endsAt: performance.now() + termMs});
 			answer.send(id);
 		});
-		return sendCall('kv-txn', node.id, answer => {
+		return sendCall('write', node.id, answer => {
 			if (!leases.has(lease)) {
 				answer.fail(createUnavailable('the store answered 404'));
 				return;
@@ -293,7 +293,7 @@
 			list: () => ResultAsync.fromPromise(listAll(id), toValvesaddleError),
 			watch: (after, waitMs) => ResultAsync.fromPromise(watchChanges(id, after, waitMs), toValvesaddleError),
 			register: (node, leaseMs) => ResultAsync.fromPromise(registerNode(node, leaseMs), toValvesaddleError),
-			renew: lease => ResultAsync.fromPromise(sendCall<boolean>('kv-keep', id, answer => {
+			renew: lease => ResultAsync.fromPromise(sendCall<boolean>('renew', id, answer => {
 				const held = leases.get(lease);
 				if (held !== undefined) {
 					held.endsAt = performance.now() + held.termMs;
@@ -301,7 +301,7 @@
 
 				answer.send(held !== undefined);
 			}), toValvesaddleError),
-			release: lease => ResultAsync.fromPromise(sendCall<void>('kv-lease-end', id, answer => {
+			release: lease => ResultAsync.fromPromise(sendCall<void>('end-lease', id, answer => {
 				endLease(lease);
 				answer.send(undefined);
 			}), toValvesaddleError),
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -13,6 +13,7 @@
 import {createVersionedMap} from './create-versioned-map.ts';
 import {hashEntry} from './hash-entry.ts';
 import type {Removal} from './removal.ts';
+import type {Unreadable} from './unreadable.ts';
 
 type Handlers = {
 	/**
@@ -47,6 +48,7 @@
 	*/
 	let configuredAt = -1;
 	let unreadAt = -1;
+	let unread: Unreadable | undefined;
 	let lapseUntil = 0;
 	let lapseTimer: NodeJS.Timeout | undefined;
 
@@ -171,13 +173,19 @@
 		'node-removed'(change, source) {
 			return applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
-		unreadable({key, reason, revision: at, isConfiguration}) {
-			unreadAt = isConfiguration ? Math.max(unreadAt, at) : unreadAt;
+		unreadable(change) {
+			const {key, reason, revision: at, isConfiguration} = change;
+			if (isConfiguration && at <= unreadAt) {
+				return nothing;
+			}
+
+			unreadAt = isConfiguration ? at : unreadAt;
+			unread = isConfiguration ? change : unread;
 			metrics.increment('gateway.entries-unreadable');
 			logger.warn({
 				name: 'store-entry-unreadable', key, revision: at, reason,
 			});
-			return nothing;
+			return isConfiguration ? [change] : nothing;
 		},
 		other: () => nothing,
 	};
@@ -243,11 +251,13 @@
 				...endpoints.marks(-1).map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
 				...nodes.marks(-1).map(mark => ({kind: 'node-removed' as const, ...mark})),
 			],
+			unread: unreadAt > configuredAt ? unread : undefined,
 			isSteady,
 		}),
 		importState(state) {
 			const changes: readonly ClusterChange[] = [
 				...state.removed,
+				...(state.unread === undefined ? [] : [state.unread]),
 				...state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint' as const, revision: at, endpoint})),
 				...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})),
 				...(state.configuration === undefined ? [] : [{kind: 'configuration' as const, revision: state.revision, configuration: state.configuration}]),
--- /dev/null
+++ b/gateway/cluster-view/src/unreadable.ts
@@ -0,0 +1,6 @@
+import type {ClusterChange} from '@valvesaddle/gateway-types';
+
+/**
+An entry of the store that cannot be read.
+*/
+export type Unreadable = Extract<ClusterChange, {readonly kind: 'unreadable'}>;
--- a/gateway/news/src/create-news-relay.ts
+++ b/gateway/news/src/create-news-relay.ts
@@ -1,7 +1,7 @@
 import {
 	addLoads,
 	noLoad,
-	subtractLoads,
+	removeLoad,
 	type EndpointLoad,
 	type LoadNews,
 	type Placement,
@@ -53,9 +53,10 @@
 	const relayLinks: Links = new Map();
 	const memberLinks: Links = new Map();
 	/**
-	Sums over all origins, until one of their parts changes.
+	Sums over all origins, and over this node and its members, until one of their parts changes.
 	*/
 	const totals = new Map<string, EndpointLoad>();
+	const groupTotals = new Map<string, EndpointLoad>();
 
 	function listOrigins(): readonly Origin[] {
 		return origins.values().toArray();
@@ -66,38 +67,68 @@
 	}
 
 	function measureTotal(endpoint: string): EndpointLoad {
-		const total = totals.get(endpoint) ?? sumLoads(listOrigins(), endpoint);
+		const total = totals.get(endpoint) ?? addAllLoads(listOrigins(), endpoint);
 		totals.set(endpoint, total);
 		return total;
 	}
 
-	function markChanged(links: Links, endpoints: Iterable<string>, placements: readonly Placement[]): void {
-		const added = [...endpoints];
+	function measureGroup(endpoint: string): EndpointLoad {
+		const total = groupTotals.get(endpoint) ?? addAllLoads(listMembers(), endpoint);
+		groupTotals.set(endpoint, total);
+		return total;
+	}
+
+	function markChanged(links: Links, endpoints: readonly string[], placements: readonly Placement[]): void {
 		for (const link of links.values()) {
 			link.placements = [...link.placements, ...placements].slice(-mostPlacements);
-			for (const endpoint of added) {
+			for (const endpoint of endpoints) {
 				link.changed.add(endpoint);
 			}
 		}
 	}
 
+	/**
+	Sums that these endpoints are part of are told anew: to members, and to relays where the group's own work is concerned.
+	*/
+	function updateSums(endpoints: readonly string[], placements: readonly Placement[], isOfGroup: boolean): void {
+		for (const endpoint of endpoints) {
+			totals.delete(endpoint);
+			groupTotals.delete(endpoint);
+		}
+
+		markChanged(memberLinks, endpoints, placements);
+		if (isOfGroup) {
+			markChanged(relayLinks, endpoints, placements);
+		}
+	}
+
 	function addNews(news: OriginNews, isMember: boolean): void {
-		const loads = origins.get(news.origin)?.loads ?? new Map<string, EndpointLoad>();
+		const before = origins.get(news.origin);
+		const loads = before?.loads ?? new Map<string, EndpointLoad>();
 		origins.set(news.origin, {isMember, nodes: news.nodes, loads});
 		for (const [endpoint, load] of news.loads) {
 			loads.set(endpoint, load);
-			totals.delete(endpoint);
 		}
 
-		const endpoints = news.loads.map(([endpoint]) => endpoint);
-		markChanged(memberLinks, endpoints, news.placements);
-		if (isMember) {
-			markChanged(relayLinks, endpoints, news.placements);
+		updateSums(news.loads.map(([endpoint]) => endpoint), news.placements, isMember);
+		// A node that has become a relay, or a member, enters or leaves the group with all its work.
+		if (before !== undefined && before.isMember !== isMember) {
+			updateSums(loads.keys().toArray(), [], true);
 		}
 	}
 
+	/**
+	A link's first news tell all. One that was told as a member or a relay before has heard of endpoints that are not part of its
+	sums any more.
+	*/
+	function openLink(linked: string, known: readonly Origin[]): Link {
+		const wasLinked = relayLinks.delete(linked) || memberLinks.delete(linked);
+		const told = wasLinked ? listOrigins() : known;
+		return {changed: new Set(told.flatMap(({loads}) => loads.keys().toArray())), placements: [], nodes: 0};
+	}
+
 	function findLink(links: Links, linked: string, known: readonly Origin[]): Link {
-		const link = links.get(linked) ?? {changed: new Set(known.flatMap(({loads}) => loads.keys().toArray())), placements: [], nodes: 0};
+		const link = links.get(linked) ?? openLink(linked, known);
 		links.set(linked, link);
 		return link;
 	}
@@ -136,23 +167,16 @@
 				return;
 			}
 
-			for (const endpoint of removed.loads.keys()) {
-				totals.delete(endpoint);
-			}
-
-			markChanged(memberLinks, removed.loads.keys(), []);
-			if (removed.isMember) {
-				markChanged(relayLinks, removed.loads.keys(), []);
-			}
+			updateSums(removed.loads.keys().toArray(), [], removed.isMember);
 		},
 		takeForRelay(relay) {
 			const members = listMembers();
-			return takeNews(findLink(relayLinks, relay, members), countNodes(members), endpoint => sumLoads(members, endpoint));
+			return takeNews(findLink(relayLinks, relay, members), countNodes(members), measureGroup);
 		},
 		takeForMember(member) {
 			const own = origins.get(member);
 			const known = listOrigins();
-			return takeNews(findLink(memberLinks, member, known), countNodes(known) - (own?.nodes ?? 0), endpoint => subtractLoads(measureTotal(endpoint), own?.loads.get(endpoint) ?? noLoad));
+			return takeNews(findLink(memberLinks, member, known), countNodes(known) - (own?.nodes ?? 0), endpoint => removeLoad(measureTotal(endpoint), own?.loads.get(endpoint) ?? noLoad));
 		},
 		removeLink(linked) {
 			relayLinks.delete(linked);
@@ -165,7 +189,7 @@
 	return origins.reduce((sum, {nodes}) => sum + nodes, 0);
 }
 
-function sumLoads(origins: readonly Origin[], endpoint: string): EndpointLoad {
+function addAllLoads(origins: readonly Origin[], endpoint: string): EndpointLoad {
 	let sum = noLoad;
 	for (const {loads} of origins) {
 		sum = addLoads(sum, loads.get(endpoint) ?? noLoad);
--- a/gateway/news/test/news-relay.test.ts
+++ b/gateway/news/test/news-relay.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'tap';
 import {noLoad, type EndpointLoad, type Placement} from '@valvesaddle/selection';
-import {createNewsRelay, type OriginNews} from '@valvesaddle/news';
+import {createNewsRelay, type NewsRelay, type OriginNews} from '@valvesaddle/news';
 
 function toLoad(open: number): EndpointLoad {
 	return {
@@ -119,3 +119,63 @@
 	t.equal(relay.takeForMember('n9'), undefined);
 	t.end();
 });
+
+function toWork(origin: string, open: number, ids: readonly string[] = ['i-1']): OriginNews {
+	return {
+		origin, nodes: 1, loads: ids.map(id => [id, {...noLoad, open}]), placements: [],
+	};
+}
+
+/**
+What a linked node knows by a relay, from all messages that it took.
+*/
+function createEar(take: () => OriginNews | undefined) {
+	const known = new Map<string, EndpointLoad>();
+	return (): Readonly<Record<string, number>> => {
+		for (let news = take(); news !== undefined; news = take()) {
+			for (const [id, load] of news.loads) {
+				known.set(id, load);
+			}
+		}
+
+		return Object.fromEntries(known.entries().filter(([, {open}]) => open > 0).map(([id, {open}]) => [id, open]));
+	};
+}
+
+test('a member that becomes a relay is no longer counted by the one that told of it before', t => {
+	const relay = createNewsRelay({node: 'r1'});
+	const hear = createEar(() => relay.takeForRelay('r9'));
+	relay.addMember(toWork('n1', 5, ['i-1', 'i-2']));
+	t.same(hear(), {'i-1': 5, 'i-2': 5});
+	// It tells r9 itself from now on; here it changes at one endpoint only.
+	relay.addGroup(toWork('n1', 6));
+	t.same(hear(), {}, 'r9 hears n1 itself');
+	t.end();
+});
+
+test('a relay that becomes a member is counted with all its work by the one that tells of it now', t => {
+	const relay = createNewsRelay({node: 'r1'});
+	const hear = createEar(() => relay.takeForRelay('r9'));
+	relay.addGroup(toWork('n1', 5, ['i-1', 'i-2']));
+	t.same(hear(), {});
+	relay.addMember(toWork('n1', 6));
+	t.same(hear(), {'i-1': 6, 'i-2': 5});
+	t.end();
+});
+
+test('a linked member that becomes a relay, and one that becomes a member again, keep nothing of what they were told before', t => {
+	const relay: NewsRelay = createNewsRelay({node: 'r1'});
+	let isMember = true;
+	const hear = createEar(() => isMember ? relay.takeForMember('x') : relay.takeForRelay('x'));
+	relay.addMember(toWork('n1', 2));
+	relay.addGroup(toWork('r2', 7, ['i-1', 'i-2']));
+	t.same(hear(), {'i-1': 9, 'i-2': 7});
+	isMember = false;
+	t.same(hear(), {'i-1': 2}, 'r2 tells x of its own work itself');
+	isMember = true;
+	relay.addMember(toWork('n1', 3));
+	t.same(hear(), {'i-1': 10, 'i-2': 7});
+	isMember = false;
+	t.same(hear(), {'i-1': 3});
+	t.end();
+});
--- a/gateway/overlay/src/choose-parent.ts
+++ b/gateway/overlay/src/choose-parent.ts
@@ -1,6 +1,11 @@
 import {rankByHash} from '@valvesaddle/ranking';
 import type {Overlay} from './overlay.ts';
 
+/**
+Shares of the strongest relay of a data centre: fine enough for one of an eighth of its strength.
+*/
+const sharesOfStrongest = 8;
+
 type ParentQuestion = {
 	readonly node: string;
 	readonly dataCentre: string;
@@ -17,11 +22,20 @@
  @example
  chooseParent(overlay, {node: 'n9', dataCentre: 'smolyan', suspects: new Set()});
  */
-export function chooseParent({relays}: Overlay, {node, dataCentre, suspects}: ParentQuestion): string | undefined {
+export function chooseParent({relays, strengths}: Overlay, {node, dataCentre, suspects}: ParentQuestion): string | undefined {
 	if (relays.has(node)) {
 		return undefined;
 	}
 
-	const ranked = rankByHash(node, relays.keys().filter(id => !suspects.has(id)).toArray());
+	const shares = new Map(relays.keys().filter(id => !suspects.has(id)).flatMap(id => listShares(id, strengths.get(id) ?? 1)));
+	const ranked = rankByHash(node, shares.keys().toArray()).flatMap(share => shares.get(share) ?? []);
 	return ranked.find(id => relays.get(id) === dataCentre) ?? ranked[0];
 }
+
+/**
+A relay takes part in the ranking once for each share of its strength, so that a weaker one gets fewer members.
+*/
+function listShares(id: string, strength: number): ReadonlyArray<readonly [share: string, id: string]> {
+	const count = Math.max(1, Math.round(sharesOfStrongest * strength));
+	return Array.from({length: count}, (_value, index) => [`${id} ${index}`, id] as const);
+}
--- a/gateway/overlay/src/overlay.ts
+++ b/gateway/overlay/src/overlay.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly relays: ReadonlyMap<string, string>;
 	/**
+	What each relay can carry against the strongest of its data centre, above 0 up to 1.
+	*/
+	readonly strengths: ReadonlyMap<string, number>;
+	/**
 	Relays that follow the store for all.
 	*/
 	readonly followers: ReadonlySet<string>;
--- a/gateway/overlay/test/overlay.test.ts
+++ b/gateway/overlay/test/overlay.test.ts
@@ -76,3 +76,21 @@
 	t.equal([...planOverlay(createFleet(87, [0]), {meshNodes: 16}).relays].filter(relay => relay[1] === 'a').length, 2, 'one alone would leave nobody near when it is lost');
 	t.end();
 });
+
+test('a weak node is the relay of few members, also where there is one strong node only', t => {
+	const nodes = ['a', 'b', 'c'].flatMap(dataCentre => Array.from({length: 29}, (_value, index) => ({
+		id: `${dataCentre}-${index}`, dataCentre, capacity: index === 0 ? 1 : 0.15,
+	})));
+	const overlay = planOverlay(nodes, {meshNodes: 16});
+	const counts = new Map<string, number>();
+	for (const {id, dataCentre} of nodes) {
+		const parent = chooseParent(overlay, {node: id, dataCentre, suspects: new Set()});
+		if (parent !== undefined) {
+			counts.set(parent, (counts.get(parent) ?? 0) + 1);
+		}
+	}
+
+	const weak = [...counts].filter(([id]) => !id.endsWith('-0'));
+	t.ok(weak.every(([, count]) => count <= 8), `members of weak relays: ${weak.map(([id, count]) => `${id} ${count}`).join(', ')}; relays ${overlay.relays.size}`);
+	t.end();
+});
--- a/gateway/selection/src/index.ts
+++ b/gateway/selection/src/index.ts
@@ -9,4 +9,4 @@
 export type {SelectionQuestion} from './selection-question.ts';
 export type {Selector} from './selector.ts';
 export type {SelectorOptions} from './selector-options.ts';
-export {subtractLoads} from './subtract-loads.ts';
+export {removeLoad} from './remove-load.ts';
--- a/gateway/selection/src/subtract-loads.ts
+++ b/gateway/selection/src/remove-load.ts
@@ -5,9 +5,9 @@
  Takes a part out of a sum of loads; requests, prompts and sensitivity do not fall below 0.
 
  @example
- subtractLoads({...noLoad, open: 3}, {...noLoad, open: 2}).open; // 1
+ removeLoad({...noLoad, open: 3}, {...noLoad, open: 2}).open; // 1
  */
-export function subtractLoads(sum: EndpointLoad, part: EndpointLoad): EndpointLoad {
+export function removeLoad(sum: EndpointLoad, part: EndpointLoad): EndpointLoad {
 	return addLoads(sum, {
 		open: -part.open,
 		unread: part.unread.map(tokens => -tokens),
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -1,5 +1,4 @@
 import type {ClusterView, StoreFollower} from '@valvesaddle/cluster-view';
-import type {ClusterChanges} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
 import type {PeerNetwork} from '@valvesaddle/network';
@@ -61,10 +60,6 @@
 	let lastAhead = '';
 	let compareAgainAt = -Infinity;
 	let comparePauseMs = options.confirmMs;
-	/**
-	Revision before all that was passed on without its own since the store came back.
-	*/
-	let heldFrom: number | undefined;
 	const delays = createDelayMeter();
 	const versions = createVersionWatch({view, metrics});
 	const states = createStateTaker({
@@ -182,36 +177,18 @@
 		delays.remove(node);
 	});
 	view.events.on('advanced', ({data: {after, changes, source}}) => {
-		if (links.isMesh() || links.isMesh()) {
+		if (links.isMesh()) {
 			return;
 		}
 
 		const isOwn = source === 'store';
 		// While entries may have lapsed here, peers are told what is new, but not that nothing else was removed.
-		const isHeld = isOwn && !follower.isSteady();
-		heldFrom = isHeld ? heldFrom ?? after : heldFrom;
-		sendChanges({after, changes: isHeld ? {...changes, revision: after} : changes}, isOwn);
+		const revision = isOwn && !follower.isSteady() ? after : changes.revision;
+		network.broadcast('cluster.changes', {after, changes: {...changes, revision}}, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
 	});
 
-	function sendChanges(message: {readonly after: number; readonly changes: ClusterChanges}, isOwn: boolean): void {
-		network.broadcast('cluster.changes', message, isOwn ? [...links.listRelays(), ...links.listMembers()] : links.listMembers());
-	}
-
-	/**
-	Once nothing may have lapsed any more, peers are told so: they have all that was passed on since then, and ask for nothing.
-	*/
-	function releaseHeld(): void {
-		if (heldFrom === undefined || !follower.isSteady() || view.hasLapsed()) {
-			return;
-		}
-
-		sendChanges({after: heldFrom, changes: {revision: view.revision(), changes: []}}, true);
-		heldFrom = undefined;
-	}
-
 	return {
 		sendHeartbeat() {
-			releaseHeld();
 			network.broadcast('cluster.heartbeat', {
 				revision: view.revision(),
 				digest: view.hasLapsed() ? undefined : view.digest(),
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -45,7 +45,9 @@
 	Links that this node opened; what others opened is theirs to close.
 	*/
 	const opened = new Set<string>();
-	let overlay: Overlay = {isMesh: true, relays: new Map([[self.id, self.dataCentre]]), followers: new Set([self.id])};
+	let overlay: Overlay = {
+		isMesh: true, relays: new Map([[self.id, self.dataCentre]]), strengths: new Map(), followers: new Set([self.id]),
+	};
 	let isChanged = true;
 	let parent: string | undefined;
 	let updatedAt = performance.now();
--- a/node/gateway/src/create-state-taker.ts
+++ b/node/gateway/src/create-state-taker.ts
@@ -18,6 +18,15 @@
 	readonly metrics: Metrics;
 };
 
+/**
+Time after which a peer that has not answered is asked again, in milliseconds; far more than the largest state takes on a slow link.
+*/
+const longestAnswerMs = 10_000;
+/**
+Longest pause between two questions to a peer whose states do not help, in milliseconds.
+*/
+const longestPauseMs = 60_000;
+
 /**
  Creates the taker of peers' states. It asks one peer at a time; one that leaves the question open keeps no other from being
  asked, and what it says later is still taken in.
@@ -33,9 +42,10 @@
 	let question = 0;
 	let isAsking = false;
 	/**
-	Peers that have not answered yet. Another question would only put a second whole state behind the first.
+	When a peer may be asked again, on the steady clock in milliseconds. A second question would only put another whole state
+	behind the first; one whose state did not help is asked less and less often.
 	*/
-	const unanswered = new Set<string>();
+	const again = new Map<string, {readonly at: number; readonly pauseMs: number}>();
 
 	function isOpen(asked: number): boolean {
 		return isAsking && asked === question;
@@ -43,10 +53,12 @@
 
 	async function takeState(node: string, asked: number): Promise<void> {
 		const startedAt = performance.now();
-		unanswered.add(node);
+		const before = `${view.revision()} ${view.digest()}`;
+		const pauseMs = again.get(node)?.pauseMs ?? patienceMs;
+		again.set(node, {at: startedAt + longestAnswerMs, pauseMs});
 		const answered = await network.call(node, 'cluster.state', {});
-		unanswered.delete(node);
 		isAsking &&= !isOpen(asked);
+		again.set(node, {at: performance.now() + pauseMs, pauseMs: Math.min(longestPauseMs, pauseMs * 2)});
 		answered.match(state => {
 			const parsed = clusterStateSchema.safeParse(state);
 			if (!parsed.success) {
@@ -62,6 +74,9 @@
 				elapsedMs: Math.round(performance.now() - startedAt),
 			});
 			view.importState(parsed.data);
+			if (`${view.revision()} ${view.digest()}` !== before) {
+				again.delete(node);
+			}
 		}, error => {
 			logger.info({
 				name: 'peer-state', peer: node, reachable: false, reason: error.message,
@@ -82,7 +97,7 @@
 	}
 
 	return {
-		canAsk: node => !isAsking && !unanswered.has(node),
+		canAsk: node => !isAsking && performance.now() >= (again.get(node)?.at ?? 0),
 		ask(node) {
 			question++;
 			isAsking = true;
