test: a rejection or redirect that no endpoint vouches for, or that names no request

Cause: only successes are asked for the endpoint's signature and the request's id; any 3xx and 4xx is passed on as the request's answer, whoever gave it. Four behaviours of the stand-in endpoint.

--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -42,6 +42,24 @@
 	failed(request, socket) {
 		socket.write(formatAnswer('500 Internal Server Error', request, signature, 'failed'));
 	},
+	/**
+	A rejection that no endpoint vouches for: of a process that has taken over the address, say.
+	*/
+	unsignedRejection(request, socket) {
+		socket.write(formatAnswer('404 Not Found', request, {}, 'no such path'));
+	},
+	unsignedRedirect(request, socket) {
+		socket.write(formatAnswer('302 Found', request, {location: '/elsewhere/'}, ''));
+	},
+	/**
+	What the HTTP server of any process says of bytes that it cannot read; it names no request.
+	*/
+	bareRejection(_request, socket) {
+		socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
+	},
+	rejected(request, socket) {
+		socket.write(formatAnswer('404 Not Found', request, signature, 'nothing of that name'));
+	},
 	unsigned(request, socket) {
 		socket.write(formatAnswer('200 OK', request, {}, 'not vouched for'));
 	},
--- a/node/gateway/test/outcomes.test.ts
+++ b/node/gateway/test/outcomes.test.ts
@@ -28,6 +28,15 @@
 	{
 		path: '/safe/x', turns: ['unsigned', 'whole'], status: 200, arrivals: 2,
 	},
+	{
+		path: '/safe/x', turns: ['unsignedRejection', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['unsignedRedirect', 'whole'], status: 200, arrivals: 2,
+	},
+	{
+		path: '/safe/x', turns: ['bareRejection', 'whole'], status: 200, arrivals: 2,
+	},
 	{
 		path: '/safe/x', turns: ['encoded', 'whole'], status: 200, arrivals: 2,
 	},
@@ -58,6 +67,15 @@
 	{
 		path: '/unsafe/x', turns: ['unsigned', 'whole'], status: 502, arrivals: 1,
 	},
+	{
+		path: '/unsafe/x', turns: ['unsignedRejection', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['unsignedRedirect', 'whole'], status: 502, arrivals: 1,
+	},
+	{
+		path: '/unsafe/x', turns: ['bareRejection', 'whole'], status: 502, arrivals: 1,
+	},
 	{
 		path: '/unsafe/x', turns: ['otherRequest', 'whole'], status: 502, arrivals: 1,
 	},
@@ -124,3 +142,17 @@
 	await platform.call('/resumable/x');
 	t.same(platform.arrived.map(({headers}) => headers.get('last-event-id')), [undefined, '1']);
 });
+
+// Every 3xx and 4xx of an endpoint's address used to be passed on, whether or not it bore the endpoint's signature and the id of
+// the request. Another process at the address, or an HTTP server that could not read the bytes, was so believed: callers of safe
+// routes were turned away though another endpoint was left, and callers of unsafe ones were told of a rejection where the request
+// might have run. The rows above with rejections and redirects show that; one that is vouched for still has to get through.
+test('a rejection that an endpoint vouches for is passed on as it is', async t => {
+	const platform = await startPlatform(t, ['rejected']);
+	await platform.open();
+	const answer = await platform.call('/unsafe/x');
+	t.equal(answer.status, 404);
+	t.equal(answer.text, 'nothing of that name');
+	t.equal(answer.headers['x-response-seal'], 'seal');
+	t.equal(platform.arrived.length, 1);
+});
