fix: a rejection or redirect counts only if an endpoint vouches for it and it names the request

Cause: any 3xx and 4xx was passed on as the request's answer, whether or not it bore the endpoint's signature and the id of the request. A safe request was so turned away by whatever listened at the address though another endpoint was left, and an unsafe one was told of a rejection where it might have run. Change: below 500 every answer needs signature and id; one without is untrusted, as a success without them was. A safe request goes elsewhere, an unsafe one ends with 502. With both it is passed on unchanged; 5xx and the mark of not having run stay as they are. An endpoint that leaves signature or id out of its rejections now costs a second run or a 502.

--- a/gateway/forwarding/src/classify-answer.ts
+++ b/gateway/forwarding/src/classify-answer.ts
@@ -25,18 +25,23 @@
 		return 'not-run';
 	}
 
-	if (status >= 200 && status < 300) {
-		const isTrusted = facts.isSigned && !facts.isEncoded && facts.requestId === requestId;
-		if (!isTrusted) {
-			return 'untrusted';
-		}
+	if (status >= 500 && !promisingStatuses.has(status)) {
+		return 'run-failed';
+	}
 
-		return facts.isEventStream ? 'stream' : 'whole';
+	// Another process at the address may redirect or reject too, so these have to be vouched for like successes.
+	const isVouchedFor = facts.isSigned && facts.requestId === requestId;
+	if (!isVouchedFor || promisingStatuses.has(status)) {
+		return 'untrusted';
 	}
 
-	if (promisingStatuses.has(status)) {
+	return status < 300 ? classifySuccess(facts) : 'whole';
+}
+
+function classifySuccess({isEncoded, isEventStream}: AnswerFacts): Verdict {
+	if (isEncoded) {
 		return 'untrusted';
 	}
 
-	return status >= 500 ? 'run-failed' : 'whole';
+	return isEventStream ? 'stream' : 'whole';
 }
