test: what follows a request on its connection takes its answer away

Cause: nothing handles the HTTP server's `clientError`, so Node writes its own 408 or 400 over a connection whose request still runs, and closes it. None of these answers leaves a line or a count. Change: ten tests on raw connections: half a head or no request after one that runs (its answer has to come), a head that is whole only after its time (must not run), a caller that leaves after either (its run ends), a stream that has begun, and 408, 431 and 400 where no answer is open, with their counts.

--- /dev/null
+++ b/node/gateway/test/kept-connections.test.ts
@@ -0,0 +1,167 @@
+// A caller sent a request and, while it ran, half a head of the next one or bytes that are no request. Node's HTTP server wrote
+// its own 408 or 400 over the connection as soon as the head took too long or could not be read, and the caller took it for the
+// answer to the request that ran: 408 promises that it did not run, 400 that it never will. Neither left a line nor a count.
+import {connect, type Socket} from 'node:net';
+import {test, type Test} from 'tap';
+import {waitUntil} from '@valvesaddle/fake-fleet';
+import {startPlatform} from './start-platform.ts';
+
+const head = 'Host: permits.example\r\nAuthorization: Bearer key\r\n';
+const unsafeRequest = `POST /unsafe/x HTTP/1.1\r\n${head}X-Attempt-Id: a1\r\nContent-Length: 3\r\n\r\nabc`;
+/**
+Time in which the node would have ended a head that takes too long, in milliseconds.
+*/
+const longEnoughMs = 2000;
+
+const halfHead = 'GET /safe/y HTTP/1.1\r\nHost: per';
+const rests: ReadonlyArray<readonly [name: string, rest: string]> = [
+	['half a head that takes too long', halfHead],
+	['bytes that are no request', '\u{0}\u{1} no request\r\n\r\n'],
+];
+
+type Platform = Awaited<ReturnType<typeof startPlatform>>;
+
+/**
+Starts a platform with a short time limit for heads, whose endpoints answer only when they are told to.
+*/
+async function startSilentPlatform(t: Test): Promise<Platform> {
+	const platform = await startPlatform(t, ['silent']);
+	await platform.open();
+	const [first] = platform.configuration.routes;
+	platform.store.put('op/config', {
+		...platform.configuration,
+		version: 2,
+		routes: [...platform.configuration.routes, {...first, prefix: '/second/', service: 'nobody'}],
+		limits: {'header-timeout-ms': 100},
+	});
+	await waitUntil(async () => (await platform.call('/second/x')).status === 503);
+	return platform;
+}
+
+/**
+Waits until something holds, or would long have held.
+*/
+async function waitLongEnough(hasCome: () => boolean | Promise<boolean>): Promise<void> {
+	const until = performance.now() + longEnoughMs;
+	await waitUntil(async () => await hasCome() || performance.now() > until);
+}
+
+function openConnection({addresses}: Platform) {
+	const [host = '', port = ''] = addresses.callers.split(':', 2);
+	const socket: Socket = connect({host, port: Number(port), allowHalfOpen: true});
+	const closed = Promise.withResolvers<void>();
+	let text = '';
+	socket.setEncoding('latin1');
+	socket.on('data', (chunk: string) => {
+		text += chunk;
+	});
+	socket.on('end', () => {
+		socket.end();
+	});
+	socket.on('error', error => {
+		text += `(${error.message})`;
+	});
+	socket.on('close', () => {
+		closed.resolve();
+	});
+	return {socket, closed: closed.promise, read: () => text};
+}
+
+async function readErrors({addresses}: Platform): Promise<string> {
+	const page = await fetch(`http://${addresses.ready}/metrics`);
+	return (await page.text()).split('\n').filter(line => line.startsWith('valvesaddle_gateway_connection_errors')).join('\n');
+}
+
+for (const [name, rest] of rests) {
+	test(`a request that runs gets its own answer, whatever follows on its connection: ${name}`, async t => {
+		const platform = await startSilentPlatform(t);
+		const {socket, closed, read} = openConnection(platform);
+		socket.write(unsafeRequest);
+		await waitUntil(() => platform.arrived.length === 1);
+		socket.write(rest);
+		await waitLongEnough(() => read() !== '' || socket.closed);
+		t.equal(read(), '', '400 says nothing of a run, and 408 would promise that there was none');
+		platform.endpoints[0]?.answerOpen('whole');
+		platform.endpoints[1]?.answerOpen('whole');
+		await closed;
+		t.match(read(), /^HTTP\/1\.1 200 /v);
+		t.notMatch(read(), /HTTP\/1\.1 4/v);
+		t.match(await readErrors(platform), name.startsWith('half') ? /ERR_HTTP_REQUEST_TIMEOUT/v : /HPE_/v);
+	});
+}
+
+test('a head that is whole only after its time runs nowhere, as its connection is about to be closed', async t => {
+	const platform = await startSilentPlatform(t);
+	const {socket, closed, read} = openConnection(platform);
+	socket.write(unsafeRequest);
+	await waitUntil(() => platform.arrived.length === 1);
+	socket.write(halfHead);
+	await waitLongEnough(async () => (await readErrors(platform)).includes('ERR_HTTP_REQUEST_TIMEOUT'));
+	socket.write('mits.example\r\nAuthorization: Bearer key\r\nX-Attempt-Id: a2\r\n\r\n');
+	await waitLongEnough(async () => {
+		const page = await fetch(`http://${platform.addresses.ready}/metrics`);
+		return (await page.text()).includes('ERR_VALVESADDLE_CONNECTION_ENDING');
+	});
+	platform.endpoints[0]?.answerOpen('whole');
+	platform.endpoints[1]?.answerOpen('whole');
+	await closed;
+	t.match(read(), /^HTTP\/1\.1 200 /v);
+	t.equal(platform.arrived.length, 1);
+});
+
+for (const [name, rest] of rests) {
+	test(`a caller that leaves after ${name} leaves no run behind`, async t => {
+		const platform = await startSilentPlatform(t);
+		const {socket, closed} = openConnection(platform);
+		socket.write(unsafeRequest);
+		await waitUntil(() => platform.arrived.length === 1);
+		socket.write(rest);
+		await waitLongEnough(async () => (await readErrors(platform)) !== '');
+		t.notOk(socket.closed, 'until it leaves its run goes on');
+		socket.end();
+		await closed;
+		await waitLongEnough(() => platform.endpoints.some(endpoint => endpoint.closedConnections() > 0));
+		t.ok(platform.endpoints.some(endpoint => endpoint.closedConnections() > 0));
+		t.equal(platform.arrived.length, 1);
+	});
+}
+
+const alone: ReadonlyArray<readonly [status: number, code: string, what: string, bytes: string]> = [
+	[408, 'ERR_HTTP_REQUEST_TIMEOUT', 'half a head', halfHead],
+	[431, 'HPE_HEADER_OVERFLOW', 'a head over what the parser takes', `GET /safe/x HTTP/1.1\r\n${head}X-Long: ${'x'.repeat(200_000)}\r\n\r\n`],
+	[400, 'HPE_INVALID_METHOD', 'bytes that are no request', '\u{1} no request\r\n\r\n'],
+	[400, 'HPE_INVALID_CHUNK_SIZE', 'a body that cannot be read', `POST /unsafe/x HTTP/1.1\r\n${head}Transfer-Encoding: chunked\r\n\r\nno size\r\n`],
+];
+
+for (const [status, code, what, bytes] of alone) {
+	test(`${what} is answered ${status} and counted where no answer is open`, async t => {
+		const platform = await startSilentPlatform(t);
+		const {socket, closed, read} = openConnection(platform);
+		socket.write(bytes);
+		await closed;
+		t.match(read(), new RegExp(String.raw`^HTTP/1\.1 ${status} [^\r]*\r\n(?:[^\r]+\r\n)*Connection: close\r\n`, 'v'));
+		t.match(await readErrors(platform), new RegExp(`code="${code}"`, 'v'));
+		t.equal(platform.arrived.length, 0);
+	});
+}
+
+test('an answer in pieces that has begun comes whole, whatever follows on its connection', async t => {
+	const platform = await startSilentPlatform(t);
+	const {socket, closed, read} = openConnection(platform);
+	for (const endpoint of platform.endpoints) {
+		endpoint.setBehaviour((request, endpointSocket) => {
+			platform.arrived.push(request);
+			const signedHead = `X-Attempt-Id: ${request.requestId}\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n`;
+			endpointSocket.write(`HTTP/1.1 200 OK\r\n${signedHead}Transfer-Encoding: chunked\r\n\r\n7\r\nfirst\n\n\r\n`);
+			setTimeout(() => {
+				endpointSocket.write('6\r\nlast\n\n\r\n0\r\n\r\n');
+			}, longEnoughMs / 4);
+		});
+	}
+
+	socket.write(`GET /stream/x HTTP/1.1\r\n${head}X-Attempt-Id: a1\r\n\r\n`);
+	await waitUntil(() => read().includes('first'));
+	socket.write('\u{1} no request\r\n\r\n');
+	await closed;
+	t.match(read(), /^HTTP\/1\.1 200 [\s\S]*first[\s\S]*last\n\n\r\n0\r\n\r\n$/v);
+});
