fix: the HTTP server's own answers are never written over an open one, and leave a line and a count

Cause: Node answers a head that takes too long, or bytes that it cannot read, on the connection itself, also while a request on it runs. Its caller took the 408 for a promise that the run had not happened. Change: a guard of connections handles `clientError`. Answers that are open end, the last one bids the connection closed; requests that come whole only after that get 503 and don't run; a caller that leaves within a head ends its runs as before. Each failed connection writes `connection-failed` and counts in gateway.connection-errors by code, broken ones (ECONNRESET) too.

--- a/core/error/src/error-table.ts
+++ b/core/error/src/error-table.ts
@@ -68,6 +68,9 @@
 	ERR_VALVESADDLE_DRAINING: {
 		status: 503, ran: 'no', retryable: true, hint: 'The node is leaving; try another node.',
 	},
+	ERR_VALVESADDLE_CONNECTION_ENDING: {
+		status: 503, ran: 'no', retryable: true, hint: 'Bytes before it on its connection could not be read; send it on another connection.',
+	},
 	ERR_VALVESADDLE_CANCELLED: {
 		status: 499, ran: 'maybe', retryable: true, hint: 'The caller went away.',
 	},
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -4,6 +4,7 @@
 import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
 import {startServer} from '@valvesaddle/http-server';
 import {countHeaderBytes} from './count-header-bytes.ts';
+import {createConnectionGuard} from './create-connection-guard.ts';
 import {createReply} from './create-reply.ts';
 import type {Front} from './front.ts';
 import type {FrontOptions} from './front-options.ts';
@@ -55,6 +56,9 @@
 		},
 	});
 
+	const guard = createConnectionGuard({logger, metrics});
+	server.on('clientError', guard.handleError);
+
 	let isDraining = false;
 
 	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
@@ -80,6 +84,11 @@
 			throw new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'it came after the balancer had time to send callers elsewhere', {retryAfterMs: 0});
 		}
 
+		// Its answer might never be written, so it must not run.
+		if (guard.isEnding(request.socket)) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_CONNECTION_ENDING', 'its connection is about to be closed', {retryAfterMs: 0});
+		}
+
 		const index = options.routes();
 		if (index === undefined) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration is known yet', {retryAfterMs: comeBackMs});
@@ -122,6 +131,7 @@
 
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		metrics.increment('gateway.requests');
+		guard.add(request, response);
 		try {
 			await forward(request, response);
 		} catch (error) {
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -42,6 +42,9 @@
 		readonly name: 'request-refused'; readonly request: string; readonly code: string; readonly reason: string;
 		readonly version: number | undefined;
 	}
+	| {
+		readonly name: 'connection-failed'; readonly code: string; readonly reason: string; readonly openAnswers: number; readonly status: number | undefined;
+	}
 	| {
 		readonly name: 'request-admission'; readonly request: string; readonly kind: string; readonly predictedMs: number; readonly readMs: number; readonly objectiveMs: number;
 		readonly elapsedMs: number;
