test: a resumed stream whose second run is answered whole

Cause: what comes whole in a second run is written as an answer of its own after the stream's head has gone out. That throws after the task has closed with its timer, so nothing ends the caller's stream. Change: three tests: it ends at once and counts as broken off when no endpoint is left (a 200 that is no stream, a rejection), and goes on at a third endpoint. The tests on connections wait for the refusal's code, not its status alone.

--- a/node/gateway/test/kept-connections.test.ts
+++ b/node/gateway/test/kept-connections.test.ts
@@ -34,7 +34,7 @@
 		routes: [...platform.configuration.routes, {...first, prefix: '/second/', service: 'nobody'}],
 		limits: {'header-timeout-ms': 100},
 	});
-	await waitUntil(async () => (await platform.call('/second/x')).status === 503);
+	await waitUntil(async () => (await platform.call('/second/x')).text.includes('ERR_VALVESADDLE_NO_ENDPOINT'));
 	return platform;
 }
 
--- a/node/gateway/test/outcomes.test.ts
+++ b/node/gateway/test/outcomes.test.ts
@@ -1,5 +1,7 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'tap';
-import type {behaviours} from '@valvesaddle/fake-endpoint';
+import {behaviours, startFakeEndpoint, type ArrivedRequest} from '@valvesaddle/fake-endpoint';
+import {waitUntil} from '@valvesaddle/fake-fleet';
 import {startPlatform} from './start-platform.ts';
 
 type Case = {
@@ -156,3 +158,53 @@
 	t.equal(answer.headers['x-response-seal'], 'seal');
 	t.equal(platform.arrived.length, 1);
 });
+
+// A resumable stream broke and was taken up at another endpoint, which answered with something whole: a 200 that is no stream, or
+// a rejection. Its head was to be written after that of the stream had gone out. That threw, the exchange swallowed the error, and
+// as the task had closed with its timer before, nothing was left to end the caller's stream: it stayed open without end.
+for (const second of ['whole', 'rejected'] as const) {
+	test(`a stream that is taken up where the answer is no stream ends at once, and not as whole: ${second}`, async t => {
+		const platform = await startPlatform(t, ['brokenStream', second]);
+		await platform.open();
+		const text = await Promise.race([
+			(async () => (await platform.call('/resumable/x')).text)(),
+			delay(5000, 'still open', {ref: false}),
+		]);
+		t.match(text, /^id: 0\n[\s\S]*\(broken\)$/v);
+		t.equal(platform.arrived.length, 2);
+		const page = await fetch(`http://${platform.addresses.ready}/metrics`);
+		t.match(await page.text(), /gateway_ended_total\{[^\}]*outcome="broken-off"[^\}]*\} 1/v, 'it counts as broken off, not as answered');
+	});
+}
+
+test('a stream that is taken up where the answer is no stream goes on at another endpoint if there is one', async t => {
+	const platform = await startPlatform(t);
+	const third = await startFakeEndpoint();
+	t.teardown(third.close);
+	await platform.open();
+	platform.store.put('servers/i-2', {
+		service: 'register', address: third.address, zone: 'a', slots: 4, state: 'ready',
+	});
+	platform.store.put('op/config', {
+		...platform.configuration,
+		version: 2,
+		routes: platform.configuration.routes.map(route => ({...route, 'max-attempts': 3})),
+		limits: {},
+	});
+	const turns = [behaviours.brokenStream, behaviours.whole, behaviours.stream];
+	const arrived: ArrivedRequest[] = [];
+	for (const endpoint of [...platform.endpoints, third]) {
+		endpoint.setBehaviour((request, socket) => {
+			arrived.push(request);
+			turns[arrived.length - 1]?.(request, socket);
+		});
+	}
+
+	await waitUntil(async () => (await platform.call('/empty/x', {headers: {'x-long': 'x'.repeat(3000)}})).text.includes('ERR_VALVESADDLE_NO_ENDPOINT'));
+	const text = await Promise.race([
+		(async () => (await platform.call('/resumable/x')).text)(),
+		delay(5000, 'still open', {ref: false}),
+	]);
+	t.match(text, allEvents);
+	t.same(arrived.map(({lastEventId}) => lastEventId), [-1, 1, 1]);
+});
