fix: a resumed stream whose second run is answered whole goes on elsewhere or is cut

Cause: the whole answer was written after the stream's head had gone out. Writing threw, and the task had closed and cleared its timer before, so the caller's stream stayed open without end. Change: once a stream has begun, a run that is answered whole counts as failed, as one that fails or is untrusted; with no try left the stream is cut. An answer is written before its task closes, so that the timer outlives a write that fails.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -282,6 +282,10 @@
 		} else if (answer.verdict === 'stream' && writer.hasRest()) {
 			opened.close('failed');
 			handleFailure({reason: 'the stream ended within an event', mayHaveRun: true});
+		} else if (answer.verdict === 'whole' && writer.isBegun()) {
+			// The caller has the head of a stream already, which nothing but a stream can go on with.
+			opened.close('failed');
+			handleFailure({reason: `a stream went on as a whole answer ${answer.status}`, mayHaveRun: true});
 		} else {
 			opened.close('done');
 			answerCaller(answer);
@@ -290,8 +294,9 @@
 
 	function answerCaller(answer: AttemptAnswer): void {
 		exchange = undefined;
-		closeTask('answered', answer.status);
+		// The timer goes last: an answer that cannot be written would otherwise stay open without end.
 		writer.end(answer);
+		closeTask('answered', answer.status);
 	}
 
 	function handleFailure(failure: AttemptFailure): void {
