--- a/.ci/known-red.mjs
+++ b/.ci/known-red.mjs
@@ -3,7 +3,7 @@
 import {existsSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 
-const [, , runPath, listPath] = process.argv;
+const [runPath, listPath] = process.argv.slice(2);
 const mostKnown = 3;
 const known = existsSync(listPath)
 	? readFileSync(listPath, 'utf8').split('\n').map(line => line.trim()).filter(line => line !== '' && !line.startsWith('#'))
@@ -12,26 +12,31 @@
 const failed = [];
 let inFile = [];
 for (const line of readFileSync(runPath, 'utf8').split('\n')) {
-	const test = /^ {4}not ok \d+ - (.*?)(?: # time=.*)?(?: \{)?$/v.exec(line);
+	const test = /^ {4}not ok \d+ - (?<name>.*?)(?: # time=.*)?(?: \{)?$/v.exec(line);
 	if (test) {
-		inFile.push(test[1]);
+		inFile.push(test.groups.name);
+		continue;
 	}
 
-	const file = /^(not ok|ok) \d+ - (\S+)/v.exec(line);
-	if (file) {
-		// A file that fails without a failed test of its own was ended or could not run: nothing on the list covers that.
-		failed.push(...(file[1] === 'not ok' && inFile.length === 0 ? [file[2]] : inFile.map(name => `${file[2]}: ${name}`)));
-		inFile = [];
+	const file = /^(?<result>not ok|ok) \d+ - (?<path>\S+)/v.exec(line);
+	if (!file) {
+		continue;
 	}
+
+	const {result, path} = file.groups;
+	// A file that fails without a failed test of its own was ended or could not run: nothing on the list covers that.
+	failed.push(...(result === 'not ok' && inFile.length === 0 ? [path] : inFile.map(name => `${path}: ${name}`)));
+	inFile = [];
 }
 
 const unknown = failed.filter(name => !names.has(name));
 const red = known.filter(line => failed.includes(line.split(' | ', 1)[0]));
+const green = known.filter(line => !red.includes(line));
 for (const line of red) {
 	console.log(`known red: ${line}`);
 }
 
-for (const line of known.filter(line => !red.includes(line))) {
+for (const line of green) {
 	console.log(`on the list, and passes now: ${line}`);
 }
 
