fix: a link believes no pong that says what was not sent, ends when nothing is confirmed, and goes by the steady clock

What is under way on a link is counted in a file of its own. A link whose confirmation is waited for longer than five silences is ended and counted as peer.links-unconfirmed; a pong that says what cannot be is counted as peer.pongs-invalid. A process that stood still takes no link for idle, as it takes none for dead.

--- a/emulator/beliefs/src/create-emulated-network.ts
+++ b/emulator/beliefs/src/create-emulated-network.ts
@@ -46,7 +46,7 @@
 	let isClosed = false;
 
 	const timer = setInterval(() => {
-		const now = Date.now();
+		const now = performance.now();
 		for (const link of all) {
 			link.tick(now);
 		}
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -11,6 +11,7 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {PeerLink} from './peer-link.ts';
 import type {PeerLinkOptions} from './peer-link-options.ts';
+import {createSendWindow} from './create-send-window.ts';
 import {toRpcError} from './to-rpc-error.ts';
 
 /**
@@ -23,10 +24,10 @@
 const pingPart = 3;
 
 /**
-Bytes that may be under way to a node before it counts as not ready: little enough that those of twenty nodes pass an uplink of
-7 Mbit/s within 0.4 s, and many times what a link carries within its round trip.
+A link that was heard but confirmed nothing for so many silences is ended: the other end takes in no news. Several, since
+a confirmation waits behind all that was sent before it.
 */
-const windowBytes = 16 * 1024;
+const unconfirmedSilences = 5;
 
 /**
  Creates a link over an open socket. The link owns the socket.
@@ -37,21 +38,19 @@
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
 	const {socket, metrics} = options;
-	let heardAt = Date.now();
-	let usedAt = Date.now();
-	let pingedAt = Date.now();
-	let tickedAt = Date.now();
+	// The steady clock: when the time of day was set, idle links were closed at once, or no pings went out.
+	let heardAt = performance.now();
+	let usedAt = heardAt;
+	let pingedAt = heardAt;
+	let tickedAt = heardAt;
 	/**
-	Time of the first ping without any answer since; 0 when none is open.
+	Time of the first ping without any answer since; `undefined` when none is open.
 	*/
-	let unansweredSince = 0;
+	let unansweredSince: number | undefined;
 	let pending = 0;
-	let sentBytes = 0;
-	let confirmedBytes = 0;
-	/**
-	Bytes that a ping under way will confirm; 0 when there is none.
-	*/
-	let probedBytes = 0;
+	const sendWindow = createSendWindow(text => {
+		socket.ping(text);
+	});
 
 	const server = new JSONRPCServer({
 		errorListener() {
@@ -76,31 +75,12 @@
 		metrics.increment('peer.bytes-sent', text.length);
 		metrics.increment('peer.messages-sent');
 		socket.send(text);
-		sentBytes += text.length;
-		updateProbe();
-	}
-
-	function countUnconfirmed(): number {
-		return sentBytes - confirmedBytes;
-	}
-
-	/**
-	A ping follows what was sent in the same stream, so its answer confirms all that was sent before it.
-	*/
-	function updateProbe(): void {
-		if (!(probedBytes === 0 && countUnconfirmed() > windowBytes / 2)) {
-			return;
-		}
-
-		probedBytes = sentBytes;
-		socket.ping(String(sentBytes));
+		sendWindow.addSent(text.length);
 	}
 
 	function applyPong(data: RawData): void {
 		markHeard();
-		confirmedBytes = Math.max(confirmedBytes, Number(toText(data)));
-		probedBytes = 0;
-		updateProbe();
+		metrics.increment('peer.pongs-invalid', sendWindow.applyPong(toText(data)) ? 0 : 1);
 	}
 
 	async function handleMessage(data: RawData): Promise<void> {
@@ -125,8 +105,17 @@
 	}
 
 	function markHeard(): void {
-		heardAt = Date.now();
-		unansweredSince = 0;
+		heardAt = performance.now();
+		unansweredSince = undefined;
+	}
+
+	/**
+	What other nodes sent while this process stood still is yet to be read: that time proves nothing.
+	*/
+	function markPaused(now: number): void {
+		unansweredSince = undefined;
+		usedAt = now;
+		sendWindow.markPaused(now);
 	}
 
 	socket.on('message', data => {
@@ -148,39 +137,42 @@
 	return {
 		node: options.node,
 		async call(method, parameters) {
-			usedAt = Date.now();
+			usedAt = performance.now();
 			pending++;
 			try {
 				const answer: unknown = await client.request(method, parameters);
 				return answer;
 			} finally {
 				pending--;
-				usedAt = Date.now();
+				usedAt = performance.now();
 			}
 		},
 		notify(method, parameters) {
-			usedAt = Date.now();
+			usedAt = performance.now();
 			client.notify(method, parameters);
 		},
 		tick(now) {
-			const wasPaused = now - tickedAt >= options.silenceMs;
-			tickedAt = now;
-			if (wasPaused) {
-				unansweredSince = 0;
+			if (now - tickedAt >= options.silenceMs) {
+				markPaused(now);
 			}
 
-			if (unansweredSince > 0 && now - unansweredSince >= options.silenceMs) {
+			tickedAt = now;
+			if (unansweredSince !== undefined && now - unansweredSince >= options.silenceMs) {
+				socket.terminate();
+			} else if (sendWindow.measureWait(now) >= unconfirmedSilences * options.silenceMs) {
+				// It would be given no news for as long as it lives, and nothing else would end it.
+				metrics.increment('peer.links-unconfirmed');
 				socket.terminate();
 			} else if (pending > 0 && now - Math.max(heardAt, pingedAt) >= options.silenceMs / pingPart) {
 				pingedAt = now;
-				unansweredSince ||= now;
-				socket.ping(String(sentBytes));
+				unansweredSince ??= now;
+				socket.ping(String(sendWindow.countSent()));
 			} else if (pending === 0 && now - Math.max(usedAt, heardAt) >= idleMs) {
 				socket.close();
 			}
 		},
-		countUnconfirmed,
-		isReady: () => countUnconfirmed() <= windowBytes,
+		countUnconfirmed: sendWindow.countUnconfirmed,
+		isReady: sendWindow.isReady,
 		close() {
 			socket.terminate();
 		},
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -43,7 +43,7 @@
 	let isClosed = false;
 
 	const timer = setInterval(() => {
-		const now = Date.now();
+		const now = performance.now();
 		for (const link of all) {
 			link.tick(now);
 		}
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -6,7 +6,7 @@
 	readonly call: (method: string, parameters: unknown) => Promise<unknown>;
 	readonly notify: (method: string, parameters: unknown) => void;
 	/**
-	Looks after the link: pings while it is in use, closes it after long silence.
+	Looks after the link: pings while it is in use, ends it after long silence. Takes the time of `performance.now()`.
 	*/
 	readonly tick: (now: number) => void;
 	/**
