fix: a peer that never answers keeps nobody from asking another one or from watching the store

A question for a newer configuration holds up the next one for a second at most; its answer is taken in whenever it comes, each by itself. The follower's askPeers gives one promise for each peer now, so the two tests that pass it were changed in form; what they assert is the same.

--- a/config/follower/src/config-follower-options.ts
+++ b/config/follower/src/config-follower-options.ts
@@ -16,9 +16,10 @@
 	*/
 	readonly retryMs: number;
 	/**
-	Asks some peers for their record; used while the key-value service does not answer.
+	Asks some peers for their record, each with an answer of its own that need not come; used while the key-value service does
+	not answer.
 	*/
-	readonly askPeers: () => Promise<readonly unknown[]>;
+	readonly askPeers: () => ReadonlyArray<Promise<unknown>>;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 };
--- a/config/follower/src/create-config-follower.ts
+++ b/config/follower/src/create-config-follower.ts
@@ -10,6 +10,11 @@
 Watches end at different times on different nodes by this part of their length.
 */
 const jitterPart = 0.2;
+/**
+Longest wait for the answers of peers before the key-value service is tried again, in milliseconds: many round trips
+between data centres, and the time of a record behind other messages.
+*/
+const answerMs = 1000;
 
 /**
  Creates the follower of the configuration: one long watch on the key-value service, and peers while that one does not
@@ -83,9 +88,11 @@
 	}
 
 	async function askPeers(): Promise<void> {
-		for (const text of await options.askPeers()) {
-			offerText(text, 'peer');
-		}
+		const answers = options.askPeers().map(async answer => {
+			offerText(await answer, 'peer');
+		});
+		// A peer on a living link may never answer: what comes later is still taken in, but nothing waits for it.
+		await Promise.race([Promise.all(answers), delay(answerMs, undefined, {ref: false})]);
 	}
 
 	async function runWatches(): Promise<void> {
--- a/config/follower/test/config-follower.test.ts
+++ b/config/follower/test/config-follower.test.ts
@@ -20,7 +20,7 @@
 	};
 }
 
-function createFollower(watch: ConfigStore['watch'], askPeers: () => Promise<readonly unknown[]> = async () => []): ConfigFollower {
+function createFollower(watch: ConfigStore['watch'], askPeers: () => ReadonlyArray<Promise<unknown>> = () => []): ConfigFollower {
 	return createConfigFollower({
 		store: {
 			watch, read: () => errAsync(down), readRevision: () => errAsync(down), apply: () => errAsync(down),
@@ -63,7 +63,7 @@
 });
 
 test('while the service is down the peers are asked, and a newer record of theirs is taken over', async t => {
-	const follower = createFollower(() => errAsync(down), async () => [undefined, 'garbage', formatRecord(createRecord(2)), formatRecord(createRecord(7))]);
+	const follower = createFollower(() => errAsync(down), () => [undefined, 'garbage', formatRecord(createRecord(2)), formatRecord(createRecord(7))].map(async text => text));
 	t.teardown(follower.close);
 	follower.start();
 	await follower.events.once('changed');
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -24,15 +24,11 @@
 import {createCatchUp} from './create-catch-up.ts';
 import {createDrain} from './create-drain.ts';
 import {createHealth} from './create-health.ts';
+import {createPeerAsker} from './create-peer-asker.ts';
 import {createPeerHandlers} from './create-peer-handlers.ts';
 import type {Router} from './router.ts';
 import type {RouterOptions} from './router-options.ts';
 
-/**
-Peers asked for their configuration while the key-value service does not answer.
-*/
-const askedPeers = 3;
-
 /**
  Creates a router node from its settings: all tasks, wired together.
 
@@ -73,11 +69,9 @@
 		store,
 		watchMs: settings.platform.kv_watch_ms,
 		retryMs: settings.platform.kv_timeout_ms,
-		async askPeers() {
-			const peers = [...new Set([...network.connected(), ...membership.others()])].slice(0, askedPeers);
-			const results = await Promise.all(peers.map(async peer => network.call(peer, 'configuration.compare', {revision: follower.revision()})));
-			return results.flatMap(result => result.isOk() ? [result.value] : []);
-		},
+		askPeers: createPeerAsker({
+			network, listPeers: () => [...network.connected(), ...membership.others()], revision: () => follower.revision(),
+		}),
 		metrics,
 		logger,
 	});
