--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -15,6 +15,7 @@
 import {z} from 'zod';
 import type {CatchUp} from './catch-up.ts';
 import {compareSchema} from './compare-schema.ts';
+import {fitPage} from './fit-page.ts';
 import {readRequestSchema} from './read-request-schema.ts';
 
 type PeerHandlerOptions = {
@@ -62,7 +63,8 @@
 				throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', `no answer is kept under ${requestId}`);
 			}
 
-			return log.readWithin(offset, longestReadMs);
+			// All that is left in one message held up urgent calls behind it, and over 2 MiB it broke the link.
+			return fitPage(await log.readWithin(offset, longestReadMs));
 		},
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
