feat: the view tells an endpoint's incarnations apart

Cause: an endpoint was told from its predecessor by its id alone, and a process may start again under the id that it had, with nothing of before. Change: an endpoint's entry may say when its process started. Of two entries the later incarnation holds, then the higher revision; a new one is told of once, as `incarnation`, before the entry itself. An entry that cannot be read stops new work at the endpoint that was believed under its key; it is logged and counted once a revision. Conclusion: nodes that hear the same entries in any order believe the same incarnation (property over histories).

--- a/gateway/cluster-view/src/cluster-events.ts
+++ b/gateway/cluster-view/src/cluster-events.ts
@@ -11,6 +11,10 @@
 */
 export type ClusterEvents = {
 	configuration: {readonly configuration: GatewayConfiguration};
+	/**
+	A process has started again under the id of `before`, told once and before `endpoint`: whatever was kept of `before` is of no use.
+	*/
+	incarnation: {readonly endpoint: ServingEndpoint; readonly before: ServingEndpoint};
 	endpoint: {readonly endpoint: ServingEndpoint};
 	endpointRemoved: {readonly id: string};
 	node: {readonly node: GatewayNode};
--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -10,7 +10,8 @@
 import type {ClusterState} from './cluster-state.ts';
 
 /**
-What a node believes of the cluster. A belief gives way only to one of a higher revision.
+What a node believes of the cluster. A belief gives way only to one of a higher revision, that in an endpoint only to one of
+the same or a later incarnation.
 */
 export type ClusterView = {
 	readonly events: Emittery<ClusterEvents>;
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -10,6 +10,7 @@
 import type {ClusterEvents} from './cluster-events.ts';
 import type {ClusterView} from './cluster-view.ts';
 import type {ClusterViewOptions} from './cluster-view-options.ts';
+import {createRevisionMarks} from './create-revision-marks.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
 import {hashEntry} from './hash-entry.ts';
 import type {Removal} from './removal.ts';
@@ -24,8 +25,15 @@
 
 type News = readonly ClusterChange[];
 
+type EndpointChange = Extract<ClusterChange, {readonly kind: 'endpoint'}>;
+
 const nothing: News = [];
 
+/**
+Longest reason of an entry that cannot be read, in characters: whoever wrote it chose its length.
+*/
+const longestReason = 200;
+
 /**
  Creates a node's view of the cluster, empty at first.
 
@@ -35,12 +43,17 @@
  */
 export function createClusterView({logger, metrics}: ClusterViewOptions): ClusterView {
 	const events = new Emittery<ClusterEvents>();
-	const endpoints = createVersionedMap<ServingEndpoint>();
+	const endpoints = createVersionedMap<ServingEndpoint>(getBirth);
 	const nodes = createVersionedMap<GatewayNode>();
 	/**
 	Endpoints and nodes that were removed while entries may have lapsed.
 	*/
 	const lapsed = new Map<string, Removal>();
+	/**
+	Revisions of entries that were told of in the log: each list and each peer brings them again.
+	*/
+	const unreadMarks = createRevisionMarks();
+	const outdatedMarks = createRevisionMarks();
 	let configuration: GatewayConfiguration | undefined;
 	let revision = -1;
 	/**
@@ -124,6 +137,53 @@
 		}
 	}
 
+	/**
+	An entry of an older incarnation changes nothing, whatever its revision: its writer has ended.
+	*/
+	function recordOutdated({endpoint, revision: at}: EndpointChange, source: BeliefSource): void {
+		const {id, born} = endpoint;
+		const believed = endpoints.get(id);
+		if (believed === undefined || getBirth(believed) <= getBirth(endpoint) || !outdatedMarks.mark(id, at)) {
+			return;
+		}
+
+		metrics.increment('gateway.endpoints-outdated');
+		logger.info({
+			name: 'endpoint-outdated', endpoint: id, born, believed: believed.born, revision: at, source,
+		});
+	}
+
+	function emitIncarnation(before: ServingEndpoint, {endpoint, revision: at}: EndpointChange, source: BeliefSource): void {
+		if (before.born === endpoint.born) {
+			return;
+		}
+
+		metrics.increment('gateway.endpoint-incarnations');
+		logger.info({
+			name: 'endpoint-incarnation', endpoint: endpoint.id, born: endpoint.born, before: before.born, revision: at, source,
+		});
+		void events.emit('incarnation', {endpoint, before});
+	}
+
+	function recordUnreadable({key, reason, revision: at}: Unreadable): void {
+		if (!unreadMarks.mark(key, at)) {
+			return;
+		}
+
+		metrics.increment('gateway.entries-unreadable');
+		logger.warn({
+			name: 'store-entry-unreadable', key, revision: at, reason: reason.slice(0, longestReason),
+		});
+	}
+
+	/**
+	An entry that is no longer its endpoint's own word names none to use: it gets no new work, and keeps what it has.
+	*/
+	function drainUnreadable({endpoint: id = '', revision: at}: Unreadable, source: BeliefSource): News {
+		const believed = endpoints.get(id);
+		return believed === undefined ? nothing : handlers.endpoint({kind: 'endpoint', revision: at, endpoint: {...believed, state: 'draining'}}, source);
+	}
+
 	const handlers: Handlers = {
 		configuration(change, source) {
 			if (change.configuration.version <= (configuration?.version ?? -1)) {
@@ -143,10 +203,15 @@
 			const {endpoint, revision: at} = change;
 			const before = endpoints.get(endpoint.id);
 			if (!endpoints.set(endpoint.id, endpoint, at)) {
+				recordOutdated(change, source);
 				return nothing;
 			}
 
 			lapsed.delete(endpoint.id);
+			if (before !== undefined) {
+				emitIncarnation(before, change, source);
+			}
+
 			if (before?.state !== endpoint.state) {
 				logger.info({
 					name: 'endpoint-believed', endpoint: endpoint.id, pool: endpoint.pool, state: endpoint.state, revision: at, source,
@@ -173,19 +238,16 @@
 		'node-removed'(change, source) {
 			return applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
-		unreadable(change) {
-			const {key, reason, revision: at, isConfiguration} = change;
+		unreadable(change, source) {
+			const {revision: at, isConfiguration} = change;
 			if (isConfiguration && at <= unreadAt) {
 				return nothing;
 			}
 
 			unreadAt = isConfiguration ? at : unreadAt;
 			unread = isConfiguration ? change : unread;
-			metrics.increment('gateway.entries-unreadable');
-			logger.warn({
-				name: 'store-entry-unreadable', key, revision: at, reason,
-			});
-			return isConfiguration ? [change] : nothing;
+			recordUnreadable(change);
+			return isConfiguration ? [change] : drainUnreadable(change, source);
 		},
 		other: () => nothing,
 	};
@@ -219,7 +281,7 @@
 	}
 
 	function applyAll(changes: ClusterChanges, source: BeliefSource): void {
-		const listedEndpoints = new Set(changes.changes.flatMap(change => change.kind === 'endpoint' ? [change.endpoint.id] : []));
+		const listedEndpoints = new Set(changes.changes.flatMap(change => listEndpoint(change)));
 		const listedNodes = new Set(changes.changes.flatMap(change => change.kind === 'node' ? [change.node.id] : []));
 		const removals: readonly Removal[] = [
 			...endpoints.listMissing(listedEndpoints, changes.revision).map(id => ({kind: 'endpoint-removed' as const, id, revision: changes.revision})),
@@ -274,3 +336,21 @@
 		},
 	};
 }
+
+/**
+An incarnation that does not say when it started is before all that do.
+*/
+function getBirth({born = -1}: Pick<ServingEndpoint, 'born'>): number {
+	return born;
+}
+
+/**
+An entry that cannot be read is there all the same: what was believed under its key did not lapse.
+*/
+function listEndpoint(change: ClusterChange): readonly string[] {
+	if (change.kind === 'unreadable') {
+		return change.endpoint === undefined ? [] : [change.endpoint];
+	}
+
+	return change.kind === 'endpoint' ? [change.endpoint.id] : [];
+}
--- /dev/null
+++ b/gateway/cluster-view/src/create-revision-marks.ts
@@ -0,0 +1,35 @@
+import type {RevisionMarks} from './revision-marks.ts';
+
+/**
+Keys that are kept, more than a store holds that foreign writers have not filled.
+*/
+const mostKeys = 10_000;
+
+/**
+ Creates marks of revisions, so that what is met again is told of once.
+
+ @example
+ const marks = createRevisionMarks();
+ marks.mark('servers/i-7f', 7); // true
+ marks.mark('servers/i-7f', 7); // false
+ */
+export function createRevisionMarks(): RevisionMarks {
+	const marks = new Map<string, number>();
+
+	return {
+		mark(key, revision) {
+			if (revision <= (marks.get(key) ?? -1)) {
+				return false;
+			}
+
+			marks.delete(key);
+			marks.set(key, revision);
+			if (marks.size > mostKeys) {
+				const [oldest = ''] = marks.keys();
+				marks.delete(oldest);
+			}
+
+			return true;
+		},
+	};
+}
--- a/gateway/cluster-view/src/create-versioned-map.ts
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -14,12 +14,13 @@
 /**
  Creates a map of entries with revisions.
 
+ @param getOrder - Order of values that goes before the revision: an entry that is behind in it is older at any revision.
  @example
  const map = createVersionedMap<string>();
  map.set('a', 'new', 7);
  map.set('a', 'old', 5); // false
  */
-export function createVersionedMap<Value>(): VersionedMap<Value> {
+export function createVersionedMap<Value>(getOrder: (value: Value) => number = () => 0): VersionedMap<Value> {
 	const entries = new Map<string, {readonly value: Value; readonly revision: number}>();
 	const marks = new Map<string, number>();
 	let digest = 0;
@@ -33,6 +34,12 @@
 		return revision > (entries.get(id)?.revision ?? marks.get(id) ?? -1);
 	}
 
+	function isLater(id: string, value: Value, revision: number): boolean {
+		const entry = entries.get(id);
+		const step = entry === undefined ? 0 : getOrder(value) - getOrder(entry.value);
+		return step === 0 ? isNewer(id, revision) : step > 0;
+	}
+
 	function addMark(id: string, revision: number): void {
 		marks.delete(id);
 		marks.set(id, revision);
@@ -49,7 +56,7 @@
 		values: () => entries.values().map(({value}) => value).toArray(),
 		entries: () => entries.values().toArray(),
 		set(id, value, revision) {
-			if (!isNewer(id, revision)) {
+			if (!isLater(id, value, revision)) {
 				return false;
 			}
 
--- a/gateway/cluster-view/src/versioned-map.ts
+++ b/gateway/cluster-view/src/versioned-map.ts
@@ -1,12 +1,13 @@
 /**
-Entries with the revision that last changed them. Removals leave a mark, so that an older entry does not come back.
+Entries with the revision that last changed them. Removals leave a mark, so that an older entry does not come back. Where
+values have an order of their own, it goes before the revision.
 */
 export type VersionedMap<Value> = {
 	readonly get: (id: string) => Value | undefined;
 	readonly values: () => readonly Value[];
 	readonly entries: () => ReadonlyArray<{readonly value: Value; readonly revision: number}>;
 	/**
-	Sets an entry unless a newer revision is known; tells whether it did.
+	Sets an entry unless a newer one is known; tells whether it did.
 	*/
 	readonly set: (id: string, value: Value, revision: number) => boolean;
 	/**
--- a/gateway/types/src/cluster-change.ts
+++ b/gateway/types/src/cluster-change.ts
@@ -17,6 +17,10 @@
 		Whether it is a configuration, so that what is in force now is known to be an older one.
 		*/
 		readonly isConfiguration: boolean;
+		/**
+		Id of the endpoint whose entry it would be.
+		*/
+		readonly endpoint?: string;
 	}
 	/**
 	A change that the gateway has no use for; a watch that brings one has heard the store nevertheless.
--- a/gateway/types/src/serving-endpoint.ts
+++ b/gateway/types/src/serving-endpoint.ts
@@ -3,9 +3,14 @@
 */
 export type ServingEndpoint = {
 	/**
-	New at each start of the endpoint.
+	The same for all incarnations: a process may start again under it.
 	*/
 	readonly id: string;
+	/**
+	When the process started, in Unix milliseconds: with the id it tells an incarnation from those before. An entry that does not
+	say it stands for one incarnation of all time.
+	*/
+	readonly born?: number;
 	readonly pool: string;
 	/**
 	`ip:port`.
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -15,6 +15,14 @@
 	| {readonly name: 'listening'; readonly what: string; readonly address: string}
 	| {readonly name: 'internal-failure'; readonly where: string; readonly reason: string}
 	| {readonly name: 'endpoint-believed'; readonly endpoint: string; readonly pool?: string; readonly state: string; readonly revision: number; readonly source: string}
+	| {
+		readonly name: 'endpoint-incarnation'; readonly endpoint: string; readonly born: number | undefined; readonly before: number | undefined;
+		readonly revision: number; readonly source: string;
+	}
+	| {
+		readonly name: 'endpoint-outdated'; readonly endpoint: string; readonly born: number | undefined; readonly believed: number | undefined;
+		readonly revision: number; readonly source: string;
+	}
 	| {readonly name: 'entry-lapsed'; readonly id: string; readonly revision: number; readonly graceMs: number}
 	| {readonly name: 'overlay-changed'; readonly nodes: number; readonly relays: number; readonly isRelay: boolean; readonly parent: string | undefined}
 	| {readonly name: 'store-following'; readonly isFollowing: boolean; readonly confirmedAgoMs: number}
