feat: what belongs to an endpoint's process goes with its incarnation

Cause: prompt memory, open work, failures, pace, pauses and silence were kept under an endpoint's id, so all of it was believed of a process that started again under the id and holds none of it. A release of a request sent to the old process took work off the new one's load. Change: every keeper goes by the name of the incarnation (id and start, the id alone where no start is said). The view's one event makes the selector, the relay of news and the kept connections forget the one before. News of work carry that name, so sums of peers never mix two processes, and news of one that is gone are dropped. The work book forgets requests of what is gone: what they report later counts nowhere. Requests that were sent before the new process started and may be repeated go elsewhere at once; others end as after a crash. A request may be sent to the new process though it tried the one before. Conclusion: no keeper has a special case; each forgets a name.

--- a/gateway/cluster-view/src/cluster-events.ts
+++ b/gateway/cluster-view/src/cluster-events.ts
@@ -16,7 +16,7 @@
 	*/
 	incarnation: {readonly endpoint: ServingEndpoint; readonly before: ServingEndpoint};
 	endpoint: {readonly endpoint: ServingEndpoint};
-	endpointRemoved: {readonly id: string};
+	endpointRemoved: {readonly id: string; readonly endpoint: ServingEndpoint};
 	node: {readonly node: GatewayNode};
 	nodeRemoved: {readonly id: string};
 	/**
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -67,7 +67,8 @@
 
 	function removeEndpoint(removal: Removal, source: BeliefSource): News {
 		const {id, revision: at} = removal;
-		if (!endpoints.remove(id, at)) {
+		const endpoint = endpoints.get(id);
+		if (!endpoints.remove(id, at) || endpoint === undefined) {
 			return nothing;
 		}
 
@@ -75,7 +76,7 @@
 		logger.info({
 			name: 'endpoint-believed', endpoint: id, state: 'gone', revision: at, source,
 		});
-		void events.emit('endpointRemoved', {id});
+		void events.emit('endpointRemoved', {id, endpoint});
 		return [removal];
 	}
 
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -116,15 +116,15 @@
 	}
 
 	/**
-	No node hears of the endpoint any more: a request that may be repeated goes elsewhere at once.
+	The endpoint will not answer: a request that may be repeated goes elsewhere at once.
 	*/
-	function handleSilence(): void {
+	function leaveEndpoint(reason: string): void {
 		if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
 			return;
 		}
 
 		endAttempt('cancelled');
-		handleFailure({reason: 'silent to all nodes', mayHaveRun: true});
+		handleFailure({reason, mayHaveRun: true});
 	}
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
@@ -154,9 +154,14 @@
 
 	function openAt(selection: Selection): void {
 		tries++;
-		tried.add(selection.endpoint.id);
+		tried.add(selection.endpoint.incarnation);
 		work = selector.open(selection, question);
-		work.onSilent(handleSilence);
+		work.onSilent(() => {
+			leaveEndpoint('silent to all nodes');
+		});
+		work.onEnded(() => {
+			leaveEndpoint('its process has ended');
+		});
 		sendTo(selection, work);
 	}
 
--- a/gateway/news/src/create-news-relay.ts
+++ b/gateway/news/src/create-news-relay.ts
@@ -169,6 +169,17 @@
 
 			updateSums(removed.loads.keys().toArray(), [], removed.isMember);
 		},
+		removeEndpoint(endpoint) {
+			totals.delete(endpoint);
+			for (const {loads} of origins.values()) {
+				loads.delete(endpoint);
+			}
+
+			for (const link of [...relayLinks.values(), ...memberLinks.values()]) {
+				link.changed.delete(endpoint);
+				link.placements = link.placements.filter(placement => placement.endpoint !== endpoint);
+			}
+		},
 		takeForRelay(relay) {
 			const members = listMembers();
 			return takeNews(findLink(relayLinks, relay, members), countNodes(members), measureGroup);
--- a/gateway/news/src/news-relay.ts
+++ b/gateway/news/src/news-relay.ts
@@ -20,6 +20,10 @@
 	*/
 	readonly removeOrigin: (origin: string) => void;
 	/**
+	Forgets an incarnation of an endpoint that is gone.
+	*/
+	readonly removeEndpoint: (endpoint: string) => void;
+	/**
 	What another relay is to be told since the last call, all at the first one: one sum for the node and its members.
 	*/
 	readonly takeForRelay: (relay: string) => OriginNews | undefined;
--- a/gateway/news/test/news-relay.test.ts
+++ b/gateway/news/test/news-relay.test.ts
@@ -179,3 +179,17 @@
 	t.same(hear(), {'i-1': 3});
 	t.end();
 });
+
+test('an incarnation that is gone is told to nobody any more, linked now or later', t => {
+	const relay = createLinkedRelay();
+	relay.addOwn({loads: [['i-1', toLoad(1)], ['i-2', toLoad(1)]], placements: [placement]});
+	relay.addMember(createNews('n1', 2));
+	relay.addGroup(createNews('r2', 4));
+	relay.removeEndpoint('i-1');
+	t.match(relay.takeForRelay('r9'), {loads: [['i-2', toLoad(1)]], placements: []});
+	t.match(relay.takeForMember('n9'), {loads: [['i-2', toLoad(1)]], placements: []});
+	t.same(relay.takeForMember('new')?.loads, [['i-2', toLoad(1)]]);
+	relay.addMember(createNews('n1', 3));
+	t.same(relay.takeForRelay('r9')?.loads, [['i-1', toLoad(3)]], 'sums of what was told since');
+	t.end();
+});
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -1,10 +1,10 @@
-import type {ServingEndpoint} from '@valvesaddle/gateway-types';
 import {rankByHash} from '@valvesaddle/ranking';
 import {countUnread} from './count-unread.ts';
 import {createPaceModel} from './create-pace-model.ts';
 import {createPauseModel} from './create-pause-model.ts';
 import {createReadingRate} from './create-reading-rate.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
+import type {KnownEndpoint} from './known-endpoint.ts';
 import type {LoadTable} from './load-table.ts';
 import {measureDelay} from './measure-delay.ts';
 import type {PaceModel} from './pace-model.ts';
@@ -61,14 +61,14 @@
 		return pool;
 	}
 
-	function updatePaces(pool: PoolModel, ready: readonly ServingEndpoint[]): void {
+	function updatePaces(pool: PoolModel, ready: readonly KnownEndpoint[]): void {
 		const now = performance.now();
 		if (now - pool.pacedAt < paceMs) {
 			return;
 		}
 
 		pool.pacedAt = now;
-		pool.paces.update(new Map(ready.map(({id}) => [id, loads.get(id)])));
+		pool.paces.update(new Map(ready.map(({incarnation}) => [incarnation, loads.get(incarnation)])));
 	}
 
 	/**
@@ -84,25 +84,25 @@
 		return (settings.harmWeight * others) + (settings.riskWeight * own);
 	}
 
-	function chooseBest(pool: PoolModel, candidates: readonly ServingEndpoint[], question: SelectionQuestion): Rating | undefined {
+	function chooseBest(pool: PoolModel, candidates: readonly KnownEndpoint[], question: SelectionQuestion): Rating | undefined {
 		const {urgency} = question;
 		const shared = question.parts.slice(0, -1);
 		const recentTokens = prefixes.countRecent(question.parts);
-		const [agreed] = recentTokens === 0 ? rankByHash(shared.map(({id}) => id).join(','), candidates.map(({id}) => id)) : [];
+		const [agreed] = recentTokens === 0 ? rankByHash(shared.map(({id}) => id).join(','), candidates.map(({incarnation}) => incarnation)) : [];
 		const agreedMs = sameChoiceShare * settings.rereadMsPerToken * countTokens(shared);
 		const tokensPerMs = pool.rate.get();
 		let best: (Rating & {readonly score: number}) | undefined;
 		for (const endpoint of candidates) {
-			const heldTokens = prefixes.countHeld(endpoint.id, question.parts);
+			const heldTokens = prefixes.countHeld(endpoint.incarnation, question.parts);
 			const unread = question.promptTokens - heldTokens;
-			const load = loads.get(endpoint.id);
-			const endpointTokensPerMs = tokensPerMs * pool.paces.getFactor(endpoint.id);
+			const load = loads.get(endpoint.incarnation);
+			const endpointTokensPerMs = tokensPerMs * pool.paces.getFactor(endpoint.incarnation);
 			const costMs = measureDelay({
 				load, slots: endpoint.slots, urgency, unread, tokensPerMs: endpointTokensPerMs,
 			});
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
-			const harmMs = question.objectiveMs * measureHarm(pool, endpoint.id, load, unread, question);
-			const score = costMs + wasteMs + harmMs - (endpoint.id === agreed ? agreedMs : 0);
+			const harmMs = question.objectiveMs * measureHarm(pool, endpoint.incarnation, load, unread, question);
+			const score = costMs + wasteMs + harmMs - (endpoint.incarnation === agreed ? agreedMs : 0);
 			if (best === undefined || score < best.score) {
 				best = {
 					endpoint, heldTokens, costMs, readMs: unread / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length,
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,10 +1,14 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
+import {createOutdatedNames} from './create-outdated-names.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
 import {createSilenceGuard} from './create-silence-guard.ts';
 import {createWorkBook} from './create-work-book.ts';
+import {formatIncarnation} from './format-incarnation.ts';
+import type {KnownEndpoint} from './known-endpoint.ts';
+import type {LoadNews} from './load-news.ts';
 import type {Placement} from './placement.ts';
 import type {Rating} from './rating.ts';
 import type {Selection} from './selection.ts';
@@ -21,7 +25,8 @@
  const selection = selector.choose({pool: 'drafting', promptTokens: 900, parts, tried: new Set()});
  */
 export function createSelector(options: SelectorOptions): Selector {
-	const endpoints = new Map<string, ServingEndpoint>();
+	const endpoints = new Map<string, KnownEndpoint>();
+	const outdated = createOutdatedNames();
 	const pools = new Map<string, ServicePool>();
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
@@ -55,22 +60,22 @@
 		chooser.recordDemand(placement.pool, placement.endpoint, placement.tokens);
 	}
 
-	function listReady(pool: string): readonly ServingEndpoint[] {
+	function listReady(pool: string): readonly KnownEndpoint[] {
 		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready').toArray();
 	}
 
 	/**
 	The first of the lists that is not empty: each asks for less than the one before.
 	*/
-	function listCandidates(ready: readonly ServingEndpoint[], tried: ReadonlySet<string>): readonly ServingEndpoint[] {
-		const untried = ready.filter(({id}) => !tried.has(id));
-		const sound = untried.filter(({id}) => !failures.isEjected(id));
+	function listCandidates(ready: readonly KnownEndpoint[], tried: ReadonlySet<string>): readonly KnownEndpoint[] {
+		const untried = ready.filter(({incarnation}) => !tried.has(incarnation));
+		const sound = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		return sound.length > 0 ? sound : untried;
 	}
 
-	function chooseByLoad(candidates: readonly ServingEndpoint[], question: SelectionQuestion): Rating | undefined {
+	function chooseByLoad(candidates: readonly KnownEndpoint[], question: SelectionQuestion): Rating | undefined {
 		const rated = candidates.map(endpoint => ({
-			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.id).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: question.urgency, candidates: candidates.length,
+			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.incarnation).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: question.urgency, candidates: candidates.length,
 		}));
 		return rated.toSorted((a, b) => a.costMs - b.costMs)[0];
 	}
@@ -84,18 +89,57 @@
 		return rating && {...rating, unseenFactor, newsAgeMs: newsAt === undefined ? -1 : Math.round(performance.now() - newsAt)};
 	}
 
+	/**
+	A peer that has not heard of a new incarnation yet still tells of the one before.
+	*/
+	function takeCurrent({loads: told, placements: sent}: LoadNews): LoadNews {
+		return {
+			loads: told.filter(([endpoint]) => !outdated.has(endpoint)),
+			placements: sent.filter(({endpoint}) => !outdated.has(endpoint)),
+		};
+	}
+
+	function updateCapacity({incarnation, pool}: KnownEndpoint): void {
+		prefixes.setCapacity(incarnation, pools.get(pool)?.engine?.cacheTokens ?? Infinity);
+	}
+
+	function addEndpoint(endpoint: ServingEndpoint): void {
+		const known = {...endpoint, incarnation: formatIncarnation(endpoint)};
+		endpoints.set(endpoint.id, known);
+		outdated.remove(known.incarnation);
+		updateCapacity(known);
+	}
+
+	/**
+	Makes every keeper forget an incarnation; the book last, since requests that it tells choose again.
+	*/
+	function removeIncarnation(incarnation: string, endedAt: number): void {
+		outdated.add(incarnation);
+		loads.removeEndpoint(incarnation);
+		prefixes.removeEndpoint(incarnation);
+		failures.removeEndpoint(incarnation);
+		guard.removeEndpoint(incarnation);
+		chooser.removeEndpoint(incarnation);
+		placements = placements.filter(({endpoint}) => endpoint !== incarnation);
+		book.removeEndpoint(incarnation, endedAt);
+	}
+
 	return {
-		addEndpoint(endpoint) {
-			endpoints.set(endpoint.id, endpoint);
-			prefixes.setCapacity(endpoint.id, pools.get(endpoint.pool)?.engine?.cacheTokens ?? Infinity);
-		},
+		addEndpoint,
 		removeEndpoint(id) {
+			const known = endpoints.get(id);
 			endpoints.delete(id);
-			loads.removeEndpoint(id);
-			prefixes.removeEndpoint(id);
-			failures.removeEndpoint(id);
-			guard.removeEndpoint(id);
-			chooser.removeEndpoint(id);
+			if (known !== undefined) {
+				// Its process may go on for a while, so its requests are left to it.
+				removeIncarnation(known.incarnation, -Infinity);
+			}
+		},
+		setIncarnation(endpoint) {
+			const before = endpoints.get(endpoint.id);
+			addEndpoint(endpoint);
+			if (before !== undefined && before.born !== endpoint.born) {
+				removeIncarnation(before.incarnation, endpoint.born ?? -Infinity);
+			}
 		},
 		setPools(newPools) {
 			pools.clear();
@@ -103,13 +147,12 @@
 				pools.set(pool.name, pool);
 			}
 
-			for (const {id, pool} of endpoints.values()) {
-				prefixes.setCapacity(id, pools.get(pool)?.engine?.cacheTokens ?? Infinity);
+			for (const known of endpoints.values()) {
+				updateCapacity(known);
 			}
 		},
 		choose,
 		open: book.open,
-		findAddress: id => endpoints.get(id)?.address,
 		takeNews() {
 			guard.update(endpoints.values());
 			const news = {loads: loads.takeChanged(), placements};
@@ -119,13 +162,16 @@
 		listOwn: () => ({loads: loads.listOwn(), placements: []}),
 		applyNews(node, news) {
 			newsAt = performance.now();
-			for (const [endpoint, load] of news.loads) {
+			const current = takeCurrent(news);
+			for (const [endpoint, load] of current.loads) {
 				loads.applyPeer(node, endpoint, load);
 			}
 
-			for (const placement of news.placements) {
+			for (const placement of current.placements) {
 				addPlacement(placement);
 			}
+
+			return current;
 		},
 		setUnseenFactor(factor) {
 			unseenFactor = factor;
--- a/gateway/selection/src/create-silence-guard.ts
+++ b/gateway/selection/src/create-silence-guard.ts
@@ -74,9 +74,9 @@
 			}
 
 			judgedAt = now;
-			for (const {id, pool} of endpoints) {
-				const isSilent = watch.isSilent(id, measureSilence(pool));
-				loads.setSilence(id, isSilent === undefined ? 0 : 1, isSilent === true ? 1 : 0);
+			for (const {incarnation, pool} of endpoints) {
+				const isSilent = watch.isSilent(incarnation, measureSilence(pool));
+				loads.setSilence(incarnation, isSilent === undefined ? 0 : 1, isSilent === true ? 1 : 0);
 			}
 
 			for (const endpoint of loads.listSilent()) {
--- a/gateway/selection/src/create-work-book.ts
+++ b/gateway/selection/src/create-work-book.ts
@@ -48,6 +48,21 @@
 	readonly milliseconds: number;
 };
 
+/**
+A request that is open, as the book keeps it.
+*/
+type Entry = {
+	/**
+	In Unix milliseconds.
+	*/
+	readonly openedAt: number;
+	/**
+	Set when what the request reports counts no more.
+	*/
+	isClosed: boolean;
+	handleEnd: () => void;
+};
+
 type WorkBookOptions = {
 	readonly loads: Pick<LoadTable, 'get' | 'add' | 'recordReading'>;
 	readonly failures: Pick<FailureTable, 'record' | 'eject'>;
@@ -66,6 +81,7 @@
  work.close('done');
  */
 export function createWorkBook({loads, failures, chooser, guard, onPlacement}: WorkBookOptions): WorkBook {
+	const book = new Map<string, Set<Entry>>();
 	const settlers: Readonly<Record<Parameters<OpenWork['close']>[0], (id: string) => void>> = {
 		done(id) {
 			failures.record(id, false);
@@ -105,7 +121,44 @@
 		return countUnread(loads.get(endpoint)) / chooser.getPace(pool, endpoint).tokensPerMs;
 	}
 
-	function openWork({endpoint: {id}, heldTokens, urgency, costMs}: Selection, question: SelectionQuestion): OpenWork {
+	function addEntry(endpoint: string): Entry {
+		const entry: Entry = {
+			openedAt: Date.now(),
+			isClosed: false,
+			handleEnd() {
+				// Nobody asked to be told.
+			},
+		};
+		const entries = book.get(endpoint) ?? new Set<Entry>();
+		entries.add(entry);
+		book.set(endpoint, entries);
+		return entry;
+	}
+
+	function closeEntry(endpoint: string, entry: Entry): void {
+		entry.isClosed = true;
+		const entries = book.get(endpoint);
+		entries?.delete(entry);
+		if (entries?.size === 0) {
+			book.delete(endpoint);
+		}
+	}
+
+	function removeEndpoint(endpoint: string, endedAt: number): void {
+		const entries = book.get(endpoint)?.values().toArray() ?? [];
+		book.delete(endpoint);
+		for (const entry of entries) {
+			entry.isClosed = true;
+		}
+
+		// A handler may open the request elsewhere, so all is forgotten before.
+		const older = entries.filter(({openedAt}) => openedAt < endedAt);
+		for (const entry of older) {
+			entry.handleEnd();
+		}
+	}
+
+	function openWork({endpoint: {incarnation: id}, heldTokens, urgency, costMs}: Selection, question: SelectionQuestion): OpenWork {
 		const {pool, pauseObjectiveMs, promptTokens} = question;
 		const missing = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
@@ -118,7 +171,7 @@
 		let pieceAt = 0;
 		let backlogMs = 0;
 		let isInTime = true;
-		let isClosed = false;
+		const entry = addEntry(id);
 		loads.add(id, toLoad(1, urgency, missing));
 		if (promptTokens > 0) {
 			onPlacement({
@@ -152,7 +205,7 @@
 
 		return {
 			markPiece() {
-				if (isClosed) {
+				if (entry.isClosed) {
 					return;
 				}
 
@@ -171,7 +224,7 @@
 				backlogMs = isStream ? measureBacklog(pool, id) : 0;
 			},
 			markPaused() {
-				if (work !== undefined && !isClosed) {
+				if (work !== undefined && !entry.isClosed) {
 					guard.markPaused(id, work);
 				}
 			},
@@ -180,12 +233,15 @@
 					guard.setHandler(id, work, handler);
 				}
 			},
+			onEnded(handler) {
+				entry.handleEnd = handler;
+			},
 			close(end) {
-				if (isClosed) {
+				if (entry.isClosed) {
 					return;
 				}
 
-				isClosed = true;
+				closeEntry(id, entry);
 				if (work !== undefined) {
 					guard.close(id, work);
 				}
@@ -200,7 +256,7 @@
 		};
 	}
 
-	return {open: openWork};
+	return {open: openWork, removeEndpoint};
 }
 
 function toLoad(open: number, urgency: number, tokens: number): EndpointLoad {
--- a/gateway/selection/src/index.ts
+++ b/gateway/selection/src/index.ts
@@ -1,6 +1,8 @@
 export {addLoads} from './add-loads.ts';
 export {createSelector} from './create-selector.ts';
 export type {EndpointLoad} from './endpoint-load.ts';
+export {formatIncarnation} from './format-incarnation.ts';
+export type {KnownEndpoint} from './known-endpoint.ts';
 export type {LoadNews} from './load-news.ts';
 export {noLoad} from './no-load.ts';
 export type {OpenWork} from './open-work.ts';
--- a/gateway/selection/src/open-work.ts
+++ b/gateway/selection/src/open-work.ts
@@ -14,6 +14,10 @@
 	Sets what is to be done when no node hears of the endpoint any more.
 	*/
 	readonly onSilent: (handler: () => void) => void;
+	/**
+	Sets what is to be done when the process that it was sent to is known to have ended.
+	*/
+	readonly onEnded: (handler: () => void) => void;
 	readonly close: (end: WorkEnd) => void;
 };
 
--- a/gateway/selection/src/placement.ts
+++ b/gateway/selection/src/placement.ts
@@ -2,6 +2,9 @@
 A prompt that was sent to an endpoint.
 */
 export type Placement = {
+	/**
+	Name of its incarnation.
+	*/
 	readonly endpoint: string;
 	readonly pool: string;
 	/**
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -1,4 +1,4 @@
-import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {KnownEndpoint} from './known-endpoint.ts';
 import type {PauseModel} from './pause-model.ts';
 import type {Rating} from './rating.ts';
 import type {SelectionQuestion} from './selection-question.ts';
@@ -10,7 +10,7 @@
 	/**
 	Best of the candidates, which are some of the endpoints that are ready; `undefined` when there are none.
 	*/
-	readonly choose: (ready: readonly ServingEndpoint[], candidates: readonly ServingEndpoint[], question: SelectionQuestion) => Rating | undefined;
+	readonly choose: (ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], question: SelectionQuestion) => Rating | undefined;
 	/**
 	Records tokens that an endpoint has to read for a prompt, on whichever node.
 	*/
--- a/gateway/selection/src/rating.ts
+++ b/gateway/selection/src/rating.ts
@@ -1,10 +1,10 @@
-import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {KnownEndpoint} from './known-endpoint.ts';
 
 /**
 An endpoint with what speaks for it.
 */
 export type Rating = {
-	readonly endpoint: ServingEndpoint;
+	readonly endpoint: KnownEndpoint;
 	/**
 	Predicted time to the first token or answer, in milliseconds.
 	*/
--- a/gateway/selection/src/selection-question.ts
+++ b/gateway/selection/src/selection-question.ts
@@ -20,7 +20,7 @@
 	readonly promptTokens: number;
 	readonly parts: readonly PromptPart[];
 	/**
-	Endpoints that this request has tried.
+	Incarnations of endpoints that this request has tried.
 	*/
 	readonly tried: ReadonlySet<string>;
 };
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -10,6 +10,11 @@
 export type Selector = {
 	readonly addEndpoint: (endpoint: ServingEndpoint) => void;
 	readonly removeEndpoint: (id: string) => void;
+	/**
+	Puts a new incarnation in the place of the one before under its id: whatever was kept of that is forgotten, and requests that
+	were open there are told.
+	*/
+	readonly setIncarnation: (endpoint: ServingEndpoint) => void;
 	readonly setPools: (pools: readonly ServicePool[]) => void;
 	/**
 	Best endpoint that is ready and was not tried; `undefined` when there is none.
@@ -19,7 +24,6 @@
 	Books a request at the chosen endpoint.
 	*/
 	readonly open: (selection: Selection, question: SelectionQuestion) => OpenWork;
-	readonly findAddress: (id: string) => string | undefined;
 	/**
 	News for peers since the last call; `undefined` when there are none.
 	*/
@@ -28,7 +32,10 @@
 	The node's own work in full, for a peer that has just come.
 	*/
 	readonly listOwn: () => LoadNews;
-	readonly applyNews: (node: string, news: LoadNews) => void;
+	/**
+	Takes in a peer's news; returns what of them is not of incarnations that are known to be gone.
+	*/
+	readonly applyNews: (node: string, news: LoadNews) => LoadNews;
 	/**
 	Sets how many times the known work stands for all of it, while peers cannot be heard.
 	*/
--- a/gateway/selection/src/silence-guard.ts
+++ b/gateway/selection/src/silence-guard.ts
@@ -1,4 +1,4 @@
-import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {KnownEndpoint} from './known-endpoint.ts';
 
 /**
 What to expect of a request that is opened.
@@ -32,6 +32,6 @@
 	/**
 	Judges the endpoints by what this node hears and what others have told.
 	*/
-	readonly update: (endpoints: Iterable<ServingEndpoint>) => void;
+	readonly update: (endpoints: Iterable<Pick<KnownEndpoint, 'incarnation' | 'pool'>>) => void;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/work-book.ts
+++ b/gateway/selection/src/work-book.ts
@@ -10,4 +10,9 @@
 	Books a request at the chosen endpoint.
 	*/
 	readonly open: (selection: Selection, question: SelectionQuestion) => OpenWork;
+	/**
+	Forgets the requests at an endpoint: what they still report counts nowhere. Those that were opened before `endedAt`, in Unix
+	milliseconds, are told that their process has ended.
+	*/
+	readonly removeEndpoint: (endpoint: string, endedAt: number) => void;
 };
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -158,15 +158,17 @@
 		selector.setPools(configuration.pools);
 		front.configure();
 	});
+	view.events.on('incarnation', ({data: {endpoint, before}}) => {
+		// A request that leaves the process that has ended must not take one of its connections.
+		exchanges.closeAddress(before.address);
+		selector.setIncarnation(endpoint);
+	});
 	view.events.on('endpoint', ({data: {endpoint}}) => {
 		selector.addEndpoint(endpoint);
 	});
-	view.events.on('endpointRemoved', ({data: {id}}) => {
-		const address = selector.findAddress(id);
+	view.events.on('endpointRemoved', ({data: {id, endpoint}}) => {
 		selector.removeEndpoint(id);
-		if (address !== undefined) {
-			exchanges.closeAddress(address);
-		}
+		exchanges.closeAddress(endpoint.address);
 	});
 	view.events.on('node', () => {
 		mostNodes = Math.max(mostNodes, view.nodes().length);
--- a/node/gateway/src/create-news-sync.ts
+++ b/node/gateway/src/create-news-sync.ts
@@ -72,13 +72,14 @@
 		applyNews(parameters, node) {
 			const news: OriginNews = {...newsSchema.parse(parameters), origin: node};
 			origins.set(node, news.nodes);
-			selector.applyNews(node, news);
+			const current = {...news, ...selector.applyNews(node, news)};
 			if (links.isRelay(node)) {
-				relay.addGroup(news);
+				relay.addGroup(current);
 			} else {
-				relay.addMember(news);
+				relay.addMember(current);
 			}
 		},
+		removeEndpoint: relay.removeEndpoint,
 		removeLink(node) {
 			relay.removeLink(node);
 			origins.delete(node);
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,5 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {measureFleet} from '@valvesaddle/cluster-view';
+import {formatIncarnation} from '@valvesaddle/selection';
 import {createBeliefSync} from './create-belief-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createNewsSync} from './create-news-sync.ts';
@@ -60,6 +61,12 @@
 		};
 	}
 
+	view.events.on('incarnation', ({data: {before}}) => {
+		news.removeEndpoint(formatIncarnation(before));
+	});
+	view.events.on('endpointRemoved', ({data: {endpoint}}) => {
+		news.removeEndpoint(formatIncarnation(endpoint));
+	});
 	network.events.on('lost', ({data: {node}}) => {
 		news.removeLink(node);
 		links.markLost(node);
--- a/node/gateway/src/news-sync.ts
+++ b/node/gateway/src/news-sync.ts
@@ -15,6 +15,10 @@
 	*/
 	readonly applyNews: (parameters: unknown, node: string) => void;
 	/**
+	Forgets an incarnation of an endpoint that is gone.
+	*/
+	readonly removeEndpoint: (endpoint: string) => void;
+	/**
 	Forgets all that was heard over a link that is lost.
 	*/
 	readonly removeLink: (node: string) => void;
