fix: an entry that its endpoint did not write names no endpoint to use

Cause: an unknown state counted as draining, a missing data centre or number of slots passed by a default, any text passed as address, and bytes that are no base64 were read as far as they went. Everything else is told as unreadable, with the id, so that the endpoint believed under the key stops getting new work. The stand-in store writes whole entries. Tests: the one that took an unknown state for draining is replaced, as the users' pages say that such an entry names no endpoint; entries of other tests have all fields. Before: 20 of the 20 new decoder tests fail (143 assertions). After: all pass, with a property over 2,000 values; node tests pass. Conclusion: what a foreign writer leaves draws no request.

--- a/fakes/fleet-store/src/endpoint-entry.ts
+++ b/fakes/fleet-store/src/endpoint-entry.ts
@@ -9,4 +9,8 @@
 	readonly address: string;
 	readonly slots: number;
 	readonly state: 'ready' | 'draining';
+	/**
+	When its process started, in Unix milliseconds; left out by those that do not say.
+	*/
+	readonly born?: number;
 };
--- a/fakes/fleet-store/src/fake-fleet-store.ts
+++ b/fakes/fleet-store/src/fake-fleet-store.ts
@@ -10,6 +10,10 @@
 	Writes as the operator or an endpoint does.
 	*/
 	readonly put: (key: string, value: unknown) => void;
+	/**
+	Writes a value as it lies in the store, whatever it is.
+	*/
+	readonly putBytes: (key: string, value: string) => void;
 	readonly remove: (key: string) => void;
 	/**
 	Publishes a configuration as the operator does.
--- a/fakes/fleet-store/src/start-fake-fleet-store.ts
+++ b/fakes/fleet-store/src/start-fake-fleet-store.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {startFakeServer, type FakeRequest} from '@valvesaddle/fake-http';
+import {createFakeEntry} from './create-fake-entry.ts';
 import type {FakeFleetStore} from './fake-fleet-store.ts';
 import type {StoreFault} from './store-fault.ts';
 
@@ -172,9 +173,13 @@
 		publish(configuration) {
 			writeValue('op/config', configuration);
 		},
-		registerEndpoint(id, {pool, address, slots, state}) {
-			writeValue(`servers/${id}`, {
-				service: pool, address, zone: 'a', slots, state,
+		registerEndpoint(id, entry) {
+			writeValue(`servers/${id}`, createFakeEntry(entry));
+		},
+		putBytes(key, value) {
+			revision++;
+			write({
+				key, value, revision, lease: 0,
 			});
 		},
 		remove(key) {
