--- a/gateway/news/src/create-news-relay.ts
+++ b/gateway/news/src/create-news-relay.ts
@@ -171,6 +171,7 @@
 		},
 		removeEndpoint(endpoint) {
 			totals.delete(endpoint);
+			groupTotals.delete(endpoint);
 			for (const {loads} of origins.values()) {
 				loads.delete(endpoint);
 			}
