--- a/emulator/beliefs/src/main.ts
+++ b/emulator/beliefs/src/main.ts
@@ -26,9 +26,10 @@
 const faultAtMs = formedMs + 2000;
 const lengthMs = formedMs + 14_000;
 /**
-Time in which the watches hear nothing: those that began with the change at `formedMs` end in it.
+Time in which the watches hear nothing, in milliseconds: most of those that began anew after the change at `formedMs`, up to
+0.36 s later, end in it.
 */
-const quietMs = 1200;
+const quietMs = 1300;
 const links = {
 	nearMs: 0.5, farMs: 12, jitterShare: 0.3, lossShare: 0,
 };
