--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -118,7 +118,7 @@
 	/**
 	The endpoint will not answer: a request that may be repeated goes elsewhere at once.
 	*/
-	function leaveEndpoint(reason: string): void {
+	function moveElsewhere(reason: string): void {
 		if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
 			return;
 		}
@@ -157,10 +157,10 @@
 		tried.add(selection.endpoint.incarnation);
 		work = selector.open(selection, question);
 		work.onSilent(() => {
-			leaveEndpoint('silent to all nodes');
+			moveElsewhere('silent to all nodes');
 		});
 		work.onEnded(() => {
-			leaveEndpoint('its process has ended');
+			moveElsewhere('its process has ended');
 		});
 		sendTo(selection, work);
 	}
