--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -68,7 +68,8 @@
 	function removeEndpoint(removal: Removal, source: BeliefSource): News {
 		const {id, revision: at} = removal;
 		const endpoint = endpoints.get(id);
-		if (!endpoints.remove(id, at) || endpoint === undefined) {
+		const wasKnown = endpoints.remove(id, at);
+		if (!wasKnown || endpoint === undefined) {
 			return nothing;
 		}
 
