--- a/node/gateway/test/outcomes.test.ts
+++ b/node/gateway/test/outcomes.test.ts
@@ -182,8 +182,8 @@
 	const third = await startFakeEndpoint();
 	t.teardown(third.close);
 	await platform.open();
-	platform.store.put('servers/i-2', {
-		service: 'register', address: third.address, zone: 'a', slots: 4, state: 'ready',
+	platform.store.registerEndpoint('i-2', {
+		pool: 'register', address: third.address, slots: 4, state: 'ready',
 	});
 	platform.store.put('op/config', {
 		...platform.configuration,
