--- a/emulator/beliefs/test/spreading.test.ts
+++ b/emulator/beliefs/test/spreading.test.ts
@@ -152,6 +152,36 @@
 	}
 });
 
+/**
+A follower of the store was told of a change by another one that was not yet sure of its revision, and passed on its own word of
+that revision without the change, since it was not new to itself. Relays that had missed the first message stood at the revision
+without the change; 28 of 39 nodes never heard that an endpoint drained.
+*/
+test('a change that a follower has heard from another before is passed on with its revision', async t => {
+	const report = await runSpreading({
+		...fleet,
+		lengthMs: 17_000,
+		seed: 43,
+		changes: [
+			{kind: 'configuration', atMs: 7394},
+			{kind: 'endpoint-draining', atMs: 8692, endpoint: 1},
+			{kind: 'configuration', atMs: 8719},
+			{kind: 'endpoint-removed', atMs: 9279, endpoint: 5},
+			{kind: 'endpoint-draining', atMs: 9389, endpoint: 2},
+			{kind: 'endpoint-draining', atMs: 9426, endpoint: 4},
+		],
+		faults: [
+			{
+				kind: 'node-lost', atMs: 4668, how: 'silence', target: {role: 'relay', nth: 1},
+			},
+			{
+				kind: 'store-down', atMs: 4639, forMs: 2565, how: 'reset',
+			},
+		],
+	});
+	t.same(listLate(report), []);
+});
+
 const relay = {role: 'relay', nth: 0} as const;
 const follower = {role: 'follower', nth: 0} as const;
 const faultAtMs = formedMs + 900;
