fix: a revision is passed on with all that led to it, and without what did not

Cause: only what was new to a node was passed on, with its revision. Change: changes that leave no gap are passed on whole; what a list or a state brought is passed on without its revision, since only what was new here is known.

--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -259,14 +259,21 @@
 		return handle(change, source);
 	}
 
+	function applyEach(changes: ClusterChanges, source: BeliefSource): News {
+		const news = changes.changes.flatMap(change => applyChange(change, source));
+		setRevision(changes, source);
+		return news;
+	}
+
 	/**
-	Takes over changes and tells of what was new in them, so that peers hear of it whatever way it came.
+	Takes over changes that leave no gap, and tells of all of them: what is not new here may be new to those that are told.
 	*/
-	function applyEach(changes: ClusterChanges, source: BeliefSource): void {
+	function applyChanges(changes: ClusterChanges, source: BeliefSource): void {
 		const after = revision;
-		const news = changes.changes.flatMap(change => applyChange(change, source));
-		setRevision(changes, source);
-		if (revision > after || news.length > 0) {
+		const news = applyEach(changes, source);
+		if (revision > after) {
+			void events.emit('advanced', {after, changes, source});
+		} else if (news.length > 0) {
 			void events.emit('advanced', {after, changes: {revision, changes: news}, source});
 		}
 	}
@@ -289,7 +296,12 @@
 			...endpoints.listMissing(listedEndpoints, changes.revision).map(id => ({kind: 'endpoint-removed' as const, id, revision: changes.revision})),
 			...nodes.listMissing(listedNodes, changes.revision).map(id => ({kind: 'node-removed' as const, id, revision: changes.revision})),
 		];
-		applyEach({revision: changes.revision, changes: [...removals, ...changes.changes]}, source);
+		const after = revision;
+		const news = applyEach({revision: changes.revision, changes: [...removals, ...changes.changes]}, source);
+		if (news.length > 0) {
+			// What was new to this node is not all that was new since then, so it takes nobody to the revision.
+			void events.emit('advanced', {after, changes: {revision: after, changes: news}, source});
+		}
 	}
 
 	return {
@@ -299,7 +311,7 @@
 		hasUnreadConfiguration: () => unreadAt > configuredAt,
 		endpoints: endpoints.values,
 		nodes: nodes.values,
-		applyChanges: applyEach,
+		applyChanges,
 		applyAll,
 		setLapseUntil(time) {
 			lapseUntil = time;
@@ -329,7 +341,7 @@
 			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse. At the
 			// same revision only what it has seen removed counts: what it lacks it may have missed itself.
 			const isAhead = state.revision > revision || (state.revision === revision && lapsed.size > 0);
-			const apply = isAhead && state.isSteady ? applyAll : applyEach;
+			const apply = isAhead && state.isSteady ? applyAll : applyChanges;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
