--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -10,6 +10,7 @@
 import type {ClusterEvents} from './cluster-events.ts';
 import type {ClusterView} from './cluster-view.ts';
 import type {ClusterViewOptions} from './cluster-view-options.ts';
+import {createLapseBook} from './create-lapse-book.ts';
 import {createRevisionMarks} from './create-revision-marks.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
 import {hashEntry} from './hash-entry.ts';
@@ -45,10 +46,7 @@
 	const events = new Emittery<ClusterEvents>();
 	const endpoints = createVersionedMap<ServingEndpoint>(getBirth);
 	const nodes = createVersionedMap<GatewayNode>();
-	/**
-	Endpoints and nodes that were removed while entries may have lapsed.
-	*/
-	const lapsed = new Map<string, Removal>();
+	const lapses = createLapseBook({logger, onExpired: removeLapsed});
 	/**
 	Revisions of entries that were told of in the log: each list and each peer brings them again.
 	*/
@@ -62,8 +60,6 @@
 	let configuredAt = -1;
 	let unreadAt = -1;
 	let unread: Unreadable | undefined;
-	let lapseUntil = 0;
-	let lapseTimer: NodeJS.Timeout | undefined;
 
 	function removeEndpoint(removal: Removal, source: BeliefSource): News {
 		const {id, revision: at} = removal;
@@ -95,37 +91,26 @@
 		'node-removed': removeNode,
 	};
 
-	function expireLapsed(): void {
-		lapseTimer = undefined;
-		const changes = lapsed.values().toArray();
-		lapsed.clear();
-		for (const removal of changes) {
+	function removeLapsed(removals: readonly Removal[]): void {
+		for (const removal of removals) {
 			removers[removal.kind](removal, 'store');
 		}
 
 		// Peers had the revision before, without these removals.
-		void events.emit('advanced', {after: revision, changes: {revision, changes}, source: 'store'});
+		void events.emit('advanced', {after: revision, changes: {revision, changes: removals}, source: 'store'});
 	}
 
 	/**
 	An entry that may only have lapsed while the store was away is kept until it has had time to come back.
 	*/
 	function applyRemoval(removal: Removal, source: BeliefSource, isKnown: boolean): News {
-		const now = performance.now();
-		if (!isKnown || source !== 'store' || now >= lapseUntil) {
-			lapsed.delete(removal.id);
-			return removers[removal.kind](removal, source);
-		}
-
-		if (!lapsed.has(removal.id)) {
-			logger.info({
-				name: 'entry-lapsed', id: removal.id, revision: removal.revision, graceMs: Math.round(lapseUntil - now),
-			});
+		if (isKnown && source === 'store' && lapses.isOpen()) {
+			lapses.add(removal);
+			return nothing;
 		}
 
-		lapsed.set(removal.id, removal);
-		lapseTimer ??= setTimeout(expireLapsed, lapseUntil - now);
-		return nothing;
+		lapses.remove(removal.id);
+		return removers[removal.kind](removal, source);
 	}
 
 	/**
@@ -209,7 +194,7 @@
 				return nothing;
 			}
 
-			lapsed.delete(endpoint.id);
+			lapses.remove(endpoint.id);
 			if (before !== undefined) {
 				emitIncarnation(before, change, source);
 			}
@@ -228,7 +213,7 @@
 		},
 		node(change) {
 			const {node, revision: at} = change;
-			lapsed.delete(node.id);
+			lapses.remove(node.id);
 			if (!nodes.set(node.id, node, at)) {
 				return nothing;
 			}
@@ -313,11 +298,9 @@
 		nodes: nodes.values,
 		applyChanges,
 		applyAll,
-		setLapseUntil(time) {
-			lapseUntil = time;
-		},
+		setLapseUntil: lapses.setUntil,
 		digest: () => endpoints.digest() + nodes.digest() + hashEntry('configuration', configuration?.version ?? -1),
-		hasLapsed: () => lapsed.size > 0,
+		hasLapsed: () => lapses.count() > 0,
 		exportState: isSteady => ({
 			revision,
 			configuration,
@@ -340,12 +323,12 @@
 			];
 			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse. At the
 			// same revision only what it has seen removed counts: what it lacks it may have missed itself.
-			const isAhead = state.revision > revision || (state.revision === revision && lapsed.size > 0);
+			const isAhead = state.revision > revision || (state.revision === revision && lapses.count() > 0);
 			const apply = isAhead && state.isSteady ? applyAll : applyChanges;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
-			clearTimeout(lapseTimer);
+			lapses.close();
 			events.clearListeners();
 		},
 	};
