refactor: the unread configuration is one piece of state, marks of removals are told without a bound nobody set

No change of behaviour: its revision was kept beside it, the condition for it stood twice, and the parameter of the marks was always the same. A comment outside platform/ no longer uses the store's words.

--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -55,12 +55,18 @@
 	let configuration: GatewayConfiguration | undefined;
 	let revision = -1;
 	/**
-	Revisions of the configuration in force and of the last one that could not be read.
+	Revision of the configuration in force.
 	*/
 	let configuredAt = -1;
-	let unreadAt = -1;
+	/**
+	The last configuration that could not be read.
+	*/
 	let unread: Unreadable | undefined;
 
+	function findUnread(): Unreadable | undefined {
+		return unread !== undefined && unread.revision > configuredAt ? unread : undefined;
+	}
+
 	function removeEndpoint(removal: Removal, source: BeliefSource): News {
 		const {id, revision: at} = removal;
 		const endpoint = endpoints.get(id);
@@ -226,15 +232,18 @@
 			return applyRemoval(change, source, nodes.get(change.id) !== undefined);
 		},
 		unreadable(change, source) {
-			const {revision: at, isConfiguration} = change;
-			if (isConfiguration && at <= unreadAt) {
+			if (!change.isConfiguration) {
+				recordUnreadable(change);
+				return drainUnreadable(change, source);
+			}
+
+			if (change.revision <= (unread?.revision ?? -1)) {
 				return nothing;
 			}
 
-			unreadAt = isConfiguration ? at : unreadAt;
-			unread = isConfiguration ? change : unread;
+			unread = change;
 			recordUnreadable(change);
-			return isConfiguration ? [change] : drainUnreadable(change, source);
+			return [change];
 		},
 		other: () => nothing,
 	};
@@ -293,7 +302,7 @@
 		events,
 		revision: () => revision,
 		configuration: () => configuration,
-		hasUnreadConfiguration: () => unreadAt > configuredAt,
+		hasUnreadConfiguration: () => findUnread() !== undefined,
 		endpoints: endpoints.values,
 		nodes: nodes.values,
 		applyChanges,
@@ -307,10 +316,10 @@
 			endpoints: endpoints.entries().map(({value, revision: at}) => ({endpoint: value, revision: at})),
 			nodes: nodes.entries().map(({value, revision: at}) => ({node: value, revision: at})),
 			removed: [
-				...endpoints.marks(-1).map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
-				...nodes.marks(-1).map(mark => ({kind: 'node-removed' as const, ...mark})),
+				...endpoints.marks().map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
+				...nodes.marks().map(mark => ({kind: 'node-removed' as const, ...mark})),
 			],
-			unread: unreadAt > configuredAt ? unread : undefined,
+			unread: findUnread(),
 			isSteady,
 		}),
 		importState(state) {
--- a/gateway/cluster-view/src/create-revision-marks.ts
+++ b/gateway/cluster-view/src/create-revision-marks.ts
@@ -10,8 +10,8 @@
 
  @example
  const marks = createRevisionMarks();
- marks.mark('servers/i-7f', 7); // true
- marks.mark('servers/i-7f', 7); // false
+ marks.mark('endpoints/i-7f', 7); // true
+ marks.mark('endpoints/i-7f', 7); // false
  */
 export function createRevisionMarks(): RevisionMarks {
 	const marks = new Map<string, number>();
--- a/gateway/cluster-view/src/create-versioned-map.ts
+++ b/gateway/cluster-view/src/create-versioned-map.ts
@@ -75,7 +75,7 @@
 			digest -= measureEntry(id);
 			return entries.delete(id);
 		},
-		marks: after => [...marks].filter(([, revision]) => revision > after).slice(-mostMarksTold).map(([id, revision]) => ({id, revision})),
+		marks: () => [...marks].slice(-mostMarksTold).map(([id, revision]) => ({id, revision})),
 		digest: () => digest,
 		listMissing: (listed, revision) => [...entries].filter(([id, entry]) => !listed.has(id) && entry.revision <= revision).map(([id]) => id),
 	};
--- a/gateway/cluster-view/src/versioned-map.ts
+++ b/gateway/cluster-view/src/versioned-map.ts
@@ -15,9 +15,9 @@
 	*/
 	readonly remove: (id: string, revision: number) => boolean;
 	/**
-	Marks of entries that were removed after a revision, the newest of them when there are many.
+	Marks of entries that were removed, the newest of them when there are many.
 	*/
-	readonly marks: (after: number) => ReadonlyArray<{readonly id: string; readonly revision: number}>;
+	readonly marks: () => ReadonlyArray<{readonly id: string; readonly revision: number}>;
 	/**
 	Digest of all ids with their revisions; two maps with the same entries have the same.
 	*/
--- a/node/gateway/test/kept-connections.test.ts
+++ b/node/gateway/test/kept-connections.test.ts
@@ -22,7 +22,7 @@
 type Platform = Awaited<ReturnType<typeof startPlatform>>;
 
 /**
-Starts a platform with a short time limit for heads, whose endpoints answer only when they are told to.
+Starts a platform that gives heads little time, whose endpoints answer only when they are told to.
 */
 async function startSilentPlatform(t: Test): Promise<Platform> {
 	const platform = await startPlatform(t, ['silent']);
