--- a/observe/metrics/src/create-metrics-page.ts
+++ b/observe/metrics/src/create-metrics-page.ts
@@ -1,4 +1,5 @@
 import {Counter, Histogram, Registry} from 'prom-client';
+import type {MetricTags} from './metric-tags.ts';
 import type {MetricsPage} from './metrics-page.ts';
 
 /**
@@ -6,6 +7,11 @@
 */
 const bucketsMs = [1, 2, 5, 10, 25, 50, 100, 150, 250, 500, 1000, 2000, 5000, 15_000];
 
+type Sum = {
+	readonly tags: MetricTags;
+	value: number;
+};
+
 /**
  Creates the page. A metric takes the tags of its first use as its labels.
 
@@ -19,17 +25,36 @@
 	const counters = new Map<string, Counter>();
 	const histograms = new Map<string, Histogram>();
 
-	return {
-		increment(name, by, tags) {
-			let counter = counters.get(name);
-			if (counter === undefined) {
-				counter = new Counter({
+	/**
+	Sums by name and tags. They become counters when the page is read: a message between nodes changes four of them.
+	*/
+	const sums = new Map<string, Map<string, Sum>>();
+
+	function updateCounters(): void {
+		for (const [name, byTags] of sums) {
+			for (const {tags, value} of byTags.values()) {
+				const counter = counters.get(name) ?? new Counter({
 					name: `${formatName(name)}_total`, help: name, labelNames: Object.keys(tags), registers: [registry],
 				});
 				counters.set(name, counter);
+				counter.inc(tags, value);
 			}
 
-			counter.inc(tags, by);
+			byTags.clear();
+		}
+	}
+
+	return {
+		increment(name, by, tags) {
+			const key = Object.values(tags).join('\n');
+			const byTags = sums.get(name) ?? new Map<string, Sum>();
+			sums.set(name, byTags);
+			const sum = byTags.get(key);
+			if (sum === undefined) {
+				byTags.set(key, {tags, value: by});
+			} else {
+				sum.value += by;
+			}
 		},
 		observe(name, milliseconds, tags) {
 			let histogram = histograms.get(name);
@@ -42,7 +67,10 @@
 
 			histogram.observe(tags, milliseconds);
 		},
-		format: async () => registry.metrics(),
+		async format() {
+			updateCounters();
+			return registry.metrics();
+		},
 	};
 }
 
