--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -67,11 +67,14 @@
 	});
 
 	function sendText(message: JSONRPCRequest | JSONRPCResponse | ReadonlyArray<JSONRPCRequest | JSONRPCResponse>): void {
+		sendWritten(JSON.stringify(message));
+	}
+
+	function sendWritten(text: string): void {
 		if (socket.readyState !== WebSocket.OPEN) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_PEER_UNREACHABLE', `the link to ${options.node} is closed`);
 		}
 
-		const text = JSON.stringify(message);
 		metrics.increment('peer.bytes-sent', text.length);
 		metrics.increment('peer.messages-sent');
 		socket.send(text);
@@ -151,6 +154,10 @@
 			usedAt = performance.now();
 			client.notify(method, parameters);
 		},
+		sendWritten(text) {
+			usedAt = performance.now();
+			sendWritten(text);
+		},
 		tick(now) {
 			if (now - tickedAt >= options.silenceMs) {
 				markPaused(now);
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -2,6 +2,7 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {Buffer} from 'node:buffer';
 import Emittery from 'emittery';
+import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {ResultAsync} from 'neverthrow';
 import {WebSocket, WebSocketServer, type PerMessageDeflateOptions} from 'ws';
 import {ValvesaddleError} from '@valvesaddle/error';
@@ -148,9 +149,11 @@
 		},
 		broadcast(method, parameters, nodes) {
 			const targets = nodes === undefined ? links.values().toArray() : nodes.flatMap(node => links.get(node) ?? []);
+			// Written once: a relay tells some twenty nodes the same, four times a second.
+			const text = targets.length === 0 ? '' : JSON.stringify(createJSONRPCNotification(method, parameters));
 			for (const link of targets) {
 				try {
-					link.notify(method, parameters);
+					link.sendWritten(text);
 				} catch {
 					metrics.increment('peer.notifications-lost');
 				}
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -6,6 +6,10 @@
 	readonly call: (method: string, parameters: unknown) => Promise<unknown>;
 	readonly notify: (method: string, parameters: unknown) => void;
 	/**
+	Sends a notification that was written already, for all links at once.
+	*/
+	readonly sendWritten: (text: string) => void;
+	/**
 	Looks after the link: pings while it is in use, ends it after long silence. Takes the time of `performance.now()`.
 	*/
 	readonly tick: (now: number) => void;
