feat(duties): one node at a time reports usage and orders replicas

Change: a lease in the store, whose revision is the fencing token; counts of usage by window and account that only rise, told by relays to all candidates and fixed once in the store; replicas mostly spot, spread by price, more by open requests and reading.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -90,6 +90,31 @@
 		*/
 		balancer_ms: milliseconds.default(2500),
 	}).prefault({}),
+	/**
+	Duties that the platform asks of one node at a time; off without the table.
+	*/
+	duties: z.strictObject({
+		address,
+		/**
+		Names of the duties, as the platform offers them.
+		*/
+		offered: z.array(z.string()).default([]),
+		timeout_ms: milliseconds.default(1200),
+		lease_ms: z.int().min(1000).max(60_000).default(2000),
+		/**
+		Time within which the duty may not change hands to and fro.
+		*/
+		order_ms: milliseconds.default(3000),
+		window_s: seconds.default(5),
+		/**
+		Time after a window in which the counts of other nodes arrive.
+		*/
+		settle_ms: milliseconds.default(1500),
+		/**
+		Fewest replicas of a pool, as a part of the most that are allowed.
+		*/
+		least_share: z.number().min(0).max(1).default(0.5),
+	}).optional(),
 	observe: z.strictObject({
 		log_level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}).prefault({}),
--- /dev/null
+++ b/duties/scaling/src/index.ts
@@ -0,0 +1,12 @@
+export {createNeedEstimator} from './create-need-estimator.ts';
+export {createOrderBook} from './create-order-book.ts';
+export {createScaler} from './create-scaler.ts';
+export {planReplicas} from './plan-replicas.ts';
+export type {Need, NeedEstimator} from './need-estimator.ts';
+export type {OrderBook} from './order-book.ts';
+export type {OrderQuestion} from './order-question.ts';
+export type {PoolWork} from './pool-work.ts';
+export type {ReplicaCount} from './replica-count.ts';
+export type {ReplicaPlan} from './replica-plan.ts';
+export type {Scaler} from './scaler.ts';
+export type {ScalerOptions} from './scaler-options.ts';
--- /dev/null
+++ b/duties/scaling/src/replica-plan.ts
@@ -0,0 +1,8 @@
+/**
+Replicas that a data centre shall run, by kind.
+*/
+export type ReplicaPlan = {
+	readonly dataCentre: string;
+	readonly usual: number;
+	readonly spot: number;
+};
--- /dev/null
+++ b/duties/types/src/index.ts
@@ -0,0 +1,9 @@
+export type {DutyAnswer} from './duty-answer.ts';
+export type {DutyKind} from './duty-kind.ts';
+export type {DutyPlatform} from './duty-platform.ts';
+export type {DutyProof} from './duty-proof.ts';
+export type {DutyStore} from './duty-store.ts';
+export type {EntryWrite} from './entry-write.ts';
+export type {ReplicaOrder} from './replica-order.ts';
+export type {StoredEntry} from './stored-entry.ts';
+export type {UsageReport} from './usage-report.ts';
--- /dev/null
+++ b/duties/types/src/stored-entry.ts
@@ -0,0 +1,7 @@
+/**
+An entry of the store and the revision of its last change.
+*/
+export type StoredEntry = {
+	readonly text: string;
+	readonly revision: number;
+};
--- /dev/null
+++ b/duties/usage/src/create-usage-book.ts
@@ -0,0 +1,58 @@
+import type {UsageBook} from './usage-book.ts';
+import type {UsageRow} from './usage-row.ts';
+
+/**
+ Creates a book of counts. Counts only rise and each belongs to one process, so rows may be told by several ways, in any order
+ and more than once.
+
+ @example
+ const book = createUsageBook('a1.7f');
+ book.count(353445120, 'sawmill');
+ book.sum(353445120); // {sawmill: 1}
+ */
+export function createUsageBook(self: string): UsageBook {
+	/**
+	Counts by window, account and origin.
+	*/
+	const windows = new Map<number, Map<string, Map<string, number>>>();
+
+	function getCounts(window: number, account: string): Map<string, number> {
+		const accounts = windows.get(window) ?? new Map<string, Map<string, number>>();
+		windows.set(window, accounts);
+		const counts = accounts.get(account) ?? new Map<string, number>();
+		accounts.set(account, counts);
+		return counts;
+	}
+
+	function isNew([origin, window, account, count]: UsageRow): boolean {
+		const counts = getCounts(window, account);
+		if (count <= (counts.get(origin) ?? 0)) {
+			return false;
+		}
+
+		counts.set(origin, count);
+		return true;
+	}
+
+	return {
+		count(window, account) {
+			const counts = getCounts(window, account);
+			const count = (counts.get(self) ?? 0) + 1;
+			counts.set(self, count);
+			return [self, window, account, count];
+		},
+		merge: rows => rows.filter(row => isNew(row)),
+		list: () => [...windows].flatMap(([window, accounts]) => [...accounts].flatMap(([account, counts]) => [...counts].map(([origin, count]): UsageRow => [origin, window, account, count]))),
+		sum(window) {
+			const accounts = windows.get(window) ?? new Map<string, Map<string, number>>();
+			return Object.fromEntries([...accounts].map(([account, counts]) => [account, counts.values().reduce((sum, count) => sum + count, 0)]));
+		},
+		removeBefore(window) {
+			for (const known of windows.keys()) {
+				if (known < window) {
+					windows.delete(known);
+				}
+			}
+		},
+	};
+}
--- a/emulator/beliefs/src/index.ts
+++ b/emulator/beliefs/src/index.ts
@@ -7,3 +7,5 @@
 export type {SpreadingOptions} from './spreading-options.ts';
 export type {SpreadingReport} from './spreading-report.ts';
 export type {SpreadingTarget} from './spreading-target.ts';
+export {createPausedRuntime} from './create-paused-runtime.ts';
+export type {PausedRuntime} from './paused-runtime.ts';
--- /dev/null
+++ b/emulator/duties/src/duty-report.ts
@@ -0,0 +1,15 @@
+/**
+What a run of duties showed.
+*/
+export type DutyReport = {
+	/**
+	Rules that were broken, in words.
+	*/
+	readonly breaches: readonly string[];
+	readonly calls: number;
+	readonly holders: number;
+	/**
+	Longest time without an accepted report, in milliseconds.
+	*/
+	readonly longestGapMs: number;
+};
--- a/gateway/cluster-view/src/cluster-events.ts
+++ b/gateway/cluster-view/src/cluster-events.ts
@@ -20,6 +20,10 @@
 	node: {readonly node: GatewayNode};
 	nodeRemoved: {readonly id: string};
 	/**
+	An entry changed that says nothing of the cluster.
+	*/
+	entry: {readonly key: string; readonly isRemoved: boolean};
+	/**
 	What is believed went on from the revision `after`, by changes that leave no gap and whatever way they came.
 	*/
 	advanced: {readonly after: number; readonly changes: ClusterChanges; readonly source: BeliefSource};
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -245,7 +245,13 @@
 			recordUnreadable(change);
 			return [change];
 		},
-		other: () => nothing,
+		other({key, isRemoved = false}) {
+			if (key !== undefined) {
+				void events.emit('entry', {key, isRemoved});
+			}
+
+			return nothing;
+		},
 	};
 
 	function applyChange(change: ClusterChange, source: BeliefSource): News {
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -61,6 +61,7 @@
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
 	let patience: NodeJS.Timeout | undefined;
+	let isBegun = false;
 
 	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
 
@@ -77,6 +78,18 @@
 		onOver();
 	}
 
+	/**
+	A request begins to run once, however often it is sent: a stream with its first event, any other when it was sent.
+	*/
+	function markBegun(at: number): void {
+		if (isBegun) {
+			return;
+		}
+
+		isBegun = true;
+		options.onBegun?.(request.account?.name ?? '', at);
+	}
+
 	function refuse(error: ValvesaddleError): void {
 		if (writer.isBegun()) {
 			closeTask('broken-off', 0);
@@ -100,11 +113,11 @@
 	Gives an endpoint some time for its next byte; a request that may be repeated then goes elsewhere.
 	*/
 	function startPatience(milliseconds: number): void {
-		clearTimeout(patience);
 		if (!isRepeatable(route)) {
 			return;
 		}
 
+		clearTimeout(patience);
 		patience = setTimeout(() => {
 			if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
 				return;
@@ -204,10 +217,12 @@
 	function createListener(opened: OpenWork): ExchangeListener {
 		let answer: AttemptAnswer | undefined;
 		let wasSent = false;
+		let sentAt = 0;
 
 		return {
 			onSent() {
 				wasSent = true;
+				sentAt = performance.now();
 				runs++;
 				arrivals++;
 			},
@@ -227,6 +242,10 @@
 			onData(chunk) {
 				opened.markPiece();
 				clock.record();
+				if (answer?.verdict === 'stream') {
+					markBegun(performance.now());
+				}
+
 				if (route.kind === 'stream') {
 					startPatience(getPatience(route, 0).pauseMs);
 				}
@@ -234,6 +253,10 @@
 				return answer === undefined ? 'more' : takeData(answer, chunk);
 			},
 			onEnd() {
+				if (answer?.verdict === 'whole' || answer?.verdict === 'run-failed') {
+					markBegun(sentAt);
+				}
+
 				if (answer !== undefined) {
 					handleEnd(answer, opened);
 				}
--- a/gateway/forwarding/src/forwarder-options.ts
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -15,6 +15,10 @@
 	readonly exchanges: ExchangeClient;
 	readonly budget: RetryBudget;
 	readonly waits: UsualWaits;
+	/**
+	Told once of each request that began to run: when, in milliseconds on the steady clock, and for which client account.
+	*/
+	readonly onBegun?: (account: string, at: number) => void;
 	readonly admission: AdmissionSettings;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -38,6 +38,7 @@
 	readonly paces: PaceModel;
 	readonly pauses: PauseModel;
 	pacedAt: number;
+	placedTokens: number;
 };
 
 /**
@@ -56,6 +57,7 @@
 			paces: createPaceModel(),
 			pauses: createPauseModel(),
 			pacedAt: -Infinity,
+			placedTokens: 0,
 		};
 		pools.set(name, pool);
 		return pool;
@@ -101,8 +103,14 @@
 				load, slots: endpoint.slots, urgency, unread, tokensPerMs: endpointTokensPerMs,
 			});
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
+			const leastScore = costMs + wasteMs - (endpoint.incarnation === agreed ? agreedMs : 0);
+			// Harm only adds, and is the dearest part to work out.
+			if (best !== undefined && leastScore >= best.score) {
+				continue;
+			}
+
 			const harmMs = question.objectiveMs * measureHarm(pool, endpoint.incarnation, load, unread, question);
-			const score = costMs + wasteMs + harmMs - (endpoint.incarnation === agreed ? agreedMs : 0);
+			const score = leastScore + harmMs;
 			if (best === undefined || score < best.score) {
 				best = {
 					endpoint, heldTokens, costMs, readMs: unread / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length,
@@ -120,7 +128,9 @@
 			return chooseBest(pool, candidates, question);
 		},
 		recordDemand(name, endpoint, tokens) {
-			const {rate, paces, pauses} = getPool(name);
+			const pool = getPool(name);
+			const {rate, paces, pauses} = pool;
+			pool.placedTokens += tokens;
 			const factor = paces.getFactor(endpoint);
 			pauses.recordReading(endpoint, tokens / (rate.get() * factor), factor);
 		},
@@ -132,6 +142,10 @@
 			const factor = paces.getFactor(endpoint);
 			return {factor, tokensPerMs: rate.get() * factor};
 		},
+		getReading(name) {
+			const {placedTokens, rate} = getPool(name);
+			return {placedTokens, tokensPerMs: rate.get()};
+		},
 		getPauses: name => getPool(name).pauses,
 		removeEndpoint(endpoint) {
 			for (const {pauses} of pools.values()) {
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -177,6 +177,10 @@
 			unseenFactor = factor;
 			loads.setUnseenFactor(factor);
 		},
+		measureWork: pool => ({
+			...chooser.getReading(pool),
+			open: listReady(pool).reduce((sum, {incarnation}) => sum + loads.get(incarnation).open, 0),
+		}),
 		removeNode: loads.removePeer,
 	};
 }
--- a/gateway/selection/src/index.ts
+++ b/gateway/selection/src/index.ts
@@ -7,6 +7,7 @@
 export {noLoad} from './no-load.ts';
 export type {OpenWork} from './open-work.ts';
 export type {Placement} from './placement.ts';
+export type {PoolWork} from './pool-work.ts';
 export type {Selection} from './selection.ts';
 export type {SelectionQuestion} from './selection-question.ts';
 export type {Selector} from './selector.ts';
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -1,5 +1,6 @@
 import type {KnownEndpoint} from './known-endpoint.ts';
 import type {PauseModel} from './pause-model.ts';
+import type {PoolWork} from './pool-work.ts';
 import type {Rating} from './rating.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 
@@ -24,5 +25,9 @@
 	*/
 	readonly getPace: (pool: string, endpoint: string) => {readonly factor: number; readonly tokensPerMs: number};
 	readonly getPauses: (pool: string) => PauseModel;
+	/**
+	Tokens of prompts that were placed in a pool so far, and what a usual engine of it reads in a millisecond.
+	*/
+	readonly getReading: (pool: string) => Omit<PoolWork, 'open'>;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -1,6 +1,7 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import type {LoadNews} from './load-news.ts';
 import type {OpenWork} from './open-work.ts';
+import type {PoolWork} from './pool-work.ts';
 import type {Selection} from './selection.ts';
 import type {SelectionQuestion} from './selection-question.ts';
 
@@ -40,5 +41,9 @@
 	Sets how many times the known work stands for all of it, while peers cannot be heard.
 	*/
 	readonly setUnseenFactor: (factor: number) => void;
+	/**
+	Work of a pool, of all nodes.
+	*/
+	readonly measureWork: (pool: string) => PoolWork;
 	readonly removeNode: (node: string) => void;
 };
--- a/gateway/types/src/cluster-change.ts
+++ b/gateway/types/src/cluster-change.ts
@@ -23,6 +23,6 @@
 		readonly endpoint?: string;
 	}
 	/**
-	A change that the gateway has no use for; a watch that brings one has heard the store nevertheless.
+	A change of an entry that says nothing of the cluster; a watch that brings one has heard the store nevertheless.
 	*/
-	| {readonly kind: 'other'; readonly revision: number};
+	| {readonly kind: 'other'; readonly revision: number; readonly key?: string; readonly isRemoved?: boolean};
--- a/gateway/types/src/index.ts
+++ b/gateway/types/src/index.ts
@@ -7,6 +7,7 @@
 export type {GatewayAccount} from './gateway-account.ts';
 export type {GatewayConfiguration} from './gateway-configuration.ts';
 export type {GatewayNode} from './gateway-node.ts';
+export type {PoolScaling} from './pool-scaling.ts';
 export type {PromptPart} from './prompt-part.ts';
 export type {RequestFacts} from './request-facts.ts';
 export type {RouteKind} from './route-kind.ts';
--- a/gateway/types/src/service-pool.ts
+++ b/gateway/types/src/service-pool.ts
@@ -1,4 +1,5 @@
 import type {EngineTraits} from './engine-traits.ts';
+import type {PoolScaling} from './pool-scaling.ts';
 
 /**
 Endpoints that can stand in for each other.
@@ -9,4 +10,8 @@
 	Set for pools of model engines.
 	*/
 	readonly engine: EngineTraits | undefined;
+	/**
+	Set for pools whose replicas are ordered.
+	*/
+	readonly scaling?: PoolScaling;
 };
--- a/gateway/types/src/serving-endpoint.ts
+++ b/gateway/types/src/serving-endpoint.ts
@@ -22,4 +22,8 @@
 	*/
 	readonly slots: number;
 	readonly state: 'ready' | 'draining';
+	/**
+	Whether it may be reclaimed, with all of its kind in the data centre.
+	*/
+	readonly isSpot?: boolean;
 };
--- /dev/null
+++ b/node/gateway/src/count-ready.ts
@@ -0,0 +1,22 @@
+import type {ReplicaCount} from '@valvesaddle/duty-scaling';
+import type {ServingEndpoint} from '@valvesaddle/gateway-types';
+
+/**
+ Counts the replicas of a pool that take work, by data centre and kind.
+
+ @example
+ countReady(view.endpoints(), 'drafting'); // [{dataCentre: 'a', isSpot: false, count: 20}]
+ */
+export function countReady(endpoints: readonly ServingEndpoint[], pool: string): readonly ReplicaCount[] {
+	const counts = new Map<string, ReplicaCount>();
+	for (const {pool: of, state, dataCentre, isSpot = false} of endpoints) {
+		if (of !== pool || state !== 'ready') {
+			continue;
+		}
+
+		const key = `${dataCentre} ${isSpot}`;
+		counts.set(key, {dataCentre, isSpot, count: (counts.get(key)?.count ?? 0) + 1});
+	}
+
+	return counts.values().toArray();
+}
--- /dev/null
+++ b/node/gateway/src/create-duty-task.ts
@@ -0,0 +1,146 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {createDutyPlatform, decodeDuties} from '@valvesaddle/duty-api';
+import {createDutyLease} from '@valvesaddle/duty-lease';
+import {createScaler} from '@valvesaddle/duty-scaling';
+import type {DutyProof} from '@valvesaddle/duty-types';
+import {createUsageReporter} from '@valvesaddle/duty-usage';
+import {createDutyStore} from '@valvesaddle/fleet-store';
+import {countReady} from './count-ready.ts';
+import type {DutyTask} from './duty-task.ts';
+import type {DutyTaskOptions} from './duty-task-options.ts';
+
+const msPerSecond = 1000;
+/**
+Entry of the store that names the holder of all duties.
+*/
+const holderKey = 'holder';
+/**
+Renewals within a lease: two may fail before it ends.
+*/
+const renewalsPerLease = 4;
+/**
+Time after its start from which a process knows the replicas that serve, in milliseconds: an order before that could take away all.
+*/
+const knownMs = 2500;
+/**
+Pauses between two looks at what is due, in milliseconds.
+*/
+const stepMs = 500;
+/**
+Time beside that of the platform's rule for which a node leaves a duty to others that it has held, in milliseconds.
+*/
+const asideMarginMs = 1000;
+
+/**
+ Creates a node's part in the duties of one node at a time. Nodes that follow the store stand as candidates; the holder reports
+ usage and orders replicas.
+
+ @example
+ const duties = createDutyTask(options);
+ duties.start();
+ */
+export function createDutyTask(options: DutyTaskOptions): DutyTask {
+	const {settings, view, sync, logger, metrics} = options;
+	const closing = new AbortController();
+	const startedAt = performance.now();
+	const offered = decodeDuties(settings.offered);
+	const store = createDutyStore({
+		...options.store,
+		onCall(call, milliseconds, isDone) {
+			metrics.increment('store.calls', 1, {call});
+			metrics.increment('store.calls-failed', isDone ? 0 : 1, {call});
+			metrics.timing('store.call', milliseconds, {call});
+		},
+	});
+	const platform = createDutyPlatform({
+		address: settings.address,
+		timeoutMs: settings.timeout_ms,
+		onCall({call, answer, reason, milliseconds}) {
+			metrics.increment('duties.calls', 1, {call, answer});
+			logger.info({
+				name: 'duty-called', call, answer, reason, milliseconds: Math.round(milliseconds),
+			});
+		},
+	});
+	const lease = createDutyLease({
+		store, key: holderKey, holder: options.process, leaseMs: settings.lease_ms, standAsideMs: settings.order_ms + asideMarginMs, logger, metrics,
+	});
+
+	function getProof(): DutyProof | undefined {
+		const token = lease.token();
+		return token === undefined ? undefined : {holder: options.name, token};
+	}
+
+	const reporter = createUsageReporter({
+		book: {sum: window => sync.usage?.book.sum(window) ?? {}},
+		store,
+		platform,
+		getProof,
+		confirm: lease.confirm,
+		windowMs: settings.window_s * msPerSecond,
+		settleMs: settings.settle_ms,
+		logger,
+		metrics,
+	});
+	const scaler = createScaler({
+		platform,
+		getProof,
+		confirm: lease.confirm,
+		raiseToken: lease.raiseToken,
+		listPools: () => view.configuration()?.pools ?? [],
+		countReady: pool => countReady(view.endpoints(), pool),
+		measureWork: pool => ({
+			...options.selector.measureWork(pool), slots: view.configuration()?.pools.find(({name}) => name === pool)?.engine?.slots ?? 1,
+		}),
+		leastShare: settings.least_share,
+		logger,
+		metrics,
+	});
+
+	view.events.on('entry', ({data: {key, isRemoved}}) => {
+		if (isRemoved && key.endsWith(holderKey)) {
+			lease.markFree();
+		}
+	});
+
+	async function runRepeatedly(pauseMs: number, step: () => Promise<void>): Promise<void> {
+		while (!closing.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop -- one step after the other
+			await step();
+			// eslint-disable-next-line no-await-in-loop -- the pause between two steps
+			await wait(pauseMs, undefined, {ref: false});
+		}
+	}
+
+	async function updateLease(): Promise<void> {
+		const before = lease.token();
+		await lease.update(sync.isFollower());
+		if (before !== undefined || lease.token() === undefined) {
+			return;
+		}
+
+		reporter.begin(options.toUnixTime(performance.now()));
+		scaler.begin();
+	}
+
+	return {
+		start() {
+			void runRepeatedly(settings.lease_ms / renewalsPerLease, updateLease);
+			void runRepeatedly(stepMs, async () => {
+				if (offered.has('scaling') && getProof() !== undefined && performance.now() - startedAt >= knownMs) {
+					await scaler.update();
+				}
+			});
+			void runRepeatedly(stepMs, async () => {
+				if (offered.has('usage') && getProof() !== undefined) {
+					await reporter.update(options.toUnixTime(performance.now()));
+				}
+			});
+		},
+		async close() {
+			closing.abort();
+			await lease.release();
+			await Promise.all([store.close(), platform.close()]);
+		},
+	};
+}
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -16,6 +16,7 @@
 import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
 import {createSelector} from '@valvesaddle/selection';
 import {platformWire} from '@valvesaddle/wire';
+import {createDutyTask} from './create-duty-task.ts';
 import {createPeerSync} from './create-peer-sync.ts';
 import {createReadyServer} from './create-ready-server.ts';
 import {defaultLimits} from './default-limits.ts';
@@ -99,6 +100,9 @@
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 	});
+	// A time of day that is set while the process runs moves no request into another window.
+	const startedAt = Date.now() - performance.now();
+	const toUnixTime = (at: number): number => startedAt + at;
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
@@ -107,6 +111,7 @@
 		selector,
 		newsMs: peers.news_ms,
 		hasOpenRequests: () => forwarder.countOpen() > 0,
+		...(settings.duties !== undefined && {usage: {windowMs: settings.duties.window_s * msPerSecond, toUnixTime}}),
 		heartbeatMs: peers.heartbeat_ms,
 		meshNodes: peers.mesh_nodes,
 		suspectMs: peers.suspect_ms,
@@ -124,12 +129,18 @@
 			metrics.increment('gateway.connections');
 		},
 	});
+	const duties = settings.duties && createDutyTask({
+		name, process: self.id, settings: settings.duties, store: {address: storeSettings.address, timeoutMs: storeSettings.timeout_ms}, view, selector, sync, toUnixTime, logger, metrics,
+	});
 	const forwarder = createForwarder({
 		wire: platformWire,
 		selector,
 		exchanges,
 		budget,
 		waits: createUsualWaits(),
+		onBegun(account, at) {
+			sync.usage?.count(account, at);
+		},
 		admission: {lateFactor: admission.late_factor, waitFactor: admission.wait_factor, returnFactor: admission.return_factor},
 		logger,
 		metrics,
@@ -178,6 +189,7 @@
 	async function close(): Promise<void> {
 		front.cut();
 		sync.close();
+		await Promise.race([duties?.close(), wait(closeMs, undefined, {ref: false})]);
 		await Promise.race([follower.close(), wait(closeMs, undefined, {ref: false})]);
 		view.close();
 		await Promise.race([Promise.all([network.close(), ready.close(), metricsServer?.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeMs, undefined, {ref: false})]);
@@ -198,6 +210,8 @@
 
 	async function drain(): Promise<void> {
 		isLeaving = true;
+		// Another node takes over at once, long before the last answer has ended here.
+		void duties?.close();
 		logger.info({
 			name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen(),
 		});
@@ -217,6 +231,7 @@
 			await startMetrics();
 			follower.start();
 			sync.start();
+			duties?.start();
 			logger.info({name: 'listening', what: 'callers', address: callers});
 			return {callers, ready: readyAddress, peers: peerAddress};
 		},
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -210,6 +210,7 @@
 		isMesh: () => overlay.isMesh,
 		parent: () => parent,
 		listRelays: () => isRelay(self.id) ? network.connected().filter(id => isRelay(id)) : network.connected().filter(id => id === parent),
+		listFollowers: () => network.connected().filter(id => overlay.followers.has(id)),
 		listMembers: () => isRelay(self.id) ? network.connected().filter(id => !isRelay(id)) : [],
 	};
 }
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -4,6 +4,7 @@
 import {createBeliefSync} from './create-belief-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createNewsSync} from './create-news-sync.ts';
+import {createUsageSync} from './create-usage-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
 import type {PeerSyncOptions} from './peer-sync-options.ts';
 
@@ -43,6 +44,9 @@
 	const news = createNewsSync({
 		node: self.id, network, links, selector, countNodes: () => view.nodes().length,
 	});
+	const usage = options.usage && createUsageSync({
+		node: self.id, network, links, ...options.usage,
+	});
 	const beliefs = createBeliefSync({
 		node: self.id, network, links, view, follower, confirmMs: silenceMs, logger, metrics,
 	});
@@ -92,6 +96,7 @@
 	network.events.on('found', ({data: {node}}) => {
 		logger.info({name: 'peer-state', peer: node, reachable: true});
 		news.introduce(node);
+		usage?.introduce(node);
 		beliefs.sendHeartbeat();
 	});
 
@@ -101,17 +106,21 @@
 				void runRepeatedly(() => heartbeatMs, () => {
 					links.update();
 					beliefs.sendHeartbeat();
+					usage?.send();
 				});
 				void runRepeatedly(measureNewsPause, sendNews);
 			},
 			isCurrent: beliefs.isCurrent,
 			isStoreNeeded: beliefs.isStoreNeeded,
+			isFollower: links.isFollower,
+			usage,
 			close() {
 				closing.abort();
 			},
 		},
 		handlers: {
 			'load.news': withSign(news.applyNews),
+			'usage.rows': withSign((parameters, node) => usage?.apply(parameters, node)),
 			'cluster.heartbeat': withSign(beliefs.applyHeartbeat),
 			'cluster.changes': withSign(beliefs.applyChanges),
 			'cluster.state': withSign(beliefs.exportState),
--- /dev/null
+++ b/node/gateway/src/duty-task-options.ts
@@ -0,0 +1,31 @@
+import type {ClusterView} from '@valvesaddle/cluster-view';
+import type {Logger} from '@valvesaddle/logger';
+import type {Metrics} from '@valvesaddle/metrics';
+import type {Selector} from '@valvesaddle/selection';
+import type {GatewaySettings} from '@valvesaddle/settings';
+import type {PeerSync} from './peer-sync.ts';
+
+/**
+Options of `createDutyTask`.
+*/
+export type DutyTaskOptions = {
+	/**
+	Name of the node for the platform, and of its process, which is new at each start.
+	*/
+	readonly name: string;
+	readonly process: string;
+	readonly settings: NonNullable<GatewaySettings['duties']>;
+	/**
+	Address of the store, and the time for an answer in milliseconds.
+	*/
+	readonly store: {readonly address: string; readonly timeoutMs: number};
+	readonly view: ClusterView;
+	readonly selector: Pick<Selector, 'measureWork'>;
+	readonly sync: Pick<PeerSync, 'isFollower' | 'usage'>;
+	/**
+	The time of day that belongs to a time on the steady clock, in Unix milliseconds.
+	*/
+	readonly toUnixTime: (at: number) => number;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+};
--- a/node/gateway/src/link-plan.ts
+++ b/node/gateway/src/link-plan.ts
@@ -36,6 +36,10 @@
 	*/
 	readonly listRelays: () => readonly string[];
 	/**
+	Linked nodes that follow the store for others.
+	*/
+	readonly listFollowers: () => readonly string[];
+	/**
 	Linked nodes that are no relays themselves.
 	*/
 	readonly listMembers: () => readonly string[];
--- a/node/gateway/src/peer-sync-options.ts
+++ b/node/gateway/src/peer-sync-options.ts
@@ -23,6 +23,11 @@
 	*/
 	readonly hasOpenRequests: () => boolean;
 	/**
+	Set when usage is counted: the length of its windows, and the time of day that belongs to a time on the steady clock, in Unix
+	milliseconds.
+	*/
+	readonly usage?: {readonly windowMs: number; readonly toUnixTime: (at: number) => number};
+	/**
 	Between two messages on the revision that the node knows.
 	*/
 	readonly heartbeatMs: number;
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -38,6 +38,22 @@
 	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
+	| {readonly name: 'duty-taken'; readonly duty: string; readonly token: number}
+	| {readonly name: 'duty-lost'; readonly duty: string; readonly token: number; readonly reason: string}
+	| {readonly name: 'duty-step-failed'; readonly duty: string; readonly step: string; readonly reason: string}
+	| {readonly name: 'duty-called'; readonly call: string; readonly answer: string; readonly reason: string; readonly milliseconds: number}
+	| {
+		readonly name: 'usage-reported'; readonly window: number; readonly accounts: number; readonly requests: number; readonly token: number;
+		readonly answer: string;
+	}
+	| {
+		readonly name: 'replicas-wanted'; readonly pool: string; readonly count: number; readonly ready: number; readonly open: number;
+		readonly tokensPerS: number; readonly reason: string;
+	}
+	| {
+		readonly name: 'replicas-ordered'; readonly pool: string; readonly dataCentre: string; readonly isSpot: boolean; readonly count: number;
+		readonly ready: number; readonly token: number; readonly answer: string;
+	}
 	| {readonly name: 'settings-read'; readonly isAccepted: boolean; readonly reason: string}
 	| {readonly name: 'metrics-unavailable'; readonly address: string; readonly reason: string}
 	| {readonly name: 'node-registration'; readonly isDone: boolean; readonly reason: string}
