--- a/duties/lease/src/create-duty-lease.ts
+++ b/duties/lease/src/create-duty-lease.ts
@@ -41,6 +41,10 @@
 	let triableAt = -Infinity;
 	let attempts = 0;
 	let isClosed = false;
+	/**
+	The step under way: a duty that is being taken has to be handed over too.
+	*/
+	let updating: Promise<void> = Promise.resolve();
 
 	function getHeld(): Held | undefined {
 		return held !== undefined && performance.now() < held.until ? held : undefined;
@@ -139,17 +143,22 @@
 		return isNamed;
 	}
 
+	async function runStep(isCandidate: boolean): Promise<void> {
+		if (held !== undefined && getHeld() === undefined) {
+			lose('its lease was not renewed in time');
+		}
+
+		if (held !== undefined) {
+			await renew(held);
+		} else if (isCandidate && !isClosed && performance.now() >= Math.max(asideUntil, triableAt)) {
+			await take();
+		}
+	}
+
 	return {
 		async update(isCandidate) {
-			if (held !== undefined && getHeld() === undefined) {
-				lose('its lease was not renewed in time');
-			}
-
-			if (held !== undefined) {
-				await renew(held);
-			} else if (isCandidate && !isClosed && performance.now() >= Math.max(asideUntil, triableAt)) {
-				await take();
-			}
+			updating = runStep(isCandidate);
+			await updating;
 		},
 		token: () => getHeld()?.token,
 		markFree() {
@@ -183,6 +192,7 @@
 		confirm: isConfirmed,
 		async release() {
 			isClosed = true;
+			await updating;
 			const current = held;
 			lose('handed over');
 			if (current === undefined) {
--- a/fakes/fleet-store/src/start-fake-fleet-store.ts
+++ b/fakes/fleet-store/src/start-fake-fleet-store.ts
@@ -93,6 +93,10 @@
 				.toSorted((a, b) => a.key.localeCompare(b.key));
 			answer(response, 200, {items: items.slice(0, pageSize), truncated: items.length > pageSize, 'as-of': revision});
 		},
+		'kv-key'({query}, response) {
+			const entry = entries.get(query.get('key') ?? '');
+			answer(response, entry === undefined ? 404 : 200, entry ?? {});
+		},
 		'kv-watch'({query}, response) {
 			if (fault === 'compact') {
 				answer(response, 410, {});
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -54,7 +54,7 @@
  const platform = await startPlatform(t, ['reset', 'whole']);
  const answer = await platform.call('/safe/x');
  */
-export async function startPlatform(t: Test, turns: ReadonlyArray<keyof typeof behaviours> = ['whole']) {
+export async function startPlatform(t: Test, turns: ReadonlyArray<keyof typeof behaviours> = ['whole'], moreSettings = '') {
 	const store = await startFakeFleetStore();
 	const endpoints = [await startFakeEndpoint(), await startFakeEndpoint()];
 	const arrived: ArrivedRequest[] = [];
@@ -88,6 +88,7 @@
 			balancer_ms = 1
 			[observe]
 			log_level = "silent"
+			${moreSettings}
 		`)._unsafeUnwrap(),
 	});
 	const addresses = await gateway.start();
