--- a/bench/profile/src/measure-profile.ts
+++ b/bench/profile/src/measure-profile.ts
@@ -13,7 +13,7 @@
 import {runRequests} from './run-requests.ts';
 import {startProfiledNode} from './start-profiled-node.ts';
 import {startStreamingEndpoint} from './start-streaming-endpoint.ts';
-import {sumProfiles} from './sum-profiles.ts';
+import {summarizeProfiles} from './summarize-profiles.ts';
 
 /**
 Time after the start of all nodes until they are measured, in milliseconds.
@@ -61,7 +61,7 @@
 	const sorted = used.toSorted((a, b) => a - b);
 	const total = used.reduce((sum, milliseconds) => sum + milliseconds, 0);
 	const starts = started.reduce((sum, {cpuMs}) => sum + cpuMs, 0);
-	const sums = fleet.isSampled ? await sumProfiles({files: nodes.map(({profile}) => profile), program, skippedMs: settleMs}) : undefined;
+	const sums = fleet.isSampled ? await summarizeProfiles({files: nodes.map(({profile}) => profile), program, skippedMs: settleMs}) : undefined;
 	await rm(folder, {recursive: true, force: true});
 	const perNode = (milliseconds: number): string => `${(milliseconds / (fleet.seconds * 10)).toFixed(2)} %`;
 	const summary = formatTable(['figure', 'value'], [
--- a/bench/profile/src/start-streaming-endpoint.ts
+++ b/bench/profile/src/start-streaming-endpoint.ts
@@ -17,7 +17,7 @@
 export async function startStreamingEndpoint(): Promise<FakeEndpoint> {
 	const endpoint = await startFakeEndpoint();
 	endpoint.setBehaviour((request, socket) => {
-		async function stream(): Promise<void> {
+		async function sendEvents(): Promise<void> {
 			socket.write(formatStreamHead(request));
 			for (let id = 0; id < events && !socket.destroyed; id++) {
 				const text = `id: ${id}\ndata: ${'x'.repeat(eventBytes)}\n\n`;
@@ -29,7 +29,7 @@
 			socket.write('0\r\n\r\n');
 		}
 
-		void stream();
+		void sendEvents();
 	});
 	return endpoint;
 }
--- a/bench/profile/src/sum-profiles.ts
+++ b/bench/profile/src/summarize-profiles.ts
@@ -31,9 +31,9 @@
  which each source file begins with its path as a comment.
 
  @example
- const {byPackage} = await sumProfiles({files: ['n0.cpuprofile'], program: 'valvesaddle.cjs', skippedMs: 4000});
+ const {byPackage} = await summarizeProfiles({files: ['n0.cpuprofile'], program: 'valvesaddle.cjs', skippedMs: 4000});
  */
-export async function sumProfiles({files, program, skippedMs}: SumOptions): Promise<{readonly byPackage: ReadonlyMap<string, number>; readonly byFunction: ReadonlyMap<string, number>}> {
+export async function summarizeProfiles({files, program, skippedMs}: SumOptions): Promise<{readonly byPackage: ReadonlyMap<string, number>; readonly byFunction: ReadonlyMap<string, number>}> {
 	const places = listPlaces(await readFile(program, 'utf8'));
 	const byPackage = new Map<string, number>();
 	const byFunction = new Map<string, number>();
--- a/duties/lease/src/create-duty-lease.ts
+++ b/duties/lease/src/create-duty-lease.ts
@@ -50,7 +50,7 @@
 		return held !== undefined && performance.now() < held.until ? held : undefined;
 	}
 
-	function lose(reason: string): void {
+	function markLost(reason: string): void {
 		if (held === undefined) {
 			return;
 		}
@@ -114,14 +114,14 @@
 		}
 	}
 
-	async function renew(current: Held): Promise<void> {
+	async function updateHeld(current: Held): Promise<void> {
 		const sentAt = performance.now();
 		const renewed = await store.renew(current.lease);
 		renewed.match(isHeld => {
 			if (isHeld && held !== undefined) {
 				held = {...held, until: sentAt + usableMs};
 			} else {
-				lose('its lease has ended');
+				markLost('its lease has ended');
 			}
 		}, error => {
 			recordFailure('renew', error);
@@ -137,7 +137,7 @@
 		const found = await store.read(key);
 		const isNamed = found.match(entry => entry?.revision === current.token, () => true);
 		if (!isNamed) {
-			lose('another node holds it');
+			markLost('another node holds it');
 		}
 
 		return isNamed;
@@ -145,11 +145,11 @@
 
 	async function runStep(isCandidate: boolean): Promise<void> {
 		if (held !== undefined && getHeld() === undefined) {
-			lose('its lease was not renewed in time');
+			markLost('its lease was not renewed in time');
 		}
 
 		if (held !== undefined) {
-			await renew(held);
+			await updateHeld(held);
 		} else if (isCandidate && !isClosed && performance.now() >= Math.max(asideUntil, triableAt)) {
 			await take();
 		}
@@ -182,7 +182,7 @@
 			const token = written.isOk() ? written.value : await findOwn(text);
 			if (token === undefined || held === undefined) {
 				// Whether the entry names this node is not known, so it acts no more.
-				lose('its token could not be raised');
+				markLost('its token could not be raised');
 				return undefined;
 			}
 
@@ -194,7 +194,7 @@
 			isClosed = true;
 			await updating;
 			const current = held;
-			lose('handed over');
+			markLost('handed over');
 			if (current === undefined) {
 				return;
 			}
--- a/duties/scaling/src/create-need-estimator.ts
+++ b/duties/scaling/src/create-need-estimator.ts
@@ -1,4 +1,5 @@
-import type {Need, NeedEstimator} from './need-estimator.ts';
+import type {NeedEstimator} from './need-estimator.ts';
+import type {Need} from './need.ts';
 import type {PoolWork} from './pool-work.ts';
 
 type NeedOptions = {
--- a/duties/usage/src/create-usage-reporter.ts
+++ b/duties/usage/src/create-usage-reporter.ts
@@ -25,7 +25,7 @@
 	const {book, store, platform, windowMs, logger, metrics} = options;
 	let next: number | undefined;
 
-	async function fixCounts(window: number): Promise<UsageReport['counts'] | 'unknown' | 'unreadable'> {
+	async function writeCounts(window: number): Promise<UsageReport['counts'] | 'unknown' | 'unreadable'> {
 		const key = toKey(window);
 		const counts = book.sum(window);
 		const written = await store.write({
@@ -41,7 +41,7 @@
 	}
 
 	async function wasSent(window: number): Promise<boolean> {
-		const counts = await fixCounts(window);
+		const counts = await writeCounts(window);
 		const proof = options.getProof();
 		if (counts === 'unknown' || proof === undefined) {
 			return false;
--- a/emulator/duties/src/create-emulated-duty-platform.ts
+++ b/emulator/duties/src/create-emulated-duty-platform.ts
@@ -42,7 +42,7 @@
 	const tokens = new Map<string, number>();
 	const replicas = new Map(first.map(one => [toKey(one), one]));
 
-	function carryOutCall({machine, proof, subject, carryOut}: Call): DutyAnswer {
+	function applyCall({machine, proof, subject, carryOut}: Call): DutyAnswer {
 		const isOutdated = proof.token < (tokens.get(subject) ?? 0);
 		tokens.set(subject, Math.max(proof.token, tokens.get(subject) ?? 0));
 		const isAccepted = !isOutdated && carryOut();
@@ -61,13 +61,13 @@
 				resolve('busy');
 			} else if (faults.isActive('platform-loses') && random() < lostShare) {
 				runtime.add(arrivesAt + (random() * latestMs), () => {
-					carryOutCall(call);
+					applyCall(call);
 				});
 				runtime.add(arrivesAt + timeoutMs, () => {
 					resolve('unknown');
 				});
 			} else {
-				const answer = carryOutCall(call);
+				const answer = applyCall(call);
 				runtime.add(arrivesAt + (answerMs / 2), () => {
 					resolve(answer);
 				});
--- a/emulator/duties/src/create-emulated-duty-store.ts
+++ b/emulator/duties/src/create-emulated-duty-store.ts
@@ -103,12 +103,12 @@
 	const toResult = <Value>(promise: Promise<Value>) => ResultAsync.fromPromise(promise, error => error as ValvesaddleError);
 
 	// Leases end by themselves also when nobody calls.
-	function tick(): void {
+	function runLeases(): void {
 		updateLeases();
-		runtime.add(runtime.now() + 20, tick);
+		runtime.add(runtime.now() + 20, runLeases);
 	}
 
-	tick();
+	runLeases();
 
 	return {
 		connect: node => ({
--- a/fakes/duty-api/src/fake-duty-api.ts
+++ b/fakes/duty-api/src/fake-duty-api.ts
@@ -11,5 +11,5 @@
 	/**
 	Carries out what came while the fault was `late`.
 	*/
-	readonly carryOutLate: () => void;
+	readonly answerLate: () => void;
 };
--- a/fakes/duty-api/src/start-fake-duty-api.ts
+++ b/fakes/duty-api/src/start-fake-duty-api.ts
@@ -19,7 +19,7 @@
 	const late: FakeRequest[] = [];
 	let fault: DutyFault | undefined;
 
-	function carryOut({path, headers, body: text}: FakeRequest): number {
+	function applyCall({path, headers, body: text}: FakeRequest): number {
 		const body = JSON.parse(text) as Readonly<Record<string, unknown>>;
 		const token = Number(headers['x-fencing-token']);
 		const subject = path === '/usage' ? path : `${path} ${String(body.service)} ${String(body.zone)}`;
@@ -43,7 +43,7 @@
 				return;
 			}
 
-			const status = (fault === undefined ? undefined : answers[fault]) ?? carryOut(request);
+			const status = (fault === undefined ? undefined : answers[fault]) ?? applyCall(request);
 			response.writeHead(status, {'content-type': 'application/json'}).end('{}');
 		},
 	});
@@ -54,9 +54,9 @@
 		setFault(kind) {
 			fault = kind;
 		},
-		carryOutLate() {
+		answerLate() {
 			for (const request of late.splice(0)) {
-				carryOut(request);
+				applyCall(request);
 			}
 		},
 	};
