--- a/node/gateway/src/create-usage-sync.ts
+++ b/node/gateway/src/create-usage-sync.ts
@@ -19,9 +19,9 @@
 };
 
 /**
-Windows that are kept: those that may still be reported.
+Windows that are kept: two minutes of usual ones, so that what an outage held back is reported after it.
 */
-const windowsKept = 8;
+const windowsKept = 24;
 
 /**
  Creates the exchange of counts of usage: each node tells its relay, relays tell all that may hold the duty. Rows are sums that
