--- a/duties/scaling/src/plan-replicas.ts
+++ b/duties/scaling/src/plan-replicas.ts
@@ -3,7 +3,7 @@
 
 type PlanQuestion = {
 	/**
-	Replicas of both kinds that are wanted in all.
+	Replicas of both kinds that are wanted; so many are left when any one data centre loses its spot replicas.
 	*/
 	readonly count: number;
 	/**
@@ -25,18 +25,19 @@
 
 /**
  Plans where replicas run, and of which kind. Each data centre keeps as many usual ones as it must have at the least, so that a
- reclaim of its spot replicas leaves it something; all others are spot, spread over the data centres by price, so that the loss
- of one of them leaves most; usual ones, which cost several times as much, stand in only for what the work needs now.
+ reclaim of its spot replicas leaves it something; all others are spot, spread evenly over the data centres, with so many more
+ that the loss of those of any one leaves what is wanted; usual ones, which cost several times as much, stand in only for what
+ the work needs now.
 
  @example
- planReplicas({count: 8, needed: 2, scaling, withoutSpot: new Map()}); // [{dataCentre: 'a', usual: 1, spot: 3}, {dataCentre: 'b', usual: 1, spot: 3}]
+ planReplicas({count: 8, needed: 2, scaling, withoutSpot: new Map()}); // [{dataCentre: 'a', usual: 1, spot: 6}, {dataCentre: 'b', usual: 1, spot: 6}]
  */
 export function planReplicas({count, needed, scaling, withoutSpot}: PlanQuestion): readonly ReplicaPlan[] {
 	const {least, most, spotPrice} = scaling;
 	const places = Object.entries(scaling.prices).map(([dataCentre, price]): Place => ({dataCentre, price, most: most - least}));
 	const wanted = Math.max(0, count - (places.length * least));
 	const spotPlaces = places.map(place => ({...place, most: spotPrice === undefined ? 0 : Math.min(place.most, withoutSpot.get(place.dataCentre) ?? place.most)}));
-	const spot = planSpread(spotPlaces, wanted);
+	const spot = planSpread(spotPlaces.map(place => ({...place, price: 1})), wanted + measureSpare(places.length, wanted));
 	const missing = Math.min(count, needed) - (places.length * least) - countAll(spot);
 	const usual = planSpread(places.map((place, index) => ({...place, most: place.most - (spot[index] ?? 0)})), missing);
 	return places.map(({dataCentre}, index) => ({dataCentre, usual: least + (usual[index] ?? 0), spot: spot[index] ?? 0}));
@@ -79,6 +80,13 @@
 	return cheapest;
 }
 
+/**
+Spot replicas beyond those that are wanted, so that all but those of one data centre are enough; one alone has nothing to spare.
+*/
+function measureSpare(places: number, wanted: number): number {
+	return places <= 1 ? 0 : Math.ceil(wanted / (places - 1));
+}
+
 function countAll(counts: readonly number[]): number {
 	let total = 0;
 	for (const count of counts) {
--- a/emulator/duties/src/check-duties.ts
+++ b/emulator/duties/src/check-duties.ts
@@ -24,9 +24,10 @@
 const dueMs = 10_000;
 const calmWindows = 3;
 /**
-Replicas that are wanted when nothing is open, out of half of the most, in steps of eight.
+Replicas when nothing is open: half of the most in steps of eight, 32, and half of the 29 spot ones among them again, for the loss of
+one of three data centres.
 */
-const calmReplicas = 32;
+const calmReplicas = 47;
 
 /**
  Checks what the platform saw against what must hold.
