--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -25,6 +25,13 @@
 */
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/**
+Garbage is collected by the main thread alone, less often in a larger space: on VMs with a part of one core helper threads only
+take turns with it. 12.8 % of a core a node in place of 14.5 (20 nodes, 100 requests a second, streams of 24 events; processor
+time of the processes).
+*/
+const execArgv = ['--single-threaded-gc', '--min-semi-space-size=16', '--max-semi-space-size=16'];
+
 mkdirSync(dist, {recursive: true});
 await build({
 	entryPoints: [path.join(import.meta.dirname, 'src/main.ts')],
@@ -40,7 +47,7 @@
 	logLevel: 'warning',
 });
 writeFileSync(configFile, JSON.stringify({
-	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv: ['--max-semi-space-size=4'], execArgvExtension: 'env',
+	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv, execArgvExtension: 'env',
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
 // A binary that runs cannot be written over.
