--- a/node/gateway/src/create-usage-sync.ts
+++ b/node/gateway/src/create-usage-sync.ts
@@ -37,6 +37,10 @@
 	Rows to be sent, each in its last state.
 	*/
 	const fresh = new Map<string, UsageRow>();
+	/**
+	Nodes that have been told all up to the last rows.
+	*/
+	let told: ReadonlySet<string> = new Set();
 
 	function toWindow(at: number): number {
 		return Math.floor(toUnixTime(at) / windowMs);
@@ -68,9 +72,13 @@
 			book.removeBefore(toWindow(performance.now()) - windowsKept);
 			const rows = fresh.values().toArray();
 			fresh.clear();
-			for (const node of listTargets()) {
-				sendRows(node, rows);
+			const targets = listTargets();
+			for (const node of targets) {
+				// One that has become a candidate since was told nothing before.
+				sendRows(node, told.has(node) ? rows : book.list());
 			}
+
+			told = new Set(targets);
 		},
 		introduce(node) {
 			if (listTargets().includes(node)) {
--- /dev/null
+++ b/node/gateway/test/usage-sync.test.ts
@@ -0,0 +1,58 @@
+import {test} from 'tap';
+import {createUsageSync} from '../src/create-usage-sync.ts';
+
+const windowMs = 5000;
+
+function createRelay() {
+	const sent: Array<readonly [string, unknown]> = [];
+	const followers: string[] = ['r1'];
+	const usage = createUsageSync({
+		node: 'r0',
+		network: {
+			notify(node, _method, parameters) {
+				sent.push([node, parameters]);
+			},
+		},
+		links: {isRelay: node => node.startsWith('r'), parent: () => undefined, listFollowers: () => followers},
+		windowMs,
+		toUnixTime: () => 10 * windowMs,
+	});
+	return {usage, sent, followers};
+}
+
+/**
+A relay took over the duties that had only just become a candidate: it had been told nothing of before, and reported a window
+with 214 of 1,564 requests.
+*/
+test('a node that becomes a candidate is told all that is known, not only what is new', t => {
+	const {usage, sent, followers} = createRelay();
+	usage.count('sawmill', 0);
+	usage.send();
+	usage.apply({rows: [['n7', 10, 'depot', 3]]}, 'n7');
+	usage.send();
+	t.same(sent.splice(0), [
+		['r1', {rows: [['r0', 10, 'sawmill', 1]]}],
+		['r1', {rows: [['n7', 10, 'depot', 3]]}],
+	]);
+	followers.push('r2');
+	usage.send();
+	t.same(sent, [['r2', {rows: [['r0', 10, 'sawmill', 1], ['n7', 10, 'depot', 3]]}]]);
+	t.end();
+});
+
+test('what a relay tells is not passed on, and what is known already is not told again', t => {
+	const {usage, sent} = createRelay();
+	usage.apply({rows: [['n9', 10, 'depot', 3]]}, 'r1');
+	usage.send();
+	sent.length = 0;
+	usage.apply({rows: [['n7', 10, 'depot', 2]]}, 'n7');
+	usage.send();
+	usage.apply({rows: [['n7', 10, 'depot', 2]]}, 'n7');
+	usage.send();
+	t.same(sent, [['r1', {rows: [['n7', 10, 'depot', 2]]}]]);
+	t.same(usage.book.sum(10), {depot: 5});
+	t.throws(() => {
+		usage.apply({rows: [['n7', 10, 'depot', -2]]}, 'n7');
+	});
+	t.end();
+});
