--- a/duties/scaling/src/create-order-book.ts
+++ b/duties/scaling/src/create-order-book.ts
@@ -23,7 +23,7 @@
 
  @example
  const book = createOrderBook();
- const [order] = book.list({pool: 'drafting', scaling, count: 40, ready});
+ const [order] = book.list({pool: 'drafting', scaling, count: 40, needed: 12, ready});
  */
 export function createOrderBook(): OrderBook {
 	const ordered = new Map<string, Ordered>();
