refactor(duties): one way to write the holder, to find what serves, to record calls on the store

Cause: taking the duty and raising its token wrote the entry and read it back twice over, calls on the store were recorded by two copies, the replicas of a data centre were looked up in four places, and the order book had a way to forget that nobody called. No change of behaviour, but that a lease that could not be given back after a lost race now has its log line.

--- a/duties/lease/src/create-duty-lease.ts
+++ b/duties/lease/src/create-duty-lease.ts
@@ -76,6 +76,13 @@
 		logger.info({name: 'duty-taken', duty: key, token});
 	}
 
+	async function releaseLease(lease: string): Promise<void> {
+		const released = await store.release(lease);
+		released.mapErr(error => {
+			recordFailure('release', error);
+		});
+	}
+
 	/**
 	A write without an answer is this node's own if the entry has its words.
 	*/
@@ -87,6 +94,23 @@
 		});
 	}
 
+	/**
+	Names this process as the holder, if the entry has the expected revision; resolves to the token.
+	*/
+	async function writeHolder(step: string, expected: number, lease: string): Promise<number | undefined> {
+		attempts++;
+		const text = JSON.stringify({holder, attempt: attempts});
+		const written = await store.write({
+			key, text, expected, lease,
+		});
+		if (written.isOk()) {
+			return written.value;
+		}
+
+		recordFailure(step, written.error);
+		return findOwn(text);
+	}
+
 	async function take(): Promise<void> {
 		const sentAt = performance.now();
 		triableAt = sentAt + (checkLeases * leaseMs);
@@ -96,19 +120,10 @@
 			return;
 		}
 
-		attempts++;
 		const lease = opened.value;
-		const text = JSON.stringify({holder, attempt: attempts});
-		const written = await store.write({
-			key, text, expected: 0, lease,
-		});
-		if (written.isErr()) {
-			recordFailure('take', written.error);
-		}
-
-		const token = written.isOk() ? written.value : await findOwn(text);
+		const token = await writeHolder('take', 0, lease);
 		if (token === undefined) {
-			await store.release(lease);
+			await releaseLease(lease);
 		} else {
 			markTaken(lease, token, sentAt);
 		}
@@ -170,16 +185,7 @@
 				return undefined;
 			}
 
-			attempts++;
-			const text = JSON.stringify({holder, attempt: attempts});
-			const written = await store.write({
-				key, text, expected: current.token, lease: current.lease,
-			});
-			if (written.isErr()) {
-				recordFailure('raise', written.error);
-			}
-
-			const token = written.isOk() ? written.value : await findOwn(text);
+			const token = await writeHolder('raise', current.token, current.lease);
 			if (token === undefined || held === undefined) {
 				// Whether the entry names this node is not known, so it acts no more.
 				markLost('its token could not be raised');
@@ -195,14 +201,9 @@
 			await updating;
 			const current = held;
 			markLost('handed over');
-			if (current === undefined) {
-				return;
+			if (current !== undefined) {
+				await releaseLease(current.lease);
 			}
-
-			const released = await store.release(current.lease);
-			released.mapErr(error => {
-				recordFailure('release', error);
-			});
 		},
 	};
 }
--- a/duties/scaling/src/create-order-book.ts
+++ b/duties/scaling/src/create-order-book.ts
@@ -2,6 +2,7 @@
 import type {OrderBook} from './order-book.ts';
 import type {OrderQuestion} from './order-question.ts';
 import {planReplicas} from './plan-replicas.ts';
+import type {ReplicaCount} from './replica-count.ts';
 import type {ReplicaPlan} from './replica-plan.ts';
 
 type Ordered = {
@@ -32,7 +33,7 @@
 	function listWithoutSpot({ready}: OrderQuestion): ReadonlyMap<string, number> {
 		const now = performance.now();
 		const places = noneUntil.entries().filter(([, until]) => now < until).map(([dataCentre]) => dataCentre);
-		return new Map(places.map(place => [place, ready.find(({dataCentre, isSpot}) => dataCentre === place && isSpot)?.count ?? 0]));
+		return new Map(places.map(place => [place, getReady(ready, place, true)]));
 	}
 
 	/**
@@ -47,8 +48,7 @@
 
 	function listOrders({dataCentre, usual, spot}: ReplicaPlan, question: OrderQuestion, surplus: number, withoutSpot: ReadonlyMap<string, number>): readonly ReplicaOrder[] {
 		const {pool, ready, scaling} = question;
-		const getReady = (isSpot: boolean): number => ready.find(one => one.dataCentre === dataCentre && one.isSpot === isSpot)?.count ?? 0;
-		const usualReady = getReady(false);
+		const usualReady = getReady(ready, dataCentre, false);
 		// What still serves of the usual ones takes places of the limit for both.
 		const spotOrder = {
 			pool, dataCentre, isSpot: true, count: Math.min(spot, Math.max(0, scaling.most - usualReady)),
@@ -56,7 +56,7 @@
 		const usualOrder = {
 			pool, dataCentre, isSpot: false, count: Math.max(usual, usualReady - Math.max(0, surplus)),
 		};
-		const spotReady = getReady(true);
+		const spotReady = getReady(ready, dataCentre, true);
 		return [
 			// Those that serve stay; an order for more would be refused again.
 			...(!withoutSpot.has(dataCentre) && isDue(spotOrder, spotReady, scaling.bootMs) ? [spotOrder] : []),
@@ -74,7 +74,7 @@
 			let surplus = ready.reduce((sum, one) => sum + one.count, 0) - count;
 			return plan.flatMap(place => {
 				const orders = listOrders(place, question, surplus, withoutSpot);
-				const usualReady = ready.find(one => one.dataCentre === place.dataCentre && !one.isSpot)?.count ?? 0;
+				const usualReady = getReady(ready, place.dataCentre, false);
 				surplus -= Math.max(0, Math.min(surplus, usualReady - place.usual));
 				return orders;
 			});
@@ -90,13 +90,13 @@
 				noneUntil.set(order.dataCentre, performance.now() + withoutSpotMs);
 			}
 		},
-		clear() {
-			ordered.clear();
-			noneUntil.clear();
-		},
 	};
 }
 
+function getReady(ready: readonly ReplicaCount[], dataCentre: string, isSpot: boolean): number {
+	return ready.find(one => one.dataCentre === dataCentre && one.isSpot === isSpot)?.count ?? 0;
+}
+
 function toKey({pool, dataCentre, isSpot}: Pick<ReplicaOrder, 'pool' | 'dataCentre' | 'isSpot'>): string {
 	return `${pool} ${dataCentre} ${isSpot}`;
 }
--- a/duties/scaling/src/create-scaler.ts
+++ b/duties/scaling/src/create-scaler.ts
@@ -33,9 +33,8 @@
 	let isUncertain = false;
 
 	function getState(pool: string, scaling: PoolScaling): PoolState {
-		const most = scaling.most * Object.keys(scaling.prices).length;
 		const state = pools.get(pool) ?? {
-			needs: createNeedEstimator({least: Math.ceil(most * options.leastShare)}), orders: createOrderBook(), wanted: 0, needed: 0,
+			needs: createNeedEstimator({least: Math.ceil(countMost(scaling) * options.leastShare)}), orders: createOrderBook(), wanted: 0, needed: 0,
 		};
 		pools.set(pool, state);
 		return state;
@@ -45,8 +44,7 @@
 		const work = options.measureWork(pool);
 		const {count, needed, tokensPerS, reason} = state.needs.update(work);
 		state.needed = needed;
-		const most = scaling.most * Object.keys(scaling.prices).length;
-		const wanted = Math.min(most, Math.ceil(count / stepReplicas) * stepReplicas);
+		const wanted = Math.min(countMost(scaling), Math.ceil(count / stepReplicas) * stepReplicas);
 		if (wanted === state.wanted) {
 			return;
 		}
@@ -123,3 +121,10 @@
 		},
 	};
 }
+
+/**
+Replicas that are allowed in all data centres together.
+*/
+function countMost({most, prices}: PoolScaling): number {
+	return most * Object.keys(prices).length;
+}
--- a/duties/scaling/src/order-book.ts
+++ b/duties/scaling/src/order-book.ts
@@ -21,8 +21,4 @@
 	Notes that a data centre has no replicas of the kind at the moment.
 	*/
 	readonly markNone: (order: ReplicaOrder) => void;
-	/**
-	Forgets all: another node may have given orders.
-	*/
-	readonly clear: () => void;
 };
--- a/duties/scaling/src/plan-replicas.ts
+++ b/duties/scaling/src/plan-replicas.ts
@@ -36,8 +36,9 @@
 	const {least, most, spotPrice} = scaling;
 	const places = Object.entries(scaling.prices).map(([dataCentre, price]): Place => ({dataCentre, price, most: most - least}));
 	const wanted = Math.max(0, count - (places.length * least));
-	const spotPlaces = places.map(place => ({...place, most: spotPrice === undefined ? 0 : Math.min(place.most, withoutSpot.get(place.dataCentre) ?? place.most)}));
-	const spot = planSpread(spotPlaces.map(place => ({...place, price: 1})), wanted + measureSpare(places.length, wanted));
+	// Evenly: what one data centre loses counts, not what it costs.
+	const spotPlaces = places.map(place => ({...place, price: 1, most: spotPrice === undefined ? 0 : Math.min(place.most, withoutSpot.get(place.dataCentre) ?? place.most)}));
+	const spot = planSpread(spotPlaces, wanted + measureSpare(places.length, wanted));
 	const missing = Math.min(count, needed) - (places.length * least) - countAll(spot);
 	const usual = planSpread(places.map((place, index) => ({...place, most: place.most - (spot[index] ?? 0)})), missing);
 	return places.map(({dataCentre}, index) => ({dataCentre, usual: least + (usual[index] ?? 0), spot: spot[index] ?? 0}));
--- a/duties/usage/src/create-usage-reporter.ts
+++ b/duties/usage/src/create-usage-reporter.ts
@@ -25,6 +25,13 @@
 	const {book, store, platform, windowMs, logger, metrics} = options;
 	let next: number | undefined;
 
+	/**
+	The last window that has ended and settled.
+	*/
+	function findLast(now: number): number {
+		return Math.floor((now - options.settleMs) / windowMs) - 1;
+	}
+
 	async function writeCounts(window: number): Promise<UsageReport['counts'] | 'unknown' | 'unreadable'> {
 		const key = toKey(window);
 		const counts = book.sum(window);
@@ -77,7 +84,7 @@
 
 	return {
 		async update(now) {
-			const last = Math.floor((now - options.settleMs) / windowMs) - 1;
+			const last = findLast(now);
 			next ??= last - windowsBefore;
 			while (next <= last && options.getProof() !== undefined) {
 				// eslint-disable-next-line no-await-in-loop -- the oldest first
@@ -89,7 +96,7 @@
 			}
 		},
 		begin(now) {
-			next = Math.floor((now - options.settleMs) / windowMs) - 1 - windowsBefore;
+			next = findLast(now) - windowsBefore;
 		},
 	};
 }
--- a/node/gateway/src/create-duty-task.ts
+++ b/node/gateway/src/create-duty-task.ts
@@ -6,6 +6,7 @@
 import {createUsageReporter} from '@valvesaddle/duty-usage';
 import {createDutyStore} from '@valvesaddle/fleet-store';
 import {countReady} from './count-ready.ts';
+import {createCallRecorder} from './create-call-recorder.ts';
 import type {DutyTask} from './duty-task.ts';
 import type {DutyTaskOptions} from './duty-task-options.ts';
 
@@ -46,11 +47,7 @@
 	const offered = decodeDuties(settings.offered);
 	const store = createDutyStore({
 		...options.store,
-		onCall(call, milliseconds, isDone) {
-			metrics.increment('store.calls', 1, {call});
-			metrics.increment('store.calls-failed', isDone ? 0 : 1, {call});
-			metrics.timing('store.call', milliseconds, {call});
-		},
+		onCall: createCallRecorder(metrics),
 	});
 	const platform = createDutyPlatform({
 		address: settings.address,
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -16,6 +16,7 @@
 import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
 import {createSelector} from '@valvesaddle/selection';
 import {platformWire} from '@valvesaddle/wire';
+import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
 import {createPeerSync} from './create-peer-sync.ts';
 import {createReadyServer} from './create-ready-server.ts';
@@ -62,11 +63,7 @@
 	const store = createFleetStore({
 		address: storeSettings.address,
 		timeoutMs: storeSettings.timeout_ms,
-		onCall(call, milliseconds, isDone) {
-			metrics.increment('store.calls', 1, {call});
-			metrics.increment('store.calls-failed', isDone ? 0 : 1, {call});
-			metrics.timing('store.call', milliseconds, {call});
-		},
+		onCall: createCallRecorder(metrics),
 	});
 	const follower = createStoreFollower({
 		store,
