perf(cli): a gateway node loads its own part of the program, compiled by a warm-up run

Cause: a start cost 217 to 228 ms of processor time where the bare runtime costs 34 to 37 (mean of 20 starts of 'gateway' without settings). Six sevenths were modules: the index of undici with fetch, caches and mocks, all languages of zod, the parser of commands, the runtime's parts for TLS, HTTP/2, workers and files, and functions compiled at each start.

Change: two bundles, 'gateway' and 'program'.

--- a/bench/harness/src/read-process-usage.ts
+++ b/bench/harness/src/read-process-usage.ts
@@ -19,9 +19,11 @@
 	const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
 	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
 	const status = await readFile(`/proc/${pid}/status`, 'utf8');
-	const resident = /^VmRSS:\s+(?<kilobytes>\d+)/mv.exec(status)?.groups?.kilobytes;
+	const readNumber = (name: string): number => Number(new RegExp(String.raw`^${name}:\s+(?<value>\d+)`, 'mv').exec(status)?.groups?.value ?? 0);
 	return {
 		cpuMs: (Number(fields[userTimeField]) + Number(fields[systemTimeField])) * millisecondsPerTick,
-		residentBytes: Number(resident ?? 0) * bytesPerKilobyte,
+		residentBytes: readNumber('VmRSS') * bytesPerKilobyte,
+		privateBytes: readNumber('RssAnon') * bytesPerKilobyte,
+		wakeUps: readNumber('voluntary_ctxt_switches'),
 	};
 }
--- a/bench/profile/src/main.ts
+++ b/bench/profile/src/main.ts
@@ -13,9 +13,10 @@
 		seconds: {type: 'string', default: '20'},
 		flag: {type: 'string', multiple: true, default: []},
 		sample: {type: 'boolean', default: false},
+		binary: {type: 'string'},
 	},
 });
 console.log(await measureProfile({
-	nodes: Number(values.nodes), endpoints: Number(values.endpoints), requestsPerS: Number(values.rate), seconds: Number(values.seconds), isSampled: values.sample, flags: values.flag,
+	nodes: Number(values.nodes), endpoints: Number(values.endpoints), requestsPerS: Number(values.rate), seconds: Number(values.seconds), isSampled: values.sample, flags: values.flag, binary: values.binary,
 }));
 process.exit();
--- a/bench/profile/src/measure-profile.ts
+++ b/bench/profile/src/measure-profile.ts
@@ -22,12 +22,13 @@
 const shownPackages = 28;
 const shownFunctions = 45;
 const busiestShare = 0.1;
+const bytesPerMegabyte = 1_000_000;
 
 /**
  Starts a fleet, sends it requests, and tells where its processor time went: tables in Markdown.
 
  @example
- await measureProfile({nodes: 40, endpoints: 60, requestsPerS: 200, seconds: 20, isSampled: false, flags: []});
+ await measureProfile({nodes: 40, endpoints: 60, requestsPerS: 200, seconds: 20, isSampled: false, flags: [], binary: undefined});
  */
 export async function measureProfile(fleet: ProfiledFleet): Promise<string> {
 	const folder = await mkdtemp(path.join(tmpdir(), 'profile-'));
@@ -45,7 +46,7 @@
 	const nodes = await Promise.all(Array.from({length: fleet.nodes}, async (_value, index) => {
 		const [callers = '', ready = '', peers = ''] = addresses.slice(3 * index);
 		return startProfiledNode({
-			name: `n${index}`, program, store: store.address, folder, isSampled: fleet.isSampled, flags: fleet.flags, callers, ready, peers,
+			name: `n${index}`, program, binary: fleet.binary, store: store.address, folder, isSampled: fleet.isSampled, flags: fleet.flags, callers, ready, peers,
 		});
 	}));
 	await wait(settleMs);
@@ -70,11 +71,17 @@
 		['processor time to the end of the start, a node', `${(starts / fleet.nodes).toFixed(0)} ms`],
 		['processor time after it, of a core: mean, median, busiest tenth', `${perNode(total / fleet.nodes)}, ${perNode(sorted[Math.floor(sorted.length / 2)] ?? 0)}, ${perNode(sorted[Math.floor(sorted.length * (1 - busiestShare))] ?? 0)}`],
 		['…the fleet, in all', `${(total / 1000).toFixed(1)} s`],
+		['wake-ups a second, a node', (ended.reduce((sum, {wakeUps}, index) => sum + wakeUps - (started[index]?.wakeUps ?? 0), 0) / fleet.nodes / fleet.seconds).toFixed(0)],
+		['resident, private memory, a node', `${toMegabytes(ended.map(({residentBytes}) => residentBytes))}, ${toMegabytes(ended.map(({privateBytes}) => privateBytes))}`],
 		['…a request', served === 0 ? '-' : `${(total / served).toFixed(2)} ms`],
 	]);
 	return sums === undefined ? summary : [summary, formatSums('package', sums.byPackage, shownPackages), formatSums('function', sums.byFunction, shownFunctions)].join('\n\n');
 }
 
+function toMegabytes(values: readonly number[]): string {
+	return `${(values.reduce((sum, bytes) => sum + bytes, 0) / values.length / bytesPerMegabyte).toFixed(1)} MB`;
+}
+
 function formatSums(name: string, sums: ReadonlyMap<string, number>, most: number): string {
 	const total = sums.values().reduce((sum, milliseconds) => sum + milliseconds, 0);
 	const rows = [...sums].toSorted((a, b) => b[1] - a[1]).slice(0, most);
--- a/bench/profile/src/profiled-fleet.ts
+++ b/bench/profile/src/profiled-fleet.ts
@@ -17,4 +17,8 @@
 	Flags of the runtime that are tried.
 	*/
 	readonly flags: readonly string[];
+	/**
+	A built binary that is measured in place of the sources.
+	*/
+	readonly binary: string | undefined;
 };
--- a/bench/profile/src/start-profiled-node.ts
+++ b/bench/profile/src/start-profiled-node.ts
@@ -8,9 +8,13 @@
 type NodeOptions = {
 	readonly name: string;
 	/**
-	Bundle of the program.
+	Bundle of what a gateway node runs.
 	*/
 	readonly program: string;
+	/**
+	The binary to run in place of the bundle.
+	*/
+	readonly binary: string | undefined;
 	readonly store: string;
 	readonly callers: string;
 	readonly ready: string;
@@ -38,10 +42,10 @@
  Starts a gateway node that writes a profile of its processor time when it leaves.
 
  @example
- const node = await startProfiledNode({name: 'n0', program, store, callers, ready, peers, folder, isSampled: true, flags: []});
+ const node = await startProfiledNode({name: 'n0', program, binary: undefined, store, callers, ready, peers, folder, isSampled: true, flags: []});
  await node.stop();
  */
-export async function startProfiledNode({name, program, store, callers, ready, peers, folder, isSampled, flags}: NodeOptions): Promise<ProfiledNode> {
+export async function startProfiledNode({name, program, binary, store, callers, ready, peers, folder, isSampled, flags}: NodeOptions): Promise<ProfiledNode> {
 	const settings = path.join(folder, `${name}.toml`);
 	const profile = path.join(folder, `${name}.cpuprofile`);
 	await writeFile(settings, `
@@ -60,7 +64,11 @@
 		balancer_ms = 1
 	`);
 	const profiler = isSampled ? ['--cpu-prof', `--cpu-prof-interval=${sampleUs}`, `--cpu-prof-dir=${folder}`, `--cpu-prof-name=${name}.cpuprofile`] : [];
-	const child = spawn(process.execPath, ['--max-semi-space-size=4', ...flags, ...profiler, program, 'gateway', '--settings', settings], {stdio: ['ignore', 'ignore', 'inherit']});
+	const words = ['gateway', '--settings', settings];
+	const run = `require(${JSON.stringify(program)}).run(${JSON.stringify(words)}).then(code => process.exit(code))`;
+	const child = binary === undefined
+		? spawn(process.execPath, [...flags, ...profiler, '--eval', run], {stdio: ['ignore', 'ignore', 'inherit']})
+		: spawn(binary, words, {stdio: ['ignore', 'ignore', 'inherit']});
 	return {
 		callers,
 		profile,
--- a/caller/api/src/chat-body-schema.ts
+++ b/caller/api/src/chat-body-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
 The parts of a chat completion that the router reads; all others are passed on as they are.
--- a/caller/api/src/parse-chat-body.ts
+++ b/caller/api/src/parse-chat-body.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {chatBodySchema} from './chat-body-schema.ts';
 
--- a/cli/valvesaddle/build.ts
+++ b/cli/valvesaddle/build.ts
@@ -1,6 +1,6 @@
 /**
- Builds the one binary: a bundle, put into a copy of the Node.js that runs this script as a single executable
- application. Output: `dist/valvesaddle`, or in the folder named as argument.
+ Builds the one binary: bundles and the code compiled from them, put into a copy of the Node.js that runs this script as a single
+ executable application. Output: `dist/valvesaddle`, or in the folder named as argument.
  */
 import {execFileSync} from 'node:child_process';
 import {
@@ -12,14 +12,15 @@
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import {build} from 'esbuild';
+import {bundleChunk} from './build/bundle-chunk.ts';
 
 const root = path.resolve(import.meta.dirname, '../..');
-const dist = path.join(root, process.argv[2] ?? 'dist');
-const bundle = path.join(dist, 'valvesaddle.cjs');
+const dist = path.resolve(root, process.argv[2] ?? 'dist');
+const boot = path.join(dist, 'boot.cjs');
 const blob = path.join(dist, 'valvesaddle.blob');
 const binary = path.join(dist, 'valvesaddle');
 const configFile = path.join(dist, 'sea.json');
+const chunks = ['gateway', 'program'] as const;
 /**
 Fixed by Node.js: marks the place of the blob in its binary.
 */
@@ -27,27 +28,25 @@
 
 /**
 Garbage is collected by the main thread alone, less often in a larger space: on VMs with a part of one core helper threads only
-take turns with it. 12.8 % of a core a node in place of 14.5 (20 nodes, 100 requests a second, streams of 24 events; processor
-time of the processes).
+take turns with it.
 */
 const execArgv = ['--single-threaded-gc', '--min-semi-space-size=16', '--max-semi-space-size=16'];
 
 mkdirSync(dist, {recursive: true});
-await build({
-	entryPoints: [path.join(import.meta.dirname, 'src/main.ts')],
-	outfile: bundle,
-	bundle: true,
-	platform: 'node',
-	target: 'node24',
-	format: 'cjs',
-	// Optional parts of libraries that are not used.
-	external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
-	minify: true,
-	keepNames: true,
-	logLevel: 'warning',
-});
+await bundleChunk({name: 'boot', outfile: boot});
+const assets: Record<string, string> = {};
+for (const name of chunks) {
+	const bundle = path.join(dist, `${name}.cjs`);
+	const cacheFile = path.join(dist, `${name}.cache`);
+	// eslint-disable-next-line no-await-in-loop -- one after the other
+	await bundleChunk({name, outfile: bundle});
+	execFileSync(process.execPath, [...execArgv, path.join(import.meta.dirname, 'build/compile-chunk.ts'), name, bundle, cacheFile, dist], {stdio: 'inherit'});
+	assets[`${name}.cjs`] = bundle;
+	assets[`${name}.cache`] = cacheFile;
+}
+
 writeFileSync(configFile, JSON.stringify({
-	main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv, execArgvExtension: 'env',
+	main: boot, output: blob, assets, disableExperimentalSEAWarning: true, useCodeCache: true, execArgv, execArgvExtension: 'env',
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], {stdio: 'inherit'});
 // A binary that runs cannot be written over.
--- /dev/null
+++ b/cli/valvesaddle/src/chunk-name.ts
@@ -0,0 +1,4 @@
+/**
+Parts of the program that are bundled and loaded alone.
+*/
+export type ChunkName = 'gateway' | 'program';
--- /dev/null
+++ b/cli/valvesaddle/src/describe-failure.ts
@@ -0,0 +1,24 @@
+import {toValvesaddleError} from '@valvesaddle/error';
+import {exitCodes} from './exit-codes.ts';
+
+type Failure = {
+	/**
+	Code, message and hint, with an end of line.
+	*/
+	readonly text: string;
+	readonly exitCode: number;
+};
+
+/**
+ Describes why a command failed: its code and hint in place of a stack.
+
+ @example
+ describeFailure(new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no file')).exitCode; // 2
+ */
+export function describeFailure(error: unknown): Failure {
+	const failure = toValvesaddleError(error);
+	return {
+		text: `${failure.code}: ${failure.message}\nHint: ${failure.traits.hint}\n`,
+		exitCode: failure.traits.status < 500 ? exitCodes.invalid : exitCodes.failed,
+	};
+}
--- a/cli/valvesaddle/src/plain-command.ts
+++ b/cli/valvesaddle/src/plain-command.ts
@@ -1,6 +1,5 @@
 import {Command} from 'clipanion';
-import {toValvesaddleError} from '@valvesaddle/error';
-import {exitCodes} from './exit-codes.ts';
+import {describeFailure} from './describe-failure.ts';
 
 /**
 A command that prints failures with their code and hint instead of a stack.
@@ -17,9 +16,9 @@
 	}
 
 	protected fail(error: unknown): number {
-		const failure = toValvesaddleError(error);
-		this.context.stderr.write(`${failure.code}: ${failure.message}\nHint: ${failure.traits.hint}\n`);
-		return failure.traits.status < 500 ? exitCodes.invalid : exitCodes.failed;
+		const {text, exitCode} = describeFailure(error);
+		this.context.stderr.write(text);
+		return exitCode;
 	}
 
 	protected print(text: string): void {
--- /dev/null
+++ b/cli/valvesaddle/src/run-gateway.ts
@@ -0,0 +1,41 @@
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {unwrapResult, ValvesaddleError} from '@valvesaddle/error';
+import {createGateway} from '@valvesaddle/gateway';
+import {parseGatewaySettings, type GatewaySettings} from '@valvesaddle/settings';
+import {exitCodes} from './exit-codes.ts';
+import {runUntilSignal} from './run-until-signal.ts';
+
+/**
+ Runs a gateway node until it is told to leave; resolves to the exit code. SIGHUP reads the settings anew.
+
+ @param file - Settings in TOML.
+ @throws `ERR_VALVESADDLE_SETTINGS_INVALID`, or the system's error when the settings or an address cannot be had.
+ @example
+ await runGateway('gateway.toml');
+ */
+export async function runGateway(file: string | undefined): Promise<number> {
+	const gateway = createGateway({settings: readSettings(file)});
+	process.on('SIGHUP', () => {
+		try {
+			gateway.reload(readSettings(file));
+		} catch (error) {
+			gateway.rejectReload(error);
+		}
+	});
+	await gateway.start();
+	await runUntilSignal();
+	await gateway.drain();
+	return exitCodes.done;
+}
+
+/**
+Reads them at once: the runtime's promises of files would cost each start more than the small file does.
+*/
+function readSettings(file: string | undefined): GatewaySettings {
+	if (file === undefined) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no settings file is named: pass --settings or set VALVESADDLE_SETTINGS');
+	}
+
+	return unwrapResult(parseGatewaySettings(readFileSync(file, 'utf8')));
+}
--- a/cli/valvesaddle/src/send-chat.ts
+++ b/cli/valvesaddle/src/send-chat.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createParser} from 'eventsource-parser';
 import {request, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {isErrorCode, ValvesaddleError} from '@valvesaddle/error';
 import type {SendChatOptions} from './send-chat-options.ts';
 
--- a/config/schema/src/configuration-schema.ts
+++ b/config/schema/src/configuration-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[\da-z][\d\-._a-z]{0,62}$/v, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"');
 const milliseconds = z.int().min(1).max(3_600_000);
--- a/config/settings/src/gateway-settings.ts
+++ b/config/settings/src/gateway-settings.ts
@@ -1,4 +1,4 @@
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {gatewaySettingsSchema} from './gateway-settings-schema.ts';
 
 /**
--- a/config/settings/src/settings-schema.ts
+++ b/config/settings/src/settings-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[\da-z][\d\-.a-z]{0,62}$/v, 'expected 1 to 63 of a-z, 0-9, ".", "-"');
 const address = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\d:a-f]+\]):\d{1,5}$/iv, 'expected an IP number and a port, such as "10.0.0.5:7100"');
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -1,4 +1,4 @@
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {settingsSchema} from './settings-schema.ts';
 
 type DeepReadonly<Value> = Value extends ReadonlyArray<infer Item>
--- a/config/settings/src/validate-table.ts
+++ b/config/settings/src/validate-table.ts
@@ -1,5 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {findKeyLine} from './find-key-line.ts';
 
--- a/duties/usage/src/create-usage-reporter.ts
+++ b/duties/usage/src/create-usage-reporter.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {DutyAnswer, UsageReport} from '@valvesaddle/duty-types';
 import type {UsageReporter} from './usage-reporter.ts';
 import type {UsageReporterOptions} from './usage-reporter-options.ts';
--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -1,6 +1,6 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, request as sendRequest, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {classifySendFailure, classifyStatus} from '@valvesaddle/http-outcome';
 import {buildEngineBody} from './build-engine-body.ts';
--- a/node/gateway/src/cluster-state-schema.ts
+++ b/node/gateway/src/cluster-state-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ClusterState} from '@valvesaddle/cluster-view';
 
 /**
--- a/node/gateway/src/heartbeat-schema.ts
+++ b/node/gateway/src/heartbeat-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
 Form of a node's heartbeat to its peers: the revision that it knows, a digest of what it believes at that revision (missing while
--- a/node/gateway/src/usage-schema.ts
+++ b/node/gateway/src/usage-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
 Form of the counts of usage that nodes send each other: origin, window, client account and count.
--- a/node/router/src/answer-page-schema.ts
+++ b/node/router/src/answer-page-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {isErrorCode, type ErrorCode} from '@valvesaddle/error';
 import type {AnswerEnd} from '@valvesaddle/answers';
 
--- a/node/router/src/compare-schema.ts
+++ b/node/router/src/compare-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
 Form of a comparison of revisions on the wire.
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -12,7 +12,7 @@
 	releaseReportSchema,
 } from '@valvesaddle/messages';
 import type {PeerHandlers} from '@valvesaddle/network';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CatchUp} from './catch-up.ts';
 import {compareSchema} from './compare-schema.ts';
 import {fitPage} from './fit-page.ts';
--- a/outcome/claims/src/claim-segment-schema.ts
+++ b/outcome/claims/src/claim-segment-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ClaimEntry} from './claim-entry.ts';
 
 const entry = z.object({
--- a/peer/network/src/from-rpc-error.ts
+++ b/peer/network/src/from-rpc-error.ts
@@ -1,5 +1,5 @@
 import {JSONRPCErrorException} from 'json-rpc-2.0';
-import {z} from 'zod';
+import * as z from 'zod';
 import {isErrorCode, toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 
 const dataSchema = z.object({code: z.string(), retryAfterMs: z.number().optional()});
