--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -1,5 +1,5 @@
 import {runEmulation, type EmulationLoad, type EmulationReport} from '@valvesaddle/emulator-fleet';
-import {createDraftsBesideFaults, createDraftsBesideQueries} from '@valvesaddle/emulator-loads';
+import {createDraftsBesideFaults, createDraftsBesideQueries, createLargeFleet} from '@valvesaddle/emulator-loads';
 import type {Experiment} from './experiment.ts';
 import type {Spread} from './spread.ts';
 import type {VariantReport} from './variant-report.ts';
@@ -7,6 +7,7 @@
 const loads: Readonly<Record<Experiment['load'], () => EmulationLoad>> = {
 	'drafts-beside-queries': createDraftsBesideQueries,
 	'drafts-beside-faults': createDraftsBesideFaults,
+	'large-fleet': createLargeFleet,
 };
 /**
 As the gateway has them by default: the time within which reading again counts, in milliseconds, and the first reading rate,
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -9,13 +9,13 @@
 import {createEmulationClock} from './create-emulation-clock.ts';
 import {createPromptSource} from './create-prompt-source.ts';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
-import type {EmulatedNode} from './emulated-node.ts';
 import type {EmulationClock} from './emulation-clock.ts';
 import type {EmulationFault} from './emulation-fault.ts';
 import type {EmulationLoad} from './emulation-load.ts';
 import type {EmulationOptions} from './emulation-options.ts';
 import type {EmulationReport} from './emulation-report.ts';
 import {startCaller} from './start-caller.ts';
+import {startNews} from './start-news.ts';
 import {summarizeOutcomes} from './summarize-outcomes.ts';
 
 const msPerSecond = 1000;
@@ -70,10 +70,9 @@
 			id: `n-${index}`, load, selection, admission, exchanges, endpoints: endpoints.keys().toArray(),
 		}));
 		const outcomes: CallerOutcome[] = [];
-		for (const node of nodes) {
-			startNews(clock, node, nodes, load);
-		}
-
+		startNews({
+			clock, nodes, load, untilMs: load.lengthMs + tailMs,
+		});
 		for (const kind of load.classes) {
 			startArrivals({
 				clock, kind, random, lengthMs: load.lengthMs,
@@ -104,25 +103,6 @@
 	}
 }
 
-function startNews(clock: EmulationClock, node: EmulatedNode, nodes: readonly EmulatedNode[], load: EmulationLoad): void {
-	const news = node.selector.takeNews();
-	if (news !== undefined) {
-		clock.add(load.linkMs, () => {
-			for (const other of nodes) {
-				if (other !== node) {
-					other.selector.applyNews(node.id, news);
-				}
-			}
-		});
-	}
-
-	if (clock.now() < load.lengthMs + tailMs) {
-		clock.add(load.newsMs, () => {
-			startNews(clock, node, nodes, load);
-		});
-	}
-}
-
 type Arrivals = {
 	readonly clock: EmulationClock;
 	readonly kind: CallerClass;
--- a/emulator/loads/src/index.ts
+++ b/emulator/loads/src/index.ts
@@ -1,2 +1,3 @@
 export {createDraftsBesideFaults} from './create-drafts-beside-faults.ts';
 export {createDraftsBesideQueries} from './create-drafts-beside-queries.ts';
+export {createLargeFleet} from './create-large-fleet.ts';
