perf(gateway): an event is one write, a wait for the next one sets no timer for each

Cause: of each event the HTTP server made three writes (length, bytes, end of line) in one writev, the relay made text of it, and its patience cleared and set a timer; an error with its stack was made as each request ended. Change: pieces go to the connection framed, once it is this answer's turn; ids are read from bytes; one timer a wait.

--- a/gateway/exchange/src/create-event-relay.ts
+++ b/gateway/exchange/src/create-event-relay.ts
@@ -3,6 +3,14 @@
 
 const boundary = '\n\n';
 const idPattern = /^id:\s*(?<id>\d+)\s*$/mv;
+const nothing = Buffer.alloc(0);
+/**
+Bytes of a line that begins an event with its id, as all usual ones do.
+*/
+const idLead = new Uint8Array(Buffer.from('id: '));
+const lineEnd = 10;
+const digitZero = 48;
+const base = 10;
 
 /**
  Creates the relay of an event stream.
@@ -14,31 +22,75 @@
  */
 export function createEventRelay(firstAfter: number): EventRelay {
 	let lastId = firstAfter;
-	let rest = Buffer.alloc(0);
+	let rest = nothing;
+
+	function isNew(event: Uint8Array): boolean {
+		const id = readEventId(event);
+		if (id === undefined) {
+			return true;
+		}
+
+		if (id <= lastId) {
+			return false;
+		}
+
+		lastId = id;
+		return true;
+	}
 
 	return {
 		push(chunk) {
-			let data = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
+			const data = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
 			const passed: Uint8Array[] = [];
-			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary)) {
-				const event = data.subarray(0, end + boundary.length);
-				data = data.subarray(end + boundary.length);
-				const id = idPattern.exec(event.toString('latin1'))?.groups?.id;
-				if (!(id === undefined || Number(id) > lastId)) {
-					continue;
+			let from = 0;
+			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary, from)) {
+				const event = data.subarray(from, end + boundary.length);
+				from = end + boundary.length;
+				if (isNew(event)) {
+					passed.push(event);
 				}
-
-				lastId = id === undefined ? lastId : Number(id);
-				passed.push(event);
 			}
 
-			rest = Buffer.from(data);
+			rest = from === data.length ? nothing : Buffer.from(data.subarray(from));
 			return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
 		},
 		restart() {
-			rest = Buffer.alloc(0);
+			rest = nothing;
 		},
 		lastEventId: () => lastId,
 		hasRest: () => rest.length > 0,
 	};
 }
+
+/**
+Id of an event; `undefined` when it has none.
+*/
+function readEventId(event: Uint8Array): number | undefined {
+	return readLeadingId(event) ?? readIdAnywhere(event);
+}
+
+/**
+Reads `id: 12` at the beginning of an event, without making text of the whole event.
+*/
+function readLeadingId(event: Uint8Array): number | undefined {
+	if (idLead.some((byte, index) => event[index] !== byte)) {
+		return undefined;
+	}
+
+	let id = 0;
+	for (let index = idLead.length; event[index] !== lineEnd; index++) {
+		const digit = (event[index] ?? 0) - digitZero;
+		if (!(digit >= 0 && digit < base)) {
+			return undefined;
+		}
+
+		id = (id * base) + digit;
+	}
+
+	return event[idLead.length] === lineEnd ? undefined : id;
+}
+
+function readIdAnywhere(event: Uint8Array): number | undefined {
+	const id = idPattern.exec(Buffer.from(event).toString('latin1'))?.groups?.id;
+	return id === undefined ? undefined : Number(id);
+}
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -6,6 +6,7 @@
 import {canRepeat} from './can-repeat.ts';
 import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
+import {createPatience} from './create-patience.ts';
 import {createPieceClock} from './create-piece-clock.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
@@ -54,13 +55,22 @@
 		parts: facts.parts,
 		tried,
 	};
+	const isMovable = isRepeatable(route);
+	const {pauseMs} = getPatience(route, 0);
+	const patience = createPatience(milliseconds => {
+		if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
+			return;
+		}
+
+		endAttempt('failed');
+		handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
+	});
 	let tries = 0;
 	let runs = 0;
 	let arrivals = 0;
 	let isOver = false;
 	let exchange: Exchange | undefined;
 	let work: OpenWork | undefined;
-	let patience: NodeJS.Timeout | undefined;
 	let isBegun = false;
 
 	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
@@ -68,7 +78,7 @@
 	function closeTask(outcome: string, status: number): void {
 		isOver = true;
 		clearTimeout(timer);
-		clearTimeout(patience);
+		patience.stop();
 		const elapsedMs = Math.round(performance.now() - request.arrivedAt);
 		metrics.increment('gateway.ended', 1, {outcome});
 		metrics.timing('gateway.total', elapsedMs);
@@ -113,19 +123,9 @@
 	Gives an endpoint some time for its next byte; a request that may be repeated then goes elsewhere.
 	*/
 	function startPatience(milliseconds: number): void {
-		if (!isRepeatable(route)) {
-			return;
+		if (isMovable) {
+			patience.start(milliseconds);
 		}
-
-		clearTimeout(patience);
-		patience = setTimeout(() => {
-			if (!canRepeat({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
-				return;
-			}
-
-			endAttempt('failed');
-			handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
-		}, milliseconds);
 	}
 
 	/**
@@ -141,7 +141,7 @@
 	}
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
-		clearTimeout(patience);
+		patience.stop();
 		exchange?.abort();
 		exchange = undefined;
 		work?.close(end);
@@ -247,7 +247,7 @@
 				}
 
 				if (route.kind === 'stream') {
-					startPatience(getPatience(route, 0).pauseMs);
+					startPatience(pauseMs);
 				}
 
 				return answer === undefined ? 'more' : takeData(answer, chunk);
@@ -291,7 +291,7 @@
 
 		const paused = exchange;
 		// A caller that reads slowly says nothing about the endpoint.
-		clearTimeout(patience);
+		patience.stop();
 		work?.markPaused();
 		writer.onDrain(() => {
 			paused?.resume();
@@ -328,7 +328,7 @@
 	}
 
 	function handleFailure(failure: AttemptFailure): void {
-		clearTimeout(patience);
+		patience.stop();
 		exchange = undefined;
 		work = undefined;
 		writer.dropRest();
--- a/gateway/front/src/create-reply.ts
+++ b/gateway/front/src/create-reply.ts
@@ -1,5 +1,7 @@
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Reply} from '@valvesaddle/forwarding';
+import {frameChunk} from './frame-chunk.ts';
 import {sendRefusal} from './send-refusal.ts';
 
 /**
@@ -23,9 +25,12 @@
 			response.writeHead(status, toHead(headers));
 			response.flushHeaders();
 		},
-		write: bytes => response.write(bytes),
+		write(bytes) {
+			const socket = findOwnSocket(response);
+			return socket === undefined ? response.write(bytes) : socket.write(frameChunk(bytes));
+		},
 		onDrain(resume) {
-			response.once('drain', resume);
+			(findOwnSocket(response) ?? response).once('drain', resume);
 		},
 		end() {
 			response.end();
@@ -38,3 +43,11 @@
 		},
 	};
 }
+
+/**
+The connection, once its turn is this answer's and the head has gone out. A piece is then one write in place of the three that
+the HTTP server makes of it: length, bytes and end of line.
+*/
+function findOwnSocket({chunkedEncoding, socket, headersSent}: ServerResponse): Socket | undefined {
+	return headersSent && chunkedEncoding && socket?.writable === true ? socket : undefined;
+}
--- a/gateway/front/src/read-whole-body.ts
+++ b/gateway/front/src/read-whole-body.ts
@@ -35,6 +35,11 @@
 		resolve(Buffer.concat(pieces));
 	});
 	request.once('close', () => {
+		// Each request ends so; an error is dear to make.
+		if (request.complete) {
+			return;
+		}
+
 		reject(new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away within the body'));
 	});
 	return promise;
