perf(gateway): news are checked in one pass, and repeated work of a node comes due together

Cause: news were checked row by row against a schema (4 % of a loaded node), notifications went through the promises of the server for calls, members kept books of news that they never pass on, and each repeated task of a node had a timer of its own. Change: one pass over the rows, notifications straight to their handler, books at relays only, ticks that periods share.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.5:7100"');
 /**
@@ -67,7 +67,10 @@
 		return_factor: z.number().positive().default(1.5),
 	}).prefault({}),
 	peers: z.strictObject({
-		silence_ms: milliseconds.default(1200),
+		/**
+		Five heartbeats, so that links are looked after with them.
+		*/
+		silence_ms: milliseconds.default(1250),
 		news_ms: milliseconds.default(20),
 		heartbeat_ms: milliseconds.default(250),
 		/**
--- /dev/null
+++ b/core/ticks/src/index.ts
@@ -0,0 +1,1 @@
+export {measureTick} from './measure-tick.ts';
--- /dev/null
+++ b/core/ticks/test/measure-tick.test.ts
@@ -0,0 +1,16 @@
+import {Clock} from 'clock-mock';
+import {test} from 'tap';
+import {measureTick} from '@valvesaddle/ticks';
+
+test('work of several periods comes due together, and not twice for one tick', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	clock.travel(1000);
+	t.equal(measureTick(250), 250);
+	clock.travel(1010);
+	t.equal(measureTick(250), 240);
+	t.equal(measureTick(125), 115);
+	clock.travel(1249);
+	t.equal(measureTick(250), 251, 'a timer that fired early has had its tick');
+	t.end();
+});
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -1,5 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import type {ClusterChanges} from '@valvesaddle/gateway-types';
+import {measureTick} from '@valvesaddle/ticks';
 import {measureFleet} from './measure-fleet.ts';
 import type {StoreFollower} from './store-follower.ts';
 import type {StoreFollowerOptions} from './store-follower-options.ts';
@@ -18,6 +19,10 @@
 Share of a pause that is drawn by lot, so that nodes do not call in step.
 */
 const jitterShare = 0.5;
+/**
+How often a node for which others watch asks whether it has to watch itself, in milliseconds.
+*/
+const askMs = 250;
 
 /**
  Creates the follower of the store: a list at first and after every gap, then one watch after the other. Renewals of the
@@ -145,7 +150,7 @@
 
 			isFollowing = false;
 			// eslint-disable-next-line no-await-in-loop -- one turn after the other
-			await (isNeeded ? watchStore() : waitAbout(options.retryMs));
+			await (isNeeded ? watchStore() : wait(measureTick(askMs), undefined, {ref: false}));
 		}
 	}
 
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -161,8 +161,12 @@
 	One line for each step taken about a peer that is ahead; heartbeats that bring nothing new write none.
 	*/
 	function recordAhead(node: string, {revision, version, ageMs}: Word, step: Step): void {
+		if (step === 'none') {
+			return;
+		}
+
 		const fact = [node, revision, view.revision(), version, versions.get(), step].join(' ');
-		if (step === 'none' || fact === lastAhead) {
+		if (fact === lastAhead) {
 			return;
 		}
 
--- a/node/gateway/src/create-news-sync.ts
+++ b/node/gateway/src/create-news-sync.ts
@@ -3,7 +3,7 @@
 import type {Selector} from '@valvesaddle/selection';
 import {formatNews} from './format-news.ts';
 import type {LinkPlan} from './link-plan.ts';
-import {newsSchema} from './news-schema.ts';
+import {parseNews} from './parse-news.ts';
 import type {NewsSync} from './news-sync.ts';
 
 /**
@@ -11,9 +11,9 @@
 */
 type NewsSyncOptions = {
 	readonly node: string;
-	readonly network: PeerNetwork;
-	readonly links: LinkPlan;
-	readonly selector: Selector;
+	readonly network: Pick<PeerNetwork, 'isReady' | 'notify'>;
+	readonly links: Pick<LinkPlan, 'isRelay' | 'listRelays' | 'listMembers'>;
+	readonly selector: Pick<Selector, 'takeNews' | 'applyNews' | 'setUnseenFactor' | 'removeNode'>;
 	/**
 	Nodes of the fleet that are known.
 	*/
@@ -72,13 +72,14 @@
 			wasSent(node, isMember ? relay.takeForMember(node) : relay.takeForRelay(node));
 		},
 		applyNews(parameters, node) {
-			const news: OriginNews = {...newsSchema.parse(parameters), origin: node};
+			const news: OriginNews = {...parseNews(parameters), origin: node};
 			origins.set(node, news.nodes);
 			const current = {...news, ...selector.applyNews(node, news)};
-			if (links.isRelay(node)) {
-				relay.addGroup(current);
-			} else {
+			if (!links.isRelay(node)) {
 				relay.addMember(current);
+			} else if (links.isRelay(self)) {
+				// A member passes nothing on; once it is a relay, the others tell it all.
+				relay.addGroup(current);
 			}
 		},
 		removeEndpoint: relay.removeEndpoint,
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,6 +1,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {measureFleet} from '@valvesaddle/cluster-view';
 import {formatIncarnation} from '@valvesaddle/selection';
+import {measureTick} from '@valvesaddle/ticks';
 import {createBeliefSync} from './create-belief-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createNewsSync} from './create-news-sync.ts';
@@ -56,7 +57,9 @@
 	*/
 	function measureNewsPause(): number {
 		const usualMs = options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length));
-		return Math.max(usualMs, Math.min(heartbeatMs, quietFactor * usualMs));
+		const pauseMs = Math.max(usualMs, Math.min(heartbeatMs, quietFactor * usualMs));
+		// Told together with heartbeats, they cost no wake-up of their own.
+		return heartbeatMs / Math.max(1, Math.round(heartbeatMs / pauseMs));
 	}
 
 	function sendNews(): void {
@@ -68,7 +71,7 @@
 		while (!closing.signal.aborted) {
 			step();
 			// eslint-disable-next-line no-await-in-loop -- one step after the other
-			await wait(measurePause(), undefined, {ref: false});
+			await wait(measureTick(measurePause()), undefined, {ref: false});
 		}
 	}
 
--- a/node/gateway/src/news-sync.ts
+++ b/node/gateway/src/news-sync.ts
@@ -11,7 +11,7 @@
 	*/
 	readonly introduce: (node: string) => void;
 	/**
-	Takes in a peer's message; throws `ZodError` for one of a wrong form.
+	Takes in a peer's message; throws `ERR_VALVESADDLE_MESSAGE_INVALID` for one of a wrong form.
 	*/
 	readonly applyNews: (parameters: unknown, node: string) => void;
 	/**
--- /dev/null
+++ b/node/gateway/test/parse-news.test.ts
@@ -0,0 +1,46 @@
+/*
+News of another form are refused as a whole, whatever is wrong with them, and never taken for less than they say.
+*/
+import fc from 'fast-check';
+import {test} from 'tap';
+import {formatNews} from '../src/format-news.ts';
+import {parseNews} from '../src/parse-news.ts';
+
+const load: readonly unknown[] = ['i-1', 2, [0, 800], 0.5, 1, 0, 100, 7];
+const placement: readonly unknown[] = ['i-1', 'p', ['a'], 600];
+
+test('rows that are too short, too long, of other types or out of range are refused', t => {
+	const wrong: readonly unknown[] = [
+		undefined,
+		null,
+		3,
+		[],
+		{},
+		{nodes: 1},
+		{nodes: -1, loads: [], placements: []},
+		{nodes: 1.5, loads: [], placements: []},
+		{nodes: 1, loads: {}, placements: []},
+		{nodes: 1, loads: [], placements: 'x'},
+		...[[], load.slice(1), [...load, 0], load.with(0, 5), load.with(1, -1), load.with(1, '2'), load.with(2, [-1]), load.with(2, Array.from({length: 65}, () => 0)), load.with(3, Infinity), load.with(7, null)]
+			.map(row => ({nodes: 1, loads: [load, row], placements: []})),
+		...[[], [...placement, 1], placement.with(0, 1), placement.with(2, ['a', 2]), placement.with(3, NaN)]
+			.map(row => ({nodes: 1, loads: [], placements: [placement, row]})),
+	];
+	for (const message of wrong) {
+		t.throws(() => parseNews(message), JSON.stringify(message));
+	}
+
+	t.end();
+});
+
+test('whatever is sent is read or refused; what is read can be told on', t => {
+	fc.assert(fc.property(fc.oneof(fc.jsonValue(), fc.record({nodes: fc.nat(), loads: fc.array(fc.constantFrom(load, load.with(1, 'x'))), placements: fc.array(fc.constantFrom(placement, [1]))})), message => {
+		try {
+			const news = parseNews(message);
+			return JSON.stringify(formatNews({origin: 'n1', ...news})).length > 0;
+		} catch (error) {
+			return error instanceof Error;
+		}
+	}));
+	t.end();
+});
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -10,7 +10,7 @@
 import {createSelector, noLoad} from '@valvesaddle/selection';
 import {createPeerSync} from '../src/create-peer-sync.ts';
 import {formatNews} from '../src/format-news.ts';
-import {newsSchema} from '../src/news-schema.ts';
+import {parseNews} from '../src/parse-news.ts';
 
 const peerState: ClusterState = {
 	revision: 9,
@@ -446,7 +446,7 @@
 	const placements = [{
 		endpoint: 'i-1', pool: 'p', parts: ['a', 'b'], tokens: 600,
 	}];
-	t.same(newsSchema.parse(formatNews({
+	t.same(parseNews(formatNews({
 		origin: 'n1', nodes: 4, loads, placements,
 	})), {
 		nodes: 4,
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -101,12 +101,35 @@
 			return;
 		}
 
+		if (message.id === undefined) {
+			handleNotification(message);
+			return;
+		}
+
 		const response = await server.receive(message);
 		if (response && socket.readyState === WebSocket.OPEN) {
 			sendText(response);
 		}
 	}
 
+	/**
+	Nobody waits for an answer, so nothing of the server's is needed; nearly all messages are such.
+	*/
+	function handleNotification({method, params}: JSONRPCRequest): void {
+		const handleFailed = (): void => {
+			metrics.increment('peer.calls-failed');
+		};
+
+		try {
+			const handled = Object.hasOwn(options.handlers, method) ? options.handlers[method]?.(params, options.node) : undefined;
+			if (handled instanceof Promise) {
+				handled.catch(handleFailed);
+			}
+		} catch {
+			handleFailed();
+		}
+	}
+
 	function markHeard(): void {
 		heardAt = performance.now();
 		unansweredSince = undefined;
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -7,6 +7,7 @@
 import {WebSocket, WebSocketServer, type PerMessageDeflateOptions} from 'ws';
 import {ValvesaddleError} from '@valvesaddle/error';
 import {closeServer, startServer} from '@valvesaddle/http-server';
+import {measureTick} from '@valvesaddle/ticks';
 import {createPeerLink} from './create-peer-link.ts';
 import {fromRpcError} from './from-rpc-error.ts';
 import type {PeerEvents} from './peer-events.ts';
@@ -17,7 +18,7 @@
 
 const nodeHeader = 'x-valvesaddle-node';
 const largestMessageBytes = 2 * 1024 * 1024;
-const ticksPerSilence = 6;
+const ticksPerSilence = 5;
 /**
 Small windows: messages are short and alike, and every link holds its own.
 */
@@ -43,15 +44,17 @@
 	let socketServer: WebSocketServer | undefined;
 	let isClosed = false;
 
-	const timer = setInterval(() => {
+	function tickLinks(): void {
 		const now = performance.now();
 		for (const link of all) {
 			link.tick(now);
 		}
 
 		metrics.gauge('peer.bytes-waiting', Math.max(0, ...all.values().map(link => link.countUnconfirmed())));
-	}, options.silenceMs / ticksPerSilence);
-	timer.unref();
+		timer = setTimeout(tickLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
+	}
+
+	let timer = setTimeout(tickLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
 
 	function addLink(node: string, socket: WebSocket): PeerLink {
 		const link = createPeerLink({
@@ -166,7 +169,7 @@
 		},
 		async close() {
 			isClosed = true;
-			clearInterval(timer);
+			clearTimeout(timer);
 			for (const link of all) {
 				link.close();
 			}
