perf(cluster-view): in a large fleet only those who watch by plan call the store often

Cause: a node for which others watch renewed its lease of a minute every three seconds, and as long as no peer had spoken for the store it watched three times a second, each time for a change of another node that was starting. Change: it renews four times a term, and watches once a second until a peer speaks.

--- a/emulator/beliefs/src/create-spreading-node.ts
+++ b/emulator/beliefs/src/create-spreading-node.ts
@@ -49,6 +49,7 @@
 		leaseMs: settings.store.lease_ms,
 		renewMs: settings.store.renew_ms,
 		lapseGraceMs: settings.store.lapse_grace_ms,
+		isFollower: () => sync.isFollower(),
 		isNeeded: () => sync.isStoreNeeded(),
 		logger,
 		metrics,
--- a/emulator/beliefs/test/spreading.test.ts
+++ b/emulator/beliefs/test/spreading.test.ts
@@ -268,3 +268,19 @@
 	t.not(inspect(await run(2), inspectOptions), inspect(first, inspectOptions));
 	t.equal(performance.now, now);
 });
+
+/**
+Each node of a fleet renewed its lease of a minute every three seconds, and at a start watched the store three times a second until
+a peer spoke for it. Calls are paid for, and their rates grow more slowly than fleets do.
+*/
+test('nodes that others watch for call the store no more often than their start and their leases ask', async t => {
+	const nodes = 80;
+	const {storeCalls} = await runSpreading({
+		...fleet, nodes, lengthMs: 16_000, seed: 1, changes: [], faults: [],
+	});
+	const followers = 4;
+	const renewalsOfFollowers = followers * 16;
+	t.ok((storeCalls.renew ?? 0) - renewalsOfFollowers <= 2 * nodes, `${storeCalls.renew} renewals`);
+	t.equal(storeCalls['open-lease'], nodes);
+	t.equal(storeCalls.write, nodes);
+});
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -16,6 +16,14 @@
 */
 const longestGatherFactor = 6;
 /**
+Pause between two watches of a node that watches only until a peer speaks for the store, in milliseconds.
+*/
+const unplannedGatherMs = 1000;
+/**
+Parts of the term of a lease within which it is renewed by nodes that others watch for.
+*/
+const renewalsPerTerm = 4;
+/**
 Share of a pause that is drawn by lot, so that nodes do not call in step.
 */
 const jitterShare = 0.5;
@@ -29,7 +37,7 @@
  node's lease show whether the store still answers while a watch waits.
 
  @example
- const follower = createStoreFollower({store, view, self, watchMs: 25_000, gatherMs: 50, settleMs: 300, retryMs: 400, leaseMs: 30_000, renewMs: 2000, lapseGraceMs: 2000, isNeeded: () => true, logger, metrics});
+ const follower = createStoreFollower({store, view, self, watchMs: 25_000, gatherMs: 50, settleMs: 300, retryMs: 400, leaseMs: 30_000, renewMs: 2000, lapseGraceMs: 2000, isNeeded: () => true, isFollower: () => true, logger, metrics});
  follower.start();
  */
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
@@ -119,8 +127,13 @@
 		});
 	}
 
+	/**
+	A node that others are to watch for leaves them time to say so: at the start of a large fleet each change of its nodes
+	would bring a call of every one of them.
+	*/
 	function measureGather(): number {
-		return options.gatherMs * Math.min(longestGatherFactor, measureFleet(view.nodes().length));
+		const gatherMs = options.gatherMs * Math.min(longestGatherFactor, measureFleet(view.nodes().length));
+		return options.isFollower() ? gatherMs : Math.max(gatherMs, unplannedGatherMs);
 	}
 
 	/**
@@ -155,15 +168,14 @@
 	}
 
 	/**
-	Factor on the term of the lease and, but for nodes that watch for others, on its renewals, so that those of a large fleet
-	stay few.
+	Factor on the term of the lease, so that the renewals of a large fleet stay few.
 	*/
 	function measureTermFactor(): number {
 		return Math.min(longestTermFactor, measureFleet(view.nodes().length));
 	}
 
 	function measureRenewal(): number {
-		return options.isNeeded() ? options.renewMs : options.renewMs * measureTermFactor();
+		return options.isNeeded() ? options.renewMs : Math.max(options.renewMs, options.leaseMs * measureTermFactor() / renewalsPerTerm);
 	}
 
 	async function register(): Promise<void> {
--- a/gateway/cluster-view/src/store-follower-options.ts
+++ b/gateway/cluster-view/src/store-follower-options.ts
@@ -42,6 +42,10 @@
 	Whether this node has to watch the store itself; in a large fleet a few nodes do so for all.
 	*/
 	readonly isNeeded: () => boolean;
+	/**
+	Whether it watches by plan, and not only as long as nobody else tells it that nothing was missed.
+	*/
+	readonly isFollower: () => boolean;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- a/gateway/cluster-view/test/store-follower.test.ts
+++ b/gateway/cluster-view/test/store-follower.test.ts
@@ -59,6 +59,7 @@
 		leaseMs: 4000,
 		renewMs: 250,
 		lapseGraceMs,
+		isFollower: () => true,
 		isNeeded,
 		logger,
 		metrics,
@@ -168,7 +169,7 @@
 		self: {
 			id: 'n1', address: '10.0.0.9:7', token: 'secret', dataCentre: 'a', capacity: 1,
 		},
-		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isNeeded: () => true, logger, metrics,
+		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isFollower: () => true, isNeeded: () => true, logger, metrics,
 	});
 	t.teardown(async () => {
 		await follower.close();
@@ -241,7 +242,7 @@
 		self: {
 			id: 'n1', address: '10.0.0.9:7', token: 'secret', dataCentre: 'a', capacity: 1,
 		},
-		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isNeeded, logger, metrics,
+		watchMs: 20_000, gatherMs: 1, settleMs: 1, retryMs: 2, leaseMs: 4000, renewMs: 2, lapseGraceMs: 60_000, isFollower: () => true, isNeeded, logger, metrics,
 	});
 	t.teardown(async () => {
 		await follower.close();
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -77,6 +77,7 @@
 		renewMs: storeSettings.renew_ms,
 		lapseGraceMs: storeSettings.lapse_grace_ms,
 		isNeeded: () => sync.isStoreNeeded(),
+		isFollower: () => sync.isFollower(),
 		logger,
 		metrics,
 	});
