--- a/emulator/engine/src/create-engine.ts
+++ b/emulator/engine/src/create-engine.ts
@@ -28,15 +28,15 @@
  Creates an emulated engine. It reads prompts one after the other, in the order in which they were admitted, up to a number
  of tokens a step, and makes one token a step for each request that was read.
 
+ @param everKept - Parts that some engine of the pool has read; reading them again is waste. Filled in by the engine.
  @example
  const engine = createEngine(speed);
  engine.add(job);
  const milliseconds = engine.startStep();
  engine.endStep();
  */
-export function createEngine(speed: EngineSpeed): Engine {
+export function createEngine(speed: EngineSpeed, everKept = new Set<string>()): Engine {
 	const memory = createPromptMemory();
-	const everKept = new Set<string>();
 	let waiting: Run[] = [];
 	let running: Run[] = [];
 	let chunks = new Map<Run, number>();
@@ -188,7 +188,6 @@
 			running = [];
 			chunks = new Map();
 			memory.clear();
-			everKept.clear();
 		},
 		setSlowness(factor) {
 			slowness = factor;
--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -8,17 +8,21 @@
 	readonly speed: EngineSpeed;
 	readonly slowness: number;
 	readonly linkMs: number;
+	/**
+	Parts of prompts that some engine has read.
+	*/
+	readonly everKept: Set<string>;
 };
 
 /**
  Creates an emulated engine behind a link.
 
  @example
- const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1});
+ const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1, everKept: new Set()});
  endpoint.send(job, () => {});
  */
-export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs}: EmulatedEndpointOptions): EmulatedEndpoint {
-	const engine = createEngine(speed);
+export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs, everKept}: EmulatedEndpointOptions): EmulatedEndpoint {
+	const engine = createEngine(speed, everKept);
 	const open = new Map<string, () => void>();
 	let isStepping = false;
 	let isDark = false;
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -62,8 +62,9 @@
 		const random = createRandom(seed);
 		const clock = createEmulationClock(paused);
 		const source = createPromptSource(random, load.engine.tokensPerEvent);
+		const everKept = new Set<string>();
 		const endpoints = new Map(load.slowness.map((slowness, index) => [`e-${index}`, createEmulatedEndpoint({
-			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs,
+			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept,
 		})]));
 		const exchanges = createEmulatedExchanges({endpoints, findPrompt: source.find});
 		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -1,5 +1,5 @@
-import {rankByHash} from '@valvesaddle/ranking';
 import {countUnread} from './count-unread.ts';
+import {createAgreedHolders} from './create-agreed-holders.ts';
 import {createPaceModel} from './create-pace-model.ts';
 import {createPauseModel} from './create-pause-model.ts';
 import {createReadingRate} from './create-reading-rate.ts';
@@ -17,9 +17,9 @@
 import type {SelectorOptions} from './selector-options.ts';
 
 /**
-Advantage of the endpoint that all nodes would take for a prompt of which they know no holder, as a part of what reading its
-shared parts again would weigh: nodes that get the same prompt at once then agree, and nodes that start anew go where the
-prompt was sent before.
+Advantage of the endpoint that all nodes would take for a prompt, as a part of what reading its shared parts again would weigh:
+nodes that get the same prompt at once then agree on its first holder and on where its next copy goes, and nodes that start anew
+go where the prompt was sent before.
 */
 const sameChoiceShare = 0.1;
 /**
@@ -50,6 +50,7 @@
  */
 export function createPromptChooser({settings, loads, prefixes}: PromptChooserOptions): PromptChooser {
 	const pools = new Map<string, PoolModel>();
+	const holders = createAgreedHolders();
 
 	function getPool(name: string): PoolModel {
 		const pool = pools.get(name) ?? {
@@ -86,11 +87,16 @@
 		return (settings.harmWeight * others) + (settings.riskWeight * own);
 	}
 
-	function chooseBest(pool: PoolModel, candidates: readonly KnownEndpoint[], question: SelectionQuestion): Rating | undefined {
+	function findAgreed(ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], shared: SelectionQuestion['parts']): string | undefined {
+		const key = shared.map(({id}) => id).join(',');
+		return holders.find(key, ready.map(({incarnation}) => incarnation), new Set(candidates.map(({incarnation}) => incarnation)));
+	}
+
+	function chooseBest(pool: PoolModel, ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], question: SelectionQuestion): Rating | undefined {
 		const {urgency} = question;
 		const shared = question.parts.slice(0, -1);
 		const recentTokens = prefixes.countRecent(question.parts);
-		const [agreed] = recentTokens === 0 ? rankByHash(shared.map(({id}) => id).join(','), candidates.map(({incarnation}) => incarnation)) : [];
+		const agreed = findAgreed(ready, candidates, shared);
 		const agreedMs = sameChoiceShare * settings.rereadMsPerToken * countTokens(shared);
 		const tokensPerMs = pool.rate.get();
 		let best: (Rating & {readonly score: number}) | undefined;
@@ -125,7 +131,7 @@
 		choose(ready, candidates, question) {
 			const pool = getPool(question.pool);
 			updatePaces(pool, ready);
-			return chooseBest(pool, candidates, question);
+			return chooseBest(pool, ready, candidates, question);
 		},
 		recordDemand(name, endpoint, tokens) {
 			const pool = getPool(name);
@@ -147,6 +153,7 @@
 			return {placedTokens, tokensPerMs: rate.get()};
 		},
 		getPauses: name => getPool(name).pauses,
+		markChanged: holders.clear,
 		removeEndpoint(endpoint) {
 			for (const {pauses} of pools.values()) {
 				pauses.removeEndpoint(endpoint);
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -106,6 +106,7 @@
 	function addEndpoint(endpoint: ServingEndpoint): void {
 		const known = {...endpoint, incarnation: formatIncarnation(endpoint)};
 		endpoints.set(endpoint.id, known);
+		chooser.markChanged();
 		outdated.remove(known.incarnation);
 		updateCapacity(known);
 	}
@@ -129,6 +130,7 @@
 		removeEndpoint(id) {
 			const known = endpoints.get(id);
 			endpoints.delete(id);
+			chooser.markChanged();
 			if (known !== undefined) {
 				// Its process may go on for a while, so its requests are left to it.
 				removeIncarnation(known.incarnation, -Infinity);
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -8,6 +8,10 @@
 Chooses among model engines: by prompts that they hold, work that they have, and the pauses that reading would cause.
 */
 export type PromptChooser = {
+	/**
+	The endpoints that serve have changed.
+	*/
+	readonly markChanged: () => void;
 	/**
 	Best of the candidates, which are some of the endpoints that are ready; `undefined` when there are none.
 	*/
