--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -178,6 +178,13 @@
 		return options.isNeeded() ? options.renewMs : Math.max(options.renewMs, options.leaseMs * measureTermFactor() / renewalsPerTerm);
 	}
 
+	/**
+	Those that others watch for need not be the first to know that the store is back, and refused calls are paid for too.
+	*/
+	function measureRetry(): number {
+		return options.isNeeded() ? options.retryMs : options.retryMs * measureFleet(view.nodes().length);
+	}
+
 	async function register(): Promise<void> {
 		const startedAt = performance.now();
 		const registered = await store.register(options.self, options.leaseMs * measureTermFactor());
@@ -226,7 +233,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the pause between renewals
-			await waitAbout(isReachable && lease !== undefined ? measureRenewal() : options.retryMs);
+			await waitAbout(isReachable && lease !== undefined ? measureRenewal() : measureRetry());
 		}
 	}
 
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -14,7 +14,7 @@
 /**
 Most that the pause between messages on work grows with the fleet: news must stay younger than a short stream.
 */
-const longestNewsFactor = 6;
+const longestNewsFactor = 12;
 /**
 Heartbeats that may be missed before a link counts as silent, or a confirmation of the store as too old.
 */
