perf(gateway): a node that is behind is told what is newer, links wait for a fleet that starts, registration comes at once

Cause: at the start of 195 nodes each took a peer's whole state 3.4 times (672 lines peer-state-taken up to the start of traffic), since each registration put it behind again; planned by the few nodes that had registered, up to 177 links went to one node; a node registered up to 0.4 s after its list. Change: a state may be asked for since a revision, which the peer grants where its marks of removals reach back so far; a node opens links when its first watch after the list has come, at most 1 s after it; registration follows the first list at once; the table of addresses finds the process that a new one replaces.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -36,7 +36,7 @@
 		timeout_ms: milliseconds.default(1000),
 		watch_ms: milliseconds.default(3000),
 		gather_ms: milliseconds.default(60),
-		settle_ms: milliseconds.default(300),
+		settle_ms: milliseconds.default(500),
 		retry_ms: milliseconds.default(400),
 		/**
 		Longer than an outage as a rule lasts: a node that only the store cannot hear must stay registered.
--- a/gateway/cluster-view/src/cluster-state.ts
+++ b/gateway/cluster-view/src/cluster-state.ts
@@ -7,6 +7,10 @@
 */
 export type ClusterState = {
 	readonly revision: number;
+	/**
+	Set when the state holds only what is newer than this revision.
+	*/
+	readonly since?: number | undefined;
 	readonly configuration: GatewayConfiguration | undefined;
 	readonly endpoints: ReadonlyArray<{readonly endpoint: ServingEndpoint; readonly revision: number}>;
 	readonly nodes: ReadonlyArray<{readonly node: GatewayNode; readonly revision: number}>;
--- a/gateway/cluster-view/src/cluster-view.ts
+++ b/gateway/cluster-view/src/cluster-view.ts
@@ -44,7 +44,10 @@
 	Whether entries are kept that may only have lapsed.
 	*/
 	readonly hasLapsed: () => boolean;
-	readonly exportState: (isSteady: boolean) => ClusterState;
+	/**
+	What a peer is told: all, or what is newer than a revision where that is known for sure.
+	*/
+	readonly exportState: (isSteady: boolean, since?: number) => ClusterState;
 	readonly importState: (state: ClusterState) => void;
 	readonly close: () => void;
 };
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -52,6 +52,10 @@
 	*/
 	const unreadMarks = createRevisionMarks();
 	const outdatedMarks = createRevisionMarks();
+	/**
+	Node that registered last at each address, and the revision at which it did.
+	*/
+	const addresses = new Map<string, {readonly id: string; readonly at: number}>();
 	let configuration: GatewayConfiguration | undefined;
 	let revision = -1;
 	/**
@@ -123,10 +127,17 @@
 	A process that was started anew has taken the place of the one before at its address, in whatever order they are heard of.
 	*/
 	function removeReplaced(node: GatewayNode, at: number): void {
-		const sameAddress = nodes.entries().filter(({value: {id, address}}) => address === node.address && id !== node.id);
-		for (const {value: {id}, revision: registeredAt} of sameAddress) {
-			const [replaced, replacedAt] = registeredAt < at ? [id, at] : [node.id, registeredAt];
-			removeNode({kind: 'node-removed', id: replaced, revision: replacedAt});
+		const before = addresses.get(node.address);
+		addresses.set(node.address, {id: node.id, at});
+		if (before === undefined || before.id === node.id || nodes.get(before.id)?.address !== node.address) {
+			return;
+		}
+
+		if (before.at < at) {
+			removeNode({kind: 'node-removed', id: before.id, revision: at});
+		} else {
+			addresses.set(node.address, before);
+			removeNode({kind: 'node-removed', id: node.id, revision: before.at});
 		}
 	}
 
@@ -316,18 +327,23 @@
 		setLapseUntil: lapses.setUntil,
 		digest: () => endpoints.digest() + nodes.digest() + hashEntry('configuration', configuration?.version ?? -1),
 		hasLapsed: () => lapses.count() > 0,
-		exportState: isSteady => ({
-			revision,
-			configuration,
-			endpoints: endpoints.entries().map(({value, revision: at}) => ({endpoint: value, revision: at})),
-			nodes: nodes.entries().map(({value, revision: at}) => ({node: value, revision: at})),
-			removed: [
-				...endpoints.marks().map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
-				...nodes.marks().map(mark => ({kind: 'node-removed' as const, ...mark})),
-			],
-			unread: findUnread(),
-			isSteady,
-		}),
+		exportState(isSteady, after) {
+			const since = after !== undefined && endpoints.hasMarksSince(after) && nodes.hasMarksSince(after) ? after : undefined;
+			const isTold = ({revision: at}: {readonly revision: number}): boolean => at > (since ?? -1);
+			return {
+				revision,
+				since,
+				configuration: configuredAt > (since ?? -1) ? configuration : undefined,
+				endpoints: endpoints.entries().filter(entry => isTold(entry)).map(({value, revision: at}) => ({endpoint: value, revision: at})),
+				nodes: nodes.entries().filter(entry => isTold(entry)).map(({value, revision: at}) => ({node: value, revision: at})),
+				removed: [
+					...endpoints.marks().filter(mark => isTold(mark)).map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
+					...nodes.marks().filter(mark => isTold(mark)).map(mark => ({kind: 'node-removed' as const, ...mark})),
+				],
+				unread: findUnread(),
+				isSteady,
+			};
+		},
 		importState(state) {
 			const changes: readonly ClusterChange[] = [
 				...state.removed,
@@ -339,7 +355,7 @@
 			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse. At the
 			// same revision only what it has seen removed counts: what it lacks it may have missed itself.
 			const isAhead = state.revision > revision || (state.revision === revision && lapses.count() > 0);
-			const apply = isAhead && state.isSteady ? applyAll : applyChanges;
+			const apply = isAhead && state.isSteady && state.since === undefined ? applyAll : applyChanges;
 			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
 		},
 		close() {
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -31,6 +31,10 @@
 How often a node for which others watch asks whether it has to watch itself, in milliseconds.
 */
 const askMs = 250;
+/**
+Longest time after its list in which a node may still miss the others of a fleet that starts at once, in milliseconds.
+*/
+const longestSettleMs = 1000;
 
 /**
  Creates the follower of the store: a list at first and after every gap, then one watch after the other. Renewals of the
@@ -50,6 +54,12 @@
 	let isFollowing = false;
 	let wasLost = false;
 	let reachableSince = 0;
+	const firstReached = Promise.withResolvers<void>();
+	/**
+	When the first list came; nodes of a fleet that starts at once are not all in it.
+	*/
+	let listedAt = Infinity;
+	let hasWatched = false;
 	let lease: string | undefined;
 	/**
 	Settled when the store is lost, so that nobody waits for a watch that will not answer.
@@ -68,6 +78,7 @@
 			view.setLapseUntil(reachableSince + options.lapseGraceMs);
 		}
 
+		firstReached.resolve();
 		logger.info({name: 'kv-state', reachable: true});
 	}
 
@@ -100,6 +111,7 @@
 			markReachable();
 			view.applyAll(changes, 'store');
 			isFollowing = true;
+			listedAt = Math.min(listedAt, performance.now());
 			return 'done';
 		}, error => {
 			markLost(error.message, startedAt);
@@ -110,6 +122,7 @@
 	async function watchOnce(): Promise<Outcome> {
 		const ending = new AbortController();
 		const watched = await Promise.race([store.watch(view.revision(), options.watchMs, ending.signal), lost.promise]);
+		hasWatched = true;
 		if (watched === 'lost') {
 			// A watch that went on would keep one of the client's few connections from the calls that find the store again.
 			ending.abort();
@@ -225,6 +238,7 @@
 	}
 
 	async function runRenewals(): Promise<void> {
+		await firstReached.promise;
 		while (!closing.signal.aborted) {
 			// A node for which others watch makes no other calls, so it goes on with these while the store is lost.
 			if (isReachable || wasLost) {
@@ -243,6 +257,7 @@
 			void runRenewals();
 		},
 		isReachable: () => isReachable,
+		hasSettled: () => hasWatched || performance.now() - listedAt > longestSettleMs,
 		isSteady: () => isReachable && isFollowing && (!wasLost || performance.now() - reachableSince > options.lapseGraceMs),
 		async close() {
 			closing.abort();
--- a/gateway/cluster-view/src/store-follower.ts
+++ b/gateway/cluster-view/src/store-follower.ts
@@ -12,6 +12,10 @@
 	*/
 	readonly isSteady: () => boolean;
 	/**
+	Whether the nodes of a fleet that starts at once have had time to register.
+	*/
+	readonly hasSettled: () => boolean;
+	/**
 	Ends the node's entry and stops.
 	*/
 	readonly close: () => Promise<void>;
--- a/gateway/cluster-view/src/versioned-map.ts
+++ b/gateway/cluster-view/src/versioned-map.ts
@@ -19,6 +19,10 @@
 	*/
 	readonly marks: () => ReadonlyArray<{readonly id: string; readonly revision: number}>;
 	/**
+	Whether those marks hold all that was removed after a revision.
+	*/
+	readonly hasMarksSince: (revision: number) => boolean;
+	/**
 	Digest of all ids with their revisions; two maps with the same entries have the same.
 	*/
 	readonly digest: () => number;
--- a/node/gateway/src/belief-sync.ts
+++ b/node/gateway/src/belief-sync.ts
@@ -17,7 +17,7 @@
 	/**
 	All that this node believes, for a peer that asks.
 	*/
-	readonly exportState: () => ClusterState;
+	readonly exportState: (parameters: unknown) => ClusterState;
 	/**
 	Whether the configuration in force is the newest as far as can be told: the store was confirmed of late, and no newer one is
 	heard of.
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -10,6 +10,7 @@
 import {createVersionWatch} from './create-version-watch.ts';
 import {heartbeatSchema} from './heartbeat-schema.ts';
 import type {LinkPlan} from './link-plan.ts';
+import {stateQuestionSchema} from './state-question-schema.ts';
 
 /**
 Options of `createBeliefSync`.
@@ -216,7 +217,7 @@
 			const step = chooseStep(node, word);
 			recordAhead(node, word, step);
 			if (step === 'ask') {
-				states.ask(node);
+				states.ask(node, word.revision > view.revision() ? 'newer' : 'all');
 			}
 		},
 		applyChanges(parameters, node) {
@@ -225,11 +226,14 @@
 			// What is newer holds whatever was missed before it; the revision waits for what was missed.
 			view.applyChanges(hasGap ? {...changes, revision: view.revision()} : changes, 'peer');
 			if (hasGap && states.canAsk(node)) {
-				states.ask(node);
+				states.ask(node, 'newer');
 			}
 		},
 		getDelay: delays.get,
-		exportState: () => view.exportState(isConfirmed() && !view.hasLapsed()),
+		exportState(parameters) {
+			const {since} = stateQuestionSchema.parse(parameters);
+			return view.exportState(isConfirmed() && !view.hasLapsed(), since);
+		},
 		isCurrent: () => isConfirmed() && !versions.isBehind() && !view.hasUnreadConfiguration(),
 		isStoreNeeded() {
 			const isNeeded = links.isMesh() || links.isFollower() || !isConfirmed() || isLeftBehind();
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -107,7 +107,11 @@
 		sync: {
 			start() {
 				void runRepeatedly(() => heartbeatMs, () => {
+					// Planned by a part of a fleet that is starting, hundreds of links would go to the few that are known.
+				if (follower.hasSettled()) {
 					links.update();
+				}
+
 					beliefs.sendHeartbeat();
 					usage?.send();
 				});
--- a/node/gateway/src/create-state-taker.ts
+++ b/node/gateway/src/create-state-taker.ts
@@ -5,6 +5,7 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import {clusterStateSchema} from './cluster-state-schema.ts';
 import {noVersion} from './no-version.ts';
+import type {StateQuestion} from './state-question-schema.ts';
 import type {StateTaker} from './state-taker.ts';
 
 type StateTakerOptions = {
@@ -33,7 +34,7 @@
 
  @example
  const states = createStateTaker({network, view, patienceMs: 750, logger, metrics});
- states.ask('n2');
+ states.ask('n2', 'newer');
  */
 export function createStateTaker({network, view, patienceMs, logger, metrics}: StateTakerOptions): StateTaker {
 	/**
@@ -51,12 +52,12 @@
 		return isAsking && asked === question;
 	}
 
-	async function takeState(node: string, asked: number): Promise<void> {
+	async function takeState(node: string, asked: number, toAsk: StateQuestion): Promise<void> {
 		const startedAt = performance.now();
 		const before = `${view.revision()} ${view.digest()}`;
 		const pauseMs = again.get(node)?.pauseMs ?? patienceMs;
 		again.set(node, {at: startedAt + longestAnswerMs, pauseMs});
-		const answered = await network.call(node, 'cluster.state', {});
+		const answered = await network.call(node, 'cluster.state', toAsk);
 		isAsking &&= !isOpen(asked);
 		again.set(node, {at: performance.now() + pauseMs, pauseMs: Math.min(longestPauseMs, pauseMs * 2)});
 		answered.match(state => {
@@ -71,7 +72,7 @@
 			metrics.increment('gateway.states-from-peers');
 			logger.info({
 				name: 'peer-state-taken', peer: node, peerRevision: parsed.data.revision, peerVersion: parsed.data.configuration?.version ?? noVersion,
-				elapsedMs: Math.round(performance.now() - startedAt),
+				elapsedMs: Math.round(performance.now() - startedAt), since: parsed.data.since,
 			});
 			view.importState(parsed.data);
 			if (`${view.revision()} ${view.digest()}` !== before) {
@@ -98,12 +99,12 @@
 
 	return {
 		canAsk: node => !isAsking && performance.now() >= (again.get(node)?.at ?? 0),
-		ask(node) {
+		ask(node, what) {
 			question++;
 			isAsking = true;
 			const asked = question;
 			void endLate(node, asked);
-			void takeState(node, asked);
+			void takeState(node, asked, what === 'newer' ? {since: view.revision()} : {});
 		},
 	};
 }
--- a/node/gateway/src/peer-sync-options.ts
+++ b/node/gateway/src/peer-sync-options.ts
@@ -12,7 +12,7 @@
 	readonly self: GatewayNode;
 	readonly network: PeerNetwork;
 	readonly view: ClusterView;
-	readonly follower: Pick<StoreFollower, 'isSteady'>;
+	readonly follower: Pick<StoreFollower, 'isSteady' | 'hasSettled'>;
 	readonly selector: Selector;
 	/**
 	Between two messages on the node's work.
--- a/node/gateway/test/belief-sync.test.ts
+++ b/node/gateway/test/belief-sync.test.ts
@@ -78,7 +78,7 @@
 		self: fleet.find(node => node.id === id)!,
 		network,
 		view,
-		follower: {isSteady},
+		follower: {isSteady, hasSettled: () => true},
 		selector,
 		newsMs: 10_000,
 		hasOpenRequests: () => true,
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -102,7 +102,7 @@
 		self: {...toNode('n1'), capacity},
 		network,
 		view,
-		follower: {isSteady: () => setup.isSteady},
+		follower: {isSteady: () => setup.isSteady, hasSettled: () => true},
 		selector,
 		newsMs: 1,
 		hasOpenRequests: () => true,
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -35,7 +35,7 @@
 		readonly version: number; readonly ageMs: number; readonly step: string;
 	}
 	| {readonly name: 'peer-late'; readonly peer: string; readonly isLate: boolean; readonly delayMs: number}
-	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number}
+	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number; readonly since?: number | undefined}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
 	| {readonly name: 'duty-taken'; readonly duty: string; readonly token: number}
