--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -7,21 +7,52 @@
 type EmulatedExchangesOptions = {
 	readonly endpoints: ReadonlyMap<string, EmulatedEndpoint>;
 	readonly findPrompt: (id: string) => Prompt | undefined;
+	/**
+	Is told of each connection that is opened.
+	*/
+	readonly onConnect: () => void;
 };
 
+/**
+Time for which an idle connection is kept, in milliseconds, as the gateway has it.
+*/
+const keepAliveMs = 4000;
 const okStatus = 200;
 const notRunStatus = 503;
 
 /**
- Creates a node's exchanges with emulated engines.
+ Creates a node's exchanges with emulated engines. A connection is counted, but opening one takes no time here.
 
  @example
- const exchanges = createEmulatedExchanges({endpoints, findPrompt: id => prompts.get(id)});
+ const exchanges = createEmulatedExchanges({endpoints, findPrompt: id => prompts.get(id), onConnect() {}});
  */
-export function createEmulatedExchanges({endpoints, findPrompt}: EmulatedExchangesOptions): ExchangeClient {
+export function createEmulatedExchanges({endpoints, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
 	let count = 0;
+	/**
+	When the idle connections to each address were given back.
+	*/
+	const idle = new Map<string, number[]>();
+
+	function listIdle(address: string): readonly number[] {
+		const oldest = performance.now() - keepAliveMs;
+		return (idle.get(address) ?? []).filter(at => at >= oldest);
+	}
+
+	function takeConnection(address: string): void {
+		const kept = listIdle(address);
+		if (kept.length === 0) {
+			onConnect();
+		}
+
+		idle.set(address, kept.slice(0, -1));
+	}
+
+	function giveBack(address: string): void {
+		idle.set(address, [...listIdle(address), performance.now()]);
+	}
 
 	return {
+		hasIdle: address => listIdle(address).length > 0,
 		send({address, headers}, listener) {
 			const [id = '', urgency = '0', lastEventId = '-1'] = headers;
 			const endpoint = endpoints.get(address);
@@ -32,6 +63,7 @@
 
 			const jobId = `${id} ${count++}`;
 			let isBegun = false;
+			takeConnection(address);
 			listener.onSent();
 			endpoint.send({
 				id: jobId,
@@ -49,9 +81,11 @@
 					listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
 				},
 				onEnd() {
+					giveBack(address);
 					listener.onEnd();
 				},
 				onRefused() {
+					giveBack(address);
 					listener.onHead(notRunStatus, {'x-request-id': id});
 					listener.onEnd();
 				},
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -63,7 +63,7 @@
  const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0']});
  */
 export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints}: EmulatedNodeOptions): EmulatedNode {
-	const selector = createSelector(selection);
+	const selector = createSelector({...selection, hasConnection: address => exchanges.hasIdle(address)});
 	selector.setPools([{name: 'engines', engine: {slots: load.engine.slots, cacheTokens: load.engine.cacheTokens}}]);
 	for (const endpoint of endpoints) {
 		selector.addEndpoint({
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -17,4 +17,8 @@
 	readonly readTokens: number;
 	readonly readAgainTokens: number;
 	readonly preempted: number;
+	/**
+	Connections that nodes opened to engines.
+	*/
+	readonly connections: number;
 };
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -66,9 +66,13 @@
 		const endpoints = new Map(load.slowness.map((slowness, index) => [`e-${index}`, createEmulatedEndpoint({
 			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept,
 		})]));
-		const exchanges = createEmulatedExchanges({endpoints, findPrompt: source.find});
+		let connections = 0;
 		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
-			id: `n-${index}`, load, selection, admission, exchanges, endpoints: endpoints.keys().toArray(),
+			id: `n-${index}`, load, selection, admission, exchanges: createEmulatedExchanges({
+				endpoints, findPrompt: source.find, onConnect() {
+					connections++;
+				},
+			}), endpoints: endpoints.keys().toArray(),
 		}));
 		const outcomes: CallerOutcome[] = [];
 		startNews({
@@ -97,7 +101,7 @@
 		}
 
 		clock.run(load.lengthMs + tailMs);
-		return {...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray())};
+		return {...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray()), connections};
 	} finally {
 		Math.random = unseeded;
 		exit();
--- a/gateway/exchange/src/connection-pool.ts
+++ b/gateway/exchange/src/connection-pool.ts
@@ -4,6 +4,10 @@
 Connections to one address.
 */
 export type ConnectionPool = {
+	/**
+	Whether a connection is open that carries nothing now.
+	*/
+	readonly hasIdle: () => boolean;
 	/**
 	Takes the connection that was used last, or opens one.
 	*/
--- a/gateway/exchange/src/create-connection-pool.ts
+++ b/gateway/exchange/src/create-connection-pool.ts
@@ -70,6 +70,7 @@
 	}
 
 	return {
+		hasIdle: () => idle.length > 0,
 		take: () => idle.pop() ?? openClient(),
 		giveBack(connection) {
 			const client = findClient(connection);
--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -31,6 +31,7 @@
 	}
 
 	return {
+		hasIdle: address => pools.get(address)?.hasIdle() === true,
 		send({address, method, path, headers, body}: ExchangeRequest, listener: ExchangeListener) {
 			const pool = getPool(address);
 			const connection = pool.take();
--- a/gateway/exchange/src/exchange-client.ts
+++ b/gateway/exchange/src/exchange-client.ts
@@ -6,6 +6,10 @@
 Keeps connections to endpoints and sends requests over them, one at a time on each.
 */
 export type ExchangeClient = {
+	/**
+	Whether a request to an address would find an open connection.
+	*/
+	readonly hasIdle: (address: string) => boolean;
 	readonly send: (request: ExchangeRequest, listener: ExchangeListener) => Exchange;
 	/**
 	Closes the connections to an address once their exchanges have ended.
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -23,6 +23,11 @@
 */
 const sameChoiceShare = 0.1;
 /**
+What a new connection costs: round trips, the endpoint's time to take it, and some 2 ms of the node's processor, of which small VMs have a part;
+in milliseconds.
+*/
+const newConnectionMs = 10;
+/**
 How often endpoints are compared by their pace, in milliseconds.
 */
 const paceMs = 500;
@@ -109,7 +114,8 @@
 				load, slots: endpoint.slots, urgency, unread, tokensPerMs: endpointTokensPerMs,
 			});
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
-			const leastScore = costMs + wasteMs - (endpoint.incarnation === agreed ? agreedMs : 0);
+			const connectMs = settings.hasConnection?.(endpoint.address) === false ? newConnectionMs : 0;
+			const leastScore = costMs + wasteMs + connectMs - (endpoint.incarnation === agreed ? agreedMs : 0);
 			// Harm only adds, and is the dearest part to work out.
 			if (best !== undefined && leastScore >= best.score) {
 				continue;
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -23,4 +23,8 @@
 	Prompt tokens that an engine reads in a millisecond, until it is learned.
 	*/
 	readonly prefillTokensPerMs: number;
+	/**
+	Whether a request to an address would find an open connection; without it none is counted.
+	*/
+	readonly hasConnection?: (address: string) => boolean;
 };
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -365,3 +365,22 @@
 	t.not(selector.listOwn().loads.map(([, {readTokens}]) => readTokens)[0], before[0]);
 	t.end();
 });
+
+test('of engines that are alike one with an open connection is taken, a less loaded one before it', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	for (const connected of ['i-1', 'i-2', 'i-3']) {
+		const selector = createSelector({...options, hasConnection: address => address === `${connected}:80`});
+		selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
+		for (const id of ['i-1', 'i-2', 'i-3']) {
+			selector.addEndpoint(createEndpoint(id));
+		}
+
+		const question = createQuestion({parts: [{id: 'own', tokens: 800}]});
+		t.equal(choose(selector, question), connected);
+		selector.applyNews('n2', {loads: [[`${connected}`, toLoad(4, 4000)]], placements: []});
+		t.not(choose(selector, question), connected, 'reading 4,000 tokens takes longer than a new connection');
+	}
+
+	t.end();
+});
