perf(cluster-view): a store that fails is asked less and less often, up to once a second

Cause: a store that refused was listed and its lease renewed after 0.2 to 0.4 s each time, by each node of a small fleet, and by nodes that had just started in any; in a large fleet those who watch for others looked for its return as rarely as the rest, every 4 to 9 s. Change: pauses double up to 1 s; the factor by the size of the fleet holds for those that others watch for.

--- a/emulator/beliefs/test/spreading.test.ts
+++ b/emulator/beliefs/test/spreading.test.ts
@@ -284,3 +284,28 @@
 	t.equal(storeCalls['open-lease'], nodes);
 	t.equal(storeCalls.write, nodes);
 });
+
+/**
+While the store refused all calls, each node that follows it asked it again two or three times a second, for as long as that lasted. Refused
+calls are paid for too, and a fleet needs to know within a second that the store is back.
+*/
+test('a store that is down is asked about once a second by each of those that follow it', async t => {
+	const nodes = 9;
+	const downS = 8;
+	// Pauses are up to half shorter by lot; a list at the start and one after the outage have two pages each.
+	const mostTries = 1.5 * downS;
+	const pages = 4;
+	const {storeCalls, changes} = await runSpreading({
+		...fleet,
+		nodes,
+		lengthMs: 20_000,
+		seed: 1,
+		changes: [{kind: 'configuration', atMs: 16_000}],
+		faults: [{
+			kind: 'store-down', atMs: 6000, forMs: downS * 1000, how: 'reset',
+		}],
+	});
+	t.ok((storeCalls.list ?? 0) <= nodes * (mostTries + pages), `${storeCalls.list} pages`);
+	t.ok((storeCalls.renew ?? 0) <= nodes * 20, `${storeCalls.renew} renewals in 20 s`);
+	t.same(changes.flatMap(({missing}) => missing), []);
+});
--- a/gateway/cluster-view/src/create-store-follower.ts
+++ b/gateway/cluster-view/src/create-store-follower.ts
@@ -32,6 +32,12 @@
 */
 const askMs = 250;
 /**
+Longest pause before a call that failed is tried again by a node that watches for others, in milliseconds, and how often the pause doubles
+at most.
+*/
+const longestRetryMs = 1000;
+const mostDoublings = 8;
+/**
 Longest time after its list in which a node may still miss the others of a fleet that starts at once, in milliseconds.
 */
 const longestSettleMs = 1000;
@@ -54,6 +60,10 @@
 	let isFollowing = false;
 	let wasLost = false;
 	let reachableSince = 0;
+	/**
+	Calls that failed since the store was reached last.
+	*/
+	let failures = 0;
 	const firstReached = Promise.withResolvers<void>();
 	/**
 	When the first list came; nodes of a fleet that starts at once are not all in it.
@@ -72,6 +82,7 @@
 		}
 
 		isReachable = true;
+		failures = 0;
 		reachableSince = performance.now();
 		lost = Promise.withResolvers<'lost'>();
 		if (wasLost) {
@@ -97,6 +108,7 @@
 			logger.warn({name: 'kv-state', reachable: false, reason});
 		}
 
+		failures++;
 		lost.resolve('lost');
 	}
 
@@ -104,6 +116,15 @@
 		await wait(milliseconds * (1 - (jitterShare * Math.random())), undefined, {ref: false});
 	}
 
+	/**
+	Refused calls are paid for too. Those that watch for others look for the store's return once a second after some tries; the
+	rest of a fleet need not be the first to know of it.
+	*/
+	function measureRetry(): number {
+		const backoffMs = Math.min(longestRetryMs, options.retryMs * (2 ** Math.min(failures, mostDoublings)));
+		return options.isFollower() ? backoffMs : Math.max(backoffMs, options.retryMs * measureFleet(view.nodes().length));
+	}
+
 	async function listOnce(): Promise<Outcome> {
 		const startedAt = performance.now();
 		const listed = await store.list();
@@ -154,7 +175,7 @@
 	*/
 	async function watchStore(): Promise<void> {
 		if (await listOnce() === 'failed') {
-			await waitAbout(options.retryMs * measureFleet(view.nodes().length));
+			await waitAbout(measureRetry());
 			return;
 		}
 
@@ -191,13 +212,6 @@
 		return options.isNeeded() ? options.renewMs : Math.max(options.renewMs, options.leaseMs * measureTermFactor() / renewalsPerTerm);
 	}
 
-	/**
-	Those that others watch for need not be the first to know that the store is back, and refused calls are paid for too.
-	*/
-	function measureRetry(): number {
-		return options.isNeeded() ? options.retryMs : options.retryMs * measureFleet(view.nodes().length);
-	}
-
 	async function register(): Promise<void> {
 		const startedAt = performance.now();
 		const registered = await store.register(options.self, options.leaseMs * measureTermFactor());
