--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -10,10 +10,12 @@
 import type {ClusterEvents} from './cluster-events.ts';
 import type {ClusterView} from './cluster-view.ts';
 import type {ClusterViewOptions} from './cluster-view-options.ts';
+import {collectState} from './collect-state.ts';
 import {createLapseBook} from './create-lapse-book.ts';
 import {createRevisionMarks} from './create-revision-marks.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
 import {hashEntry} from './hash-entry.ts';
+import {listStateChanges} from './list-state-changes.ts';
 import type {Removal} from './removal.ts';
 import type {Unreadable} from './unreadable.ts';
 
@@ -327,36 +329,15 @@
 		setLapseUntil: lapses.setUntil,
 		digest: () => endpoints.digest() + nodes.digest() + hashEntry('configuration', configuration?.version ?? -1),
 		hasLapsed: () => lapses.count() > 0,
-		exportState(isSteady, after) {
-			const since = after !== undefined && endpoints.hasMarksSince(after) && nodes.hasMarksSince(after) ? after : undefined;
-			const isTold = ({revision: at}: {readonly revision: number}): boolean => at > (since ?? -1);
-			return {
-				revision,
-				since,
-				configuration: configuredAt > (since ?? -1) ? configuration : undefined,
-				endpoints: endpoints.entries().filter(entry => isTold(entry)).map(({value, revision: at}) => ({endpoint: value, revision: at})),
-				nodes: nodes.entries().filter(entry => isTold(entry)).map(({value, revision: at}) => ({node: value, revision: at})),
-				removed: [
-					...endpoints.marks().filter(mark => isTold(mark)).map(mark => ({kind: 'endpoint-removed' as const, ...mark})),
-					...nodes.marks().filter(mark => isTold(mark)).map(mark => ({kind: 'node-removed' as const, ...mark})),
-				],
-				unread: findUnread(),
-				isSteady,
-			};
-		},
+		exportState: (isSteady, since) => collectState({
+			revision, configuration, configuredAt, endpoints, nodes, unread: findUnread(), isSteady,
+		}, since),
 		importState(state) {
-			const changes: readonly ClusterChange[] = [
-				...state.removed,
-				...(state.unread === undefined ? [] : [state.unread]),
-				...state.endpoints.map(({endpoint, revision: at}) => ({kind: 'endpoint' as const, revision: at, endpoint})),
-				...state.nodes.map(({node, revision: at}) => ({kind: 'node' as const, revision: at, node})),
-				...(state.configuration === undefined ? [] : [{kind: 'configuration' as const, revision: state.revision, configuration: state.configuration}]),
-			];
 			// A peer that was in touch with the store all the while also knows which entries were removed and did not lapse. At the
 			// same revision only what it has seen removed counts: what it lacks it may have missed itself.
 			const isAhead = state.revision > revision || (state.revision === revision && lapses.count() > 0);
 			const apply = isAhead && state.isSteady && state.since === undefined ? applyAll : applyChanges;
-			apply({revision: state.isSteady ? state.revision : revision, changes}, 'peer');
+			apply({revision: state.isSteady ? state.revision : revision, changes: listStateChanges(state)}, 'peer');
 		},
 		close() {
 			lapses.close();
--- a/node/gateway/src/create-belief-sync.ts
+++ b/node/gateway/src/create-belief-sync.ts
@@ -177,6 +177,13 @@
 		});
 	}
 
+	/**
+	What is newer is enough for a node that believes all up to its revision; one that keeps entries which may have lapsed does not.
+	*/
+	function askState(node: string, isAhead: boolean): void {
+		states.ask(node, isAhead && !view.hasLapsed() ? 'newer' : 'all');
+	}
+
 	network.events.on('lost', ({data: {node}}) => {
 		latePeers.delete(node);
 		delays.remove(node);
@@ -217,7 +224,7 @@
 			const step = chooseStep(node, word);
 			recordAhead(node, word, step);
 			if (step === 'ask') {
-				states.ask(node, word.revision > view.revision() ? 'newer' : 'all');
+				askState(node, word.revision > view.revision());
 			}
 		},
 		applyChanges(parameters, node) {
@@ -226,7 +233,7 @@
 			// What is newer holds whatever was missed before it; the revision waits for what was missed.
 			view.applyChanges(hasGap ? {...changes, revision: view.revision()} : changes, 'peer');
 			if (hasGap && states.canAsk(node)) {
-				states.ask(node, 'newer');
+				askState(node, true);
 			}
 		},
 		getDelay: delays.get,
