--- a/cli/valvesaddle/build/bundle-chunk.ts
+++ b/cli/valvesaddle/build/bundle-chunk.ts
@@ -13,7 +13,7 @@
 
 const sources = path.resolve(import.meta.dirname, '../src');
 const entries: Readonly<Record<BundleOptions['name'], string>> = {
-	boot: 'boot.ts',
+	boot: 'binary-main.ts',
 	gateway: 'gateway-chunk.ts',
 	program: 'program-chunk.ts',
 };
--- a/cli/valvesaddle/build/compile-chunk.ts
+++ b/cli/valvesaddle/build/compile-chunk.ts
@@ -7,13 +7,13 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import type {Chunk} from '../src/chunk.ts';
-import {loadChunk} from '../src/load-chunk.ts';
+import {readChunk} from '../src/read-chunk.ts';
 import {warmUpGateway} from './warm-up-gateway.ts';
 
 const uses: Readonly<Record<string, (chunk: Chunk, folder: string) => Promise<void>>> = {gateway: warmUpGateway};
 
 const [name = '', bundle = '', cacheFile = '', folder = ''] = process.argv.slice(2);
-const {chunk, createCache} = loadChunk({name, source: readFileSync(bundle, 'latin1'), cachedData: undefined});
+const {chunk, createCache} = readChunk({name, source: readFileSync(bundle, 'latin1'), cachedData: undefined});
 try {
 	await uses[name]?.(chunk, folder);
 } catch (error) {
--- a/cli/valvesaddle/src/boot.ts
+++ b/cli/valvesaddle/src/binary-main.ts
@@ -5,11 +5,11 @@
 import process from 'node:process';
 import {getRawAsset} from 'node:sea';
 import {chooseChunk} from './choose-chunk.ts';
-import {loadChunk} from './load-chunk.ts';
+import {readChunk} from './read-chunk.ts';
 
 const words = process.argv.slice(2);
 const name = chooseChunk(words);
-const {chunk} = loadChunk({
+const {chunk} = readChunk({
 	name,
 	source: Buffer.from(getRawAsset(`${name}.cjs`)).toString('latin1'),
 	cachedData: Buffer.from(getRawAsset(`${name}.cache`)),
--- a/cli/valvesaddle/src/gateway-chunk.ts
+++ b/cli/valvesaddle/src/gateway-chunk.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import * as z from 'zod';
-import {describeFailure} from './describe-failure.ts';
+import {toFailure} from './to-failure.ts';
 import {findSettingsFile} from './find-settings-file.ts';
 import {runGateway} from './run-gateway.ts';
 
@@ -20,7 +20,7 @@
 	try {
 		return await runGateway(findSettingsFile(words) ?? process.env.VALVESADDLE_SETTINGS);
 	} catch (error) {
-		const {text, exitCode} = describeFailure(error);
+		const {text, exitCode} = toFailure(error);
 		process.stderr.write(text);
 		return exitCode;
 	}
--- a/cli/valvesaddle/src/plain-command.ts
+++ b/cli/valvesaddle/src/plain-command.ts
@@ -1,5 +1,5 @@
 import {Command} from 'clipanion';
-import {describeFailure} from './describe-failure.ts';
+import {toFailure} from './to-failure.ts';
 
 /**
 A command that prints failures with their code and hint instead of a stack.
@@ -16,7 +16,7 @@
 	}
 
 	protected fail(error: unknown): number {
-		const {text, exitCode} = describeFailure(error);
+		const {text, exitCode} = toFailure(error);
 		this.context.stderr.write(text);
 		return exitCode;
 	}
--- a/cli/valvesaddle/src/load-chunk.ts
+++ b/cli/valvesaddle/src/read-chunk.ts
@@ -32,25 +32,25 @@
  Loads a part of the program from its bundle.
 
  @example
- const {chunk} = loadChunk({name: 'gateway', source, cachedData: undefined});
+ const {chunk} = readChunk({name: 'gateway', source, cachedData: undefined});
  await chunk.run(['gateway']);
  */
-export function loadChunk({name, source, cachedData}: LoadOptions): LoadedChunk {
+export function readChunk({name, source, cachedData}: LoadOptions): LoadedChunk {
 	const script = new Script(`(function (exports, require, module) {${source}\n})`, {filename: `${name}.cjs`, ...(cachedData && {cachedData})});
 	const define = script.runInThisContext() as (exports: unknown, require: Require, module: ChunkModule) => void;
-	const module: ChunkModule = {exports: {run: missRun}};
-	define(module.exports, requireBuiltin, module);
+	const module: ChunkModule = {exports: {run: failRun}};
+	define(module.exports, getBuiltin, module);
 	return {chunk: module.exports, createCache: () => script.createCachedData()};
 }
 
-async function missRun(): Promise<number> {
+async function failRun(): Promise<number> {
 	throw new TypeError('the bundle exports no command');
 }
 
 /**
 A bundle holds its libraries; what it still asks for is the runtime's, or an optional part that is left out.
 */
-function requireBuiltin(id: string): unknown {
+function getBuiltin(id: string): unknown {
 	const found = process.getBuiltinModule(id) as unknown;
 	if (found === undefined) {
 		throw Object.assign(new TypeError(`${id} is not part of the program`), {code: 'MODULE_NOT_FOUND'});
--- a/cli/valvesaddle/src/describe-failure.ts
+++ b/cli/valvesaddle/src/to-failure.ts
@@ -13,9 +13,9 @@
  Describes why a command failed: its code and hint in place of a stack.
 
  @example
- describeFailure(new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no file')).exitCode; // 2
+ toFailure(new ValvesaddleError('ERR_VALVESADDLE_SETTINGS_INVALID', 'no file')).exitCode; // 2
  */
-export function describeFailure(error: unknown): Failure {
+export function toFailure(error: unknown): Failure {
 	const failure = toValvesaddleError(error);
 	return {
 		text: `${failure.code}: ${failure.message}\nHint: ${failure.traits.hint}\n`,
--- a/cli/valvesaddle/test/chunks.test.ts
+++ b/cli/valvesaddle/test/chunks.test.ts
@@ -5,7 +5,7 @@
 import {test} from 'tap';
 import {chooseChunk} from '../src/choose-chunk.ts';
 import {findSettingsFile} from '../src/find-settings-file.ts';
-import {loadChunk} from '../src/load-chunk.ts';
+import {readChunk} from '../src/read-chunk.ts';
 
 for (const [words, name] of [
 	['gateway', 'gateway'],
@@ -41,15 +41,15 @@
 `;
 
 test('a bundle is loaded with the code compiled before, and without when that is of another bundle', async t => {
-	const first = loadChunk({name: 'small', source, cachedData: undefined});
+	const first = readChunk({name: 'small', source, cachedData: undefined});
 	t.equal(await first.chunk.run(['/a/bcd']), 3);
 	const cachedData = first.createCache();
-	t.equal(await loadChunk({name: 'small', source, cachedData}).chunk.run(['/a/bcd']), 3);
-	t.equal(await loadChunk({name: 'small', source: `${source};`, cachedData}).chunk.run(['/a/bcd']), 3);
+	t.equal(await readChunk({name: 'small', source, cachedData}).chunk.run(['/a/bcd']), 3);
+	t.equal(await readChunk({name: 'small', source: `${source};`, cachedData}).chunk.run(['/a/bcd']), 3);
 });
 
 test('a library learns that its optional part is not there', t => {
-	const {chunk} = loadChunk({name: 'small', source, cachedData: undefined});
+	const {chunk} = readChunk({name: 'small', source, cachedData: undefined});
 	t.equal((chunk as unknown as {tryOptional: () => string}).tryOptional(), 'MODULE_NOT_FOUND');
 	t.end();
 });
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -47,7 +47,7 @@
 		idle.set(address, kept.slice(0, -1));
 	}
 
-	function giveBack(address: string): void {
+	function releaseConnection(address: string): void {
 		idle.set(address, [...listIdle(address), performance.now()]);
 	}
 
@@ -81,11 +81,11 @@
 					listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
 				},
 				onEnd() {
-					giveBack(address);
+					releaseConnection(address);
 					listener.onEnd();
 				},
 				onRefused() {
-					giveBack(address);
+					releaseConnection(address);
 					listener.onHead(notRunStatus, {'x-request-id': id});
 					listener.onEnd();
 				},
--- a/gateway/cluster-view/src/create-cluster-view.ts
+++ b/gateway/cluster-view/src/create-cluster-view.ts
@@ -10,7 +10,7 @@
 import type {ClusterEvents} from './cluster-events.ts';
 import type {ClusterView} from './cluster-view.ts';
 import type {ClusterViewOptions} from './cluster-view-options.ts';
-import {collectState} from './collect-state.ts';
+import {toState} from './to-state.ts';
 import {createLapseBook} from './create-lapse-book.ts';
 import {createRevisionMarks} from './create-revision-marks.ts';
 import {createVersionedMap} from './create-versioned-map.ts';
@@ -329,7 +329,7 @@
 		setLapseUntil: lapses.setUntil,
 		digest: () => endpoints.digest() + nodes.digest() + hashEntry('configuration', configuration?.version ?? -1),
 		hasLapsed: () => lapses.count() > 0,
-		exportState: (isSteady, since) => collectState({
+		exportState: (isSteady, since) => toState({
 			revision, configuration, configuredAt, endpoints, nodes, unread: findUnread(), isSteady,
 		}, since),
 		importState(state) {
--- a/gateway/cluster-view/src/collect-state.ts
+++ b/gateway/cluster-view/src/to-state.ts
@@ -22,9 +22,9 @@
  @param beliefs - All that a node believes.
  @param after - Revision up to which the peer knows all; `undefined` for a peer that asks for all.
  @example
- collectState(beliefs, 40).since; // 40
+ toState(beliefs, 40).since; // 40
  */
-export function collectState(beliefs: Beliefs, after: number | undefined): ClusterState {
+export function toState(beliefs: Beliefs, after: number | undefined): ClusterState {
 	const {revision, configuration, configuredAt, endpoints, nodes, unread, isSteady} = beliefs;
 	const since = after !== undefined && endpoints.hasMarksSince(after) && nodes.hasMarksSince(after) ? after : undefined;
 	const isTold = ({revision: at}: {readonly revision: number}): boolean => since === undefined || at > since;
--- a/gateway/front/src/create-reply.ts
+++ b/gateway/front/src/create-reply.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Reply} from '@valvesaddle/forwarding';
-import {frameChunk} from './frame-chunk.ts';
+import {formatChunk} from './format-chunk.ts';
 import {sendRefusal} from './send-refusal.ts';
 
 /**
@@ -27,7 +27,7 @@
 		},
 		write(bytes) {
 			const socket = findOwnSocket(response);
-			return socket === undefined ? response.write(bytes) : socket.write(frameChunk(bytes));
+			return socket === undefined ? response.write(bytes) : socket.write(formatChunk(bytes));
 		},
 		onDrain(resume) {
 			(findOwnSocket(response) ?? response).once('drain', resume);
--- a/gateway/front/src/frame-chunk.ts
+++ b/gateway/front/src/format-chunk.ts
@@ -7,9 +7,9 @@
  Frames a piece of a body for the chunked transfer coding of HTTP/1.1.
 
  @example
- String(frameChunk(Buffer.from('ok'))); // '2\r\nok\r\n'
+ String(formatChunk(Buffer.from('ok'))); // '2\r\nok\r\n'
  */
-export function frameChunk(bytes: Uint8Array): Uint8Array {
+export function formatChunk(bytes: Uint8Array): Uint8Array {
 	const head = bytes.length.toString(hexadecimal) + lineEnd;
 	const frame = Buffer.allocUnsafe(head.length + bytes.length + lineEnd.length);
 	frame.write(head, 0, 'latin1');
--- a/node/gateway/src/create-state-taker.ts
+++ b/node/gateway/src/create-state-taker.ts
@@ -5,7 +5,7 @@
 import type {PeerNetwork} from '@valvesaddle/network';
 import {clusterStateSchema} from './cluster-state-schema.ts';
 import {noVersion} from './no-version.ts';
-import type {StateQuestion} from './state-question-schema.ts';
+import type {StateQuestion} from './state-question.ts';
 import type {StateTaker} from './state-taker.ts';
 
 type StateTakerOptions = {
--- a/node/gateway/src/state-question-schema.ts
+++ b/node/gateway/src/state-question-schema.ts
@@ -4,8 +4,3 @@
 Form of a question for a peer's state: all of it, or what is newer than a revision.
 */
 export const stateQuestionSchema = z.object({since: z.int().optional()});
-
-/**
-A question for a peer's state.
-*/
-export type StateQuestion = z.infer<typeof stateQuestionSchema>;
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -44,17 +44,17 @@
 	let socketServer: WebSocketServer | undefined;
 	let isClosed = false;
 
-	function tickLinks(): void {
+	function updateLinks(): void {
 		const now = performance.now();
 		for (const link of all) {
 			link.tick(now);
 		}
 
 		metrics.gauge('peer.bytes-waiting', Math.max(0, ...all.values().map(link => link.countUnconfirmed())));
-		timer = setTimeout(tickLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
+		timer = setTimeout(updateLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
 	}
 
-	let timer = setTimeout(tickLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
+	let timer = setTimeout(updateLinks, measureTick(options.silenceMs / ticksPerSilence)).unref();
 
 	function addLink(node: string, socket: WebSocket): PeerLink {
 		const link = createPeerLink({
