feat(gateway): members of a large fleet tell of what they place within 30 ms, relays tell each other every 125 ms

Change: relays in turns of 125 ms, members told every 250 ms, and a member tells its relay of a request that it has placed within 30 ms, which is the same number of messages at four requests a second.

--- a/emulator/engine/src/create-engine.ts
+++ b/emulator/engine/src/create-engine.ts
@@ -28,6 +28,7 @@
  Creates an emulated engine. It reads prompts one after the other, in the order in which they were admitted, up to a number
  of tokens a step, and makes one token a step for each request that was read.
 
+ @param speed - Times and sizes of the engine.
  @param everKept - Parts that some engine of the pool has read; reading them again is waste. Filled in by the engine.
  @example
  const engine = createEngine(speed);
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -63,7 +63,15 @@
  const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0']});
  */
 export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints}: EmulatedNodeOptions): EmulatedNode {
-	const selector = createSelector({...selection, hasConnection: address => exchanges.hasIdle(address)});
+	let handlePlaced = (): void => {
+		// Nobody asked to be told.
+	};
+
+	const selector = createSelector({
+		...selection, hasConnection: address => exchanges.hasIdle(address), onPlaced() {
+			handlePlaced();
+		},
+	});
 	selector.setPools([{name: 'engines', engine: {slots: load.engine.slots, cacheTokens: load.engine.cacheTokens}}]);
 	for (const endpoint of endpoints) {
 		selector.addEndpoint({
@@ -77,6 +85,9 @@
 	return {
 		id,
 		selector,
+		setOnPlaced(handle) {
+			handlePlaced = handle;
+		},
 		forwarder: createForwarder({
 			wire: emulatorWire, selector, exchanges, budget, waits: createUsualWaits(), admission, logger, metrics,
 		}),
--- a/emulator/fleet/src/emulated-node.ts
+++ b/emulator/fleet/src/emulated-node.ts
@@ -8,4 +8,8 @@
 	readonly id: string;
 	readonly selector: Selector;
 	readonly forwarder: Forwarder;
+	/**
+	Sets what is told of each request that is placed.
+	*/
+	readonly setOnPlaced: (handle: () => void) => void;
 };
--- a/emulator/fleet/src/emulation-load.ts
+++ b/emulator/fleet/src/emulation-load.ts
@@ -13,6 +13,10 @@
 	How often nodes tell each other of their work, and how long that and a request to an engine are under way.
 	*/
 	readonly newsMs: number;
+	/**
+	Turns of relays for each one of members; 1 tells all nodes each time.
+	*/
+	readonly memberTurns: number;
 	readonly linkMs: number;
 	/**
 	Factor on all times, for each engine.
--- a/emulator/fleet/src/start-news.ts
+++ b/emulator/fleet/src/start-news.ts
@@ -9,6 +9,10 @@
 */
 const dataCentres = 4;
 const meshNodes = 16;
+/**
+Time within which a member tells of what it has placed, in milliseconds, as the gateway has it.
+*/
+const placedMs = 30;
 
 type Links = {
 	readonly relays: readonly string[];
@@ -55,23 +59,54 @@
 		}));
 	}
 
-	for (const [index, news] of syncs.values().toArray().entries()) {
+	for (const [index, {id, setOnPlaced}] of nodes.entries()) {
+		const news = syncs.get(id)!;
 		// Nodes that start at different moments tell at different moments.
 		clock.add(load.newsMs * index / syncs.size, () => {
-			sendRepeatedly(clock, news, {pauseMs: load.newsMs, untilMs});
+			sendRepeatedly(clock, news, {pauseMs: load.newsMs, memberTurns: load.memberTurns, untilMs});
 		});
+		if (!isRelay(id)) {
+			setOnPlaced(createPlacedTeller(clock, news));
+		}
 	}
 }
 
-function sendRepeatedly(clock: EmulationClock, news: NewsSync, {pauseMs, untilMs}: {readonly pauseMs: number; readonly untilMs: number}): void {
-	news.send();
-	if (clock.now() < untilMs) {
-		clock.add(pauseMs, () => {
-			sendRepeatedly(clock, news, {pauseMs, untilMs});
+type Turns = {
+	readonly pauseMs: number;
+	/**
+	Turns of relays for each one of members.
+	*/
+	readonly memberTurns: number;
+	readonly untilMs: number;
+};
+
+function sendRepeatedly(clock: EmulationClock, news: NewsSync, turns: Turns, turn = 0): void {
+	news.send(turn % turns.memberTurns === 0);
+	if (clock.now() < turns.untilMs) {
+		clock.add(turns.pauseMs, () => {
+			sendRepeatedly(clock, news, turns, turn + 1);
 		});
 	}
 }
 
+/**
+A member tells its relay soon of what it has placed.
+*/
+function createPlacedTeller(clock: EmulationClock, news: NewsSync): () => void {
+	let isDue = false;
+	return () => {
+		if (isDue) {
+			return;
+		}
+
+		isDue = true;
+		clock.add(placedMs, () => {
+			isDue = false;
+			news.send(false);
+		});
+	};
+}
+
 function planLinks(ids: readonly string[]): ReadonlyMap<string, Links> {
 	const members = ids.map((id, index) => ({id, dataCentre: `dc-${index % dataCentres}`, capacity: 1}));
 	const overlay = planOverlay(members, {meshNodes});
--- a/emulator/loads/src/create-drafts-beside-queries.ts
+++ b/emulator/loads/src/create-drafts-beside-queries.ts
@@ -42,6 +42,7 @@
 		lengthMs: 24_000,
 		nodes: 9,
 		newsMs: 20,
+		memberTurns: 1,
 		linkMs: 3,
 		slowness: [1, 1, 1, 1, 1.28, 1.28],
 		engine,
--- a/gateway/cluster-view/test/state-since.test.ts
+++ b/gateway/cluster-view/test/state-since.test.ts
@@ -5,9 +5,9 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {createClusterView} from '@valvesaddle/cluster-view';
-import type {ClusterChange} from '@valvesaddle/gateway-types';
 import {createMetrics} from '@valvesaddle/metrics';
+import type {ClusterChange} from '@valvesaddle/gateway-types';
+import {createClusterView} from '@valvesaddle/cluster-view';
 
 const logger = {
 	info() {
@@ -52,7 +52,7 @@
 	return changes[kind];
 }
 
-const step = fc.record({kind: fc.constantFrom<Step['kind'][]>('endpoint', 'endpoint-removed', 'node', 'node-removed'), number: fc.integer({min: 0, max: 5})});
+const step = fc.record({kind: fc.constantFrom<Array<Step['kind']>>('endpoint', 'endpoint-removed', 'node', 'node-removed'), number: fc.integer({min: 0, max: 5})});
 
 test('what is newer than its revision takes a node to where its peer is', t => {
 	fc.assert(fc.property(fc.array(step, {minLength: 1, maxLength: 40}), fc.nat(40), (steps, known) => {
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -52,6 +52,7 @@
 		onPlacement(placement) {
 			addPlacement(placement);
 			placements.push(placement);
+			options.onPlaced?.();
 		},
 	});
 
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -27,4 +27,8 @@
 	Whether a request to an address would find an open connection; without it none is counted.
 	*/
 	readonly hasConnection?: (address: string) => boolean;
+	/**
+	Is told of each request that is placed.
+	*/
+	readonly onPlaced?: () => void;
 };
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -378,7 +378,7 @@
 
 		const question = createQuestion({parts: [{id: 'own', tokens: 800}]});
 		t.equal(choose(selector, question), connected);
-		selector.applyNews('n2', {loads: [[`${connected}`, toLoad(4, 4000)]], placements: []});
+		selector.applyNews('n2', {loads: [[connected, toLoad(4, 4000)]], placements: []});
 		t.not(choose(selector, question), connected, 'reading 4,000 tokens takes longer than a new connection');
 	}
 
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -98,6 +98,9 @@
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 		hasConnection: address => exchanges.hasIdle(address),
+		onPlaced() {
+			sync.sendPlaced();
+		},
 	});
 	// A time of day that is set while the process runs moves no request into another window.
 	const startedAt = Date.now() - performance.now();
--- a/node/gateway/src/create-news-sync.ts
+++ b/node/gateway/src/create-news-sync.ts
@@ -25,7 +25,7 @@
 
  @example
  const news = createNewsSync({node: 'n1', network, links, selector, countNodes: () => 84});
- news.send();
+ news.send(true);
  */
 export function createNewsSync({node: self, network, links, selector, countNodes}: NewsSyncOptions): NewsSync {
 	const relay = createNewsRelay({node: self});
@@ -52,7 +52,7 @@
 	}
 
 	return {
-		send() {
+		send(isMembersTurn) {
 			updateUnseen();
 			const own = selector.takeNews();
 			if (own !== undefined) {
@@ -61,7 +61,7 @@
 
 			// What waits in a full link would keep newer changes of the configuration behind it.
 			const relays = links.listRelays().filter(node => network.isReady(node));
-			const members = links.listMembers().filter(node => network.isReady(node));
+			const members = isMembersTurn ? links.listMembers().filter(node => network.isReady(node)) : [];
 			const toldRelays = relays.filter(node => wasSent(node, relay.takeForRelay(node)));
 			const toldMembers = members.filter(node => wasSent(node, relay.takeForMember(node)));
 			return toldRelays.length + toldMembers.length > 0;
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -12,9 +12,16 @@
 type Handlers = Readonly<Record<string, (parameters: unknown, node: string) => unknown>>;
 
 /**
-Most that the pause between messages on work grows with the fleet: news must stay younger than a short stream.
+Most that the pause between messages on work grows with the fleet, between relays and for a member: news must stay younger than a short
+stream.
 */
-const longestNewsFactor = 12;
+const longestRelayFactor = 6;
+const longestMemberFactor = 12;
+/**
+A member of a large fleet tells its relay of a request that it has placed within this time, in milliseconds, and of all else in its
+turn: what others do not know of yet, they place elsewhere.
+*/
+const placedMs = 30;
 /**
 Heartbeats that may be missed before a link counts as silent, or a confirmation of the store as too old.
 */
@@ -36,6 +43,8 @@
 	Factor on the pause between messages on work since the last one with anything in it.
 	*/
 	let quietFactor = 1;
+	let membersToldAt = -Infinity;
+	let placedTimer: NodeJS.Timeout | undefined;
 	const links = createLinkPlan({
 		self, network, view, meshNodes: options.meshNodes, silenceMs, suspectMs: options.suspectMs, logger,
 		introduce(node) {
@@ -56,17 +65,39 @@
 	With nothing open and nothing to tell, a node wakes up less and less often.
 	*/
 	function measureNewsPause(): number {
-		const usualMs = options.newsMs * Math.min(longestNewsFactor, measureFleet(view.nodes().length));
+		const usualMs = measureUsualPause(links.isRelay(self.id) ? longestRelayFactor : longestMemberFactor);
 		const pauseMs = Math.max(usualMs, Math.min(heartbeatMs, quietFactor * usualMs));
 		// Told together with heartbeats, they cost no wake-up of their own.
 		return heartbeatMs / Math.max(1, Math.round(heartbeatMs / pauseMs));
 	}
 
+	function measureUsualPause(longestFactor: number): number {
+		return options.newsMs * Math.min(longestFactor, measureFleet(view.nodes().length));
+	}
+
 	function sendNews(): void {
-		const wasTold = news.send();
+		const now = performance.now();
+		// A turn that is nearly due is taken now: the next one would be late by a whole pause of the relays.
+		const isMembersTurn = now - membersToldAt >= measureUsualPause(longestMemberFactor) - (measureUsualPause(longestRelayFactor) / 2);
+		membersToldAt = isMembersTurn ? now : membersToldAt;
+		const wasTold = news.send(isMembersTurn);
 		quietFactor = wasTold || options.hasOpenRequests() ? 1 : quietFactor * 2;
 	}
 
+	/**
+	Relays tell soon enough in their turns.
+	*/
+	function sendPlaced(): void {
+		if (links.isRelay(self.id) || measureUsualPause(longestMemberFactor) <= placedMs) {
+			return;
+		}
+
+		placedTimer ??= setTimeout(() => {
+			placedTimer = undefined;
+			news.send(false);
+		}, placedMs).unref();
+	}
+
 	async function runRepeatedly(measurePause: () => number, step: () => void): Promise<void> {
 		while (!closing.signal.aborted) {
 			step();
@@ -108,9 +139,9 @@
 			start() {
 				void runRepeatedly(() => heartbeatMs, () => {
 					// Planned by a part of a fleet that is starting, hundreds of links would go to the few that are known.
-				if (follower.hasSettled()) {
-					links.update();
-				}
+					if (follower.hasSettled()) {
+						links.update();
+					}
 
 					beliefs.sendHeartbeat();
 					usage?.send();
@@ -121,8 +152,10 @@
 			isStoreNeeded: beliefs.isStoreNeeded,
 			isFollower: links.isFollower,
 			usage,
+			sendPlaced,
 			close() {
 				closing.abort();
+				clearTimeout(placedTimer);
 			},
 		},
 		handlers: {
--- a/node/gateway/src/news-sync.ts
+++ b/node/gateway/src/news-sync.ts
@@ -3,9 +3,9 @@
 */
 export type NewsSync = {
 	/**
-	Tells what is new since the last call; `false` when that is nothing.
+	Tells what is new since the last call to linked relays, and to members when it is their turn; `false` when that is nothing.
 	*/
-	readonly send: () => boolean;
+	readonly send: (isMembersTurn: boolean) => boolean;
 	/**
 	Tells a node all that it has to know, as it has just been linked.
 	*/
--- a/node/gateway/src/peer-sync.ts
+++ b/node/gateway/src/peer-sync.ts
@@ -21,5 +21,9 @@
 	Counts of usage, where they are asked for.
 	*/
 	readonly usage: UsageSync | undefined;
+	/**
+	A request was placed: in a large fleet the node's relay is told soon.
+	*/
+	readonly sendPlaced: () => void;
 	readonly close: () => void;
 };
