--- /dev/null
+++ b/core/retry-after/src/index.ts
@@ -0,0 +1,1 @@
+export {parseRetryAfter} from './parse-retry-after.ts';
--- a/emulator/fleet/src/emulator-wire.ts
+++ b/emulator/fleet/src/emulator-wire.ts
@@ -17,6 +17,8 @@
 		isEventStream: true,
 		isEncoded: false,
 		isMisdirected: false,
+		retryAfterMs: undefined,
+		isLeaving: false,
 	}),
 	writeAnswer: () => [],
 };
--- a/gateway/forwarding/src/classify-answer.ts
+++ b/gateway/forwarding/src/classify-answer.ts
@@ -10,7 +10,7 @@
  Classifies the head of an endpoint's answer.
 
  @example
- classifyAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false}, 'a'); // 'whole'
+ classifyAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false}, 'a'); // 'whole'
  */
 export function classifyAnswer(status: number, facts: AnswerFacts, requestId: string | undefined): Verdict {
 	if (facts.requestId !== undefined && facts.requestId !== requestId) {
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,5 +1,6 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
+import type {AnswerFacts} from '@valvesaddle/gateway-types';
 import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
@@ -211,10 +212,24 @@
 				urgency: request.isEnginePool ? selection.urgency : undefined,
 				lastEventId: writer.lastEventId(),
 			}),
-		}, createListener(opened));
+		}, createListener(endpoint.id, opened));
 	}
 
-	function createListener(opened: OpenWork): ExchangeListener {
+	/**
+	An endpoint may say of itself, in any answer, that it wants no requests for some time or that it leaves.
+	*/
+	function recordNotice(endpoint: string, status: number, {retryAfterMs, isLeaving}: AnswerFacts): void {
+		if (retryAfterMs === undefined && !isLeaving) {
+			return;
+		}
+
+		metrics.increment('gateway.endpoint-notices', 1, {kind: isLeaving ? 'leaving' : 'retry-after'});
+		logger.info({
+			name: 'endpoint-notice', request: id, endpoint, status, retryAfterMs, isLeaving,
+		});
+	}
+
+	function createListener(endpoint: string, opened: OpenWork): ExchangeListener {
 		let answer: AttemptAnswer | undefined;
 		let wasSent = false;
 		let sentAt = 0;
@@ -227,7 +242,9 @@
 				arrivals++;
 			},
 			onHead(status, headers) {
-				const verdict = classifyAnswer(status, wire.readAnswer(status, headers), facts.requestId);
+				const said = wire.readAnswer(status, headers);
+				recordNotice(endpoint, status, said);
+				const verdict = classifyAnswer(status, said, facts.requestId);
 				answer = {
 					status, headers, verdict, pieces: [], bytes: 0,
 				};
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -15,7 +15,7 @@
 };
 
 const well: AnswerFacts = {
-	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false,
+	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false,
 };
 
 test('what may have run is repeated only where it may run twice, and within the attempts of its route', t => {
--- a/gateway/types/src/answer-facts.ts
+++ b/gateway/types/src/answer-facts.ts
@@ -23,4 +23,12 @@
 	Whether another instance answers at the address.
 	*/
 	readonly isMisdirected: boolean;
+	/**
+	Time for which the endpoint asks for no more requests, in milliseconds; `undefined` when it does not ask.
+	*/
+	readonly retryAfterMs: number | undefined;
+	/**
+	Whether the endpoint says that it is leaving and takes no new requests.
+	*/
+	readonly isLeaving: boolean;
 };
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -78,6 +78,10 @@
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
 		readonly newsAgeMs: number; readonly unseenFactor: number; readonly harmMs: number; readonly urgency: number; readonly unreadTokens: number;
 	}
+	| {
+		readonly name: 'endpoint-notice'; readonly request: string; readonly endpoint: string; readonly status: number;
+		readonly retryAfterMs: number | undefined; readonly isLeaving: boolean;
+	}
 	| {
 		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
 		readonly mayHaveRun: boolean; readonly isRetried: boolean;
