--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -30,6 +30,18 @@
 	notRun(request, socket) {
 		socket.write(formatAnswer('503 Service Unavailable', request, notRunMark, ''));
 	},
+	/**
+	Asks for no more requests for a time that no test outlasts.
+	*/
+	overloaded(request, socket) {
+		socket.write(formatAnswer('503 Service Unavailable', request, {...notRunMark, 'retry-after': '200'}, ''));
+	},
+	/**
+	Answers, and says that it is leaving.
+	*/
+	leaving(request, socket) {
+		socket.write(formatAnswer('200 OK', request, {...signature, 'server-leaving': '1'}, `body of ${request.line}`));
+	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
 	},
