--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,7 +1,7 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {createBoundedSet} from './create-bounded-set.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
-import {createOutdatedNames} from './create-outdated-names.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
 import {createSilenceGuard} from './create-silence-guard.ts';
@@ -16,6 +16,11 @@
 import type {Selector} from './selector.ts';
 import type {SelectorOptions} from './selector-options.ts';
 
+/**
+Incarnations whose names are kept: some hours of restarts of a large fleet, while late news come within seconds.
+*/
+const mostIncarnations = 2000;
+
 /**
  Creates the selector of a node.
 
@@ -26,7 +31,10 @@
  */
 export function createSelector(options: SelectorOptions): Selector {
 	const endpoints = new Map<string, KnownEndpoint>();
-	const outdated = createOutdatedNames();
+	/**
+	Incarnations that are known to be gone.
+	*/
+	const outdated = createBoundedSet(mostIncarnations);
 	const pools = new Map<string, ServicePool>();
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
