fix(selection): endpoints that ask for a pause get no requests until it is over

Cause: what an answer says of its endpoint was read for the one request and ended with it. Selection knew endpoints as ready, ejected or tried by this request; one that refuses at once has the least open work and so drew requests.

Why it works: every way to an endpoint (first choice, second try, work moved from a silent endpoint, resumed streams, the last endpoint left) goes through the selector, which keeps cooldowns by incarnation and asks again once a connection is there, just before the first byte. Entries, configurations, an outage of the store and the time of day do not touch it; a new process under the id has none.

--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -32,7 +32,7 @@
 
 	return {
 		hasIdle: address => pools.get(address)?.hasIdle() === true,
-		send({address, method, path, headers, body}: ExchangeRequest, listener: ExchangeListener) {
+		send({address, method, path, headers, body, canSend}: ExchangeRequest, listener: ExchangeListener) {
 			const pool = getPool(address);
 			const connection = pool.take();
 			let controller: Dispatcher.DispatchController | undefined;
@@ -43,8 +43,8 @@
 			}, {
 				onRequestStart(started) {
 					controller = started;
-					if (isOver) {
-						started.abort(new Error('aborted'));
+					if (isOver || canSend?.() === false) {
+						started.abort(new Error('held back'));
 						return;
 					}
 
--- a/gateway/exchange/src/exchange-request.ts
+++ b/gateway/exchange/src/exchange-request.ts
@@ -13,4 +13,8 @@
 	*/
 	readonly headers: string[];
 	readonly body: Uint8Array | undefined;
+	/**
+	Asked once a connection is there, just before the first byte goes out; `false` holds the request back.
+	*/
+	readonly canSend?: () => boolean;
 };
--- a/gateway/exchange/test/exchange-client.test.ts
+++ b/gateway/exchange/test/exchange-client.test.ts
@@ -21,13 +21,13 @@
 	end: string;
 };
 
-async function send(client: ExchangeClient, address: string, id = 'a'): Promise<Outcome> {
+async function send(client: ExchangeClient, address: string, id = 'a', canSend?: () => boolean): Promise<Outcome> {
 	const {promise, resolve} = Promise.withResolvers<Outcome>();
 	const outcome = {
 		status: 0, wasSent: false, body: '', end: '',
 	};
 	client.send({
-		address, method: 'POST', path: '/x', headers: ['X-Attempt-Id', id], body: Buffer.from('body'),
+		address, method: 'POST', path: '/x', headers: ['X-Attempt-Id', id], body: Buffer.from('body'), ...(canSend !== undefined && {canSend}),
 	}, {
 		onSent() {
 			outcome.wasSent = true;
@@ -115,3 +115,11 @@
 
 	t.equal(endpoint.closedConnections(), 1);
 });
+
+test('a request that is held back once its connection is there reaches nobody, and did not run', async t => {
+	const {endpoint, client} = await startPair(t, behaviours.whole);
+	const held = await send(client, endpoint.address, 'a', () => false);
+	t.match(held, {wasSent: false, status: 0, end: 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN'});
+	t.equal(endpoint.arrived().length, 0);
+	t.match(await send(client, endpoint.address), {wasSent: true, status: 200, end: 'whole'});
+});
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,7 +1,12 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
 import type {AnswerFacts} from '@valvesaddle/gateway-types';
-import type {OpenWork, Selection, SelectionQuestion} from '@valvesaddle/selection';
+import type {
+	KnownEndpoint,
+	OpenWork,
+	Selection,
+	SelectionQuestion,
+} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {canRepeat} from './can-repeat.ts';
@@ -29,6 +34,10 @@
 When a caller may come back, in milliseconds, as long as no measured wait says better.
 */
 const comeBackMs = 300;
+/**
+Time over which callers that wait for the end of a cooldown are spread, in milliseconds.
+*/
+const comeBackSpreadMs = 200;
 
 /**
  Starts to carry a request to one final answer. The task owns its timers and the exchange that is under way.
@@ -149,12 +158,21 @@
 		work = undefined;
 	}
 
+	/**
+	Draws when the caller may come back. While all endpoints are in a cooldown that is after the first of them ends, and callers are
+	spread so that they do not bring on the next one.
+	*/
+	function drawComeBackMs(): number {
+		const cooldownMs = selector.getCooldownMs(request.pool);
+		return cooldownMs === 0 ? comeBackMs : Math.max(comeBackMs, cooldownMs + (Math.random() * comeBackSpreadMs));
+	}
+
 	function startAttempt(): void {
 		const askedAt = performance.now();
 		const selection = tries < mostTries ? selector.choose(question) : undefined;
 		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
-			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: comeBackMs}));
+			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: drawComeBackMs()}));
 			return;
 		}
 
@@ -202,6 +220,7 @@
 		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
 			address: endpoint.address,
+			canSend: () => selector.canTake(endpoint.incarnation),
 			method: request.method,
 			path: request.path,
 			body: request.body,
@@ -212,24 +231,25 @@
 				urgency: request.isEnginePool ? selection.urgency : undefined,
 				lastEventId: writer.lastEventId(),
 			}),
-		}, createListener(endpoint.id, opened));
+		}, createListener(endpoint, opened));
 	}
 
 	/**
 	An endpoint may say of itself, in any answer, that it wants no requests for some time or that it leaves.
 	*/
-	function recordNotice(endpoint: string, status: number, {retryAfterMs, isLeaving}: AnswerFacts): void {
+	function applyNotice({id: endpoint, incarnation}: KnownEndpoint, status: number, {retryAfterMs, isLeaving}: AnswerFacts): void {
 		if (retryAfterMs === undefined && !isLeaving) {
 			return;
 		}
 
+		selector.applyNotice(incarnation, {retryAfterMs, isLeaving});
 		metrics.increment('gateway.endpoint-notices', 1, {kind: isLeaving ? 'leaving' : 'retry-after'});
 		logger.info({
 			name: 'endpoint-notice', request: id, endpoint, status, retryAfterMs, isLeaving,
 		});
 	}
 
-	function createListener(endpoint: string, opened: OpenWork): ExchangeListener {
+	function createListener(endpoint: KnownEndpoint, opened: OpenWork): ExchangeListener {
 		let answer: AttemptAnswer | undefined;
 		let wasSent = false;
 		let sentAt = 0;
@@ -243,7 +263,7 @@
 			},
 			onHead(status, headers) {
 				const said = wire.readAnswer(status, headers);
-				recordNotice(endpoint, status, said);
+				applyNotice(endpoint, status, said);
 				const verdict = classifyAnswer(status, said, facts.requestId);
 				answer = {
 					status, headers, verdict, pieces: [], bytes: 0,
@@ -279,12 +299,23 @@
 				}
 			},
 			onFailure(error) {
-				opened.close(wasSent ? 'failed' : 'gone');
+				opened.close(classifyFailure(endpoint, wasSent));
 				handleFailure({reason: error.message, mayHaveRun: wasSent});
 			},
 		};
 	}
 
+	/**
+	A request that was held back since its endpoint takes none says nothing against the endpoint.
+	*/
+	function classifyFailure({incarnation}: KnownEndpoint, wasSent: boolean): Parameters<OpenWork['close']>[0] {
+		if (wasSent) {
+			return 'failed';
+		}
+
+		return selector.canTake(incarnation) ? 'gone' : 'cancelled';
+	}
+
 	function takeData(answer: AttemptAnswer, chunk: Uint8Array): Flow {
 		if (answer.verdict === 'stream') {
 			return writePiece(chunk);
@@ -368,7 +399,7 @@
 	function toRefusal({reason}: AttemptFailure): ValvesaddleError {
 		return runs > 0
 			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', reason)
-			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', reason, {retryAfterMs: comeBackMs});
+			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', reason, {retryAfterMs: drawComeBackMs()});
 	}
 
 	startAttempt();
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,5 +1,6 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import {createBoundedSet} from './create-bounded-set.ts';
+import {createCooldownTable} from './create-cooldown-table.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixModel} from './create-prefix-model.ts';
@@ -39,6 +40,7 @@
 	const loads = createLoadTable();
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
+	const cooldowns = createCooldownTable();
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let newsAt: number | undefined;
@@ -69,15 +71,19 @@
 		chooser.recordDemand(placement.pool, placement.endpoint, placement.tokens);
 	}
 
+	function canTake(incarnation: string): boolean {
+		return cooldowns.getRemainingMs(incarnation) === 0;
+	}
+
 	function listReady(pool: string): readonly KnownEndpoint[] {
 		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready').toArray();
 	}
 
 	/**
-	The first of the lists that is not empty: each asks for less than the one before.
+	The first of the lists that is not empty: an endpoint that fails is better than none, but what one asked for holds.
 	*/
 	function listCandidates(ready: readonly KnownEndpoint[], tried: ReadonlySet<string>): readonly KnownEndpoint[] {
-		const untried = ready.filter(({incarnation}) => !tried.has(incarnation));
+		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && canTake(incarnation));
 		const sound = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		return sound.length > 0 ? sound : untried;
 	}
@@ -164,6 +170,16 @@
 		},
 		choose,
 		open: book.open,
+		applyNotice(incarnation, {retryAfterMs}) {
+			if (retryAfterMs !== undefined) {
+				cooldowns.start(incarnation, retryAfterMs);
+			}
+		},
+		canTake,
+		getCooldownMs(pool) {
+			const remaining = listReady(pool).map(({incarnation}) => cooldowns.getRemainingMs(incarnation));
+			return remaining.length === 0 ? 0 : Math.min(...remaining);
+		},
 		takeNews() {
 			guard.update(endpoints.values());
 			const news = {loads: loads.takeChanged(), placements};
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -1,4 +1,4 @@
-import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {AnswerFacts, ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import type {LoadNews} from './load-news.ts';
 import type {OpenWork} from './open-work.ts';
 import type {PoolWork} from './pool-work.ts';
@@ -22,6 +22,18 @@
 	*/
 	readonly choose: (question: SelectionQuestion) => Selection | undefined;
 	/**
+	Takes what an incarnation said of itself in an answer; no way of choosing an endpoint goes past it.
+	*/
+	readonly applyNotice: (incarnation: string, notice: Pick<AnswerFacts, 'retryAfterMs' | 'isLeaving'>) => void;
+	/**
+	Whether an incarnation takes requests, by its own word.
+	*/
+	readonly canTake: (incarnation: string) => boolean;
+	/**
+	Milliseconds until the first endpoint of a pool that is ready takes requests again; 0 when one does now, or none is ready.
+	*/
+	readonly getCooldownMs: (pool: string) => number;
+	/**
 	Books a request at the chosen endpoint.
 	*/
 	readonly open: (selection: Selection, question: SelectionQuestion) => OpenWork;
--- a/node/gateway/test/endpoint-notices.test.ts
+++ b/node/gateway/test/endpoint-notices.test.ts
@@ -51,6 +51,36 @@
 	t.equal(countArrivals(platform)[0], before);
 });
 
+test('a pause that an endpoint asked for outlasts a new entry, a new configuration and a lost store', async t => {
+	const platform = await startUneven(t, 'overloaded');
+	const before = await callUntilNoticed(platform);
+	platform.store.registerEndpoint('i-0', {
+		pool: 'register', address: platform.endpoints[0]?.address ?? '', slots: 5, state: 'ready',
+	});
+	platform.store.put('op/config', {...platform.configuration, version: 2});
+	await callOften(platform);
+	platform.store.setFault('silent');
+	await callOften(platform);
+	t.equal(countArrivals(platform)[0], before);
+});
+
+test('callers are refused at once, and told when to come back, while all endpoints have asked for a pause', async t => {
+	const platform = await startPlatform(t, ['overloaded']);
+	await platform.open();
+	await platform.call('/safe/x');
+	t.same(countArrivals(platform), [1, 1]);
+	for (const path of ['/safe/x', '/unsafe/x', '/stream/x', '/resumable/x']) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		const answer = await platform.call(path);
+		t.equal(answer.status, 503);
+		t.match(answer.text, /"ran":"no"/v);
+		const seconds = Number(answer.headers['retry-after']);
+		t.ok(seconds > 100 && seconds <= 201, `${seconds}`);
+	}
+
+	t.same(countArrivals(platform), [1, 1]);
+});
+
 test('an endpoint that says in an answer that it leaves gets no further requests', async t => {
 	const platform = await startUneven(t, 'leaving');
 	const before = await callUntilNoticed(platform);
