fix(selection): endpoints that say in an answer that they leave get no further requests

Cause: of the same class as the cooldowns. The header Server-Leaving was not read, and selection learned of a leave from the store alone, so with a store that is silent or lags, requests went on past the time in which the endpoint still serves.

Why it works: the selector keeps the incarnation as leaving, so that it counts as not ready whatever its entry says and however the store is; a new process under the id is not concerned. Only an answer that echoes the request's own id is believed, since this does not end by itself.

--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -42,6 +42,12 @@
 	leaving(request, socket) {
 		socket.write(formatAnswer('200 OK', request, {...signature, 'server-leaving': '1'}, `body of ${request.line}`));
 	},
+	/**
+	The same in an answer to a request that was never sent to it.
+	*/
+	leavingOther(_request, socket) {
+		socket.write(formatAnswer('200 OK', {requestId: 'other'}, {...signature, 'server-leaving': '1'}, ''));
+	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
 	},
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -237,7 +237,10 @@
 	/**
 	An endpoint may say of itself, in any answer, that it wants no requests for some time or that it leaves.
 	*/
-	function applyNotice({id: endpoint, incarnation}: KnownEndpoint, status: number, {retryAfterMs, isLeaving}: AnswerFacts): void {
+	function applyNotice({id: endpoint, incarnation}: KnownEndpoint, status: number, said: AnswerFacts): void {
+		const {retryAfterMs} = said;
+		// A cooldown ends by itself; that an endpoint leaves is believed only of an answer that is surely its own.
+		const isLeaving = said.isLeaving && said.requestId === facts.requestId;
 		if (retryAfterMs === undefined && !isLeaving) {
 			return;
 		}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -41,6 +41,10 @@
 	const prefixes = createPrefixModel({reuseMs: options.reuseMs});
 	const failures = createFailureTable();
 	const cooldowns = createCooldownTable();
+	/**
+	Incarnations that said in an answer that they leave; their entries may lag behind.
+	*/
+	const leaving = createBoundedSet(mostIncarnations);
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let newsAt: number | undefined;
@@ -72,11 +76,20 @@
 	}
 
 	function canTake(incarnation: string): boolean {
-		return cooldowns.getRemainingMs(incarnation) === 0;
+		return !leaving.has(incarnation) && cooldowns.getRemainingMs(incarnation) === 0;
+	}
+
+	function markLeaving(incarnation: string): void {
+		if (leaving.has(incarnation)) {
+			return;
+		}
+
+		leaving.add(incarnation);
+		chooser.markChanged();
 	}
 
 	function listReady(pool: string): readonly KnownEndpoint[] {
-		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready').toArray();
+		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready' && !leaving.has(endpoint.incarnation)).toArray();
 	}
 
 	/**
@@ -170,10 +183,14 @@
 		},
 		choose,
 		open: book.open,
-		applyNotice(incarnation, {retryAfterMs}) {
+		applyNotice(incarnation, {retryAfterMs, isLeaving}) {
 			if (retryAfterMs !== undefined) {
 				cooldowns.start(incarnation, retryAfterMs);
 			}
+
+			if (isLeaving) {
+				markLeaving(incarnation);
+			}
 		},
 		canTake,
 		getCooldownMs(pool) {
--- a/gateway/selection/test/endpoint-notices.test.ts
+++ b/gateway/selection/test/endpoint-notices.test.ts
@@ -84,3 +84,17 @@
 	t.same(listChosen(selector), ['i-2']);
 	t.end();
 });
+
+test('an endpoint that leaves is not chosen again, and a new process under its id is', t => {
+	const {selector} = createPair(t);
+	selector.applyNotice(formatIncarnation(first), {retryAfterMs: undefined, isLeaving: true});
+	t.equal(selector.canTake(formatIncarnation(first)), false);
+	selector.addEndpoint({...first, slots: 7});
+	selector.removeEndpoint(first.id);
+	selector.addEndpoint(first);
+	t.same(listChosen(selector), ['i-2']);
+	t.equal(selector.getCooldownMs('desk'), 0);
+	selector.setIncarnation({...first, born: 2000});
+	t.same(listChosen(selector), ['i-1', 'i-2']);
+	t.end();
+});
--- a/node/gateway/test/endpoint-notices.test.ts
+++ b/node/gateway/test/endpoint-notices.test.ts
@@ -88,3 +88,23 @@
 	t.same(await callOften(platform), Array.from({length: calls}, () => 200));
 	t.equal(countArrivals(platform)[0], before);
 });
+
+test('an endpoint that said that it leaves stays left out when its entry is written again or the store is lost', async t => {
+	const platform = await startUneven(t, 'leaving');
+	const before = await callUntilNoticed(platform);
+	platform.endpoints[0]?.setBehaviour(behaviours.whole);
+	platform.store.registerEndpoint('i-0', {
+		pool: 'register', address: platform.endpoints[0]?.address ?? '', slots: 5, state: 'ready',
+	});
+	await callOften(platform);
+	platform.store.setFault('silent');
+	await callOften(platform);
+	t.equal(countArrivals(platform)[0], before);
+});
+
+test('an endpoint is not taken to leave by the answer to another request', async t => {
+	const platform = await startPlatform(t, ['leavingOther', 'whole']);
+	await platform.open();
+	t.same(await callOften(platform), Array.from({length: calls}, () => 200));
+	t.ok(countArrivals(platform).every(count => count > 1));
+});
