--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -7,7 +7,7 @@
 Form of an experiment's file. A variant names what it changes; the rest is as the gateway has it by default.
 */
 export const experimentSchema = z.strictObject({
-	load: z.enum(['drafts-beside-queries', 'drafts-beside-faults', 'large-fleet']),
+	load: z.enum(['drafts-beside-queries', 'drafts-beside-faults', 'drafts-beside-overload', 'large-fleet']),
 	seeds: z.int().min(1).max(1000).default(5),
 	variants: z.record(z.string(), z.strictObject({
 		harm_weight: weight.default(1),
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -1,5 +1,10 @@
 import {runEmulation, type EmulationLoad, type EmulationReport} from '@valvesaddle/emulator-fleet';
-import {createDraftsBesideFaults, createDraftsBesideQueries, createLargeFleet} from '@valvesaddle/emulator-loads';
+import {
+	createDraftsBesideFaults,
+	createDraftsBesideOverload,
+	createDraftsBesideQueries,
+	createLargeFleet,
+} from '@valvesaddle/emulator-loads';
 import type {Experiment} from './experiment.ts';
 import type {Spread} from './spread.ts';
 import type {VariantReport} from './variant-report.ts';
@@ -7,6 +12,7 @@
 const loads: Readonly<Record<Experiment['load'], () => EmulationLoad>> = {
 	'drafts-beside-queries': createDraftsBesideQueries,
 	'drafts-beside-faults': createDraftsBesideFaults,
+	'drafts-beside-overload': createDraftsBesideOverload,
 	'large-fleet': createLargeFleet,
 };
 /**
--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -19,6 +19,13 @@
 */
 const settleMs = 3000;
 /**
+The platform's bounds: requests that an endpoint may get within a pause that it asked for, what may be under way when it asks, and
+the time after which one that says that it leaves gets none, in milliseconds.
+*/
+const mostInCooldown = 2;
+const cooldownSlackMs = 500;
+const announcedSlackMs = 2000;
+/**
 Kinds of fault that keep beliefs from spreading.
 */
 const disturbingKinds: ReadonlySet<FaultKind> = new Set(['stop', 'kill', 'killAll', 'pause', 'storeRefuse', 'storeSilent', 'storeCompact', 'storeLose', 'cutSilent', 'cutReset', 'cutSlow']);
@@ -85,6 +92,26 @@
 			.filter(run => run.endpoint === endpoint && run.at > at + boundMs)
 			.map(run => (`${run.id} came to ${endpoint} ${run.at - at} ms after it said that it leaves`)));
 	},
+	'an endpoint that asked for a pause gets at most two requests in it'({attempts, arrivals, notices, faults}) {
+		const senders = new Map(attempts.map(attempt => [attempt.id, attempt]));
+		return notices.filter(({retryAfterMs}) => retryAfterMs > 0).flatMap(({id, endpoint, at, retryAfterMs}) => {
+			const sender = senders.get(id);
+			const isPaused = faults.some(fault => fault.kind === 'pause' && sender?.node === `n${fault.target}` && fault.at < at + retryAfterMs && fault.until > at);
+			const late = arrivals.filter(arrival => arrival.endpoint === endpoint && arrival.at > at + cooldownSlackMs && arrival.at < at + retryAfterMs && senders.get(arrival.id)?.pid === sender?.pid);
+			return sender !== undefined && !isPaused && late.length > mostInCooldown ? [`${endpoint} asked ${sender.node} (${sender.pid}) for ${retryAfterMs} ms at ${at} ms and got ${late.length} requests`] : [];
+		});
+	},
+	'an endpoint that says that it leaves gets no further requests'({attempts, arrivals, notices}) {
+		const senders = new Map(attempts.map(attempt => [attempt.id, attempt]));
+		return notices.filter(({isLeaving}) => isLeaving).flatMap(({id, endpoint, at}) => {
+			const told = senders.get(id);
+			const late = arrivals.filter(arrival => {
+				const sender = senders.get(arrival.id);
+				return arrival.endpoint === endpoint && sender !== undefined && sender.pid === told?.pid && sender.sentAt > at + announcedSlackMs;
+			});
+			return told?.isWhole === true ? late.map(arrival => `${arrival.id} came to ${endpoint} from ${told.node} (${told.pid}) ${arrival.at - at} ms after it said that it leaves`) : [];
+		});
+	},
 	'an accepted configuration is in force in seconds'({attempts, versions, faults}) {
 		return attempts.filter(({path}) => path.startsWith('/v')).flatMap(attempt => {
 			const asked = Number(attempt.path.split('/', 2)[1]?.slice(1));
--- a/bench/soak/src/create-fault-handlers.ts
+++ b/bench/soak/src/create-fault-handlers.ts
@@ -14,7 +14,10 @@
 	*/
 	readonly endpoints: readonly SoakEndpoint[];
 	readonly publishConfiguration: () => void;
-	readonly moveEndpoint: (place: number) => Promise<void>;
+	/**
+	Puts another endpoint in a place; the one before tells the store at once that it leaves, or in its answers first.
+	*/
+	readonly moveEndpoint: (place: number, isAnnounced?: boolean) => Promise<void>;
 };
 
 /**
@@ -95,6 +98,12 @@
 		break: createEndpointFault('break'),
 		spoil: createEndpointFault('spoil'),
 		refuse: createEndpointFault('refuse'),
+		overload: createEndpointFault('overload'),
+		announce: {
+			begin({target}) {
+				void moveEndpoint(target, true);
+			},
+		},
 		leave: {
 			begin({target}) {
 				void moveEndpoint(target);
--- a/bench/soak/src/observation.ts
+++ b/bench/soak/src/observation.ts
@@ -1,5 +1,7 @@
 import type {AppliedFault} from './applied-fault.ts';
+import type {Arrival} from './arrival.ts';
 import type {Attempt} from './attempt.ts';
+import type {Notice} from './notice.ts';
 import type {Run} from './run.ts';
 
 /**
@@ -8,6 +10,8 @@
 export type Observation = {
 	readonly attempts: readonly Attempt[];
 	readonly runs: readonly Run[];
+	readonly arrivals: readonly Arrival[];
+	readonly notices: readonly Notice[];
 	readonly faults: readonly AppliedFault[];
 	/**
 	When each version of the configuration was accepted by the store; version `n` has the route `/v<n>/` and no older one of
--- a/bench/soak/src/plan-faults.ts
+++ b/bench/soak/src/plan-faults.ts
@@ -35,11 +35,16 @@
 /**
 Faults that strike endpoints; the others strike nodes, or all of them.
 */
-const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave']);
+const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave', 'overload', 'announce']);
 /**
-Mean time between two faults, and how long one lasts, in milliseconds.
+Faults that are planned by themselves, so that the others of a seed stay as they are.
+*/
+const noticeKinds: readonly FaultKind[] = ['overload', 'overload', 'announce'];
+/**
+Mean time between two faults, and between two of those that are planned by themselves, and how long one lasts, in milliseconds.
 */
 const meanGapMs = 700;
+const meanNoticeGapMs = 1500;
 const shortestMs = 400;
 const longestMs = 3000;
 
@@ -49,10 +54,14 @@
  @example
  planFaults({random: createRandom(7), lengthMs: 10_000, nodes: 3, endpoints: 4}).length;
  */
-export function planFaults({random, lengthMs, nodes, endpoints}: PlanOptions): readonly AppliedFault[] {
+export function planFaults(options: PlanOptions): readonly AppliedFault[] {
+	return [...planKinds(kinds, meanGapMs, options), ...planKinds(noticeKinds, meanNoticeGapMs, options)];
+}
+
+function planKinds(among: readonly FaultKind[], gapMs: number, {random, lengthMs, nodes, endpoints}: PlanOptions): readonly AppliedFault[] {
 	const faults: AppliedFault[] = [];
-	for (let at = random() * meanGapMs; at < lengthMs; at += -Math.log(1 - random()) * meanGapMs) {
-		const kind = kinds[Math.floor(random() * kinds.length)] ?? 'kill';
+	for (let at = random() * gapMs; at < lengthMs; at += -Math.log(1 - random()) * gapMs) {
+		const kind = among[Math.floor(random() * among.length)] ?? 'kill';
 		const until = Math.min(lengthMs, at + shortestMs + (random() * (longestMs - shortestMs)));
 		const target = Math.floor(random() * (endpointKinds.has(kind) ? endpoints : nodes));
 		faults.push({
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -5,10 +5,12 @@
 import {createFakeConfiguration, startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {createRandom} from '@valvesaddle/random';
 import type {AppliedFault} from './applied-fault.ts';
+import type {Arrival} from './arrival.ts';
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
 import type {Observation} from './observation.ts';
+import type {Notice} from './notice.ts';
 import {planFaults} from './plan-faults.ts';
 import type {Run} from './run.ts';
 import {runCaller} from './run-caller.ts';
@@ -35,6 +37,10 @@
 const calmMs = 6000;
 const servedMs = 2000;
 const readyCheckMs = 100;
+/**
+Time for which an endpoint says in its answers that it leaves before its entry does, in milliseconds.
+*/
+const announcedMs = 4000;
 
 /**
  Runs nodes, callers and endpoints under the faults of a seed, and checks the promises.
@@ -50,6 +56,8 @@
 	const now = (): number => Math.round(performance.now() - startedAt);
 	const attempts: Attempt[] = [];
 	const runs: Run[] = [];
+	const arrivals: Arrival[] = [];
+	const notices: Notice[] = [];
 	const versions: Array<{version: number; at: number}> = [];
 	const drains: Array<{endpoint: string; at: number}> = [];
 	/**
@@ -65,6 +73,12 @@
 			id: `e${allEndpoints.length + 1}`, random, now, onRun(run) {
 				runs.push(run);
 			},
+			onArrival(arrival) {
+				arrivals.push(arrival);
+			},
+			onNotice(notice) {
+				notices.push(notice);
+			},
 		});
 		endpoints[place] = endpoint;
 		allEndpoints.push(endpoint);
@@ -86,13 +100,18 @@
 	/**
 	The endpoint serves on for as long as a platform's would; another takes its place.
 	*/
-	async function moveEndpoint(place: number): Promise<void> {
+	async function moveEndpoint(place: number, isAnnounced = false): Promise<void> {
 		const leaving = endpoints[place];
 		if (leaving === undefined) {
 			return;
 		}
 
 		await addEndpoint(place);
+		if (isAnnounced) {
+			leaving.setFault('announce');
+			await wait(announcedMs);
+		}
+
 		registerEndpoint(leaving, 'draining');
 		drains.push({endpoint: leaving.id, at: now()});
 	}
@@ -154,7 +173,7 @@
 	await Promise.all([watching, ...calling]);
 	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
 	const observation: Observation = {
-		attempts, runs, faults, versions, drains, calmFrom,
+		attempts, runs, arrivals, notices, faults, versions, drains, calmFrom,
 	};
 	const breaches = checkPromises(observation);
 	if (breaches.length === 0) {
--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -9,6 +9,8 @@
 	type ArrivedRequest,
 } from '@valvesaddle/fake-endpoint';
 import type {FaultKind} from './fault-kind.ts';
+import type {Arrival} from './arrival.ts';
+import type {Notice} from './notice.ts';
 import type {Run} from './run.ts';
 import type {SoakEndpoint} from './soak-endpoint.ts';
 
@@ -20,6 +22,8 @@
 	*/
 	readonly now: () => number;
 	readonly onRun: (run: Run) => void;
+	readonly onArrival: (arrival: Arrival) => void;
+	readonly onNotice: (notice: Notice) => void;
 };
 
 /**
@@ -32,6 +36,10 @@
 Part of the requests that a fault strikes.
 */
 const struckShare = 0.4;
+/**
+Time for which an overloaded endpoint asks for no more requests, in seconds.
+*/
+const retryAfterS = 1.8;
 
 function formatChunk(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
@@ -44,22 +52,43 @@
  const endpoint = await startSoakEndpoint({id: 'e1', random, now, onRun});
  endpoint.setFault('break');
  */
-export async function startSoakEndpoint({id: endpoint, random, now, onRun}: EndpointOptions): Promise<SoakEndpoint> {
+export async function startSoakEndpoint({id: endpoint, random, now, onRun, onArrival, onNotice}: EndpointOptions): Promise<SoakEndpoint> {
 	const fake = await startFakeEndpoint();
 	let fault: FaultKind | undefined;
 
+	/**
+	Headers that an answer has beside its own.
+	*/
+	function addNotice(id: string): Readonly<Record<string, string>> {
+		if (fault !== 'announce') {
+			return {};
+		}
+
+		onNotice({
+			id, endpoint, at: now(), retryAfterMs: 0, isLeaving: true,
+		});
+		return {'server-leaving': '1'};
+	}
+
+	function refuseOverloaded(request: ArrivedRequest, socket: Socket): void {
+		onNotice({
+			id: request.requestId, endpoint, at: now(), retryAfterMs: retryAfterS * 1000, isLeaving: false,
+		});
+		socket.write(formatAnswer('503 Service Unavailable', request, {...notRunMark, 'retry-after': String(retryAfterS)}, ''));
+	}
+
 	function answerPlain(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): void {
 		const body = `for ${request.requestId}\n`;
 		// A spoiled answer is followed by one that nobody asked for.
 		const extra = isSpoiled ? formatAnswer('200 OK', {requestId: 'nobody'}, signature, body) : '';
-		socket.write(formatAnswer('200 OK', request, signature, body) + extra);
+		socket.write(formatAnswer('200 OK', request, {...signature, ...addNotice(request.requestId)}, body) + extra);
 	}
 
 	async function answerStream(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): Promise<void> {
 		const {requestId: id, lastEventId} = request;
 		const from = lastEventId + 1;
 		const isBroken = isSpoiled && random() < 0.7;
-		socket.write(formatStreamHead(request));
+		socket.write(formatStreamHead(request, addNotice(id)));
 		for (let event = from; event < events; event++) {
 			if (isBroken && event > from + 2) {
 				socket.write(formatChunk(`id: ${event}\nda`), () => {
@@ -78,12 +107,18 @@
 
 	async function runRequest(request: ArrivedRequest, socket: Socket): Promise<void> {
 		const {requestId: id} = request;
+		onArrival({id, endpoint, at: now()});
 		const isStruck = fault !== undefined && random() < struckShare;
 		if (isStruck && fault === 'refuse') {
 			socket.write(formatAnswer('503 Service Unavailable', request, notRunMark, ''));
 			return;
 		}
 
+		if (isStruck && fault === 'overload') {
+			refuseOverloaded(request, socket);
+			return;
+		}
+
 		const isSpoiled = isStruck && (fault === 'break' || fault === 'spoil');
 		onRun({
 			id, endpoint, at: now(), isSpoiled,
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -11,7 +11,7 @@
 
 function check(change: Partial<Observation>): readonly string[] {
 	const observation: Observation = {
-		attempts: [], runs: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+		attempts: [], runs: [], arrivals: [], notices: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
 	};
 	return checkPromises(observation).map(({promise}) => promise);
 }
@@ -27,6 +27,15 @@
 	return ids.map(id => `id: ${id}\ndata: for c1-1\n\n`).join('');
 }
 
+const notice = {
+	id: 'c1-1', endpoint: 'e1', at: 1000, retryAfterMs: 2000, isLeaving: false,
+};
+const leaving = {...notice, retryAfterMs: 0, isLeaving: true};
+
+function createArrivals(times: readonly number[]) {
+	return times.map(at => ({id: 'c1-1', endpoint: 'e1', at}));
+}
+
 const kept: ReadonlyArray<readonly [name: string, observation: Partial<Observation>]> = [
 	['a whole answer of its own', {attempts: [createAttempt()], runs: [run]}],
 	['a refusal of what did not run', {attempts: [createAttempt({status: 503, body: ''})]}],
@@ -35,6 +44,12 @@
 	['an answer that the endpoint broke off at a node that stops', {attempts: [createAttempt({status: 0, isWhole: false})], runs: [{...run, isSpoiled: true}], faults: [stop]}],
 	['an old route shortly after its version was replaced', {attempts: [createAttempt({path: '/v1/x', kind: 'safe', sentAt: 6000})], runs: [run], versions: [{version: 1, at: 0}, {version: 2, at: 5000}]}],
 	['new work at a leaving endpoint shortly after it said so', {runs: [{...run, at: 2000}], drains: [{endpoint: 'e1', at: 1000}]}],
+	['two requests within a pause, and more shortly after it was asked for', {attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([1100, 1200, 1300, 2000, 2900])}],
+	['requests of another process within a pause', {attempts: [createAttempt(), createAttempt({id: 'c2-1', pid: 8, body: 'for c2-1\n'})], notices: [notice], arrivals: createArrivals([2000, 2100, 2900]).map(arrival => ({...arrival, id: 'c2-1'}))}],
+	['requests within a pause of a process that stood still', {
+		attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([2000, 2100, 2900]), faults: [{...stop, kind: 'pause'}],
+	}],
+	['a request shortly after an endpoint said that it leaves', {attempts: [createAttempt({sentAt: 2900})], notices: [leaving], arrivals: createArrivals([3100])}],
 	['a stream that broke off between events', {attempts: [createAttempt({kind: 'stream', isWhole: false, body: formatEvents([0, 1])})], runs: [run]}],
 ];
 
@@ -53,6 +68,8 @@
 	['non-repeatable work runs at most once', {attempts: [createAttempt()], runs: [run, {...run, endpoint: 'e2'}]}],
 	['"not run" means not run', {attempts: [createAttempt({status: 503})], runs: [run]}],
 	['a leaving endpoint gets no new work', {runs: [{...run, at: 9000}], drains: [{endpoint: 'e1', at: 1000}]}],
+	['an endpoint that asked for a pause gets at most two requests in it', {attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([2000, 2100, 2900])}],
+	['an endpoint that says that it leaves gets no further requests', {attempts: [createAttempt({sentAt: 3100})], notices: [leaving], arrivals: createArrivals([3110])}],
 	['an accepted configuration is in force in seconds', {
 		attempts: [createAttempt({
 			path: '/v2/x', kind: 'safe', sentAt: 20_000, endedAt: 20_010, status: 404,
--- a/fakes/endpoint/src/format-stream-head.ts
+++ b/fakes/endpoint/src/format-stream-head.ts
@@ -8,6 +8,8 @@
  @example
  formatStreamHead(request);
  */
-export function formatStreamHead(request: Pick<ArrivedRequest, 'requestId'>): string {
-	return formatHead('200 OK', request, {...signature, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked'});
+export function formatStreamHead(request: Pick<ArrivedRequest, 'requestId'>, headers: Readonly<Record<string, string>> = {}): string {
+	return formatHead('200 OK', request, {
+		...signature, ...headers, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked',
+	});
 }
