test(emulator): overloaded and leaving engines, and what nodes still send them

Engines refuse with or without a pause, or say in their answers that they leave; a check by node counts what is not heeded.

--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -1,6 +1,9 @@
 import {createEngine, type EngineSpeed} from '@valvesaddle/emulator-engine';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
 import type {EmulationClock} from './emulation-clock.ts';
+import {createNoticeCheck} from './create-notice-check.ts';
+import type {EmulatedSender} from './emulated-sender.ts';
+import type {Overload} from './overload.ts';
 
 type EmulatedEndpointOptions = {
 	readonly id: string;
@@ -12,18 +15,22 @@
 	Parts of prompts that some engine has read.
 	*/
 	readonly everKept: Set<string>;
+	readonly random: () => number;
 };
 
 /**
  Creates an emulated engine behind a link.
 
  @example
- const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1, everKept: new Set()});
- endpoint.send(job, () => {});
+ const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1, everKept: new Set(), random});
+ endpoint.send(job, {node: 'n-0', onLost() {}, onOverloaded() {}});
  */
-export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs, everKept}: EmulatedEndpointOptions): EmulatedEndpoint {
+export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs, everKept, random}: EmulatedEndpointOptions): EmulatedEndpoint {
 	const engine = createEngine(speed, everKept);
 	const open = new Map<string, () => void>();
+	const check = createNoticeCheck();
+	let overload: Overload | undefined;
+	let isLeaving = false;
 	let isStepping = false;
 	let isDark = false;
 	let life = 0;
@@ -62,19 +69,41 @@
 		});
 	}
 
+	function refuse(jobId: string, {node, onOverloaded}: EmulatedSender, retryAfterMs: number | undefined): void {
+		if (retryAfterMs !== undefined) {
+			check.recordCooldown(node, retryAfterMs);
+		}
+
+		answerLater(jobId, () => {
+			open.delete(jobId);
+			onOverloaded(retryAfterMs);
+		});
+	}
+
 	return {
 		id,
-		send(job, onLost) {
-			open.set(job.id, onLost);
+		send(job, sender) {
+			open.set(job.id, sender.onLost);
 			clock.add(linkMs, () => {
 				if (isDark || !open.has(job.id)) {
 					return;
 				}
 
+				check.recordArrival(sender.node);
+				if (overload !== undefined && random() < overload.share) {
+					refuse(job.id, sender, overload.retryAfterMs);
+					return;
+				}
+
 				engine.add({
 					...job,
 					onEvent(number) {
 						answerLater(job.id, () => {
+							// The head of the answer comes with the first event.
+							if (isLeaving && number === job.firstEvent) {
+								check.recordLeave(sender.node);
+							}
+
 							job.onEvent(number);
 						});
 					},
@@ -115,6 +144,14 @@
 		setSlowness(factor) {
 			engine.setSlowness(slowness * factor);
 		},
+		setOverload(kind) {
+			overload = kind;
+		},
+		leave() {
+			isLeaving = true;
+		},
+		isLeaving: () => isLeaving,
+		countBroken: check.countBroken,
 		counts: engine.counts,
 	};
 }
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -5,6 +5,10 @@
 import type {Prompt} from './prompt.ts';
 
 type EmulatedExchangesOptions = {
+	/**
+	The node whose exchanges they are.
+	*/
+	readonly node: string;
 	readonly endpoints: ReadonlyMap<string, EmulatedEndpoint>;
 	readonly findPrompt: (id: string) => Prompt | undefined;
 	/**
@@ -24,9 +28,9 @@
  Creates a node's exchanges with emulated engines. A connection is counted, but opening one takes no time here.
 
  @example
- const exchanges = createEmulatedExchanges({endpoints, findPrompt: id => prompts.get(id), onConnect() {}});
+ const exchanges = createEmulatedExchanges({node: 'n-0', endpoints, findPrompt: id => prompts.get(id), onConnect() {}});
  */
-export function createEmulatedExchanges({endpoints, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
+export function createEmulatedExchanges({node, endpoints, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
 	let count = 0;
 	/**
 	When the idle connections to each address were given back.
@@ -75,7 +79,7 @@
 				onEvent(number) {
 					if (!isBegun) {
 						isBegun = true;
-						listener.onHead(okStatus, {'x-request-id': id});
+						listener.onHead(okStatus, {'x-request-id': id, ...(endpoint.isLeaving() && {'x-leaving': '1'})});
 					}
 
 					listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
@@ -89,8 +93,16 @@
 					listener.onHead(notRunStatus, {'x-request-id': id});
 					listener.onEnd();
 				},
-			}, () => {
-				listener.onFailure(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'connection lost'));
+			}, {
+				node,
+				onLost() {
+					listener.onFailure(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'connection lost'));
+				},
+				onOverloaded(retryAfterMs) {
+					releaseConnection(address);
+					listener.onHead(notRunStatus, {'x-request-id': id, ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
+					listener.onEnd();
+				},
 			});
 			return {
 				abort() {
--- a/emulator/fleet/src/emulated-endpoint.ts
+++ b/emulator/fleet/src/emulated-endpoint.ts
@@ -1,14 +1,13 @@
 import type {EngineJob} from '@valvesaddle/emulator-engine';
+import type {EmulatedSender} from './emulated-sender.ts';
+import type {Overload} from './overload.ts';
 
 /**
 An engine with its connections.
 */
 export type EmulatedEndpoint = {
 	readonly id: string;
-	/**
-	Sends a request; `onLost` is told when its connection breaks.
-	*/
-	readonly send: (job: EngineJob, onLost: () => void) => void;
+	readonly send: (job: EngineJob, sender: EmulatedSender) => void;
 	readonly abort: (id: string) => void;
 	/**
 	Breaks all connections and loses what the engine holds.
@@ -19,5 +18,18 @@
 	*/
 	readonly setDark: (isDark: boolean) => void;
 	readonly setSlowness: (factor: number) => void;
+	/**
+	Sets how requests are refused; `undefined` takes them again.
+	*/
+	readonly setOverload: (overload: Overload | undefined) => void;
+	/**
+	From here on each answer says that the engine leaves.
+	*/
+	readonly leave: () => void;
+	readonly isLeaving: () => boolean;
+	/**
+	Times at which a node did not heed what the engine had said of itself.
+	*/
+	readonly countBroken: () => number;
 	readonly counts: () => {readonly read: number; readonly readAgain: number; readonly preempted: number};
 };
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -21,4 +21,8 @@
 	Connections that nodes opened to engines.
 	*/
 	readonly connections: number;
+	/**
+	Times at which a node did not heed what an engine had said of itself.
+	*/
+	readonly brokenNotices: number;
 };
--- a/emulator/fleet/src/emulator-wire.ts
+++ b/emulator/fleet/src/emulator-wire.ts
@@ -17,8 +17,8 @@
 		isEventStream: true,
 		isEncoded: false,
 		isMisdirected: false,
-		retryAfterMs: undefined,
-		isLeaving: false,
+		retryAfterMs: headers['x-retry-after-ms'] === undefined ? undefined : Number(headers['x-retry-after-ms']),
+		isLeaving: headers['x-leaving'] !== undefined,
 	}),
 	writeAnswer: () => [],
 };
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -24,6 +24,10 @@
 */
 const drawSeed = 1_000_003;
 /**
+Added to the seed for the draws of the engines.
+*/
+const faultSeed = 2_000_003;
+/**
 Time after the last request in which what is open may end, in milliseconds.
 */
 const tailMs = 20_000;
@@ -44,6 +48,15 @@
 			endpoint.setSlowness(1);
 		});
 	},
+	overload(clock, endpoint, {factor, forMs, retryAfterMs}) {
+		endpoint.setOverload({share: factor, retryAfterMs});
+		clock.add(forMs, () => {
+			endpoint.setOverload(undefined);
+		});
+	},
+	leave(_clock, endpoint) {
+		endpoint.leave();
+	},
 };
 
 /**
@@ -63,13 +76,14 @@
 		const clock = createEmulationClock(paused);
 		const source = createPromptSource(random, load.engine.tokensPerEvent);
 		const everKept = new Set<string>();
+		const faultRandom = createRandom(seed + faultSeed);
 		const endpoints = new Map(load.slowness.map((slowness, index) => [`e-${index}`, createEmulatedEndpoint({
-			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept,
+			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept, random: faultRandom,
 		})]));
 		let connections = 0;
 		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
 			id: `n-${index}`, load, selection, admission, exchanges: createEmulatedExchanges({
-				endpoints, findPrompt: source.find, onConnect() {
+				node: `n-${index}`, endpoints, findPrompt: source.find, onConnect() {
 					connections++;
 				},
 			}), endpoints: endpoints.keys().toArray(),
@@ -101,7 +115,9 @@
 		}
 
 		clock.run(load.lengthMs + tailMs);
-		return {...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray()), connections};
+		return {
+			...summarizeOutcomes(outcomes), ...countReading(endpoints.values().toArray()), connections, brokenNotices: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countBroken(), 0),
+		};
 	} finally {
 		Math.random = unseeded;
 		exit();
--- a/emulator/fleet/test/emulation.test.ts
+++ b/emulator/fleet/test/emulation.test.ts
@@ -1,5 +1,5 @@
 import {test} from 'tap';
-import {createDraftsBesideQueries} from '@valvesaddle/emulator-loads';
+import {createDraftsBesideOverload, createDraftsBesideQueries} from '@valvesaddle/emulator-loads';
 import {runEmulation} from '@valvesaddle/emulator-fleet';
 
 const selection = {
@@ -63,3 +63,15 @@
 	t.ok(sum.behind > sum.inOrder + 0.05, `worth ${sum.behind} against ${sum.inOrder} in order of arrival`);
 	t.end();
 });
+
+test('engines that ask for a pause or say that they leave are heeded by every node', t => {
+	for (const seed of [1, 2, 3]) {
+		const {brokenNotices, classes} = runEmulation({
+			load: createDraftsBesideOverload(), seed, selection, admission,
+		});
+		t.equal(brokenNotices, 0, `seed ${seed}`);
+		t.ok(Object.values(classes).every(({worth}) => worth > 0));
+	}
+
+	t.end();
+});
--- a/emulator/loads/src/index.ts
+++ b/emulator/loads/src/index.ts
@@ -1,3 +1,4 @@
 export {createDraftsBesideFaults} from './create-drafts-beside-faults.ts';
+export {createDraftsBesideOverload} from './create-drafts-beside-overload.ts';
 export {createDraftsBesideQueries} from './create-drafts-beside-queries.ts';
 export {createLargeFleet} from './create-large-fleet.ts';
