fix(pool): engines and services that ask for a pause get no grants until it is over

The same class in the product's own half: the adapters took 429 and 503 for 'not run' and dropped Retry-After, and the dispatcher counted a failure, so an engine that refuses at once went on getting grants.

Now the adapters read the time, the release report carries it to the dispatcher that all nodes share, and the endpoint is cooling until it is over (steady clock, 5 minutes at most). Requests wait for the first end in the order of the queue, urgent ones first, as long as their class may wait; else they are refused with the time to come back. Reports without the field count as before, so old and new nodes work together.

--- a/core/error/src/error-options.ts
+++ b/core/error/src/error-options.ts
@@ -9,5 +9,5 @@
 	/**
 	Milliseconds after which another try makes sense.
 	*/
-	readonly retryAfterMs?: number;
+	readonly retryAfterMs?: number | undefined;
 };
--- a/dispatch/messages/src/release-report-schema.ts
+++ b/dispatch/messages/src/release-report-schema.ts
@@ -10,4 +10,5 @@
 	tokens: z.number().min(0),
 	firstTokenMs: z.number().optional().transform(value => value),
 	interTokenMs: z.number().optional().transform(value => value),
+	retryAfterMs: z.number().min(0).optional().transform(value => value),
 });
--- a/dispatch/messages/src/release-report.ts
+++ b/dispatch/messages/src/release-report.ts
@@ -16,4 +16,8 @@
 	*/
 	readonly firstTokenMs: number | undefined;
 	readonly interTokenMs: number | undefined;
+	/**
+	Time for which the endpoint asked for no more requests when it refused this one.
+	*/
+	readonly retryAfterMs?: number | undefined;
 };
--- a/dispatch/policy/src/endpoint-view.ts
+++ b/dispatch/policy/src/endpoint-view.ts
@@ -35,6 +35,10 @@
 	readonly limitChangedAt: number;
 	readonly ejectedUntil: number;
 	/**
+	End of the time for which it asked for no requests, in milliseconds on the steady clock; 0 when it did not ask.
+	*/
+	readonly cooldownUntil: number;
+	/**
 	Ejections in a row; sets the next one's length.
 	*/
 	readonly ejections: number;
--- a/dispatch/policy/src/has-slot.ts
+++ b/dispatch/policy/src/has-slot.ts
@@ -1,4 +1,5 @@
 import type {EndpointNeed} from './endpoint-need.ts';
+import type {EndpointState} from './endpoint-state.ts';
 import type {EndpointView} from './endpoint-view.ts';
 import type {GrantMode} from './grant-mode.ts';
 
@@ -7,6 +8,8 @@
 */
 const hardLimitFactor = 2;
 
+const closedStates: ReadonlySet<EndpointState> = new Set(['leaving', 'ejected', 'cooling']);
+
 type SlotRule = (endpoint: EndpointView, need: EndpointNeed) => boolean;
 
 const slotRules: Readonly<Record<GrantMode, SlotRule>> = {
@@ -22,7 +25,7 @@
  hasSlot({...endpoint, limit: 4, inFlight: 4, urgentInFlight: 0}, {...need, mode: 'urgent'}); // true
  */
 export function hasSlot(endpoint: EndpointView, need: EndpointNeed): boolean {
-	if (endpoint.state === 'leaving' || endpoint.state === 'ejected') {
+	if (closedStates.has(endpoint.state)) {
 		return false;
 	}
 
--- a/dispatch/policy/test/policy.test.ts
+++ b/dispatch/policy/test/policy.test.ts
@@ -23,7 +23,7 @@
 };
 const baseEndpoint: EndpointView = {
 	id: 'e1', url: 'http://127.0.0.1:1', dataCentre: 'dc-1', state: 'live', limit: 8, inFlight: 0, urgentInFlight: 0, external: 0,
-	firstTokenMs: undefined, interTokenMs: undefined, limitChangedAt: 0, ejectedUntil: 0, ejections: 0, failures: 0,
+	firstTokenMs: undefined, interTokenMs: undefined, limitChangedAt: 0, ejectedUntil: 0, cooldownUntil: 0, ejections: 0, failures: 0,
 };
 const baseNeed: EndpointNeed = {
 	mode: 'shared', floor: 0.05, headroom: 0, promptTokens: 100, dataCentre: 'dc-1', sessionEndpoint: undefined, avoid: [], mayProbe: true,
--- a/dispatch/pool/src/create-endpoint-table.ts
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -19,6 +19,10 @@
 */
 const externalDecay = 0.8;
 const negligibleExternal = 0.05;
+/**
+Bounds what a broken endpoint can ask for, in milliseconds.
+*/
+const longestCooldownMs = 300_000;
 
 /**
  Creates the table of a pool's endpoints. Views are replaced, never changed.
@@ -69,10 +73,22 @@
 				return view.state === 'leaving' ? view : {...view, state: 'leaving'};
 			}
 
-			return view.state === 'leaving' ? {...view, state: 'live'} : view;
+			return view.state === 'leaving' ? {...view, state: view.cooldownUntil > performance.now() ? 'cooling' : 'live'} : view;
 		});
 	}
 
+	function advanceView(view: EndpointView, now: number): EndpointView {
+		if (view.state === 'cooling' && performance.now() >= view.cooldownUntil) {
+			return {...view, state: view.ejectedUntil > now ? 'ejected' : 'live'};
+		}
+
+		if (view.state === 'ejected' && now >= view.ejectedUntil) {
+			return {...view, state: 'probing'};
+		}
+
+		return view.external > 0 ? {...view, external: view.external < negligibleExternal ? 0 : view.external * externalDecay} : view;
+	}
+
 	function getViews(): readonly EndpointView[] {
 		cached ??= table.values().toArray();
 		return cached;
@@ -127,6 +143,16 @@
 				: {...view, failures: view.failures + 1});
 			ejectStragglers(Date.now());
 		},
+		startCooldown(endpointId, milliseconds) {
+			const until = performance.now() + Math.min(longestCooldownMs, milliseconds);
+			update(endpointId, view => ({
+				...view, state: view.state === 'leaving' ? 'leaving' : 'cooling', cooldownUntil: Math.max(until, view.cooldownUntil),
+			}));
+		},
+		getCooldownMs() {
+			const ends = getViews().filter(({state}) => state === 'cooling').map(({cooldownUntil}) => cooldownUntil);
+			return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - performance.now());
+		},
 		observeSuccess(endpointId) {
 			update(endpointId, view => view.state === 'probing'
 				? {...view, state: 'live', failures: 0}
@@ -150,11 +176,7 @@
 		tick() {
 			const now = Date.now();
 			for (const view of getViews()) {
-				if (view.state === 'ejected' && now >= view.ejectedUntil) {
-					setView({...view, state: 'probing'});
-				} else if (view.external > 0) {
-					setView({...view, external: view.external < negligibleExternal ? 0 : view.external * externalDecay});
-				}
+				setView(advanceView(view, now));
 			}
 
 			ejectStragglers(now);
--- a/dispatch/pool/src/create-endpoint-view.ts
+++ b/dispatch/pool/src/create-endpoint-view.ts
@@ -21,6 +21,7 @@
 		interTokenMs: undefined,
 		limitChangedAt: 0,
 		ejectedUntil: 0,
+		cooldownUntil: 0,
 		ejections: 0,
 		failures: 0,
 	};
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -107,6 +107,14 @@
 		}, queue.views().map(view => ({...view, holdMs: stats.holdMs(view.requestClass.name)})));
 	}
 
+	/**
+	Without a slot the wait ends no earlier than the first cooldown; what waits for that is then granted in the order of the queue.
+	*/
+	function predictWithCooldown(request: AcquireRequest, requestClass: RequestClass): number {
+		const waitMs = predict(request, requestClass);
+		return Number.isFinite(waitMs) ? waitMs : table.getCooldownMs() ?? waitMs;
+	}
+
 	/**
 	Refuses a request that would wait too long; `undefined` lets it in.
 	*/
@@ -116,7 +124,7 @@
 			return toRefusal('ERR_VALVESADDLE_CLASS_NOT_ALLOWED', `class "${request.className}" is not configured`, 0);
 		}
 
-		const waitMs = request.admitted ? 0 : predict(request, requestClass);
+		const waitMs = request.admitted ? 0 : predictWithCooldown(request, requestClass);
 		if (waitMs <= requestClass.maximumWaitMs) {
 			return undefined;
 		}
@@ -208,7 +216,9 @@
 		queue.charge(entry.className, entry.account, report.tokens - entry.charged);
 		stats.recordHold(entry.className, Date.now() - entry.grantedAt);
 		table.observeTimes(entry.endpointId, report.firstTokenMs, report.interTokenMs);
-		if (endpointFaults.has(report.outcome)) {
+		if (report.retryAfterMs !== undefined) {
+			table.startCooldown(entry.endpointId, report.retryAfterMs);
+		} else if (endpointFaults.has(report.outcome)) {
 			table.observeFailure(entry.endpointId);
 		} else if (report.outcome === 'complete') {
 			lengths.record(entry.className, report.tokens);
--- a/dispatch/pool/src/endpoint-table.ts
+++ b/dispatch/pool/src/endpoint-table.ts
@@ -18,10 +18,18 @@
 	*/
 	readonly observeTimes: (endpointId: string, firstTokenMs: number | undefined, interTokenMs: number | undefined) => void;
 	readonly observeFailure: (endpointId: string) => void;
+	/**
+	Takes no grants for an endpoint that asked for no requests for so many milliseconds.
+	*/
+	readonly startCooldown: (endpointId: string, milliseconds: number) => void;
+	/**
+	Milliseconds until the first endpoint that asked for no requests takes them again; `undefined` when none has asked.
+	*/
+	readonly getCooldownMs: () => number | undefined;
 	readonly observeSuccess: (endpointId: string) => void;
 	readonly observeLoad: (endpointId: string, report: LoadReport) => void;
 	/**
-	Ejects stragglers, puts those on probation whose time is over, lets external load fade.
+	Ejects stragglers, puts those on probation whose time is over, ends cooldowns, lets external load fade.
 	*/
 	readonly tick: () => void;
 	readonly views: () => readonly EndpointView[];
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -162,6 +162,71 @@
 	t.match(inbox.replies.get('waiter'), {kind: 'refused', code: 'ERR_VALVESADDLE_WAIT_EXPIRED'});
 });
 
+const refusal = {
+	outcome: 'not-run', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined, retryAfterMs: 3000,
+} as const;
+
+function getEndpoint(reply: AcquireReply | undefined): string {
+	return reply?.kind === 'granted' ? reply.grant.endpointId : '';
+}
+
+test('an endpoint that asked for a pause is granted to nobody until it is over', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(2, 8));
+	const inbox = createInbox(dispatcher);
+	await inbox.ask(createRequest('first'));
+	const paused = getEndpoint(inbox.replies.get('first'));
+	dispatcher.release(toRelease(inbox.replies.get('first'), refusal));
+	for (const id of ['a', 'b', 'c', 'd']) {
+		// eslint-disable-next-line no-await-in-loop -- in order
+		await inbox.ask(createRequest(id));
+		t.not(getEndpoint(inbox.replies.get(id)), paused);
+	}
+
+	const {now} = Date;
+	Date.now = () => now() + 3_600_000;
+	t.teardown(() => {
+		Date.now = now;
+	});
+	clock.advance(2999);
+	dispatcher.tick();
+	t.equal(dispatcher.status().endpoints.find(({id}) => id === paused)?.state, 'cooling', 'also when the time of day jumps');
+	dispatcher.configure(createConfiguration(2, 8), new Set());
+	clock.advance(1);
+	t.equal(dispatcher.status().endpoints.find(({id}) => id === paused)?.state, 'cooling');
+	dispatcher.tick();
+	t.equal(dispatcher.status().endpoints.find(({id}) => id === paused)?.state, 'live');
+});
+
+test('while all endpoints have asked for a pause requests wait for its end, and urgent ones come first', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const inbox = createInbox(dispatcher);
+	await inbox.ask(createRequest('first'));
+	dispatcher.release(toRelease(inbox.replies.get('first'), {...refusal, retryAfterMs: 1500}));
+	await inbox.ask(createRequest('estimate'));
+	await inbox.ask(createRequest('urgent', {className: 'gate'}));
+	t.same(inbox.granted(), ['first']);
+	clock.advance(1500);
+	dispatcher.tick();
+	await settle();
+	t.ok(inbox.granted().includes('urgent'));
+	t.notOk(inbox.granted().includes('estimate'));
+});
+
+test('a pause that outlasts the longest wait of a class is told to its callers', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const inbox = createInbox(dispatcher);
+	await inbox.ask(createRequest('first'));
+	dispatcher.release(toRelease(inbox.replies.get('first'), {...refusal, retryAfterMs: 15_000}));
+	await inbox.ask(createRequest('estimate'));
+	t.match(inbox.replies.get('estimate'), {kind: 'refused', retryAfterMs: 5000});
+});
+
 test('the time waited at an earlier dispatcher counts', async t => {
 	const dispatcher = createDispatcher(createConfiguration(1, 1));
 	const inbox = createInbox(dispatcher);
--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -16,16 +16,20 @@
 	*/
 	readonly everKept: Set<string>;
 	readonly random: () => number;
+	/**
+	Time for which the engine asks for no more requests when it is full.
+	*/
+	readonly fullRetryAfterMs: number | undefined;
 };
 
 /**
  Creates an emulated engine behind a link.
 
  @example
- const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1, everKept: new Set(), random});
- endpoint.send(job, {node: 'n-0', onLost() {}, onOverloaded() {}});
+ const endpoint = createEmulatedEndpoint({id: 'e-0', clock, speed, slowness: 1, linkMs: 1, everKept: new Set(), random, fullRetryAfterMs: undefined});
+ endpoint.send(job, {node: 'n-0', onLost() {}, onRefused() {}});
  */
-export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs, everKept, random}: EmulatedEndpointOptions): EmulatedEndpoint {
+export function createEmulatedEndpoint({id, clock, speed, slowness, linkMs, everKept, random, fullRetryAfterMs}: EmulatedEndpointOptions): EmulatedEndpoint {
 	const engine = createEngine(speed, everKept);
 	const open = new Map<string, () => void>();
 	const check = createNoticeCheck();
@@ -69,14 +73,14 @@
 		});
 	}
 
-	function refuse(jobId: string, {node, onOverloaded}: EmulatedSender, retryAfterMs: number | undefined): void {
+	function refuse(jobId: string, {node, onRefused}: EmulatedSender, retryAfterMs: number | undefined): void {
 		if (retryAfterMs !== undefined) {
 			check.recordCooldown(node, retryAfterMs);
 		}
 
 		answerLater(jobId, () => {
 			open.delete(jobId);
-			onOverloaded(retryAfterMs);
+			onRefused(retryAfterMs);
 		});
 	}
 
@@ -114,10 +118,7 @@
 						});
 					},
 					onRefused() {
-						answerLater(job.id, () => {
-							open.delete(job.id);
-							job.onRefused();
-						});
+						refuse(job.id, sender, fullRetryAfterMs);
 					},
 				});
 				startSteps();
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -88,17 +88,12 @@
 					releaseConnection(address);
 					listener.onEnd();
 				},
-				onRefused() {
-					releaseConnection(address);
-					listener.onHead(notRunStatus, {'x-request-id': id});
-					listener.onEnd();
-				},
 			}, {
 				node,
 				onLost() {
 					listener.onFailure(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'connection lost'));
 				},
-				onOverloaded(retryAfterMs) {
+				onRefused(retryAfterMs) {
 					releaseConnection(address);
 					listener.onHead(notRunStatus, {'x-request-id': id, ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
 					listener.onEnd();
--- a/emulator/fleet/src/emulated-endpoint.ts
+++ b/emulator/fleet/src/emulated-endpoint.ts
@@ -7,7 +7,7 @@
 */
 export type EmulatedEndpoint = {
 	readonly id: string;
-	readonly send: (job: EngineJob, sender: EmulatedSender) => void;
+	readonly send: (job: Omit<EngineJob, 'onRefused'>, sender: EmulatedSender) => void;
 	readonly abort: (id: string) => void;
 	/**
 	Breaks all connections and loses what the engine holds.
--- a/emulator/fleet/src/emulated-sender.ts
+++ b/emulator/fleet/src/emulated-sender.ts
@@ -8,7 +8,7 @@
 	*/
 	readonly onLost: () => void;
 	/**
-	The engine refuses since it is overloaded, and may ask for no more requests for some time.
+	The engine refuses before running the request, and may ask for no more for some time.
 	*/
-	readonly onOverloaded: (retryAfterMs: number | undefined) => void;
+	readonly onRefused: (retryAfterMs: number | undefined) => void;
 };
--- a/emulator/fleet/src/emulation-load.ts
+++ b/emulator/fleet/src/emulation-load.ts
@@ -24,5 +24,9 @@
 	readonly slowness: readonly number[];
 	readonly engine: EngineSpeed;
 	readonly classes: readonly CallerClass[];
+	/**
+	Time for which a full engine asks for no more requests; without it it refuses only.
+	*/
+	readonly fullRetryAfterMs?: number;
 	readonly faults: readonly EmulationFault[];
 };
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -78,7 +78,7 @@
 		const everKept = new Set<string>();
 		const faultRandom = createRandom(seed + faultSeed);
 		const endpoints = new Map(load.slowness.map((slowness, index) => [`e-${index}`, createEmulatedEndpoint({
-			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept, random: faultRandom,
+			id: `e-${index}`, clock, speed: load.engine, slowness, linkMs: load.linkMs, everKept, random: faultRandom, fullRetryAfterMs: load.fullRetryAfterMs,
 		})]));
 		let connections = 0;
 		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -45,7 +45,7 @@
 	async function * readStream(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
 		const response = await send(request, signal);
 		if (response.statusCode !== 200) {
-			throw classifyStatus(response.statusCode, await readErrorText(response));
+			throw classifyStatus(response.statusCode, await readErrorText(response), response.headers['retry-after']);
 		}
 
 		yield * readEvents(response, signal);
--- a/endpoint/engine/test/engine-client.test.ts
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -69,6 +69,7 @@
 
 const faults: ReadonlyArray<readonly [EngineFault, string]> = [
 	['refuse', 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN'],
+	['busy', 'ERR_VALVESADDLE_ENDPOINT_NOT_RUN'],
 	['fail', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
 	['freeze', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
 	['truncate', 'ERR_VALVESADDLE_ENDPOINT_FAILED'],
@@ -83,6 +84,16 @@
 	});
 }
 
+test('a refusal tells for how long the engine wants no requests, where it asks for that', async t => {
+	const {engine, client} = await startPair(t);
+	for (const [fault, retryAfterMs] of [['busy', 200_000], ['refuse', undefined]] as const) {
+		engine.setFault(fault);
+		// eslint-disable-next-line no-await-in-loop -- one fault after the other
+		const error: unknown = await client.stream(createRequest(engine.url), new AbortController().signal).next().catch((error_: unknown) => error_);
+		t.equal(toValvesaddleError(error).retryAfterMs, retryAfterMs, fault);
+	}
+});
+
 test('an engine that is gone surely did not run the request', async t => {
 	const {engine, client} = await startPair(t);
 	await engine.close();
--- a/endpoint/service/src/create-service-client.ts
+++ b/endpoint/service/src/create-service-client.ts
@@ -34,7 +34,7 @@
 		});
 		const body = await response.body.text();
 		if (response.statusCode >= 500 || response.statusCode === 429) {
-			throw classifyStatus(response.statusCode, body);
+			throw classifyStatus(response.statusCode, body, response.headers['retry-after']);
 		}
 
 		return {
--- a/fakes/engine/src/engine-counts.ts
+++ b/fakes/engine/src/engine-counts.ts
@@ -10,4 +10,8 @@
 	readonly cancelledTokens: number;
 	readonly resumed: number;
 	readonly prefixHits: number;
+	/**
+	Requests that a fault refused.
+	*/
+	readonly refused: number;
 };
--- a/fakes/engine/src/start-fake-engine.ts
+++ b/fakes/engine/src/start-fake-engine.ts
@@ -12,6 +12,10 @@
 };
 const charactersPerToken = 4;
 const crashDelayMs = 20;
+/**
+Time for which a busy engine asks for no more requests, in seconds.
+*/
+const busyS = 200;
 
 /**
  Starts a stand-in for a model engine: it streams chat completions, batches continuously, slows down with its batch,
@@ -27,7 +31,7 @@
 	const prefixes = new Map<string, true>();
 	const reports: Array<{readonly at: number; readonly load: number}> = [];
 	const counts = {
-		requests: 0, tokens: 0, cancelledTokens: 0, resumed: 0, prefixHits: 0,
+		requests: 0, tokens: 0, cancelledTokens: 0, resumed: 0, prefixHits: 0, refused: 0,
 	};
 	let fault: EngineFault | undefined;
 	let slowness = 1;
@@ -131,12 +135,17 @@
 		startStep();
 	}
 
-	const refusals: Readonly<Partial<Record<EngineFault, number>>> = {refuse: 503, fail: 500};
+	const refusals: Readonly<Partial<Record<EngineFault, number>>> = {refuse: 503, busy: 503, fail: 500};
 
 	function handleChat(request: FakeRequest, response: ServerResponse): void {
 		const status = isLeaving ? 503 : refusals[fault ?? 'freeze'];
 		if (status !== undefined) {
+			counts.refused++;
 			response.statusCode = status;
+			if (fault === 'busy') {
+				response.setHeader('retry-after', busyS);
+			}
+
 			response.end('no');
 			return;
 		}
--- a/node/router/test/failures.test.ts
+++ b/node/router/test/failures.test.ts
@@ -42,6 +42,20 @@
 	});
 }
 
+test('an engine that asked for a pause gets no requests until it is over', async t => {
+	const fleet = await startFleet({nodes: 2, engines: [{stepMs: 2}, {stepMs: 2}]});
+	t.teardown(fleet.close);
+	const callTogether = async () => Promise.all(Array.from({length: 8}, async (_value, call) => callNode(fleet.nodes[call % 2]!.callers, '/v1/chat/completions', {body: createChat(4)})));
+	const results = await callTogether();
+	fleet.engines[0]!.setFault('busy');
+	results.push(...await callTogether());
+	const {refused} = fleet.engines[0]!.counts();
+	t.ok(refused > 0);
+	results.push(...await callTogether());
+	t.same(results.map(result => getContent(result)), results.map(() => getExpectedAnswer(4)));
+	t.equal(fleet.engines[0]!.counts().refused, refused);
+});
+
 test('an engine that freezes before its first token holds urgent requests up only until their limit', async t => {
 	const fleet = await startFleet({
 		nodes: 1,
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -139,6 +139,7 @@
 			tokens,
 			firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
 			interTokenMs: firstAt !== undefined && tokens > 1 ? Math.round((Date.now() - firstAt) / (tokens - 1)) : undefined,
+			retryAfterMs: result.error?.retryAfterMs,
 		});
 		endpointHop.end();
 		return result;
