feat(selection): an endpoint that refuses a request is passed over for 400 ms while there is another

A refusal without a time was taken for a sound answer, and an endpoint that refuses at once has the least open work, so it was the next request's first choice again.

--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -14,6 +14,10 @@
 const failuresToEject = 2;
 const firstEjectionMs = 1000;
 const longestEjectionMs = 4000;
+/**
+Time for which an endpoint that is full is passed over, as long as there is another, in milliseconds: its queue needs some to be shorter.
+*/
+const refusedMs = 400;
 
 /**
  Creates the table of failing endpoints. After an ejection one failure is enough for the next, which is twice as long.
@@ -41,12 +45,15 @@
 				table.delete(endpoint);
 			}
 		},
+		recordRefusal(endpoint) {
+			table.set(endpoint, {count: 0, until: performance.now() + refusedMs});
+		},
 		eject(endpoint) {
 			addFailures(endpoint, failuresToEject);
 		},
 		isEjected(endpoint) {
 			const failures = table.get(endpoint);
-			return failures !== undefined && failures.count >= failuresToEject && performance.now() < failures.until;
+			return failures !== undefined && performance.now() < failures.until;
 		},
 		removeEndpoint(endpoint) {
 			table.delete(endpoint);
--- a/gateway/selection/src/create-work-book.ts
+++ b/gateway/selection/src/create-work-book.ts
@@ -65,7 +65,7 @@
 
 type WorkBookOptions = {
 	readonly loads: Pick<LoadTable, 'get' | 'add' | 'recordReading'>;
-	readonly failures: Pick<FailureTable, 'record' | 'eject'>;
+	readonly failures: Pick<FailureTable, 'record' | 'recordRefusal' | 'eject'>;
 	readonly chooser: Pick<PromptChooser, 'recordReading' | 'getPace' | 'getPauses'>;
 	readonly guard: Omit<SilenceGuard, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
@@ -87,7 +87,7 @@
 			failures.record(id, false);
 		},
 		rejected(id) {
-			failures.record(id, false);
+			failures.recordRefusal(id);
 		},
 		failed(id) {
 			failures.record(id, true);
--- a/gateway/selection/test/endpoint-notices.test.ts
+++ b/gateway/selection/test/endpoint-notices.test.ts
@@ -85,6 +85,26 @@
 	t.end();
 });
 
+test('an endpoint that refused without asking for a pause is passed over for a moment, unless it is the last one', t => {
+	const {selector, clock} = createPair(t);
+	const refuse = (tried: ReadonlySet<string>): void => {
+		const selection = selector.choose({...question, tried});
+		t.ok(selection !== undefined);
+		selector.open(selection!, question).close('rejected');
+	};
+
+	refuse(new Set([formatIncarnation(second)]));
+	t.same(listChosen(selector), ['i-2']);
+	refuse(new Set([formatIncarnation(first)]));
+	t.same(listChosen(selector), ['i-1', 'i-2']);
+	clock.advance(400);
+	t.same(listChosen(selector), ['i-1', 'i-2']);
+	refuse(new Set([formatIncarnation(second)]));
+	clock.advance(400);
+	t.same(listChosen(selector), ['i-1', 'i-2']);
+	t.end();
+});
+
 test('an endpoint that leaves is not chosen again, and a new process under its id is', t => {
 	const {selector} = createPair(t);
 	selector.applyNotice(formatIncarnation(first), {retryAfterMs: undefined, isLeaving: true});
