--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -172,6 +172,9 @@
 		const selection = tries < mostTries ? selector.choose(question) : undefined;
 		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
+			logger.info({
+				name: 'no-endpoint', request: id, pool: request.pool, tries, cooldownMs: Math.round(selector.getCooldownMs(request.pool)),
+			});
 			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: drawComeBackMs()}));
 			return;
 		}
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -82,6 +82,7 @@
 		readonly name: 'endpoint-notice'; readonly request: string; readonly endpoint: string; readonly status: number;
 		readonly retryAfterMs: number | undefined; readonly isLeaving: boolean;
 	}
+	| {readonly name: 'no-endpoint'; readonly request: string; readonly pool: string; readonly tries: number; readonly cooldownMs: number}
 	| {
 		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
 		readonly mayHaveRun: boolean; readonly isRetried: boolean;
