fix(selection): a request that waits for a connection is held back when its endpoint drains meanwhile

The choice of an endpoint was final, although opening a connection may take up to the connect timeout, so a request that was chosen in time could arrive after its endpoint had drained, gone or started again. The same question that asks for notices before the first byte now asks for the entry too; what is held back was not sent and goes elsewhere.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -223,7 +223,7 @@
 		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
 			address: endpoint.address,
-			canSend: () => selector.canTake(endpoint.incarnation),
+			canSend: () => selector.canTake(endpoint),
 			method: request.method,
 			path: request.path,
 			body: request.body,
@@ -314,12 +314,12 @@
 	/**
 	A request that was held back since its endpoint takes none says nothing against the endpoint.
 	*/
-	function classifyFailure({incarnation}: KnownEndpoint, wasSent: boolean): Parameters<OpenWork['close']>[0] {
+	function classifyFailure(endpoint: KnownEndpoint, wasSent: boolean): Parameters<OpenWork['close']>[0] {
 		if (wasSent) {
 			return 'failed';
 		}
 
-		return selector.canTake(incarnation) ? 'gone' : 'cancelled';
+		return selector.canTake(endpoint) ? 'gone' : 'cancelled';
 	}
 
 	function takeData(answer: AttemptAnswer, chunk: Uint8Array): Flow {
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -75,7 +75,7 @@
 		chooser.recordDemand(placement.pool, placement.endpoint, placement.tokens);
 	}
 
-	function canTake(incarnation: string): boolean {
+	function hasNoNotice(incarnation: string): boolean {
 		return !leaving.has(incarnation) && cooldowns.getRemainingMs(incarnation) === 0;
 	}
 
@@ -96,7 +96,7 @@
 	The first of the lists that is not empty: an endpoint that fails is better than none, but what one asked for holds.
 	*/
 	function listCandidates(ready: readonly KnownEndpoint[], tried: ReadonlySet<string>): readonly KnownEndpoint[] {
-		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && canTake(incarnation));
+		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && hasNoNotice(incarnation));
 		const sound = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		return sound.length > 0 ? sound : untried;
 	}
@@ -192,7 +192,10 @@
 				markLeaving(incarnation);
 			}
 		},
-		canTake,
+		canTake({id, incarnation}) {
+			const known = endpoints.get(id);
+			return known?.incarnation === incarnation && known.state === 'ready' && hasNoNotice(incarnation);
+		},
 		getCooldownMs(pool) {
 			const remaining = listReady(pool).map(({incarnation}) => cooldowns.getRemainingMs(incarnation));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -1,4 +1,5 @@
 import type {AnswerFacts, ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import type {KnownEndpoint} from './known-endpoint.ts';
 import type {LoadNews} from './load-news.ts';
 import type {OpenWork} from './open-work.ts';
 import type {PoolWork} from './pool-work.ts';
@@ -26,9 +27,9 @@
 	*/
 	readonly applyNotice: (incarnation: string, notice: Pick<AnswerFacts, 'retryAfterMs' | 'isLeaving'>) => void;
 	/**
-	Whether an incarnation takes requests, by its own word.
+	Whether a chosen endpoint still takes requests: it has neither left since nor asked for none.
 	*/
-	readonly canTake: (incarnation: string) => boolean;
+	readonly canTake: (endpoint: Pick<KnownEndpoint, 'id' | 'incarnation'>) => boolean;
 	/**
 	Milliseconds until the first endpoint of a pool that is ready takes requests again; 0 when one does now, or none is ready.
 	*/
--- a/gateway/selection/test/endpoint-notices.test.ts
+++ b/gateway/selection/test/endpoint-notices.test.ts
@@ -108,7 +108,7 @@
 test('an endpoint that leaves is not chosen again, and a new process under its id is', t => {
 	const {selector} = createPair(t);
 	selector.applyNotice(formatIncarnation(first), {retryAfterMs: undefined, isLeaving: true});
-	t.equal(selector.canTake(formatIncarnation(first)), false);
+	t.notOk(selector.canTake({id: first.id, incarnation: formatIncarnation(first)}));
 	selector.addEndpoint({...first, slots: 7});
 	selector.removeEndpoint(first.id);
 	selector.addEndpoint(first);
@@ -118,3 +118,26 @@
 	t.same(listChosen(selector), ['i-1', 'i-2']);
 	t.end();
 });
+
+test('a request that waits for a connection is held back when its endpoint drains, goes or starts again meanwhile', t => {
+	const chosen = {id: first.id, incarnation: formatIncarnation(first)};
+	const changes: ReadonlyArray<(selector: Selector) => void> = [
+		selector => {
+			selector.addEndpoint({...first, state: 'draining'});
+		},
+		selector => {
+			selector.removeEndpoint(first.id);
+		},
+		selector => {
+			selector.setIncarnation({...first, born: 2000});
+		},
+	];
+	for (const change of changes) {
+		const {selector} = createPair(t);
+		t.ok(selector.canTake(chosen));
+		change(selector);
+		t.notOk(selector.canTake(chosen));
+	}
+
+	t.end();
+});
