--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,4 +1,4 @@
-import {ValvesaddleError} from '@valvesaddle/error';
+import type {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
 import type {AnswerFacts} from '@valvesaddle/gateway-types';
 import type {
@@ -13,7 +13,8 @@
 import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
 import {createPatience} from './create-patience.ts';
-import {createPieceClock} from './create-piece-clock.ts';
+import {createRefusals} from './create-refusals.ts';
+import {createRequestRecord} from './create-request-record.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
@@ -30,15 +31,6 @@
 Largest answer that is held until it is whole, in bytes.
 */
 const largestWholeBytes = 8 * 1024 * 1024;
-/**
-When a caller may come back, in milliseconds, as long as no measured wait says better.
-*/
-const comeBackMs = 300;
-/**
-Time over which callers that wait for the end of a cooldown are spread, in milliseconds.
-*/
-const comeBackSpreadMs = 200;
-
 /**
  Starts to carry a request to one final answer. The task owns its timers and the exchange that is under way.
 
@@ -47,14 +39,14 @@
  task.cancel();
  */
 export function createForwardTask(options: ForwarderOptions, {request, reply, onOver}: ForwardTaskOptions): ForwardTask {
-	const {selector, exchanges, wire, logger, metrics} = options;
+	const {selector, exchanges, wire, metrics} = options;
 	const {facts, route} = request;
-	const id = facts.requestId ?? '-';
 	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
 	const deadlineAt = request.arrivedAt + waitMs;
 	const writer = createAnswerWriter({request, reply, wire});
 	const admitter = createAdmitter(options, request, waitMs);
-	const clock = createPieceClock(request.arrivedAt, metrics);
+	const record = createRequestRecord(options, request);
+	const refusals = createRefusals(selector, request.pool);
 	const tried = new Set<string>();
 	const question: SelectionQuestion = {
 		pool: request.pool,
@@ -89,12 +81,7 @@
 		isOver = true;
 		clearTimeout(timer);
 		patience.stop();
-		const elapsedMs = Math.round(performance.now() - request.arrivedAt);
-		metrics.increment('gateway.ended', 1, {outcome});
-		metrics.timing('gateway.total', elapsedMs);
-		logger.info({
-			name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs: clock.firstMs(), longestPauseMs: clock.longestPauseMs(), pieces: clock.pieces(), tries, runs,
-		});
+		record.recordEnd(outcome, status, {tries, runs});
 		onOver();
 	}
 
@@ -122,11 +109,8 @@
 	}
 
 	function handleDeadline(): void {
-		const wasSent = runs > 0;
 		endAttempt('cancelled');
-		refuse(wasSent
-			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${waitMs} ms`)
-			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', `not sent within ${waitMs} ms`, {retryAfterMs: comeBackMs}));
+		refuse(refusals.buildTimeout(waitMs, runs > 0));
 	}
 
 	/**
@@ -158,30 +142,19 @@
 		work = undefined;
 	}
 
-	/**
-	Draws when the caller may come back. While all endpoints are in a cooldown that is after the first of them ends, and callers are
-	spread so that they do not bring on the next one.
-	*/
-	function drawComeBackMs(): number {
-		const cooldownMs = selector.getCooldownMs(request.pool);
-		return cooldownMs === 0 ? comeBackMs : Math.max(comeBackMs, cooldownMs + (Math.random() * comeBackSpreadMs));
-	}
-
 	function startAttempt(): void {
 		const askedAt = performance.now();
 		const selection = tries < mostTries ? selector.choose(question) : undefined;
 		metrics.timing('gateway.decision', performance.now() - askedAt);
 		if (selection === undefined) {
-			logger.info({
-				name: 'no-endpoint', request: id, pool: request.pool, tries, cooldownMs: Math.round(selector.getCooldownMs(request.pool)),
-			});
-			refuse(new ValvesaddleError(tries === 0 ? 'ERR_VALVESADDLE_NO_ENDPOINT' : 'ERR_VALVESADDLE_ENDPOINTS_BUSY', `${tries} of ${request.pool} tried`, {retryAfterMs: drawComeBackMs()}));
+			record.recordNoEndpoint(tries, selector.getCooldownMs(request.pool));
+			refuse(refusals.buildNoEndpoint(tries));
 			return;
 		}
 
 		const admission = admitter.decide(selection, tries > 0);
 		if (admission.kind === 'refuse') {
-			refuse(new ValvesaddleError('ERR_VALVESADDLE_OVERLOADED', `first token predicted after ${Math.round(selection.costMs)} ms`, {retryAfterMs: admission.retryAfterMs}));
+			refuse(refusals.buildOverloaded(selection.costMs, admission.retryAfterMs));
 		} else {
 			openAt(admission.kind === 'send-late' ? selector.choose({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection);
 		}
@@ -201,25 +174,9 @@
 	}
 
 	function sendTo(selection: Selection, opened: OpenWork): void {
-		const {endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor} = selection;
+		const {endpoint, costMs} = selection;
 		const remainingMs = deadlineAt - performance.now();
-		logger.info({
-			name: 'request-sent',
-			request: id,
-			endpoint: endpoint.id,
-			pool: request.pool,
-			attempt: tries,
-			version: request.version,
-			candidates,
-			costMs: Math.round(costMs),
-			harmMs: Math.round(harmMs),
-			heldTokens,
-			unreadTokens: facts.promptTokens - heldTokens,
-			urgency,
-			remainingMs: Math.round(remainingMs),
-			newsAgeMs,
-			unseenFactor: Math.round(unseenFactor * 10) / 10,
-		});
+		record.recordSent(selection, tries, remainingMs);
 		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
 		exchange = exchanges.send({
 			address: endpoint.address,
@@ -240,19 +197,15 @@
 	/**
 	An endpoint may say of itself, in any answer, that it wants no requests for some time or that it leaves.
 	*/
-	function applyNotice({id: endpoint, incarnation}: KnownEndpoint, status: number, said: AnswerFacts): void {
-		const {retryAfterMs} = said;
+	function applyNotice(endpoint: KnownEndpoint, status: number, {requestId, retryAfterMs, isLeaving: saysLeaving}: AnswerFacts): void {
 		// A cooldown ends by itself; that an endpoint leaves is believed only of an answer that is surely its own.
-		const isLeaving = said.isLeaving && said.requestId === facts.requestId;
-		if (retryAfterMs === undefined && !isLeaving) {
+		const notice = {retryAfterMs, isLeaving: saysLeaving && requestId === facts.requestId};
+		if (retryAfterMs === undefined && !notice.isLeaving) {
 			return;
 		}
 
-		selector.applyNotice(incarnation, {retryAfterMs, isLeaving});
-		metrics.increment('gateway.endpoint-notices', 1, {kind: isLeaving ? 'leaving' : 'retry-after'});
-		logger.info({
-			name: 'endpoint-notice', request: id, endpoint, status, retryAfterMs, isLeaving,
-		});
+		selector.applyNotice(endpoint.incarnation, notice);
+		record.recordNotice(endpoint, status, notice);
 	}
 
 	function createListener(endpoint: KnownEndpoint, opened: OpenWork): ExchangeListener {
@@ -284,7 +237,7 @@
 			},
 			onData(chunk) {
 				opened.markPiece();
-				clock.record();
+				record.recordPiece();
 				if (answer?.verdict === 'stream') {
 					markBegun(performance.now());
 				}
@@ -389,25 +342,16 @@
 		// An attempt that never arrived takes nothing from the budget.
 		const isAllowed = canRepeat({route, mayHaveRun: failure.mayHaveRun, runs});
 		const isRetried = isAllowed && (arrivals === 0 || options.budget.spend(request.pool));
-		metrics.increment(isRetried ? 'gateway.retries' : 'gateway.given-up');
-		logger.info({
-			name: 'attempt-failed', request: id, attempt: tries, reason: failure.reason, mayHaveRun: failure.mayHaveRun, isRetried,
-		});
+		record.recordFailure(failure, tries, isRetried);
 		if (isRetried) {
 			startAttempt();
 		} else if (failure.answer !== undefined && !writer.isBegun()) {
 			answerCaller(failure.answer);
 		} else {
-			refuse(toRefusal(failure));
+			refuse(refusals.buildFailure(failure.reason, runs > 0));
 		}
 	}
 
-	function toRefusal({reason}: AttemptFailure): ValvesaddleError {
-		return runs > 0
-			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', reason)
-			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', reason, {retryAfterMs: drawComeBackMs()});
-	}
-
 	startAttempt();
 
 	return {
--- /dev/null
+++ b/gateway/forwarding/src/create-request-record.ts
@@ -0,0 +1,65 @@
+import {createPieceClock} from './create-piece-clock.ts';
+import type {ForwardRequest} from './forward-request.ts';
+import type {ForwarderOptions} from './forwarder-options.ts';
+import type {RequestRecord} from './request-record.ts';
+
+/**
+ Creates the record of one request.
+
+ @example
+ const record = createRequestRecord(options, request);
+ record.recordEnd('answered', 200, {tries: 1, runs: 1});
+ */
+export function createRequestRecord({logger, metrics}: Pick<ForwarderOptions, 'logger' | 'metrics'>, request: ForwardRequest): RequestRecord {
+	const {facts, route, pool} = request;
+	const id = facts.requestId ?? '-';
+	const clock = createPieceClock(request.arrivedAt, metrics);
+
+	return {
+		recordSent({endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor}, attempt, remainingMs) {
+			logger.info({
+				name: 'request-sent',
+				request: id,
+				endpoint: endpoint.id,
+				pool,
+				attempt,
+				version: request.version,
+				candidates,
+				costMs: Math.round(costMs),
+				harmMs: Math.round(harmMs),
+				heldTokens,
+				unreadTokens: facts.promptTokens - heldTokens,
+				urgency,
+				remainingMs: Math.round(remainingMs),
+				newsAgeMs,
+				unseenFactor: Math.round(unseenFactor * 10) / 10,
+			});
+		},
+		recordNotice(endpoint, status, {retryAfterMs, isLeaving}) {
+			metrics.increment('gateway.endpoint-notices', 1, {kind: isLeaving ? 'leaving' : 'retry-after'});
+			logger.info({
+				name: 'endpoint-notice', request: id, endpoint: endpoint.id, status, retryAfterMs, isLeaving,
+			});
+		},
+		recordFailure({reason, mayHaveRun}, attempt, isRetried) {
+			metrics.increment(isRetried ? 'gateway.retries' : 'gateway.given-up');
+			logger.info({
+				name: 'attempt-failed', request: id, attempt, reason, mayHaveRun, isRetried,
+			});
+		},
+		recordNoEndpoint(tries, cooldownMs) {
+			logger.info({
+				name: 'no-endpoint', request: id, pool, tries, cooldownMs: Math.round(cooldownMs),
+			});
+		},
+		recordPiece: clock.record,
+		recordEnd(outcome, status, {tries, runs}) {
+			const elapsedMs = Math.round(performance.now() - request.arrivedAt);
+			metrics.increment('gateway.ended', 1, {outcome});
+			metrics.timing('gateway.total', elapsedMs);
+			logger.info({
+				name: 'request-ended', request: id, route: route.name, outcome, status, elapsedMs, firstByteMs: clock.firstMs(), longestPauseMs: clock.longestPauseMs(), pieces: clock.pieces(), tries, runs,
+			});
+		},
+	};
+}
