--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -3,6 +3,7 @@
 import {
 	formatAnswer,
 	formatStreamHead,
+	leavingMark,
 	notRunMark,
 	signature,
 	startFakeEndpoint,
@@ -67,7 +68,7 @@
 		onNotice({
 			id, endpoint, at: now(), retryAfterMs: 0, isLeaving: true,
 		});
-		return {'server-leaving': '1'};
+		return leavingMark;
 	}
 
 	function refuseOverloaded(request: ArrivedRequest, socket: Socket): void {
--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -2,6 +2,7 @@
 import {formatAnswer} from './format-answer.ts';
 import {formatHead} from './format-head.ts';
 import {formatStreamHead} from './format-stream-head.ts';
+import {leavingMark} from './leaving-mark.ts';
 import {notRunMark} from './not-run-mark.ts';
 import {signature} from './signature.ts';
 
@@ -40,13 +41,13 @@
 	Answers, and says that it is leaving.
 	*/
 	leaving(request, socket) {
-		socket.write(formatAnswer('200 OK', request, {...signature, 'server-leaving': '1'}, `body of ${request.line}`));
+		socket.write(formatAnswer('200 OK', request, {...signature, ...leavingMark}, `body of ${request.line}`));
 	},
 	/**
 	The same in an answer to a request that was never sent to it.
 	*/
 	leavingOther(_request, socket) {
-		socket.write(formatAnswer('200 OK', {requestId: 'other'}, {...signature, 'server-leaving': '1'}, ''));
+		socket.write(formatAnswer('200 OK', {requestId: 'other'}, {...signature, ...leavingMark}, ''));
 	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
--- a/fakes/endpoint/src/index.ts
+++ b/fakes/endpoint/src/index.ts
@@ -4,6 +4,7 @@
 export type {FakeEndpoint} from './fake-endpoint.ts';
 export {formatAnswer} from './format-answer.ts';
 export {formatStreamHead} from './format-stream-head.ts';
+export {leavingMark} from './leaving-mark.ts';
 export {notRunMark} from './not-run-mark.ts';
 export {signature} from './signature.ts';
 export {startFakeEndpoint} from './start-fake-endpoint.ts';
