--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,17 +1,13 @@
 import type {ValvesaddleError} from '@valvesaddle/error';
-import type {Exchange, ExchangeListener, Flow} from '@valvesaddle/exchange';
-import type {AnswerFacts} from '@valvesaddle/gateway-types';
-import type {
-	KnownEndpoint,
-	OpenWork,
-	Selection,
-	SelectionQuestion,
-} from '@valvesaddle/selection';
+import type {Selection, SelectionQuestion} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
+import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import type {Attempt} from './attempt.ts';
 import {canRepeat} from './can-repeat.ts';
 import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
+import {createAttempt} from './create-attempt.ts';
 import {createPatience} from './create-patience.ts';
 import {createRefusals} from './create-refusals.ts';
 import {createRequestRecord} from './create-request-record.ts';
@@ -20,17 +16,12 @@
 import type {ForwarderOptions} from './forwarder-options.ts';
 import {getPatience} from './get-patience.ts';
 import {isRepeatable} from './is-repeatable.ts';
-import {classifyAnswer} from './classify-answer.ts';
 import {rankUrgency} from './rank-urgency.ts';
 
 /**
 Endpoints that may refuse or be unreachable, one after the other, before the caller is told so.
 */
 const mostTries = 5;
-/**
-Largest answer that is held until it is whole, in bytes.
-*/
-const largestWholeBytes = 8 * 1024 * 1024;
 /**
  Starts to carry a request to one final answer. The task owns its timers and the exchange that is under way.
 
@@ -39,7 +30,7 @@
  task.cancel();
  */
 export function createForwardTask(options: ForwarderOptions, {request, reply, onOver}: ForwardTaskOptions): ForwardTask {
-	const {selector, exchanges, wire, metrics} = options;
+	const {selector, wire, metrics} = options;
 	const {facts, route} = request;
 	const waitMs = Math.min(route.timeoutMs, facts.waitMs ?? Infinity);
 	const deadlineAt = request.arrivedAt + waitMs;
@@ -71,10 +62,28 @@
 	let runs = 0;
 	let arrivals = 0;
 	let isOver = false;
-	let exchange: Exchange | undefined;
-	let work: OpenWork | undefined;
+	let attempt: Attempt | undefined;
 	let isBegun = false;
 
+	const events: AttemptEvents = {
+		onSent() {
+			runs++;
+			arrivals++;
+		},
+		onNotRun() {
+			runs--;
+		},
+		onBegun: markBegun,
+		onPiece() {
+			if (route.kind === 'stream') {
+				startPatience(pauseMs);
+			}
+		},
+		onPaused: patience.stop,
+		onLost: moveElsewhere,
+		onAnswer: answerCaller,
+		onFailure: handleFailure,
+	};
 	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
 
 	function closeTask(outcome: string, status: number): void {
@@ -136,10 +145,8 @@
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
 		patience.stop();
-		exchange?.abort();
-		exchange = undefined;
-		work?.close(end);
-		work = undefined;
+		attempt?.end(end);
+		attempt = undefined;
 	}
 
 	function startAttempt(): void {
@@ -163,172 +170,16 @@
 	function openAt(selection: Selection): void {
 		tries++;
 		tried.add(selection.endpoint.incarnation);
-		work = selector.open(selection, question);
-		work.onSilent(() => {
-			moveElsewhere('silent to all nodes');
-		});
-		work.onEnded(() => {
-			moveElsewhere('its process has ended');
-		});
-		sendTo(selection, work);
-	}
-
-	function sendTo(selection: Selection, opened: OpenWork): void {
-		const {endpoint, costMs} = selection;
 		const remainingMs = deadlineAt - performance.now();
 		record.recordSent(selection, tries, remainingMs);
-		startPatience(getPatience(route, request.isEnginePool ? costMs : 0).firstMs);
-		exchange = exchanges.send({
-			address: endpoint.address,
-			canSend: () => selector.canTake(endpoint),
-			method: request.method,
-			path: request.path,
-			body: request.body,
-			headers: wire.writeRequest(request.rawHeaders, {
-				endpoint: endpoint.id,
-				account: request.account?.name,
-				remainingMs,
-				urgency: request.isEnginePool ? selection.urgency : undefined,
-				lastEventId: writer.lastEventId(),
-			}),
-		}, createListener(endpoint, opened));
-	}
-
-	/**
-	An endpoint may say of itself, in any answer, that it wants no requests for some time or that it leaves.
-	*/
-	function applyNotice(endpoint: KnownEndpoint, status: number, {requestId, retryAfterMs, isLeaving: saysLeaving}: AnswerFacts): void {
-		// A cooldown ends by itself; that an endpoint leaves is believed only of an answer that is surely its own.
-		const notice = {retryAfterMs, isLeaving: saysLeaving && requestId === facts.requestId};
-		if (retryAfterMs === undefined && !notice.isLeaving) {
-			return;
-		}
-
-		selector.applyNotice(endpoint.incarnation, notice);
-		record.recordNotice(endpoint, status, notice);
-	}
-
-	function createListener(endpoint: KnownEndpoint, opened: OpenWork): ExchangeListener {
-		let answer: AttemptAnswer | undefined;
-		let wasSent = false;
-		let sentAt = 0;
-
-		return {
-			onSent() {
-				wasSent = true;
-				sentAt = performance.now();
-				runs++;
-				arrivals++;
-			},
-			onHead(status, headers) {
-				const said = wire.readAnswer(status, headers);
-				applyNotice(endpoint, status, said);
-				const verdict = classifyAnswer(status, said, facts.requestId);
-				answer = {
-					status, headers, verdict, pieces: [], bytes: 0,
-				};
-				if (verdict === 'stream') {
-					writer.begin(answer);
-				} else if (verdict === 'untrusted') {
-					// What follows on the connection cannot be told apart from other answers.
-					endAttempt('failed');
-					handleFailure({reason: `untrusted answer ${status}`, mayHaveRun: true});
-				}
-			},
-			onData(chunk) {
-				opened.markPiece();
-				record.recordPiece();
-				if (answer?.verdict === 'stream') {
-					markBegun(performance.now());
-				}
-
-				if (route.kind === 'stream') {
-					startPatience(pauseMs);
-				}
-
-				return answer === undefined ? 'more' : takeData(answer, chunk);
-			},
-			onEnd() {
-				if (answer?.verdict === 'whole' || answer?.verdict === 'run-failed') {
-					markBegun(sentAt);
-				}
-
-				if (answer !== undefined) {
-					handleEnd(answer, opened);
-				}
-			},
-			onFailure(error) {
-				opened.close(classifyFailure(endpoint, wasSent));
-				handleFailure({reason: error.message, mayHaveRun: wasSent});
-			},
-		};
-	}
-
-	/**
-	A request that was held back since its endpoint takes none says nothing against the endpoint.
-	*/
-	function classifyFailure(endpoint: KnownEndpoint, wasSent: boolean): Parameters<OpenWork['close']>[0] {
-		if (wasSent) {
-			return 'failed';
-		}
-
-		return selector.canTake(endpoint) ? 'gone' : 'cancelled';
-	}
-
-	function takeData(answer: AttemptAnswer, chunk: Uint8Array): Flow {
-		if (answer.verdict === 'stream') {
-			return writePiece(chunk);
-		}
-
-		answer.bytes += chunk.length;
-		if (answer.bytes > largestWholeBytes) {
-			endAttempt('failed');
-			handleFailure({reason: `answer of over ${largestWholeBytes} bytes`, mayHaveRun: true});
-			return 'more';
-		}
-
-		answer.pieces.push(chunk);
-		return 'more';
-	}
-
-	function writePiece(chunk: Uint8Array): Flow {
-		if (writer.write(chunk)) {
-			return 'more';
-		}
-
-		const paused = exchange;
-		// A caller that reads slowly says nothing about the endpoint.
-		patience.stop();
-		work?.markPaused();
-		writer.onDrain(() => {
-			paused?.resume();
-		});
-		return 'pause';
-	}
-
-	function handleEnd(answer: AttemptAnswer, opened: OpenWork): void {
-		if (answer.verdict === 'not-run' || answer.verdict === 'misdirected') {
-			runs--;
-			opened.close(answer.verdict === 'misdirected' ? 'gone' : 'rejected');
-			handleFailure({reason: `refused with ${answer.status}`, mayHaveRun: false});
-		} else if (answer.verdict === 'run-failed') {
-			opened.close('failed');
-			handleFailure({reason: `failed with ${answer.status}`, mayHaveRun: true, answer});
-		} else if (answer.verdict === 'stream' && writer.hasRest()) {
-			opened.close('failed');
-			handleFailure({reason: 'the stream ended within an event', mayHaveRun: true});
-		} else if (answer.verdict === 'whole' && writer.isBegun()) {
-			// The caller has the head of a stream already, which nothing but a stream can go on with.
-			opened.close('failed');
-			handleFailure({reason: `a stream went on as a whole answer ${answer.status}`, mayHaveRun: true});
-		} else {
-			opened.close('done');
-			answerCaller(answer);
-		}
+		startPatience(getPatience(route, request.isEnginePool ? selection.costMs : 0).firstMs);
+		attempt = createAttempt({
+			tools: options, request, question, selection, writer, record, remainingMs,
+		}, events);
 	}
 
 	function answerCaller(answer: AttemptAnswer): void {
-		exchange = undefined;
+		attempt = undefined;
 		// The timer goes last: an answer that cannot be written would otherwise stay open without end.
 		writer.end(answer);
 		closeTask('answered', answer.status);
@@ -336,8 +187,7 @@
 
 	function handleFailure(failure: AttemptFailure): void {
 		patience.stop();
-		exchange = undefined;
-		work = undefined;
+		attempt = undefined;
 		writer.dropRest();
 		// An attempt that never arrived takes nothing from the budget.
 		const isAllowed = canRepeat({route, mayHaveRun: failure.mayHaveRun, runs});
