--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -15,7 +15,7 @@
 const firstEjectionMs = 1000;
 const longestEjectionMs = 4000;
 /**
-Time for which an endpoint that is full is passed over, as long as there is another, in milliseconds: its queue needs some to be shorter.
+Time for which an endpoint that refused is passed over while there is another, so that its queue can shorten, in milliseconds.
 */
 const refusedMs = 400;
 
