refactor(selection): a choice asks each thing of a notice once

The choice asked twice for each candidate whether it had said that it leaves, and read the clock for endpoints without a cooldown; both were work on the path of every request. What 'ready' means now stands once, for the choice and for the question before the first byte. In the soak the two checks of notices build their table of senders by one function.

--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -59,6 +59,10 @@
 	return body.matchAll(/^id: (?<id>\d+)$/gmv).map(match => Number(match.groups?.id)).toArray();
 }
 
+function listSenders(attempts: readonly Attempt[]): ReadonlyMap<string, Attempt> {
+	return new Map(attempts.map(attempt => [attempt.id, attempt]));
+}
+
 function isStream({kind}: Attempt): boolean {
 	return kind === 'stream' || kind === 'resumable';
 }
@@ -93,7 +97,7 @@
 			.map(run => (`${run.id} came to ${endpoint} ${run.at - at} ms after it said that it leaves`)));
 	},
 	'an endpoint that asked for a pause gets at most two requests in it'({attempts, arrivals, notices, faults}) {
-		const senders = new Map(attempts.map(attempt => [attempt.id, attempt]));
+		const senders = listSenders(attempts);
 		return notices.filter(({retryAfterMs}) => retryAfterMs > 0).flatMap(({id, endpoint, at, retryAfterMs}) => {
 			const sender = senders.get(id);
 			const isPaused = faults.some(fault => fault.kind === 'pause' && sender?.node === `n${fault.target}` && fault.at < at + retryAfterMs && fault.until > at);
@@ -102,7 +106,7 @@
 		});
 	},
 	'an endpoint that says that it leaves gets no further requests'({attempts, arrivals, notices}) {
-		const senders = new Map(attempts.map(attempt => [attempt.id, attempt]));
+		const senders = listSenders(attempts);
 		return notices.filter(({isLeaving}) => isLeaving).flatMap(({id, endpoint, at}) => {
 			const told = senders.get(id);
 			const late = arrivals.filter(arrival => {
--- a/gateway/selection/src/create-cooldown-table.ts
+++ b/gateway/selection/src/create-cooldown-table.ts
@@ -31,6 +31,9 @@
 			const endsAt = now + Math.min(longestCooldownMs, milliseconds);
 			ends.set(endpoint, Math.max(endsAt, ends.get(endpoint) ?? endsAt));
 		},
-		getRemainingMs: endpoint => Math.max(0, (ends.get(endpoint) ?? 0) - performance.now()),
+		getRemainingMs(endpoint) {
+			const endsAt = ends.get(endpoint);
+			return endsAt === undefined ? 0 : Math.max(0, endsAt - performance.now());
+		},
 	};
 }
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -75,8 +75,15 @@
 		chooser.recordDemand(placement.pool, placement.endpoint, placement.tokens);
 	}
 
-	function hasNoNotice(incarnation: string): boolean {
-		return !leaving.has(incarnation) && cooldowns.getRemainingMs(incarnation) === 0;
+	function isCooling(incarnation: string): boolean {
+		return cooldowns.getRemainingMs(incarnation) > 0;
+	}
+
+	/**
+	Whether an endpoint takes requests but for a cooldown, by its entry and by its own word.
+	*/
+	function isReady({state, incarnation}: KnownEndpoint): boolean {
+		return state === 'ready' && !leaving.has(incarnation);
 	}
 
 	function markLeaving(incarnation: string): void {
@@ -89,14 +96,14 @@
 	}
 
 	function listReady(pool: string): readonly KnownEndpoint[] {
-		return endpoints.values().filter(endpoint => endpoint.pool === pool && endpoint.state === 'ready' && !leaving.has(endpoint.incarnation)).toArray();
+		return endpoints.values().filter(endpoint => endpoint.pool === pool && isReady(endpoint)).toArray();
 	}
 
 	/**
 	The first of the lists that is not empty: an endpoint that fails is better than none, but what one asked for holds.
 	*/
 	function listCandidates(ready: readonly KnownEndpoint[], tried: ReadonlySet<string>): readonly KnownEndpoint[] {
-		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && hasNoNotice(incarnation));
+		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !isCooling(incarnation));
 		const sound = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		return sound.length > 0 ? sound : untried;
 	}
@@ -194,7 +201,7 @@
 		},
 		canTake({id, incarnation}) {
 			const known = endpoints.get(id);
-			return known?.incarnation === incarnation && known.state === 'ready' && hasNoNotice(incarnation);
+			return known?.incarnation === incarnation && isReady(known) && !isCooling(incarnation);
 		},
 		getCooldownMs(pool) {
 			const remaining = listReady(pool).map(({incarnation}) => cooldowns.getRemainingMs(incarnation));
