feat(front,forwarding): report who ended an incomplete answer, and why

A caller whose answer broke off left only request-ended with broken-off or cancelled at the node: neither who ended the answer nor why, and an answer that was written but not delivered was logged as answered.

answer-incomplete names the caller, endpoint, deadline or node, the cause, the bytes sent and those that waited; gateway.incomplete-answers counts by both. attempt-failed also names its cause, why it was not retried, and the state of the retry budget. No decision changes.

--- a/gateway/forwarding/src/attempt-events.ts
+++ b/gateway/forwarding/src/attempt-events.ts
@@ -1,5 +1,6 @@
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import type {FailureCause} from './failure-cause.ts';
 
 /**
 Callbacks of an attempt. Exactly one of `onAnswer` and `onFailure` is called, as the last one, unless the attempt is ended first.
@@ -28,7 +29,7 @@
 	/**
 	The endpoint has stalled or terminated; the attempt stays open until it is ended.
 	*/
-	readonly onEndpointLost: (reason: string) => void;
+	readonly onEndpointLost: (cause: FailureCause, reason: string) => void;
 	/**
 	The answer is complete and can be sent to the caller.
 	*/
--- a/gateway/forwarding/src/attempt-failure.ts
+++ b/gateway/forwarding/src/attempt-failure.ts
@@ -1,9 +1,11 @@
 import type {AttemptAnswer} from './attempt-answer.ts';
+import type {FailureCause} from './failure-cause.ts';
 
 /**
 Why an attempt produced no answer for the caller.
 */
 export type AttemptFailure = {
+	readonly cause: FailureCause;
 	readonly reason: string;
 	/**
 	Whether the endpoint may have run the request.
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -6,6 +6,7 @@
 import type {AttemptOptions} from './attempt-options.ts';
 import type {Attempt} from './attempt.ts';
 import {classifyAnswer} from './classify-answer.ts';
+import type {FailureCause} from './failure-cause.ts';
 
 /**
 Largest answer that is buffered, in bytes. Event streams are not buffered.
@@ -28,10 +29,10 @@
 	let sentAt: number | undefined;
 
 	openRequest.onStalled(() => {
-		events.onEndpointLost('silent to all nodes');
+		events.onEndpointLost('stalled', 'silent to all nodes');
 	});
 	openRequest.onEnded(() => {
-		events.onEndpointLost('its process has ended');
+		events.onEndpointLost('restarted', 'its process has ended');
 	});
 
 	function end(outcome: 'failed' | 'cancelled'): void {
@@ -42,9 +43,9 @@
 	/**
 	Aborts an attempt whose answer cannot be used.
 	*/
-	function failAttempt(reason: string): void {
+	function failAttempt(cause: FailureCause, reason: string): void {
 		end('failed');
-		events.onFailure({reason, mayHaveRun: true});
+		events.onFailure({cause, reason, mayHaveRun: true});
 	}
 
 	/**
@@ -68,7 +69,7 @@
 
 		current.bytes += chunk.length;
 		if (current.bytes > maximumBufferedBytes) {
-			failAttempt(`answer of over ${maximumBufferedBytes} bytes`);
+			failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
 			return 'more';
 		}
 
@@ -94,17 +95,19 @@
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
 			openRequest.close(answerClass === 'misdirected' ? 'gone' : 'rejected');
 			events.onNotRun();
-			events.onFailure({reason: `refused with ${status}`, mayHaveRun: false});
+			events.onFailure({cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false});
 		} else if (answerClass === 'run-failed') {
 			openRequest.close('failed');
-			events.onFailure({reason: `failed with ${status}`, mayHaveRun: true, answer: completed});
+			events.onFailure({
+				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: completed,
+			});
 		} else if (answerClass === 'stream' && writer.hasPartialEvent()) {
 			openRequest.close('failed');
-			events.onFailure({reason: 'the stream ended within an event', mayHaveRun: true});
+			events.onFailure({cause: 'truncated', reason: 'the stream ended within an event', mayHaveRun: true});
 		} else if (answerClass === 'whole' && writer.isStarted()) {
 			// The caller has already received the head of a stream, which only another stream can continue.
 			openRequest.close('failed');
-			events.onFailure({reason: `a stream went on as a whole answer ${status}`, mayHaveRun: true});
+			events.onFailure({cause: 'untrusted', reason: `a stream went on as a whole answer ${status}`, mayHaveRun: true});
 		} else {
 			openRequest.close('done');
 			events.onAnswer(completed);
@@ -147,7 +150,7 @@
 				writer.start(answer);
 			} else if (answerClass === 'untrusted') {
 				// The rest of the data on this connection may belong to another request's answer.
-				failAttempt(`untrusted answer ${status}`);
+				failAttempt('untrusted', `untrusted answer ${status}`);
 			}
 		},
 		onData(chunk) {
@@ -174,7 +177,7 @@
 		onFailure(error) {
 			const wasSent = sentAt !== undefined;
 			openRequest.close(wasSent ? 'failed' : classifyUnsent());
-			events.onFailure({reason: error.message, mayHaveRun: wasSent});
+			events.onFailure({cause: wasSent ? 'connection' : 'unsent', reason: error.message, mayHaveRun: wasSent});
 		},
 	});
 
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -13,10 +13,14 @@
 import {createRequestRecorder} from './create-request-recorder.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
+import type {FailureCause} from './failure-cause.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
 import {getProgressTimeouts} from './get-progress-timeouts.ts';
+import type {Interruption} from './interruption.ts';
 import {isRetryable} from './is-retryable.ts';
 import {rankUrgency} from './rank-urgency.ts';
+import type {RetryDenial} from './retry-denial.ts';
+import {toInterruption} from './to-interruption.ts';
 
 /**
 Number of endpoints that are tried for one request, including those that refuse it or are unreachable.
@@ -57,7 +61,7 @@
 		}
 
 		endAttempt('failed');
-		handleFailure({reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
+		handleFailure({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
 	});
 	let attempts = 0;
 	let runs = 0;
@@ -108,19 +112,26 @@
 	}
 
 	function refuse(error: ValvesaddleError): void {
-		if (writer.isStarted()) {
-			closeTask('broken-off', 0);
-			reply.abort();
+		closeTask(error.code, error.traits.status);
+		reply.refuse(error);
+	}
+
+	/**
+	Ends the request without a whole answer: by a refusal, or within an answer that has started.
+	*/
+	function fail(error: ValvesaddleError, interruption: Interruption): void {
+		if (!writer.isStarted()) {
+			refuse(error);
 			return;
 		}
 
-		closeTask(error.code, error.traits.status);
-		reply.refuse(error);
+		closeTask('broken-off', 0);
+		reply.abort(interruption);
 	}
 
 	function handleDeadline(): void {
 		endAttempt('cancelled');
-		refuse(refusals.buildTimeout(waitMs, runs > 0));
+		fail(refusals.buildTimeout(waitMs, runs > 0), {endedBy: 'deadline', cause: 'timeout', reason: `no whole answer after ${waitMs} ms`});
 	}
 
 	/**
@@ -135,13 +146,13 @@
 	/**
 	Sends a retryable request to another endpoint immediately, since this one will not answer.
 	*/
-	function handleEndpointLost(reason: string): void {
+	function handleEndpointLost(cause: FailureCause, reason: string): void {
 		if (!canRetry({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
 			return;
 		}
 
 		endAttempt('cancelled');
-		handleFailure({reason, mayHaveRun: true});
+		handleFailure({cause, reason, mayHaveRun: true});
 	}
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
@@ -156,7 +167,7 @@
 		metrics.timing('gateway.decision', performance.now() - startedAt);
 		if (selection === undefined) {
 			recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
-			refuse(refusals.buildNoEndpoint(attempts));
+			fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
 			return;
 		}
 
@@ -186,20 +197,29 @@
 		closeTask('answered', answer.status);
 	}
 
+	/**
+	Spends a retry, or tells why there is none. Retries use the budget only once the request has been sent to an endpoint.
+	*/
+	function checkRetry({mayHaveRun}: AttemptFailure): RetryDenial | undefined {
+		if (!canRetry({route, mayHaveRun, runs})) {
+			return mayHaveRun && !isRequestRetryable ? 'not-repeatable' : 'run-limit';
+		}
+
+		return sends === 0 || options.budget.spend(request.pool) ? undefined : 'budget';
+	}
+
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
 		attempt = undefined;
 		writer.discardPartialEvent();
-		// Retries use the retry budget only once the request has been sent to an endpoint.
-		const isAllowed = canRetry({route, mayHaveRun: failure.mayHaveRun, runs});
-		const isRetried = isAllowed && (sends === 0 || options.budget.spend(request.pool));
-		recorder.recordFailure(failure, attempts, isRetried);
-		if (isRetried) {
+		const denial = checkRetry(failure);
+		recorder.recordFailure(failure, attempts, denial, options.budget.readUsage(request.pool));
+		if (denial === undefined) {
 			startAttempt();
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
 			answerCaller(failure.answer);
 		} else {
-			refuse(refusals.buildFailure(failure.reason, runs > 0));
+			fail(refusals.buildFailure(failure.reason, runs > 0), toInterruption(failure));
 		}
 	}
 
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -41,10 +41,10 @@
 				name: 'endpoint-notice', request: id, endpoint: endpoint.id, status, retryAfterMs, isLeaving,
 			});
 		},
-		recordFailure({reason, mayHaveRun}, attempt, isRetried) {
-			metrics.increment(isRetried ? 'gateway.retries' : 'gateway.given-up');
+		recordFailure({cause, reason, mayHaveRun}, attempt, denial, {retries, allowed}) {
+			metrics.increment(denial === undefined ? 'gateway.retries' : 'gateway.given-up', 1, {cause});
 			logger.info({
-				name: 'attempt-failed', request: id, attempt, reason, mayHaveRun, isRetried,
+				name: 'attempt-failed', request: id, attempt, cause, reason, mayHaveRun, isRetried: denial === undefined, denial, retries, allowedRetries: Math.floor(allowed),
 			});
 		},
 		recordNoEndpoint(attempts, cooldownMs) {
--- a/gateway/forwarding/src/reply.ts
+++ b/gateway/forwarding/src/reply.ts
@@ -1,4 +1,5 @@
 import type {ValvesaddleError} from '@valvesaddle/error';
+import type {Interruption} from './interruption.ts';
 
 /**
 Writes the final answer of a request to its caller.
@@ -24,6 +25,6 @@
 	/**
 	Closes the connection within an answer, so that the caller sees it as incomplete.
 	*/
-	readonly abort: () => void;
+	readonly abort: (interruption: Interruption) => void;
 	readonly refuse: (error: ValvesaddleError) => void;
 };
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -1,6 +1,8 @@
 import type {AnswerMetadata} from '@valvesaddle/gateway-types';
+import type {RetryUsage} from '@valvesaddle/retry-budget';
 import type {KnownEndpoint, Selection} from '@valvesaddle/selection';
 import type {AttemptFailure} from './attempt-failure.ts';
+import type {RetryDenial} from './retry-denial.ts';
 
 /**
 Cooldown or draining signal in the headers of an endpoint's answer.
@@ -16,7 +18,10 @@
 	*/
 	readonly recordSent: (selection: Selection, attempt: number, remainingMs: number) => void;
 	readonly recordNotice: (endpoint: KnownEndpoint, status: number, notice: Notice) => void;
-	readonly recordFailure: (failure: AttemptFailure, attempt: number, isRetried: boolean) => void;
+	/**
+	Records a failed attempt, why it is not followed by another, and the state of the retry budget.
+	*/
+	readonly recordFailure: (failure: AttemptFailure, attempt: number, denial: RetryDenial | undefined, usage: RetryUsage) => void;
 	/**
 	Records that no endpoint is available; `cooldownMs` is the time until the first cooldown expires.
 	*/
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -4,6 +4,7 @@
 import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
 import {startServer} from '@valvesaddle/http-server';
 import {countHeaderBytes} from './count-header-bytes.ts';
+import {createAnswerMonitor} from './create-answer-monitor.ts';
 import {createConnectionGuard} from './create-connection-guard.ts';
 import {createReply} from './create-reply.ts';
 import type {Front} from './front.ts';
@@ -56,6 +57,7 @@
 		},
 	});
 
+	const monitor = createAnswerMonitor(options);
 	const guard = createConnectionGuard({logger, metrics});
 	server.on('clientError', guard.handleError);
 
@@ -125,13 +127,17 @@
 			name: 'request-admitted', request: head.metadata.requestId ?? '-', route: head.route.name, version: head.version, account: head.account?.name,
 			priority: head.account?.priority ?? head.route.priority, promptTokens: head.metadata.promptTokens, outputTokens: head.metadata.outputTokens, waitMs: head.metadata.waitMs,
 		});
-		const task = options.forwarder.forward({...head, body}, createReply(response, options.isLeaving));
+		const reply = createReply(response, options.isLeaving, interruption => {
+			monitor.markInterrupted(response, interruption);
+		});
+		const task = options.forwarder.forward({...head, body}, reply);
 		response.once('close', task.cancel);
 	}
 
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		metrics.increment('gateway.requests');
 		guard.add(request, response);
+		monitor.add(request, response);
 		try {
 			await forward(request, response);
 		} catch (error) {
@@ -160,6 +166,7 @@
 			clearInterval(timer);
 		},
 		closeNow() {
+			monitor.markAllInterrupted({endedBy: 'node', cause: 'shutdown', reason: 'the node stops'});
 			server.close();
 			server.closeAllConnections();
 		},
--- a/gateway/front/src/create-reply.ts
+++ b/gateway/front/src/create-reply.ts
@@ -1,17 +1,20 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Reply} from '@valvesaddle/forwarding';
+import type {Interruption, Reply} from '@valvesaddle/forwarding';
 import {formatChunk} from './format-chunk.ts';
 import {sendRefusal} from './send-refusal.ts';
 
 /**
  Creates the reply to a caller over its HTTP connection.
 
+ @param response - The HTTP server's response.
+ @param isLeaving - Whether the answer asks the caller to close its connection.
+ @param onAbort - Called before an answer is ended incomplete.
  @example
  const reply = createReply(response, () => false);
  reply.answer(200, ['content-type', 'text/plain'], Buffer.from('ok'));
  */
-export function createReply(response: ServerResponse, isLeaving: () => boolean): Reply {
+export function createReply(response: ServerResponse, isLeaving: () => boolean, onAbort?: (interruption: Interruption) => void): Reply {
 	function toHead(headers: string[]): string[] {
 		return isLeaving() ? [...headers, 'connection', 'close'] : headers;
 	}
@@ -35,7 +38,8 @@
 		end() {
 			response.end();
 		},
-		abort() {
+		abort(interruption) {
+			onAbort?.(interruption);
 			response.destroy();
 		},
 		refuse(error) {
--- a/gateway/retry-budget/src/create-retry-budget.ts
+++ b/gateway/retry-budget/src/create-retry-budget.ts
@@ -1,5 +1,6 @@
 import type {RetryBudget} from './retry-budget.ts';
 import type {RetryBudgetOptions} from './retry-budget-options.ts';
+import type {RetryUsage} from './retry-usage.ts';
 
 type Usage = {
 	readonly requests: number[];
@@ -32,20 +33,25 @@
 		return usage;
 	}
 
+	function readUsage(pool: string): RetryUsage {
+		const {requests, retries} = getUsage(pool);
+		return {retries: retries.length, allowed: usedShare * ((ratio * requests.length) + (slack / Math.max(1, countNodes())))};
+	}
+
 	return {
 		earn(pool) {
 			getUsage(pool).requests.push(performance.now());
 		},
 		spend(pool) {
-			const {requests, retries} = getUsage(pool);
-			const allowed = usedShare * ((ratio * requests.length) + (slack / Math.max(1, countNodes())));
-			if (retries.length + 1 > allowed) {
+			const {retries, allowed} = readUsage(pool);
+			if (retries + 1 > allowed) {
 				return false;
 			}
 
-			retries.push(performance.now());
+			getUsage(pool).retries.push(performance.now());
 			return true;
 		},
+		readUsage,
 	};
 }
 
--- a/gateway/retry-budget/src/retry-budget.ts
+++ b/gateway/retry-budget/src/retry-budget.ts
@@ -1,3 +1,5 @@
+import type {RetryUsage} from './retry-usage.ts';
+
 /**
 The part of a fleet's retry budget that one node may spend.
 */
@@ -10,4 +12,5 @@
 	Spends one retry; `false` if none is left in the window.
 	*/
 	readonly spend: (pool: string) => boolean;
+	readonly readUsage: (pool: string) => RetryUsage;
 };
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -84,8 +84,12 @@
 	}
 	| {readonly name: 'no-endpoint'; readonly request: string; readonly pool: string; readonly tries: number; readonly cooldownMs: number}
 	| {
-		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly reason: string;
-		readonly mayHaveRun: boolean; readonly isRetried: boolean;
+		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
+		readonly mayHaveRun: boolean; readonly isRetried: boolean; readonly denial: string | undefined; readonly retries: number; readonly allowedRetries: number;
+	}
+	| {
+		readonly name: 'answer-incomplete'; readonly request: string; readonly endedBy: string; readonly cause: string; readonly reason: string;
+		readonly bytesSent: number; readonly bytesUnsent: number; readonly elapsedMs: number;
 	}
 	| {
 		readonly name: 'request-ended'; readonly request: string; readonly route: string; readonly outcome: string; readonly status: number;
