fix(forwarding): end an attempt only once the request can go on elsewhere

Callers saw streams of sound endpoints break off, and 502 while their request waited at one. When a stream paused, or its endpoint counted as stalled, the attempt was aborted first; then the retry budget, the endpoints left and the limit of endpoints tried were asked. With none left the request ended there. At a node that is shutting down this cuts off accepted work.

The endpoint is now chosen and the retry spent before the attempt is ended; otherwise it goes on, attempt-kept says why, and it is checked again after the same time. A fifth endpoint is not left for a sixth one that is never tried.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -4,22 +4,20 @@
 import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {Attempt} from './attempt.ts';
-import {canRetry} from './can-retry.ts';
 import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
 import {createAttempt} from './create-attempt.ts';
 import {createProgressTimer} from './create-progress-timer.ts';
 import {createRefusals} from './create-refusals.ts';
 import {createRequestRecorder} from './create-request-recorder.ts';
+import {createRetryAllowance} from './create-retry-allowance.ts';
 import type {ForwardTask} from './forward-task.ts';
 import type {ForwardTaskOptions} from './forward-task-options.ts';
-import type {FailureCause} from './failure-cause.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
 import {getProgressTimeouts} from './get-progress-timeouts.ts';
 import type {Interruption} from './interruption.ts';
 import {isRetryable} from './is-retryable.ts';
 import {rankUrgency} from './rank-urgency.ts';
-import type {RetryDenial} from './retry-denial.ts';
 import {toInterruption} from './to-interruption.ts';
 
 /**
@@ -53,31 +51,25 @@
 		parts: metadata.parts,
 		tried,
 	};
-	const isRequestRetryable = isRetryable(route);
+	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget});
 	const {pauseMs} = getProgressTimeouts(route, 0);
 	const progressTimer = createProgressTimer(milliseconds => {
-		if (!canRetry({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
+		if (!retries.isAllowed({mayHaveRun: true})) {
 			return;
 		}
 
-		endAttempt('failed');
-		handleFailure({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true});
+		// Checked again if the attempt goes on: a retry or an endpoint may become available while the request still waits.
+		startProgressTimer(milliseconds);
+		moveAttempt({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true}, 'failed');
 	});
 	let attempts = 0;
-	let runs = 0;
-	let sends = 0;
 	let hasEnded = false;
 	let attempt: Attempt | undefined;
 	let isStarted = false;
 
 	const events: AttemptEvents = {
-		onSent() {
-			runs++;
-			sends++;
-		},
-		onNotRun() {
-			runs--;
-		},
+		onSent: retries.markSent,
+		onNotRun: retries.markNotRun,
 		onStarted: markStarted,
 		onChunk() {
 			if (route.kind === 'stream') {
@@ -85,7 +77,11 @@
 			}
 		},
 		onPaused: progressTimer.stop,
-		onEndpointLost: handleEndpointLost,
+		onEndpointLost(cause, reason) {
+			if (retries.isAllowed({mayHaveRun: true})) {
+				moveAttempt({cause, reason, mayHaveRun: true}, 'cancelled');
+			}
+		},
 		onAnswer: answerCaller,
 		onFailure: handleFailure,
 	};
@@ -95,7 +91,7 @@
 		hasEnded = true;
 		clearTimeout(timer);
 		progressTimer.stop();
-		recorder.recordEnd(outcome, status, {attempts, runs});
+		recorder.recordEnd(outcome, status, {attempts, runs: retries.countRuns()});
 		onEnd();
 	}
 
@@ -131,28 +127,34 @@
 
 	function handleDeadline(): void {
 		endAttempt('cancelled');
-		fail(refusals.buildTimeout(waitMs, runs > 0), {endedBy: 'deadline', cause: 'timeout', reason: `no whole answer after ${waitMs} ms`});
+		fail(refusals.buildTimeout(waitMs, retries.countRuns() > 0), {endedBy: 'deadline', cause: 'timeout', reason: `no whole answer after ${waitMs} ms`});
 	}
 
 	/**
 	Restarts the timeout for the next chunk, after which a retryable request is sent to another endpoint.
 	*/
 	function startProgressTimer(milliseconds: number): void {
-		if (isRequestRetryable) {
+		if (isRetryable(route)) {
 			progressTimer.start(milliseconds);
 		}
 	}
 
 	/**
-	Sends a retryable request to another endpoint immediately, since this one will not answer.
+	Ends an attempt that is presumed lost, and sends the request to another endpoint. The attempt goes on if the request cannot:
+	its endpoint may still answer.
 	*/
-	function handleEndpointLost(cause: FailureCause, reason: string): void {
-		if (!canRetry({route, mayHaveRun: true, runs}) || selector.choose(question) === undefined) {
+	function moveAttempt(failure: AttemptFailure, end: 'failed' | 'cancelled'): void {
+		const selection = chooseEndpoint();
+		const denial = selection === undefined ? 'no-endpoint' : retries.spend(failure);
+		if (selection === undefined || denial !== undefined) {
+			recorder.recordKept(failure, attempts, denial ?? 'no-endpoint', options.budget.readUsage(request.pool));
 			return;
 		}
 
-		endAttempt('cancelled');
-		handleFailure({cause, reason, mayHaveRun: true});
+		endAttempt(end);
+		writer.discardPartialEvent();
+		recorder.recordFailure(failure, attempts, undefined, options.budget.readUsage(request.pool));
+		sendTo(selection);
 	}
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
@@ -161,10 +163,15 @@
 		attempt = undefined;
 	}
 
-	function startAttempt(): void {
+	function chooseEndpoint(): Selection | undefined {
 		const startedAt = performance.now();
 		const selection = attempts < maximumTriedEndpoints ? selector.choose(question) : undefined;
 		metrics.timing('gateway.decision', performance.now() - startedAt);
+		return selection;
+	}
+
+	function startAttempt(): void {
+		const selection = chooseEndpoint();
 		if (selection === undefined) {
 			recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
 			fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
@@ -197,29 +204,18 @@
 		closeTask('answered', answer.status);
 	}
 
-	/**
-	Spends a retry, or tells why there is none. Retries use the budget only once the request has been sent to an endpoint.
-	*/
-	function checkRetry({mayHaveRun}: AttemptFailure): RetryDenial | undefined {
-		if (!canRetry({route, mayHaveRun, runs})) {
-			return mayHaveRun && !isRequestRetryable ? 'not-repeatable' : 'run-limit';
-		}
-
-		return sends === 0 || options.budget.spend(request.pool) ? undefined : 'budget';
-	}
-
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
 		attempt = undefined;
 		writer.discardPartialEvent();
-		const denial = checkRetry(failure);
+		const denial = retries.spend(failure);
 		recorder.recordFailure(failure, attempts, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
 			startAttempt();
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
 			answerCaller(failure.answer);
 		} else {
-			fail(refusals.buildFailure(failure.reason, runs > 0), toInterruption(failure));
+			fail(refusals.buildFailure(failure.reason, retries.countRuns() > 0), toInterruption(failure));
 		}
 	}
 
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -47,6 +47,12 @@
 				name: 'attempt-failed', request: id, attempt, cause, reason, mayHaveRun, isRetried: denial === undefined, denial, retries, allowedRetries: Math.floor(allowed),
 			});
 		},
+		recordKept({cause, reason}, attempt, denial, {retries, allowed}) {
+			metrics.increment('gateway.kept-attempts', 1, {cause, denial});
+			logger.info({
+				name: 'attempt-kept', request: id, attempt, cause, reason, denial, retries, allowedRetries: Math.floor(allowed),
+			});
+		},
 		recordNoEndpoint(attempts, cooldownMs) {
 			logger.info({
 				name: 'no-endpoint', request: id, pool, tries: attempts, cooldownMs: Math.round(cooldownMs),
--- /dev/null
+++ b/gateway/forwarding/src/create-retry-allowance.ts
@@ -0,0 +1,47 @@
+import type {Route} from '@valvesaddle/gateway-types';
+import type {RetryBudget} from '@valvesaddle/retry-budget';
+import {canRetry} from './can-retry.ts';
+import {isRetryable} from './is-retryable.ts';
+import type {RetryAllowance} from './retry-allowance.ts';
+
+type RetryAllowanceOptions = {
+	readonly route: Route;
+	readonly pool: string;
+	readonly budget: Pick<RetryBudget, 'spend'>;
+};
+
+/**
+ Creates the retry allowance of one request. The first send uses no budget, whatever endpoints were unreachable before it.
+
+ @example
+ const retries = createRetryAllowance({route, pool: 'drafting', budget});
+ retries.markSent();
+ retries.spend({mayHaveRun: true}); // undefined: the request may be sent again
+ */
+export function createRetryAllowance({route, pool, budget}: RetryAllowanceOptions): RetryAllowance {
+	let runs = 0;
+	let sends = 0;
+
+	function isAllowed({mayHaveRun}: Parameters<RetryAllowance['isAllowed']>[0]): boolean {
+		return canRetry({route, mayHaveRun, runs});
+	}
+
+	return {
+		markSent() {
+			runs++;
+			sends++;
+		},
+		markNotRun() {
+			runs--;
+		},
+		countRuns: () => runs,
+		isAllowed,
+		spend(failure) {
+			if (!isAllowed(failure)) {
+				return failure.mayHaveRun && !isRetryable(route) ? 'not-repeatable' : 'run-limit';
+			}
+
+			return sends === 0 || budget.spend(pool) ? undefined : 'budget';
+		},
+	};
+}
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -23,6 +23,10 @@
 	*/
 	readonly recordFailure: (failure: AttemptFailure, attempt: number, denial: RetryDenial | undefined, usage: RetryUsage) => void;
 	/**
+	Records that an attempt presumed lost goes on, since the request cannot be sent to another endpoint.
+	*/
+	readonly recordKept: (failure: AttemptFailure, attempt: number, denial: RetryDenial, usage: RetryUsage) => void;
+	/**
 	Records that no endpoint is available; `cooldownMs` is the time until the first cooldown expires.
 	*/
 	readonly recordNoEndpoint: (attempts: number, cooldownMs: number) => void;
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -87,6 +87,10 @@
 		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
 		readonly mayHaveRun: boolean; readonly isRetried: boolean; readonly denial: string | undefined; readonly retries: number; readonly allowedRetries: number;
 	}
+	| {
+		readonly name: 'attempt-kept'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
+		readonly denial: string; readonly retries: number; readonly allowedRetries: number;
+	}
 	| {
 		readonly name: 'answer-incomplete'; readonly request: string; readonly endedBy: string; readonly cause: string; readonly reason: string;
 		readonly bytesSent: number; readonly bytesUnsent: number; readonly elapsedMs: number;
