fix(forwarding): read what has arrived before a progress timer expires

Callers saw sound streams and waiting requests aborted and sent again, or broken off, after their node had stood still for longer than a progress timeout: a paused process, or one that got no processor time.

Node.js runs timers before it reads sockets. After a standstill the timer found its deadline passed while the chunk that should have restarted it waited in the socket, and every stream of the node was taken for silent.

The timer now looks again after the sockets were read, in the same turn of the event loop, and expires only if it was neither restarted nor stopped.

Evidence: the new test writes a chunk into a connection, lets the process stand still past the deadline and counts the expirations. Before: "not ok - a chunk that arrived while the process stood still is read before the timer expires", expected 0, got 1. A standstill in which nothing arrived still lets the timer expire (second new test).

--- a/gateway/forwarding/src/create-progress-timer.ts
+++ b/gateway/forwarding/src/create-progress-timer.ts
@@ -2,7 +2,7 @@
 
 /**
  Creates a progress timer. A restart only moves the deadline while a timer is already set, since a stream restarts it with
- each chunk.
+ each chunk. A chunk that has already arrived when the timer is due is read first, and may restart it.
 
  @param onTimeout - Called with the timeout in milliseconds when it has expired.
  @example
@@ -33,6 +33,18 @@
 			return;
 		}
 
+		// After a standstill of the process timers run before sockets are read, and a chunk may wait there.
+		setImmediate(expire);
+	}
+
+	/**
+	Expires the timer unless it was stopped or restarted after `check`.
+	*/
+	function expire(): void {
+		if (performance.now() < expiresAt) {
+			return;
+		}
+
 		expiresAt = Infinity;
 		onTimeout(timeoutMs);
 	}
--- a/gateway/forwarding/test/progress-timer.test.ts
+++ b/gateway/forwarding/test/progress-timer.test.ts
@@ -1,9 +1,17 @@
 /*
 The progress timer doesn't set a new timer on each restart; it must expire at the same time as if it did.
 */
+import {once} from 'node:events';
+import {
+	connect,
+	createServer,
+	type AddressInfo,
+	type Socket,
+} from 'node:net';
 import {Clock} from 'clock-mock';
 import fc from 'fast-check';
-import {test} from 'tap';
+import {test, type Test} from 'tap';
+import {waitUntil} from '@valvesaddle/fake-fleet';
 import {createProgressTimer} from '../src/create-progress-timer.ts';
 
 /**
@@ -68,3 +76,56 @@
 	t.equal(expirations, 1);
 	t.end();
 });
+
+/**
+Two ends of a connection.
+*/
+async function openConnection(t: Test) {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const reader = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	const [writer] = await once(server, 'connection') as [Socket];
+	t.teardown(() => {
+		reader.destroy();
+		writer.destroy();
+		server.close();
+	});
+	return {reader, writer};
+}
+
+/**
+Lets the process stand still: it reads nothing and runs no timer.
+*/
+function stopProcess(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+test('a chunk that arrived while the process stood still is read before the timer expires', async t => {
+	const {reader, writer} = await openConnection(t);
+	let chunks = 0;
+	let expirations = 0;
+	const progressTimer = createProgressTimer(() => {
+		expirations++;
+	});
+	t.teardown(progressTimer.stop);
+	reader.on('data', () => {
+		chunks++;
+		progressTimer.start(600_000);
+	});
+	progressTimer.start(100);
+	writer.write('chunk');
+	stopProcess(200);
+	await waitUntil(() => chunks > 0);
+	t.equal(expirations, 0);
+});
+
+test('the timer expires after a standstill in which nothing arrived', async t => {
+	let expirations = 0;
+	const progressTimer = createProgressTimer(() => {
+		expirations++;
+	});
+	progressTimer.start(100);
+	stopProcess(200);
+	await waitUntil(() => expirations > 0);
+	t.equal(expirations, 1);
+});
