fix(node): check for stalled endpoints by the time to which sockets were read

Callers saw their requests aborted and sent again all at once after their node had stood still (a paused process, no processor time): the node counted every endpoint from which it expected chunks as stalled, and where no other node observed the endpoint it moved all its requests there and ejected it.

The check ran in a timer and compared the time of the call with the last chunk that was read. Node.js runs timers before it reads sockets, so after a standstill the chunks that had arrived meanwhile were not counted.

The exchange of load updates now takes the time, lets the event loop read its sockets for a turn, and checks as of the time before that turn. Whatever had arrived by then has been read, wherever in a turn the standstill was. The paused runtime of the emulator pauses `setImmediate` of `node:timers/promises` as well, since steps now wait for it.

Evidence: a stream over a real connection whose second chunk arrives during a standstill of 1.5 s.

--- a/emulator/beliefs/src/create-paused-runtime.ts
+++ b/emulator/beliefs/src/create-paused-runtime.ts
@@ -24,10 +24,11 @@
 	paused.travel(startMs);
 	const exit = paused.enter();
 	const {random: unseededRandom} = Math;
-	const {setTimeout: unpausedTimeout} = timersPromises;
+	const {setTimeout: unpausedTimeout, setImmediate: unpausedImmediate} = timersPromises;
 	Math.random = createRandom(seed);
 	Object.assign(timersPromises, {
 		setTimeout: async (milliseconds: number, value: unknown, options: {readonly signal?: AbortSignal} = {}) => paused.setTimeoutPromise(milliseconds, value, options),
+		setImmediate: async (value: unknown, options: {readonly signal?: AbortSignal} = {}) => paused.setImmediatePromise(value, options),
 	});
 	syncBuiltinESMExports();
 
@@ -50,18 +51,18 @@
 		},
 		async advance(untilMs) {
 			const until = startMs + untilMs;
-			await timersPromises.setImmediate();
+			await unpausedImmediate();
 			for (let due = findDue(); due <= until; due = findDue()) {
 				paused.advance(due - paused.now());
 				// eslint-disable-next-line no-await-in-loop -- promises of this time settle before the next time
-				await timersPromises.setImmediate();
+				await unpausedImmediate();
 			}
 
 			paused.advance(Math.max(0, until - paused.now()));
 		},
 		close() {
 			Math.random = unseededRandom;
-			Object.assign(timersPromises, {setTimeout: unpausedTimeout});
+			Object.assign(timersPromises, {setTimeout: unpausedTimeout, setImmediate: unpausedImmediate});
 			syncBuiltinESMExports();
 			exit();
 		},
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -207,8 +207,8 @@
 			const remaining = listReady(pool).map(({incarnation}) => cooldowns.getRemainingMs(incarnation));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
 		},
-		takeLoadUpdate() {
-			stallMonitor.update(endpoints.values());
+		takeLoadUpdate(readAt = performance.now()) {
+			stallMonitor.update(endpoints.values(), readAt);
 			const update = {loads: loads.takeChanged(), placements};
 			placements = [];
 			return update.loads.length === 0 && update.placements.length === 0 ? undefined : update;
--- a/gateway/selection/src/create-stall-detector.ts
+++ b/gateway/selection/src/create-stall-detector.ts
@@ -15,7 +15,7 @@
  @example
  const detector = createStallDetector();
  const request = detector.open('i-7f', performance.now() + 200);
- detector.isStalled('i-7f', 500); // undefined: nothing is due yet
+ detector.isStalled('i-7f', {timeoutMs: 500, readAt: performance.now()}); // undefined: nothing is due yet
  */
 export function createStallDetector(): StallDetector {
 	const endpoints = new Map<string, EndpointState>();
@@ -47,11 +47,10 @@
 		markPaused(endpoint, request) {
 			endpoints.get(endpoint)?.due.set(request, Infinity);
 		},
-		isStalled(endpoint, timeoutMs) {
+		isStalled(endpoint, {timeoutMs, readAt}) {
 			const state = endpoints.get(endpoint);
-			const now = performance.now();
-			return state?.due.values().some(dueAt => dueAt <= now) === true
-				? now - state.lastChunkAt > timeoutMs
+			return state?.due.values().some(dueAt => dueAt <= readAt) === true
+				? readAt - state.lastChunkAt > timeoutMs
 				: undefined;
 		},
 		removeEndpoint(endpoint) {
--- a/gateway/selection/src/create-stall-monitor.ts
+++ b/gateway/selection/src/create-stall-monitor.ts
@@ -33,7 +33,7 @@
 
  @example
  const monitor = createStallMonitor({loads, measureLongestPauseMs: () => 200, onStalled() {}});
- monitor.update(endpoints.values());
+ monitor.update(endpoints.values(), performance.now());
  */
 export function createStallMonitor({loads, measureLongestPauseMs, onStalled}: StallMonitorOptions): StallMonitor {
 	const detector = createStallDetector();
@@ -66,15 +66,14 @@
 			detector.close(endpoint, request);
 			handlers.get(endpoint)?.delete(request);
 		},
-		update(endpoints) {
-			const now = performance.now();
-			if (now - checkedAt < checkIntervalMs) {
+		update(endpoints, readAt) {
+			if (readAt - checkedAt < checkIntervalMs) {
 				return;
 			}
 
-			checkedAt = now;
+			checkedAt = readAt;
 			for (const {incarnation, pool} of endpoints) {
-				const isStalled = detector.isStalled(incarnation, measureStallTimeout(pool));
+				const isStalled = detector.isStalled(incarnation, {timeoutMs: measureStallTimeout(pool), readAt});
 				loads.setStallCounts(incarnation, isStalled === undefined ? 0 : 1, isStalled === true ? 1 : 0);
 			}
 
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -39,9 +39,10 @@
 	*/
 	readonly open: (selection: Selection, criteria: SelectionCriteria) => OpenRequest;
 	/**
-	Takes the load update for peers since the last call; `undefined` if nothing has changed.
+	Takes the load update for peers since the last call; `undefined` if nothing has changed. Endpoints are checked for stalls as of
+	`readAt`, a time on the monotonic clock by which all that had arrived has been read; the time of the call by default.
 	*/
-	readonly takeLoadUpdate: () => LoadUpdate | undefined;
+	readonly takeLoadUpdate: (readAt?: number) => LoadUpdate | undefined;
 	/**
 	The node's own loads in full, for a peer that has just been linked.
 	*/
--- a/gateway/selection/src/stall-detector.ts
+++ b/gateway/selection/src/stall-detector.ts
@@ -1,3 +1,11 @@
+type StallCheck = {
+	readonly timeoutMs: number;
+	/**
+	Time on the monotonic clock by which all that had arrived has been read.
+	*/
+	readonly readAt: number;
+};
+
 /**
 Detects endpoints from which this node has received no chunks in time. Times are in milliseconds.
 */
@@ -16,8 +24,8 @@
 	*/
 	readonly markPaused: (endpoint: string, request: symbol) => void;
 	/**
-	Whether no chunk has come from an endpoint for longer than `timeoutMs`; `undefined` if none is due to this node.
+	Whether no chunk had come from an endpoint for longer than `timeoutMs` at `readAt`; `undefined` if none was due to this node.
 	*/
-	readonly isStalled: (endpoint: string, timeoutMs: number) => boolean | undefined;
+	readonly isStalled: (endpoint: string, check: StallCheck) => boolean | undefined;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/stall-monitor.ts
+++ b/gateway/selection/src/stall-monitor.ts
@@ -30,8 +30,8 @@
 	readonly setHandler: (endpoint: string, request: symbol, handler: () => void) => void;
 	readonly close: (endpoint: string, request: symbol) => void;
 	/**
-	Checks the endpoints by what this node and its peers have found.
+	Checks the endpoints by what this node and its peers have found. All that had arrived by `readAt` must have been read.
 	*/
-	readonly update: (endpoints: Iterable<Pick<KnownEndpoint, 'incarnation' | 'pool'>>) => void;
+	readonly update: (endpoints: Iterable<Pick<KnownEndpoint, 'incarnation' | 'pool'>>, readAt: number) => void;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -251,6 +251,24 @@
 	t.end();
 });
 
+test('an engine is not stalled for what a node has not read yet since it stood still', t => {
+	const ids = ['i-1', 'i-2'];
+	const {selector, clock} = createWithEndpoints(t, ids);
+	const stream = openStream(selector, 'i-1', ids);
+	let stalls = 0;
+	stream.onStalled(() => {
+		stalls++;
+	});
+	clock.advance(100);
+	const readAt = performance.now();
+	clock.advance(3000);
+	selector.takeLoadUpdate(readAt);
+	t.equal(stalls, 0);
+	selector.takeLoadUpdate();
+	t.equal(stalls, 1, 'the time until the call was read');
+	t.end();
+});
+
 test('load that a peer reports counts until the peer is removed', t => {
 	const {selector} = createWithEndpoints(t, []);
 	selector.addEndpoint(createEndpoint('p-1', {pool: 'plain', slots: 6}));
--- a/node/gateway/src/create-load-sync.ts
+++ b/node/gateway/src/create-load-sync.ts
@@ -52,9 +52,9 @@
 	}
 
 	return {
-		send(isMemberInterval) {
+		send(isMemberInterval, readAt) {
 			updateUnseenFactor();
-			const own = selector.takeLoadUpdate();
+			const own = selector.takeLoadUpdate(readAt);
 			if (own !== undefined) {
 				aggregator.addOwn(own);
 			}
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,4 +1,4 @@
-import {setTimeout as wait} from 'node:timers/promises';
+import {setImmediate as waitForTurn, setTimeout as wait} from 'node:timers/promises';
 import {measureFleetFactor} from '@valvesaddle/cluster-view';
 import {formatIncarnation} from '@valvesaddle/selection';
 import {measureTick} from '@valvesaddle/ticks';
@@ -75,12 +75,12 @@
 		return options.loadUpdateMs * Math.min(maximumFactor, measureFleetFactor(view.nodes().length));
 	}
 
-	function sendLoadUpdates(): void {
+	function sendLoadUpdates(readAt: number): void {
 		const now = performance.now();
 		// A member interval that is nearly due starts now, or it would be late by a whole relay interval.
 		const isMemberInterval = now - membersSentAt >= measureBaseInterval(maximumMemberFactor) - (measureBaseInterval(maximumRelayFactor) / 2);
 		membersSentAt = isMemberInterval ? now : membersSentAt;
-		const wasSent = loadSync.send(isMemberInterval);
+		const wasSent = loadSync.send(isMemberInterval, readAt);
 		idleFactor = wasSent || options.hasOpenRequests() ? 1 : idleFactor * 2;
 	}
 
@@ -94,13 +94,28 @@
 
 		placementTimer ??= setTimeout(() => {
 			placementTimer = undefined;
-			loadSync.send(false);
+			void runAfterTurn(readAt => {
+				loadSync.send(false, readAt);
+			});
 		}, placementDelayMs).unref();
 	}
 
-	async function runRepeatedly(measureInterval: () => number, step: () => void): Promise<void> {
+	/**
+	Runs a step after a turn of the event loop, with the time before the turn: all that had arrived by then has been read. Timers run
+	before sockets are read, so after a standstill of the process the endpoints would count as stalled whose chunks have arrived.
+	*/
+	async function runAfterTurn(step: (readAt: number) => void): Promise<void> {
+		const readAt = performance.now();
+		await waitForTurn(undefined, {ref: false});
+		if (!closing.signal.aborted) {
+			step(readAt);
+		}
+	}
+
+	async function runRepeatedly(measureInterval: () => number, step: () => void | Promise<void>): Promise<void> {
 		while (!closing.signal.aborted) {
-			step();
+			// eslint-disable-next-line no-await-in-loop -- one step after the other
+			await step();
 			// eslint-disable-next-line no-await-in-loop -- one step after the other
 			await wait(measureTick(measureInterval()), undefined, {ref: false});
 		}
@@ -146,7 +161,7 @@
 					clusterSync.sendHeartbeat();
 					usage?.send();
 				});
-				void runRepeatedly(measureLoadUpdateInterval, sendLoadUpdates);
+				void runRepeatedly(measureLoadUpdateInterval, async () => runAfterTurn(sendLoadUpdates));
 			},
 			isCurrent: clusterSync.isCurrent,
 			isStoreNeeded: clusterSync.isStoreNeeded,
--- a/node/gateway/src/load-sync.ts
+++ b/node/gateway/src/load-sync.ts
@@ -3,9 +3,10 @@
 */
 export type LoadSync = {
 	/**
-	Sends what changed since the last call to linked relays, and in a member interval to members; `false` if nothing was sent.
+	Sends what changed since the last call to linked relays, and in a member interval to members; `false` if nothing was sent. All that
+	had arrived by `readAt` must have been read; the time of the call by default.
 	*/
-	readonly send: (isMemberInterval: boolean) => boolean;
+	readonly send: (isMemberInterval: boolean, readAt?: number) => boolean;
 	/**
 	Sends the full load to a node that has just been linked.
 	*/
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -1,3 +1,10 @@
+import {once} from 'node:events';
+import {
+	connect,
+	createServer,
+	type AddressInfo,
+	type Socket,
+} from 'node:net';
 import Emittery from 'emittery';
 import {okAsync, ResultAsync} from 'neverthrow';
 import {test, type Test} from 'tap';
@@ -286,6 +293,69 @@
 	t.equal(selector.choose(selectionRequest)?.endpoint.id, 'i-1');
 });
 
+/**
+Two ends of a connection.
+*/
+async function openConnection(t: Test) {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const reader = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	const [writer] = await once(server, 'connection') as [Socket];
+	t.teardown(() => {
+		reader.destroy();
+		writer.destroy();
+		server.close();
+	});
+	return {reader, writer};
+}
+
+/**
+Lets the process stand still: it reads nothing and runs no timer.
+*/
+function stopProcess(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+/**
+Opens a stream at an engine that has sent its first chunk.
+*/
+function openStream(selector: ReturnType<typeof createSync>['selector']) {
+	selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
+	selector.addEndpoint({
+		id: 'i-1', pool: 'engines', address: 'i-1:1', dataCentre: 'a', slots: 64, state: 'ready',
+	});
+	const criteria = {
+		pool: 'engines', objectiveMs: 250, pauseObjectiveMs: 200, urgency: 0, promptTokens: 10, parts: [{id: 'own', tokens: 10}], tried: new Set<string>(),
+	};
+	const request = selector.open(selector.choose(criteria)!, criteria);
+	request.markChunk();
+	return request;
+}
+
+test('an endpoint whose chunk arrived while the node stood still is not stalled, and is once it stays silent', async t => {
+	const {selector, sync} = createSync(t, {connected: []});
+	const {reader, writer} = await openConnection(t);
+	const stream = openStream(selector);
+	let chunks = 0;
+	let stalls = 0;
+	stream.onStalled(() => {
+		stalls++;
+	});
+	reader.on('data', () => {
+		chunks++;
+		stream.markChunk();
+	});
+	reader.once('data', () => {
+		writer.write('second');
+		stopProcess(1500);
+	});
+	sync.start();
+	writer.write('first');
+	await waitUntil(() => chunks === 2);
+	t.equal(stalls, 0);
+	await waitUntil(() => stalls > 0);
+});
+
 test('nodes write to the store less often in a larger fleet, up to a bound', t => {
 	t.equal(measureFleetFactor(0), 1);
 	t.equal(measureFleetFactor(9), 1);
