fix(selection): move only overdue requests away from a stalled endpoint

Callers saw requests aborted and sent again that were in time: placed a moment ago, or waiting for a caller that reads slowly.

When an endpoint counted as stalled, the handlers of all requests of the node there were called. The evidence is about the chunks that were due, often to other nodes only; it was taken for evidence about each request.

A request whose caller reads slowly is never overdue.

--- a/gateway/selection/src/create-stall-detector.ts
+++ b/gateway/selection/src/create-stall-detector.ts
@@ -1,10 +1,11 @@
+import type {ExpectedChunk} from './expected-chunk.ts';
 import type {StallDetector} from './stall-detector.ts';
 
 type EndpointState = {
 	/**
-	When the next chunk of each request is due.
+	The next chunk of each request.
 	*/
-	readonly due: Map<symbol, number>;
+	readonly expected: Map<symbol, ExpectedChunk>;
 	lastChunkAt: number;
 };
 
@@ -14,45 +15,46 @@
 
  @example
  const detector = createStallDetector();
- const request = detector.open('i-7f', performance.now() + 200);
+ const request = detector.open('i-7f', {dueAt: performance.now() + 200, overdueAt: performance.now() + 200});
  detector.isStalled('i-7f', {timeoutMs: 500, readAt: performance.now()}); // undefined: nothing is due yet
  */
 export function createStallDetector(): StallDetector {
 	const endpoints = new Map<string, EndpointState>();
 
 	return {
-		open(endpoint, dueAt) {
+		open(endpoint, firstChunk) {
 			const request = Symbol(endpoint);
-			const state = endpoints.get(endpoint) ?? {due: new Map(), lastChunkAt: performance.now()};
-			if (state.due.size === 0) {
+			const state = endpoints.get(endpoint) ?? {expected: new Map(), lastChunkAt: performance.now()};
+			if (state.expected.size === 0) {
 				state.lastChunkAt = performance.now();
 			}
 
-			state.due.set(request, dueAt);
+			state.expected.set(request, firstChunk);
 			endpoints.set(endpoint, state);
 			return request;
 		},
 		markChunk(endpoint, request) {
 			const state = endpoints.get(endpoint);
-			if (state?.due.has(request) !== true) {
+			if (state?.expected.has(request) !== true) {
 				return;
 			}
 
 			state.lastChunkAt = performance.now();
-			state.due.set(request, state.lastChunkAt);
+			state.expected.set(request, {dueAt: state.lastChunkAt, overdueAt: state.lastChunkAt});
 		},
 		close(endpoint, request) {
-			endpoints.get(endpoint)?.due.delete(request);
+			endpoints.get(endpoint)?.expected.delete(request);
 		},
 		markPaused(endpoint, request) {
-			endpoints.get(endpoint)?.due.set(request, Infinity);
+			endpoints.get(endpoint)?.expected.set(request, {dueAt: Infinity, overdueAt: Infinity});
 		},
 		isStalled(endpoint, {timeoutMs, readAt}) {
 			const state = endpoints.get(endpoint);
-			return state?.due.values().some(dueAt => dueAt <= readAt) === true
+			return state?.expected.values().some(({dueAt}) => dueAt <= readAt) === true
 				? readAt - state.lastChunkAt > timeoutMs
 				: undefined;
 		},
+		isOverdue: (endpoint, request, at) => (endpoints.get(endpoint)?.expected.get(request)?.overdueAt ?? Infinity) <= at,
 		removeEndpoint(endpoint) {
 			endpoints.delete(endpoint);
 		},
--- a/gateway/selection/src/create-stall-monitor.ts
+++ b/gateway/selection/src/create-stall-monitor.ts
@@ -29,7 +29,7 @@
 
 /**
  Creates the stall monitor. When an endpoint is stalled for all nodes that expect chunks from it, `onStalled` and the handlers of
- this node's requests there are called.
+ this node's overdue requests there are called. A request that is in time, or whose caller reads slowly, may still be answered.
 
  @example
  const monitor = createStallMonitor({loads, measureLongestPauseMs: () => 200, onStalled() {}});
@@ -44,17 +44,20 @@
 		return Math.min(maximumStallMs, Math.max(minimumStallMs, timeoutPauses * measureLongestPauseMs(pool)));
 	}
 
-	function handleStalled(endpoint: string): void {
+	function handleStalled(endpoint: string, readAt: number): void {
 		onStalled(endpoint);
-		const waiting = handlers.get(endpoint)?.values().toArray() ?? [];
-		handlers.delete(endpoint);
-		for (const handle of waiting) {
+		const overdue = handlers.get(endpoint)?.entries().filter(([request]) => detector.isOverdue(endpoint, request, readAt)).toArray() ?? [];
+		for (const [request, handle] of overdue) {
+			handlers.get(endpoint)?.delete(request);
 			handle();
 		}
 	}
 
 	return {
-		open: (endpoint, {pool, predictedMs}) => detector.open(endpoint, performance.now() + (overdueFactor * predictedMs) + measureStallTimeout(pool)),
+		open(endpoint, {pool, predictedMs}) {
+			const expectedAt = performance.now() + (overdueFactor * predictedMs);
+			return detector.open(endpoint, {dueAt: expectedAt + measureStallTimeout(pool), overdueAt: expectedAt + minimumStallMs});
+		},
 		markChunk: detector.markChunk,
 		markPaused: detector.markPaused,
 		setHandler(endpoint, request, handler) {
@@ -78,7 +81,7 @@
 			}
 
 			for (const endpoint of loads.listStalled()) {
-				handleStalled(endpoint);
+				handleStalled(endpoint, readAt);
 			}
 		},
 		removeEndpoint(endpoint) {
--- a/gateway/selection/src/open-request.ts
+++ b/gateway/selection/src/open-request.ts
@@ -11,7 +11,7 @@
 	*/
 	readonly markPaused: () => void;
 	/**
-	Sets a handler that is called when the endpoint is stalled for all nodes that expect chunks from it.
+	Sets a handler that is called when this request is overdue and its endpoint is stalled for all nodes that expect chunks from it.
 	*/
 	readonly onStalled: (handler: () => void) => void;
 	/**
--- a/gateway/selection/src/stall-detector.ts
+++ b/gateway/selection/src/stall-detector.ts
@@ -1,3 +1,5 @@
+import type {ExpectedChunk} from './expected-chunk.ts';
+
 type StallCheck = {
 	readonly timeoutMs: number;
 	/**
@@ -11,9 +13,9 @@
 */
 export type StallDetector = {
 	/**
-	Starts watching a request whose first chunk is due at a time on the monotonic clock; returns its handle.
+	Starts watching a request; returns its handle.
 	*/
-	readonly open: (endpoint: string, dueAt: number) => symbol;
+	readonly open: (endpoint: string, firstChunk: ExpectedChunk) => symbol;
 	/**
 	Records a chunk; the next one is due from now on.
 	*/
@@ -27,5 +29,9 @@
 	Whether no chunk had come from an endpoint for longer than `timeoutMs` at `readAt`; `undefined` if none was due to this node.
 	*/
 	readonly isStalled: (endpoint: string, check: StallCheck) => boolean | undefined;
+	/**
+	Whether the next chunk of a request was overdue at a time on the monotonic clock.
+	*/
+	readonly isOverdue: (endpoint: string, request: symbol, at: number) => boolean;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/stall-monitor.ts
+++ b/gateway/selection/src/stall-monitor.ts
@@ -25,7 +25,7 @@
 	*/
 	readonly markPaused: (endpoint: string, request: symbol) => void;
 	/**
-	Sets a handler of a request that is called when its endpoint is stalled.
+	Sets a handler of a request that is called when it is overdue and its endpoint is stalled.
 	*/
 	readonly setHandler: (endpoint: string, request: symbol, handler: () => void) => void;
 	readonly close: (endpoint: string, request: symbol) => void;
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -251,6 +251,51 @@
 	t.end();
 });
 
+/**
+Records the name of a request when its endpoint is stalled.
+*/
+function watchStall(request: ReturnType<typeof openStream>, name: string, stalled: string[]): void {
+	request.onStalled(() => {
+		stalled.push(name);
+	});
+}
+
+test('of the requests at a stalled engine only those are notified that are overdue', t => {
+	const {first, second, ids, advance} = createPair(t);
+	const stalled: string[] = [];
+	openStream(first, 'i-1', ids);
+	watchStall(openStream(second, 'i-1', ids), 'overdue', stalled);
+	const paused = openStream(second, 'i-1', ids);
+	paused.markPaused();
+	watchStall(paused, 'slow caller', stalled);
+	advance(900);
+	const criteria = createCriteria({pauseObjectiveMs: 200, tried: new Set(['i-2'])});
+	watchStall(send(second, criteria).request, 'in time', stalled);
+	advance(400);
+	t.same(stalled, ['overdue']);
+	t.equal(choose(second, createCriteria()), 'i-2', 'new requests are sent elsewhere');
+	t.end();
+});
+
+test('an engine that falls silent for all nodes is found within 1.3 s, and all overdue requests are notified', t => {
+	const {first, second, ids, advance} = createPair(t);
+	const stalled: string[] = [];
+	const streams = [openStream(first, 'i-1', ids), openStream(second, 'i-1', ids), openStream(second, 'i-1', ids)];
+	advance(2000, streams);
+	for (const [index, stream] of streams.entries()) {
+		watchStall(stream, `stream ${index}`, stalled);
+	}
+
+	watchStall(send(first, createCriteria({pauseObjectiveMs: 200, tried: new Set(['i-2'])})).request, 'waiting', stalled);
+	advance(1300);
+	t.same(stalled.toSorted(), ['stream 0', 'stream 1', 'stream 2', 'waiting']);
+	for (const selector of [first, second]) {
+		t.equal(choose(selector, createCriteria()), 'i-2');
+	}
+
+	t.end();
+});
+
 test('an engine is not stalled for what a node has not read yet since it stood still', t => {
 	const ids = ['i-1', 'i-2'];
 	const {selector, clock} = createWithEndpoints(t, ids);
