fix(selection): let a peer's report of a stall expire

Callers saw their requests sent past a sound endpoint, and each one that was placed there moved away again, for as long as one node's report stood.

A report of a stall is sent once and counted until the next change. A peer that reported one and then fell silent, whose update was lost, or which only had a request left there that cannot be moved, kept the endpoint stalled for all nodes without requests of their own there; these ejected it again after each ejection, for longer each time.

A peer's report now counts for 2 s after its count last rose. A node's own finding counts without a limit, since each check measures it anew. While a stall lasts, a node that sends requests there reports it anew.

Evidence: "not ok 11 - a peer that reported an engine as stalled and then nothing more does not keep it ejected, and a stall is found anew": 10 s after the report only i-2, with 60 open requests, was chosen, expected i-1. After: i-1 is chosen, and is found stalled within 1.3 s of its own silence.

--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -7,6 +7,10 @@
 Weight that earlier prefills keep with each new one: about the last ten determine the speed of an endpoint.
 */
 const prefillDecay = 0.9;
+/**
+Time for which a peer's report of a stall counts. While a stall lasts, nodes that send requests there report it anew.
+*/
+const suspicionMs = 2000;
 
 /**
  Creates the table of loads.
@@ -21,9 +25,9 @@
 	const peers = new Map<string, Map<string, EndpointLoad>>();
 	const changed = new Set<string>();
 	/**
-	Endpoints that some node has reported as stalled.
+	Endpoints that some node has reported as stalled, and when it did so last, on the monotonic clock.
 	*/
-	const suspects = new Set<string>();
+	const suspects = new Map<string, number>();
 	/**
 	Cached sums over all nodes; an entry is dropped when a part of it changes.
 	*/
@@ -59,6 +63,13 @@
 		return sum;
 	}
 
+	/**
+	Whether a report of a stall is recent or this node's own, which is checked again each time.
+	*/
+	function isCurrent(endpoint: string, reportedAt: number): boolean {
+		return performance.now() - reportedAt <= suspicionMs || (own.get(endpoint) ?? noLoad).stalledObservers > 0;
+	}
+
 	return {
 		get,
 		add(endpoint, change) {
@@ -77,27 +88,31 @@
 			}
 
 			setOwn(endpoint, {...before, observers, stalledObservers});
-			suspects.add(endpoint);
+			if (stalledObservers > before.stalledObservers) {
+				suspects.set(endpoint, performance.now());
+			}
 		},
 		listStalled() {
-			for (const endpoint of suspects) {
+			for (const endpoint of suspects.keys()) {
 				if (get(endpoint).stalledObservers === 0) {
 					suspects.delete(endpoint);
 				}
 			}
 
-			return [...suspects].filter(endpoint => {
+			return suspects.entries().filter(([endpoint, reportedAt]) => {
 				const {observers, stalledObservers} = get(endpoint);
-				return stalledObservers >= observers;
-			});
+				return stalledObservers >= observers && isCurrent(endpoint, reportedAt);
+			}).map(([endpoint]) => endpoint).toArray();
 		},
 		applyPeer(node, endpoint, load) {
 			const loads = peers.get(node) ?? new Map<string, EndpointLoad>();
+			const reported = loads.get(endpoint)?.stalledObservers ?? 0;
 			loads.set(endpoint, load);
 			peers.set(node, loads);
 			sums.delete(endpoint);
-			if (load.stalledObservers > 0) {
-				suspects.add(endpoint);
+			// The same count again is no news: it is sent with each change of the load.
+			if (load.stalledObservers > reported) {
+				suspects.set(endpoint, performance.now());
 			}
 		},
 		setUnseenFactor(factor) {
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -21,7 +21,7 @@
 	*/
 	readonly setStallCounts: (endpoint: string, observers: number, stalledObservers: number) => void;
 	/**
-	Endpoints that all nodes that expect chunks find stalled.
+	Endpoints that all nodes that expect chunks find stalled, by a recent report or this node's own finding.
 	*/
 	readonly listStalled: () => readonly string[];
 	readonly applyPeer: (node: string, endpoint: string, load: EndpointLoad) => void;
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -296,6 +296,35 @@
 	t.end();
 });
 
+test('a peer that reported an engine as stalled and then nothing more does not keep it ejected, and a stall is found anew', t => {
+	const ids = ['i-1', 'i-2'];
+	const {selector, clock} = createWithEndpoints(t, ids);
+	const stalled: string[] = [];
+	const chosen = new Set<string>();
+	selector.applyLoadUpdate('n2', {loads: [['i-1', {...toLoad(1, 0), observers: 1, stalledObservers: 1}]], placements: []});
+	selector.takeLoadUpdate();
+	t.equal(choose(selector, createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]})), 'i-2', 'other nodes eject it at once');
+	selector.applyLoadUpdate('n3', {loads: [['i-2', toLoad(60, 0)]], placements: []});
+	for (let passed = 0; passed < 20_000; passed += 100) {
+		clock.advance(100);
+		selector.takeLoadUpdate();
+		if (passed >= 10_000) {
+			chosen.add(choose(selector, createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]})));
+		}
+	}
+
+	t.same(chosen, new Set(['i-1']));
+	watchStall(openStream(selector, 'i-1', ids), 'stream', stalled);
+	for (let passed = 0; passed < 1300; passed += 50) {
+		clock.advance(50);
+		selector.takeLoadUpdate();
+	}
+
+	t.same(stalled, ['stream']);
+	t.equal(choose(selector, createCriteria()), 'i-2');
+	t.end();
+});
+
 test('an engine is not stalled for what a node has not read yet since it stood still', t => {
 	const ids = ['i-1', 'i-2'];
 	const {selector, clock} = createWithEndpoints(t, ids);
