fix(selection): end the ejection of an endpoint that was taken for stalled with its next chunk

Callers' requests were sent past an endpoint, mostly to busier ones, for 1 to 4 s after it had been taken for stalled, although it was answering again.

An ejection ended early only when a request there ended well, which a stream may take long to do; it also counted as two failures, so that the next single failure or stall ejected the endpoint for twice as long.

A chunk is what the ejection was missing: it now ends an ejection for silence and its count. An ejection for failures stays.

Evidence: "not ok 12 - a chunk ends the ejection of an engine that was silent, but not that of one that failed": after the chunk i-2, with 60 open requests, was chosen, expected i-1. After: i-1, and i-2 after a failure.

--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -9,6 +9,10 @@
 	In milliseconds on the monotonic clock.
 	*/
 	readonly skippedUntil: number;
+	/**
+	Whether the last one is that it sent no chunks.
+	*/
+	readonly isStall: boolean;
 };
 
 /**
@@ -33,11 +37,16 @@
 export function createFailureTable(): FailureTable {
 	const table = new Map<string, Failures>();
 
-	function addFailures(endpoint: string, minimumCount: number): void {
+	function isEjected(endpoint: string): boolean {
+		const failures = table.get(endpoint);
+		return failures !== undefined && performance.now() < failures.skippedUntil;
+	}
+
+	function addFailures(endpoint: string, minimumCount: number, isStall = false): void {
 		const count = Math.max(minimumCount, (table.get(endpoint)?.count ?? 0) + 1);
 		const ejections = count - failuresToEject;
 		const ejectionMs = ejections < 0 ? 0 : Math.min(maximumEjectionMs, firstEjectionMs * (2 ** ejections));
-		table.set(endpoint, {count, skippedUntil: performance.now() + ejectionMs});
+		table.set(endpoint, {count, skippedUntil: performance.now() + ejectionMs, isStall});
 	}
 
 	return {
@@ -49,15 +58,22 @@
 			}
 		},
 		recordRefusal(endpoint) {
-			table.set(endpoint, {count: 0, skippedUntil: performance.now() + refusalSkipMs});
+			table.set(endpoint, {count: 0, skippedUntil: performance.now() + refusalSkipMs, isStall: false});
 		},
 		eject(endpoint) {
 			addFailures(endpoint, failuresToEject);
 		},
-		isEjected(endpoint) {
-			const failures = table.get(endpoint);
-			return failures !== undefined && performance.now() < failures.skippedUntil;
+		ejectStalled(endpoint) {
+			if (!isEjected(endpoint)) {
+				addFailures(endpoint, failuresToEject, true);
+			}
+		},
+		recordChunk(endpoint) {
+			if (table.get(endpoint)?.isStall === true) {
+				table.delete(endpoint);
+			}
 		},
+		isEjected,
 		removeEndpoint(endpoint) {
 			table.delete(endpoint);
 		},
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -65,7 +65,7 @@
 
 type RequestTrackerOptions = {
 	readonly loads: Pick<LoadTable, 'get' | 'add' | 'recordPrefill'>;
-	readonly failures: Pick<FailureTable, 'record' | 'recordRefusal' | 'eject'>;
+	readonly failures: Pick<FailureTable, 'record' | 'recordRefusal' | 'recordChunk' | 'eject'>;
 	readonly chooser: Pick<PromptChooser, 'recordPrefill' | 'getSpeed' | 'getPauseModel'>;
 	readonly stallMonitor: Omit<StallMonitor, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
@@ -209,6 +209,7 @@
 				}
 
 				const now = performance.now();
+				failures.recordChunk(id);
 				if (stallHandle !== undefined) {
 					stallMonitor.markChunk(id, stallHandle);
 				}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -52,11 +52,7 @@
 	const stallMonitor = createStallMonitor({
 		loads,
 		measureLongestPauseMs: pool => chooser.getPauseModel(pool).getLongestPauseMs(),
-		onStalled(endpoint) {
-			if (!failures.isEjected(endpoint)) {
-				failures.eject(endpoint);
-			}
-		},
+		onStalled: failures.ejectStalled,
 	});
 	const tracker = createRequestTracker({
 		loads,
--- a/gateway/selection/src/failure-table.ts
+++ b/gateway/selection/src/failure-table.ts
@@ -12,6 +12,14 @@
 	*/
 	readonly eject: (endpoint: string) => void;
 	/**
+	Ejects an endpoint that sends no chunks, unless it is ejected already.
+	*/
+	readonly ejectStalled: (endpoint: string) => void;
+	/**
+	Records that an endpoint sent a chunk: one that was ejected for sending none is chosen again.
+	*/
+	readonly recordChunk: (endpoint: string) => void;
+	/**
 	Whether an endpoint is ejected or skipped after a refusal.
 	*/
 	readonly isEjected: (endpoint: string) => boolean;
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -325,6 +325,28 @@
 	t.end();
 });
 
+test('a chunk ends the ejection of an engine that was silent, but not that of one that failed', t => {
+	const ids = ['i-1', 'i-2'];
+	for (const isFailed of [false, true]) {
+		const {selector, clock} = createWithEndpoints(t, ids);
+		const short = createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]});
+		const stream = openStream(selector, 'i-1', ids);
+		const failing = openStream(selector, 'i-1', ids);
+		clock.advance(isFailed ? 100 : 1100);
+		selector.takeLoadUpdate();
+		if (isFailed) {
+			failing.close('gone');
+		}
+
+		selector.applyLoadUpdate('n2', {loads: [['i-2', toLoad(60, 0)]], placements: []});
+		t.equal(choose(selector, short), 'i-2');
+		stream.markChunk();
+		t.equal(choose(selector, short), isFailed ? 'i-2' : 'i-1');
+	}
+
+	t.end();
+});
+
 test('an engine is not stalled for what a node has not read yet since it stood still', t => {
 	const ids = ['i-1', 'i-2'];
 	const {selector, clock} = createWithEndpoints(t, ids);
