--- a/gateway/selection/src/create-stall-monitor.ts
+++ b/gateway/selection/src/create-stall-monitor.ts
@@ -29,11 +29,11 @@
 
 /**
  Creates the stall monitor. When an endpoint is stalled for all nodes that expect chunks from it, `onStalled` and the handlers of
- this node's requests there are called.
+ this node's overdue requests there are called. A request that is in time, or whose caller reads slowly, may still be answered.
 
  @example
  const monitor = createStallMonitor({loads, measureLongestPauseMs: () => 200, onStalled() {}});
- monitor.update(endpoints.values());
+ monitor.update(endpoints.values(), performance.now());
  */
 export function createStallMonitor({loads, measureLongestPauseMs, onStalled}: StallMonitorOptions): StallMonitor {
 	const detector = createStallDetector();
@@ -44,17 +44,20 @@
 		return Math.min(maximumStallMs, Math.max(minimumStallMs, timeoutPauses * measureLongestPauseMs(pool)));
 	}
 
-	function handleStalled(endpoint: string): void {
+	function handleStalled(endpoint: string, readAt: number): void {
 		onStalled(endpoint);
-		const waiting = handlers.get(endpoint)?.values().toArray() ?? [];
-		handlers.delete(endpoint);
-		for (const handle of waiting) {
+		const overdue = handlers.get(endpoint)?.entries().filter(([request]) => detector.isOverdue(endpoint, request, readAt)).toArray() ?? [];
+		for (const [request, handle] of overdue) {
+			handlers.get(endpoint)?.delete(request);
 			handle();
 		}
 	}
 
 	return {
-		open: (endpoint, {pool, predictedMs}) => detector.open(endpoint, performance.now() + (overdueFactor * predictedMs) + measureStallTimeout(pool)),
+		open(endpoint, {pool, predictedMs}) {
+			const expectedAt = performance.now() + (overdueFactor * predictedMs);
+			return detector.open(endpoint, {dueAt: expectedAt + measureStallTimeout(pool), overdueAt: expectedAt + minimumStallMs});
+		},
 		markChunk: detector.markChunk,
 		markPaused: detector.markPaused,
 		setHandler(endpoint, request, handler) {
@@ -66,20 +69,19 @@
 			detector.close(endpoint, request);
 			handlers.get(endpoint)?.delete(request);
 		},
-		update(endpoints) {
-			const now = performance.now();
-			if (now - checkedAt < checkIntervalMs) {
+		update(endpoints, readAt) {
+			if (readAt - checkedAt < checkIntervalMs) {
 				return;
 			}
 
-			checkedAt = now;
+			checkedAt = readAt;
 			for (const {incarnation, pool} of endpoints) {
-				const isStalled = detector.isStalled(incarnation, measureStallTimeout(pool));
+				const isStalled = detector.isStalled(incarnation, {timeoutMs: measureStallTimeout(pool), readAt});
 				loads.setStallCounts(incarnation, isStalled === undefined ? 0 : 1, isStalled === true ? 1 : 0);
 			}
 
 			for (const endpoint of loads.listStalled()) {
-				handleStalled(endpoint);
+				handleStalled(endpoint, readAt);
 			}
 		},
 		removeEndpoint(endpoint) {
--- a/gateway/selection/src/stall-monitor.ts
+++ b/gateway/selection/src/stall-monitor.ts
@@ -25,13 +25,13 @@
 	*/
 	readonly markPaused: (endpoint: string, request: symbol) => void;
 	/**
-	Sets a handler of a request that is called when its endpoint is stalled.
+	Sets a handler of a request that is called when it is overdue and its endpoint is stalled.
 	*/
 	readonly setHandler: (endpoint: string, request: symbol, handler: () => void) => void;
 	readonly close: (endpoint: string, request: symbol) => void;
 	/**
-	Checks the endpoints by what this node and its peers have found.
+	Checks the endpoints by what this node and its peers have found. All that had arrived by `readAt` must have been read.
 	*/
-	readonly update: (endpoints: Iterable<Pick<KnownEndpoint, 'incarnation' | 'pool'>>) => void;
+	readonly update: (endpoints: Iterable<Pick<KnownEndpoint, 'incarnation' | 'pool'>>, readAt: number) => void;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -251,6 +251,120 @@
 	t.end();
 });
 
+/**
+Records the name of a request when its endpoint is stalled.
+*/
+function watchStall(request: ReturnType<typeof openStream>, name: string, stalled: string[]): void {
+	request.onStalled(() => {
+		stalled.push(name);
+	});
+}
+
+test('of the requests at a stalled engine only those are notified that are overdue', t => {
+	const {first, second, ids, advance} = createPair(t);
+	const stalled: string[] = [];
+	openStream(first, 'i-1', ids);
+	watchStall(openStream(second, 'i-1', ids), 'overdue', stalled);
+	const paused = openStream(second, 'i-1', ids);
+	paused.markPaused();
+	watchStall(paused, 'slow caller', stalled);
+	advance(900);
+	const criteria = createCriteria({pauseObjectiveMs: 200, tried: new Set(['i-2'])});
+	watchStall(send(second, criteria).request, 'in time', stalled);
+	advance(400);
+	t.same(stalled, ['overdue']);
+	t.equal(choose(second, createCriteria()), 'i-2', 'new requests are sent elsewhere');
+	t.end();
+});
+
+test('an engine that falls silent for all nodes is found within 1.3 s, and all overdue requests are notified', t => {
+	const {first, second, ids, advance} = createPair(t);
+	const stalled: string[] = [];
+	const streams = [openStream(first, 'i-1', ids), openStream(second, 'i-1', ids), openStream(second, 'i-1', ids)];
+	advance(2000, streams);
+	for (const [index, stream] of streams.entries()) {
+		watchStall(stream, `stream ${index}`, stalled);
+	}
+
+	watchStall(send(first, createCriteria({pauseObjectiveMs: 200, tried: new Set(['i-2'])})).request, 'waiting', stalled);
+	advance(1300);
+	t.same(stalled.toSorted(), ['stream 0', 'stream 1', 'stream 2', 'waiting']);
+	for (const selector of [first, second]) {
+		t.equal(choose(selector, createCriteria()), 'i-2');
+	}
+
+	t.end();
+});
+
+test('a peer that reported an engine as stalled and then nothing more does not keep it ejected, and a stall is found anew', t => {
+	const ids = ['i-1', 'i-2'];
+	const {selector, clock} = createWithEndpoints(t, ids);
+	const stalled: string[] = [];
+	const chosen = new Set<string>();
+	selector.applyLoadUpdate('n2', {loads: [['i-1', {...toLoad(1, 0), observers: 1, stalledObservers: 1}]], placements: []});
+	selector.takeLoadUpdate();
+	t.equal(choose(selector, createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]})), 'i-2', 'other nodes eject it at once');
+	selector.applyLoadUpdate('n3', {loads: [['i-2', toLoad(60, 0)]], placements: []});
+	for (let passed = 0; passed < 20_000; passed += 100) {
+		clock.advance(100);
+		selector.takeLoadUpdate();
+		if (passed >= 10_000) {
+			chosen.add(choose(selector, createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]})));
+		}
+	}
+
+	t.same(chosen, new Set(['i-1']));
+	watchStall(openStream(selector, 'i-1', ids), 'stream', stalled);
+	for (let passed = 0; passed < 1300; passed += 50) {
+		clock.advance(50);
+		selector.takeLoadUpdate();
+	}
+
+	t.same(stalled, ['stream']);
+	t.equal(choose(selector, createCriteria()), 'i-2');
+	t.end();
+});
+
+test('a chunk ends the ejection of an engine that was silent, but not that of one that failed', t => {
+	const ids = ['i-1', 'i-2'];
+	for (const isFailed of [false, true]) {
+		const {selector, clock} = createWithEndpoints(t, ids);
+		const short = createCriteria({promptTokens: 10, parts: [{id: 'own', tokens: 10}]});
+		const stream = openStream(selector, 'i-1', ids);
+		const failing = openStream(selector, 'i-1', ids);
+		clock.advance(isFailed ? 100 : 1100);
+		selector.takeLoadUpdate();
+		if (isFailed) {
+			failing.close('gone');
+		}
+
+		selector.applyLoadUpdate('n2', {loads: [['i-2', toLoad(60, 0)]], placements: []});
+		t.equal(choose(selector, short), 'i-2');
+		stream.markChunk();
+		t.equal(choose(selector, short), isFailed ? 'i-2' : 'i-1');
+	}
+
+	t.end();
+});
+
+test('an engine is not stalled for what a node has not read yet since it stood still', t => {
+	const ids = ['i-1', 'i-2'];
+	const {selector, clock} = createWithEndpoints(t, ids);
+	const stream = openStream(selector, 'i-1', ids);
+	let stalls = 0;
+	stream.onStalled(() => {
+		stalls++;
+	});
+	clock.advance(100);
+	const readAt = performance.now();
+	clock.advance(3000);
+	selector.takeLoadUpdate(readAt);
+	t.equal(stalls, 0);
+	selector.takeLoadUpdate();
+	t.equal(stalls, 1, 'the time until the call was read');
+	t.end();
+});
+
 test('load that a peer reports counts until the peer is removed', t => {
 	const {selector} = createWithEndpoints(t, []);
 	selector.addEndpoint(createEndpoint('p-1', {pool: 'plain', slots: 6}));
