fix(front): send answers that wait for a slow reader before a draining node closes the connection

Callers of a draining node got the beginning of an answer and then a reset.

Cause: the drain called `closeIdleConnections()` every 100 ms, and so does the HTTP server's own `close()`. To Node.js a connection is idle once its request was read and the answer was passed to the HTTP server, even if most of it still waits in the socket. It destroys the socket with these bytes, and with answers of requests that were pipelined behind.

Now the front tracks which answers are open, until their last byte is handed to the system, and closes a connection when nothing has been open on it for 100 ms. It stops listening through `net.Server`, which leaves open connections alone and goes on checking the timeout of request heads. A connection on which nothing was ever sent no longer holds up the drain.

Requests whose body is still arriving were not cut before either; a test holds that.

--- /dev/null
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -0,0 +1,80 @@
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {ConnectionTracker} from './connection-tracker.ts';
+
+/**
+How long a connection of a draining node stays open after its last answer, in milliseconds. A request that its caller sends
+at once is still refused, instead of finding the connection closed.
+*/
+const idleMs = 100;
+
+type Connection = {
+	readonly answers: Set<ServerResponse>;
+	/**
+	Bytes that had been read when the connection became idle.
+	*/
+	idleBytes: number;
+};
+
+/**
+ Creates the tracker of callers' connections. Node.js counts a connection as idle once the answer was passed to its HTTP server, and
+ would discard the bytes that still wait for the caller.
+
+ @example
+ const tracker = createConnectionTracker();
+ server.on('connection', tracker.add);
+ */
+export function createConnectionTracker(): ConnectionTracker {
+	const connections = new Map<Socket, Connection>();
+	let isDraining = false;
+
+	/**
+	Closes a connection unless a request has begun on it. A socket that was ended is closed by whoever ended it.
+	*/
+	function closeIdle(socket: Socket): void {
+		const connection = connections.get(socket);
+		if (connection?.answers.size === 0 && connection.idleBytes === socket.bytesRead && !socket.writableEnded) {
+			socket.destroy();
+		}
+	}
+
+	function closeSoon(socket: Socket): void {
+		setTimeout(() => {
+			// Timers run before bytes that have arrived in the meantime are read.
+			setImmediate(closeIdle, socket);
+		}, idleMs);
+	}
+
+	return {
+		add(socket) {
+			connections.set(socket, {answers: new Set(), idleBytes: 0});
+			socket.once('close', () => {
+				connections.delete(socket);
+			});
+			if (isDraining) {
+				closeSoon(socket);
+			}
+		},
+		addRequest({socket}, response) {
+			const connection = connections.get(socket);
+			connection?.answers.add(response);
+			response.once('close', () => {
+				connection?.answers.delete(response);
+				if (connection?.answers.size !== 0) {
+					return;
+				}
+
+				connection.idleBytes = socket.bytesRead;
+				if (isDraining) {
+					closeSoon(socket);
+				}
+			});
+		},
+		drain() {
+			isDraining = true;
+			for (const socket of connections.keys()) {
+				closeSoon(socket);
+			}
+		},
+	};
+}
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -1,4 +1,5 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import restana from 'restana';
 import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
@@ -6,6 +7,7 @@
 import {countHeaderBytes} from './count-header-bytes.ts';
 import {createAnswerMonitor} from './create-answer-monitor.ts';
 import {createConnectionGuard} from './create-connection-guard.ts';
+import {createConnectionTracker} from './create-connection-tracker.ts';
 import {createReply} from './create-reply.ts';
 import type {Front} from './front.ts';
 import type {FrontOptions} from './front-options.ts';
@@ -24,10 +26,6 @@
 Interval of the check for request headers that exceed their timeout, in milliseconds.
 */
 const headerCheckIntervalMs = 500;
-/**
-Interval at which a draining node closes idle connections, in milliseconds.
-*/
-const idleCheckIntervalMs = 100;
 
 /**
 Codes of errors that depend on the configuration: a newer one may allow the request.
@@ -61,6 +59,9 @@
 	const guard = createConnectionGuard({logger, metrics});
 	server.on('clientError', guard.handleError);
 
+	const tracker = createConnectionTracker();
+	server.on('connection', tracker.add);
+
 	let isDraining = false;
 
 	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
@@ -138,6 +139,7 @@
 		metrics.increment('gateway.requests');
 		guard.add(request, response);
 		monitor.add(request, response);
+		tracker.addRequest(request, response);
 		try {
 			await forward(request, response);
 		} catch (error) {
@@ -155,15 +157,12 @@
 		async drain() {
 			isDraining = true;
 			const {promise, resolve} = Promise.withResolvers<void>();
-			// Connections with open answers become idle later.
-			const timer = setInterval(() => {
-				server.closeIdleConnections();
-			}, idleCheckIntervalMs);
-			server.close(() => {
+			// The HTTP server's own `close` destroys connections whose answers still wait for their callers.
+			NetServer.prototype.close.call(server, () => {
 				resolve();
 			});
+			tracker.drain();
 			await promise;
-			clearInterval(timer);
 		},
 		closeNow() {
 			monitor.markAllInterrupted({endedBy: 'node', cause: 'shutdown', reason: 'the node stops'});
