fix(front): ask only the last caller of a connection to close it

A caller that had sent two requests on one connection to a leaving node got the first answer, and the connection was closed without the second one, although the second request had been accepted and passed on. A request that came behind an answer that had begun with `connection: close` was passed on too, and never answered.

Cause: each answer of a leaving node got `connection: close`, whatever else was open on its connection, and the HTTP server closes the connection after the first answer that has it.

Now an answer gets the header only if no later request was read from its connection, and a request behind such an answer is not passed on.

Evidence (`gateway/front/test/drain.test.ts`):

before not ok - a draining node sends the rest of answers to pipelined requests of a leaving node to a slow reader not ok - a request behind an answer with `connection: close` reaches no endpoint after all pass

A request behind one that itself asks for `connection: close` needs nothing: the parser refuses it.

--- a/gateway/front/src/connection-tracker.ts
+++ b/gateway/front/src/connection-tracker.ts
@@ -12,6 +12,15 @@
 	*/
 	readonly addRequest: (request: IncomingMessage, response: ServerResponse) => void;
 	/**
+	Marks an answer as the last one of its connection. Returns `false`, and marks nothing, if a later request was read already: it would
+	never be answered.
+	*/
+	readonly endAfter: (response: ServerResponse) => boolean;
+	/**
+	Whether an answer on the connection is marked as its last one, so that requests behind it must not run.
+	*/
+	readonly isEnding: (socket: Socket) => boolean;
+	/**
 	Closes connections on which nothing is open, now and whenever another one becomes idle.
 	*/
 	readonly drain: () => void;
--- a/gateway/front/src/create-connection-tracker.ts
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -10,6 +10,11 @@
 
 type Connection = {
 	readonly answers: Set<ServerResponse>;
+	newest: ServerResponse | undefined;
+	/**
+	Whether the newest answer is the last one.
+	*/
+	isEnding: boolean;
 	/**
 	Bytes that had been read when the connection became idle.
 	*/
@@ -47,7 +52,9 @@
 
 	return {
 		add(socket) {
-			connections.set(socket, {answers: new Set(), idleBytes: 0});
+			connections.set(socket, {
+				answers: new Set(), newest: undefined, isEnding: false, idleBytes: 0,
+			});
 			socket.once('close', () => {
 				connections.delete(socket);
 			});
@@ -57,10 +64,15 @@
 		},
 		addRequest({socket}, response) {
 			const connection = connections.get(socket);
-			connection?.answers.add(response);
+			if (connection === undefined) {
+				return;
+			}
+
+			connection.answers.add(response);
+			connection.newest = response;
 			response.once('close', () => {
-				connection?.answers.delete(response);
-				if (connection?.answers.size !== 0) {
+				connection.answers.delete(response);
+				if (connection.answers.size > 0) {
 					return;
 				}
 
@@ -70,6 +82,16 @@
 				}
 			});
 		},
+		endAfter(response) {
+			const connection = connections.get(response.req.socket);
+			if (connection?.newest !== response) {
+				return false;
+			}
+
+			connection.isEnding = true;
+			return true;
+		},
+		isEnding: socket => connections.get(socket)?.isEnding === true,
 		drain() {
 			isDraining = true;
 			for (const socket of connections.keys()) {
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -71,7 +71,7 @@
 			name: 'request-refused', request: requestId, code: error.code, reason: error.message, version: options.routes()?.version,
 		});
 		// The connection is closed after an unread body, which would be parsed as the next request.
-		sendRefusal(response, error, options.isLeaving() || !request.complete);
+		sendRefusal(response, error, (options.isLeaving() || !request.complete) && tracker.endAfter(response));
 	}
 
 	/**
@@ -81,14 +81,14 @@
 		return !deniedCodes.has(error.code) || options.isCurrent() ? error : new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', `the configuration may be out of date: ${error.message}`, {retryAfterMs: notReadyRetryMs});
 	}
 
-	function buildRequest(request: IncomingMessage, arrivedAt: number): Omit<ForwardRequest, 'body'> {
+	function buildRequest(request: IncomingMessage, arrivedAt: number, isBehindLast: boolean): Omit<ForwardRequest, 'body'> {
 		// A request on a kept-alive connection may arrive when too little grace time is left to answer it.
 		if (isDraining) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'it came after the balancer had time to send callers elsewhere', {retryAfterMs: 0});
 		}
 
 		// The answer might not be written, so the request must not run.
-		if (guard.isEnding(request.socket)) {
+		if (isBehindLast || guard.isEnding(request.socket)) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_CONNECTION_ENDING', 'its connection is about to be closed', {retryAfterMs: 0});
 		}
 
@@ -117,8 +117,8 @@
 		};
 	}
 
-	async function forward(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const head = buildRequest(request, performance.now());
+	async function forward(request: IncomingMessage, response: ServerResponse, isBehindLast: boolean): Promise<void> {
+		const head = buildRequest(request, performance.now(), isBehindLast);
 		const body = await readWholeBody(request, options.limits().bodyBytes);
 		if (response.destroyed) {
 			return;
@@ -128,7 +128,7 @@
 			name: 'request-admitted', request: head.metadata.requestId ?? '-', route: head.route.name, version: head.version, account: head.account?.name,
 			priority: head.account?.priority ?? head.route.priority, promptTokens: head.metadata.promptTokens, outputTokens: head.metadata.outputTokens, waitMs: head.metadata.waitMs,
 		});
-		const reply = createReply(response, options.isLeaving, interruption => {
+		const reply = createReply(response, () => options.isLeaving() && tracker.endAfter(response), interruption => {
 			monitor.markInterrupted(response, interruption);
 		});
 		const task = options.forwarder.forward({...head, body}, reply);
@@ -139,9 +139,10 @@
 		metrics.increment('gateway.requests');
 		guard.add(request, response);
 		monitor.add(request, response);
+		const isBehindLast = tracker.isEnding(request.socket);
 		tracker.addRequest(request, response);
 		try {
-			await forward(request, response);
+			await forward(request, response, isBehindLast);
 		} catch (error) {
 			refuse(request, response, toCallerError(toValvesaddleError(error)));
 		}
--- a/gateway/front/test/drain.test.ts
+++ b/gateway/front/test/drain.test.ts
@@ -102,6 +102,17 @@
 		},
 		ending: 'second',
 	},
+	{
+		name: 'answers to pipelined requests of a leaving node',
+		bytes: formatRequest() + formatRequest(),
+		count: 2,
+		isLeaving: true,
+		answer([first, second]) {
+			second!.answer(200, [], Buffer.from('second'));
+			first!.answer(200, [], large);
+		},
+		ending: 'second',
+	},
 ];
 
 for (const {name, bytes, count, isLeaving = false, answer, ending} of answeredCases) {
@@ -173,3 +184,19 @@
 	t.equal(front.forwarded.length, 2);
 	await drained;
 });
+
+test('a request behind an answer with `connection: close` reaches no endpoint', async t => {
+	const front = await startFront(t);
+	const {call, replies} = await sendUnread(front, formatRequest());
+	call.socket.resume();
+	front.leave();
+	replies[0]!.start(200, []);
+	await waitUntil(() => call.read().endsWith('\r\n\r\n'));
+	call.socket.write(formatRequest());
+	await waitUntil(() => front.metrics.total('gateway.requests') === 2);
+	replies[0]!.write(Buffer.from('x'));
+	replies[0]!.end();
+	await waitUntil(() => call.socket.closed);
+	t.match(call.read(), /^http\/1\.1 200 [\s\S]*connection: close[\s\S]*1\r\nx\r\n0\r\n\r\n$/iv);
+	t.equal(front.forwarded.length, 1);
+});
