fix(front): read on after a refusal until its caller has it

A caller that writes its whole body before it reads got EPIPE or ECONNRESET instead of 401, 404, 413 or 503, and could not tell whether its request had run.

Cause: a refusal of an unread body has `connection: close`, and the HTTP server destroys the socket as soon as the refusal is handed to the system. The rest of the body then arrives at a closed socket, which resets the connection and discards the refusal on its way. Only connections with unreadable requests stayed open for a while.

Now every connection that is closed after an answer is half closed first; what the caller still sends is read and discarded until it closes too, is quiet for half a second, or has gone on for 5 s or 16 MiB. A request behind a body that was not read does not run: its connection is marked as ending.

Evidence (`gateway/front/test/refusals.test.ts`, bodies of 8 MiB):

before not ok 1 - a caller that writes everything before it reads gets 404 for an unknown route not ok 2 - ... gets 413 for a body that is announced as too large not ok 4 - ... gets 404 for a leaving node not ok 7 - ... gets 503 from a draining node not ok 8 - what follows a body that is not read is not taken for a request (no answer at all) after all pass

413 for a body that becomes too large, 400 and 431 reached such callers before, and still do.

--- a/gateway/front/src/connection-guard.ts
+++ b/gateway/front/src/connection-guard.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Duplex} from 'node:stream';
+import type {Socket} from 'node:net';
 
 /**
 Handles connection errors so that the HTTP server's own error responses are not written while another answer is open.
@@ -12,9 +12,9 @@
 	/**
 	Whether a connection will be closed as soon as its open answers have ended.
 	*/
-	readonly isEnding: (socket: Duplex) => boolean;
+	readonly isEnding: (socket: Socket) => boolean;
 	/**
 	Handles the server's `clientError` event: a connection failed, or a request on it is malformed or arrives too slowly.
 	*/
-	readonly handleError: (error: NodeJS.ErrnoException, socket: Duplex) => void;
+	readonly handleError: (error: NodeJS.ErrnoException, socket: Socket) => void;
 };
--- a/gateway/front/src/create-connection-guard.ts
+++ b/gateway/front/src/create-connection-guard.ts
@@ -1,14 +1,10 @@
 import {STATUS_CODES, type IncomingMessage, type ServerResponse} from 'node:http';
-import type {Duplex} from 'node:stream';
+import type {Socket} from 'node:net';
+import {closeLingering} from './close-lingering.ts';
 import type {ConnectionGuard} from './connection-guard.ts';
 import type {FrontOptions} from './front-options.ts';
 import {getParserStatus} from './get-parser-status.ts';
 
-/**
-How long a connection with an unreadable request stays open for the caller to close it, in milliseconds. Closing it immediately
-would reset it if more data arrives, and the caller could lose the answer.
-*/
-const lingerMs = 500;
 /**
 Parser's error code for a connection that the caller closed within a request.
 */
@@ -26,13 +22,13 @@
 	/**
 	Requests with open answers, in order of arrival.
 	*/
-	const open = new WeakMap<Duplex, Map<ServerResponse, IncomingMessage>>();
-	const ending = new WeakSet<Duplex>();
+	const open = new WeakMap<Socket, Map<ServerResponse, IncomingMessage>>();
+	const ending = new WeakSet<Socket>();
 
 	/**
 	Lists the open answers. An incomplete request will not be completed after an error, so it counts only if its refusal is being sent.
 	*/
-	function listOpen(socket: Duplex): ServerResponse[] {
+	function listOpen(socket: Socket): ServerResponse[] {
 		return [...open.get(socket) ?? []]
 			.filter(([response, request]) => request.complete || response.headersSent)
 			.map(([response]) => response);
@@ -45,25 +41,18 @@
 		});
 	}
 
-	function sendParserStatus(socket: Duplex, status: number): void {
-		socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`);
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, lingerMs);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
+	function sendParserStatus(socket: Socket, status: number): void {
+		socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`);
+		closeLingering(socket);
 	}
 
 	/**
 	Closes the connection after the last open answer, since answers are sent in order.
 	*/
-	function closeAfter(response: ServerResponse, socket: Duplex): void {
+	function closeAfter(response: ServerResponse, socket: Socket): void {
 		response.shouldKeepAlive = false;
 		response.once('close', () => {
-			socket.end(() => {
-				socket.destroy();
-			});
+			closeLingering(socket);
 		});
 	}
 
@@ -85,8 +74,8 @@
 				socket.end();
 			}
 
-			// The parser repeats its error for all further data; only the first one is logged.
-			if (ending.has(socket)) {
+			// The parser repeats its error for all further data; only the first one is logged. After the last answer it does not matter.
+			if (ending.has(socket) || (last === undefined && socket.writableEnded)) {
 				return;
 			}
 
--- a/gateway/front/src/create-connection-tracker.ts
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {closeLingering} from './close-lingering.ts';
 import type {ConnectionTracker} from './connection-tracker.ts';
 
 /**
@@ -55,6 +56,11 @@
 			connections.set(socket, {
 				answers: new Set(), newest: undefined, isEnding: false, idleBytes: 0,
 			});
+			// The HTTP server closes a connection in this way after the last answer.
+			socket.destroySoon = () => {
+				closeLingering(socket);
+			};
+
 			socket.once('close', () => {
 				connections.delete(socket);
 			});
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -1,5 +1,5 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import restana from 'restana';
 import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
@@ -57,7 +57,9 @@
 
 	const monitor = createAnswerMonitor(options);
 	const guard = createConnectionGuard({logger, metrics});
-	server.on('clientError', guard.handleError);
+	server.on('clientError', (error, socket) => {
+		guard.handleError(error, socket as Socket);
+	});
 
 	const tracker = createConnectionTracker();
 	server.on('connection', tracker.add);
