fix(front): deliver the events of a stream that is ended incomplete

When a stream broke off at its endpoint or at the deadline, its caller also lost the events that were already written for it, and a caller of HTTP/1.0 took the part that it had for the whole answer.

Cause: the answer was ended by destroying the socket, which discards what waits in it. And without chunks a closed connection is how an answer ends, so that only a reset shows that it is incomplete.

A request that comes behind such an answer does not run.

--- a/gateway/front/src/connection-tracker.ts
+++ b/gateway/front/src/connection-tracker.ts
@@ -17,7 +17,7 @@
 	*/
 	readonly endAfter: (response: ServerResponse) => boolean;
 	/**
-	Whether an answer on the connection is marked as its last one, so that requests behind it must not run.
+	Whether the last answer of the connection is known, so that requests behind it must not run.
 	*/
 	readonly isEnding: (socket: Socket) => boolean;
 	/**
--- a/gateway/front/src/create-connection-tracker.ts
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -97,7 +97,7 @@
 			connection.isEnding = true;
 			return true;
 		},
-		isEnding: socket => connections.get(socket)?.isEnding === true,
+		isEnding: socket => socket.writableEnded || connections.get(socket)?.isEnding === true,
 		drain() {
 			isDraining = true;
 			for (const socket of connections.keys()) {
--- a/gateway/front/src/create-reply.ts
+++ b/gateway/front/src/create-reply.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Interruption, Reply} from '@valvesaddle/forwarding';
+import {endIncomplete} from './end-incomplete.ts';
 import {formatChunk} from './format-chunk.ts';
 import {sendRefusal} from './send-refusal.ts';
 
@@ -40,7 +41,7 @@
 		},
 		abort(interruption) {
 			onAbort?.(interruption);
-			response.destroy();
+			endIncomplete(response);
 		},
 		refuse(error) {
 			sendRefusal(response, error, isLeaving());
