fix(front,gateway): answer open requests at the end of the grace time before closing

At the end of its grace time a node closed all connections at once: callers whose endpoint still worked got no answer at all, and those that read slowly lost the rest of answers that were complete.

Cause: `closeNow()` destroys every connection, with what waits in it, nine tenths into the grace time. The last tenth was used only for the store, the peers and the log.

Now the front is stopped in two steps. The requests that are left are refused (502 if an endpoint may have run them, else 503), or their streams are ended incomplete after the events that were written. Then what waits is sent for a twentieth of the grace time, beside the calls on the store that were made before, and all connections are closed. The node still ends within the grace time: the twentieth is half of the reserved share.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -230,5 +230,13 @@
 			endAttempt('cancelled');
 			closeTask('cancelled', 0);
 		},
+		fail(interruption) {
+			if (hasEnded) {
+				return;
+			}
+
+			endAttempt('cancelled');
+			fail(refusals.buildStopped(retries.countRuns() > 0), interruption);
+		},
 	};
 }
--- a/gateway/forwarding/src/create-refusals.ts
+++ b/gateway/forwarding/src/create-refusals.ts
@@ -39,6 +39,9 @@
 		buildTimeout: (waitMs, wasSent) => wasSent
 			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${waitMs} ms`)
 			: new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT_UNSENT', `not sent within ${waitMs} ms`, {retryAfterMs: defaultRetryAfterMs}),
+		buildStopped: wasSent => wasSent
+			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'the node stops and cannot wait for the endpoint')
+			: new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node stops', {retryAfterMs: 0}),
 		buildFailure: (reason, wasSent) => wasSent
 			? new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', reason)
 			: new ValvesaddleError('ERR_VALVESADDLE_ENDPOINTS_BUSY', reason, {retryAfterMs: drawRetryAfterMs()}),
--- a/gateway/forwarding/src/refusals.ts
+++ b/gateway/forwarding/src/refusals.ts
@@ -17,6 +17,10 @@
 	*/
 	readonly buildTimeout: (waitMs: number, wasSent: boolean) => ValvesaddleError;
 	/**
+	The node stops before the request has its answer.
+	*/
+	readonly buildStopped: (wasSent: boolean) => ValvesaddleError;
+	/**
 	The last attempt failed, and the request may not be retried.
 	*/
 	readonly buildFailure: (reason: string, wasSent: boolean) => ValvesaddleError;
--- a/gateway/front/src/create-connection-tracker.ts
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -88,6 +88,7 @@
 				}
 			});
 		},
+		listOpen: () => connections.values().flatMap(({answers}) => answers).toArray(),
 		endAfter(response) {
 			const connection = connections.get(response.req.socket);
 			if (connection?.newest !== response) {
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -1,8 +1,14 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import restana from 'restana';
 import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
-import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
+import {
+	pickTarget,
+	type ForwardRequest,
+	type ForwardTask,
+	type Interruption,
+} from '@valvesaddle/forwarding';
 import {startServer} from '@valvesaddle/http-server';
 import {countHeaderBytes} from './count-header-bytes.ts';
 import {createAnswerMonitor} from './create-answer-monitor.ts';
@@ -27,6 +33,8 @@
 */
 const headerCheckIntervalMs = 500;
 
+const stopped: Interruption = {endedBy: 'node', cause: 'shutdown', reason: 'the node stops'};
+
 /**
 Codes of errors that depend on the configuration: a newer one may allow the request.
 */
@@ -64,7 +72,8 @@
 	const tracker = createConnectionTracker();
 	server.on('connection', tracker.add);
 
-	let isDraining = false;
+	const tasks = new Map<ServerResponse, ForwardTask>();
+	let drained: Promise<void> | undefined;
 
 	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
 		metrics.increment('gateway.refused', 1, {code: error.code});
@@ -85,7 +94,7 @@
 
 	function buildRequest(request: IncomingMessage, arrivedAt: number, isBehindLast: boolean): Omit<ForwardRequest, 'body'> {
 		// A request on a kept-alive connection may arrive when too little grace time is left to answer it.
-		if (isDraining) {
+		if (drained !== undefined) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'it came after the balancer had time to send callers elsewhere', {retryAfterMs: 0});
 		}
 
@@ -122,7 +131,7 @@
 	async function forward(request: IncomingMessage, response: ServerResponse, isBehindLast: boolean): Promise<void> {
 		const head = buildRequest(request, performance.now(), isBehindLast);
 		const body = await readWholeBody(request, options.limits().bodyBytes);
-		if (response.destroyed) {
+		if (response.destroyed || response.writableEnded) {
 			return;
 		}
 
@@ -134,7 +143,11 @@
 			monitor.markInterrupted(response, interruption);
 		});
 		const task = options.forwarder.forward({...head, body}, reply);
-		response.once('close', task.cancel);
+		tasks.set(response, task);
+		response.once('close', () => {
+			tasks.delete(response);
+			task.cancel();
+		});
 	}
 
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -150,6 +163,36 @@
 		}
 	}
 
+	async function closeGradually(): Promise<void> {
+		const {promise, resolve} = Promise.withResolvers<void>();
+		// The HTTP server's own `close` destroys connections whose answers still wait for their callers.
+		NetServer.prototype.close.call(server, () => {
+			resolve();
+		});
+		tracker.drain();
+		await promise;
+	}
+
+	async function drain(): Promise<void> {
+		drained ??= closeGradually();
+		await drained;
+	}
+
+	function failOpen(response: ServerResponse): void {
+		const task = tasks.get(response);
+		if (task !== undefined) {
+			task.fail(stopped);
+		} else if (!response.headersSent) {
+			refuse(response.req, response, new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node stops before the body has come', {retryAfterMs: 0}));
+		}
+	}
+
+	function closeNow(): void {
+		monitor.markAllInterrupted(stopped);
+		server.close();
+		server.closeAllConnections();
+	}
+
 	return {
 		listen: async () => startServer(server, options),
 		configure() {
@@ -157,20 +200,16 @@
 			server.headersTimeout = headerTimeoutMs;
 			server.keepAliveTimeout = idleTimeoutMs;
 		},
-		async drain() {
-			isDraining = true;
-			const {promise, resolve} = Promise.withResolvers<void>();
-			// The HTTP server's own `close` destroys connections whose answers still wait for their callers.
-			NetServer.prototype.close.call(server, () => {
-				resolve();
-			});
-			tracker.drain();
-			await promise;
-		},
-		closeNow() {
-			monitor.markAllInterrupted({endedBy: 'node', cause: 'shutdown', reason: 'the node stops'});
-			server.close();
-			server.closeAllConnections();
+		drain,
+		async stop(flushMs) {
+			const allClosed = drain();
+			for (const response of tracker.listOpen()) {
+				failOpen(response);
+			}
+
+			await Promise.race([allClosed, wait(flushMs, undefined, {ref: false})]);
+			closeNow();
 		},
+		closeNow,
 	};
 }
--- a/gateway/front/src/front.ts
+++ b/gateway/front/src/front.ts
@@ -15,6 +15,11 @@
 	*/
 	readonly drain: () => Promise<void>;
 	/**
+	Refuses the requests that are still open, or ends their answers incomplete, and resolves when all connections are closed: each after
+	what waits on it was sent, or all after this time in milliseconds.
+	*/
+	readonly stop: (flushMs: number) => Promise<void>;
+	/**
 	Closes all connections immediately.
 	*/
 	readonly closeNow: () => void;
--- a/gateway/front/test/start-front.ts
+++ b/gateway/front/test/start-front.ts
@@ -1,6 +1,6 @@
 import {connect, type Socket} from 'node:net';
 import type {Test} from 'tap';
-import type {ForwardRequest, Reply} from '@valvesaddle/forwarding';
+import type {ForwardRequest, Interruption, Reply} from '@valvesaddle/forwarding';
 import type {CallerLimits} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
@@ -40,6 +40,10 @@
 	readonly request: ForwardRequest;
 	readonly reply: Reply;
 	readonly isCancelled: () => boolean;
+	/**
+	Reasons for which the front ended it.
+	*/
+	readonly failures: () => readonly Interruption[];
 };
 
 /**
@@ -61,11 +65,17 @@
 		forwarder: {
 			forward(request, reply) {
 				let isCancelled = false;
-				forwarded.push({request, reply, isCancelled: () => isCancelled});
+				const failures: Interruption[] = [];
+				forwarded.push({
+					request, reply, isCancelled: () => isCancelled, failures: () => failures,
+				});
 				return {
 					cancel() {
 						isCancelled = true;
 					},
+					fail(interruption) {
+						failures.push(interruption);
+					},
 				};
 			},
 			countOpen: () => forwarded.length,
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -36,6 +36,10 @@
 */
 const reservedGraceShare = 0.1;
 /**
+Share of the grace period, within the reserved one, for sending answers that wait for their callers.
+*/
+const flushGraceShare = 0.05;
+/**
 How long a node that stops waits for the store and its peers, in milliseconds.
 */
 const closeTimeoutMs = 200;
@@ -188,11 +192,15 @@
 		highestNodeCount = Math.max(highestNodeCount, view.nodes().length);
 	});
 
-	async function close(): Promise<void> {
-		front.closeNow();
+	/**
+	Closes the node while the answers that wait for their callers are sent, for the given time in milliseconds at most.
+	*/
+	async function closeAfter(flushMs: number): Promise<void> {
+		const callersClosed = front.stop(flushMs);
 		sync.close();
 		await Promise.race([duties?.close(), wait(closeTimeoutMs, undefined, {ref: false})]);
 		await Promise.race([follower.close(), wait(closeTimeoutMs, undefined, {ref: false})]);
+		await callersClosed;
 		view.close();
 		await Promise.race([Promise.all([network.close(), ready.close(), metricsServer?.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeTimeoutMs, undefined, {ref: false})]);
 		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
@@ -217,11 +225,12 @@
 		logger.info({
 			name: 'node-state', from: 'serving', to: 'leaving', open: forwarder.countOpen(),
 		});
-		const usableMs = drainSettings.grace_s * msPerSecond * (1 - reservedGraceShare);
+		const graceMs = drainSettings.grace_s * msPerSecond;
+		const usableMs = graceMs * (1 - reservedGraceShare);
 		// The load balancer stops sending callers after a few failed health checks.
 		await wait(Math.min(drainSettings.balancer_ms, usableMs));
 		await Promise.race([front.drain(), wait(usableMs - drainSettings.balancer_ms, undefined, {ref: false})]);
-		await close();
+		await closeAfter(graceMs * flushGraceShare);
 	}
 
 	return {
@@ -244,6 +253,6 @@
 		rejectReload(error) {
 			logger.warn({name: 'settings-read', isAccepted: false, reason: error instanceof Error ? error.message : String(error)});
 		},
-		close,
+		close: async () => closeAfter(0),
 	};
 }
--- a/node/gateway/test/gateway.test.ts
+++ b/node/gateway/test/gateway.test.ts
@@ -176,3 +176,14 @@
 	t.equal(platform.arrived.length, before);
 	t.match(text, /^HTTP\/1\.1 200 /v);
 });
+
+test('a request whose endpoint is still working at the end of the grace time is answered, not cut off', async t => {
+	const platform = await startPlatform(t, ['silent'], '[drain]\ngrace_s = 1\nbalancer_ms = 1');
+	await platform.open();
+	const call = platform.call('/unsafe/x').catch(() => undefined);
+	await waitUntil(() => platform.arrived.length === 1);
+	await platform.gateway.drain();
+	const answer = await call;
+	t.equal(answer?.status, 502);
+	t.match(answer?.text, '"ran":"maybe"');
+});
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -46,6 +46,15 @@
 	tenants: [{name: 'sawmill', 'api-keys': ['key']}],
 };
 
+/**
+Drain settings, unless the test has its own.
+*/
+const drainSettings = `
+	[drain]
+	grace_s = 60
+	balancer_ms = 1
+`;
+
 /**
  Starts a gateway with a fake store and two fake endpoints. The requests that arrive at either endpoint are answered by the given
  behaviours in order; the last one repeats.
@@ -83,9 +92,7 @@
 			slack = ${retrySlack}
 			[limits]
 			connect_ms = 10000
-			[drain]
-			grace_s = 60
-			balancer_ms = 1
+			${moreSettings.includes('[drain]') ? '' : drainSettings}
 			[observe]
 			log_level = "silent"
 			${moreSettings}
