--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -1,11 +1,19 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import restana from 'restana';
 import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
-import {pickTarget, type ForwardRequest} from '@valvesaddle/forwarding';
+import {
+	pickTarget,
+	type ForwardRequest,
+	type ForwardTask,
+	type Interruption,
+} from '@valvesaddle/forwarding';
 import {startServer} from '@valvesaddle/http-server';
 import {countHeaderBytes} from './count-header-bytes.ts';
 import {createAnswerMonitor} from './create-answer-monitor.ts';
 import {createConnectionGuard} from './create-connection-guard.ts';
+import {createConnectionTracker} from './create-connection-tracker.ts';
 import {createReply} from './create-reply.ts';
 import type {Front} from './front.ts';
 import type {FrontOptions} from './front-options.ts';
@@ -24,10 +32,8 @@
 Interval of the check for request headers that exceed their timeout, in milliseconds.
 */
 const headerCheckIntervalMs = 500;
-/**
-Interval at which a draining node closes idle connections, in milliseconds.
-*/
-const idleCheckIntervalMs = 100;
+
+const stopped: Interruption = {endedBy: 'node', cause: 'shutdown', reason: 'the node stops'};
 
 /**
 Codes of errors that depend on the configuration: a newer one may allow the request.
@@ -59,9 +65,15 @@
 
 	const monitor = createAnswerMonitor(options);
 	const guard = createConnectionGuard({logger, metrics});
-	server.on('clientError', guard.handleError);
+	server.on('clientError', (error, socket) => {
+		guard.handleError(error, socket as Socket);
+	});
+
+	const tracker = createConnectionTracker();
+	server.on('connection', tracker.add);
 
-	let isDraining = false;
+	const tasks = new Map<ServerResponse, ForwardTask>();
+	let drained: Promise<void> | undefined;
 
 	function refuse(request: IncomingMessage, response: ServerResponse, error: ValvesaddleError): void {
 		metrics.increment('gateway.refused', 1, {code: error.code});
@@ -70,7 +82,7 @@
 			name: 'request-refused', request: requestId, code: error.code, reason: error.message, version: options.routes()?.version,
 		});
 		// The connection is closed after an unread body, which would be parsed as the next request.
-		sendRefusal(response, error, options.isLeaving() || !request.complete);
+		sendRefusal(response, error, (options.isLeaving() || !request.complete) && tracker.endAfter(response));
 	}
 
 	/**
@@ -80,14 +92,14 @@
 		return !deniedCodes.has(error.code) || options.isCurrent() ? error : new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', `the configuration may be out of date: ${error.message}`, {retryAfterMs: notReadyRetryMs});
 	}
 
-	function buildRequest(request: IncomingMessage, arrivedAt: number): Omit<ForwardRequest, 'body'> {
+	function buildRequest(request: IncomingMessage, arrivedAt: number, isBehindLast: boolean): Omit<ForwardRequest, 'body'> {
 		// A request on a kept-alive connection may arrive when too little grace time is left to answer it.
-		if (isDraining) {
+		if (drained !== undefined) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'it came after the balancer had time to send callers elsewhere', {retryAfterMs: 0});
 		}
 
 		// The answer might not be written, so the request must not run.
-		if (guard.isEnding(request.socket)) {
+		if (isBehindLast || guard.isEnding(request.socket)) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_CONNECTION_ENDING', 'its connection is about to be closed', {retryAfterMs: 0});
 		}
 
@@ -116,10 +128,10 @@
 		};
 	}
 
-	async function forward(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const head = buildRequest(request, performance.now());
+	async function forward(request: IncomingMessage, response: ServerResponse, isBehindLast: boolean): Promise<void> {
+		const head = buildRequest(request, performance.now(), isBehindLast);
 		const body = await readWholeBody(request, options.limits().bodyBytes);
-		if (response.destroyed) {
+		if (response.destroyed || response.writableEnded) {
 			return;
 		}
 
@@ -127,24 +139,60 @@
 			name: 'request-admitted', request: head.metadata.requestId ?? '-', route: head.route.name, version: head.version, account: head.account?.name,
 			priority: head.account?.priority ?? head.route.priority, promptTokens: head.metadata.promptTokens, outputTokens: head.metadata.outputTokens, waitMs: head.metadata.waitMs,
 		});
-		const reply = createReply(response, options.isLeaving, interruption => {
+		const reply = createReply(response, () => options.isLeaving() && tracker.endAfter(response), interruption => {
 			monitor.markInterrupted(response, interruption);
 		});
 		const task = options.forwarder.forward({...head, body}, reply);
-		response.once('close', task.cancel);
+		tasks.set(response, task);
+		response.once('close', () => {
+			tasks.delete(response);
+			task.cancel();
+		});
 	}
 
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		metrics.increment('gateway.requests');
 		guard.add(request, response);
 		monitor.add(request, response);
+		const isBehindLast = tracker.isEnding(request.socket);
+		tracker.addRequest(request, response);
 		try {
-			await forward(request, response);
+			await forward(request, response, isBehindLast);
 		} catch (error) {
 			refuse(request, response, toCallerError(toValvesaddleError(error)));
 		}
 	}
 
+	async function closeGradually(): Promise<void> {
+		const {promise, resolve} = Promise.withResolvers<void>();
+		// The HTTP server's own `close` destroys connections whose answers still wait for their callers.
+		NetServer.prototype.close.call(server, () => {
+			resolve();
+		});
+		tracker.drain();
+		await promise;
+	}
+
+	async function drain(): Promise<void> {
+		drained ??= closeGradually();
+		await drained;
+	}
+
+	function failOpen(response: ServerResponse): void {
+		const task = tasks.get(response);
+		if (task !== undefined) {
+			task.fail(stopped);
+		} else if (!response.headersSent) {
+			refuse(response.req, response, new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'the node stops before the body has come', {retryAfterMs: 0}));
+		}
+	}
+
+	function closeNow(): void {
+		monitor.markAllInterrupted(stopped);
+		server.close();
+		server.closeAllConnections();
+	}
+
 	return {
 		listen: async () => startServer(server, options),
 		configure() {
@@ -152,23 +200,16 @@
 			server.headersTimeout = headerTimeoutMs;
 			server.keepAliveTimeout = idleTimeoutMs;
 		},
-		async drain() {
-			isDraining = true;
-			const {promise, resolve} = Promise.withResolvers<void>();
-			// Connections with open answers become idle later.
-			const timer = setInterval(() => {
-				server.closeIdleConnections();
-			}, idleCheckIntervalMs);
-			server.close(() => {
-				resolve();
-			});
-			await promise;
-			clearInterval(timer);
-		},
-		closeNow() {
-			monitor.markAllInterrupted({endedBy: 'node', cause: 'shutdown', reason: 'the node stops'});
-			server.close();
-			server.closeAllConnections();
+		drain,
+		async stop(flushMs) {
+			const allClosed = drain();
+			for (const response of tracker.listOpen()) {
+				failOpen(response);
+			}
+
+			await Promise.race([allClosed, wait(flushMs, undefined, {ref: false})]);
+			closeNow();
 		},
+		closeNow,
 	};
 }
