fix(cli): go on draining when SIGTERM is repeated

A supervisor that repeated its SIGTERM cut off all callers of a draining node.

Cause: the second signal, of either kind, ended the process at once with code 1. That is meant for a person at a terminal; the time of a supervisor is the grace time, which the gateway keeps by itself.

Now only a SIGINT after the first signal ends the process; SIGTERM may be repeated.

--- a/cli/valvesaddle/src/run-until-signal.ts
+++ b/cli/valvesaddle/src/run-until-signal.ts
@@ -1,20 +1,17 @@
 import process from 'node:process';
 
 /**
- Waits for SIGTERM or SIGINT. A second signal ends the process at once.
+ Waits for SIGTERM or SIGINT. A later SIGINT ends the process at once; SIGTERM may be repeated by a supervisor and is ignored then.
 
  @example
  await runUntilSignal();
  */
 export async function runUntilSignal(): Promise<void> {
 	const {promise, resolve} = Promise.withResolvers<void>();
-	process.once('SIGTERM', resolve);
+	process.on('SIGTERM', resolve);
 	process.once('SIGINT', resolve);
 	await promise;
-	const stop = (): void => {
+	process.once('SIGINT', () => {
 		process.exit(1);
-	};
-
-	process.once('SIGINT', stop);
-	process.once('SIGTERM', stop);
+	});
 }
