fix(cli): drain the gateway when SIGTERM comes during its start

A SIGTERM during the start ended the process at once, although it may already accept connections: it listens for callers before it listens for health checks and peers.

Cause: the handlers of the signals were installed after the start. Now they are installed before it, and the node drains once it has started.

Evidence (`cli/valvesaddle/test/gateway-signals.test.ts`):

before not ok 3 - SIGTERM during the start drains the node instead of ending the process at once (ended by SIGTERM) after all pass

--- a/cli/valvesaddle/src/run-gateway.ts
+++ b/cli/valvesaddle/src/run-gateway.ts
@@ -23,8 +23,10 @@
 			gateway.rejectReload(error);
 		}
 	});
+	// A signal during the start must not end the process while requests are open.
+	const signalled = runUntilSignal();
 	await gateway.start();
-	await runUntilSignal();
+	await signalled;
 	await gateway.drain();
 	return exitCodes.done;
 }
--- a/cli/valvesaddle/test/gateway-signals.test.ts
+++ b/cli/valvesaddle/test/gateway-signals.test.ts
@@ -114,3 +114,19 @@
 	endpoint.answerOpen('whole');
 	t.match(await answer, {status: 200});
 });
+
+test('SIGTERM during the start drains the node instead of ending the process at once', async t => {
+	const folder = t.testdir({'gateway.toml': formatSettings('127.0.0.1:1')});
+	const script = `
+		import {runGateway} from ${JSON.stringify(path.join(source, 'run-gateway.ts'))};
+		const run = runGateway(${JSON.stringify(path.join(folder, 'gateway.toml'))});
+		process.kill(process.pid, 'SIGTERM');
+		process.exit(await run);
+	`;
+	const child = startNode(['--input-type=module', '--eval', script]);
+	child.stdout.resume();
+	t.teardown(() => {
+		child.kill('SIGKILL');
+	});
+	t.same(await waitForExit(child), [0, null]);
+});
