fix(front): read what has arrived before an idle connection is closed

A node that stood still for a moment closed connections on which a request had arrived meanwhile: the caller got a reset.

Cause: the idle timeout runs before the sockets are read when the process stood still in a callback, and closes the connection on the word of the clock alone.

Now the connection is closed one turn of the event loop later, and only if nothing was read from it meanwhile.

Evidence (`gateway/front/test/idle-timeout.test.ts`):

before not ok 1 - a request that arrives while the process stands still is answered after all pass

A configuration that shortens the idle or the header timeout closes no connection with an open request and refuses no body that is still arriving; two tests hold that, both passed before.

--- a/gateway/front/src/connection-tracker.ts
+++ b/gateway/front/src/connection-tracker.ts
@@ -11,6 +11,10 @@
 	Adds a request whose answer is open from now on.
 	*/
 	readonly addRequest: (request: IncomingMessage, response: ServerResponse) => void;
+	/**
+	Closes a connection that was idle for too long, unless bytes have arrived that are not read yet.
+	*/
+	readonly closeIdle: (socket: Socket) => void;
 	readonly listOpen: () => ServerResponse[];
 	/**
 	Marks an answer as the last one of its connection. Returns `false`, and marks nothing, if a later request was read already: it would
--- a/gateway/front/src/create-connection-tracker.ts
+++ b/gateway/front/src/create-connection-tracker.ts
@@ -35,19 +35,25 @@
 	let isDraining = false;
 
 	/**
-	Closes a connection unless a request has begun on it. A socket that was ended is closed by whoever ended it.
+	Closes a connection on which nothing is open and no more than these bytes were read. A socket that was ended is closed by whoever
+	ended it.
 	*/
-	function closeIdle(socket: Socket): void {
-		const connection = connections.get(socket);
-		if (connection?.answers.size === 0 && connection.idleBytes === socket.bytesRead && !socket.writableEnded) {
-			socket.destroy();
-		}
+	function closeUnlessUsed(socket: Socket, bytesRead: number | undefined): void {
+		// Timers may run before bytes that have arrived are read.
+		setImmediate(() => {
+			const hasOpen = connections.get(socket)?.answers.size !== 0;
+			if (!hasOpen && socket.bytesRead === bytesRead && !socket.writableEnded) {
+				socket.destroy();
+			}
+		});
 	}
 
+	/**
+	Closes a connection soon, unless a request begins on it. One whose head does not go on is left to the timeout for heads.
+	*/
 	function closeSoon(socket: Socket): void {
 		setTimeout(() => {
-			// Timers run before bytes that have arrived in the meantime are read.
-			setImmediate(closeIdle, socket);
+			closeUnlessUsed(socket, connections.get(socket)?.idleBytes);
 		}, idleMs);
 	}
 
@@ -88,6 +94,9 @@
 				}
 			});
 		},
+		closeIdle(socket) {
+			closeUnlessUsed(socket, socket.bytesRead);
+		},
 		listOpen: () => connections.values().flatMap(({answers}) => answers).toArray(),
 		endAfter(response) {
 			const connection = connections.get(response.req.socket);
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -71,6 +71,7 @@
 
 	const tracker = createConnectionTracker();
 	server.on('connection', tracker.add);
+	server.on('timeout', tracker.closeIdle);
 
 	const tasks = new Map<ServerResponse, ForwardTask>();
 	let drained: Promise<void> | undefined;
