fix(caller-api): let callers of a leaving node finish their body before a refusal closes the connection

A caller of a draining node that was refused while it still sent its body got a reset instead of the refusal. A leaving node puts `Connection: close` on every reply, and Node closes such a connection with the last byte of the reply; the bytes that still arrive are answered with a reset, which discards the reply at the caller.

The mark is set only on replies to requests that have been read completely. The connection of an early refusal stays open, so its body is read and discarded, and is closed when it is idle.

--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -12,6 +12,7 @@
 import type {CallerApiOptions} from './caller-api-options.ts';
 import {getHeader} from './get-header.ts';
 import {headerNames} from './header-names.ts';
+import {isWhole} from './is-whole.ts';
 import type {JobOptions} from './job-options.ts';
 import type {JobPlan} from './job-plan.ts';
 import {parseEventId} from './parse-event-id.ts';
@@ -61,7 +62,21 @@
 		},
 	});
 
+	/**
+	Asks the caller of a leaving node to close its connection, once the request has been read: closing the connection while
+	the caller still writes would reset it, and the caller would lose the answer.
+	*/
+	function markLeaving(response: ServerResponse): void {
+		if (options.isLeaving() && isWhole(response.req)) {
+			response.setHeader('connection', 'close');
+		}
+	}
+
 	function sendFailure(response: ServerResponse, error: unknown): void {
+		if (!response.headersSent) {
+			markLeaving(response);
+		}
+
 		const end = toErrorEnd(error);
 		options.metrics.increment('callers.refused', 1, {code: end.code});
 		sendError(response, end, noRequestId);
@@ -72,10 +87,7 @@
 	*/
 	function withCaller(handle: Handler): RawHandler {
 		return async (request, response) => {
-			if (options.isLeaving()) {
-				response.setHeader('connection', 'close');
-			}
-
+			markLeaving(response);
 			try {
 				const account = options.access().authenticate(getHeader(request, 'authorization'));
 				if (account.isErr()) {
@@ -138,6 +150,7 @@
 		return withCaller(async (caller, response) => {
 			checkAdmission(caller.account);
 			const text = await readBody(caller.request, options.bodyBytes);
+			markLeaving(response);
 			const {job, model, isStreamed} = build(caller, text, {node: options.node, region: options.region, access: options.access()});
 			await writeReply({
 				caller, response, source: options.executor.start(job), model, offset: 0, write: isStreamed ? writeStreamReply : writeWholeReply, claim: job.claim,
--- a/node/router/test/early-refusals.test.ts
+++ b/node/router/test/early-refusals.test.ts
@@ -53,3 +53,11 @@
 	const received = await sendBeforeReading(fleet.nodes[0]!.callers, 'unknown');
 	t.match(received, /^HTTP\/1.1 401 /v);
 });
+
+test('a caller of a draining node receives the refusal after it sent a large body', async t => {
+	const fleet = await startFleet({nodes: 1, engines: [{}], settings: {drain: {grace_ms: 2000}}});
+	t.teardown(fleet.close);
+	void fleet.nodes[0]!.router.drain();
+	const received = await sendBeforeReading(fleet.nodes[0]!.callers, 'unknown');
+	t.match(received, /^HTTP\/1.1 401 /v);
+});
