fix(http-server): drain a server without cutting answers that wait to be sent

A caller that read a large answer slowly from a node that left, or over a thin link, got its first part and then a reset, for whole answers and for streams alike. The request had run; one that is not repeatable could not be sent again.

The node closed its server with `server.close()` and `closeIdleConnections()` once every request had ended. Node counts a connection as idle as soon as its response was ended, whether or not the bytes have left the process, and destroys it with what waits in the socket.

`createConnectionTracker` counts an answer as open until its response is closed, which follows the hand-over of its last byte to the operating system, and closes connections on which nothing is owed. The caller API and the operator API use it. The servers of the peer network and the ready check keep `closeServer`: their replies are a few bytes.

--- a/caller/api/src/caller-api.ts
+++ b/caller/api/src/caller-api.ts
@@ -7,7 +7,7 @@
 	*/
 	readonly listen: () => Promise<string>;
 	/**
-	Stops listening and waits until every reply is sent.
+	Stops listening and waits until every reply is sent, however slowly its caller reads.
 	*/
 	readonly close: () => Promise<void>;
 	/**
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -3,7 +3,7 @@
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {JobClaim} from '@valvesaddle/execution';
-import {closeServer, formatServerAddress} from '@valvesaddle/http-server';
+import {createConnectionTracker, formatServerAddress} from '@valvesaddle/http-server';
 import type {ClientAccount} from '@valvesaddle/types';
 import {buildChatJob} from './build-chat-job.ts';
 import {buildServiceJob} from './build-service-job.ts';
@@ -52,6 +52,7 @@
  */
 export function createCallerApi(options: CallerApiOptions): CallerApi {
 	const server = createServer();
+	const connections = createConnectionTracker(server);
 	const service = restana({
 		server,
 		errorHandler(error, _request, response) {
@@ -196,7 +197,7 @@
 			await service.start(options.port, options.host);
 			return formatServerAddress(server);
 		},
-		close: async () => closeServer(server),
+		close: connections.drain,
 		closeConnections() {
 			server.close();
 			server.closeAllConnections();
--- a/operator/server/src/create-operator-server.ts
+++ b/operator/server/src/create-operator-server.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {closeServer, startServer} from '@valvesaddle/http-server';
+import {createConnectionTracker, startServer} from '@valvesaddle/http-server';
 import {OperatorService} from '@valvesaddle/operator-schema';
 import {createOperatorHandlers} from './create-operator-handlers.ts';
 import type {OperatorServer} from './operator-server.ts';
@@ -22,8 +22,10 @@
 		readMaxBytes: maximumMessageBytes,
 	}));
 
+	const connections = createConnectionTracker(server);
+
 	return {
 		listen: async () => startServer(server, options),
-		close: async () => closeServer(server),
+		close: connections.drain,
 	};
 }
