fix(router): keep an answer while its caller reads it through another node

A caller that lost its connection and resumed its answer through another node got the answer cut with ERR_VALVESADDLE_CANCELLED once `limits.abandon_ms` had passed, however steadily it read. An answer counts as abandoned when no reader is attached to it, and only callers of the same node were attached: the pages that another node reads for its caller counted for nothing.

Evidence: with `abandon_ms = 200` a caller that resumed an answer of 300 tokens through another node received 59 and an error; now it receives all 300.

Each page that another node reads is now read as a reader of the answer. So that an answer whose caller has really left is still abandoned, a node stops reading pages for a caller that closed its connection; before, it went on until the next part. A second test shows that the engine's work ends then. The answer of another request that holds an idempotency key is now read as its reader, too.

--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -117,21 +117,29 @@
 	Writes the answer; when another request holds the idempotency key, writes the answer of that request.
 	*/
 	async function writeReply(reply: Reply): Promise<void> {
-		const {response, source, model, offset, write} = reply;
+		const held = await writeFrom(reply);
+		if (held?.kind === 'held') {
+			await writeFrom({...reply, source: await findClaimHolder(reply, held), offset: 0});
+		}
+	}
+
+	/**
+	Writes the answer of one source, as its reader.
+	*/
+	async function writeFrom({response, source, model, offset, write}: Reply): Promise<AnswerEnd | undefined> {
+		if (response.destroyed) {
+			return undefined;
+		}
+
 		let isDisconnected = false;
 		source.attach();
 		response.once('close', () => {
 			isDisconnected = true;
 			source.detach();
 		});
-		const held = await write({
+		return write({
 			response, source, model, offset, isDisconnected: () => isDisconnected,
 		});
-		if (held?.kind === 'held') {
-			await write({
-				response, source: await findClaimHolder(reply, held), model, offset: 0, isDisconnected: () => isDisconnected,
-			});
-		}
 	}
 
 	async function findClaimHolder({caller, claim}: Reply, held: Extract<AnswerEnd, {readonly kind: 'held'}>): Promise<AnswerSource> {
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -1,4 +1,4 @@
-import type {AnswerStore} from '@valvesaddle/answers';
+import type {AnswerLog, AnswerPage, AnswerStore} from '@valvesaddle/answers';
 import {claimRequestSchema, type ClaimClient} from '@valvesaddle/claims';
 import type {ConfigFollower} from '@valvesaddle/config-follower';
 import {ValvesaddleError} from '@valvesaddle/error';
@@ -63,8 +63,7 @@
 				throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', `no answer is kept under ${requestId}`);
 			}
 
-			// A large message delays urgent calls behind it, and one over 2 MiB breaks the link.
-			return fitPage(await log.readWithin(offset, maximumReadMs));
+			return readPage(log, offset);
 		},
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
@@ -80,6 +79,19 @@
 	};
 }
 
+/**
+Reads a page as a reader of the log, which is not abandoned while readers on other nodes ask for page after page.
+*/
+async function readPage(log: AnswerLog, offset: number): Promise<AnswerPage> {
+	log.attach();
+	try {
+		// A large message delays urgent calls behind it, and one over 2 MiB breaks the link.
+		return fitPage(await log.readWithin(offset, maximumReadMs));
+	} finally {
+		log.detach();
+	}
+}
+
 function parse<Schema extends z.ZodType>(schema: Schema, parameters: unknown): z.output<Schema> {
 	const parsed = schema.safeParse(parameters);
 	if (!parsed.success) {
--- a/node/router/src/create-remote-answer.ts
+++ b/node/router/src/create-remote-answer.ts
@@ -36,22 +36,28 @@
 		};
 	}
 
+	let readers = 0;
+	let isLeft = false;
+
 	return {
 		requestId,
 		async read(offset) {
 			for (;;) {
 				// eslint-disable-next-line no-await-in-loop -- an empty page means that no part has arrived yet
 				const page = await readPage(offset);
-				if (page.parts.length > 0 || page.end !== undefined) {
+				// The holder does not abandon an answer that is read, so reading ends with its last reader.
+				if (isLeft || page.parts.length > 0 || page.end !== undefined) {
 					return page;
 				}
 			}
 		},
 		attach() {
-			// The node that holds the answer counts its readers.
+			readers++;
+			isLeft = false;
 		},
 		detach() {
-			// The node that holds the answer counts its readers.
+			readers--;
+			isLeft = readers === 0;
 		},
 	};
 }
