fix(router): do not give up an answer on another node when a link breaks

A caller that read its answer through another node got the end "the answer cannot be read" (409, may have run, not retryable) as soon as the link between the nodes broke once, although the holder still had the answer and the next call would have opened a new link. A caller that asked for the answer in that moment got 404 "no longer kept", not retryable, with "ran": "no", which is not known: the request may have run.

Evidence: a link that breaks while a page is awaited ended the answer with "the link to b broke"; now the next part follows. A reconnect while the holder is not reached got 404, "ran": "no", "retryable": false; now 503, "ran": "maybe", and a Retry-After.

A lost link no longer stands for a lost answer, and errors that do not tell whether a request ran are passed on as such.

--- a/caller/api/src/caller-api-options.ts
+++ b/caller/api/src/caller-api-options.ts
@@ -15,7 +15,8 @@
 	readonly executor: Executor;
 	readonly access: () => AccessIndex;
 	/**
-	Finds an answer of this client account on any node; `undefined` when no reachable node holds it.
+	Finds an answer of this client account on any node; `undefined` when no node holds it. Throws
+	`ERR_VALVESADDLE_PEER_UNREACHABLE` when the node that would hold it cannot be reached.
 	*/
 	readonly findAnswer: (requestId: string, account: string) => Promise<AnswerSource | undefined>;
 	/**
--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -1,7 +1,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
-import {ValvesaddleError} from '@valvesaddle/error';
+import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {JobClaim} from '@valvesaddle/execution';
 import {createConnectionTracker, formatServerAddress} from '@valvesaddle/http-server';
 import type {ClientAccount} from '@valvesaddle/types';
@@ -24,6 +24,7 @@
 import {writeWholeReply} from './write-whole-reply.ts';
 
 const noRequestId = '-';
+const unknownRequest = 'no answer is kept under this id';
 
 type Handler = (caller: Caller, response: ServerResponse) => Promise<void>;
 
@@ -142,17 +143,31 @@
 		});
 	}
 
+	/**
+	Finds the source of an answer on any node.
+
+	@throws `ERR_VALVESADDLE_UNKNOWN_REQUEST`, `ERR_VALVESADDLE_PEER_UNREACHABLE`.
+	*/
+	async function findAnswer(requestId: string, account: string): Promise<AnswerSource> {
+		const source = await options.findAnswer(requestId, account);
+		if (source === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', unknownRequest);
+		}
+
+		return source;
+	}
+
 	async function findClaimHolder({caller, claim}: Reply, held: Extract<AnswerEnd, {readonly kind: 'held'}>): Promise<AnswerSource> {
 		if (held.fingerprint !== claim?.fingerprint) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_IDEMPOTENCY_KEY_REUSED', 'the key stands for a different request');
 		}
 
-		const source = await options.findAnswer(held.requestId, caller.account.name);
-		if (source === undefined) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read`);
+		try {
+			return await findAnswer(held.requestId, caller.account.name);
+		} catch (error) {
+			const {message} = toValvesaddleError(error);
+			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read: ${message}`, {cause: error});
 		}
-
-		return source;
 	}
 
 	function createJobHandler(build: JobBuilder): RawHandler {
@@ -171,11 +186,12 @@
 		const {request, account} = caller;
 		const eventId = getHeader(request, headerNames.lastEventId) ?? `${(request.url ?? '').split('/').at(-1)}:0`;
 		const position = parseEventId(eventId);
-		const source = position && await options.findAnswer(position.requestId, account.name);
-		if (position === undefined || source === undefined) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', 'no answer is kept under this id');
+		if (position === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', unknownRequest);
 		}
 
+		const source = await findAnswer(position.requestId, account.name);
+
 		options.metrics.increment('callers.reconnects');
 		await writeReply({
 			caller, response, source, model: '', offset: position.offset, write: writeStreamReply, claim: undefined,
--- a/node/router/src/create-answer-finder.ts
+++ b/node/router/src/create-answer-finder.ts
@@ -1,8 +1,12 @@
 import type {AnswerSource, AnswerStore} from '@valvesaddle/answers';
+import {ValvesaddleError} from '@valvesaddle/error';
 import type {Membership} from '@valvesaddle/membership';
 import type {PeerNetwork} from '@valvesaddle/network';
+import {callHolder} from './call-holder.ts';
 import {createRemoteAnswer} from './create-remote-answer.ts';
 
+const retryAfterMs = 1000;
+
 type AnswerFinderOptions = {
 	readonly node: string;
 	readonly answers: AnswerStore;
@@ -11,7 +15,8 @@
 };
 
 /**
-Finds the source of an account's answer; `undefined` when no reachable node holds it.
+Finds the source of an account's answer; `undefined` when no node holds it. Throws `ERR_VALVESADDLE_PEER_UNREACHABLE` when
+the node that would hold it cannot be reached.
 */
 type AnswerFinder = (requestId: string, account: string) => Promise<AnswerSource | undefined>;
 
@@ -33,7 +38,13 @@
 			return undefined;
 		}
 
-		const probe = await network.call(holder, 'answer.read', {requestId, account, offset: 0});
+		const probe = await callHolder({
+			network, holder, requestId, account, offset: 0, hasLeft: () => false,
+		});
+		if (probe.isErr() && probe.error.code === 'ERR_VALVESADDLE_PEER_UNREACHABLE') {
+			throw new ValvesaddleError(probe.error.code, `the answer is on ${holder}, which cannot be reached`, {cause: probe.error, retryAfterMs});
+		}
+
 		return probe.isOk()
 			? createRemoteAnswer({
 				network, holder, requestId, account,
--- a/node/router/src/create-remote-answer.ts
+++ b/node/router/src/create-remote-answer.ts
@@ -1,6 +1,7 @@
 import type {AnswerPage, AnswerSource} from '@valvesaddle/answers';
 import type {PeerNetwork} from '@valvesaddle/network';
 import {answerPageSchema} from './answer-page-schema.ts';
+import {callHolder} from './call-holder.ts';
 
 type RemoteAnswerOptions = {
 	readonly network: PeerNetwork;
@@ -13,15 +14,20 @@
 };
 
 /**
- Creates a source that reads an answer from the node that holds it. When that node is lost, the answer ends with an error
- that says the request may have run.
+ Creates a source that reads an answer from the node that holds it. A page is read again after a link broke. When that node
+ is lost, the answer ends with an error that says the request may have run.
 
  @example
  const {parts, end} = await createRemoteAnswer({network, holder: 'b1', requestId, account}).read(0);
  */
 export function createRemoteAnswer({network, holder, requestId, account}: RemoteAnswerOptions): AnswerSource {
+	let readers = 0;
+	let isLeft = false;
+
 	async function readPage(offset: number): Promise<AnswerPage> {
-		const result = await network.call(holder, 'answer.read', {requestId, account, offset});
+		const result = await callHolder({
+			network, holder, requestId, account, offset, hasLeft: () => isLeft,
+		});
 		const page = result.isOk() ? answerPageSchema.safeParse(result.value) : undefined;
 		if (page?.success) {
 			return page.data;
@@ -36,9 +42,6 @@
 		};
 	}
 
-	let readers = 0;
-	let isLeft = false;
-
 	return {
 		requestId,
 		async read(offset) {
