fix(router): pass a long reply to another node in several messages

A caller that repeated a request with its idempotency key at another node got 409 "its answer cannot be read" when the reply of the plain service was longer than 2 MiB, although the reply was kept, and the link between the two nodes broke for everything else on it. Pages of streamed answers are truncated to what a message may hold; a reply was sent as a whole, and the link counts a message over 2 MiB as a fault of its peer.

A reader or a holder that does not know of it sends and takes replies as a whole, as before.

--- a/node/router/src/answer-page-schema.ts
+++ b/node/router/src/answer-page-schema.ts
@@ -23,4 +23,8 @@
 export const answerPageSchema = z.object({
 	parts: z.array(z.string()).readonly(),
 	end: endSchema.optional().transform((value): AnswerEnd | undefined => value),
+	/**
+	Characters of a reply that are to be read after this page.
+	*/
+	replyRest: z.int().min(0).default(0),
 });
--- a/node/router/src/call-holder.ts
+++ b/node/router/src/call-holder.ts
@@ -21,6 +21,10 @@
 	*/
 	readonly offset: number;
 	/**
+	Number of characters of a plain service's reply that are known.
+	*/
+	readonly replyOffset: number;
+	/**
 	Whether the reader has left, so that the call is not repeated.
 	*/
 	readonly hasLeft: () => boolean;
@@ -30,7 +34,7 @@
  Reads a page of an answer from the node that holds it, again for a while if the node cannot be reached.
 
  @example
- const result = await callHolder({network, holder: 'b1', requestId, account, offset: 0, hasLeft: () => false});
+ const result = await callHolder({network, holder: 'b1', requestId, account, offset: 0, replyOffset: 0, hasLeft: () => false});
  */
 export async function callHolder({network, holder, hasLeft, ...parameters}: HolderCall): Promise<Awaited<ReturnType<PeerNetwork['call']>>> {
 	const startedAt = performance.now();
--- a/node/router/src/create-answer-finder.ts
+++ b/node/router/src/create-answer-finder.ts
@@ -39,7 +39,7 @@
 		}
 
 		const probe = await callHolder({
-			network, holder, requestId, account, offset: 0, hasLeft: () => false,
+			network, holder, requestId, account, offset: 0, replyOffset: 0, hasLeft: () => false,
 		});
 		if (probe.isErr() && probe.error.code === 'ERR_VALVESADDLE_PEER_UNREACHABLE') {
 			throw new ValvesaddleError(probe.error.code, `the answer is on ${holder}, which cannot be reached`, {cause: probe.error, retryAfterMs});
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -16,6 +16,7 @@
 import type {CatchUp} from './catch-up.ts';
 import {compareSchema} from './compare-schema.ts';
 import {fitPage} from './fit-page.ts';
+import {fitReply} from './fit-reply.ts';
 import {readRequestSchema} from './read-request-schema.ts';
 
 type PeerHandlerOptions = {
@@ -57,13 +58,13 @@
 		'claims.release': async parameters => claims.serve('release', parse(claimRequestSchema, parameters)),
 		'claims.find': async parameters => claims.serve('find', parse(claimRequestSchema, parameters)),
 		async 'answer.read'(parameters) {
-			const {requestId, account, offset} = parse(readRequestSchema, parameters);
+			const {requestId, account, offset, replyOffset} = parse(readRequestSchema, parameters);
 			const log = answers.find(requestId);
 			if (log?.account !== account) {
 				throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', `no answer is kept under ${requestId}`);
 			}
 
-			return readPage(log, offset);
+			return readPage(log, offset, replyOffset);
 		},
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
@@ -82,11 +83,12 @@
 /**
 Reads a page as a reader of the log, which is not abandoned while readers on other nodes ask for page after page.
 */
-async function readPage(log: AnswerLog, offset: number): Promise<AnswerPage> {
+async function readPage(log: AnswerLog, offset: number, replyOffset: number | undefined): Promise<AnswerPage> {
 	log.attach();
 	try {
+		const page = await log.readWithin(offset, maximumReadMs);
 		// A large message delays urgent calls behind it, and one over 2 MiB breaks the link.
-		return fitPage(await log.readWithin(offset, maximumReadMs));
+		return replyOffset !== undefined && page.end?.kind === 'reply' ? fitReply(page.end, replyOffset) : fitPage(page);
 	} finally {
 		log.detach();
 	}
