fix(router): keep a leaving node until its answers have been read through other nodes

A caller at another node that waited for the answer of a request which held its idempotency key got 409 "may have run" when the node that ran the request was shut down gracefully in that moment, although the request had ended well and the leaving node had the answer. The shutdown waited for the end of all requests and for the callers of its own API, and then closed all links with whatever was still to be read or sent on them.

The node records the readers of its answers on other nodes, and a shutdown waits until each was sent its last message or has asked for nothing for `limits.abandon_ms`. Links are closed behind the messages sent on them, with a second for peers to take them in. The first page, which a node reads to find an answer, is now used instead of being read twice; otherwise the answer would count as read before its caller has it. The shutdown also waits for a request that was started, after all others had ended, by a caller that has left.

--- a/node/router/src/create-answer-finder.ts
+++ b/node/router/src/create-answer-finder.ts
@@ -47,7 +47,7 @@
 
 		return probe.isOk()
 			? createRemoteAnswer({
-				network, holder, requestId, account,
+				network, holder, requestId, account, first: probe.value,
 			})
 			: undefined;
 	};
--- a/node/router/src/create-drain.ts
+++ b/node/router/src/create-drain.ts
@@ -3,6 +3,7 @@
 import type {Executor} from '@valvesaddle/execution';
 import type {Membership} from '@valvesaddle/membership';
 import type {PeerNetwork} from '@valvesaddle/network';
+import type {AnswerReaders} from './answer-readers.ts';
 import type {Health} from './health.ts';
 
 type DrainOptions = {
@@ -15,9 +16,10 @@
 	readonly membership: Membership;
 	readonly network: PeerNetwork;
 	readonly executor: Executor;
+	readonly readers: AnswerReaders;
 	readonly callerApi: CallerApi;
 	/**
-	Closes all components; called when no request is open.
+	Closes all components; called when no request is open and no answer is being read.
 	*/
 	readonly closeAll: () => Promise<void>;
 };
@@ -30,20 +32,27 @@
  await drain();
  */
 export function createDrain(options: DrainOptions): () => Promise<void> {
-	const {health, membership, network, executor, callerApi} = options;
+	const {health, membership, network, executor, readers, callerApi} = options;
 	let draining: Promise<void> | undefined;
 
+	async function waitUntilIdle(): Promise<void> {
+		while (executor.countOpen() > 0) {
+			// eslint-disable-next-line no-await-in-loop -- requests may have been started since the event was emitted
+			await executor.events.once('idle');
+		}
+	}
+
 	async function run(): Promise<void> {
 		health.markDraining();
 		membership.markLeaving(options.node);
 		network.broadcast('peer.leaving', {});
 		await delay(options.graceMs);
 		health.refuseNew();
-		if (executor.countOpen() > 0) {
-			await executor.events.once('idle');
-		}
-
+		await waitUntilIdle();
 		await callerApi.close();
+		// A request whose body arrived after the others had ended may still run, without a caller.
+		await waitUntilIdle();
+		await readers.wait();
 		await options.closeAll();
 	}
 
--- a/node/router/src/create-peer-handlers.ts
+++ b/node/router/src/create-peer-handlers.ts
@@ -1,4 +1,4 @@
-import type {AnswerLog, AnswerPage, AnswerStore} from '@valvesaddle/answers';
+import type {AnswerLog, AnswerStore} from '@valvesaddle/answers';
 import {claimRequestSchema, type ClaimClient} from '@valvesaddle/claims';
 import type {ConfigFollower} from '@valvesaddle/config-follower';
 import {ValvesaddleError} from '@valvesaddle/error';
@@ -13,6 +13,8 @@
 } from '@valvesaddle/messages';
 import type {PeerHandlers} from '@valvesaddle/network';
 import * as z from 'zod';
+import type {AnswerMessage} from './answer-message.ts';
+import type {AnswerReaders} from './answer-readers.ts';
 import type {CatchUp} from './catch-up.ts';
 import {compareSchema} from './compare-schema.ts';
 import {fitPage} from './fit-page.ts';
@@ -23,6 +25,7 @@
 	readonly host: DispatchHost;
 	readonly claims: ClaimClient;
 	readonly answers: AnswerStore;
+	readonly readers: AnswerReaders;
 	readonly follower: ConfigFollower;
 	readonly membership: Membership;
 	readonly catchUp: CatchUp;
@@ -37,7 +40,7 @@
  await network.listen(createPeerHandlers(options));
  */
 export function createPeerHandlers(options: PeerHandlerOptions): PeerHandlers {
-	const {host, claims, answers, follower, membership} = options;
+	const {host, claims, answers, readers, follower, membership} = options;
 	const getNewerRecord = (revision: number): string | undefined => follower.revision() > revision ? follower.text() : undefined;
 
 	return {
@@ -57,14 +60,17 @@
 		'claims.claim': async parameters => claims.serve('claim', parse(claimRequestSchema, parameters)),
 		'claims.release': async parameters => claims.serve('release', parse(claimRequestSchema, parameters)),
 		'claims.find': async parameters => claims.serve('find', parse(claimRequestSchema, parameters)),
-		async 'answer.read'(parameters) {
+		async 'answer.read'(parameters, peer) {
 			const {requestId, account, offset, replyOffset} = parse(readRequestSchema, parameters);
 			const log = answers.find(requestId);
 			if (log?.account !== account) {
 				throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', `no answer is kept under ${requestId}`);
 			}
 
-			return readPage(log, offset, replyOffset);
+			readers.start(peer, requestId);
+			const page = await readPage(log, offset, replyOffset);
+			readers.finish(peer, requestId, page.end !== undefined && page.replyRest === 0);
+			return page;
 		},
 		'configuration.compare'(parameters, peer) {
 			const {revision} = parse(compareSchema, parameters);
@@ -83,12 +89,12 @@
 /**
 Reads a page as a reader of the log, which is not abandoned while readers on other nodes ask for page after page.
 */
-async function readPage(log: AnswerLog, offset: number, replyOffset: number | undefined): Promise<AnswerPage> {
+async function readPage(log: AnswerLog, offset: number, replyOffset: number | undefined): Promise<AnswerMessage> {
 	log.attach();
 	try {
 		const page = await log.readWithin(offset, maximumReadMs);
 		// A large message delays urgent calls behind it, and one over 2 MiB breaks the link.
-		return replyOffset !== undefined && page.end?.kind === 'reply' ? fitReply(page.end, replyOffset) : fitPage(page);
+		return replyOffset !== undefined && page.end?.kind === 'reply' ? fitReply(page.end, replyOffset) : {...fitPage(page), replyRest: 0};
 	} finally {
 		log.detach();
 	}
--- a/node/router/src/create-remote-answer.ts
+++ b/node/router/src/create-remote-answer.ts
@@ -1,11 +1,9 @@
 import type {AnswerPage, AnswerSource} from '@valvesaddle/answers';
 import type {PeerNetwork} from '@valvesaddle/network';
-import type * as z from 'zod';
+import type {AnswerMessage} from './answer-message.ts';
 import {answerPageSchema} from './answer-page-schema.ts';
 import {callHolder} from './call-holder.ts';
 
-type Message = z.output<typeof answerPageSchema>;
-
 type RemoteAnswerOptions = {
 	readonly network: PeerNetwork;
 	/**
@@ -14,6 +12,10 @@
 	readonly holder: string;
 	readonly requestId: string;
 	readonly account: string;
+	/**
+	First message of the answer, if it was read already.
+	*/
+	readonly first?: unknown;
 };
 
 /**
@@ -23,17 +25,33 @@
  @example
  const {parts, end} = await createRemoteAnswer({network, holder: 'b1', requestId, account}).read(0);
  */
-export function createRemoteAnswer({network, holder, requestId, account}: RemoteAnswerOptions): AnswerSource {
+export function createRemoteAnswer({network, holder, requestId, account, first}: RemoteAnswerOptions): AnswerSource {
+	let firstMessage = first === undefined ? undefined : parseMessage(first);
 	let readers = 0;
 	let isLeft = false;
 
-	async function readMessage(offset: number, replyOffset: number): Promise<Message> {
+	/**
+	Takes the first message, if it has anything after the offset.
+	*/
+	function takeFirst(offset: number): AnswerMessage | undefined {
+		const taken = firstMessage;
+		firstMessage = undefined;
+		const isUseful = taken !== undefined && (taken.end !== undefined || taken.parts.length > offset);
+		return isUseful ? {...taken, parts: taken.parts.slice(offset)} : undefined;
+	}
+
+	async function readMessage(offset: number, replyOffset: number): Promise<AnswerMessage> {
+		const known = takeFirst(offset);
+		if (known !== undefined) {
+			return known;
+		}
+
 		const result = await callHolder({
 			network, holder, requestId, account, offset, replyOffset, hasLeft: () => isLeft,
 		});
-		const page = result.isOk() ? answerPageSchema.safeParse(result.value) : undefined;
-		if (page?.success) {
-			return page.data;
+		const message = result.isOk() ? parseMessage(result.value) : undefined;
+		if (message !== undefined) {
+			return message;
 		}
 
 		const reason = result.isErr() ? result.error.message : 'the page has an unknown form';
@@ -91,3 +109,8 @@
 		},
 	};
 }
+
+function parseMessage(value: unknown): AnswerMessage | undefined {
+	const parsed = answerPageSchema.safeParse(value);
+	return parsed.success ? parsed.data : undefined;
+}
--- a/node/router/src/create-router.ts
+++ b/node/router/src/create-router.ts
@@ -21,6 +21,7 @@
 import type {Endpoint} from '@valvesaddle/types';
 import {createVmListClient} from '@valvesaddle/vm-list';
 import {createAnswerFinder} from './create-answer-finder.ts';
+import {createAnswerReaders} from './create-answer-readers.ts';
 import {createCatchUp} from './create-catch-up.ts';
 import {createDrain} from './create-drain.ts';
 import {createHealth} from './create-health.ts';
@@ -112,6 +113,7 @@
 		logger,
 	});
 	const answers = createAnswerStore({retentionMs: limits.keep_answer_ms, maximumCharacters: limits.keep_answer_bytes});
+	const readers = createAnswerReaders({silenceMs: limits.abandon_ms});
 	const executor = createExecutor({
 		node, dispatch, engines, services, claims, answers, abandonMs: limits.abandon_ms, tracing, metrics,
 	});
@@ -151,7 +153,7 @@
 		metrics,
 	});
 	const peerHandlers = createPeerHandlers({
-		host, claims, answers, follower, membership, catchUp,
+		host, claims, answers, readers, follower, membership, catchUp,
 	});
 
 	function getStatus(): NodeStatus {
@@ -193,7 +195,7 @@
 	}
 
 	const drain = createDrain({
-		node, graceMs: settings.drain.grace_ms, health, membership, network, executor, callerApi, closeAll,
+		node, graceMs: settings.drain.grace_ms, health, membership, network, executor, readers, callerApi, closeAll,
 	});
 
 	async function drainOnRequest(): Promise<void> {
--- a/node/router/src/fit-reply.ts
+++ b/node/router/src/fit-reply.ts
@@ -1,4 +1,5 @@
-import type {AnswerEnd, AnswerPage} from '@valvesaddle/answers';
+import type {AnswerEnd} from '@valvesaddle/answers';
+import type {AnswerMessage} from './answer-message.ts';
 
 /**
 Characters of a reply in one message. Each takes at most three bytes, so a slice is no larger than a page.
@@ -7,13 +8,6 @@
 
 type ReplyEnd = Extract<AnswerEnd, {readonly kind: 'reply'}>;
 
-type ReplyPage = AnswerPage & {
-	/**
-	Characters of the reply after those in this page.
-	*/
-	readonly replyRest: number;
-};
-
 /**
  Truncates the reply of a plain service to what one message to another node may hold.
 
@@ -22,7 +16,7 @@
  @example
  fitReply(end, 0).replyRest; // 979000 of a million characters
  */
-export function fitReply(end: ReplyEnd, replyOffset: number): ReplyPage {
+export function fitReply(end: ReplyEnd, replyOffset: number): AnswerMessage {
 	const {reply} = end;
 	const body = reply.body.slice(replyOffset, replyOffset + sliceLength);
 	return {parts: [], end: {kind: 'reply', reply: {...reply, body}}, replyRest: Math.max(0, reply.body.length - replyOffset - sliceLength)};
--- a/node/router/test/long-answers.test.ts
+++ b/node/router/test/long-answers.test.ts
@@ -7,6 +7,7 @@
 import {createAnswerLog, createAnswerStore} from '@valvesaddle/answers';
 import {createMetrics} from '@valvesaddle/metrics';
 import {createPeerNetwork, type PeerNetwork} from '@valvesaddle/network';
+import {createAnswerReaders} from '../src/create-answer-readers.ts';
 import {createPeerHandlers} from '../src/create-peer-handlers.ts';
 import {createRemoteAnswer} from '../src/create-remote-answer.ts';
 
@@ -39,7 +40,7 @@
 	});
 	const a = create('a');
 	const b = create('b');
-	const handlers = createPeerHandlers({answers} as unknown as Parameters<typeof createPeerHandlers>[0]);
+	const handlers = createPeerHandlers({answers, readers: createAnswerReaders({silenceMs: 60_000})} as unknown as Parameters<typeof createPeerHandlers>[0]);
 	addresses.set('a', await a.listen({}));
 	addresses.set('b', await b.listen({
 		...handlers,
--- a/node/router/test/remote-replies.test.ts
+++ b/node/router/test/remote-replies.test.ts
@@ -50,3 +50,19 @@
 	t.ok(repeated.text === reply, `${repeated.text.length} characters`);
 	t.equal(waiting.length, 1);
 });
+
+test('a node that leaves keeps a reply until a caller at another node has read it', async t => {
+	const {fleet, waiting} = await startPair(t);
+	const [first] = fleet.nodes;
+	const calls = [callPermits(fleet, 0)];
+	await waitUntil(() => waiting.length === 1);
+	calls.push(callPermits(fleet, 1));
+	await waitUntil(() => fleet.nodes[1]!.router.status().openRequests === 0 && fleet.nodes[1]!.router.metrics.total('requests.held') === 1);
+	const drained = first!.router.drain();
+	waiting[0]!.end(reply);
+	const results = await Promise.all(calls);
+	await drained;
+	t.same(results.map(({status}) => status), [200, 200]);
+	t.ok(results.every(({text}) => text === reply));
+	t.equal(waiting.length, 1);
+});
--- a/node/router/test/resumed-answers.test.ts
+++ b/node/router/test/resumed-answers.test.ts
@@ -12,6 +12,7 @@
 import {createAnswerLog, createAnswerStore} from '@valvesaddle/answers';
 import {createMetrics} from '@valvesaddle/metrics';
 import {createPeerNetwork, type PeerNetwork} from '@valvesaddle/network';
+import {createAnswerReaders} from '../src/create-answer-readers.ts';
 import {createPeerHandlers} from '../src/create-peer-handlers.ts';
 import {createRemoteAnswer} from '../src/create-remote-answer.ts';
 import {getExpectedAnswer} from './expected-answer.ts';
@@ -56,7 +57,7 @@
 	const network = create('a');
 	const holder = create('b');
 	await network.listen({});
-	addresses.set('b', await holder.listen(createPeerHandlers({answers} as unknown as Parameters<typeof createPeerHandlers>[0])));
+	addresses.set('b', await holder.listen(createPeerHandlers({answers, readers: createAnswerReaders({silenceMs: 60_000})} as unknown as Parameters<typeof createPeerHandlers>[0])));
 	t.teardown(async () => {
 		answers.close();
 		await network.close();
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -203,6 +203,9 @@
 		},
 		countUnconfirmed: sendWindow.countUnconfirmed,
 		isReady: sendWindow.isReady,
+		end() {
+			socket.close();
+		},
 		close() {
 			socket.terminate();
 		},
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -1,6 +1,7 @@
 import {timingSafeEqual} from 'node:crypto';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
 import Emittery from 'emittery';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {ResultAsync} from 'neverthrow';
@@ -20,6 +21,11 @@
 const maximumMessageBytes = 2 * 1024 * 1024;
 const checksPerTimeout = 5;
 /**
+Time that peers get to take in the last messages when the network is closed, in milliseconds.
+*/
+const closeTimeoutMs = 1000;
+const closeCheckMs = 5;
+/**
 Small windows limit the memory that each link takes; messages are short and similar.
 */
 const compression: PerMessageDeflateOptions = {
@@ -119,6 +125,25 @@
 		}
 	}
 
+	/**
+	Closes all links behind the messages that were sent on them, and those whose peer does not take them in after a while.
+	*/
+	async function endLinks(): Promise<void> {
+		const startedAt = performance.now();
+		for (const link of allLinks) {
+			link.end();
+		}
+
+		while (allLinks.size > 0 && performance.now() - startedAt < closeTimeoutMs) {
+			// eslint-disable-next-line no-await-in-loop -- until the last link has closed
+			await delay(closeCheckMs);
+		}
+
+		for (const link of allLinks) {
+			link.close();
+		}
+	}
+
 	async function callNode(node: string, method: string, parameters: unknown): Promise<unknown> {
 		const link = await getLink(node);
 		return link.call(method, parameters);
@@ -170,10 +195,7 @@
 		async close() {
 			isClosed = true;
 			clearTimeout(timer);
-			for (const link of allLinks) {
-				link.close();
-			}
-
+			await endLinks();
 			socketServer?.close();
 			if (httpServer !== undefined) {
 				await closeServer(httpServer);
--- a/peer/network/src/peer-link.ts
+++ b/peer/network/src/peer-link.ts
@@ -21,5 +21,12 @@
 	Whether the send window has room.
 	*/
 	readonly isReady: () => boolean;
+	/**
+	Closes the link behind the messages that were sent on it.
+	*/
+	readonly end: () => void;
+	/**
+	Closes the link at once.
+	*/
 	readonly close: () => void;
 };
