fix(execution): end a silent attempt only if its request can go on in another one

A caller whose answer paused got an error although its engine was at work: an answer of an urgent class with tool calls, which no other engine can continue, after a pause of 40 steps of the pace target; a request in its fifth and last attempt, at twice the class's first-token target; and, of several requests that fell silent together, those for which the retry budget had nothing left once the others had withdrawn from it. In all three the attempt was aborted first, and only then was it decided whether another one may follow.

Whether timers of a live process fire close enough together for the third was not shown outside the test.

The limit of attempts and the form of the answer are now checked, and the retry is withdrawn from the budgets, before the attempt is aborted; the next step uses what was reserved.

--- a/outcome/execution/src/attempt.ts
+++ b/outcome/execution/src/attempt.ts
@@ -22,7 +22,9 @@
 	*/
 	readonly onFirstAnswer: () => void;
 	/**
-	Whether the retry budgets allow another attempt.
+	Reserves another attempt, for which this one is aborted; false if the request cannot have one.
+
+	@param hasToken - Whether this attempt has produced a token.
 	*/
-	readonly mayRetry: () => boolean;
+	readonly reserveRetry: (hasToken: boolean) => boolean;
 };
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -7,6 +7,7 @@
 	type Outcome,
 	type OutcomeEvent,
 } from '@valvesaddle/state';
+import {canAttemptAgain} from './can-attempt-again.ts';
 import {createClaimHolder} from './create-claim-holder.ts';
 import {decideNextStep} from './decide-next-step.ts';
 import type {Execution} from './execution.ts';
@@ -50,6 +51,10 @@
 		...job.claim, account: job.account, requestId: job.requestId, node: options.node,
 	});
 	let outcome: Outcome = initialOutcome;
+	/**
+	Whether the next attempt was withdrawn from the budgets before the current one was aborted for it.
+	*/
+	let hasReserved = false;
 
 	function advance(event: OutcomeEvent): void {
 		outcome = advanceOutcome(outcome, event);
@@ -108,6 +113,25 @@
 		return claimEnd;
 	}
 
+	function didWithdrawRetry(): boolean {
+		const isReserved = hasReserved;
+		hasReserved = false;
+		return isReserved || options.budgets.withdraw(job.account, job.pool.name);
+	}
+
+	function didReserveRetry(hasToken: boolean): boolean {
+		if (!canAttemptAgain({progress, attempts: avoid.length + 1})) {
+			return false;
+		}
+
+		if (progress.tokens > 0) {
+			return hasToken || options.budgets.canWithdraw(job.account, job.pool.name);
+		}
+
+		hasReserved = didWithdrawRetry();
+		return hasReserved;
+	}
+
 	async function runAttempt(grant: Grant): Promise<AttemptResult> {
 		const endpointHop = tracing.startHop('endpoint', hop.carrier);
 		endpointHop.setAttribute('endpoint', grant.endpointId);
@@ -120,7 +144,7 @@
 				firstAnswerAt = Date.now();
 				advance('first-answer');
 			},
-			mayRetry: () => options.budgets.canWithdraw(job.account, job.pool.name),
+			reserveRetry: didReserveRetry,
 		};
 		let result: AttemptResult;
 		try {
@@ -154,7 +178,7 @@
 		}
 
 		const next = decideNextStep({
-			error, job, progress, attempts: avoid.length + 1, withdrawRetry: () => options.budgets.withdraw(job.account, job.pool.name),
+			error, job, progress, attempts: avoid.length + 1, withdrawRetry: didWithdrawRetry,
 		});
 		const hasNotRun = error.traits.ran === 'no' && outcome.state === 'sent';
 		if (next === 'end' && !hasNotRun) {
--- a/outcome/execution/src/create-stall-detector.ts
+++ b/outcome/execution/src/create-stall-detector.ts
@@ -5,9 +5,11 @@
 	readonly timeouts: StallTimeouts;
 	readonly signal: AbortSignal;
 	/**
-	Whether an attempt without a first token may be aborted, since its retry needs budget.
+	Whether the attempt may be aborted, since its request can go on in another one. Reserves what that one needs.
+
+	@param hasToken - Whether the attempt has produced a token.
 	*/
-	readonly mayAbort: () => boolean;
+	readonly mayAbort: (hasToken: boolean) => boolean;
 };
 
 /**
@@ -29,7 +31,7 @@
 		}
 
 		timer = setTimeout(() => {
-			if (hasToken || mayAbort()) {
+			if (mayAbort(hasToken)) {
 				stalled.abort();
 			}
 		}, timeoutMs);
--- a/outcome/execution/src/decide-next-step.ts
+++ b/outcome/execution/src/decide-next-step.ts
@@ -1,10 +1,9 @@
 import type {ValvesaddleError} from '@valvesaddle/error';
+import {canAttemptAgain} from './can-attempt-again.ts';
 import type {Job} from './job.ts';
 import type {NextStep} from './next-step.ts';
 import type {Progress} from './progress.ts';
 
-const maximumAttempts = 5;
-
 type FailedAttempt = {
 	readonly error: ValvesaddleError;
 	readonly job: Job;
@@ -28,8 +27,7 @@
  decideNextStep({error, job, progress, attempts: 1, withdrawRetry: () => true}); // 'retry'
  */
 export function decideNextStep({error, job, progress, attempts, withdrawRetry}: FailedAttempt): NextStep {
-	const canContinue = progress.tokens === 0 || progress.isPlainText;
-	if (!canContinue || error.code === 'ERR_VALVESADDLE_CANCELLED' || attempts >= maximumAttempts) {
+	if (error.code === 'ERR_VALVESADDLE_CANCELLED' || !canAttemptAgain({progress, attempts})) {
 		return 'end';
 	}
 
--- a/outcome/execution/src/run-engine-attempt.ts
+++ b/outcome/execution/src/run-engine-attempt.ts
@@ -24,7 +24,7 @@
  const end = await runEngineAttempt(attempt, work, {engines, dispatch});
  */
 export async function runEngineAttempt(attempt: Attempt, work: EngineWork, {engines, dispatch}: EngineClients): Promise<AnswerEnd> {
-	const detector = createStallDetector({timeouts: getStallTimeouts(attempt.job), signal: attempt.signal, mayAbort: attempt.mayRetry});
+	const detector = createStallDetector({timeouts: getStallTimeouts(attempt.job), signal: attempt.signal, mayAbort: attempt.reserveRetry});
 	try {
 		return await readStream(attempt, detector, work, {engines, dispatch});
 	} catch (error) {
--- a/outcome/execution/test/stall-detector.test.ts
+++ b/outcome/execution/test/stall-detector.test.ts
@@ -21,6 +21,14 @@
 	t.end();
 });
 
+test('an attempt that may not be aborted between its tokens goes on', t => {
+	const {clock, detector} = start(t, false);
+	detector.recordToken();
+	clock.advance(5000);
+	t.notOk(detector.isStalled());
+	t.end();
+});
+
 test('each token restarts the timeout', t => {
 	const {clock, detector} = start(t);
 	for (let token = 0; token < 20; token++) {
