fix(dispatch): do not count the time at an endpoint as time waited for one

A caller whose answer broke off at its engine got ERR_VALVESADDLE_WAIT_EXPIRED in the middle of its stream, within 100 ms, unless a slot of another engine was free at that moment. The longest wait of the class was compared with the time since the request had arrived, which includes the time that its attempts ran; an answer that had run for longer than that had no wait left at all. The same befell requests that an engine had kept silent about or refused late.

Evidence: a request of a class with a longest wait of 2 s, which had run for 29.5 of its 30 s, was refused at the first tick; now it waits for the 1.5 s that are left, and the executor tells its dispatcher 1000 ms for an attempt of 1000 ms.

The request names the time that its attempts took. It keeps its place in the queue by the time of its arrival, and its wait is what remains without them. Nodes that do not know the field leave it out, which means none, as before.

Tests: builders of acquire requests and queue items name the new field; no check was changed.

--- a/bench/capacity/src/create-bench-dispatcher.ts
+++ b/bench/capacity/src/create-bench-dispatcher.ts
@@ -47,7 +47,7 @@
 		dispatcher,
 		createRequest: number => ({
 			requestId: `n1_${number}`, duty: 'drafting', account: `client-account-${number % accounts}`, className: classNames[number % classNames.length]!, node: 'n1', dataCentre: 'dc-1',
-			waitedMs: 0, admitted: true, promptTokens: 500, tokensSoFar: 0, session: `session-${number % 1000}`, repeatable: true, avoid: [], skipped: [], forced: false, trace: {},
+			waitedMs: 0, ranMs: 0, admitted: true, promptTokens: 500, tokensSoFar: 0, session: `session-${number % 1000}`, repeatable: true, avoid: [], skipped: [], forced: false, trace: {},
 		}),
 	};
 }
--- a/bench/capacity/src/measure-grants.ts
+++ b/bench/capacity/src/measure-grants.ts
@@ -100,7 +100,7 @@
 	async function runRequest(number: number): Promise<void> {
 		const startedAt = performance.now();
 		const grant = await client.acquire({
-			requestId: `asking_${crypto.randomUUID()}`, pool, account: `client-account-${number % 10}`, className: 'tier-0', arrivedAt: Date.now(), resumes: true,
+			requestId: `asking_${crypto.randomUUID()}`, pool, account: `client-account-${number % 10}`, className: 'tier-0', arrivedAt: Date.now(), ranMs: 0, resumes: true,
 			promptTokens: 500, tokensSoFar: 0, session: `session-${number % 100}`, repeatable: true, avoid: [], trace: {},
 		}, signal);
 		times.push(performance.now() - startedAt);
--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -116,7 +116,7 @@
 
 function createParameters(requestId: string): AcquireParameters {
 	return {
-		requestId, pool: 'drafting', account: 'sawmill', className: 'gate', arrivedAt: Date.now(), resumes: false, promptTokens: 1, tokensSoFar: 0, session: undefined, repeatable: true, avoid: [], trace: {},
+		requestId, pool: 'drafting', account: 'sawmill', className: 'gate', arrivedAt: Date.now(), ranMs: 0, resumes: false, promptTokens: 1, tokensSoFar: 0, session: undefined, repeatable: true, avoid: [], trace: {},
 	};
 }
 
--- a/dispatch/messages/src/acquire-defaults.ts
+++ b/dispatch/messages/src/acquire-defaults.ts
@@ -5,6 +5,7 @@
 */
 export const acquireDefaults = {
 	waitedMs: 0,
+	ranMs: 0,
 	admitted: false,
 	promptTokens: 0,
 	tokensSoFar: 0,
--- a/dispatch/messages/src/acquire-request-schema.ts
+++ b/dispatch/messages/src/acquire-request-schema.ts
@@ -12,6 +12,7 @@
 	node: z.string(),
 	dataCentre: z.string(),
 	waitedMs: z.number().min(0).default(acquireDefaults.waitedMs),
+	ranMs: z.number().min(0).default(acquireDefaults.ranMs),
 	admitted: z.boolean().default(acquireDefaults.admitted),
 	promptTokens: z.number().min(0).default(acquireDefaults.promptTokens),
 	tokensSoFar: z.number().min(0).default(acquireDefaults.tokensSoFar),
--- a/dispatch/messages/src/acquire-request.ts
+++ b/dispatch/messages/src/acquire-request.ts
@@ -21,6 +21,11 @@
 	*/
 	readonly waitedMs: number;
 	/**
+	Part of that time that the request spent at endpoints, in milliseconds. It keeps the request's place in the queue and
+	does not count against the longest wait of its class.
+	*/
+	readonly ranMs: number;
+	/**
 	Whether another dispatcher has queued the request; admission by predicted wait is then skipped.
 	*/
 	readonly admitted: boolean;
--- a/dispatch/messages/test/schemas.test.ts
+++ b/dispatch/messages/test/schemas.test.ts
@@ -24,7 +24,7 @@
 test('an acquire request survives encoding with its default values omitted', t => {
 	const request = fc.record({
 		requestId: fc.string(), duty: fc.string(), account: fc.string(), className: fc.string(), node: fc.string(), dataCentre: fc.string(),
-		waitedMs: fc.nat(), admitted: fc.boolean(), promptTokens: fc.nat(), tokensSoFar: fc.nat(), session: fc.option(fc.string(), {nil: undefined}),
+		waitedMs: fc.nat(), ranMs: fc.nat(), admitted: fc.boolean(), promptTokens: fc.nat(), tokensSoFar: fc.nat(), session: fc.option(fc.string(), {nil: undefined}),
 		repeatable: fc.boolean(), avoid: fc.array(fc.string()), skipped: fc.array(fc.string()), forced: fc.boolean(),
 		trace: fc.dictionary(fc.constantFrom('traceparent', 'tracestate'), fc.string(), {noNullPrototype: true}),
 	});
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -190,6 +190,7 @@
 			className: request.className,
 			account: request.account,
 			arrivedAt: Date.now() - request.waitedMs,
+			ranMs: request.ranMs,
 			value: {request, settle: resolve},
 		});
 		grantWaiting();
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -39,7 +39,7 @@
 
 function createRequest(requestId: string, part: Partial<AcquireRequest> = {}): AcquireRequest {
 	return {
-		requestId, duty: 'drafting', account: 'sawmill', className: 'estimate', node: 'n1', dataCentre: 'dc-1', waitedMs: 0, admitted: false, promptTokens: 10, tokensSoFar: 0,
+		requestId, duty: 'drafting', account: 'sawmill', className: 'estimate', node: 'n1', dataCentre: 'dc-1', waitedMs: 0, ranMs: 0, admitted: false, promptTokens: 10, tokensSoFar: 0,
 		session: undefined, repeatable: true, avoid: [], skipped: [], forced: false, trace: {}, ...part,
 	};
 }
@@ -162,6 +162,25 @@
 	t.match(caller.replies.get('waiter'), {kind: 'refused', code: 'ERR_VALVESADDLE_WAIT_EXPIRED'});
 });
 
+test('a request whose engine broke off waits for the next one as long as its class may, however long it ran', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const caller = createCaller(dispatcher);
+	await caller.acquire(createRequest('holder', {className: 'gate'}));
+	await caller.acquire(createRequest('waiter', {
+		className: 'gate', waitedMs: 30_000, ranMs: 29_500, admitted: true, tokensSoFar: 500,
+	}));
+	clock.advance(1400);
+	dispatcher.tick();
+	await settle();
+	t.equal(caller.replies.get('waiter'), undefined);
+	clock.advance(100);
+	dispatcher.tick();
+	await settle();
+	t.match(caller.replies.get('waiter'), {kind: 'refused', code: 'ERR_VALVESADDLE_WAIT_EXPIRED'});
+});
+
 const refusal = {
 	outcome: 'not-run', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined, retryAfterMs: 3000,
 } as const;
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -117,7 +117,7 @@
 
 			return item;
 		},
-		takeExpired: now => takeWhere(({className, arrivedAt}) => now - arrivedAt >= getClass(className).requestClass.maximumWaitMs),
+		takeExpired: now => takeWhere(({className, arrivedAt, ranMs}) => now - arrivedAt - ranMs >= getClass(className).requestClass.maximumWaitMs),
 		takeWhere,
 		charge(className, account, tokens) {
 			const classQueue = getClass(className);
--- a/dispatch/queue/src/queued-request.ts
+++ b/dispatch/queue/src/queued-request.ts
@@ -9,5 +9,9 @@
 	Time of the first arrival at any dispatcher, in milliseconds since the epoch of this process's clock.
 	*/
 	readonly arrivedAt: number;
+	/**
+	Time since then that the request did not wait, in milliseconds.
+	*/
+	readonly ranMs: number;
 	readonly value: Value;
 };
--- a/dispatch/queue/test/waiting-queue.test.ts
+++ b/dispatch/queue/test/waiting-queue.test.ts
@@ -15,7 +15,7 @@
 
 function createItem(requestId: string, part: Partial<QueuedRequest<string>> = {}): QueuedRequest<string> {
 	return {
-		requestId, className: 'estimate', account: 'sawmill', arrivedAt: 0, value: requestId, ...part,
+		requestId, className: 'estimate', account: 'sawmill', arrivedAt: 0, ranMs: 0, value: requestId, ...part,
 	};
 }
 
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -55,6 +55,10 @@
 	Whether the next attempt was withdrawn from the budgets before the current one was aborted for it.
 	*/
 	let hasReserved = false;
+	/**
+	Time that earlier attempts took, in milliseconds.
+	*/
+	let ranMs = 0;
 
 	function advance(event: OutcomeEvent): void {
 		outcome = advanceOutcome(outcome, event);
@@ -81,6 +85,7 @@
 			account: job.account,
 			className: job.requestClass.name,
 			arrivedAt: job.arrivedAt,
+			ranMs,
 			resumes: avoid.length > 0,
 			promptTokens: job.promptTokens,
 			tokensSoFar: progress.tokens,
@@ -158,6 +163,7 @@
 			endpointHop.fail(failure.message);
 		}
 
+		ranMs += Date.now() - startedAt;
 		const tokens = progress.tokens - tokensBefore;
 		dispatch.release({
 			grantId: grant.grantId,
--- a/outcome/execution/test/stalled-attempts.test.ts
+++ b/outcome/execution/test/stalled-attempts.test.ts
@@ -13,6 +13,8 @@
 
 const stallMs = 60_000;
 
+type AcquireParameters = {readonly requestId: string; readonly ranMs: number};
+
 type EngineCall = {
 	readonly signal: AbortSignal;
 	/**
@@ -36,7 +38,7 @@
 		promptTokens: 1,
 		claim: undefined,
 		trace: {},
-		arrivedAt: 0,
+		arrivedAt: Date.now(),
 		work: {kind: 'engine', body: {}},
 	};
 }
@@ -47,6 +49,7 @@
 function startExecutor(t: Test) {
 	const calls: EngineCall[] = [];
 	const called: Array<() => void> = [];
+	const runs: number[] = [];
 	const answers = createAnswerStore({retentionMs: 60_000, maximumCharacters: 1_000_000});
 	t.teardown(answers.close);
 
@@ -82,7 +85,10 @@
 	const executor = createExecutor({
 		node: 'n1',
 		dispatch: {
-			acquire: ({requestId}: {readonly requestId: string}) => okAsync({grantId: `${requestId}-${calls.length}`, endpointId: `e${calls.length}`, url: ''}),
+			acquire({requestId, ranMs}: AcquireParameters) {
+				runs.push(ranMs);
+				return okAsync({grantId: `${requestId}-${calls.length}`, endpointId: `e${calls.length}`, url: ''});
+			},
 			progress() {
 				// Not under test.
 			},
@@ -115,7 +121,7 @@
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	return {
-		executor, calls, clock, waitForCalls,
+		executor, calls, runs, clock, waitForCalls,
 	};
 }
 
@@ -173,3 +179,17 @@
 	const ends = await Promise.all(logs.map(async log => (await log.read(1)).end));
 	t.same(ends, logs.map(() => complete));
 });
+
+test('an answer that breaks off does not count its time at the engine as time that it waited for one', async t => {
+	const {executor, calls, runs, clock, waitForCalls} = startExecutor(t);
+	const log = executor.start(createJob('n1_1'));
+	await waitForCalls(1);
+	calls[0]!.send({kind: 'delta', delta: {content: 'yes'}, text: 'yes'});
+	await log.read(0);
+	clock.advance(1000);
+	calls[0]!.fail(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'broke off'));
+	await waitForCalls(2);
+	t.same(runs, [0, 1000]);
+	calls[1]!.send(undefined);
+	t.same((await log.read(1)).end, complete);
+});
