fix(network): accept no link while the network is closed

While a network waits for its links to close, a peer that calls again could open a new link and have its call handled by a node that is shutting down; the wait then lasted until its limit. The node now stops listening first and refuses upgrades that are on their way. The test also checks that an answer of 1.5 MB that was sent before the close is delivered.

--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -85,7 +85,7 @@
 	function isPeer(request: IncomingMessage): boolean {
 		const isKnown = hasToken(request, options.token);
 		metrics.increment('peer.refused', isKnown ? 0 : 1);
-		return isKnown;
+		return isKnown && !isClosed;
 	}
 
 	async function openLink(node: string): Promise<PeerLink> {
@@ -195,11 +195,10 @@
 		async close() {
 			isClosed = true;
 			clearTimeout(timer);
+			const closed = httpServer === undefined ? undefined : closeServer(httpServer);
 			await endLinks();
 			socketServer?.close();
-			if (httpServer !== undefined) {
-				await closeServer(httpServer);
-			}
+			await closed;
 		},
 	};
 }
--- a/peer/network/test/peer-network.test.ts
+++ b/peer/network/test/peer-network.test.ts
@@ -168,3 +168,33 @@
 	await once(socket, 'ping');
 	t.ok(network.isReady('b'));
 });
+
+test('a network that is closed accepts no new links, and its last messages are delivered', async t => {
+	const answered = Promise.withResolvers<string>();
+	let isClosed = false;
+	const callsAfterClose: unknown[] = [];
+	const {a, b} = await startPair(t, {
+		'peer.wait': async () => answered.promise,
+		'peer.hello'(parameters) {
+			if (isClosed) {
+				callsAfterClose.push(parameters);
+			}
+		},
+	});
+	const waiting = a.call('b', 'peer.wait', {});
+	await a.call('b', 'peer.hello', {});
+	const answer = 'x'.repeat(1_500_000);
+	answered.resolve(answer);
+	// The handler's answer is sent in a later turn.
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	const closing = b.close();
+	const calls = Array.from({length: 20}, async () => a.call('b', 'peer.hello', {}));
+	await closing;
+	isClosed = true;
+	t.equal((await waiting).unwrapOr('lost'), answer);
+	await Promise.all(calls);
+	t.ok((await a.call('b', 'peer.hello', {})).isErr());
+	t.same(callsAfterClose, []);
+});
