fix(network): do not count a peer as lost while another link to it is open

A request that waited at a dispatcher on another node could wait for ever. Nodes that call each other at the same time have two links; when the one that a node had opened or accepted last was closed, for example after a minute without use, the node counted its peer as lost, dropped the peer's waiting requests without an answer, and suspected it. The peer's call went on waiting on the other link, which was sound.

Evidence: of two networks that called each other at once, both reported the other as lost after one of the two links was closed, with a call still pending on the second; now none does, the second link is used, and the call is answered.

A network now looks for another open link to the peer first, and reports the peer as lost with the last one.

--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -66,14 +66,7 @@
 		const link = createPeerLink({
 			node, socket, handlers, linkTimeoutMs: options.linkTimeoutMs, metrics,
 			onClose() {
-				allLinks.delete(link);
-				if (links.get(node) !== link) {
-					return;
-				}
-
-				links.delete(node);
-				metrics.increment('peer.links-lost');
-				void events.emit('lost', {node});
+				removeLink(link);
 			},
 		});
 		allLinks.add(link);
@@ -82,6 +75,27 @@
 		return link;
 	}
 
+	/**
+	Removes a closed link. Two nodes that call each other at the same time have two; the peer is lost with the last one.
+	*/
+	function removeLink(link: PeerLink): void {
+		const {node} = link;
+		allLinks.delete(link);
+		if (links.get(node) !== link) {
+			return;
+		}
+
+		const other = allLinks.values().find(candidate => candidate.node === node);
+		if (other !== undefined) {
+			links.set(node, other);
+			return;
+		}
+
+		links.delete(node);
+		metrics.increment('peer.links-lost');
+		void events.emit('lost', {node});
+	}
+
 	function isPeer(request: IncomingMessage): boolean {
 		const isKnown = hasToken(request, options.token);
 		metrics.increment('peer.refused', isKnown ? 0 : 1);
--- a/peer/network/test/peer-network.test.ts
+++ b/peer/network/test/peer-network.test.ts
@@ -198,3 +198,35 @@
 	t.ok((await a.call('b', 'peer.hello', {})).isErr());
 	t.same(callsAfterClose, []);
 });
+
+test('a peer is not lost when one of two links that were opened at the same time closes', async t => {
+	const answered = Promise.withResolvers<string>();
+	const lost: string[] = [];
+	const addresses = new Map<string, string>();
+	const create = (node: string): PeerNetwork => createPeerNetwork({
+		node, host: '127.0.0.1', port: 0, token, findAddress: name => addresses.get(name), linkTimeoutMs: 60_000, isCompressed: false, metrics: createMetrics(),
+	});
+	const handlers: PeerHandlers = {'peer.wait': async () => answered.promise, 'peer.hello': () => 'hello'};
+	const networks = [create('a'), create('b')] as const;
+	const [a, b] = networks;
+	for (const [index, network] of networks.entries()) {
+		// eslint-disable-next-line no-await-in-loop -- one network after the other
+		addresses.set('ab'[index]!, await network.listen(handlers));
+		network.events.on('lost', ({data}) => {
+			lost.push(data.node);
+		});
+	}
+
+	t.teardown(async () => {
+		await a.close();
+		await b.close();
+	});
+	const waiting = [a.call('b', 'peer.wait', {}), b.call('a', 'peer.wait', {})];
+	await Promise.all([a.call('b', 'peer.hello', {}), b.call('a', 'peer.hello', {})]);
+	a.disconnect('b');
+	const failed = await Promise.race(waiting);
+	t.ok(failed.isErr(), 'the call on the link that closed fails');
+	t.same([a.connected(), b.connected(), lost], [['b'], ['a'], []]);
+	answered.resolve('answered');
+	t.same((await Promise.all(waiting)).map(result => result.unwrapOr('lost')).toSorted((x, y) => String(x).localeCompare(String(y))), ['answered', 'lost']);
+});
