fix(dispatch): answer the waiting requests of a node that is taken for lost

A dispatcher that took a node for lost dropped the node's waiting requests without an answer. Where the node was there after all, its calls stayed pending and its callers waited until they gave up.

Evidence: a waiting request of a dropped node never got a reply; now it gets "moved", with which its node asks again and is admitted as one that has waited. To a node that is really gone nothing is sent, since its link is closed.

--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -265,6 +265,18 @@
 		}
 	}
 
+	/**
+	Removes waiting requests, whose nodes are told to ask for their dispatcher again; returns their number.
+	*/
+	function moveWhere(isMatch: (item: QueuedRequest<WaitingRequest>) => boolean): number {
+		const moved = queue.takeWhere(isMatch);
+		for (const {value: {settle}} of moved) {
+			settle({kind: 'moved', owner: undefined, admitted: true});
+		}
+
+		return moved.length;
+	}
+
 	function updateHeadroom(): void {
 		let urgentPerSecond = 0;
 		let busyMs = 0;
@@ -308,7 +320,7 @@
 		},
 		register: registerGrants,
 		dropNode(node) {
-			queue.takeWhere(({value}) => value.request.node === node);
+			moveWhere(({value}) => value.request.node === node);
 		},
 		observeLoad: table.observeLoad,
 		configure: applyConfiguration,
@@ -323,12 +335,7 @@
 			grantWaiting();
 		},
 		close() {
-			const waiting = queue.takeWhere(() => true);
-			for (const {value: {settle}} of waiting) {
-				settle({kind: 'moved', owner: undefined, admitted: true});
-			}
-
-			return waiting.length;
+			return moveWhere(() => true);
 		},
 		endpoints: table.configured,
 		status: () => ({
--- a/dispatch/pool/src/pool-dispatcher.ts
+++ b/dispatch/pool/src/pool-dispatcher.ts
@@ -28,7 +28,8 @@
 	*/
 	readonly register: (request: RegisterRequest) => void;
 	/**
-	Removes a node's waiting requests; its grants expire with their lease.
+	Removes a node's waiting requests, with the reply that they have moved, in case the node is still there; its grants expire
+	with their lease.
 	*/
 	readonly dropNode: (node: string) => void;
 	readonly observeLoad: (endpointId: string, report: LoadReport) => void;
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -402,6 +402,16 @@
 	t.equal(dispatcher.status().waiting, 0);
 });
 
+test('a request whose node is taken for lost is told to ask again, so that it does not wait for ever if its node is not', async t => {
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const caller = createCaller(dispatcher);
+	await caller.acquire(createRequest('holder'));
+	await caller.acquire(createRequest('waiter', {node: 'n9', admitted: true}));
+	dispatcher.dropNode('n9');
+	await settle();
+	t.same(caller.replies.get('waiter'), {kind: 'moved', owner: undefined, admitted: true});
+});
+
 test('a closing dispatcher answers all waiting requests with moved', async t => {
 	const dispatcher = createDispatcher(createConfiguration(1, 1));
 	const caller = createCaller(dispatcher);
