--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -1,9 +1,9 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
-import {ValvesaddleError} from '@valvesaddle/error';
+import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {JobClaim} from '@valvesaddle/execution';
-import {closeServer, formatServerAddress} from '@valvesaddle/http-server';
+import {createConnectionTracker, formatServerAddress} from '@valvesaddle/http-server';
 import type {ClientAccount} from '@valvesaddle/types';
 import {buildChatJob} from './build-chat-job.ts';
 import {buildServiceJob} from './build-service-job.ts';
@@ -12,6 +12,7 @@
 import type {CallerApiOptions} from './caller-api-options.ts';
 import {getHeader} from './get-header.ts';
 import {headerNames} from './header-names.ts';
+import {isWhole} from './is-whole.ts';
 import type {JobOptions} from './job-options.ts';
 import type {JobPlan} from './job-plan.ts';
 import {parseEventId} from './parse-event-id.ts';
@@ -23,6 +24,7 @@
 import {writeWholeReply} from './write-whole-reply.ts';
 
 const noRequestId = '-';
+const unknownRequest = 'no answer is kept under this id';
 
 type Handler = (caller: Caller, response: ServerResponse) => Promise<void>;
 
@@ -51,6 +53,7 @@
  */
 export function createCallerApi(options: CallerApiOptions): CallerApi {
 	const server = createServer();
+	const connections = createConnectionTracker(server);
 	const service = restana({
 		server,
 		errorHandler(error, _request, response) {
@@ -61,7 +64,21 @@
 		},
 	});
 
+	/**
+	Asks the caller of a leaving node to close its connection, once the request has been read: closing the connection while
+	the caller still writes would reset it, and the caller would lose the answer.
+	*/
+	function markLeaving(response: ServerResponse): void {
+		if (options.isLeaving() && isWhole(response.req)) {
+			response.setHeader('connection', 'close');
+		}
+	}
+
 	function sendFailure(response: ServerResponse, error: unknown): void {
+		if (!response.headersSent) {
+			markLeaving(response);
+		}
+
 		const end = toErrorEnd(error);
 		options.metrics.increment('callers.refused', 1, {code: end.code});
 		sendError(response, end, noRequestId);
@@ -72,10 +89,7 @@
 	*/
 	function withCaller(handle: Handler): RawHandler {
 		return async (request, response) => {
-			if (options.isLeaving()) {
-				response.setHeader('connection', 'close');
-			}
-
+			markLeaving(response);
 			try {
 				const account = options.access().authenticate(getHeader(request, 'authorization'));
 				if (account.isErr()) {
@@ -104,21 +118,43 @@
 	Writes the answer; when another request holds the idempotency key, writes the answer of that request.
 	*/
 	async function writeReply(reply: Reply): Promise<void> {
-		const {response, source, model, offset, write} = reply;
+		const held = await writeFrom(reply);
+		if (held?.kind === 'held') {
+			await writeFrom({...reply, source: await findClaimHolder(reply, held), offset: 0});
+		}
+	}
+
+	/**
+	Writes the answer of one source, as its reader.
+	*/
+	async function writeFrom({response, source, model, offset, write}: Reply): Promise<AnswerEnd | undefined> {
+		if (response.destroyed) {
+			return undefined;
+		}
+
 		let isDisconnected = false;
 		source.attach();
 		response.once('close', () => {
 			isDisconnected = true;
 			source.detach();
 		});
-		const held = await write({
+		return write({
 			response, source, model, offset, isDisconnected: () => isDisconnected,
 		});
-		if (held?.kind === 'held') {
-			await write({
-				response, source: await findClaimHolder(reply, held), model, offset: 0, isDisconnected: () => isDisconnected,
-			});
+	}
+
+	/**
+	Finds the source of an answer on any node.
+
+	@throws `ERR_VALVESADDLE_UNKNOWN_REQUEST`, `ERR_VALVESADDLE_PEER_UNREACHABLE`.
+	*/
+	async function findAnswer(requestId: string, account: string): Promise<AnswerSource> {
+		const source = await options.findAnswer(requestId, account);
+		if (source === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', unknownRequest);
 		}
+
+		return source;
 	}
 
 	async function findClaimHolder({caller, claim}: Reply, held: Extract<AnswerEnd, {readonly kind: 'held'}>): Promise<AnswerSource> {
@@ -126,18 +162,19 @@
 			throw new ValvesaddleError('ERR_VALVESADDLE_IDEMPOTENCY_KEY_REUSED', 'the key stands for a different request');
 		}
 
-		const source = await options.findAnswer(held.requestId, caller.account.name);
-		if (source === undefined) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read`);
+		try {
+			return await findAnswer(held.requestId, caller.account.name);
+		} catch (error) {
+			const {message} = toValvesaddleError(error);
+			throw new ValvesaddleError('ERR_VALVESADDLE_MAY_HAVE_RUN', `request ${held.requestId} holds the key and its answer cannot be read: ${message}`, {cause: error});
 		}
-
-		return source;
 	}
 
 	function createJobHandler(build: JobBuilder): RawHandler {
 		return withCaller(async (caller, response) => {
 			checkAdmission(caller.account);
 			const text = await readBody(caller.request, options.bodyBytes);
+			markLeaving(response);
 			const {job, model, isStreamed} = build(caller, text, {node: options.node, region: options.region, access: options.access()});
 			await writeReply({
 				caller, response, source: options.executor.start(job), model, offset: 0, write: isStreamed ? writeStreamReply : writeWholeReply, claim: job.claim,
@@ -149,11 +186,12 @@
 		const {request, account} = caller;
 		const eventId = getHeader(request, headerNames.lastEventId) ?? `${(request.url ?? '').split('/').at(-1)}:0`;
 		const position = parseEventId(eventId);
-		const source = position && await options.findAnswer(position.requestId, account.name);
-		if (position === undefined || source === undefined) {
-			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', 'no answer is kept under this id');
+		if (position === undefined) {
+			throw new ValvesaddleError('ERR_VALVESADDLE_UNKNOWN_REQUEST', unknownRequest);
 		}
 
+		const source = await findAnswer(position.requestId, account.name);
+
 		options.metrics.increment('callers.reconnects');
 		await writeReply({
 			caller, response, source, model: '', offset: position.offset, write: writeStreamReply, claim: undefined,
@@ -183,7 +221,7 @@
 			await service.start(options.port, options.host);
 			return formatServerAddress(server);
 		},
-		close: async () => closeServer(server),
+		close: connections.drain,
 		closeConnections() {
 			server.close();
 			server.closeAllConnections();
--- a/peer/network/src/create-peer-network.ts
+++ b/peer/network/src/create-peer-network.ts
@@ -1,6 +1,7 @@
 import {timingSafeEqual} from 'node:crypto';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
 import Emittery from 'emittery';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {ResultAsync} from 'neverthrow';
@@ -20,6 +21,11 @@
 const maximumMessageBytes = 2 * 1024 * 1024;
 const checksPerTimeout = 5;
 /**
+Time that peers get to take in the last messages when the network is closed, in milliseconds.
+*/
+const closeTimeoutMs = 1000;
+const closeCheckMs = 5;
+/**
 Small windows limit the memory that each link takes; messages are short and similar.
 */
 const compression: PerMessageDeflateOptions = {
@@ -60,14 +66,7 @@
 		const link = createPeerLink({
 			node, socket, handlers, linkTimeoutMs: options.linkTimeoutMs, metrics,
 			onClose() {
-				allLinks.delete(link);
-				if (links.get(node) !== link) {
-					return;
-				}
-
-				links.delete(node);
-				metrics.increment('peer.links-lost');
-				void events.emit('lost', {node});
+				removeLink(link);
 			},
 		});
 		allLinks.add(link);
@@ -76,10 +75,31 @@
 		return link;
 	}
 
+	/**
+	Removes a closed link. Two nodes that call each other at the same time have two; the peer is lost with the last one.
+	*/
+	function removeLink(link: PeerLink): void {
+		const {node} = link;
+		allLinks.delete(link);
+		if (links.get(node) !== link) {
+			return;
+		}
+
+		const other = allLinks.values().find(candidate => candidate.node === node);
+		if (other !== undefined) {
+			links.set(node, other);
+			return;
+		}
+
+		links.delete(node);
+		metrics.increment('peer.links-lost');
+		void events.emit('lost', {node});
+	}
+
 	function isPeer(request: IncomingMessage): boolean {
 		const isKnown = hasToken(request, options.token);
 		metrics.increment('peer.refused', isKnown ? 0 : 1);
-		return isKnown;
+		return isKnown && !isClosed;
 	}
 
 	async function openLink(node: string): Promise<PeerLink> {
@@ -119,6 +139,25 @@
 		}
 	}
 
+	/**
+	Closes all links behind the messages that were sent on them, and those whose peer does not take them in after a while.
+	*/
+	async function endLinks(): Promise<void> {
+		const startedAt = performance.now();
+		for (const link of allLinks) {
+			link.end();
+		}
+
+		while (allLinks.size > 0 && performance.now() - startedAt < closeTimeoutMs) {
+			// eslint-disable-next-line no-await-in-loop -- until the last link has closed
+			await delay(closeCheckMs);
+		}
+
+		for (const link of allLinks) {
+			link.close();
+		}
+	}
+
 	async function callNode(node: string, method: string, parameters: unknown): Promise<unknown> {
 		const link = await getLink(node);
 		return link.call(method, parameters);
@@ -170,14 +209,10 @@
 		async close() {
 			isClosed = true;
 			clearTimeout(timer);
-			for (const link of allLinks) {
-				link.close();
-			}
-
+			const closed = httpServer === undefined ? undefined : closeServer(httpServer);
+			await endLinks();
 			socketServer?.close();
-			if (httpServer !== undefined) {
-				await closeServer(httpServer);
-			}
+			await closed;
 		},
 	};
 }
