test(soak): endpoints that pause, slow callers, thin links and spent budgets

The soak checks that a request which a node has read whole gets a complete answer or a refusal, and that a sound endpoint's work is not answered 502. Excused are an endpoint that broke off, a passed deadline, a killed process and the end of the grace time; a SIGTERM, a SIGHUP, a process that stood still, a slow caller, a thin link or a spent retry budget are not.

New kinds of fault are planned after all others, so the faults of a seed stay as they were: endpoints stand still within a stream and go on, or are late with the first byte; nodes get SIGHUP; some callers' way to a node is thin. Each third caller reads slowly, some answers have 7 MB, and a seed's nodes may spend plenty of retries, few, or none. Times of faults are recorded as they were applied.

Two allowed cases of the test of the promises had a sound endpoint whose answer was cut or replaced by a 502; that is a breach now, and they have an endpoint that broke off.

--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -38,6 +38,16 @@
 */
 const events = 8;
 /**
+How long a request may take by its route, and a stopped node's grace time up to the share in which the platform excuses what is
+still open, in milliseconds.
+*/
+const deadlineMs = 5000;
+const graceMs = 8000 * 5 / 6;
+/**
+Slack between a signal and its effect, in milliseconds.
+*/
+const faultSlackMs = 50;
+/**
 Part of the requests in the calm at the end that have to be served, of each kind.
 */
 const leastServed = 0.75;
@@ -67,6 +77,23 @@
 	return kind === 'stream' || kind === 'resumable';
 }
 
+function isDuring({sentAt, endedAt}: Attempt, faults: readonly AppliedFault[]): boolean {
+	return faults.some(({at, until}) => at - faultSlackMs < endedAt && sentAt < until + faultSlackMs);
+}
+
+/**
+Whether the endpoint broke the answer off, the deadline passed, or the node was killed, also by the platform after the grace time.
+*/
+function isExcused(attempt: Attempt, faults: readonly AppliedFault[], runs: ReadonlyMap<string, readonly Run[]>): boolean {
+	const ofNode = faults.filter(({target}) => attempt.node === `n${target}`);
+	const kills = [...ofNode.filter(({kind}) => kind === 'kill'), ...faults.filter(({kind}) => kind === 'killAll')];
+	const graceEnds = ofNode.filter(({kind}) => kind === 'stop').map(({at}) => at + graceMs);
+	return attempt.endedAt - attempt.sentAt >= deadlineMs
+		|| (runs.get(attempt.id)?.some(run => run.isSpoiled) ?? false)
+		|| isDuring(attempt, kills.map(kill => ({...kill, until: kill.at})))
+		|| graceEnds.some(at => attempt.sentAt < at && attempt.endedAt >= at);
+}
+
 const checks: Readonly<Record<string, Check>> = {
 	'each caller gets its own whole answer'({attempts}) {
 		return attempts
@@ -153,6 +180,17 @@
 			return isStopped && !isAbrupt && !isSpoiled ? [formatAttempt(attempt, 'the connection ended without a whole answer')] : [];
 		});
 	},
+	'a request that was read whole gets a complete answer or a refusal'({attempts, faults, read}, runs) {
+		return attempts
+			.filter(attempt => !attempt.isWhole && (read.has(attempt.id) || runs.has(attempt.id)) && !isExcused(attempt, faults, runs))
+			.map(attempt => formatAttempt(attempt, `ended after ${attempt.endedAt - attempt.sentAt} ms without a whole answer`));
+	},
+	'a request is not failed while its endpoint works on it'({attempts, faults}, runs) {
+		const spoils = faults.filter(({kind}) => kind === 'spoil');
+		return attempts
+			.filter(attempt => attempt.status === 502 && runs.has(attempt.id) && !isDuring(attempt, spoils) && !isExcused(attempt, faults, runs))
+			.map(attempt => formatAttempt(attempt, `failed after ${attempt.endedAt - attempt.sentAt} ms`));
+	},
 	'every kind of request is served once faults are over'({attempts, calmFrom}) {
 		const late = attempts.filter(({sentAt, path}) => sentAt > calmFrom && !path.startsWith('/v'));
 		return Map.groupBy(late, ({kind}) => kind).entries().flatMap(([kind, group]) => {
--- a/bench/soak/src/create-fault-handlers.ts
+++ b/bench/soak/src/create-fault-handlers.ts
@@ -110,5 +110,16 @@
 			},
 		},
 		configure: {begin: publishConfiguration},
+		stall: createEndpointFault('stall'),
+		late: createEndpointFault('late'),
+		reload: {begin: createSignal('SIGHUP')},
+		thin: {
+			begin({target}) {
+				nodes()[target]?.thinLink.setThin(true);
+			},
+			end({target}) {
+				nodes()[target]?.thinLink.setThin(false);
+			},
+		},
 	};
 }
--- a/bench/soak/src/fault-kind.ts
+++ b/bench/soak/src/fault-kind.ts
@@ -1,8 +1,9 @@
 /**
 What happens from outside: `stop` sends SIGTERM and starts the node again, `kill` and `killAll` send SIGKILL, `pause` sends
 SIGSTOP and later SIGCONT; `store…` misbehave as the stand-in's faults; `cut…` break the node's way to the store; endpoints
-`break` answers off, answer `spoiled` bytes, `refuse` before running, `overload` by refusing and asking for a pause, `leave` by their
-entries, or `announce` in their answers that they leave long before their entries do; `configure` changes the configuration.
+`break` answers off, answer `spoiled` bytes, `refuse` before running, `overload` by refusing and asking for a pause, `stall` within a
+stream and go on, are `late` with the first byte, `leave` by their entries, or `announce` in their answers that they leave long before
+their entries do; `configure` changes the configuration, `reload` sends SIGHUP, `thin` slows some callers' way to a node.
 */
 export type FaultKind =
 	| 'stop' | 'kill' | 'killAll' | 'pause'
@@ -10,4 +11,5 @@
 	| 'cutSilent' | 'cutReset' | 'cutSlow'
 	| 'break' | 'spoil' | 'refuse' | 'leave'
 	| 'overload' | 'announce'
+	| 'stall' | 'late' | 'reload' | 'thin'
 	| 'configure';
--- a/bench/soak/src/observation.ts
+++ b/bench/soak/src/observation.ts
@@ -10,6 +10,10 @@
 export type Observation = {
 	readonly attempts: readonly Attempt[];
 	readonly runs: readonly Run[];
+	/**
+	Ids of the requests that a node has read whole, as its log says.
+	*/
+	readonly read: ReadonlySet<string>;
 	readonly arrivals: readonly Arrival[];
 	readonly notices: readonly Notice[];
 	readonly faults: readonly AppliedFault[];
--- a/bench/soak/src/plan-faults.ts
+++ b/bench/soak/src/plan-faults.ts
@@ -35,16 +35,18 @@
 /**
 Faults that strike endpoints; the others strike nodes, or all of them.
 */
-const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave', 'overload', 'announce']);
+const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave', 'overload', 'announce', 'stall', 'late']);
 /**
 Faults that are planned by themselves, so that the others of a seed stay as they are.
 */
 const noticeKinds: readonly FaultKind[] = ['overload', 'overload', 'announce'];
+const delayKinds: readonly FaultKind[] = ['stall', 'stall', 'late', 'late', 'thin', 'reload'];
 /**
 Mean time between two faults, and between two of those that are planned by themselves, and how long one lasts, in milliseconds.
 */
 const meanGapMs = 700;
 const meanNoticeGapMs = 1500;
+const meanDelayGapMs = 800;
 const shortestMs = 400;
 const longestMs = 3000;
 
@@ -55,7 +57,11 @@
  planFaults({random: createRandom(7), lengthMs: 10_000, nodes: 3, endpoints: 4}).length;
  */
 export function planFaults(options: PlanOptions): readonly AppliedFault[] {
-	return [...planKinds(kinds, meanGapMs, options), ...planKinds(noticeKinds, meanNoticeGapMs, options)];
+	return [
+		...planKinds(kinds, meanGapMs, options),
+		...planKinds(noticeKinds, meanNoticeGapMs, options),
+		...planKinds(delayKinds, meanDelayGapMs, options),
+	];
 }
 
 function planKinds(among: readonly FaultKind[], gapMs: number, {random, lengthMs, nodes, endpoints}: PlanOptions): readonly AppliedFault[] {
--- a/bench/soak/src/run-caller.ts
+++ b/bench/soak/src/run-caller.ts
@@ -9,6 +9,10 @@
 	*/
 	readonly number: number;
 	readonly random: () => number;
+	/**
+	Draws its way to the node, and the size of answers.
+	*/
+	readonly habits: () => number;
 	readonly now: () => number;
 	/**
 	Nodes that a balancer would send a new connection to.
@@ -29,6 +33,20 @@
 Part of the requests that ask which configuration is in force.
 */
 const versionShare = 0.15;
+/**
+Part of the connections over a link that can be thin, and of the requests for a large answer.
+*/
+const thinShare = 0.3;
+const largeShare = 0.08;
+/**
+Each such caller reads slowly, with a pause after each piece, in milliseconds.
+*/
+const slowCallers = 3;
+const slowReadMs = 25;
+/**
+Characters of an answer that are kept.
+*/
+const keptLength = 4096;
 
 /**
  Runs a caller until the run is over: it keeps its connection to a node for as long as the node does, one request after the
@@ -38,7 +56,8 @@
  await runCaller({number: 1, random, now, listReady, listVersions, isOver, onAttempt});
  */
 export async function runCaller(options: CallerOptions): Promise<void> {
-	const {random, now} = options;
+	const {random, habits, now} = options;
+	const pieceMs = options.number % slowCallers === 0 ? slowReadMs : 0;
 	let count = 0;
 	let node: SoakNode | undefined;
 	let client: Client | undefined;
@@ -52,7 +71,8 @@
 	function openConnection(): void {
 		const ready = options.listReady();
 		node = ready[Math.floor(random() * ready.length)];
-		client = node && new Client(`http://${node.callers}`, {connect: {timeout: 1000}, headersTimeout: patienceMs, bodyTimeout: patienceMs});
+		const address = habits() < thinShare ? node?.thinLink.address : node?.callers;
+		client = node && new Client(`http://${address}`, {connect: {timeout: 1000}, headersTimeout: patienceMs, bodyTimeout: patienceMs});
 		client?.on('disconnect', closeConnection);
 	}
 
@@ -63,7 +83,8 @@
 		}
 
 		const kind = kinds[Math.floor(random() * kinds.length)] ?? 'safe';
-		return {kind, path: `/${kind}/x`};
+		const isLarge = habits() < largeShare && (kind === 'safe' || kind === 'unsafe');
+		return {kind, path: `/${kind}/${isLarge ? 'large' : 'x'}`};
 	}
 
 	async function sendOne(target: SoakNode, connection: Client): Promise<void> {
@@ -83,7 +104,7 @@
 				},
 			});
 			status = response.statusCode;
-			body = await readBody(response.body, text => {
+			await readBody(response.body, pieceMs, text => {
 				body += text;
 			});
 			isWhole = true;
@@ -93,7 +114,7 @@
 		}
 
 		options.onAttempt({
-			...sent, endedAt: now(), status, isWhole, body,
+			...sent, endedAt: now(), status, isWhole, body: body.slice(0, keptLength),
 		});
 	}
 
@@ -114,13 +135,11 @@
 	closeConnection();
 }
 
-async function readBody(stream: Dispatcher.ResponseData['body'], onText: (text: string) => void): Promise<string> {
-	let whole = '';
+async function readBody(stream: Dispatcher.ResponseData['body'], pieceMs: number, onText: (text: string) => void): Promise<void> {
 	for await (const chunk of stream) {
-		const text = String(chunk);
-		whole += text;
-		onText(text);
+		onText(String(chunk));
+		if (pieceMs > 0) {
+			await wait(pieceMs);
+		}
 	}
-
-	return whole;
 }
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -9,9 +9,11 @@
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
+import {listReadRequests} from './list-read-requests.ts';
 import type {Observation} from './observation.ts';
 import type {Notice} from './notice.ts';
 import {planFaults} from './plan-faults.ts';
+import type {RetrySettings} from './retry-settings.ts';
 import type {Run} from './run.ts';
 import {runCaller} from './run-caller.ts';
 import type {SoakEndpoint} from './soak-endpoint.ts';
@@ -32,6 +34,14 @@
 
 const endpointCount = 4;
 /**
+Retries that a seed's nodes may spend: plenty, so few that none are left at times, or none.
+*/
+const retrySettings: readonly RetrySettings[] = [
+	{ratio: 0.1, slack: 1000, assumedNodes: 8},
+	{ratio: 0.02, slack: 8, assumedNodes: 8},
+	{ratio: 0, slack: 0, assumedNodes: 8},
+];
+/**
 Calm after the last fault, and the end of it in which everything has to be served, in milliseconds.
 */
 const calmMs = 6000;
@@ -50,6 +60,7 @@
  */
 export async function runSoak({seed, seconds, nodes: nodeCount = 3, callers = 12}: SoakOptions): Promise<SoakResult> {
 	const random = createRandom(seed);
+	const retry = retrySettings[seed % retrySettings.length]!;
 	const folder = await mkdtemp(path.join(tmpdir(), `soak-${seed}-`));
 	const store = await startFakeFleetStore();
 	const startedAt = performance.now();
@@ -120,12 +131,13 @@
 		store, nodes: () => nodes, endpoints, publishConfiguration, moveEndpoint,
 	});
 
-	async function applyFault(fault: AppliedFault, from: number): Promise<AppliedFault> {
+	async function applyFault(fault: AppliedFault): Promise<AppliedFault> {
 		await wait(fault.at);
+		const at = now();
 		handlers[fault.kind].begin(fault);
 		await wait(fault.until - fault.at);
 		handlers[fault.kind].end?.(fault);
-		return {...fault, at: fault.at + from, until: fault.until + from};
+		return {...fault, at, until: now()};
 	}
 
 	async function watchReady(): Promise<void> {
@@ -138,7 +150,9 @@
 		}
 	}
 
-	const nodes = await Promise.all(Array.from({length: nodeCount}, async (_value, index) => startNode({name: `n${index}`, store: store.address, folder})));
+	const nodes = await Promise.all(Array.from({length: nodeCount}, async (_value, index) => startNode({
+		name: `n${index}`, store: store.address, folder, retry,
+	})));
 	for (let place = 0; place < endpointCount; place++) {
 		// eslint-disable-next-line no-await-in-loop -- in the order of their numbers
 		await addEndpoint(place);
@@ -151,10 +165,10 @@
 		await wait(readyCheckMs);
 	}
 
-	const from = now();
 	const calling = Array.from({length: callers}, async (_value, number) => runCaller({
 		number,
 		random: createRandom((seed * 1000) + number),
+		habits: createRandom((seed * 1000) + 500 + number),
 		now,
 		listReady: () => ready,
 		listVersions: () => versions.slice(-2).map(({version}) => version),
@@ -166,14 +180,15 @@
 	const plan = planFaults({
 		random, lengthMs: seconds * 1000, nodes: nodeCount, endpoints: endpointCount,
 	});
-	const faults = await Promise.all(plan.map(async fault => applyFault(fault, from)));
+	const faults = await Promise.all(plan.map(async fault => applyFault(fault)));
 	await wait(calmMs);
 	endAt = now() + servedMs;
 	const calmFrom = now();
 	await Promise.all([watching, ...calling]);
 	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
+	const read = await listReadRequests(folder, nodes.map(({name}) => name));
 	const observation: Observation = {
-		attempts, runs, arrivals, notices, faults, versions, drains, calmFrom,
+		attempts, runs, read, arrivals, notices, faults, versions, drains, calmFrom,
 	};
 	const breaches = checkPromises(observation);
 	if (breaches.length === 0) {
--- a/bench/soak/src/soak-node.ts
+++ b/bench/soak/src/soak-node.ts
@@ -1,4 +1,5 @@
 import type {Link} from './link.ts';
+import type {ThinLink} from './thin-link.ts';
 
 /**
 A gateway node of the soak, over all its processes.
@@ -14,6 +15,10 @@
 	Its way to the store.
 	*/
 	readonly link: Link;
+	/**
+	Way of some callers to it.
+	*/
+	readonly thinLink: ThinLink;
 	readonly pid: () => number;
 	/**
 	Whether the node takes callers, as a balancer would ask.
@@ -22,6 +27,6 @@
 	/**
 	Sends a signal to the process.
 	*/
-	readonly signal: (name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT') => void;
+	readonly signal: (name: 'SIGTERM' | 'SIGHUP' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT') => void;
 	readonly close: () => Promise<void>;
 };
--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -7,8 +7,10 @@
 import process from 'node:process';
 import {startListening} from '@valvesaddle/fake-http';
 import {request} from 'undici';
+import type {RetrySettings} from './retry-settings.ts';
 import type {SoakNode} from './soak-node.ts';
 import {startLink} from './start-link.ts';
+import {startThinLink} from './start-thin-link.ts';
 
 type NodeOptions = {
 	readonly name: string;
@@ -17,21 +19,24 @@
 	Folder for its settings and logs.
 	*/
 	readonly folder: string;
+	readonly retry?: RetrySettings;
 };
 
 const program = path.resolve(import.meta.dirname, '../../../cli/valvesaddle/src/main.ts');
 const askMs = 500;
+const plentifulRetries: RetrySettings = {ratio: 0.1, slack: 1000, assumedNodes: 8};
 
 /**
  Starts a gateway node as a process. Whatever ends the process, it is started again, as a platform does.
 
  @example
- const node = await startNode({name: 'n0', store: '127.0.0.1:8223', folder});
+ const node = await startNode({name: 'n0', store: '127.0.0.1:8223', folder, retry});
  node.signal('SIGTERM');
  */
-export async function startNode({name, store, folder}: NodeOptions): Promise<SoakNode> {
+export async function startNode({name, store, folder, retry = plentifulRetries}: NodeOptions): Promise<SoakNode> {
 	const link = await startLink(store);
 	const [callers, ready, peers] = await Promise.all([findFreeAddress(), findFreeAddress(), findFreeAddress()]);
+	const thinLink = await startThinLink(callers);
 	const file = path.join(folder, `${name}.toml`);
 	await writeFile(file, `
 		[node]
@@ -45,7 +50,9 @@
 		[store]
 		address = "${link.address}"
 		[retry]
-		slack = 1000
+		ratio = ${retry.ratio}
+		slack = ${retry.slack}
+		assumed_nodes = ${retry.assumedNodes}
 		[drain]
 		grace_s = 8
 		balancer_ms = 500
@@ -72,6 +79,7 @@
 		callers,
 		ready,
 		link,
+		thinLink,
 		pid: () => child.pid ?? 0,
 		async isReady() {
 			try {
@@ -89,6 +97,7 @@
 		async close() {
 			isClosed = true;
 			link.close();
+			thinLink.close();
 			if (child.exitCode === null && child.signalCode === null) {
 				const gone = once(child, 'exit');
 				child.kill('SIGKILL');
--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -41,6 +41,17 @@
 Time for which an overloaded endpoint asks for no more requests, in seconds.
 */
 const retryAfterS = 1.8;
+/**
+How long a stream stands still, and how long the first byte takes when it is late, in milliseconds.
+*/
+const shortestStallMs = 500;
+const longestStallMs = 2500;
+const shortestLateMs = 400;
+const longestLateMs = 2000;
+/**
+What a large answer has after its first line, in characters.
+*/
+const filler = 'x'.repeat(7_000_000);
 
 function formatChunk(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
@@ -71,6 +82,10 @@
 		return leavingMark;
 	}
 
+	function drawMs(shortestMs: number, longestMs: number): number {
+		return shortestMs + (random() * (longestMs - shortestMs));
+	}
+
 	function refuseOverloaded(request: ArrivedRequest, socket: Socket): void {
 		onNotice({
 			id: request.requestId, endpoint, at: now(), retryAfterMs: retryAfterS * 1000, isLeaving: false,
@@ -79,16 +94,17 @@
 	}
 
 	function answerPlain(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): void {
-		const body = `for ${request.requestId}\n`;
+		const body = `for ${request.requestId}\n${request.line.includes('/large') ? filler : ''}`;
 		// A spoiled answer is followed by one that nobody asked for.
 		const extra = isSpoiled ? formatAnswer('200 OK', {requestId: 'nobody'}, signature, body) : '';
 		socket.write(formatAnswer('200 OK', request, {...signature, ...addNotice(request.requestId)}, body) + extra);
 	}
 
-	async function answerStream(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): Promise<void> {
+	async function answerStream(socket: Socket, request: ArrivedRequest, isSpoiled: boolean, isStalled: boolean): Promise<void> {
 		const {requestId: id, lastEventId} = request;
 		const from = lastEventId + 1;
 		const isBroken = isSpoiled && random() < 0.7;
+		const stalledAt = isStalled ? from + Math.floor(random() * (events - from)) : -1;
 		socket.write(formatStreamHead(request, addNotice(id)));
 		for (let event = from; event < events; event++) {
 			if (isBroken && event > from + 2) {
@@ -100,7 +116,7 @@
 
 			socket.write(formatChunk(`id: ${event}\ndata: for ${id}\n\n`));
 			// eslint-disable-next-line no-await-in-loop -- one event after the other
-			await wait(pauseMs);
+			await wait(event === stalledAt ? drawMs(shortestStallMs, longestStallMs) : pauseMs);
 		}
 
 		socket.write('0\r\n\r\n');
@@ -124,8 +140,12 @@
 		onRun({
 			id, endpoint, at: now(), isSpoiled,
 		});
+		if (isStruck && fault === 'late') {
+			await wait(drawMs(shortestLateMs, longestLateMs));
+		}
+
 		if (request.line.includes('/stream/') || request.line.includes('/resumable/')) {
-			await answerStream(socket, request, isSpoiled);
+			await answerStream(socket, request, isSpoiled, isStruck && fault === 'stall');
 			return;
 		}
 
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -11,7 +11,7 @@
 
 function check(change: Partial<Observation>): readonly string[] {
 	const observation: Observation = {
-		attempts: [], runs: [], arrivals: [], notices: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
 	};
 	return checkPromises(observation).map(({promise}) => promise);
 }
@@ -39,7 +39,7 @@
 const kept: ReadonlyArray<readonly [name: string, observation: Partial<Observation>]> = [
 	['a whole answer of its own', {attempts: [createAttempt()], runs: [run]}],
 	['a refusal of what did not run', {attempts: [createAttempt({status: 503, body: ''})]}],
-	['a failure of what may have run', {attempts: [createAttempt({status: 502, body: ''})], runs: [run]}],
+	['a failure of what may have run', {attempts: [createAttempt({status: 502, body: ''})], runs: [{...run, isSpoiled: true}]}],
 	['a second run of what may be repeated', {attempts: [createAttempt({kind: 'safe'})], runs: [run, run]}],
 	['an answer that the endpoint broke off at a node that stops', {attempts: [createAttempt({status: 0, isWhole: false})], runs: [{...run, isSpoiled: true}], faults: [stop]}],
 	['an old route shortly after its version was replaced', {attempts: [createAttempt({path: '/v1/x', kind: 'safe', sentAt: 6000})], runs: [run], versions: [{version: 1, at: 0}, {version: 2, at: 5000}]}],
@@ -50,7 +50,22 @@
 		attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([2000, 2100, 2900]), faults: [{...stop, kind: 'pause'}],
 	}],
 	['a request shortly after an endpoint said that it leaves', {attempts: [createAttempt({sentAt: 2900})], notices: [leaving], arrivals: createArrivals([3100])}],
-	['a stream that broke off between events', {attempts: [createAttempt({kind: 'stream', isWhole: false, body: formatEvents([0, 1])})], runs: [run]}],
+	['an answer that its endpoint broke off', {attempts: [createAttempt({isWhole: false})], runs: [{...run, isSpoiled: true}], read: new Set(['c1-1'])}],
+	['an answer that ended with its deadline', {attempts: [createAttempt({status: 0, isWhole: false, endedAt: 6000})], runs: [run], read: new Set(['c1-1'])}],
+	['an answer that ended as its node was killed', {
+		attempts: [createAttempt({status: 0, isWhole: false})], runs: [run], read: new Set(['c1-1']), faults: [{...stop, kind: 'kill'}],
+	}],
+	['an answer that ended after the grace time of its node', {
+		attempts: [createAttempt({
+			status: 200, isWhole: false, sentAt: 4000, endedAt: 8500,
+		})],
+		read: new Set(['c1-1']),
+		faults: [stop],
+	}],
+	['a request that no node read', {attempts: [createAttempt({status: 0, isWhole: false})]}],
+	['a failure of what an endpoint broke off', {attempts: [createAttempt({status: 502, body: ''})], runs: [{...run, isSpoiled: true}]}],
+	['a failure while an endpoint sent what nobody asked for', {attempts: [createAttempt({status: 502, body: ''})], runs: [run], faults: [{...stop, kind: 'spoil'}]}],
+	['a stream that broke off between events', {attempts: [createAttempt({kind: 'stream', isWhole: false, body: formatEvents([0, 1])})], runs: [{...run, isSpoiled: true}]}],
 ];
 
 test('what the promises allow is no breach', t => {
@@ -89,6 +104,12 @@
 		versions: [{version: 1, at: 0}, {version: 2, at: 5000}],
 	}],
 	['a graceful shutdown cuts off nothing', {attempts: [createAttempt({status: 0, isWhole: false, body: ''})], runs: [run], faults: [stop]}],
+	['a request that was read whole gets a complete answer or a refusal', {attempts: [createAttempt({status: 0, isWhole: false})], read: new Set(['c1-1'])}],
+	['a request that was read whole gets a complete answer or a refusal', {attempts: [createAttempt({isWhole: false})], runs: [run]}],
+	['a request that was read whole gets a complete answer or a refusal', {
+		attempts: [createAttempt({isWhole: false})], runs: [run], faults: [{...stop, kind: 'kill', target: 1}, {...stop, kind: 'kill', at: 5000}, {...stop, kind: 'pause'}, {...stop, kind: 'reload'}],
+	}],
+	['a request is not failed while its endpoint works on it', {attempts: [createAttempt({status: 502, body: ''})], runs: [run]}],
 	['every kind of request is served once faults are over', {attempts: [createAttempt({sentAt: 200_000, status: 502})]}],
 ];
 
