test(gateway): requests that were read whole, amid changes, pauses and slow callers

A gateway in the test's process gets seeded requests before stand-in endpoints that answer large answers, pause within a stream, are late or leave a body unread, while callers read late and the node reloads, is reconfigured, loses endpoints and drains, in any order, with plenty of retries or none. Each request has to get its complete answer or a refusal.

The stand-in endpoint holds back bodies and parts of answers until it is told to go on.

--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -10,11 +10,17 @@
 Events of a whole stream.
 */
 const events = 4;
+/**
+Size of a large answer in characters, and of an event of a large stream and their number.
+*/
+const largeLength = 7_500_000;
+const largeEventLength = 60_000;
+const largeEvents = 120;
 
-function formatEvents(from: number, to: number): string {
+function formatEvents(from: number, to: number, length = 0): string {
 	let text = '';
 	for (let id = from; id < to; id++) {
-		const event = `id: ${id}\ndata: piece ${id}\n\n`;
+		const event = `id: ${id}\ndata: piece ${id}${'x'.repeat(length)}\n\n`;
 		text += `${event.length.toString(16)}\r\n${event}\r\n`;
 	}
 
@@ -119,6 +125,32 @@
 	silent() {
 		// Never answers.
 	},
+	/**
+	More than the buffers of a connection hold.
+	*/
+	large(request, socket) {
+		socket.write(formatAnswer('200 OK', request, signature, 'x'.repeat(largeLength)));
+	},
+	/**
+	Answers only once it is told to go on.
+	*/
+	async late(request, socket, resumed) {
+		await resumed;
+		socket.write(formatAnswer('200 OK', request, signature, `body of ${request.line}`));
+	},
+	/**
+	An event, and the others once it is told to go on.
+	*/
+	async pausingStream(request, socket, resumed) {
+		const from = request.lastEventId + 1;
+		socket.write(formatStreamHead(request) + formatEvents(from, from + 1));
+		await resumed;
+		socket.write(`${formatEvents(from + 1, events)}0\r\n\r\n`);
+	},
+	largeStream(request, socket) {
+		const from = request.lastEventId + 1;
+		socket.write(`${formatStreamHead(request) + formatEvents(from, largeEvents, largeEventLength)}0\r\n\r\n`);
+	},
 	stream(request, socket) {
 		const from = request.lastEventId + 1;
 		socket.write(`${formatStreamHead(request) + formatEvents(from, events)}0\r\n\r\n`);
--- a/fakes/endpoint/src/fake-endpoint.ts
+++ b/fakes/endpoint/src/fake-endpoint.ts
@@ -12,6 +12,18 @@
 	Answers requests that were left without an answer, as another behaviour does.
 	*/
 	readonly answerOpen: (behaviour: keyof typeof behaviours) => void;
+	/**
+	Reads no further in a request's body until it is told to go on.
+	*/
+	readonly holdBodies: () => void;
+	/**
+	First lines of the requests of whose bodies a part is not read yet.
+	*/
+	readonly heldBodies: () => readonly string[];
+	/**
+	Goes on with bodies and answers that were held back; nothing is held back from then on.
+	*/
+	readonly resume: () => void;
 	readonly arrived: () => readonly ArrivedRequest[];
 	/**
 	Connections that the other side has closed.
--- a/fakes/endpoint/src/start-fake-endpoint.ts
+++ b/fakes/endpoint/src/start-fake-endpoint.ts
@@ -20,9 +20,22 @@
 	const sockets = new Set<Socket>();
 	let behaviour: EndpointBehaviour = behaviours.whole;
 	const open: Array<{readonly request: ArrivedRequest; readonly socket: Socket; readonly written: number}> = [];
+	const resumed = Promise.withResolvers<void>();
+	const held = new Map<Socket, string>();
+	let isHolding = false;
 	let connections = 0;
 	let closed = 0;
 
+	function markHeld(socket: Socket, data: Uint8Array): void {
+		const text = Buffer.from(data).toString('latin1');
+		if (!isHolding || !text.includes(headEnd)) {
+			return;
+		}
+
+		held.set(socket, text.slice(0, text.indexOf('\r\n')));
+		socket.pause();
+	}
+
 	const server = createServer(socket => {
 		const connection = ++connections;
 		let data = Buffer.alloc(0);
@@ -41,8 +54,10 @@
 				const whole = {...request.parsed, connection};
 				arrived.push(whole);
 				open.push({request: whole, socket, written: socket.bytesWritten});
-				behaviour(whole, socket);
+				void behaviour(whole, socket, resumed.promise);
 			}
+
+			markHeld(socket, data);
 		});
 	});
 	const address = await startListening(server);
@@ -55,10 +70,23 @@
 		answerOpen(kind) {
 			for (const {request, socket, written} of open) {
 				if (!socket.destroyed && socket.bytesWritten === written) {
-					behaviours[kind](request, socket);
+					void behaviours[kind](request, socket, resumed.promise);
 				}
 			}
 		},
+		holdBodies() {
+			isHolding = true;
+		},
+		heldBodies: () => held.values().toArray(),
+		resume() {
+			isHolding = false;
+			resumed.resolve();
+			for (const socket of held.keys()) {
+				socket.resume();
+			}
+
+			held.clear();
+		},
 		arrived: () => arrived,
 		closedConnections: () => closed,
 		async close() {
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -67,14 +67,13 @@
 	const store = await startFakeFleetStore();
 	const endpoints = [await startFakeEndpoint(), await startFakeEndpoint()];
 	const arrived: ArrivedRequest[] = [];
-	const answerInOrder: EndpointBehaviour = (arrivedRequest, socket) => {
+	const answerInOrder: EndpointBehaviour = (arrivedRequest, socket, resumed) => {
 		const behaviour = sequence[Math.min(arrived.length, sequence.length - 1)] ?? 'whole';
 		arrived.push(arrivedRequest);
-		behaviours[behaviour](arrivedRequest, socket);
+		void behaviours[behaviour](arrivedRequest, socket, resumed);
 	};
 
-	const gateway = createGateway({
-		settings: parseGatewaySettings(`
+	const settings = parseGatewaySettings(`
 			[node]
 			name = "n1"
 			data_centre = "a"
@@ -96,8 +95,8 @@
 			[observe]
 			log_level = "silent"
 			${moreSettings}
-		`)._unsafeUnwrap(),
-	});
+		`)._unsafeUnwrap();
+	const gateway = createGateway({settings});
 	const addresses = await gateway.start();
 	const agent = new Agent();
 	t.teardown(async () => {
@@ -151,7 +150,7 @@
 	}
 
 	return {
-		store, endpoints, arrived, gateway, addresses, configuration, isReady, call, open,
+		store, endpoints, arrived, settings, gateway, addresses, configuration, isReady, call, open,
 	};
 }
 
