test(soak): read the nodes' logs by their message, and count an answer by its length

The soak looked for the wrong field of the logs, so only requests that ran at an endpoint counted as read whole; a run now has to know of some. A client that reads slowly reported an answer that it had to the last byte as cut ("ended after 2501 ms and 7000010 characters: other side closed"): an answer with a length is whole once that length has come. The length and the client's error are told with a broken promise.

--- a/bench/soak/src/attempt.ts
+++ b/bench/soak/src/attempt.ts
@@ -20,5 +20,13 @@
 	Whether the answer came to its end.
 	*/
 	readonly isWhole: boolean;
+	/**
+	Its beginning.
+	*/
 	readonly body: string;
+	/**
+	Characters of the whole body that came, and what the caller's connection said at a failure.
+	*/
+	readonly length: number;
+	readonly error: string;
 };
--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -183,7 +183,7 @@
 	'a request that was read whole gets a complete answer or a refusal'({attempts, faults, read}, runs) {
 		return attempts
 			.filter(attempt => !attempt.isWhole && (read.has(attempt.id) || runs.has(attempt.id)) && !isExcused(attempt, faults, runs))
-			.map(attempt => formatAttempt(attempt, `ended after ${attempt.endedAt - attempt.sentAt} ms without a whole answer`));
+			.map(attempt => formatAttempt(attempt, `ended after ${attempt.endedAt - attempt.sentAt} ms and ${attempt.length} characters: ${attempt.error}`));
 	},
 	'a request is not failed while its endpoint works on it'({attempts, faults}, runs) {
 		const spoils = faults.filter(({kind}) => kind === 'spoil');
--- a/bench/soak/src/list-read-requests.ts
+++ b/bench/soak/src/list-read-requests.ts
@@ -4,7 +4,7 @@
 /**
 Lines that a node writes once it has read a request; those of callers without a body are read whole when they are refused, too.
 */
-const linePattern = /"name":"request-(?:admitted|refused)".*?"request":"(?<id>[^"]+)"/gv;
+const linePattern = /"request":"(?<id>[^"]+)".*"msg":"request-(?:admitted|refused)"/gv;
 
 /**
  Lists the ids of the requests that nodes have read whole, from their logs.
--- a/bench/soak/src/run-caller.ts
+++ b/bench/soak/src/run-caller.ts
@@ -97,6 +97,8 @@
 		let status = 0;
 		let isWhole = false;
 		let body = '';
+		let error = '';
+		let announced = -1;
 		try {
 			const response = await connection.request({
 				method: 'GET', path, headers: {
@@ -104,17 +106,21 @@
 				},
 			});
 			status = response.statusCode;
+			announced = Number(response.headers['content-length'] ?? -1);
 			await readBody(response.body, pieceMs, text => {
 				body += text;
 			});
 			isWhole = true;
-		} catch {
+		} catch (error_) {
+			error = String(error_);
+			// A client that reads slowly may see the end of the connection before it reports the end of an answer that it has.
+			isWhole = body.length === announced;
 			// What is missing shows in the attempt; the connection is of no more use.
 			closeConnection();
 		}
 
 		options.onAttempt({
-			...sent, endedAt: now(), status, isWhole, body: body.slice(0, keptLength),
+			...sent, endedAt: now(), status, isWhole, body: body.slice(0, keptLength), length: body.length, error,
 		});
 	}
 
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -5,7 +5,7 @@
 
 function createAttempt(change: Partial<Attempt> = {}): Attempt {
 	return {
-		id: 'c1-1', path: '/unsafe/x', kind: 'unsafe', node: 'n0', pid: 7, sentAt: 1000, endedAt: 1100, status: 200, isWhole: true, body: 'for c1-1\n', ...change,
+		id: 'c1-1', path: '/unsafe/x', kind: 'unsafe', node: 'n0', pid: 7, sentAt: 1000, endedAt: 1100, status: 200, isWhole: true, body: 'for c1-1\n', length: 9, error: '', ...change,
 	};
 }
 
--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -26,4 +26,5 @@
 	t.same(breaches, []);
 	t.ok(observation.attempts.length > 0);
 	t.ok(observation.runs.length > 0);
+	t.ok(observation.read.size > 0);
 });
