feat(emulator): play pauses and attempts that are ended on suspicion

An attempt that a node ends is played on beside the engine, so that a report counts which repeats were answered earlier than the attempt would have ended, answers that were cut, 502, and the work thrown away. A gate between the forwarder and its selector plays other rules of ending attempts.

--- a/emulator/engine/src/create-engine.ts
+++ b/emulator/engine/src/create-engine.ts
@@ -1,28 +1,12 @@
+import {compareSequences} from './compare-sequences.ts';
+import {createLeftRequests} from './create-left-requests.ts';
 import {createPrefixCache} from './create-prefix-cache.ts';
 import type {Engine} from './engine.ts';
-import type {EngineJob} from './engine-job.ts';
 import type {EngineProfile} from './engine-profile.ts';
+import {measurePrefill} from './measure-prefill.ts';
+import type {Sequence} from './sequence.ts';
 
 const tokensPerThousand = 1000;
-const pairsPerMillion = 1_000_000;
-
-type Sequence = {
-	readonly job: EngineJob;
-	readonly order: number;
-	/**
-	Prompt tokens still to prefill.
-	*/
-	pendingPrefill: number;
-	/**
-	Prompt and output tokens of this request in the KV cache.
-	*/
-	contextTokens: number;
-	/**
-	Output tokens generated, and stream events sent.
-	*/
-	generatedTokens: number;
-	sentEvents: number;
-};
 
 /**
  Creates an emulated engine with continuous batching. It prefills prompts in the order of admission, with a limit on the
@@ -39,6 +23,7 @@
  */
 export function createEngine(profile: EngineProfile, everCached = new Set<string>()): Engine {
 	const prefixCache = createPrefixCache();
+	const left = createLeftRequests(profile);
 	let waiting: Sequence[] = [];
 	let running: Sequence[] = [];
 	let prefills = new Map<Sequence, number>();
@@ -120,8 +105,7 @@
 	function measureStep(): number {
 		let milliseconds = profile.stepMs + (profile.stepMsPerSequence * running.length) + (profile.stepMsPerThousandTokens * countTokensInUse() / tokensPerThousand);
 		for (const [sequence, tokens] of prefills) {
-			const before = sequence.job.promptTokens - sequence.pendingPrefill + (tokens / 2);
-			milliseconds += (tokens / profile.prefillTokensPerMs) + (tokens * before / pairsPerMillion * profile.msPerMillionPairs);
+			milliseconds += measurePrefill(profile, tokens, sequence.job.promptTokens - sequence.pendingPrefill);
 		}
 
 		return milliseconds;
@@ -152,10 +136,15 @@
 			}
 
 			waiting.push({
-				job, order: order++, pendingPrefill: job.promptTokens, contextTokens: 0, generatedTokens: 0, sentEvents: 0,
+				job, order: order++, pendingPrefill: job.promptTokens, prefilledTokens: 0, contextTokens: 0, generatedTokens: 0, sentEvents: 0,
 			});
 		},
-		remove(id) {
+		remove(id, request) {
+			const sequence = [...running, ...waiting].find(({job}) => job.id === id);
+			if (sequence !== undefined && request !== undefined) {
+				left.add(sequence, running.includes(sequence), request);
+			}
+
 			waiting = waiting.filter(({job}) => job.id !== id);
 			running = running.filter(({job}) => job.id !== id);
 		},
@@ -168,15 +157,24 @@
 			}
 
 			admit(budget);
-			return running.length === 0 ? undefined : measureStep() * slowness;
+			if (running.length > 0) {
+				return measureStep() * slowness;
+			}
+
+			left.end(slowness);
+			return undefined;
 		},
 		endStep() {
+			left.advance({
+				running, prefills, inUse: countTokensInUse(), slowness, cached: prefixCache,
+			});
 			for (const [sequence, tokens] of prefills) {
 				if (!running.includes(sequence)) {
 					continue;
 				}
 
 				sequence.pendingPrefill -= tokens;
+				sequence.prefilledTokens += tokens;
 				prefilledTokens += tokens;
 				if (sequence.pendingPrefill === 0) {
 					advanceSequence(sequence);
@@ -190,6 +188,7 @@
 			running = [];
 			prefills = new Map();
 			prefixCache.clear();
+			left.clear();
 		},
 		setSlowness(factor) {
 			slowness = factor;
@@ -197,10 +196,3 @@
 		counts: () => ({prefilledTokens, recomputedTokens, preempted}),
 	};
 }
-
-/**
-Orders by urgency, then by arrival.
-*/
-function compareSequences(a: Sequence, b: Sequence): number {
-	return a.job.urgency === b.job.urgency ? a.order - b.order : a.job.urgency - b.job.urgency;
-}
--- a/emulator/engine/src/engine.ts
+++ b/emulator/engine/src/engine.ts
@@ -1,4 +1,5 @@
 import type {EngineJob} from './engine-job.ts';
+import type {LeftRequest} from './left-request.ts';
 
 /**
 An emulated engine. Its owner runs the steps.
@@ -6,9 +7,9 @@
 export type Engine = {
 	readonly add: (job: EngineJob) => void;
 	/**
-	Removes a request whose caller has disconnected.
+	Removes a request whose caller has disconnected. The second argument is told what it would have become.
 	*/
-	readonly remove: (id: string) => void;
+	readonly remove: (id: string, request?: LeftRequest) => void;
 	/**
 	Starts a step and returns its duration in milliseconds, or `undefined` without requests.
 	*/
--- a/emulator/fleet/src/caller-outcome.ts
+++ b/emulator/fleet/src/caller-outcome.ts
@@ -8,6 +8,10 @@
 	*/
 	readonly startedAt: number;
 	readonly end: 'inTime' | 'firstLate' | 'pauseLate' | 'refused' | 'failed' | 'abandoned';
+	/**
+	How a failed request failed: its answer was broken off, or it was refused with a status. `undefined` if it did not fail.
+	*/
+	readonly failure: 'cut' | number | undefined;
 	readonly wasRefused: boolean;
 	readonly owed: number;
 	readonly earned: number;
--- /dev/null
+++ b/emulator/fleet/src/create-attempt-gate.ts
@@ -0,0 +1,164 @@
+import type {
+	OpenRequest,
+	Selection,
+	SelectionCriteria,
+	Selector,
+} from '@valvesaddle/selection';
+import {canLeaveAttempt} from './can-leave-attempt.ts';
+import type {LeavingPolicy} from './leaving-policy.ts';
+
+type AttemptGateOptions = {
+	readonly selector: Selector;
+	readonly policy: LeavingPolicy;
+	/**
+	Incarnations of all endpoints.
+	*/
+	readonly incarnations: readonly string[];
+	/**
+	Whether the node first reads what has arrived and then decides.
+	*/
+	readonly isReadFirst: boolean;
+};
+
+type OpenAttempt = {
+	readonly selection: Selection;
+	readonly openedAt: number;
+	isOpen: boolean;
+	/**
+	Whether its endpoint has counted as stalled since the last chunk.
+	*/
+	isStalled: boolean;
+	/**
+	Whether it is suspected again because of a progress timeout, so that its end is a failure of the endpoint.
+	*/
+	isSilent: boolean;
+	/**
+	Whether the node has read what had arrived when it was suspected.
+	*/
+	isRead: boolean;
+	lastChunkAt: number | undefined;
+	handleStalled: () => void;
+};
+
+/**
+Times after which an attempt is overdue by itself: before its first chunk a multiple of the predicted time and a minimum, then a
+multiple of its pause objective and the minimum. The same as in the stall monitor.
+*/
+const overdueFactor = 2;
+const minimumOverdueMs = 400;
+/**
+Time after which the node has read what had arrived, in milliseconds.
+*/
+const readMs = 1;
+
+/**
+ Creates the gate by which a node decides whether it ends an attempt on suspicion. It stands between the forwarder and its selector:
+ the forwarder ends an attempt only if the selector names another endpoint, so the gate keeps an attempt by naming none.
+
+ @example
+ const gated = createAttemptGate({selector, policy: 'overdue', incarnations, isReadFirst: false});
+ */
+export function createAttemptGate({selector, policy, incarnations, isReadFirst}: AttemptGateOptions): Selector {
+	const attempts = new WeakMap<SelectionCriteria, OpenAttempt>();
+	const openAttempts = new Set<OpenAttempt>();
+
+	function measureOthersSilence(attempt: OpenAttempt): number {
+		const {incarnation} = attempt.selection.endpoint;
+		const now = performance.now();
+		let shortest = Infinity;
+		for (const other of openAttempts) {
+			if (other !== attempt && other.selection.endpoint.incarnation === incarnation && other.lastChunkAt !== undefined) {
+				shortest = Math.min(shortest, now - other.lastChunkAt);
+			}
+		}
+
+		return shortest;
+	}
+
+	function predictHere({endpoint: {incarnation}}: Selection, criteria: SelectionCriteria): number {
+		const tried = new Set(incarnations.filter(other => other !== incarnation));
+		return selector.choose({...criteria, tried})?.costMs ?? Infinity;
+	}
+
+	function canLeave(attempt: OpenAttempt, next: Selection, criteria: SelectionCriteria): boolean {
+		const {selection, openedAt, lastChunkAt, isStalled} = attempt;
+		return canLeaveAttempt(policy, {
+			isStalled,
+			hasStarted: lastChunkAt !== undefined,
+			silentMs: performance.now() - (lastChunkAt ?? openedAt),
+			overdueMs: lastChunkAt === undefined ? (overdueFactor * selection.costMs) + minimumOverdueMs : Math.max(minimumOverdueMs, overdueFactor * criteria.pauseObjectiveMs),
+			othersSilentMs: measureOthersSilence(attempt),
+			hereMs: policy === 'shorter' ? predictHere(selection, criteria) : Infinity,
+			nextMs: next.costMs,
+		});
+	}
+
+	/**
+	Suspects an attempt again when the node has read what had arrived, unless there was a chunk of it.
+	*/
+	function startWait(attempt: OpenAttempt): void {
+		const {lastChunkAt} = attempt;
+		setTimeout(() => {
+			if (!attempt.isOpen || attempt.lastChunkAt !== lastChunkAt) {
+				return;
+			}
+
+			attempt.isSilent = !attempt.isStalled;
+			attempt.handleStalled();
+			attempt.isSilent = false;
+		}, readMs);
+	}
+
+	function decideNext(attempt: OpenAttempt, criteria: SelectionCriteria): Selection | undefined {
+		if (isReadFirst && !attempt.isRead) {
+			attempt.isRead = true;
+			startWait(attempt);
+			return undefined;
+		}
+
+		attempt.isRead = false;
+		const next = selector.choose(criteria);
+		return next !== undefined && canLeave(attempt, next, criteria) ? next : undefined;
+	}
+
+	function openRequest(selection: Selection, criteria: SelectionCriteria): OpenRequest {
+		const request = selector.open(selection, criteria);
+		const attempt: OpenAttempt = {
+			selection, openedAt: performance.now(), isOpen: true, isStalled: false, isSilent: false, isRead: false, lastChunkAt: undefined, handleStalled() {
+				// Replaced by `onStalled`.
+			},
+		};
+		attempts.set(criteria, attempt);
+		openAttempts.add(attempt);
+		return {
+			...request,
+			markChunk() {
+				attempt.lastChunkAt = performance.now();
+				attempt.isRead = false;
+				attempt.isStalled = false;
+				request.markChunk();
+			},
+			onStalled(handler) {
+				attempt.handleStalled = handler;
+				request.onStalled(() => {
+					attempt.isStalled = true;
+					handler();
+				});
+			},
+			close(end) {
+				attempt.isOpen = false;
+				openAttempts.delete(attempt);
+				request.close(end === 'cancelled' && attempt.isSilent ? 'failed' : end);
+			},
+		};
+	}
+
+	return {
+		...selector,
+		choose(criteria) {
+			const attempt = attempts.get(criteria);
+			return attempt?.isOpen === true ? decideNext(attempt, criteria) : selector.choose(criteria);
+		},
+		open: openRequest,
+	};
+}
--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -22,6 +22,11 @@
 	readonly fullRetryAfterMs: number | undefined;
 };
 
+/**
+Urgency of prompts that no node has sent: before all others.
+*/
+const foreignUrgency = -1;
+
 /**
  Creates an emulated endpoint: an engine behind a link.
 
@@ -32,14 +37,34 @@
 export function createEmulatedEndpoint({id, clock, profile, slowness, linkMs, everCached, random, fullRetryAfterMs}: EmulatedEndpointOptions): EmulatedEndpoint {
 	const engine = createEngine(profile, everCached);
 	const open = new Map<string, () => void>();
+	/**
+	Requests that the engine has answered to the end.
+	*/
+	const ended = new Set<string>();
 	const check = createNoticeCheck();
 	let overload: Overload | undefined;
 	let isLeaving = false;
 	let isStepping = false;
 	let isUnresponsive = false;
+	let pausedUntil = 0;
+	let foreignPrompts = 0;
 	let incarnation = 0;
 	engine.setSlowness(slowness);
 
+	/**
+	Runs a handler now, or when the engine's pause is over.
+	*/
+	function waitForPause(handler: () => void): void {
+		const remainingMs = pausedUntil - clock.now();
+		if (remainingMs > 0) {
+			clock.add(remainingMs, () => {
+				waitForPause(handler);
+			});
+		} else {
+			handler();
+		}
+	}
+
 	function startSteps(): void {
 		const milliseconds = isStepping || isUnresponsive ? undefined : engine.startStep();
 		if (milliseconds === undefined) {
@@ -49,16 +74,20 @@
 		isStepping = true;
 		const startedIncarnation = incarnation;
 		clock.add(milliseconds, () => {
-			if (startedIncarnation !== incarnation) {
-				return;
-			}
-
-			engine.endStep();
-			isStepping = false;
-			startSteps();
+			waitForPause(() => {
+				if (startedIncarnation === incarnation) {
+					endStep();
+				}
+			});
 		});
 	}
 
+	function endStep(): void {
+		engine.endStep();
+		isStepping = false;
+		startSteps();
+	}
+
 	function removeAll(): void {
 		incarnation++;
 		isStepping = false;
@@ -112,6 +141,7 @@
 						});
 					},
 					onEnd() {
+						ended.add(job.id);
 						answerLater(job.id, () => {
 							open.delete(job.id);
 							job.onEnd();
@@ -121,14 +151,33 @@
 						refuse(job.id, sender, fullRetryAfterMs);
 					},
 				});
-				startSteps();
+				waitForPause(startSteps);
 			});
 		},
-		abort(jobId) {
+		abort(jobId, request) {
 			open.delete(jobId);
 			clock.add(linkMs, () => {
-				engine.remove(jobId);
+				if (ended.has(jobId)) {
+					request?.onEnd(0);
+				}
+
+				engine.remove(jobId, request);
+			});
+		},
+		pause(milliseconds) {
+			pausedUntil = Math.max(pausedUntil, clock.now() + milliseconds);
+		},
+		addForeignPrompt(tokens) {
+			engine.add({
+				id: `foreign ${foreignPrompts++}`, promptTokens: tokens, shared: [], events: 1, firstEvent: 0, urgency: foreignUrgency, onEvent() {
+					// Read by nobody.
+				}, onEnd() {
+					// Not awaited.
+				}, onRefused() {
+					// Not sent again.
+				},
 			});
+			waitForPause(startSteps);
 		},
 		crash() {
 			removeAll();
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {ExchangeClient} from '@valvesaddle/exchange';
+import type {AttemptRecord} from './attempt-record.ts';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
+import type {NodeThread} from './node-thread.ts';
 import type {Prompt} from './prompt.ts';
 
 type EmulatedExchangesOptions = {
@@ -10,6 +12,8 @@
 	*/
 	readonly node: string;
 	readonly endpoints: ReadonlyMap<string, EmulatedEndpoint>;
+	readonly thread: Pick<NodeThread, 'run'>;
+	readonly attempts: Pick<AttemptRecord, 'recordAbort'>;
 	readonly findPrompt: (id: string) => Prompt | undefined;
 	/**
 	Called on each new connection.
@@ -28,9 +32,9 @@
  Creates a node's client of emulated engines. New connections are counted, but opening one takes no time.
 
  @example
- const exchanges = createEmulatedExchanges({node: 'n-0', endpoints, findPrompt: id => prompts.get(id), onConnect() {}});
+ const exchanges = createEmulatedExchanges({node: 'n-0', endpoints, thread, attempts, findPrompt: id => prompts.get(id), onConnect() {}});
  */
-export function createEmulatedExchanges({node, endpoints, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
+export function createEmulatedExchanges({node, endpoints, thread, attempts, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
 	let jobs = 0;
 	/**
 	Release times of the idle connections, by address.
@@ -67,6 +71,18 @@
 
 			const jobId = `${id} ${jobs++}`;
 			let hasStarted = false;
+			let isAborted = false;
+			/**
+			Handles what has arrived from the engine, unless the node has aborted the exchange before it read that.
+			*/
+			const handleArrival = (handler: () => void): void => {
+				thread.run(() => {
+					if (!isAborted) {
+						handler();
+					}
+				});
+			};
+
 			takeConnection(address);
 			listener.onSent();
 			endpoint.send({
@@ -77,31 +93,40 @@
 				firstEvent: Number(lastEventId) + 1,
 				urgency: Number(urgency),
 				onEvent(number) {
-					if (!hasStarted) {
-						hasStarted = true;
-						listener.onHead(okStatus, {'x-request-id': id, ...(endpoint.isLeaving() && {'x-leaving': '1'})});
-					}
+					handleArrival(() => {
+						if (!hasStarted) {
+							hasStarted = true;
+							listener.onHead(okStatus, {'x-request-id': id, ...(endpoint.isLeaving() && {'x-leaving': '1'})});
+						}
 
-					listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
+						listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
+					});
 				},
 				onEnd() {
-					releaseConnection(address);
-					listener.onEnd();
+					handleArrival(() => {
+						releaseConnection(address);
+						listener.onEnd();
+					});
 				},
 			}, {
 				node,
 				onLost() {
-					listener.onFailure(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'connection lost'));
+					handleArrival(() => {
+						listener.onFailure(new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'connection lost'));
+					});
 				},
 				onRefused(retryAfterMs) {
-					releaseConnection(address);
-					listener.onHead(notRunStatus, {'x-request-id': id, ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
-					listener.onEnd();
+					handleArrival(() => {
+						releaseConnection(address);
+						listener.onHead(notRunStatus, {'x-request-id': id, ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
+						listener.onEnd();
+					});
 				},
 			});
 			return {
 				abort() {
-					endpoint.abort(jobId);
+					isAborted = true;
+					endpoint.abort(jobId, attempts.recordAbort(id));
 				},
 				resume() {
 					// Emulated callers read without delay.
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -1,13 +1,16 @@
 import {createWaitBaselines, type AdmissionSettings} from '@valvesaddle/admission';
 import type {ExchangeClient} from '@valvesaddle/exchange';
-import {createForwarder} from '@valvesaddle/forwarding';
+import {createForwarder, type ForwardTask} from '@valvesaddle/forwarding';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector, type SelectorOptions} from '@valvesaddle/selection';
+import {createAttemptGate} from './create-attempt-gate.ts';
 import type {EmulatedNode} from './emulated-node.ts';
 import type {EmulationLoad} from './emulation-load.ts';
 import {emulatorWire} from './emulator-wire.ts';
+import type {LeavingPolicy} from './leaving-policy.ts';
+import type {NodeThread} from './node-thread.ts';
 
 type EmulatedNodeOptions = {
 	readonly id: string;
@@ -16,29 +19,18 @@
 	readonly admission: AdmissionSettings;
 	readonly exchanges: ExchangeClient;
 	readonly endpoints: readonly string[];
+	readonly thread: NodeThread;
+	readonly logger: Logger;
+	readonly leaving: LeavingPolicy;
+	readonly isReadFirst: boolean;
 };
 
 /**
 Retry budget: the defaults of the gateway's settings.
 */
-const retryRatio = 0.2;
-const retrySlack = 50;
+const defaultRetryBudget = {ratio: 0.2, slack: 50};
 const retryWindowMs = 10_000;
 
-const logger: Logger = {
-	info() {
-		// Not logged.
-	},
-	warn() {
-		// Not logged.
-	},
-	error() {
-		// Not logged.
-	},
-	async flush() {
-		// Nothing is buffered.
-	},
-};
 const metrics: Metrics = {
 	increment() {
 		// Not recorded.
@@ -60,9 +52,9 @@
  Creates an emulated node from the packages of the gateway.
 
  @example
- const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0']});
+ const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false});
  */
-export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints}: EmulatedNodeOptions): EmulatedNode {
+export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst}: EmulatedNodeOptions): EmulatedNode {
 	let handlePlacement = (): void => {
 		// No handler is set.
 	};
@@ -80,16 +72,35 @@
 	}
 
 	const budget = createRetryBudget({
-		ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs, countNodes: () => load.nodes,
+		...(load.retryBudget ?? defaultRetryBudget), windowMs: retryWindowMs, countNodes: () => load.nodes,
+	});
+	const gated = createAttemptGate({
+		selector, policy: leaving, incarnations: endpoints, isReadFirst,
+	});
+	const forwarder = createForwarder({
+		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), admission, logger, metrics,
 	});
 	return {
 		id,
 		selector,
+		thread,
 		setOnPlacement(handle) {
 			handlePlacement = handle;
 		},
-		forwarder: createForwarder({
-			wire: emulatorWire, selector, exchanges, budget, waits: createWaitBaselines(), admission, logger, metrics,
-		}),
+		forward(request, reply) {
+			let task: ForwardTask | undefined;
+			let isCancelled = false;
+			thread.run(() => {
+				task = isCancelled ? undefined : forwarder.forward(request, reply);
+			});
+			return {
+				cancel() {
+					isCancelled = true;
+					thread.run(() => {
+						task?.cancel();
+					});
+				},
+			};
+		},
 	};
 }
--- a/emulator/fleet/src/emulated-endpoint.ts
+++ b/emulator/fleet/src/emulated-endpoint.ts
@@ -1,4 +1,4 @@
-import type {EngineJob} from '@valvesaddle/emulator-engine';
+import type {EngineJob, LeftRequest} from '@valvesaddle/emulator-engine';
 import type {EmulatedSender} from './emulated-sender.ts';
 import type {Overload} from './overload.ts';
 
@@ -8,7 +8,18 @@
 export type EmulatedEndpoint = {
 	readonly id: string;
 	readonly send: (job: Omit<EngineJob, 'onRefused'>, sender: EmulatedSender) => void;
-	readonly abort: (id: string) => void;
+	/**
+	Ends a request; the second argument is told what it would have become.
+	*/
+	readonly abort: (id: string, request?: LeftRequest) => void;
+	/**
+	Stops the steps of the engine for some milliseconds. It keeps its requests, connections and cache.
+	*/
+	readonly pause: (milliseconds: number) => void;
+	/**
+	Adds a prompt that no node has sent or knows of. It is prefilled before all others.
+	*/
+	readonly addForeignPrompt: (tokens: number) => void;
 	/**
 	Breaks all connections, and removes all requests and the cache of the engine.
 	*/
--- a/emulator/fleet/src/emulated-node.ts
+++ b/emulator/fleet/src/emulated-node.ts
@@ -1,5 +1,6 @@
 import type {Forwarder} from '@valvesaddle/forwarding';
 import type {Selector} from '@valvesaddle/selection';
+import type {NodeThread} from './node-thread.ts';
 
 /**
 The selector and forwarder of an emulated gateway node.
@@ -7,7 +8,8 @@
 export type EmulatedNode = {
 	readonly id: string;
 	readonly selector: Selector;
-	readonly forwarder: Forwarder;
+	readonly thread: NodeThread;
+	readonly forward: Forwarder['forward'];
 	/**
 	Sets the handler that is called on each placement.
 	*/
--- a/emulator/fleet/src/emulation-fault.ts
+++ b/emulator/fleet/src/emulation-fault.ts
@@ -1,19 +1,25 @@
 /**
-A fault of an engine:
+A fault of an engine, or of a node:
 
 - `crash`: loses its requests, connections and cache, and accepts requests again at once.
 - `dark`: sends nothing, then restarts without its requests and cache.
 - `slow`: takes longer for each step.
 - `overload`: refuses requests, with or without a cooldown.
 - `leave`: signals in its answers that it drains, but not in its entry in the store.
+- `pause`: stands still, then goes on with what it had.
+- `foreign-prompt`: prefills a prompt that no node has sent.
+- `node-pause`: a node stands still; afterwards its expired timers run before what has arrived meanwhile.
 */
 export type EmulationFault = {
-	readonly kind: 'crash' | 'dark' | 'slow' | 'overload' | 'leave';
+	readonly kind: 'crash' | 'dark' | 'slow' | 'overload' | 'leave' | 'pause' | 'foreign-prompt' | 'node-pause';
+	/**
+	Index of the engine, or of the node.
+	*/
 	readonly engine: number;
 	readonly atMs: number;
 	readonly forMs: number;
 	/**
-	Factor on the times of a slow engine, or share of requests that an overloaded one refuses.
+	Factor on the times of a slow engine, share of requests that an overloaded one refuses, or tokens of a foreign prompt.
 	*/
 	readonly factor: number;
 	/**
--- a/emulator/fleet/src/emulation-load.ts
+++ b/emulator/fleet/src/emulation-load.ts
@@ -1,6 +1,7 @@
 import type {EngineProfile} from '@valvesaddle/emulator-engine';
 import type {CallerClass} from './caller-class.ts';
 import type {EmulationFault} from './emulation-fault.ts';
+import type {RetryBudgetSettings} from './retry-budget-settings.ts';
 
 /**
 An emulated deployment and the requests that it receives. Times are in milliseconds.
@@ -32,4 +33,8 @@
 	*/
 	readonly fullRetryAfterMs?: number;
 	readonly faults: readonly EmulationFault[];
+	/**
+	Size of the retry budget; the defaults of the gateway's settings if omitted.
+	*/
+	readonly retryBudget?: RetryBudgetSettings;
 };
--- a/emulator/fleet/src/emulation-options.ts
+++ b/emulator/fleet/src/emulation-options.ts
@@ -1,6 +1,7 @@
 import type {AdmissionSettings} from '@valvesaddle/admission';
 import type {SelectorOptions} from '@valvesaddle/selection';
 import type {EmulationLoad} from './emulation-load.ts';
+import type {LeavingPolicy} from './leaving-policy.ts';
 
 /**
 Options of `runEmulation`.
@@ -10,4 +11,12 @@
 	readonly seed: number;
 	readonly selection: SelectorOptions;
 	readonly admission: AdmissionSettings;
+	/**
+	When nodes may end an attempt on suspicion; `secured`, as in the gateway, if omitted.
+	*/
+	readonly leaving?: LeavingPolicy;
+	/**
+	Whether a node reads what has arrived before it ends an attempt on suspicion; if omitted, it does not.
+	*/
+	readonly isReadFirst?: boolean;
 };
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -1,3 +1,4 @@
+import type {AttemptCounts} from './attempt-counts.ts';
 import type {ClassReport} from './class-report.ts';
 
 /**
@@ -12,6 +13,16 @@
 	readonly worstClass: number;
 	readonly worstWindow: number;
 	/**
+	Share of the requests that were answered late.
+	*/
+	readonly late: number;
+	/**
+	Answers that were broken off after their start, and requests that were answered with 502.
+	*/
+	readonly cut: number;
+	readonly badGateway: number;
+	readonly attempts: AttemptCounts;
+	/**
 	Prompt tokens that engines prefilled, those of shared parts that some engine had prefilled before, and preempted requests.
 	*/
 	readonly readTokens: number;
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -3,10 +3,12 @@
 import {createRandom} from '@valvesaddle/random';
 import type {CallerClass} from './caller-class.ts';
 import type {CallerOutcome} from './caller-outcome.ts';
+import {createAttemptRecord} from './create-attempt-record.ts';
 import {createEmulatedEndpoint} from './create-emulated-endpoint.ts';
 import {createEmulatedExchanges} from './create-emulated-exchanges.ts';
 import {createEmulatedNode} from './create-emulated-node.ts';
 import {createEmulationClock} from './create-emulation-clock.ts';
+import {createNodeThreads} from './create-node-threads.ts';
 import {createPromptSource} from './create-prompt-source.ts';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
 import type {EmulationClock} from './emulation-clock.ts';
@@ -32,7 +34,7 @@
 */
 const tailMs = 20_000;
 
-const faultHandlers: Readonly<Record<EmulationFault['kind'], (clock: EmulationClock, endpoint: EmulatedEndpoint, fault: EmulationFault) => void>> = {
+const faultHandlers: Readonly<Record<Exclude<EmulationFault['kind'], 'node-pause'>, (clock: EmulationClock, endpoint: EmulatedEndpoint, fault: EmulationFault) => void>> = {
 	crash(_clock, endpoint) {
 		endpoint.crash();
 	},
@@ -57,6 +59,12 @@
 	leave(_clock, endpoint) {
 		endpoint.startDraining();
 	},
+	pause(_clock, endpoint, {forMs}) {
+		endpoint.pause(forMs);
+	},
+	'foreign-prompt'(_clock, endpoint, {factor}) {
+		endpoint.addForeignPrompt(factor);
+	},
 };
 
 /**
@@ -66,14 +74,16 @@
  @example
  runEmulation({load, seed: 7, selection, admission}).worth; // 0.93
  */
-export function runEmulation({load, seed, selection, admission}: EmulationOptions): EmulationReport {
+export function runEmulation({load, seed, selection, admission, leaving = 'secured', isReadFirst = false}: EmulationOptions): EmulationReport {
 	const paused = new Clock();
 	const exit = paused.enter();
 	const {random: unseededRandom} = Math;
 	Math.random = createRandom(seed + nodeSeed);
+	const clock = createEmulationClock(paused);
+	const threads = createNodeThreads(clock);
 	try {
 		const random = createRandom(seed);
-		const clock = createEmulationClock(paused);
+		const attempts = createAttemptRecord({linkMs: load.linkMs});
 		const source = createPromptSource(random, load.engine.tokensPerEvent);
 		const everCached = new Set<string>();
 		const faultRandom = createRandom(seed + faultSeed);
@@ -81,13 +91,16 @@
 			id: `e-${index}`, clock, profile: load.engine, slowness, linkMs: load.linkMs, everCached, random: faultRandom, fullRetryAfterMs: load.fullRetryAfterMs,
 		})]));
 		let connections = 0;
-		const nodes = Array.from({length: load.nodes}, (_value, index) => createEmulatedNode({
-			id: `n-${index}`, load, selection, admission, exchanges: createEmulatedExchanges({
-				node: `n-${index}`, endpoints, findPrompt: source.find, onConnect() {
-					connections++;
-				},
-			}), endpoints: endpoints.keys().toArray(),
-		}));
+		const nodes = Array.from({length: load.nodes}, (_value, index) => {
+			const thread = threads.create();
+			return createEmulatedNode({
+				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, exchanges: createEmulatedExchanges({
+					node: `n-${index}`, endpoints, thread, attempts, findPrompt: source.find, onConnect() {
+						connections++;
+					},
+				}), endpoints: endpoints.keys().toArray(),
+			});
+		});
 		const outcomes: CallerOutcome[] = [];
 		startLoadUpdates({
 			clock, nodes, load, untilMs: load.lengthMs + tailMs,
@@ -110,18 +123,24 @@
 
 		for (const fault of load.faults) {
 			clock.add(fault.atMs, () => {
-				faultHandlers[fault.kind](clock, endpoints.get(`e-${fault.engine}`)!, fault);
+				if (fault.kind === 'node-pause') {
+					nodes[fault.engine]!.thread.pause(fault.forMs);
+				} else {
+					faultHandlers[fault.kind](clock, endpoints.get(`e-${fault.engine}`)!, fault);
+				}
 			});
 		}
 
 		clock.run(load.lengthMs + tailMs);
 		return {
 			...summarizeOutcomes(outcomes),
+			attempts: attempts.count(),
 			...countPrefill(endpoints.values().toArray()),
 			connections,
 			brokenNotices: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countBrokenNotices(), 0),
 		};
 	} finally {
+		threads.exit();
 		Math.random = unseededRandom;
 		exit();
 	}
--- a/emulator/fleet/src/start-caller.ts
+++ b/emulator/fleet/src/start-caller.ts
@@ -42,7 +42,7 @@
 	let longestPauseMs = 0;
 	let task: ForwardTask | undefined;
 
-	function settle(end: CallerOutcome['end']): void {
+	function settle(end: CallerOutcome['end'], failure?: CallerOutcome['failure']): void {
 		if (isEnded) {
 			return;
 		}
@@ -52,7 +52,7 @@
 			inTime: prompt.worth, firstLate: prompt.lateWorth, pauseLate: prompt.lateWorth, refused: 0, failed: 0, abandoned: 0,
 		};
 		onOutcome({
-			className: kind.name, startedAt, end, wasRefused: attempt > 1 || end === 'refused', owed: prompt.worth, earned: credits[end],
+			className: kind.name, startedAt, end, failure, wasRefused: attempt > 1 || end === 'refused', owed: prompt.worth, earned: credits[end],
 		});
 	}
 
@@ -92,8 +92,8 @@
 	}
 
 	const reply: Reply = {
-		answer() {
-			settle('failed');
+		answer(status) {
+			settle('failed', status);
 		},
 		start() {
 			// Latency is measured to the first event.
@@ -110,13 +110,13 @@
 		},
 		end: handleEnd,
 		abort() {
-			settle('failed');
+			settle('failed', 'cut');
 		},
 		refuse(error) {
 			if (error.traits.ran === 'no') {
 				sendAgain(error.retryAfterMs ?? 0);
 			} else {
-				settle('failed');
+				settle('failed', error.traits.status);
 			}
 		},
 	};
@@ -125,7 +125,7 @@
 		attempt++;
 		lastAt = clock.now();
 		const requestId = `${prompt.metadata.requestId} ${attempt}`;
-		task = chooseNode().forwarder.forward({
+		task = chooseNode().forward({
 			metadata: {...prompt.metadata, requestId, waitMs: startedAt + kind.timeoutMs - clock.now()},
 			route: toRoute(kind),
 			version: 1,
--- a/emulator/fleet/src/start-load-updates.ts
+++ b/emulator/fleet/src/start-load-updates.ts
@@ -3,6 +3,7 @@
 import type {EmulatedNode} from './emulated-node.ts';
 import type {EmulationClock} from './emulation-clock.ts';
 import type {EmulationLoad} from './emulation-load.ts';
+import type {NodeThread} from './node-thread.ts';
 
 /**
 Data centres of a fleet with relays, and the maximum nodes of a full mesh; the default of the gateway.
@@ -38,6 +39,7 @@
 export function startLoadUpdates({clock, nodes, load, untilMs}: LoadUpdatesOptions): void {
 	const links = planLinks(nodes.map(({id}) => id));
 	const syncs = new Map<string, LoadSync>();
+	const threads = new Map(nodes.map(({id, thread}) => [id, thread]));
 	const isRelay = (node: string): boolean => (links.get(node)?.members.length ?? 0) > 0 || links.get(node)!.relays.length > 1;
 	for (const {id, selector} of nodes) {
 		const {relays, members} = links.get(id)!;
@@ -52,21 +54,23 @@
 				isReady: () => true,
 				notify(node, _method, update) {
 					clock.add(load.linkMs, () => {
-						syncs.get(node)?.applyLoadUpdate(update, id);
+						threads.get(node)?.run(() => {
+							syncs.get(node)?.applyLoadUpdate(update, id);
+						});
 					});
 				},
 			},
 		}));
 	}
 
-	for (const [index, {id, setOnPlacement}] of nodes.entries()) {
+	for (const [index, {id, setOnPlacement, thread}] of nodes.entries()) {
 		const sync = syncs.get(id)!;
 		// Spreads the updates of the nodes over the interval.
 		clock.add(load.newsMs * index / syncs.size, () => {
-			sendRepeatedly(clock, sync, {intervalMs: load.newsMs, intervalsPerMemberUpdate: load.intervalsPerMemberUpdate, untilMs});
+			sendRepeatedly({clock, thread, sync}, {intervalMs: load.newsMs, intervalsPerMemberUpdate: load.intervalsPerMemberUpdate, untilMs});
 		});
 		if (!isRelay(id)) {
-			setOnPlacement(createPlacementSender(clock, sync));
+			setOnPlacement(createPlacementSender({clock, thread, sync}));
 		}
 	}
 }
@@ -80,19 +84,28 @@
 	readonly untilMs: number;
 };
 
-function sendRepeatedly(clock: EmulationClock, sync: LoadSync, schedule: SendSchedule, interval = 0): void {
-	sync.send(interval % schedule.intervalsPerMemberUpdate === 0);
-	if (clock.now() < schedule.untilMs) {
-		clock.add(schedule.intervalMs, () => {
-			sendRepeatedly(clock, sync, schedule, interval + 1);
-		});
-	}
+type LoadSender = {
+	readonly clock: EmulationClock;
+	readonly thread: NodeThread;
+	readonly sync: LoadSync;
+};
+
+function sendRepeatedly(sender: LoadSender, schedule: SendSchedule, interval = 0): void {
+	const {clock, thread, sync} = sender;
+	thread.runTimer(() => {
+		sync.send(interval % schedule.intervalsPerMemberUpdate === 0);
+		if (clock.now() < schedule.untilMs) {
+			clock.add(schedule.intervalMs, () => {
+				sendRepeatedly(sender, schedule, interval + 1);
+			});
+		}
+	});
 }
 
 /**
 Creates a handler by which a member sends new placements to its relay after a short delay.
 */
-function createPlacementSender(clock: EmulationClock, sync: LoadSync): () => void {
+function createPlacementSender({clock, thread, sync}: LoadSender): () => void {
 	let isScheduled = false;
 	return () => {
 		if (isScheduled) {
@@ -101,8 +114,10 @@
 
 		isScheduled = true;
 		clock.add(placementDelayMs, () => {
-			isScheduled = false;
-			sync.send(false);
+			thread.runTimer(() => {
+				isScheduled = false;
+				sync.send(false);
+			});
 		});
 	};
 }
--- a/emulator/fleet/src/summarize-outcomes.ts
+++ b/emulator/fleet/src/summarize-outcomes.ts
@@ -6,8 +6,9 @@
 Length of a window of start times, in milliseconds; the worst one is reported.
 */
 const windowMs = 2000;
+const badGatewayStatus = 502;
 
-type Summary = Pick<EmulationReport, 'classes' | 'worth' | 'worstClass' | 'worstWindow'>;
+type Summary = Pick<EmulationReport, 'classes' | 'worth' | 'worstClass' | 'worstWindow' | 'late' | 'cut' | 'badGateway'>;
 
 /**
  Summarizes the outcomes of a run.
@@ -21,6 +22,9 @@
 	return {
 		classes: Object.fromEntries(byClass.entries().map(([name, list]) => [name, summarizeClass(list)])),
 		worth: measureWorth(outcomes),
+		late: outcomes.filter(({end}) => end === 'firstLate' || end === 'pauseLate').length / Math.max(1, outcomes.length),
+		cut: outcomes.filter(({failure}) => failure === 'cut').length,
+		badGateway: outcomes.filter(({failure}) => failure === badGatewayStatus).length,
 		worstClass: Math.min(1, ...byClass.values().map(list => measureWorth(list))),
 		worstWindow: Math.min(1, ...byWindow.values().map(list => measureWorth(list))),
 	};
