--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -7,7 +7,18 @@
 Form of an experiment's file. A variant names what it changes; the rest is as the gateway has it by default.
 */
 export const experimentSchema = z.strictObject({
-	load: z.enum(['drafts-beside-queries', 'drafts-beside-faults', 'drafts-beside-overload', 'large-fleet']),
+	load: z.enum([
+		'drafts-beside-queries',
+		'drafts-beside-faults',
+		'drafts-beside-overload',
+		'large-fleet',
+		'dark-engines',
+		'dark-engines-overload',
+		'pausing-engines',
+		'pausing-engines-overload',
+		'weak-nodes',
+		'weak-nodes-overload',
+	]),
 	seeds: z.int().min(1).max(1000).default(5),
 	variants: z.record(z.string(), z.strictObject({
 		harm_weight: weight.default(1),
@@ -18,5 +29,7 @@
 		return_factor: factor.default(1.5),
 		nodes: z.int().min(1).max(400).optional(),
 		news_ms: z.int().min(1).optional(),
+		leaving: z.enum(['secured', 'overdue', 'silent', 'stalled', 'dark', 'shorter', 'never']).default('secured'),
+		read_first: z.boolean().default(false),
 	})).refine(variants => Object.keys(variants).length > 0, 'name at least one variant'),
 });
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -1,19 +1,28 @@
 import {runEmulation, type EmulationLoad, type EmulationReport} from '@valvesaddle/emulator-fleet';
 import {
+	createDarkEngines,
 	createDraftsBesideFaults,
 	createDraftsBesideOverload,
 	createDraftsBesideQueries,
 	createLargeFleet,
+	createPausingEngines,
+	createWeakNodes,
 } from '@valvesaddle/emulator-loads';
 import type {Experiment} from './experiment.ts';
 import type {Spread} from './spread.ts';
 import type {VariantReport} from './variant-report.ts';
 
-const loads: Readonly<Record<Experiment['load'], () => EmulationLoad>> = {
+const loads: Readonly<Record<Experiment['load'], (seed: number) => EmulationLoad>> = {
 	'drafts-beside-queries': createDraftsBesideQueries,
 	'drafts-beside-faults': createDraftsBesideFaults,
 	'drafts-beside-overload': createDraftsBesideOverload,
 	'large-fleet': createLargeFleet,
+	'dark-engines': seed => createDarkEngines({isOverloaded: false, seed}),
+	'dark-engines-overload': seed => createDarkEngines({isOverloaded: true, seed}),
+	'pausing-engines': seed => createPausingEngines({isOverloaded: false, seed}),
+	'pausing-engines-overload': seed => createPausingEngines({isOverloaded: true, seed}),
+	'weak-nodes': seed => createWeakNodes({isOverloaded: false, seed}),
+	'weak-nodes-overload': seed => createWeakNodes({isOverloaded: true, seed}),
 };
 /**
 As the gateway has them by default: the time within which reading again counts, in milliseconds, and the first reading rate,
@@ -41,9 +50,9 @@
  runVariant({name: 'all', load: 'drafts-beside-queries', seeds: 5, variant, onSeed() {}}).figures['worth']?.mean; // 0.87
  */
 export function runVariant({name, load, seeds, variant, onSeed}: VariantOptions): VariantReport {
-	const base = loads[load]();
-	const site = {...base, nodes: variant.nodes ?? base.nodes, newsMs: variant.news_ms ?? base.newsMs};
 	const runs = Array.from({length: seeds}, (_value, index) => {
+		const base = loads[load](index + 1);
+		const site = {...base, nodes: variant.nodes ?? base.nodes, newsMs: variant.news_ms ?? base.newsMs};
 		const report = runEmulation({
 			load: site,
 			seed: index + 1,
@@ -51,6 +60,8 @@
 				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reuseMs, prefillTokensPerMs,
 			},
 			admission: {lateFactor: variant.late_factor, waitFactor: variant.wait_factor, retryAfterFactor: variant.return_factor},
+			leaving: variant.leaving,
+			isReadFirst: variant.read_first,
 		});
 		onSeed(index + 1);
 		return listFigures(report);
@@ -71,6 +82,18 @@
 		worth: report.worth,
 		'worst class': report.worstClass,
 		'worst window': report.worstWindow,
+		late: report.late,
+		cut: report.cut,
+		'bad gateway': report.badGateway,
+		'attempts ended': report.attempts.ended,
+		'ended as stalled': report.attempts.endedAsStalled,
+		repeats: report.attempts.repeats,
+		'repeats of use': report.attempts.repeatsOfUse,
+		'repeats later': report.attempts.repeatsLater,
+		'repeats in vain': report.attempts.repeatsInVain,
+		'ended for nothing': report.attempts.endedForNothing,
+		'lost prompt, 1,000 tokens': report.attempts.lostPromptTokens / tokensPerThousand,
+		'lost output, 1,000 tokens': report.attempts.lostOutputTokens / tokensPerThousand,
 		...Object.fromEntries(classes),
 		'read, 1,000 tokens': report.readTokens / tokensPerThousand,
 		'read again, 1,000 tokens': report.readAgainTokens / tokensPerThousand,
@@ -78,5 +101,7 @@
 }
 
 function measureSpread(values: readonly number[]): Spread {
-	return {mean: values.reduce((sum, value) => sum + value, 0) / values.length, least: Math.min(...values), most: Math.max(...values)};
+	return {
+		mean: values.reduce((sum, value) => sum + value, 0) / values.length, least: Math.min(...values), most: Math.max(...values), values,
+	};
 }
--- a/bench/experiment/src/spread.ts
+++ b/bench/experiment/src/spread.ts
@@ -5,4 +5,8 @@
 	readonly mean: number;
 	readonly least: number;
 	readonly most: number;
+	/**
+	By seed.
+	*/
+	readonly values: readonly number[];
 };
--- a/bench/experiment/test/experiment.test.ts
+++ b/bench/experiment/test/experiment.test.ts
@@ -1,4 +1,4 @@
-import {readFile} from 'node:fs/promises';
+import {readdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {test} from 'tap';
 import {formatTable, parseExperiment, runVariant} from '@valvesaddle/bench-experiment';
@@ -11,6 +11,14 @@
 	t.equal(variants.all?.wait_factor, 0.5);
 });
 
+test('each experiment file that is shipped can be read', async t => {
+	const directory = path.resolve(import.meta.dirname, '../files');
+	for (const file of await readdir(directory)) {
+		// eslint-disable-next-line no-await-in-loop -- files are read sequentially
+		t.ok(parseExperiment(await readFile(path.join(directory, file), 'utf8')).isOk(), file);
+	}
+});
+
 test('a wrong file is refused with the key and the line of each fault', t => {
 	const cases: ReadonlyArray<readonly [text: string, message: RegExp]> = [
 		['load = "drafts-beside-queries"\nseeds = 0\n[variants.all]', /seeds \(line 2\)/v],
