--- a/emulator/fleet/src/create-node-threads.ts
+++ b/emulator/fleet/src/create-node-threads.ts
@@ -18,7 +18,7 @@
 
 /**
  Creates the threads of emulated nodes. A node that stands still handles nothing. Afterwards it runs its expired timers first and
- then handles what has arrived, as the event loop of the runtime does. `setTimeout` and `clearTimeout` of the process are replaced
+ then handles what has arrived, as the runtime does if it stood still while it handled input. `setTimeout` and `clearTimeout` of the process are replaced
  until `exit`, so that a timer belongs to the node that has set it.
 
  @example
