--- a/emulator/fleet/src/emulated-node.ts
+++ b/emulator/fleet/src/emulated-node.ts
@@ -1,4 +1,4 @@
-import type {Forwarder} from '@valvesaddle/forwarding';
+import type {Forwarder, ForwardTask} from '@valvesaddle/forwarding';
 import type {Selector} from '@valvesaddle/selection';
 import type {NodeThread} from './node-thread.ts';
 
@@ -9,7 +9,7 @@
 	readonly id: string;
 	readonly selector: Selector;
 	readonly thread: NodeThread;
-	readonly forward: Forwarder['forward'];
+	readonly forward: (...request: Parameters<Forwarder['forward']>) => Pick<ForwardTask, 'cancel'>;
 	/**
 	Sets the handler that is called on each placement.
 	*/
--- a/emulator/fleet/src/start-caller.ts
+++ b/emulator/fleet/src/start-caller.ts
@@ -40,7 +40,7 @@
 	let firstAt: number | undefined;
 	let lastAt = startedAt;
 	let longestPauseMs = 0;
-	let task: ForwardTask | undefined;
+	let task: Pick<ForwardTask, 'cancel'> | undefined;
 
 	function settle(end: CallerOutcome['end'], failure?: CallerOutcome['failure']): void {
 		if (isEnded) {
