fix(forwarding): watch a stream again after its caller has read slowly

Callers that read slowly and then went on got nothing until their deadline when the endpoint had fallen silent meanwhile.

Under backpressure the progress timer was stopped and the stall check expected nothing until the next chunk. If none followed, nobody watched the stream any more: neither timer was started when the caller had read.

An attempt now reports that it goes on, once, and only while it is open: the progress timer starts again, and the stall check expects a chunk within its longest timeout from then on.

--- a/gateway/forwarding/src/attempt-events.ts
+++ b/gateway/forwarding/src/attempt-events.ts
@@ -27,6 +27,10 @@
 	*/
 	readonly onPaused: () => void;
 	/**
+	The caller has read, so the endpoint is timed again. Not called once the attempt has ended.
+	*/
+	readonly onResumed: () => void;
+	/**
 	The endpoint has stalled or terminated; the attempt stays open until it is ended.
 	*/
 	readonly onEndpointLost: (cause: FailureCause, reason: string) => void;
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -27,6 +27,7 @@
 	const openRequest = selector.open(selection, question);
 	let answer: AttemptAnswer | undefined;
 	let sentAt: number | undefined;
+	let isPaused = false;
 
 	openRequest.onStalled(() => {
 		events.onEndpointLost('stalled', 'silent to all nodes');
@@ -36,6 +37,7 @@
 	});
 
 	function end(outcome: 'failed' | 'cancelled'): void {
+		isPaused = false;
 		exchange.abort();
 		openRequest.close(outcome);
 	}
@@ -84,12 +86,25 @@
 
 		events.onPaused();
 		openRequest.markPaused();
-		writer.onDrain(() => {
-			exchange.resume();
-		});
+		isPaused = true;
+		writer.onDrain(handleDrain);
 		return 'pause';
 	}
 
+	/**
+	Goes on after a pause, unless the attempt has ended meanwhile.
+	*/
+	function handleDrain(): void {
+		if (!isPaused) {
+			return;
+		}
+
+		isPaused = false;
+		openRequest.markResumed();
+		events.onResumed();
+		exchange.resume();
+	}
+
 	function handleEnd(completed: AttemptAnswer): void {
 		const {answerClass, status} = completed;
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
@@ -175,6 +190,7 @@
 			handleEnd(answer);
 		},
 		onFailure(error) {
+			isPaused = false;
 			const wasSent = sentAt !== undefined;
 			openRequest.close(wasSent ? 'failed' : classifyUnsent());
 			events.onFailure({cause: wasSent ? 'connection' : 'unsent', reason: error.message, mayHaveRun: wasSent});
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -77,6 +77,9 @@
 			}
 		},
 		onPaused: progressTimer.stop,
+		onResumed() {
+			startProgressTimer(pauseMs);
+		},
 		onEndpointLost(cause, reason) {
 			if (retries.isAllowed({mayHaveRun: true})) {
 				moveAttempt({cause, reason, mayHaveRun: true}, 'cancelled');
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -228,6 +228,11 @@
 					stallMonitor.markPaused(id, stallHandle);
 				}
 			},
+			markResumed() {
+				if (stallHandle !== undefined && !entry.isClosed) {
+					stallMonitor.markResumed(id, stallHandle);
+				}
+			},
 			onStalled(handler) {
 				if (stallHandle !== undefined) {
 					stallMonitor.setHandler(id, stallHandle, handler);
--- a/gateway/selection/src/create-stall-detector.ts
+++ b/gateway/selection/src/create-stall-detector.ts
@@ -45,8 +45,8 @@
 		close(endpoint, request) {
 			endpoints.get(endpoint)?.expected.delete(request);
 		},
-		markPaused(endpoint, request) {
-			endpoints.get(endpoint)?.expected.set(request, {dueAt: Infinity, overdueAt: Infinity});
+		setExpected(endpoint, request, chunk) {
+			endpoints.get(endpoint)?.expected.set(request, chunk);
 		},
 		isStalled(endpoint, {timeoutMs, readAt}) {
 			const state = endpoints.get(endpoint);
--- a/gateway/selection/src/create-stall-monitor.ts
+++ b/gateway/selection/src/create-stall-monitor.ts
@@ -59,7 +59,14 @@
 			return detector.open(endpoint, {dueAt: expectedAt + measureStallTimeout(pool), overdueAt: expectedAt + minimumStallMs});
 		},
 		markChunk: detector.markChunk,
-		markPaused: detector.markPaused,
+		markPaused(endpoint, request) {
+			detector.setExpected(endpoint, request, {dueAt: Infinity, overdueAt: Infinity});
+		},
+		markResumed(endpoint, request) {
+			// The endpoint had no reason to send while it had to wait, so it gets the longest timeout.
+			const dueAt = performance.now() + maximumStallMs;
+			detector.setExpected(endpoint, request, {dueAt, overdueAt: dueAt});
+		},
 		setHandler(endpoint, request, handler) {
 			const before = handlers.get(endpoint) ?? new Map<symbol, () => void>();
 			before.set(request, handler);
--- a/gateway/selection/src/open-request.ts
+++ b/gateway/selection/src/open-request.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly markPaused: () => void;
 	/**
+	Records that the caller has read, so that the endpoint can go on.
+	*/
+	readonly markResumed: () => void;
+	/**
 	Sets a handler that is called when this request is overdue and its endpoint is stalled for all nodes that expect chunks from it.
 	*/
 	readonly onStalled: (handler: () => void) => void;
--- a/gateway/selection/src/stall-detector.ts
+++ b/gateway/selection/src/stall-detector.ts
@@ -20,11 +20,11 @@
 	Records a chunk; the next one is due from now on.
 	*/
 	readonly markChunk: (endpoint: string, request: symbol) => void;
-	readonly close: (endpoint: string, request: symbol) => void;
 	/**
-	Expects nothing until the next chunk, since the caller reads slowly.
+	Expects the next chunk of an open request anew.
 	*/
-	readonly markPaused: (endpoint: string, request: symbol) => void;
+	readonly setExpected: (endpoint: string, request: symbol, chunk: ExpectedChunk) => void;
+	readonly close: (endpoint: string, request: symbol) => void;
 	/**
 	Whether no chunk had come from an endpoint for longer than `timeoutMs` at `readAt`; `undefined` if none was due to this node.
 	*/
--- a/gateway/selection/src/stall-monitor.ts
+++ b/gateway/selection/src/stall-monitor.ts
@@ -21,9 +21,10 @@
 	readonly open: (endpoint: string, expectation: Expectation) => symbol;
 	readonly markChunk: (endpoint: string, request: symbol) => void;
 	/**
-	Expects nothing until the next chunk, since the caller reads slowly.
+	Expects nothing until `markResumed`, since the caller reads slowly.
 	*/
 	readonly markPaused: (endpoint: string, request: symbol) => void;
+	readonly markResumed: (endpoint: string, request: symbol) => void;
 	/**
 	Sets a handler of a request that is called when it is overdue and its endpoint is stalled.
 	*/
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -347,6 +347,22 @@
 	t.end();
 });
 
+test('a stream that waited for a slow caller is overdue when no chunk follows after the caller has read', t => {
+	const {first, ids, advance} = createPair(t);
+	const stalled: string[] = [];
+	const stream = openStream(first, 'i-1', ids);
+	watchStall(stream, 'stream', stalled);
+	stream.markPaused();
+	advance(5000);
+	t.same(stalled, []);
+	stream.markResumed();
+	advance(900);
+	t.same(stalled, [], 'the time before the caller has read does not count');
+	advance(400);
+	t.same(stalled, ['stream']);
+	t.end();
+});
+
 test('an engine is not stalled for what a node has not read yet since it stood still', t => {
 	const ids = ['i-1', 'i-2'];
 	const {selector, clock} = createWithEndpoints(t, ids);
