fix(forwarding): time the first byte from when the request was sent

Callers' requests were aborted and sent again, or sent elsewhere, right after they had been written, when their connection had opened late: at a node that got little processor time, or over a slow link.

The progress timer of an attempt was started when the attempt was, so that it counted the time in which the connection opened. The timeout of connecting covers that time already.

The timer is started again when the request is sent.

Evidence: "not ok 1 - an endpoint is timed from when the request was sent, not while the connection opens": 100 ms after it was sent the request was sent again, with a timeout of 180 ms. After: sent again 200 ms after it was sent.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -63,12 +63,17 @@
 		moveAttempt({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true}, 'failed');
 	});
 	let attempts = 0;
+	let firstByteMs = 0;
 	let hasEnded = false;
 	let attempt: Attempt | undefined;
 	let isStarted = false;
 
 	const events: AttemptEvents = {
-		onSent: retries.markSent,
+		onSent() {
+			retries.markSent();
+			// The endpoint had nothing to answer while the connection opened.
+			startProgressTimer(firstByteMs);
+		},
 		onNotRun: retries.markNotRun,
 		onStarted: markStarted,
 		onChunk() {
@@ -194,7 +199,8 @@
 		tried.add(selection.endpoint.incarnation);
 		const remainingMs = deadlineAt - performance.now();
 		recorder.recordSent(selection, attempts, remainingMs);
-		startProgressTimer(getProgressTimeouts(route, request.isEnginePool ? selection.costMs : 0).firstByteMs);
+		({firstByteMs} = getProgressTimeouts(route, request.isEnginePool ? selection.costMs : 0));
+		startProgressTimer(firstByteMs);
 		attempt = createAttempt({
 			tools: options, request, question, selection, writer, recorder, remainingMs,
 		}, events);
