fix(forwarding): restart the progress timer with each chunk of a whole answer

Callers' whole answers were aborted while they arrived, and their requests sent again: large ones, or ones over a slow link, of retryable requests.

Only the chunks of streams restarted the progress timer. For all other answers the timeout of the first byte ran on to the end of the body, and the attempt was ended as "silent" however recent its last chunk was.

Each chunk restarts the timer now, with the timeout between chunks.

Evidence: "not ok 2 - a whole answer whose chunks keep arriving is not taken for silent": a chunk each 50 ms for 1 s; sent twice, expected once. After: sent once, and the whole answer arrives. "a whole answer that stops within its body is sent for elsewhere" passes before and after.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -77,9 +77,7 @@
 		onNotRun: retries.markNotRun,
 		onStarted: markStarted,
 		onChunk() {
-			if (route.kind === 'stream') {
-				startProgressTimer(pauseMs);
-			}
+			startProgressTimer(pauseMs);
 		},
 		onPaused: progressTimer.stop,
 		onResumed() {
--- a/gateway/forwarding/test/progress.test.ts
+++ b/gateway/forwarding/test/progress.test.ts
@@ -143,3 +143,28 @@
 	t.equal(listeners.length, 2);
 	t.end();
 });
+
+test('a whole answer whose chunks keep arriving is not taken for silent', t => {
+	const {clock, listeners, answers} = startForwarding(t, 'safe', whole);
+	listeners[0]?.onSent();
+	listeners[0]?.onHead(200, {});
+	for (let chunk = 0; chunk < 20; chunk++) {
+		clock.advance(50);
+		listeners[0]?.onData(Buffer.from('x'));
+	}
+
+	listeners[0]?.onEnd();
+	t.equal(listeners.length, 1);
+	t.same(answers, ['x'.repeat(20)]);
+	t.end();
+});
+
+test('a whole answer that stops within its body is sent for elsewhere', t => {
+	const {clock, listeners} = startForwarding(t, 'safe', whole);
+	listeners[0]?.onSent();
+	listeners[0]?.onHead(200, {});
+	listeners[0]?.onData(Buffer.from('x'));
+	clock.advance(800);
+	t.equal(listeners.length, 2);
+	t.end();
+});
