fix(front): accept what is established before a draining node stops listening

A caller whose connection the system had established, but which the node had not accepted yet, got a reset when the node began to drain.

Cause: the system resets the connections in the queue of a socket that stops listening. Now the node stops listening one turn of the event loop later, when these connections are accepted; their requests are refused with 503.

Evidence (`gateway/front/test/drain.test.ts`):

before not ok 12 - a connection that is established but not accepted yet when a node drains is refused, not reset (connect ECONNRESET) after all pass

--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -1,6 +1,6 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {setTimeout as wait} from 'node:timers/promises';
+import {setImmediate as waitTurn, setTimeout as wait} from 'node:timers/promises';
 import restana from 'restana';
 import {toValvesaddleError, unwrapResult, ValvesaddleError} from '@valvesaddle/error';
 import {
@@ -165,6 +165,8 @@
 	}
 
 	async function closeGradually(): Promise<void> {
+		// Connections that the system has established are accepted first; it would reset them.
+		await waitTurn();
 		const {promise, resolve} = Promise.withResolvers<void>();
 		// The HTTP server's own `close` destroys connections whose answers still wait for their callers.
 		NetServer.prototype.close.call(server, () => {
--- a/gateway/front/test/drain.test.ts
+++ b/gateway/front/test/drain.test.ts
@@ -1,5 +1,6 @@
 // Guards against a draining node that takes a connection for idle while bytes of its answers still wait for a slow reader.
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import {test} from 'tap';
 import type {Reply} from '@valvesaddle/forwarding';
 import {waitUntil} from '@valvesaddle/fake-fleet';
@@ -200,3 +201,19 @@
 	t.match(call.read(), /^http\/1\.1 200 [\s\S]*connection: close[\s\S]*1\r\nx\r\n0\r\n\r\n$/iv);
 	t.equal(front.forwarded.length, 1);
 });
+
+test('a connection that is established but not accepted yet when a node drains is refused, not reset', async t => {
+	const {front, open, forwarded} = await startFront(t);
+	const {socket, read, error} = open();
+	socket.write(formatRequest());
+	// The system establishes the connection before the next turn, in which the front would accept it.
+	const {promise: connected, resolve} = Promise.withResolvers<void>();
+	process.nextTick(resolve);
+	await connected;
+	const drained = front.drain();
+	await waitUntil(() => socket.closed);
+	t.match(read(), /^HTTP\/1\.1 503 [\s\S]*ERR_VALVESADDLE_DRAINING/v);
+	t.equal(error(), '');
+	t.equal(forwarded.length, 0);
+	await drained;
+});
