fix(front): leave a complete answer alone when an error follows it

An error after an answer was written cut off what of it still waited for its caller; one within a stream discarded the events that were written before.

Cause: a refusal destroyed the connection of an answer whose head was sent, be it complete or not. Now a complete answer is left alone, and one that has begun is ended as any other one is that stays incomplete.

Evidence (`gateway/front/test/stop.test.ts`):

before not ok 5 - an error after a complete answer does not cut the answer off not ok 6 - an error within a stream ends it after the events that were written after all pass

No way to such an error is known: it takes an exception after the answer was written.

--- a/gateway/front/src/send-refusal.ts
+++ b/gateway/front/src/send-refusal.ts
@@ -1,18 +1,24 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {ValvesaddleError} from '@valvesaddle/error';
+import {endIncomplete} from './end-incomplete.ts';
 
 const msPerSecond = 1000;
 
 /**
- Answers with an error: its status, Retry-After, and a body that states whether the request may have run.
+ Answers with an error: its status, Retry-After, and a body that states whether the request may have run. An answer that has begun is
+ ended incomplete instead, and one that is complete is left alone.
 
  @example
  sendRefusal(response, new ValvesaddleError('ERR_VALVESADDLE_NOT_READY', 'no configuration yet'), false);
  */
 export function sendRefusal(response: ServerResponse, error: ValvesaddleError, isLast: boolean): void {
-	if (response.headersSent || response.destroyed) {
-		response.destroy();
+	if (response.writableEnded || response.destroyed) {
+		return;
+	}
+
+	if (response.headersSent) {
+		endIncomplete(response);
 		return;
 	}
 
--- a/gateway/front/test/stop.test.ts
+++ b/gateway/front/test/stop.test.ts
@@ -1,6 +1,7 @@
 // Guards against a node at the end of its grace time that closes connections without an answer, or within one that is complete.
 import {Buffer} from 'node:buffer';
 import {test, type Test} from 'tap';
+import {ValvesaddleError} from '@valvesaddle/error';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {formatRequest} from './format-request.ts';
 import {startFront} from './start-front.ts';
@@ -61,3 +62,26 @@
 	t.equal(forwarded.length, 0);
 	await stopped;
 });
+
+test('an error after a complete answer does not cut the answer off', async t => {
+	const {call, first: {reply}} = await startCall(t);
+	call.socket.pause();
+	reply.answer(200, [], large);
+	reply.refuse(new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'too late'));
+	call.socket.resume();
+	await waitUntil(() => call.countBytes() > largeBytes || call.socket.closed);
+	t.ok(call.countBytes() > largeBytes);
+});
+
+test('an error within a stream ends it after the events that were written', async t => {
+	const {call, first: {reply}} = await startCall(t);
+	const events = Buffer.alloc(largeBytes / 4, 'x');
+	call.socket.pause();
+	reply.start(200, []);
+	reply.write(events);
+	reply.refuse(new ValvesaddleError('ERR_VALVESADDLE_DRAINING', 'too late'));
+	call.socket.resume();
+	await waitUntil(() => call.socket.closed);
+	t.ok(call.countBytes() > events.length);
+	t.ok(call.read().endsWith('x\r\n'), 'no last chunk');
+});
