test(front): hold what a slow reader gets whose connection brings no further request

An answer that has ended is sent in full though bytes that are no request, or a part of one and the end of the connection, follow its request.

--- a/gateway/front/test/disconnects.test.ts
+++ b/gateway/front/test/disconnects.test.ts
@@ -51,3 +51,27 @@
 		t.equal(call.error(), '');
 	});
 }
+
+for (const [name, bytes, isEnded] of [
+	['bytes that are no request', '\u{1} no request\r\n\r\n', false],
+	['a part of a request and the end of the connection', 'GET /any/x HTTP/1.1\r\nHost: per', true],
+] as const) {
+	test(`a slow reader gets the rest of an answer that has ended, though it sent ${name}`, async t => {
+		const {open, forwarded, metrics} = await startFront(t);
+		const call = open();
+		call.socket.pause();
+		call.socket.write(formatRequest());
+		await waitUntil(() => forwarded.length === 1);
+		forwarded[0]!.reply.answer(200, [], large);
+		call.socket.write(bytes);
+		if (isEnded) {
+			call.socket.end();
+		}
+
+		await waitUntil(() => metrics.total('gateway.connection-errors') === 1 || call.socket.destroyed);
+		call.socket.resume();
+		await waitUntil(() => call.socket.closed);
+		t.ok(call.countBytes() > largeBytes);
+		t.equal(call.error(), '');
+	});
+}
