fix(front): let no bound of a closing connection expire while the process stands still

A stream that was ended incomplete lost the events that waited for its caller when the process stood still for a moment: the bound on the time for sending them expired although nothing could be sent.

Now the bound is a number of checks, which are not made up for after a standstill; and whether a refused caller is quiet is looked at after what has arrived was read.

--- a/gateway/front/src/close-lingering.ts
+++ b/gateway/front/src/close-lingering.ts
@@ -35,12 +35,17 @@
 	const endsAt = performance.now() + maximumMs;
 	const firstBytes = socket.bytesRead;
 	let bytes = firstBytes;
-	const timer = setInterval(() => {
+	const check = (): void => {
 		const isQuiet = socket.bytesRead === bytes;
 		bytes = socket.bytesRead;
 		if (isQuiet || bytes - firstBytes > maximumBytes || performance.now() > endsAt) {
 			socket.destroy();
 		}
+	};
+
+	const timer = setInterval(() => {
+		// Timers may run before bytes that have arrived are read.
+		setImmediate(check);
 	}, quietMs);
 	socket.once('close', () => {
 		clearInterval(timer);
--- a/gateway/front/src/end-incomplete.ts
+++ b/gateway/front/src/end-incomplete.ts
@@ -1,10 +1,15 @@
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {closeLingering} from './close-lingering.ts';
 
 /**
-How long bytes of an answer that is ended incomplete may wait for their caller, in milliseconds.
+How often it is checked whether the bytes of an answer that is ended incomplete were sent, in milliseconds.
 */
-const flushMs = 400;
+const checkMs = 50;
+/**
+Number of checks until the rest is discarded. While the process stands still and cannot send, no checks are made either.
+*/
+const maximumChecks = 8;
 
 /**
  Ends an answer so that its caller sees it as incomplete, after what was already written of it.
@@ -19,16 +24,24 @@
 		response.destroy();
 	} else if (chunkedEncoding) {
 		closeLingering(socket);
-		const timer = setTimeout(() => {
-			if (!socket.writableFinished) {
-				socket.destroy();
-			}
-		}, flushMs);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
+		destroyUnsent(socket);
 	} else {
 		// An answer without chunks may be one that ends with its connection, so only a reset shows that it is incomplete.
 		socket.resetAndDestroy();
 	}
 }
+
+function destroyUnsent(socket: Socket): void {
+	let checks = 0;
+	const timer = setInterval(() => {
+		checks++;
+		if (socket.writableFinished) {
+			clearInterval(timer);
+		} else if (checks === maximumChecks) {
+			socket.destroy();
+		}
+	}, checkMs);
+	socket.once('close', () => {
+		clearInterval(timer);
+	});
+}
