test(soak): requests with a body, and more large answers for slow callers

Unsafe requests have a body of 300 kB at times, and a refusal has to reach its caller also when the body was not read whole before. Slow callers ask for more large answers, since a draining node cuts only what still waits in it.

--- a/bench/soak/src/list-read-requests.ts
+++ b/bench/soak/src/list-read-requests.ts
@@ -2,12 +2,12 @@
 import path from 'node:path';
 
 /**
-Lines that a node writes once it has read a request; those of callers without a body are read whole when they are refused, too.
+Lines that a node writes once it has read a request whole, or refuses it.
 */
 const linePattern = /"request":"(?<id>[^"]+)".*"msg":"request-(?:admitted|refused)"/gv;
 
 /**
- Lists the ids of the requests that nodes have read whole, from their logs.
+ Lists the ids of the requests that nodes have read whole or refused, from their logs.
 
  @example
  await listReadRequests(folder, ['n0', 'n1']);
--- a/bench/soak/src/observation.ts
+++ b/bench/soak/src/observation.ts
@@ -11,7 +11,7 @@
 	readonly attempts: readonly Attempt[];
 	readonly runs: readonly Run[];
 	/**
-	Ids of the requests that a node has read whole, as its log says.
+	Ids of the requests that a node has read whole or refused, as its log says.
 	*/
 	readonly read: ReadonlySet<string>;
 	readonly arrivals: readonly Arrival[];
--- a/bench/soak/src/run-caller.ts
+++ b/bench/soak/src/run-caller.ts
@@ -34,14 +34,21 @@
 */
 const versionShare = 0.15;
 /**
-Part of the connections over a link that can be thin, and of the requests for a large answer.
+Part of the connections over a link that can be thin.
 */
 const thinShare = 0.3;
-const largeShare = 0.08;
 /**
-Each such caller reads slowly, with a pause after each piece, in milliseconds.
+Each such caller reads slowly, with a pause after each piece, in milliseconds; it asks for more large answers than others, which take
+long to read.
 */
 const slowCallers = 3;
+const largeShare = 0.04;
+const slowLargeShare = 0.25;
+/**
+Part of the unsafe requests that have a body, and its size in characters.
+*/
+const bodyShare = 0.4;
+const sentBody = 'x'.repeat(300_000);
 const slowReadMs = 25;
 /**
 Characters of an answer that are kept.
@@ -57,7 +64,8 @@
  */
 export async function runCaller(options: CallerOptions): Promise<void> {
 	const {random, habits, now} = options;
-	const pieceMs = options.number % slowCallers === 0 ? slowReadMs : 0;
+	const isSlow = options.number % slowCallers === 0;
+	const pieceMs = isSlow ? slowReadMs : 0;
 	let count = 0;
 	let node: SoakNode | undefined;
 	let client: Client | undefined;
@@ -83,7 +91,7 @@
 		}
 
 		const kind = kinds[Math.floor(random() * kinds.length)] ?? 'safe';
-		const isLarge = habits() < largeShare && (kind === 'safe' || kind === 'unsafe');
+		const isLarge = habits() < (isSlow ? slowLargeShare : largeShare) && (kind === 'safe' || kind === 'unsafe');
 		return {kind, path: `/${kind}/${isLarge ? 'large' : 'x'}`};
 	}
 
@@ -91,6 +99,7 @@
 		count++;
 		const id = `c${options.number}-${count}`;
 		const {kind, path} = pickPath();
+		const hasBody = kind === 'unsafe' && habits() < bodyShare;
 		const sent = {
 			id, path, kind, node: target.name, pid: target.pid(), sentAt: now(),
 		};
@@ -101,7 +110,7 @@
 		let announced = -1;
 		try {
 			const response = await connection.request({
-				method: 'GET', path, headers: {
+				method: hasBody ? 'POST' : 'GET', path, body: hasBody ? sentBody : null, headers: {
 					host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': id, 'x-deadline-ms': String(patienceMs),
 				},
 			});
