test(gateway): a request fails when the endpoint that it is moved to refuses it

Known to fail: a safe request waits at a sound endpoint, is moved elsewhere with the last retry of the budget, is refused there and gets 502 ("refused with 503"), although the endpoint that it was taken from worked on it.

--- a/node/gateway/test/complete-answers.test.ts
+++ b/node/gateway/test/complete-answers.test.ts
@@ -45,6 +45,10 @@
 const seeds = 8;
 const bodyBytes = 3_000_000;
 /**
+Enough for one retry of few requests; it is shared by the assumed number of nodes.
+*/
+const oneRetrySlack = 12;
+/**
 Time after which a node has given up whatever it gives up on a pause, in milliseconds.
 */
 const longEnoughMs = 1200;
@@ -203,3 +207,23 @@
 		t.same(lost.flat(), []);
 	});
 }
+
+test('a request that waits at a sound endpoint does not fail because the one that it is moved to refuses it', async t => {
+	const platform = await openPlatform(t, oneRetrySlack);
+	const nextBehaviours: Array<'late' | 'notRun'> = ['late', 'notRun'];
+	for (const endpoint of platform.endpoints) {
+		endpoint.setBehaviour((arrived, socket, resumed) => {
+			void behaviours[nextBehaviours.shift() ?? 'notRun'](arrived, socket, resumed);
+		});
+	}
+
+	const answer = platform.call('/safe/x');
+	const until = performance.now() + longEnoughMs;
+	await waitUntil(() => nextBehaviours.length === 0 || performance.now() > until);
+	for (const endpoint of platform.endpoints) {
+		endpoint.resume();
+	}
+
+	const {status, text} = await answer;
+	t.ok(status === 200 || status === 503, `${status} ${text}`);
+});
