--- /dev/null
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -0,0 +1,156 @@
+import {Buffer} from 'node:buffer';
+import {Clock} from 'clock-mock';
+import type {Test} from 'tap';
+import {createWaitBaselines} from '@valvesaddle/admission';
+import type {ExchangeListener} from '@valvesaddle/exchange';
+import type {AnswerMetadata, RouteKind, WireFormat} from '@valvesaddle/gateway-types';
+import {createLogger} from '@valvesaddle/logger';
+import {createMetrics} from '@valvesaddle/metrics';
+import {createRetryBudget} from '@valvesaddle/retry-budget';
+import {createSelector} from '@valvesaddle/selection';
+import {createForwarder, type ForwardRequest, type Reply} from '@valvesaddle/forwarding';
+
+export const eventStream: AnswerMetadata = {
+	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: true, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false,
+};
+export const wholeAnswer: AnswerMetadata = {...eventStream, isEventStream: false};
+
+function createWire(answer: AnswerMetadata): WireFormat {
+	return {
+		readRequest() {
+			throw new TypeError('requests are passed decoded');
+		},
+		writeRequest: () => [],
+		readAnswer: () => answer,
+		writeAnswer: () => [],
+	};
+}
+
+function createRequest(kind: RouteKind): ForwardRequest {
+	return {
+		metadata: {
+			requestId: 'a', waitMs: 60_000, apiKey: undefined, promptTokens: 100, outputTokens: 200, parts: [], lastEventId: -1,
+		},
+		route: {
+			name: 'r',
+			host: 'h',
+			prefix: '/',
+			kind,
+			timeoutMs: 60_000,
+			latencyObjectiveMs: 300,
+			priority: 1,
+			targets: [],
+			maximumAttempts: 2,
+			isPublic: false,
+			isResumable: kind === 'stream',
+			pauseObjectiveMs: 100,
+		},
+		version: 1,
+		pool: 'engines',
+		isEnginePool: true,
+		account: undefined,
+		method: 'POST',
+		path: '/',
+		rawHeaders: [],
+		body: undefined,
+		arrivedAt: performance.now(),
+	};
+}
+
+/**
+Share of the retry budget that a node uses.
+*/
+const usedBudgetShare = 0.8;
+
+type ForwardingOptions = {
+	readonly kind: RouteKind;
+	readonly answer: AnswerMetadata;
+	readonly endpoints?: readonly string[];
+	/**
+	Number of retries that the budget allows in all.
+	*/
+	readonly retries?: number;
+};
+
+/**
+ Forwards a request to one of several endpoints, whose answers the test gives. A request that ends without a whole answer fails the test.
+
+ @example
+ const {clock, listeners} = startForwarding(t, {kind: 'stream', answer: eventStream});
+ listeners[0]?.onSent();
+ */
+export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50}: ForwardingOptions) {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const selector = createSelector({
+		interferenceWeight: 1, riskWeight: 1, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50,
+	});
+	selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
+	for (const id of endpoints) {
+		selector.addEndpoint({
+			id, pool: 'engines', address: id, dataCentre: 'a', slots: 64, state: 'ready',
+		});
+	}
+
+	const listeners: ExchangeListener[] = [];
+	const addresses: string[] = [];
+	const answers: string[] = [];
+	const forwarder = createForwarder({
+		wire: createWire(answer),
+		selector,
+		exchanges: {
+			hasIdle: () => false,
+			send({address}, listener) {
+				addresses.push(address);
+				listeners.push(listener);
+				return {
+					abort() {
+						// The listener is not called again.
+					},
+					resume() {
+						// Callers read without delay.
+					},
+				};
+			},
+			closeAddress() {
+				// No connection is open.
+			},
+			async close() {
+				// Nothing is open.
+			},
+		},
+		budget: createRetryBudget({
+			ratio: 0, slack: (retries + 0.5) / usedBudgetShare, windowMs: 60_000, countNodes: () => 1,
+		}),
+		waits: createWaitBaselines(),
+		admission: {lateFactor: 1.3, waitFactor: 0.5, retryAfterFactor: 1.5},
+		logger: createLogger({node: 'n', level: 'silent'}),
+		metrics: createMetrics(),
+	});
+	const reply: Reply = {
+		answer(_status, _headers, body) {
+			answers.push(Buffer.from(body).toString());
+		},
+		start() {
+			// The caller has the head.
+		},
+		write: () => true,
+		onDrain() {
+			// Callers read without delay.
+		},
+		end() {
+			// The answer is complete.
+		},
+		abort() {
+			t.fail('no end within the answer');
+		},
+		refuse() {
+			t.fail('no refusal');
+		},
+	};
+	const task = forwarder.forward(createRequest(kind), reply);
+	t.teardown(task.cancel);
+	return {
+		clock, selector, listeners, addresses, answers,
+	};
+}
