fix(forwarding): keep a retry that was spent for an endpoint to which nothing was sent

Callers saw streams broken off, and 502, after their request had been moved to an endpoint that could not be reached or had just announced that it leaves. The move had spent a retry, nothing was sent for it, and a second one was asked of the budget; with none left the request ended, though its first endpoint was sound and other endpoints were free.

The retry now stays with the request until it is sent. The budget still bounds the sends: each one after the first has its own retry.

moved-requests.test.ts (three endpoints, a budget of one retry, the second endpoint refuses the connection) failed before: 'no end within the answer', two endpoints called instead of three. It passes now.

--- a/gateway/forwarding/src/create-retry-allowance.ts
+++ b/gateway/forwarding/src/create-retry-allowance.ts
@@ -11,7 +11,8 @@
 };
 
 /**
- Creates the retry allowance of one request. The first send uses no budget, whatever endpoints were unreachable before it.
+ Creates the retry allowance of one request. Each send after the first uses one retry of the budget, whatever endpoints were
+ unreachable before it.
 
  @example
  const retries = createRetryAllowance({route, pool: 'drafting', budget});
@@ -20,7 +21,10 @@
  */
 export function createRetryAllowance({route, pool, budget}: RetryAllowanceOptions): RetryAllowance {
 	let runs = 0;
-	let sends = 0;
+	/**
+	Whether the next send needs no retry of the budget: it is the first one, or its retry is spent already.
+	*/
+	let isNextPaid = true;
 
 	function isAllowed({mayHaveRun}: Parameters<RetryAllowance['isAllowed']>[0]): boolean {
 		return canRetry({route, mayHaveRun, runs});
@@ -29,7 +33,7 @@
 	return {
 		markSent() {
 			runs++;
-			sends++;
+			isNextPaid = false;
 		},
 		markNotRun() {
 			runs--;
@@ -41,7 +45,8 @@
 				return failure.mayHaveRun && !isRetryable(route) ? 'not-repeatable' : 'run-limit';
 			}
 
-			return sends === 0 || budget.spend(pool) ? undefined : 'budget';
+			isNextPaid ||= budget.spend(pool);
+			return isNextPaid ? undefined : 'budget';
 		},
 	};
 }
--- a/gateway/forwarding/src/retry-allowance.ts
+++ b/gateway/forwarding/src/retry-allowance.ts
@@ -21,7 +21,7 @@
 	*/
 	readonly isAllowed: (failure: FailedSend) => boolean;
 	/**
-	Spends a retry of the budget; returns why there is none.
+	Spends a retry of the budget, unless one is left that was spent for an endpoint to which nothing was sent; returns why there is none.
 	*/
 	readonly spend: (failure: FailedSend) => RetryDenial | undefined;
 };
