fix(forwarding): do not move a silent request to an endpoint that is known to fail

Callers saw sound streams moved, and then broken off or refused, while the other endpoints of their pool were failing, stalled or had just refused a request. When a stream paused, an ejected endpoint was chosen for want of a healthy one, and the attempt at the sound endpoint was ended for it.

A request that may still be answered where it is now moves to a healthy endpoint only; otherwise it goes on, attempt-kept says so, and it is checked again after the same time. A request whose attempt has failed, or whose process has ended, still tries an ejected endpoint as the last resort.

moved-requests.test.ts (two endpoints, the second ejected, a pause of 0.8 s) failed before: expected 1 attempt, got 2. It passes now, and the request moves once the ejection has expired.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -147,10 +147,10 @@
 
 	/**
 	Ends an attempt that is presumed lost, and sends the request to another endpoint. The attempt goes on if the request cannot:
-	its endpoint may still answer.
+	its endpoint may still answer. Silence alone is no reason to prefer an endpoint that is known to fail.
 	*/
 	function moveAttempt(failure: AttemptFailure, end: 'failed' | 'cancelled'): void {
-		const selection = chooseEndpoint();
+		const selection = chooseEndpoint({...question, isHealthyOnly: failure.cause !== 'restarted'});
 		const denial = selection === undefined ? 'no-endpoint' : retries.spend(failure);
 		if (selection === undefined || denial !== undefined) {
 			recorder.recordKept(failure, attempts, denial ?? 'no-endpoint', options.budget.readUsage(request.pool));
@@ -169,15 +169,15 @@
 		attempt = undefined;
 	}
 
-	function chooseEndpoint(): Selection | undefined {
+	function chooseEndpoint(criteria: SelectionCriteria): Selection | undefined {
 		const startedAt = performance.now();
-		const selection = attempts < maximumTriedEndpoints ? selector.choose(question) : undefined;
+		const selection = attempts < maximumTriedEndpoints ? selector.choose(criteria) : undefined;
 		metrics.timing('gateway.decision', performance.now() - startedAt);
 		return selection;
 	}
 
 	function startAttempt(): void {
-		const selection = chooseEndpoint();
+		const selection = chooseEndpoint(question);
 		if (selection === undefined) {
 			recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
 			fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -96,12 +96,12 @@
 	}
 
 	/**
-	Endpoints that were not tried and have no cooldown: the healthy ones, or the ejected ones if there are no others.
+	Endpoints that were not tried and have no cooldown: the healthy ones, or the ejected ones if there are no others and they are allowed.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], tried: ReadonlySet<string>): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false}: SelectionCriteria): readonly KnownEndpoint[] {
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation));
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
-		return healthy.length > 0 ? healthy : untried;
+		return isHealthyOnly || healthy.length > 0 ? healthy : untried;
 	}
 
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
@@ -113,7 +113,7 @@
 
 	function choose(criteria: SelectionCriteria): Selection | undefined {
 		const ready = listReady(criteria.pool);
-		const candidates = listCandidates(ready, criteria.tried);
+		const candidates = listCandidates(ready, criteria);
 		const rating = pools.get(criteria.pool)?.engine === undefined
 			? chooseByLoad(candidates, criteria)
 			: chooser.choose(ready, candidates, criteria);
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -23,4 +23,8 @@
 	Incarnations of endpoints at which this request was attempted.
 	*/
 	readonly tried: ReadonlySet<string>;
+	/**
+	Whether an ejected endpoint is not chosen even if there is no other, as for a request that may still be answered where it is.
+	*/
+	readonly isHealthyOnly?: boolean;
 };
