fix(execution): read what has arrived before an attempt counts as stalled

Callers of the product's own node had sound answers aborted and sent again, or charged with a retry, after their node had stood still for longer than a stall timeout: Node.js runs timers before it reads sockets, and the token that should have restarted the timer waited in one.

The detector now decides after the sockets were read, in the same turn of the event loop, and only if its timer was neither restarted nor stopped.

--- a/outcome/execution/src/create-stall-detector.ts
+++ b/outcome/execution/src/create-stall-detector.ts
@@ -14,7 +14,7 @@
 
 /**
  Creates the stall detector of one attempt. An engine that hangs keeps its connections open, so only missing tokens reveal
- it.
+ it. A token that has already arrived when the timeout is due is read first.
 
  @example
  const detector = createStallDetector({timeouts, signal, mayAbort: () => true});
@@ -24,20 +24,34 @@
 	let hasToken = false;
 	let timer: NodeJS.Timeout | undefined;
 
-	function startTimer(timeoutMs: number): void {
+	function endTimer(): void {
 		clearTimeout(timer);
+		timer = undefined;
+	}
+
+	function startTimer(timeoutMs: number): void {
+		endTimer();
 		if (!Number.isFinite(timeoutMs)) {
 			return;
 		}
 
-		timer = setTimeout(() => {
-			if (mayAbort(hasToken)) {
-				stalled.abort();
-			}
+		const started = setTimeout(() => {
+			// After a standstill of the process timers run before sockets are read, and a token may wait there.
+			setImmediate(expire, started);
 		}, timeoutMs);
+		timer = started;
 		timer.unref();
 	}
 
+	/**
+	Aborts the attempt unless its timer was stopped or restarted meanwhile.
+	*/
+	function expire(expired: NodeJS.Timeout): void {
+		if (timer === expired && mayAbort(hasToken)) {
+			stalled.abort();
+		}
+	}
+
 	startTimer(timeouts.beforeFirstTokenMs);
 
 	return {
@@ -47,8 +61,6 @@
 			startTimer(timeouts.betweenTokensMs);
 		},
 		isStalled: () => stalled.signal.aborted,
-		close() {
-			clearTimeout(timer);
-		},
+		close: endTimer,
 	};
 }
