fix(pool): keep waiting requests and grants when the time of day changes

Callers of the product's own node were refused with ERR_VALVESADDLE_WAIT_EXPIRED all at once when the time of day jumped ahead at the node that dispatches their pool, and the grants of running requests expired, so that their endpoints were sent more than they can take. Waits and leases were measured by the time of day.

The dispatcher of a pool measures them on the monotonic clock, as it does cooldowns already. No time of its own crosses to another node: a request brings the time that it has waited.

--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -54,7 +54,7 @@
 	const stats = createClassStats();
 	const lengths = createLengthModel();
 	const sessions = createSessionTable();
-	const openedAt = Date.now();
+	const openedAt = performance.now();
 	/**
 	Distinguishes this dispatcher's grants from those of others; short because every report contains it.
 	*/
@@ -142,7 +142,7 @@
 	}
 
 	function didGrant(ranked: RankedClass): boolean {
-		const isWarm = Date.now() - openedAt >= options.warmupMs;
+		const isWarm = performance.now() - openedAt >= options.warmupMs;
 		if (!isWarm && ranked.mode !== 'urgent') {
 			return false;
 		}
@@ -160,7 +160,7 @@
 	}
 
 	function grant({value: {request, settle}, arrivedAt}: QueuedRequest<WaitingRequest>, endpoint: EndpointView, mode: GrantMode): void {
-		const now = Date.now();
+		const now = performance.now();
 		const grantId = `${epoch}-${(++grantCount).toString(36)}`;
 		const charged = lengths.expect(request.className, request.tokensSoFar) - request.tokensSoFar;
 		grants.add({
@@ -189,7 +189,7 @@
 			requestId: request.requestId,
 			className: request.className,
 			account: request.account,
-			arrivedAt: Date.now() - request.waitedMs,
+			arrivedAt: performance.now() - request.waitedMs,
 			ranMs: request.ranMs,
 			value: {request, settle: resolve},
 		});
@@ -215,7 +215,7 @@
 		}
 
 		queue.charge(entry.className, entry.account, report.tokens - entry.charged);
-		stats.recordHold(entry.className, Date.now() - entry.grantedAt);
+		stats.recordHold(entry.className, performance.now() - entry.grantedAt);
 		table.observeTimes(entry.endpointId, report.firstTokenMs, report.interTokenMs);
 		if (report.retryAfterMs !== undefined) {
 			table.startCooldown(entry.endpointId, report.retryAfterMs);
@@ -244,7 +244,7 @@
 	}
 
 	function registerGrants({node, grants: open}: RegisterRequest): void {
-		const now = Date.now();
+		const now = performance.now();
 		const unknown = open.filter(({grantId}) => grants.find(grantId) === undefined);
 		for (const entry of unknown) {
 			grants.add({
@@ -312,7 +312,7 @@
 		},
 		release,
 		progress(node, reports) {
-			const now = Date.now();
+			const now = performance.now();
 			grants.renewNode(node, now);
 			for (const report of reports) {
 				recordProgress(node, report, now);
@@ -325,7 +325,7 @@
 		observeLoad: table.observeLoad,
 		configure: applyConfiguration,
 		tick() {
-			const now = Date.now();
+			const now = performance.now();
 			metrics.increment('dispatch.grants-expired', grants.removeStale(now));
 			expireWaiting(now);
 			stats.tick(now - lastTickAt);
--- a/dispatch/pool/src/grant-entry.ts
+++ b/dispatch/pool/src/grant-entry.ts
@@ -11,7 +11,7 @@
 	readonly isUrgent: boolean;
 	readonly grantedAt: number;
 	/**
-	Last report of this grant by the node, in milliseconds since the epoch.
+	Last report of this grant by the node, in milliseconds on the monotonic clock.
 	*/
 	readonly renewedAt: number;
 	readonly tokens: number;
--- a/dispatch/queue/src/queued-request.ts
+++ b/dispatch/queue/src/queued-request.ts
@@ -6,7 +6,7 @@
 	readonly className: string;
 	readonly account: string;
 	/**
-	Time of the first arrival at any dispatcher, in milliseconds since the epoch of this process's clock.
+	Time of the first arrival at any dispatcher, in milliseconds on the monotonic clock of this process.
 	*/
 	readonly arrivedAt: number;
 	/**
