fix(client,execution): measure how long a request has waited on the monotonic clock

Callers of the product's own node had their request refused as waiting for too long when the time of day jumped ahead at the node that took it. After a jump back the wait was negative, which other nodes refuse as an invalid message; the node then took them for lost. Arrivals, waits and times at an endpoint were differences of the time of day.

All of them are now on the monotonic clock of the process. Messages carry the same rounded differences as before.

The new test (a jump of an hour either way between two dispatchers) failed before: 3600000 ms waited, and 'Too small: expected number to be >=0'. It passes now. The tests that build a request give its arrival on that clock.

--- a/caller/api/src/build-job-base.ts
+++ b/caller/api/src/build-job-base.ts
@@ -46,7 +46,7 @@
 		account: account.name,
 		claim: toClaim(request, text, access.value.pool),
 		trace: pickTrace(request),
-		arrivedAt: Date.now(),
+		arrivedAt: performance.now(),
 	};
 }
 
--- a/dispatch/client/src/acquire-parameters.ts
+++ b/dispatch/client/src/acquire-parameters.ts
@@ -6,7 +6,7 @@
 export type AcquireParameters = Omit<AcquireRequest, 'duty' | 'node' | 'dataCentre' | 'waitedMs' | 'admitted' | 'skipped' | 'forced'> & {
 	readonly pool: string;
 	/**
-	Time at which the request first started to wait, in milliseconds since the epoch.
+	Time at which the request first started to wait, in milliseconds on the monotonic clock.
 	*/
 	readonly arrivedAt: number;
 	/**
--- a/dispatch/client/src/create-dispatch-client.ts
+++ b/dispatch/client/src/create-dispatch-client.ts
@@ -123,14 +123,14 @@
 			}
 
 			const owner = target ?? host.findOwner(duty, skipped) ?? node;
-			const calledAt = Date.now();
+			const calledAt = performance.now();
 			// eslint-disable-next-line no-await-in-loop -- each owner is called after the previous one failed
 			const reply = await callOwnerCancellably(owner, signal, {
 				...rest,
 				duty,
 				node,
 				dataCentre: options.dataCentre,
-				waitedMs: Date.now() - arrivedAt,
+				waitedMs: Math.round(performance.now() - arrivedAt),
 				admitted: isAdmitted,
 				skipped,
 				forced: redirects >= maximumRedirects,
@@ -138,7 +138,7 @@
 			target = undefined;
 			if (reply === undefined) {
 				skipped.push(owner);
-				isAdmitted ||= Date.now() - calledAt >= queuedAfterMs;
+				isAdmitted ||= performance.now() - calledAt >= queuedAfterMs;
 			} else if (reply.kind === 'moved') {
 				redirects++;
 				target = reply.owner;
--- a/dispatch/client/test/dispatch-client.test.ts
+++ b/dispatch/client/test/dispatch-client.test.ts
@@ -10,7 +10,12 @@
 import type {DispatchHost} from '@valvesaddle/host';
 import {createLogger} from '@valvesaddle/logger';
 import type {Membership} from '@valvesaddle/membership';
-import type {AcquireReply, AcquireRequest, RegisterRequest} from '@valvesaddle/messages';
+import {
+	acquireRequestSchema,
+	type AcquireReply,
+	type AcquireRequest,
+	type RegisterRequest,
+} from '@valvesaddle/messages';
 import {createMetrics} from '@valvesaddle/metrics';
 import type {PeerEvents, PeerNetwork} from '@valvesaddle/network';
 import {createDutyIndex} from '@valvesaddle/ownership';
@@ -116,7 +121,7 @@
 
 function createParameters(requestId: string): AcquireParameters {
 	return {
-		requestId, pool: 'drafting', account: 'sawmill', className: 'gate', arrivedAt: Date.now(), ranMs: 0, resumes: false, promptTokens: 1, tokensSoFar: 0, session: undefined, repeatable: true, avoid: [], trace: {},
+		requestId, pool: 'drafting', account: 'sawmill', className: 'gate', arrivedAt: performance.now(), ranMs: 0, resumes: false, promptTokens: 1, tokensSoFar: 0, session: undefined, repeatable: true, avoid: [], trace: {},
 	};
 }
 
@@ -206,3 +211,25 @@
 	await events.emit('lost', {node: 'b'});
 	t.equal(await acquiring, 'ERR_VALVESADDLE_CANCELLED');
 });
+
+test('a change of the time of day does not change how long a request has waited', async t => {
+	const hourMs = 3_600_000;
+	const {now} = Date;
+	t.teardown(() => {
+		Date.now = now;
+	});
+	for (const jumpMs of [hourMs, -hourMs]) {
+		const {client, calls} = createClient({
+			b() {
+				Date.now = () => now() + jumpMs;
+				return 'unreachable';
+			},
+			c: () => granted,
+		});
+		// eslint-disable-next-line no-await-in-loop -- one jump after the other
+		await acquire(client);
+		const {waitedMs} = acquireRequestSchema.parse(calls[1]?.parameters);
+		t.ok(waitedMs >= 0 && waitedMs < hourMs, `${waitedMs} after a jump of ${jumpMs}`);
+		Date.now = now;
+	}
+});
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -140,13 +140,13 @@
 	async function runAttempt(grant: Grant): Promise<AttemptResult> {
 		const endpointHop = tracing.startHop('endpoint', hop.carrier);
 		endpointHop.setAttribute('endpoint', grant.endpointId);
-		const startedAt = Date.now();
+		const startedAt = performance.now();
 		const tokensBefore = progress.tokens;
 		let firstAnswerAt: number | undefined;
 		const attempt = {
 			job, grant, log, progress, hop: endpointHop, signal,
 			onFirstAnswer() {
-				firstAnswerAt = Date.now();
+				firstAnswerAt = performance.now();
 				advance('first-answer');
 			},
 			reserveRetry: didReserveRetry,
@@ -163,14 +163,14 @@
 			endpointHop.fail(failure.message);
 		}
 
-		ranMs += Date.now() - startedAt;
+		ranMs += Math.round(performance.now() - startedAt);
 		const tokens = progress.tokens - tokensBefore;
 		dispatch.release({
 			grantId: grant.grantId,
 			outcome: toReleaseOutcome(result.error),
 			tokens,
-			firstTokenMs: firstAnswerAt === undefined ? undefined : firstAnswerAt - startedAt,
-			interTokenMs: firstAnswerAt !== undefined && tokens > 1 ? Math.round((Date.now() - firstAnswerAt) / (tokens - 1)) : undefined,
+			firstTokenMs: firstAnswerAt === undefined ? undefined : Math.round(firstAnswerAt - startedAt),
+			interTokenMs: firstAnswerAt !== undefined && tokens > 1 ? Math.round((performance.now() - firstAnswerAt) / (tokens - 1)) : undefined,
 			retryAfterMs: result.error?.retryAfterMs,
 		});
 		endpointHop.end();
--- a/outcome/execution/src/job.ts
+++ b/outcome/execution/src/job.ts
@@ -20,7 +20,7 @@
 	readonly claim: JobClaim | undefined;
 	readonly trace: TraceCarrier;
 	/**
-	Time of arrival, in milliseconds since the epoch.
+	Time of arrival, in milliseconds on the monotonic clock.
 	*/
 	readonly arrivedAt: number;
 	readonly work: EngineWork | ServiceWork;
--- a/outcome/execution/src/progress.ts
+++ b/outcome/execution/src/progress.ts
@@ -9,7 +9,7 @@
 	*/
 	isPlainText: boolean;
 	/**
-	Time of the first token, in milliseconds since the epoch.
+	Time of the first token, in milliseconds on the monotonic clock.
 	*/
 	firstTokenAt: number | undefined;
 };
--- a/outcome/execution/src/run-engine-attempt.ts
+++ b/outcome/execution/src/run-engine-attempt.ts
@@ -36,7 +36,7 @@
 
 async function readStream(attempt: Attempt, detector: StallDetector, work: EngineWork, {engines, dispatch}: EngineClients): Promise<AnswerEnd> {
 	const {job, grant, log, progress} = attempt;
-	const startedAt = Date.now();
+	const startedAt = performance.now();
 	const tokensBefore = progress.tokens;
 	let firstTokenMs: number | undefined;
 	let finishReason = 'stop';
@@ -55,8 +55,8 @@
 		}
 
 		if (firstTokenMs === undefined) {
-			firstTokenMs = Date.now() - startedAt;
-			progress.firstTokenAt ??= Date.now();
+			firstTokenMs = Math.round(performance.now() - startedAt);
+			progress.firstTokenAt ??= performance.now();
 			attempt.hop.addEvent('first-token');
 			attempt.onFirstAnswer();
 		}
--- a/outcome/execution/src/run-service-attempt.ts
+++ b/outcome/execution/src/run-service-attempt.ts
@@ -21,7 +21,7 @@
 		idempotencyKey: job.claim?.key,
 		trace: attempt.hop.carrier,
 	}, attempt.signal);
-	progress.firstTokenAt ??= Date.now();
+	progress.firstTokenAt ??= performance.now();
 	attempt.onFirstAnswer();
 	return {kind: 'reply', reply};
 }
--- a/outcome/execution/test/stalled-attempts.test.ts
+++ b/outcome/execution/test/stalled-attempts.test.ts
@@ -38,7 +38,7 @@
 		promptTokens: 1,
 		claim: undefined,
 		trace: {},
-		arrivedAt: Date.now(),
+		arrivedAt: performance.now(),
 		work: {kind: 'engine', body: {}},
 	};
 }
