fix(answers): keep answers when the time of day changes

Callers that were still reading their answer through another node got ERR_VALVESADDLE_MAY_HAVE_RUN within it, and those that came back for a kept one did not find it, after the time of day had jumped ahead at the node that held it: all kept answers counted as older than their retention.

The age of an answer is now measured on the monotonic clock.

It passes now.

--- a/outcome/answers/src/answer-log.ts
+++ b/outcome/answers/src/answer-log.ts
@@ -14,7 +14,7 @@
 	*/
 	readonly readWithin: (offset: number, waitMs: number) => ReturnType<AnswerSource['read']>;
 	/**
-	Time when the answer ended, in milliseconds since the epoch.
+	Time when the answer ended, in milliseconds on the monotonic clock.
 	*/
 	readonly endedAt: () => number | undefined;
 	/**
--- a/outcome/answers/src/create-answer-log.ts
+++ b/outcome/answers/src/create-answer-log.ts
@@ -52,7 +52,7 @@
 			}
 
 			end = finalEnd;
-			endedAt = Date.now();
+			endedAt = performance.now();
 			clearTimeout(graceTimer);
 			settleReads();
 		},
--- a/outcome/answers/src/create-answer-store.ts
+++ b/outcome/answers/src/create-answer-store.ts
@@ -14,7 +14,7 @@
 	const logs = new Map<string, AnswerLog>();
 
 	function removeExpired(): void {
-		const now = Date.now();
+		const now = performance.now();
 		const ended = logs.values().filter(log => log.endedAt() !== undefined).toArray().toSorted((a, b) => (b.endedAt() ?? 0) - (a.endedAt() ?? 0));
 		let size = 0;
 		for (const log of ended) {
--- a/outcome/answers/test/answer-log.test.ts
+++ b/outcome/answers/test/answer-log.test.ts
@@ -1,5 +1,6 @@
 import {Clock} from 'clock-mock';
 import {test} from 'tap';
+import {waitUntil} from '@valvesaddle/fake-fleet';
 import {createAnswerLog, createAnswerStore, type AnswerEnd} from '@valvesaddle/answers';
 
 const complete: AnswerEnd = {kind: 'complete', finishReason: 'stop', tokens: 2};
@@ -77,3 +78,23 @@
 	store.close();
 	t.end();
 });
+
+test('a kept answer does not expire when the time of day jumps ahead', async t => {
+	const {now} = Date;
+	const store = createAnswerStore({retentionMs: 600_000, maximumCharacters: 100});
+	t.teardown(() => {
+		Date.now = now;
+		store.close();
+	});
+	const [kept, evicted] = [createLog('n1_kept'), createLog('n1_evicted')];
+	evicted.append('x'.repeat(101));
+	for (const log of [kept, evicted]) {
+		store.add(log);
+	}
+
+	evicted.finish(complete);
+	kept.finish(complete);
+	Date.now = () => now() + 3_600_000;
+	await waitUntil(() => store.find('n1_evicted') === undefined);
+	t.equal(store.find('n1_kept'), kept);
+});
