fix(selection): take no request for one of an earlier process when the time of day changes

Callers had sound streams and waiting requests aborted and sent again after the time of day had jumped back at their node: a request that was sent to a process that had started again, before its new entry was known, counted as older than that process, and its attempt as lost.

The time at which a request is sent is now read from the monotonic clock, with an offset that is fixed at the start, as the windows of usage are. Clocks that differ between machines from the start are not covered.

The new test (a jump back between the start of the process and the request) failed before: 1 request notified instead of 0. It passes now.

--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -81,6 +81,8 @@
  request.close('done');
  */
 export function createRequestTracker({loads, failures, chooser, stallMonitor, onPlacement}: RequestTrackerOptions): RequestTracker {
+	// Fixed at the start, so that a change of the system time takes no request for one of an earlier process.
+	const startedAt = Date.now() - performance.now();
 	const openEntries = new Map<string, Set<Entry>>();
 	const endHandlers: Readonly<Record<Parameters<OpenRequest['close']>[0], (id: string) => void>> = {
 		done(id) {
@@ -122,7 +124,7 @@
 
 	function addEntry(endpoint: string): Entry {
 		const entry: Entry = {
-			openedAt: Date.now(),
+			openedAt: startedAt + performance.now(),
 			isClosed: false,
 			handleEnd() {
 				// Replaced by `onEnded`.
--- a/gateway/selection/test/incarnations.test.ts
+++ b/gateway/selection/test/incarnations.test.ts
@@ -169,6 +169,23 @@
 	t.end();
 });
 
+test('a request that was sent to the new process is not notified after the time of day has jumped back', t => {
+	const {selector, clock} = createWithEndpoints(t, [first, other]);
+	clock.advance(restartedMs);
+	const {now} = Date;
+	t.teardown(() => {
+		Date.now = now;
+	});
+	Date.now = () => now() - restartedMs;
+	let notified = 0;
+	send(selector, createCriteria({tried: new Set([otherId])})).onEnded(() => {
+		notified++;
+	});
+	selector.setIncarnation(restarted);
+	t.equal(notified, 0);
+	t.end();
+});
+
 test('an endpoint may be chosen if only its previous process was tried', t => {
 	const {selector} = createWithEndpoints(t, [first]);
 	const criteria = createCriteria({tried: new Set([oldId])});
