fix(engine): take an answer as complete with its last event

An answer whose engine had sent its last event was counted as broken off when the connection broke before the end of the response: the request was sent to another engine with the whole answer as an unfinished one, and the caller got text beyond its end; one with an idempotency key ended with 409 "may have run" instead of its answer. An engine that kept the connection open after the last event held the caller up until `limits.pause_ms`, or until the stall detector aborted the attempt.

Evidence: stand-ins that break the connection after `[DONE]`, after the finish reason, or never end the response: the first two gave ERR_VALVESADDLE_ENDPOINT_FAILED and the third nothing within a minute; now all three give the complete answer.

The stream ends with `[DONE]`, and the rest of the response is read beside it, so that the connection is used again. After a finish reason a broken connection ends the answer instead of failing it.

--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -87,22 +87,58 @@
 		},
 	});
 	const decoder = new TextDecoder();
+	const body: AsyncIterator<Uint8Array> = response.body[Symbol.asyncIterator]();
 	let hasFinished = false;
+	let hasRest = false;
 	try {
-		for await (const bytes of response.body) {
-			parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+		let read = await body.next();
+		while (read.done !== true) {
+			parser.feed(decoder.decode(read.value, {stream: true}));
 			const ready = events;
 			events = [];
 			for (const event of ready) {
 				hasFinished ||= event.kind === 'finish';
 				yield event;
 			}
+
+			if (isDone) {
+				hasRest = true;
+				void readRest(body);
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- chunks are read in order
+			read = await body.next();
 		}
 	} catch (error) {
+		if (hasFinished) {
+			return;
+		}
+
 		throw classifySendFailure(error, signal);
+	} finally {
+		// The engine stops when its connection closes, for example after a chunk that cannot be read.
+		if (!hasRest) {
+			response.body.destroy();
+		}
 	}
 
-	if (!isDone && !hasFinished) {
+	if (!hasFinished) {
 		throw new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'the answer of the engine ended before its end');
 	}
 }
+
+/**
+Reads what follows the last event, so that the connection can be used again. The answer is complete whatever becomes of it.
+*/
+async function readRest(body: AsyncIterator<Uint8Array>): Promise<void> {
+	try {
+		let read = await body.next();
+		while (read.done !== true) {
+			// eslint-disable-next-line no-await-in-loop -- chunks are read in order
+			read = await body.next();
+		}
+	} catch {
+		// The connection broke, and the client opens another one.
+	}
+}
--- a/endpoint/engine/test/engine-client.test.ts
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import fc from 'fast-check';
 import {test, type Test} from 'tap';
 import {toValvesaddleError} from '@valvesaddle/error';
@@ -7,6 +8,7 @@
 	type EngineFault,
 	type FakeEngineOptions,
 } from '@valvesaddle/fake-engine';
+import {startFakeServer} from '@valvesaddle/fake-http';
 import {
 	buildEngineBody,
 	createEngineClient,
@@ -114,6 +116,38 @@
 	t.equal((await reading).code, 'ERR_VALVESADDLE_ENDPOINT_FAILED');
 });
 
+const delta = 'data: {"choices":[{"delta":{"content":"yes"}}]}\n\n';
+const finish = 'data: {"choices":[{"delta":{},"finish_reason":"stop"}]}\n\n';
+const endings: ReadonlyArray<readonly [string, string, (response: ServerResponse) => void]> = [
+	['breaks the connection after its last event', `${finish}data: [DONE]\n\n`, response => {
+		response.destroy();
+	}],
+	['breaks the connection after its finish reason', finish, response => {
+		response.destroy();
+	}],
+	['leaves the connection open after its last event', `${finish}data: [DONE]\n\n`, () => {
+		// Never ends its response.
+	}],
+];
+for (const [name, end, close] of endings) {
+	test(`the answer of an engine that ${name} is complete`, async t => {
+		const server = await startFakeServer({
+			handle(_request, response) {
+				response.writeHead(200, {'content-type': 'text/event-stream'});
+				response.write(delta + end, () => {
+					close(response);
+				});
+			},
+		});
+		const client = createEngineClient({connectMs: 200, firstTokenMs: 60_000, pauseMs: 60_000});
+		t.teardown(async () => {
+			await client.close();
+			await server.close();
+		});
+		t.same(await readAll(client, createRequest(server.url)), {text: 'yes', code: ''});
+	});
+}
+
 test('a prompt that the engine rejects is not classified as a failure of the engine', async t => {
 	const {engine, client} = await startPair(t);
 	const request = createRequest(engine.url, {body: {messages: [{role: 'user', content: 'reject me'}]}});
