fix(caller-api): complete an answer although unreadable bytes follow its request

A caller whose connection carried bytes that are no request after an accepted one, for example a body longer than its declared length, lost the answer: a streamed answer was cut, and in place of a whole one the caller read "400 Bad Request", which says that the request did not run while it ran. A request with too many headers was reset instead of answered. Node handles an error of its parser by closing the connection, and writes a status if no header was sent on it yet, whichever request that answers.

Evidence: an answer of 60 tokens, unreadable bytes after the fifth: the whole answer was replaced by a 400, the streamed one cut; now both are complete, with no second answer. A header of 100 KB gave ECONNRESET and now 431. A caller that leaves after such bytes is still noticed.

`addErrorGuard` closes such a connection after its last open answer; only when none is open it sends the parser's status and gives the caller half a second to read it. Connections that fail are counted as `callers.connection-errors` by code.

--- a/caller/api/src/create-caller-api.ts
+++ b/caller/api/src/create-caller-api.ts
@@ -3,7 +3,7 @@
 import type {AnswerEnd, AnswerSource} from '@valvesaddle/answers';
 import {toValvesaddleError, ValvesaddleError} from '@valvesaddle/error';
 import type {JobClaim} from '@valvesaddle/execution';
-import {createConnectionTracker, formatServerAddress} from '@valvesaddle/http-server';
+import {addErrorGuard, createConnectionTracker, formatServerAddress} from '@valvesaddle/http-server';
 import type {ClientAccount} from '@valvesaddle/types';
 import {buildChatJob} from './build-chat-job.ts';
 import {buildServiceJob} from './build-service-job.ts';
@@ -54,6 +54,12 @@
 export function createCallerApi(options: CallerApiOptions): CallerApi {
 	const server = createServer();
 	const connections = createConnectionTracker(server);
+	addErrorGuard({
+		server,
+		onError(code) {
+			options.metrics.increment('callers.connection-errors', 1, {code});
+		},
+	});
 	const service = restana({
 		server,
 		errorHandler(error, _request, response) {
--- a/core/http-server/src/index.ts
+++ b/core/http-server/src/index.ts
@@ -1,3 +1,4 @@
+export {addErrorGuard} from './add-error-guard.ts';
 export {closeServer} from './close-server.ts';
 export type {ConnectionTracker} from './connection-tracker.ts';
 export {createConnectionTracker} from './create-connection-tracker.ts';
