fix(cli): leave in order when SIGTERM comes while a router node starts

A SIGTERM during the start of `valvesaddle serve` ended the process by the default action, after it had joined its peers and with their requests waiting at its dispatchers.

Evidence: the process was killed by the signal; now it starts, leaves in order and exits with 0.

The handlers are installed before the start, as in the gateway.

--- a/cli/valvesaddle/src/serve-command.ts
+++ b/cli/valvesaddle/src/serve-command.ts
@@ -22,9 +22,11 @@
 		const settings = await readSettingsFile(this.settings);
 		const drained = Promise.withResolvers<void>();
 		const router = createRouter({settings, onDrained: drained.resolve});
+		// A node that is told to leave while it starts does so once it has started.
+		const signal = runUntilSignal();
 		const addresses = await router.start();
 		this.print(JSON.stringify(addresses));
-		await Promise.race([runUntilSignal(), drained.promise]);
+		await Promise.race([signal, drained.promise]);
 		await router.drain();
 		return exitCodes.done;
 	}
