fix(engine): give a request that waits at an engine the time of the first token

A request that waited in the queue of an engine which sends its headers at once was ended after `limits.pause_ms` (10 s) instead of `limits.first_token_ms` (60 s). One with an idempotency key, which has no other limit, ended with 409 "may have run" while the engine was about to run it; others were sent to another engine and waited anew. The limit for the first token was a limit for the headers, and the limit for a pause counted from them.

Evidence: an engine that sends its headers at once and its first token after 2.5 s, with limits of 60 s and 0.1 s, gave ERR_VALVESADDLE_ENDPOINT_FAILED after a second; now the answer. Two more tests hold the limits themselves: silence after the headers, also with chunks that hold no event, ends at the time of the first token, and silence after a token at that of a pause.

The answer has a timer of its own, which changes from one limit to the other with the first event.

--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -10,6 +10,7 @@
 import type {EngineLoad} from './engine-load.ts';
 import type {EngineRequest} from './engine-request.ts';
 import {readChunk} from './read-chunk.ts';
+import {startSilenceTimer} from './start-silence-timer.ts';
 
 const loadSchema = z.object({server_load: z.number().min(0), leaving: z.boolean().default(false)});
 const loadTimeoutMs = 1000;
@@ -25,7 +26,11 @@
  */
 export function createEngineClient(options: EngineClientOptions): EngineClient {
 	const agent = new Agent({
-		connectTimeout: options.connectMs, headersTimeout: options.firstTokenMs, bodyTimeout: options.pauseMs, keepAliveTimeout: keepAliveMs,
+		connectTimeout: options.connectMs,
+		headersTimeout: options.firstTokenMs,
+		// Bounds what is not an answer; the silence of an engine within its answer has its own limits.
+		bodyTimeout: Math.max(options.firstTokenMs, options.pauseMs),
+		keepAliveTimeout: keepAliveMs,
 	});
 
 	async function send(request: EngineRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
@@ -43,12 +48,19 @@
 	}
 
 	async function * readStream(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
+		const startedAt = performance.now();
 		const response = await send(request, signal);
 		if (response.statusCode !== 200) {
 			throw classifyStatus(response.statusCode, await readErrorText(response), response.headers['retry-after']);
 		}
 
-		yield * readEvents(response, signal);
+		const remainingMs = Math.max(options.pauseMs, options.firstTokenMs - (performance.now() - startedAt));
+		const silence = startSilenceTimer({response, firstTokenMs: remainingMs, pauseMs: options.pauseMs});
+		try {
+			yield * readEvents(response, signal, silence.restart);
+		} finally {
+			silence.close();
+		}
 	}
 
 	return {
@@ -74,7 +86,7 @@
 	}
 }
 
-async function * readEvents(response: Dispatcher.ResponseData, signal: AbortSignal): AsyncGenerator<EngineEvent, void> {
+async function * readEvents(response: Dispatcher.ResponseData, signal: AbortSignal, onChunk: ReturnType<typeof startSilenceTimer>['restart']): AsyncGenerator<EngineEvent, void> {
 	let events: EngineEvent[] = [];
 	let isDone = false;
 	const parser = createParser({
@@ -96,6 +108,7 @@
 			parser.feed(decoder.decode(read.value, {stream: true}));
 			const ready = events;
 			events = [];
+			onChunk(ready.length > 0);
 			for (const event of ready) {
 				hasFinished ||= event.kind === 'finish';
 				yield event;
--- a/endpoint/engine/test/engine-client.test.ts
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -148,6 +148,45 @@
 	});
 }
 
+async function startSilentPair(t: Test, handle: (response: ServerResponse) => void, limits: {readonly firstTokenMs: number; readonly pauseMs: number}) {
+	const server = await startFakeServer({
+		handle(_request, response) {
+			response.writeHead(200, {'content-type': 'text/event-stream'});
+			response.flushHeaders();
+			handle(response);
+		},
+	});
+	const client = createEngineClient({connectMs: 200, ...limits});
+	t.teardown(async () => {
+		await client.close();
+		await server.close();
+	});
+	return {server, client};
+}
+
+test('a request that waits at an engine which has sent its headers has the time of the first token, not that of a pause', async t => {
+	const {server, client} = await startSilentPair(t, response => {
+		setTimeout(() => {
+			response.end(`${delta}${finish}data: [DONE]\n\n`);
+		}, 2500);
+	}, {firstTokenMs: 60_000, pauseMs: 100});
+	t.same(await readAll(client, createRequest(server.url)), {text: 'yes', code: ''});
+});
+
+test('an engine that stays silent after its headers fails at the time of the first token', async t => {
+	const {server, client} = await startSilentPair(t, response => {
+		response.write(': keep-alive\n\n');
+	}, {firstTokenMs: 200, pauseMs: 100});
+	t.same(await readAll(client, createRequest(server.url)), {text: '', code: 'ERR_VALVESADDLE_ENDPOINT_FAILED'});
+});
+
+test('an engine that stays silent after a token fails at the time of a pause', async t => {
+	const {server, client} = await startSilentPair(t, response => {
+		response.write(delta);
+	}, {firstTokenMs: 60_000, pauseMs: 100});
+	t.same(await readAll(client, createRequest(server.url)), {text: 'yes', code: 'ERR_VALVESADDLE_ENDPOINT_FAILED'});
+});
+
 test('a prompt that the engine rejects is not classified as a failure of the engine', async t => {
 	const {engine, client} = await startPair(t);
 	const request = createRequest(engine.url, {body: {messages: [{role: 'user', content: 'reject me'}]}});
