fix(execution): read waiting tokens before an attempt counts as silent

When a node stood still for a moment, for half a second at an urgent class with a low target, all its attempts were aborted as silent although their tokens had arrived: after a standstill the event loop runs due timers before it reads sockets. The engines' work was lost and the requests began anew elsewhere, each at the cost of the retry budgets.

The check follows once the loop has read what waits; a token restarts the timeout and takes the check back.

--- a/outcome/execution/src/create-stall-detector.ts
+++ b/outcome/execution/src/create-stall-detector.ts
@@ -23,17 +23,28 @@
 	const stalled = new AbortController();
 	let hasToken = false;
 	let timer: NodeJS.Timeout | undefined;
+	let check: NodeJS.Immediate | undefined;
 
-	function startTimer(timeoutMs: number): void {
+	function removeTimers(): void {
 		clearTimeout(timer);
+		clearImmediate(check);
+	}
+
+	function endIfAllowed(): void {
+		if (mayAbort(hasToken)) {
+			stalled.abort();
+		}
+	}
+
+	function startTimer(timeoutMs: number): void {
+		removeTimers();
 		if (!Number.isFinite(timeoutMs)) {
 			return;
 		}
 
 		timer = setTimeout(() => {
-			if (mayAbort(hasToken)) {
-				stalled.abort();
-			}
+			// After a standstill of this process its timers run first; a token that has arrived meanwhile is read before the check.
+			check = setImmediate(endIfAllowed);
 		}, timeoutMs);
 		timer.unref();
 	}
@@ -47,8 +58,6 @@
 			startTimer(timeouts.betweenTokensMs);
 		},
 		isStalled: () => stalled.signal.aborted,
-		close() {
-			clearTimeout(timer);
-		},
+		close: removeTimers,
 	};
 }
--- a/outcome/execution/test/stall-detector.test.ts
+++ b/outcome/execution/test/stall-detector.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {Clock} from 'clock-mock';
 import {test, type Test} from 'tap';
 import {createStallDetector} from '../src/create-stall-detector.ts';
@@ -57,3 +59,27 @@
 	detector.close();
 	t.end();
 });
+
+test('an attempt whose token waits to be read after a standstill of the node is not aborted', async t => {
+	const detector = createStallDetector({timeouts: {beforeFirstTokenMs: 50, betweenTokensMs: 50}, signal: new AbortController().signal, mayAbort: () => true});
+	t.teardown(detector.close);
+	const server = createServer(socket => {
+		socket.write('token');
+		// Nothing is read or written for longer than the timeout.
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 200);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const socket = connect(port, '127.0.0.1');
+	t.teardown(() => {
+		socket.destroy();
+		server.close();
+	});
+	socket.once('data', () => {
+		detector.recordToken();
+		detector.close();
+	});
+	await once(socket, 'data');
+	t.notOk(detector.isStalled());
+});
