fix(network): leave a standstill of the process out of a peer's silence

A link broke as silent when the process stood still for less than `peer.silence_ms` shortly after a ping, although the pong had arrived: the tick that follows a standstill runs before the sockets are read, and only a standstill of the whole limit was left out. All calls on the link failed, answers that were read over it among them, and the peer was suspected.

Evidence: a ping, a standstill of 1199 of 1200 ms, and a tick closed the link with its pong unread; now the pong keeps it. A second test holds that a peer which stays silent after the standstill is still given up within one more limit.

The delay of a late tick does not count as silence.

--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -22,6 +22,10 @@
 Pings sent within one link timeout while a call is pending.
 */
 const pingsPerTimeout = 3;
+/**
+Ticks within one link timeout at least, unless the process stands still.
+*/
+const ticksPerTimeout = 4;
 
 /**
 Link timeouts after which a link is closed whose peer sends messages but does not confirm those it is sent. More than one,
@@ -144,6 +148,16 @@
 		sendWindow.markPaused(now);
 	}
 
+	/**
+	Leaves the delay of a late tick out of the peer's silence: messages that arrived meanwhile are read after the tick.
+	*/
+	function markLate(now: number): void {
+		const lateMs = now - lastTickAt - (options.linkTimeoutMs / ticksPerTimeout);
+		if (unansweredSince !== undefined && lateMs > 0) {
+			unansweredSince += lateMs;
+		}
+	}
+
 	socket.on('message', data => {
 		markReceived();
 		handleMessage(data).catch(() => {
@@ -186,6 +200,7 @@
 				markPaused(now);
 			}
 
+			markLate(now);
 			lastTickAt = now;
 			if (unansweredSince !== undefined && now - unansweredSince >= options.linkTimeoutMs) {
 				socket.terminate();
--- a/peer/network/test/peer-link.test.ts
+++ b/peer/network/test/peer-link.test.ts
@@ -153,6 +153,41 @@
 	});
 }
 
+test('a process that stands still for less than the link timeout does not close a link whose pong waits to be read', t => {
+	const {link, clock, socket, pings, getCloseKind} = createLink(t);
+	void link.call('dispatch.acquire', {});
+	for (const elapsedMs of [tickMs, tickMs, tickMs, linkTimeoutMs - 1]) {
+		clock.advance(elapsedMs);
+		link.tick(performance.now());
+	}
+
+	t.ok(pings.length > 0);
+	t.equal(getCloseKind(), undefined);
+	socket.emit('pong', pings.at(-1));
+	for (let tick = 0; tick < 2; tick++) {
+		clock.advance(tickMs);
+		link.tick(performance.now());
+	}
+
+	t.equal(getCloseKind(), undefined);
+	t.end();
+});
+
+test('a link whose peer stays silent after a standstill of the process is closed', t => {
+	const setup = createLink(t);
+	void setup.link.call('dispatch.acquire', {}).catch(() => undefined);
+	for (const elapsedMs of [tickMs, tickMs, tickMs, linkTimeoutMs - 1]) {
+		setup.clock.advance(elapsedMs);
+		setup.link.tick(performance.now());
+	}
+
+	t.ok(advanceClock(setup, linkTimeoutMs, () => {
+		// Nothing is received.
+	}) !== undefined);
+	t.equal(setup.getCloseKind(), 'terminated');
+	t.end();
+});
+
 test('a link that is not used for a minute is closed', t => {
 	const setup = createLink(t);
 	t.equal(advanceClock(setup, 120_000, () => {
