fix(dispatch): do not refuse waiting requests for a standstill of the dispatcher

When a dispatcher's node stood still for longer than the longest wait of a class, all its waiting requests of that class were refused with ERR_VALVESADDLE_WAIT_EXPIRED at the first tick, and grants expired, although releases and progress messages that had freed slots and renewed grants were waiting to be read.

Evidence: a waiting request, a standstill of 6 s and a release that is read after the tick: it was refused; now it is granted. A request whose wait is over at a tick in time is still refused.

A tick that comes more than a second after the one before expires nothing; the next one, after what waits has been read, does.

--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -35,6 +35,10 @@
 const defaultInterTokenMs = 52;
 const epochLength = 8;
 /**
+Time between two ticks above which the process stood still, in milliseconds.
+*/
+const longestTickMs = 1000;
+/**
 Outcomes that count as failures of the endpoint.
 */
 const endpointFailures: ReadonlySet<ReleaseReport['outcome']> = new Set(['failed', 'not-run']);
@@ -326,8 +330,12 @@
 		configure: applyConfiguration,
 		tick() {
 			const now = Date.now();
-			metrics.increment('dispatch.grants-expired', grants.removeStale(now));
-			expireWaiting(now);
+			// After a standstill of this process, releases and progress messages that have arrived are read before the next tick.
+			if (now - lastTickAt <= longestTickMs) {
+				metrics.increment('dispatch.grants-expired', grants.removeStale(now));
+				expireWaiting(now);
+			}
+
 			stats.tick(now - lastTickAt);
 			lastTickAt = now;
 			table.tick();
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -181,6 +181,27 @@
 	t.match(caller.replies.get('waiter'), {kind: 'refused', code: 'ERR_VALVESADDLE_WAIT_EXPIRED'});
 });
 
+test('a request that waits for a slot is not refused for a standstill of its dispatcher before releases have been read', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const caller = createCaller(dispatcher);
+	await caller.acquire(createRequest('holder', {className: 'gate'}));
+	await caller.acquire(createRequest('waiter', {className: 'gate', admitted: true}));
+	clock.advance(100);
+	dispatcher.tick();
+	clock.advance(6000);
+	dispatcher.tick();
+	dispatcher.release(toRelease(caller.replies.get('holder')));
+	await settle();
+	t.match(caller.replies.get('waiter'), {kind: 'granted'});
+	await caller.acquire(createRequest('next', {className: 'gate', admitted: true, waitedMs: 2000}));
+	clock.advance(100);
+	dispatcher.tick();
+	await settle();
+	t.match(caller.replies.get('next'), {kind: 'refused', code: 'ERR_VALVESADDLE_WAIT_EXPIRED'});
+});
+
 const refusal = {
 	outcome: 'not-run', tokens: 0, firstTokenMs: undefined, interTokenMs: undefined, retryAfterMs: 3000,
 } as const;
