fix(execution): release a claim that may have been recorded

A caller whose claim could not be confirmed was told that its request did not run and to come back. When the record had been written and only its replies were lost, every retry with that key found it held: it got the same refusal for as long as the answer was kept, and then 409 "may have run", for a request that had never been sent. A claim counted as held only when its reply had arrived, so it was not released.

Evidence: after a claim whose reply was lost, nothing was released; now the claim is. One that another request holds is not.

The claim is released if it was sent and its reply does not say that another request holds it. A release changes only a record of the same request, and is made only for requests that were never sent to an endpoint. It may fail with the store that failed the claim; the key then stays held, as before.

--- a/outcome/execution/src/claim-holder.ts
+++ b/outcome/execution/src/claim-holder.ts
@@ -13,7 +13,7 @@
 	*/
 	readonly claim: () => Promise<AnswerEnd | undefined>;
 	/**
-	Releases the claim if it is held; only for a request that certainly did not run.
+	Releases the claim if it is or may be held; only for a request that certainly did not run.
 	*/
 	readonly release: () => Promise<void>;
 };
--- a/outcome/execution/src/create-claim-holder.ts
+++ b/outcome/execution/src/create-claim-holder.ts
@@ -24,6 +24,10 @@
 	}
 
 	let isHeld = false;
+	/**
+	Whether the claim was sent and may have been recorded, although its reply was lost.
+	*/
+	let isPossiblyHeld = false;
 	return {
 		findOther: async () => toEnd(await claims.find(request)),
 		async claim() {
@@ -31,16 +35,19 @@
 				return undefined;
 			}
 
+			isPossiblyHeld = true;
 			const end = toEnd(await claims.claim(request));
 			isHeld = end === undefined;
+			isPossiblyHeld = isHeld;
 			return end;
 		},
 		async release() {
-			if (!isHeld) {
+			if (!isPossiblyHeld) {
 				return;
 			}
 
 			isHeld = false;
+			isPossiblyHeld = false;
 			await claims.release(request);
 		},
 	};
