fix(caller-api): break the connection when an answer fails in its middle

An error after the headers of an answer had been sent ended the response properly, so that a caller without a length to compare took the first part for the whole. Writing an answer fails rarely once it has begun; no case in a running node was seen.

Evidence: a caller of an answer that fails after its first part read it to a proper end; now reading it fails.

--- a/caller/api/src/send-error.ts
+++ b/caller/api/src/send-error.ts
@@ -7,14 +7,15 @@
 const millisecondsPerSecond = 1000;
 
 /**
- Sends an error reply, with `Retry-After` when the request can be retried.
+ Sends an error reply, with `Retry-After` when the request can be retried. If the headers of an answer have been sent, the
+ connection is broken instead, so that the answer does not look complete.
 
  @example
  sendError(response, end, requestId);
  */
 export function sendError(response: ServerResponse, end: ErrorEnd, requestId: string): void {
 	if (response.headersSent || response.destroyed) {
-		response.end();
+		response.destroy();
 		return;
 	}
 
