--- a/outcome/execution/src/create-stall-detector.ts
+++ b/outcome/execution/src/create-stall-detector.ts
@@ -14,7 +14,7 @@
 
 /**
  Creates the stall detector of one attempt. An engine that hangs keeps its connections open, so only missing tokens reveal
- it. A token that has already arrived when the timeout is due is read first.
+ it.
 
  @example
  const detector = createStallDetector({timeouts, signal, mayAbort: () => true});
@@ -23,35 +23,32 @@
 	const stalled = new AbortController();
 	let hasToken = false;
 	let timer: NodeJS.Timeout | undefined;
+	let check: NodeJS.Immediate | undefined;
 
-	function endTimer(): void {
+	function removeTimers(): void {
 		clearTimeout(timer);
-		timer = undefined;
+		clearImmediate(check);
+	}
+
+	function endIfAllowed(): void {
+		if (mayAbort(hasToken)) {
+			stalled.abort();
+		}
 	}
 
 	function startTimer(timeoutMs: number): void {
-		endTimer();
+		removeTimers();
 		if (!Number.isFinite(timeoutMs)) {
 			return;
 		}
 
-		const started = setTimeout(() => {
-			// After a standstill of the process timers run before sockets are read, and a token may wait there.
-			setImmediate(expire, started);
+		timer = setTimeout(() => {
+			// After a standstill of this process its timers run first; a token that has arrived meanwhile is read before the check.
+			check = setImmediate(endIfAllowed);
 		}, timeoutMs);
-		timer = started;
 		timer.unref();
 	}
 
-	/**
-	Aborts the attempt unless its timer was stopped or restarted meanwhile.
-	*/
-	function expire(expired: NodeJS.Timeout): void {
-		if (timer === expired && mayAbort(hasToken)) {
-			stalled.abort();
-		}
-	}
-
 	startTimer(timeouts.beforeFirstTokenMs);
 
 	return {
@@ -61,6 +58,6 @@
 			startTimer(timeouts.betweenTokensMs);
 		},
 		isStalled: () => stalled.signal.aborted,
-		close: endTimer,
+		close: removeTimers,
 	};
 }
