--- a/gateway/front/src/end-incomplete.ts
+++ b/gateway/front/src/end-incomplete.ts
@@ -24,14 +24,14 @@
 		response.destroy();
 	} else if (chunkedEncoding) {
 		closeLingering(socket);
-		destroyUnsent(socket);
+		closeUnsent(socket);
 	} else {
 		// An answer without chunks may be one that ends with its connection, so only a reset shows that it is incomplete.
 		socket.resetAndDestroy();
 	}
 }
 
-function destroyUnsent(socket: Socket): void {
+function closeUnsent(socket: Socket): void {
 	let checks = 0;
 	const timer = setInterval(() => {
 		checks++;
