fix(forwarding): end an attempt only once the next endpoint has accepted the request

Callers saw streams broken off, and 502, although their first endpoint worked on their request: it had been silent for a while, the request was moved to another endpoint, and that one refused it as full or could not be reached, with the retry budget spent.

A request that was not sent yet is still ended at once.

The test of an unreachable next endpoint holds that the first attempt is not ended, and that the spent retry is still there for the next move.

--- a/gateway/forwarding/src/attempt-events.ts
+++ b/gateway/forwarding/src/attempt-events.ts
@@ -19,7 +19,11 @@
 	*/
 	readonly onStarted: (at: number) => void;
 	/**
-	A chunk of the answer was received.
+	The endpoint has begun an answer that can be sent to the caller.
+	*/
+	readonly onAccepted: () => void;
+	/**
+	A chunk of an answer that can be sent to the caller was received.
 	*/
 	readonly onChunk: () => void;
 	/**
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,6 +1,7 @@
 import type {Exchange, Flow} from '@valvesaddle/exchange';
 import type {AnswerMetadata} from '@valvesaddle/gateway-types';
 import type {OpenRequest} from '@valvesaddle/selection';
+import type {AnswerClass} from './answer-class.ts';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptOptions} from './attempt-options.ts';
@@ -13,6 +14,13 @@
 */
 const maximumBufferedBytes = 8 * 1024 * 1024;
 
+/**
+Whether an answer can be sent to the caller, whatever other attempts there are.
+*/
+function isAccepted(answerClass: AnswerClass): boolean {
+	return answerClass === 'stream' || answerClass === 'whole';
+}
+
 /**
  Sends a request to the chosen endpoint, writes an event stream to the caller, and reports the outcome.
 
@@ -161,6 +169,10 @@
 			answer = {
 				status, headers, answerClass, chunks: [], bytes: 0,
 			};
+			if (isAccepted(answerClass)) {
+				events.onAccepted();
+			}
+
 			if (answerClass === 'stream') {
 				writer.start(answer);
 			} else if (answerClass === 'untrusted') {
@@ -175,7 +187,10 @@
 				events.onStarted(performance.now());
 			}
 
-			events.onChunk();
+			if (answer !== undefined && isAccepted(answer.answerClass)) {
+				events.onChunk();
+			}
+
 			return answer === undefined ? 'more' : handleData(answer, chunk);
 		},
 		onEnd() {
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,11 +1,10 @@
 import type {ValvesaddleError} from '@valvesaddle/error';
 import type {Selection, SelectionCriteria} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
-import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
-import type {Attempt} from './attempt.ts';
 import {createAdmitter} from './create-admitter.ts';
 import {createAnswerWriter} from './create-answer-writer.ts';
+import {createAttemptSwitch} from './create-attempt-switch.ts';
 import {createAttempt} from './create-attempt.ts';
 import {createProgressTimer} from './create-progress-timer.ts';
 import {createRefusals} from './create-refusals.ts';
@@ -18,6 +17,7 @@
 import type {Interruption} from './interruption.ts';
 import {isRetryable} from './is-retryable.ts';
 import {rankUrgency} from './rank-urgency.ts';
+import type {SwitchEvents} from './switch-events.ts';
 import {toInterruption} from './to-interruption.ts';
 
 /**
@@ -65,10 +65,9 @@
 	let attempts = 0;
 	let firstByteMs = 0;
 	let hasEnded = false;
-	let attempt: Attempt | undefined;
 	let isStarted = false;
 
-	const events: AttemptEvents = {
+	const events: SwitchEvents = {
 		onSent() {
 			retries.markSent();
 			// The endpoint had nothing to answer while the connection opened.
@@ -90,7 +89,18 @@
 		},
 		onAnswer: answerCaller,
 		onFailure: handleFailure,
+		onReplaced: writer.discardPartialEvent,
+		onKept(failure) {
+			recorder.recordReverted(attempts, failure);
+			startProgressTimer(writer.isStarted() ? pauseMs : firstByteMs);
+		},
 	};
+	const attemptSwitch = createAttemptSwitch({
+		openAttempt: (selection, attemptEvents) => createAttempt({
+			tools: options, request, question, selection, writer, recorder, remainingMs: deadlineAt - performance.now(),
+		}, attemptEvents),
+		events,
+	});
 	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
 
 	function closeTask(outcome: string, status: number): void {
@@ -146,8 +156,8 @@
 	}
 
 	/**
-	Ends an attempt that is presumed lost, and sends the request to another endpoint. The attempt goes on if the request cannot:
-	its endpoint may still answer. Silence alone is no reason to prefer an endpoint that is known to fail.
+	Sends a request whose attempt is presumed lost to another endpoint. The attempt goes on until that endpoint has accepted the
+	request, or if there is none: its endpoint may still answer. Silence alone is no reason to prefer an endpoint that is known to fail.
 	*/
 	function moveAttempt(failure: AttemptFailure, end: 'failed' | 'cancelled'): void {
 		const selection = chooseEndpoint({...question, isHealthyOnly: failure.cause !== 'restarted'});
@@ -157,16 +167,14 @@
 			return;
 		}
 
-		endAttempt(end);
-		writer.discardPartialEvent();
 		recorder.recordFailure(failure, attempts, undefined, options.budget.readUsage(request.pool));
-		sendTo(selection);
+		markSending(selection);
+		attemptSwitch.replace(selection, end);
 	}
 
 	function endAttempt(end: 'failed' | 'cancelled'): void {
 		progressTimer.stop();
-		attempt?.end(end);
-		attempt = undefined;
+		attemptSwitch.end(end);
 	}
 
 	function chooseEndpoint(criteria: SelectionCriteria): Selection | undefined {
@@ -188,24 +196,21 @@
 		if (admission.kind === 'refuse') {
 			refuse(refusals.buildOverloaded(selection.costMs, admission.retryAfterMs));
 		} else {
-			sendTo(admission.kind === 'send-late' ? selector.choose({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection);
+			const admitted = admission.kind === 'send-late' ? selector.choose({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection;
+			markSending(admitted);
+			attemptSwitch.start(admitted);
 		}
 	}
 
-	function sendTo(selection: Selection): void {
+	function markSending(selection: Selection): void {
 		attempts++;
 		tried.add(selection.endpoint.incarnation);
-		const remainingMs = deadlineAt - performance.now();
-		recorder.recordSent(selection, attempts, remainingMs);
+		recorder.recordSent(selection, attempts, deadlineAt - performance.now());
 		({firstByteMs} = getProgressTimeouts(route, request.isEnginePool ? selection.costMs : 0));
 		startProgressTimer(firstByteMs);
-		attempt = createAttempt({
-			tools: options, request, question, selection, writer, recorder, remainingMs,
-		}, events);
 	}
 
 	function answerCaller(answer: AttemptAnswer): void {
-		attempt = undefined;
 		// The deadline timer is cleared last, so that a request whose answer cannot be written still times out.
 		writer.end(answer);
 		closeTask('answered', answer.status);
@@ -213,7 +218,6 @@
 
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
-		attempt = undefined;
 		writer.discardPartialEvent();
 		const denial = retries.spend(failure);
 		recorder.recordFailure(failure, attempts, denial, options.budget.readUsage(request.pool));
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -53,6 +53,12 @@
 				name: 'attempt-kept', request: id, attempt, cause, reason, denial, retries, allowedRetries: Math.floor(allowed),
 			});
 		},
+		recordReverted(attempt, failure) {
+			metrics.increment('gateway.reverted-moves', 1, {cause: failure?.cause ?? 'progress'});
+			logger.info({
+				name: 'move-reverted', request: id, attempt, cause: failure?.cause ?? 'progress', reason: failure?.reason ?? 'the former endpoint answers',
+			});
+		},
 		recordNoEndpoint(attempts, cooldownMs) {
 			logger.info({
 				name: 'no-endpoint', request: id, pool, tries: attempts, cooldownMs: Math.round(cooldownMs),
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -27,6 +27,10 @@
 	*/
 	readonly recordKept: (failure: AttemptFailure, attempt: number, denial: RetryDenial, usage: RetryUsage) => void;
 	/**
+	Records that a request stays with its former endpoint: the one that it was sent to failed, or the former one answers after all.
+	*/
+	readonly recordReverted: (attempt: number, failure: AttemptFailure | undefined) => void;
+	/**
 	Records that no endpoint is available; `cooldownMs` is the time until the first cooldown expires.
 	*/
 	readonly recordNoEndpoint: (attempts: number, cooldownMs: number) => void;
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -15,13 +15,18 @@
 };
 export const wholeAnswer: AnswerMetadata = {...eventStream, isEventStream: false};
 
+/**
+Status with which endpoints refuse a request that they did not run.
+*/
+export const refusedStatus = 503;
+
 function createWire(answer: AnswerMetadata): WireFormat {
 	return {
 		readRequest() {
 			throw new TypeError('requests are passed decoded');
 		},
 		writeRequest: () => [],
-		readAnswer: () => answer,
+		readAnswer: status => ({...answer, isNotRun: status === refusedStatus}),
 		writeAnswer: () => [],
 	};
 }
@@ -94,6 +99,8 @@
 
 	const listeners: ExchangeListener[] = [];
 	const addresses: string[] = [];
+	const aborted: string[] = [];
+	const events: string[] = [];
 	const answers: string[] = [];
 	const forwarder = createForwarder({
 		wire: createWire(answer),
@@ -105,7 +112,7 @@
 				listeners.push(listener);
 				return {
 					abort() {
-						// The listener is not called again.
+						aborted.push(address);
 					},
 					resume() {
 						// Callers read without delay.
@@ -134,7 +141,10 @@
 		start() {
 			// The caller has the head.
 		},
-		write: () => true,
+		write(bytes) {
+			events.push(Buffer.from(bytes).toString());
+			return true;
+		},
 		onDrain() {
 			// Callers read without delay.
 		},
@@ -151,6 +161,6 @@
 	const task = forwarder.forward(createRequest(kind), reply);
 	t.teardown(task.cancel);
 	return {
-		clock, selector, listeners, addresses, answers,
+		clock, selector, listeners, addresses, aborted, events, answers, task,
 	};
 }
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -91,6 +91,7 @@
 		readonly name: 'attempt-kept'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
 		readonly denial: string; readonly retries: number; readonly allowedRetries: number;
 	}
+	| {readonly name: 'move-reverted'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string}
 	| {
 		readonly name: 'answer-incomplete'; readonly request: string; readonly endedBy: string; readonly cause: string; readonly reason: string;
 		readonly bytesSent: number; readonly bytesUnsent: number; readonly elapsedMs: number;
