--- a/gateway/forwarding/src/create-attempt-switch.ts
+++ b/gateway/forwarding/src/create-attempt-switch.ts
@@ -37,7 +37,7 @@
 	let replacedEnd: 'failed' | 'cancelled' = 'cancelled';
 	let timer: NodeJS.Timeout | undefined;
 
-	function takeReplaced(): Slot | undefined {
+	function removeReplaced(): Slot | undefined {
 		clearTimeout(timer);
 		const slot = replaced;
 		replaced = undefined;
@@ -45,7 +45,7 @@
 	}
 
 	function endReplaced(): void {
-		const slot = takeReplaced();
+		const slot = removeReplaced();
 		if (slot === undefined) {
 			return;
 		}
@@ -57,9 +57,9 @@
 	/**
 	Ends the new attempt, since the former one has made progress.
 	*/
-	function keepReplaced(): void {
+	function takeReplacedBack(): void {
 		const dropped = current;
-		current = takeReplaced();
+		current = removeReplaced();
 		dropped?.attempt?.end('cancelled');
 		events.onKept(undefined);
 	}
@@ -76,14 +76,14 @@
 			},
 			onAccepted() {
 				if (slot === replaced) {
-					keepReplaced();
+					takeReplacedBack();
 				} else {
 					endReplaced();
 				}
 			},
 			onChunk() {
 				if (slot === replaced) {
-					keepReplaced();
+					takeReplacedBack();
 				}
 
 				events.onChunk();
@@ -104,7 +104,7 @@
 					current = undefined;
 					events.onFailure(failure);
 				} else {
-					current = takeReplaced();
+					current = removeReplaced();
 					events.onKept(failure);
 				}
 			},
@@ -133,7 +133,7 @@
 			start(selection);
 		},
 		end(outcome) {
-			takeReplaced()?.attempt?.end(outcome);
+			removeReplaced()?.attempt?.end(outcome);
 			current?.attempt?.end(outcome);
 			current = undefined;
 		},
