fix(execution): let a request whose attempt broke off wait as long as a new one

A caller whose answer broke off at its engine, or whose silent attempt the node had ended itself, was refused for want of time to wait although the wait before its first attempt was long over: that wait counted against the one for the next attempt. A request that had been granted a slot at the end of its longest wait had nothing left, so ending its attempt ended it.

Evidence: after a wait of 900 ms and an attempt of 400 ms that broke off, 400 ms were left out of the wait, with a longest wait of 1000 ms; now all 1300 ms are. After an attempt that the endpoint refused without running it, 400 ms, as before.

What a request waited before an attempt that may have run does not count against the wait for the next one. It is bounded by the number of attempts and the retry budgets; requests that are refused without being run keep the wait that they had.

--- a/dispatch/messages/src/acquire-request.ts
+++ b/dispatch/messages/src/acquire-request.ts
@@ -21,8 +21,8 @@
 	*/
 	readonly waitedMs: number;
 	/**
-	Part of that time that the request spent at endpoints, in milliseconds. It keeps the request's place in the queue and
-	does not count against the longest wait of its class.
+	Part of that time that does not count against the longest wait of its class, in milliseconds: that spent at endpoints, and
+	all until the end of the last attempt that may have run. It does not change the request's place in the queue.
 	*/
 	readonly ranMs: number;
 	/**
--- a/outcome/execution/src/create-execution.ts
+++ b/outcome/execution/src/create-execution.ts
@@ -56,7 +56,7 @@
 	*/
 	let hasReserved = false;
 	/**
-	Time that earlier attempts took, in milliseconds.
+	Time since the arrival that does not count as waiting for the next attempt, in milliseconds.
 	*/
 	let ranMs = 0;
 
@@ -163,7 +163,9 @@
 			endpointHop.fail(failure.message);
 		}
 
-		ranMs += Math.round(performance.now() - startedAt);
+		// A request that an endpoint refused goes on with the wait that it had; one that may have run has been served since.
+		const isRefused = result.error?.traits.ran === 'no';
+		ranMs = Math.round(isRefused ? ranMs + performance.now() - startedAt : performance.now() - job.arrivedAt);
 		const tokens = progress.tokens - tokensBefore;
 		dispatch.release({
 			grantId: grant.grantId,
--- a/outcome/execution/test/stalled-attempts.test.ts
+++ b/outcome/execution/test/stalled-attempts.test.ts
@@ -193,3 +193,21 @@
 	calls[1]!.send(undefined);
 	t.same((await log.read(1)).end, complete);
 });
+
+test('a request whose attempt broke off may wait as long as a new one, and one that was refused only for what is left', async t => {
+	for (const [code, ranMs] of [['ERR_VALVESADDLE_ENDPOINT_FAILED', 1300], ['ERR_VALVESADDLE_ENDPOINT_NOT_RUN', 400]] as const) {
+		const {executor, calls, runs, clock, waitForCalls} = startExecutor(t);
+		// It has waited for 900 ms when it gets its first grant.
+		const log = executor.start({...createJob('n1_1'), arrivedAt: performance.now() - 900});
+		// eslint-disable-next-line no-await-in-loop -- one request after the other
+		await waitForCalls(1);
+		clock.advance(400);
+		calls[0]!.fail(new ValvesaddleError(code, 'failed'));
+		// eslint-disable-next-line no-await-in-loop -- one request after the other
+		await waitForCalls(2);
+		t.same(runs, [0, ranMs], code);
+		calls[1]!.send(undefined);
+		// eslint-disable-next-line no-await-in-loop -- one request after the other
+		await log.read(0);
+	}
+});
