feat(experiment): rules that wait longer, and ends that count as no failure

Two more ways of ending attempts on suspicion for the comparison: an endpoint that counts as stalled is left only after 1.5 s of silence, and an attempt that is ended does not help to eject its endpoint.

--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -29,7 +29,8 @@
 		return_factor: factor.default(1.5),
 		nodes: z.int().min(1).max(400).optional(),
 		news_ms: z.int().min(1).optional(),
-		leaving: z.enum(['secured', 'overdue', 'silent', 'stalled', 'dark', 'shorter', 'never']).default('secured'),
+		leaving: z.enum(['secured', 'overdue', 'silent', 'stalled', 'dark', 'patient', 'shorter', 'never']).default('secured'),
 		read_first: z.boolean().default(false),
+		count_failures: z.boolean().default(true),
 	})).refine(variants => Object.keys(variants).length > 0, 'name at least one variant'),
 });
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -62,6 +62,7 @@
 			admission: {lateFactor: variant.late_factor, waitFactor: variant.wait_factor, retryAfterFactor: variant.return_factor},
 			leaving: variant.leaving,
 			isReadFirst: variant.read_first,
+			isFailureCounted: variant.count_failures,
 		});
 		onSeed(index + 1);
 		return listFigures(report);
--- a/emulator/fleet/src/create-attempt-gate.ts
+++ b/emulator/fleet/src/create-attempt-gate.ts
@@ -18,6 +18,10 @@
 	Whether the node first reads what has arrived and then decides.
 	*/
 	readonly isReadFirst: boolean;
+	/**
+	Whether an attempt that is ended on suspicion counts as a failure of its endpoint, which two of them eject.
+	*/
+	readonly isFailureCounted: boolean;
 };
 
 type OpenAttempt = {
@@ -36,6 +40,7 @@
 	Whether the node has read what had arrived when it was suspected.
 	*/
 	isRead: boolean;
+	isLeft: boolean;
 	lastChunkAt: number | undefined;
 	handleStalled: () => void;
 };
@@ -56,9 +61,9 @@
  the forwarder ends an attempt only if the selector names another endpoint, so the gate keeps an attempt by naming none.
 
  @example
- const gated = createAttemptGate({selector, policy: 'overdue', incarnations, isReadFirst: false});
+ const gated = createAttemptGate({selector, policy: 'overdue', incarnations, isReadFirst: false, isFailureCounted: true});
  */
-export function createAttemptGate({selector, policy, incarnations, isReadFirst}: AttemptGateOptions): Selector {
+export function createAttemptGate({selector, policy, incarnations, isReadFirst, isFailureCounted}: AttemptGateOptions): Selector {
 	const attempts = new WeakMap<SelectionCriteria, OpenAttempt>();
 	const openAttempts = new Set<OpenAttempt>();
 
@@ -118,13 +123,25 @@
 
 		attempt.isRead = false;
 		const next = selector.choose(criteria);
-		return next !== undefined && canLeave(attempt, next, criteria) ? next : undefined;
+		attempt.isLeft = next !== undefined && canLeave(attempt, next, criteria);
+		return attempt.isLeft ? next : undefined;
+	}
+
+	/**
+	The end of an attempt as its endpoint's failures count it.
+	*/
+	function toCountedEnd({isLeft, isSilent}: OpenAttempt, end: Parameters<OpenRequest['close']>[0]): Parameters<OpenRequest['close']>[0] {
+		if (isLeft && !isFailureCounted) {
+			return 'cancelled';
+		}
+
+		return end === 'cancelled' && isSilent ? 'failed' : end;
 	}
 
 	function openRequest(selection: Selection, criteria: SelectionCriteria): OpenRequest {
 		const request = selector.open(selection, criteria);
 		const attempt: OpenAttempt = {
-			selection, openedAt: performance.now(), isOpen: true, isStalled: false, isSilent: false, isRead: false, lastChunkAt: undefined, handleStalled() {
+			selection, openedAt: performance.now(), isOpen: true, isStalled: false, isSilent: false, isRead: false, isLeft: false, lastChunkAt: undefined, handleStalled() {
 				// Replaced by `onStalled`.
 			},
 		};
@@ -148,7 +165,7 @@
 			close(end) {
 				attempt.isOpen = false;
 				openAttempts.delete(attempt);
-				request.close(end === 'cancelled' && attempt.isSilent ? 'failed' : end);
+				request.close(toCountedEnd(attempt, end));
 			},
 		};
 	}
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -23,6 +23,7 @@
 	readonly logger: Logger;
 	readonly leaving: LeavingPolicy;
 	readonly isReadFirst: boolean;
+	readonly isFailureCounted: boolean;
 };
 
 /**
@@ -52,9 +53,9 @@
  Creates an emulated node from the packages of the gateway.
 
  @example
- const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false});
+ const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false, isFailureCounted: true});
  */
-export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst}: EmulatedNodeOptions): EmulatedNode {
+export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst, isFailureCounted}: EmulatedNodeOptions): EmulatedNode {
 	let handlePlacement = (): void => {
 		// No handler is set.
 	};
@@ -75,7 +76,7 @@
 		...(load.retryBudget ?? defaultRetryBudget), windowMs: retryWindowMs, countNodes: () => load.nodes,
 	});
 	const gated = createAttemptGate({
-		selector, policy: leaving, incarnations: endpoints, isReadFirst,
+		selector, policy: leaving, incarnations: endpoints, isReadFirst, isFailureCounted,
 	});
 	const forwarder = createForwarder({
 		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), admission, logger, metrics,
--- a/emulator/fleet/src/emulation-options.ts
+++ b/emulator/fleet/src/emulation-options.ts
@@ -19,4 +19,8 @@
 	Whether a node reads what has arrived before it ends an attempt on suspicion; if omitted, it does not.
 	*/
 	readonly isReadFirst?: boolean;
+	/**
+	Whether an attempt that is ended because it paused counts as a failure of its endpoint; if omitted, it does, as in the gateway.
+	*/
+	readonly isFailureCounted?: boolean;
 };
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -74,7 +74,7 @@
  @example
  runEmulation({load, seed: 7, selection, admission}).worth; // 0.93
  */
-export function runEmulation({load, seed, selection, admission, leaving = 'secured', isReadFirst = false}: EmulationOptions): EmulationReport {
+export function runEmulation({load, seed, selection, admission, leaving = 'secured', isReadFirst = false, isFailureCounted = true}: EmulationOptions): EmulationReport {
 	const paused = new Clock();
 	const exit = paused.enter();
 	const {random: unseededRandom} = Math;
@@ -94,7 +94,7 @@
 		const nodes = Array.from({length: load.nodes}, (_value, index) => {
 			const thread = threads.create();
 			return createEmulatedNode({
-				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, exchanges: createEmulatedExchanges({
+				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, isFailureCounted, exchanges: createEmulatedExchanges({
 					node: `n-${index}`, endpoints, thread, attempts, findPrompt: source.find, onConnect() {
 						connections++;
 					},
--- a/emulator/fleet/test/leaving-attempts.test.ts
+++ b/emulator/fleet/test/leaving-attempts.test.ts
@@ -39,6 +39,9 @@
 		['dark', {isStalled: true}, true],
 		['dark', {}, false],
 		['dark', {isStalled: true, silentMs: 400}, false],
+		['patient', {isStalled: true}, false],
+		['patient', {isStalled: true, silentMs: 1600}, true],
+		['patient', {silentMs: 1600}, false],
 		['shorter', {}, true],
 		['shorter', {nextMs: 300}, false],
 		['shorter', {nextMs: 300, hasStarted: true}, true],
@@ -59,7 +62,7 @@
 });
 
 test('each ended attempt and each repeat is counted once', t => {
-	for (const policy of ['secured', 'overdue', 'silent', 'stalled', 'dark', 'shorter', 'never'] as const) {
+	for (const policy of ['secured', 'overdue', 'silent', 'stalled', 'dark', 'patient', 'shorter', 'never'] as const) {
 		const {classes, attempts} = runPolicy(policy);
 		t.equal(attempts.repeatsOfUse + attempts.repeatsLater + attempts.repeatsInVain, attempts.repeats, policy);
 		t.equal(attempts.ended, attempts.repeats, policy);
