test(soak): give nodes ports that the soak's own servers cannot take

A node's port was free when it was chosen, and could be taken by a link or an endpoint of the soak before the node listened: the node then ended with "EADDRINUSE" again and again, and the run never began. Nodes listen at a loopback address of their own.

--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -2,10 +2,9 @@
 import {once} from 'node:events';
 import {createWriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
+import {createServer, type AddressInfo} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
-import {startListening} from '@valvesaddle/fake-http';
 import {request} from 'undici';
 import type {RetrySettings} from './retry-settings.ts';
 import type {SoakNode} from './soak-node.ts';
@@ -24,6 +23,7 @@
 
 const program = path.resolve(import.meta.dirname, '../../../cli/valvesaddle/src/main.ts');
 const askMs = 500;
+const nodeHost = '127.0.1.1';
 const plentifulRetries: RetrySettings = {ratio: 0.1, slack: 1000, assumedNodes: 8};
 
 /**
@@ -109,10 +109,15 @@
 	};
 }
 
+/**
+Finds a free port at an address of the nodes' own, which the soak's own servers cannot take before the node listens.
+*/
 async function findFreeAddress(): Promise<string> {
 	const server = createServer();
-	const address = await startListening(server);
+	server.listen(0, nodeHost);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
 	server.close();
 	await once(server, 'close');
-	return address;
+	return `${nodeHost}:${port}`;
 }
