fix(emulator): follow requests whose attempt ends once another one has replaced it

The emulator counted no ended attempt any more, its gate let all of them pass, and its nodes checked for stalls without reading first.

Attempts are now told by the requests that have been moved, the gate goes by the endpoints that a request has tried, setImmediate belongs to the node that calls it, and load updates are sent after a turn.

--- a/emulator/fleet/src/attempt-counts.ts
+++ b/emulator/fleet/src/attempt-counts.ts
@@ -8,6 +8,10 @@
 	readonly ended: number;
 	readonly endedAsStalled: number;
 	/**
+	Those whose whole answer the engine had sent before.
+	*/
+	readonly endedAnswered: number;
+	/**
 	Those that were sent again, by what became of them: the repeat was answered earlier than the attempt would have ended; the attempt
 	would have ended earlier than the repeat did, or the repeat had no answer; neither would have been answered.
 	*/
--- a/emulator/fleet/src/attempt-record.ts
+++ b/emulator/fleet/src/attempt-record.ts
@@ -7,9 +7,10 @@
 */
 export type AttemptRecord = {
 	/**
-	Records that a node aborted the exchange of a request. Returns what follows it at the engine.
+	Records that a node aborted an exchange of a request: its newest one, or one that it has replaced. Returns what follows it at the
+	engine.
 	*/
-	readonly recordAbort: (requestId: string) => LeftRequest;
+	readonly recordAbort: (requestId: string, isNewest: boolean) => LeftRequest;
 	/**
 	Logger of the nodes, whose lines tell which aborted attempts had failed.
 	*/
--- a/emulator/fleet/src/create-attempt-gate.ts
+++ b/emulator/fleet/src/create-attempt-gate.ts
@@ -64,7 +64,10 @@
  const gated = createAttemptGate({selector, policy: 'overdue', incarnations, isReadFirst: false, isFailureCounted: true});
  */
 export function createAttemptGate({selector, policy, incarnations, isReadFirst, isFailureCounted}: AttemptGateOptions): Selector {
-	const attempts = new WeakMap<SelectionCriteria, OpenAttempt>();
+	/**
+	Attempts of each request, by the endpoints that it has tried.
+	*/
+	const attempts = new WeakMap<SelectionCriteria['tried'], OpenAttempt[]>();
 	const openAttempts = new Set<OpenAttempt>();
 
 	function measureOthersSilence(attempt: OpenAttempt): number {
@@ -145,7 +148,7 @@
 				// Replaced by `onStalled`.
 			},
 		};
-		attempts.set(criteria, attempt);
+		attempts.set(criteria.tried, [...(attempts.get(criteria.tried) ?? []), attempt]);
 		openAttempts.add(attempt);
 		return {
 			...request,
@@ -173,8 +176,8 @@
 	return {
 		...selector,
 		choose(criteria) {
-			const attempt = attempts.get(criteria);
-			return attempt?.isOpen === true ? decideNext(attempt, criteria) : selector.choose(criteria);
+			const attempt = attempts.get(criteria.tried)?.findLast(({isOpen}) => isOpen);
+			return attempt === undefined ? selector.choose(criteria) : decideNext(attempt, criteria);
 		},
 		open: openRequest,
 	};
--- a/emulator/fleet/src/create-attempt-record.ts
+++ b/emulator/fleet/src/create-attempt-record.ts
@@ -10,6 +10,12 @@
 	When it would have ended; `Infinity` if never.
 	*/
 	endAt: number;
+	leftAt: number;
+};
+
+type Reason = {
+	readonly cause: string;
+	readonly isRetried: boolean;
 };
 
 type AttemptRecordOptions = {
@@ -20,7 +26,13 @@
 };
 
 /**
- Creates the record of the attempts that nodes end on suspicion: those that they abort and then log as failed.
+Difference by which sums of the same times may differ.
+*/
+const roundingMs = 0.001;
+
+/**
+ Creates the record of the attempts that nodes end on suspicion: those that they log as failed, and abort before or once another
+ attempt has replaced them.
 
  @example
  const record = createAttemptRecord({linkMs: 3});
@@ -33,6 +45,10 @@
 	const aborted = new Map<string, LeftAttempt>();
 	const left = new Map<string, LeftAttempt[]>();
 	/**
+	Why requests were sent again, until the attempt that is replaced ends.
+	*/
+	const moves = new Map<string, string>();
+	/**
 	When requests were answered.
 	*/
 	const answeredAt = new Map<string, number>();
@@ -40,10 +56,14 @@
 	function recordFailure(requestId: string, cause: string, isRetried: boolean): void {
 		const attempt = aborted.get(requestId);
 		aborted.delete(requestId);
-		if (attempt === undefined) {
-			return;
+		if (attempt !== undefined) {
+			addLeft(requestId, attempt, {cause, isRetried});
+		} else if (isRetried) {
+			moves.set(requestId, cause);
 		}
+	}
 
+	function addLeft(requestId: string, attempt: LeftAttempt, {cause, isRetried}: Reason): void {
 		attempt.isStalled = cause === 'stalled';
 		attempt.isRepeated = isRetried;
 		left.set(requestId, [...(left.get(requestId) ?? []), attempt]);
@@ -82,11 +102,18 @@
 
 	return {
 		logger,
-		recordAbort(requestId) {
+		recordAbort(requestId, isNewest) {
 			const attempt: LeftAttempt = {
-				isStalled: false, isRepeated: false, lostPromptTokens: 0, lostOutputTokens: 0, endAt: Infinity,
+				isStalled: false, isRepeated: false, lostPromptTokens: 0, lostOutputTokens: 0, endAt: Infinity, leftAt: performance.now(),
 			};
-			aborted.set(requestId, attempt);
+			const cause = moves.get(requestId);
+			moves.delete(requestId);
+			if (cause === undefined) {
+				aborted.set(requestId, attempt);
+			} else if (!isNewest) {
+				addLeft(requestId, attempt, {cause, isRetried: true});
+			}
+
 			return {
 				onRemoved({prefilledTokens, generatedTokens}) {
 					attempt.lostPromptTokens = prefilledTokens;
@@ -104,6 +131,7 @@
 			return {
 				ended: all.length,
 				endedAsStalled: all.filter(({isStalled}) => isStalled).length,
+				endedAnswered: all.filter(({endAt, leftAt}) => endAt <= leftAt + (2 * linkMs) + roundingMs).length,
 				repeats: repeats.length,
 				repeatsOfUse: classes.filter(name => name === 'ofUse').length,
 				repeatsLater: classes.filter(name => name === 'later').length,
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -37,6 +37,10 @@
 export function createEmulatedExchanges({node, endpoints, thread, attempts, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
 	let jobs = 0;
 	/**
+	Last exchange of each request.
+	*/
+	const newest = new Map<string, string>();
+	/**
 	Release times of the idle connections, by address.
 	*/
 	const idle = new Map<string, number[]>();
@@ -70,6 +74,7 @@
 			}
 
 			const jobId = `${id} ${jobs++}`;
+			newest.set(id, jobId);
 			let hasStarted = false;
 			let isAborted = false;
 			/**
@@ -126,7 +131,7 @@
 			return {
 				abort() {
 					isAborted = true;
-					endpoint.abort(jobId, attempts.recordAbort(id));
+					endpoint.abort(jobId, attempts.recordAbort(id, newest.get(id) === jobId));
 				},
 				resume() {
 					// Emulated callers read without delay.
--- a/emulator/fleet/src/create-node-threads.ts
+++ b/emulator/fleet/src/create-node-threads.ts
@@ -18,8 +18,8 @@
 
 /**
  Creates the threads of emulated nodes. A node that stands still handles nothing. Afterwards it runs its expired timers first and
- then handles what has arrived, as the runtime does if it stood still while it handled input. `setTimeout` and `clearTimeout` of the process are replaced
- until `exit`, so that a timer belongs to the node that has set it.
+ then handles what has arrived, as the runtime does if it stood still while it handled input. `setTimeout`, `clearTimeout` and `setImmediate` of the process
+ are replaced until `exit`, so that a timer belongs to the node that has set it.
 
  @example
  const threads = createNodeThreads(clock);
@@ -28,7 +28,7 @@
  threads.exit();
  */
 export function createNodeThreads(clock: EmulationClock): NodeThreads {
-	const {setTimeout: setProcessTimeout, clearTimeout: clearProcessTimeout} = globalThis;
+	const {setTimeout: setProcessTimeout, clearTimeout: clearProcessTimeout, setImmediate: setProcessImmediate} = globalThis;
 	let current: ThreadState | undefined;
 
 	function runOn(state: ThreadState, handler: () => void): void {
@@ -85,7 +85,18 @@
 		clearProcessTimeout(timer);
 	}
 
-	Object.assign(globalThis, {setTimeout: startTimer, clearTimeout: removeTimer});
+	function startImmediate(handler: () => void): unknown {
+		const state = current;
+		return setProcessImmediate(() => {
+			if (state === undefined) {
+				handler();
+			} else {
+				runTimer(state, Symbol('immediate'), {dueAt: performance.now(), handler});
+			}
+		});
+	}
+
+	Object.assign(globalThis, {setTimeout: startTimer, clearTimeout: removeTimer, setImmediate: startImmediate});
 
 	function createThread(): NodeThread {
 		const state: ThreadState = {stillUntil: 0, timers: new Map(), arrived: []};
@@ -114,7 +125,7 @@
 	return {
 		create: createThread,
 		exit() {
-			Object.assign(globalThis, {setTimeout: setProcessTimeout, clearTimeout: clearProcessTimeout});
+			Object.assign(globalThis, {setTimeout: setProcessTimeout, clearTimeout: clearProcessTimeout, setImmediate: setProcessImmediate});
 		},
 	};
 }
--- a/emulator/fleet/src/start-load-updates.ts
+++ b/emulator/fleet/src/start-load-updates.ts
@@ -93,7 +93,7 @@
 function sendRepeatedly(sender: LoadSender, schedule: SendSchedule, interval = 0): void {
 	const {clock, thread, sync} = sender;
 	thread.runTimer(() => {
-		sync.send(interval % schedule.intervalsPerMemberUpdate === 0);
+		sendAfterTurn(sync, interval % schedule.intervalsPerMemberUpdate === 0);
 		if (clock.now() < schedule.untilMs) {
 			clock.add(schedule.intervalMs, () => {
 				sendRepeatedly(sender, schedule, interval + 1);
@@ -102,6 +102,16 @@
 	});
 }
 
+/**
+Sends once the node has read what had arrived, as the gateway does.
+*/
+function sendAfterTurn(sync: LoadSync, isMemberInterval: boolean): void {
+	const readAt = performance.now();
+	setImmediate(() => {
+		sync.send(isMemberInterval, readAt);
+	});
+}
+
 /**
 Creates a handler by which a member sends new placements to its relay after a short delay.
 */
@@ -116,7 +126,7 @@
 		clock.add(placementDelayMs, () => {
 			thread.runTimer(() => {
 				isScheduled = false;
-				sync.send(false);
+				sendAfterTurn(sync, false);
 			});
 		});
 	};
