fix(forwarding): read what has arrived before a deadline expires

Callers got 504, or a stream broken off, after their node had stood still past the deadline of their request, though the answer had arrived: Node.js runs timers before it reads sockets. A request that runs at most once was reported as one that may have run while its answer waited in the socket.

The deadline now ends a request after the sockets were read, in the same turn of the event loop, unless the request has ended by then.

deadlines.test.ts (the endpoint answers, then the process stands still past the deadline) failed before for a safe and an unsafe request and a stream: 504 instead of 200. They pass now; without an answer it is 504, before and after.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -91,7 +91,10 @@
 		onAnswer: answerCaller,
 		onFailure: handleFailure,
 	};
-	const timer = setTimeout(handleDeadline, Math.max(0, deadlineAt - performance.now()));
+	const timer = setTimeout(() => {
+		// After a standstill of the process timers run before sockets are read, and the answer may wait there.
+		setImmediate(handleDeadline);
+	}, Math.max(0, deadlineAt - performance.now()));
 
 	function closeTask(outcome: string, status: number): void {
 		hasEnded = true;
@@ -132,6 +135,10 @@
 	}
 
 	function handleDeadline(): void {
+		if (hasEnded) {
+			return;
+		}
+
 		endAttempt('cancelled');
 		fail(refusals.buildTimeout(waitMs, retries.countRuns() > 0), {endedBy: 'deadline', cause: 'timeout', reason: `no whole answer after ${waitMs} ms`});
 	}
--- /dev/null
+++ b/node/gateway/test/deadlines.test.ts
@@ -0,0 +1,30 @@
+// Guards against a deadline that expires after a standstill of the node although the answer has arrived.
+import {test} from 'tap';
+import {behaviours} from '@valvesaddle/fake-endpoint';
+import {startPlatform} from './start-platform.ts';
+
+const timeoutMs = 2000;
+
+/**
+Lets the process stand still: it reads nothing and runs no timer.
+*/
+function stopProcess(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+for (const [path, behaviour, status] of [['/safe/x', 'whole', 200], ['/unsafe/x', 'whole', 200], ['/stream/x', 'stream', 200], ['/unsafe/x', 'silent', 504]] as const) {
+	test(`${path} is answered with ${status} when its deadline passes in a standstill and its endpoint is ${behaviour}`, async t => {
+		const platform = await startPlatform(t);
+		await platform.open();
+		for (const endpoint of platform.endpoints) {
+			endpoint.setBehaviour((request, socket, resumed) => {
+				behaviours[behaviour](request, socket, resumed);
+				stopProcess(timeoutMs);
+			});
+		}
+
+		const answer = await platform.call(path, {headers: {'x-deadline-ms': String(timeoutMs)}});
+		t.equal(answer.status, status);
+		t.notMatch(answer.text, '(broken)');
+	});
+}
