--- a/node/gateway/test/deadlines.test.ts
+++ b/node/gateway/test/deadlines.test.ts
@@ -17,7 +17,7 @@
 		const platform = await startPlatform(t);
 		await platform.open();
 		for (const endpoint of platform.endpoints) {
-			endpoint.setBehaviour((request, socket, resumed) => {
+			endpoint.setBehaviour((request, socket) => {
 				behaviours[behaviour](request, socket);
 				stopProcess(timeoutMs);
 			});
