perf(forwarding): ask the retry budget before another endpoint is chosen

Under overload, silent attempts that go on for want of a retry are checked again and again, and each check compared all endpoints before it asked the budget. moved-requests.test.ts counted a choice for a check without a retry before, and counts none now.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -167,6 +167,12 @@
 	request, or if there is none: its endpoint may still answer. Silence alone is no reason to prefer an endpoint that is known to fail.
 	*/
 	function moveAttempt(failure: AttemptFailure, end: 'failed' | 'cancelled'): void {
+		// Under overload many attempts are checked again and again, and choosing an endpoint takes longest.
+		if (!retries.hasRetry()) {
+			recorder.recordKept(failure, attempts, 'budget', options.budget.readUsage(request.pool));
+			return;
+		}
+
 		const selection = chooseEndpoint({...question, isHealthyOnly: failure.cause !== 'restarted'});
 		const denial = selection === undefined ? 'no-endpoint' : retries.spend(failure);
 		if (selection === undefined || denial !== undefined) {
--- a/gateway/forwarding/src/create-retry-allowance.ts
+++ b/gateway/forwarding/src/create-retry-allowance.ts
@@ -7,7 +7,7 @@
 type RetryAllowanceOptions = {
 	readonly route: Route;
 	readonly pool: string;
-	readonly budget: Pick<RetryBudget, 'spend'>;
+	readonly budget: Pick<RetryBudget, 'hasRetry' | 'spend'>;
 };
 
 /**
@@ -40,6 +40,7 @@
 		},
 		countRuns: () => runs,
 		isAllowed,
+		hasRetry: () => isNextPaid || budget.hasRetry(pool),
 		spend(failure) {
 			if (!isAllowed(failure)) {
 				return failure.mayHaveRun && !isRetryable(route) ? 'not-repeatable' : 'run-limit';
--- a/gateway/forwarding/src/retry-allowance.ts
+++ b/gateway/forwarding/src/retry-allowance.ts
@@ -21,6 +21,10 @@
 	*/
 	readonly isAllowed: (failure: FailedSend) => boolean;
 	/**
+	Whether `spend` finds a retry at the moment.
+	*/
+	readonly hasRetry: () => boolean;
+	/**
 	Spends a retry of the budget, unless one is left that was spent for an endpoint to which nothing was sent; returns why there is none.
 	*/
 	readonly spend: (failure: FailedSend) => RetryDenial | undefined;
--- a/gateway/forwarding/test/moved-requests.test.ts
+++ b/gateway/forwarding/test/moved-requests.test.ts
@@ -123,3 +123,14 @@
 	t.same(aborted.toSorted(), addresses.toSorted());
 	t.end();
 });
+
+test('a silent stream without a retry is checked again without choosing an endpoint', t => {
+	const {clock, listeners, countChoices} = startForwarding(t, {kind: 'stream', answer: eventStream, retries: 0});
+	listeners[0]?.onSent();
+	listeners[0]?.onHead(200, {});
+	listeners[0]?.onData(firstEvent);
+	clock.advance(5000);
+	t.equal(countChoices(), 1);
+	t.equal(listeners.length, 1);
+	t.end();
+});
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -102,9 +102,16 @@
 	const aborted: string[] = [];
 	const events: string[] = [];
 	const answers: string[] = [];
+	let choices = 0;
 	const forwarder = createForwarder({
 		wire: createWire(answer),
-		selector,
+		selector: {
+			...selector,
+			choose(criteria) {
+				choices++;
+				return selector.choose(criteria);
+			},
+		},
 		exchanges: {
 			hasIdle: () => false,
 			send({address}, listener) {
@@ -161,6 +168,6 @@
 	const task = forwarder.forward(createRequest(kind), reply);
 	t.teardown(task.cancel);
 	return {
-		clock, selector, listeners, addresses, aborted, events, answers, task,
+		clock, selector, listeners, addresses, aborted, events, answers, task, countChoices: () => choices,
 	};
 }
--- a/gateway/retry-budget/src/create-retry-budget.ts
+++ b/gateway/retry-budget/src/create-retry-budget.ts
@@ -38,19 +38,24 @@
 		return {retries: retries.length, allowed: usedShare * ((ratio * requests.length) + (slack / Math.max(1, countNodes())))};
 	}
 
+	function hasRetry(pool: string): boolean {
+		const {retries, allowed} = readUsage(pool);
+		return retries + 1 <= allowed;
+	}
+
 	return {
 		earn(pool) {
 			getUsage(pool).requests.push(performance.now());
 		},
 		spend(pool) {
-			const {retries, allowed} = readUsage(pool);
-			if (retries + 1 > allowed) {
+			if (!hasRetry(pool)) {
 				return false;
 			}
 
 			getUsage(pool).retries.push(performance.now());
 			return true;
 		},
+		hasRetry,
 		readUsage,
 	};
 }
--- a/gateway/retry-budget/src/retry-budget.ts
+++ b/gateway/retry-budget/src/retry-budget.ts
@@ -9,6 +9,10 @@
 	*/
 	readonly earn: (pool: string) => void;
 	/**
+	Whether a retry is left in the window.
+	*/
+	readonly hasRetry: (pool: string) => boolean;
+	/**
 	Spends one retry; `false` if none is left in the window.
 	*/
 	readonly spend: (pool: string) => boolean;
