fix(forwarding): pass on answers that are too large to be buffered

Callers of plain routes got 502 for an answer of over 8 MiB after its request had run, and one that may be repeated was run once more for the same end.

Such an answer is now sent to the caller as it comes, once the buffer is full. It can no longer go on at another endpoint from there, so a pause within it moves it nowhere, and if its endpoint breaks off it is ended incomplete.

--- a/gateway/forwarding/src/answer-writer.ts
+++ b/gateway/forwarding/src/answer-writer.ts
@@ -9,6 +9,10 @@
 	*/
 	readonly isStarted: () => boolean;
 	/**
+	Whether another endpoint's answer can still be sent: none has started, or the one that has is a resumable stream.
+	*/
+	readonly canResume: () => boolean;
+	/**
 	Sends the head of a stream once; later runs continue the stream.
 	*/
 	readonly start: (answer: AttemptAnswer) => void;
--- a/gateway/forwarding/src/create-answer-writer.ts
+++ b/gateway/forwarding/src/create-answer-writer.ts
@@ -25,6 +25,7 @@
 
 	return {
 		isStarted: () => isStarted,
+		canResume: () => !isStarted || filter !== undefined,
 		start(answer) {
 			if (isStarted) {
 				return;
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {Exchange, Flow} from '@valvesaddle/exchange';
 import type {AnswerMetadata} from '@valvesaddle/gateway-types';
 import type {OpenRequest} from '@valvesaddle/selection';
@@ -10,7 +11,7 @@
 import type {FailureCause} from './failure-cause.ts';
 
 /**
-Largest answer that is buffered, in bytes. Event streams are not buffered.
+Largest answer that is buffered, in bytes. Larger ones are passed on as they come, as event streams are.
 */
 const maximumBufferedBytes = 8 * 1024 * 1024;
 
@@ -78,15 +79,29 @@
 		}
 
 		current.bytes += chunk.length;
-		if (current.bytes > maximumBufferedBytes) {
-			failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
+		current.chunks.push(chunk);
+		if (current.bytes <= maximumBufferedBytes) {
 			return 'more';
 		}
 
-		current.chunks.push(chunk);
+		if (current.answerClass === 'whole' && request.route.kind !== 'stream') {
+			return startStreaming(current);
+		}
+
+		failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
 		return 'more';
 	}
 
+	/**
+	Sends a whole answer that is too large to be buffered to the caller as it comes.
+	*/
+	function startStreaming(current: AttemptAnswer): Flow {
+		const bytes = Buffer.concat(current.chunks);
+		answer = {...current, answerClass: 'stream', chunks: []};
+		writer.start(answer);
+		return writeChunk(bytes);
+	}
+
 	function writeChunk(chunk: Uint8Array): Flow {
 		if (writer.write(chunk)) {
 			return 'more';
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -54,7 +54,7 @@
 	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget});
 	const {pauseMs} = getProgressTimeouts(route, 0);
 	const progressTimer = createProgressTimer(milliseconds => {
-		if (!retries.isAllowed({mayHaveRun: true})) {
+		if (!canMove()) {
 			return;
 		}
 
@@ -83,7 +83,7 @@
 			startProgressTimer(pauseMs);
 		},
 		onEndpointLost(cause, reason) {
-			if (retries.isAllowed({mayHaveRun: true})) {
+			if (canMove()) {
 				moveAttempt({cause, reason, mayHaveRun: true}, 'cancelled');
 			}
 		},
@@ -162,6 +162,13 @@
 		}
 	}
 
+	/**
+	Whether another endpoint may go on with a request that an endpoint works on.
+	*/
+	function canMove(): boolean {
+		return writer.canResume() && retries.isAllowed({mayHaveRun: true});
+	}
+
 	/**
 	Sends a request whose attempt is presumed lost to another endpoint. The attempt goes on until that endpoint has accepted the
 	request, or if there is none: its endpoint may still answer. Silence alone is no reason to prefer an endpoint that is known to fail.
@@ -232,7 +239,7 @@
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
 		writer.discardPartialEvent();
-		const denial = retries.spend(failure);
+		const denial = writer.canResume() ? retries.spend(failure) : 'not-repeatable';
 		recorder.recordFailure(failure, attempts, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
 			startAttempt();
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -8,7 +8,12 @@
 import {createMetrics} from '@valvesaddle/metrics';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector} from '@valvesaddle/selection';
-import {createForwarder, type ForwardRequest, type Reply} from '@valvesaddle/forwarding';
+import {
+	createForwarder,
+	type ForwardRequest,
+	type Interruption,
+	type Reply,
+} from '@valvesaddle/forwarding';
 
 export const eventStream: AnswerMetadata = {
 	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: true, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false,
@@ -75,6 +80,10 @@
 	Number of retries that the budget allows in all.
 	*/
 	readonly retries?: number;
+	/**
+	Called when the answer is ended incomplete; without it that fails the test.
+	*/
+	readonly onAbort?: (interruption: Interruption) => void;
 };
 
 /**
@@ -84,7 +93,7 @@
  const {clock, listeners} = startForwarding(t, {kind: 'stream', answer: eventStream});
  listeners[0]?.onSent();
  */
-export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50}: ForwardingOptions) {
+export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, onAbort}: ForwardingOptions) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const selector = createSelector({
@@ -158,8 +167,9 @@
 		end() {
 			// The answer is complete.
 		},
-		abort() {
-			t.fail('no end within the answer');
+		abort(interruption) {
+			t.ok(onAbort !== undefined, 'no end within the answer');
+			onAbort?.(interruption);
 		},
 		refuse() {
 			t.fail('no refusal');
