--- a/core/http-server/src/add-error-guard.ts
+++ b/core/http-server/src/add-error-guard.ts
@@ -48,7 +48,7 @@
 	const ending = new WeakSet<Duplex>();
 
 	/**
-	Finds the last answer that is still owed. An incomplete request will not be completed after an error, so it counts only
+	Finds the last answer that is still open. An incomplete request will not be completed after an error, so it counts only
 	if its refusal is being sent.
 	*/
 	function findLast(socket: Duplex): ServerResponse | undefined {
--- a/core/http-server/src/connection-tracker.ts
+++ b/core/http-server/src/connection-tracker.ts
@@ -1,5 +1,5 @@
 /**
-Tracks the connections of an HTTP server by what is still owed on them, which Node's own count of idle connections does
+Tracks the connections of an HTTP server by the answers that are still open on them, which Node's own count of idle connections does
 not: it counts a connection as idle as soon as its response has been ended, with bytes still waiting to be sent.
 */
 export type ConnectionTracker = {
@@ -8,7 +8,7 @@
 	*/
 	readonly countOpen: () => number;
 	/**
-	Stops listening and closes each connection once nothing is owed on it; resolves when all are closed. A connection with
+	Stops listening and closes each connection once no answer is open on it; resolves when all are closed. A connection with
 	an open answer is never closed, however slowly its caller reads. The server has to refuse requests by then: one that
 	arrives on an open connection is still handled.
 	*/
--- a/core/http-server/src/create-connection-tracker.ts
+++ b/core/http-server/src/create-connection-tracker.ts
@@ -73,9 +73,9 @@
 	}
 
 	/**
-	Closes a connection after its last bytes, if nothing is owed on it.
+	Closes a connection after its last bytes, if no answer is open on it.
 	*/
-	function closeUnowed(socket: Socket, connection: Connection, now: number): void {
+	function closeIdle(socket: Socket, connection: Connection, now: number): void {
 		if (connection.openAnswers > 0 || !isArriving(socket, connection)) {
 			connection.arrivingSince = undefined;
 		} else {
@@ -88,10 +88,10 @@
 		}
 	}
 
-	function closeAllUnowed(): void {
+	function closeAllIdle(): void {
 		const now = performance.now();
 		for (const [socket, connection] of connections) {
-			closeUnowed(socket, connection, now);
+			closeIdle(socket, connection, now);
 		}
 	}
 
@@ -110,8 +110,8 @@
 			NetServer.prototype.close.call(server, () => {
 				resolve();
 			});
-			closeAllUnowed();
-			const timer = setInterval(closeAllUnowed, checkIntervalMs);
+			closeAllIdle();
+			const timer = setInterval(closeAllIdle, checkIntervalMs);
 			await promise;
 			clearInterval(timer);
 		},
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -35,7 +35,7 @@
 const defaultInterTokenMs = 52;
 const epochLength = 8;
 /**
-Time between two ticks above which the process stood still, in milliseconds.
+Time between two ticks above which the event loop was blocked, in milliseconds.
 */
 const longestTickMs = 1000;
 /**
@@ -330,7 +330,7 @@
 		configure: applyConfiguration,
 		tick() {
 			const now = performance.now();
-			// After a standstill of this process, releases and progress messages that have arrived are read before the next tick.
+			// After the event loop was blocked, releases and progress messages that have arrived are read before the next tick.
 			if (now - lastTickAt <= longestTickMs) {
 				metrics.increment('dispatch.grants-expired', grants.removeStale(now));
 				expireWaiting(now);
--- a/emulator/fleet/src/can-leave-attempt.ts
+++ b/emulator/fleet/src/can-leave-attempt.ts
@@ -5,7 +5,7 @@
 Time in which a chunk for another request shows that an endpoint runs, in milliseconds.
 */
 const othersMs = 400;
-const patienceMs = 1500;
+const longStallMs = 1500;
 
 const rules: Readonly<Record<LeavingPolicy, (suspicion: Suspicion) => boolean>> = {
 	secured: () => true,
@@ -13,7 +13,7 @@
 	silent: ({othersSilentMs}) => othersSilentMs > othersMs,
 	stalled: ({isStalled}) => isStalled,
 	dark: ({isStalled, silentMs, overdueMs}) => isStalled && silentMs > overdueMs,
-	patient: ({isStalled, silentMs}) => isStalled && silentMs > patienceMs,
+	patient: ({isStalled, silentMs}) => isStalled && silentMs > longStallMs,
 	shorter: ({isStalled, hasStarted, hereMs, nextMs}) => isStalled || hasStarted || nextMs < hereMs,
 	never: () => false,
 };
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -102,7 +102,7 @@
 		events,
 	});
 	const timer = setTimeout(() => {
-		// After a standstill of the process timers run before sockets are read, and the answer may wait there.
+		// After the event loop was blocked, timers run before sockets are read, and the answer may wait there.
 		setImmediate(handleDeadline);
 	}, Math.max(0, deadlineAt - performance.now()));
 
--- a/gateway/forwarding/src/create-progress-timer.ts
+++ b/gateway/forwarding/src/create-progress-timer.ts
@@ -33,7 +33,7 @@
 			return;
 		}
 
-		// After a standstill of the process timers run before sockets are read, and a chunk may wait there.
+		// After the event loop was blocked, timers run before sockets are read, and a chunk may wait there.
 		setImmediate(expire);
 	}
 
--- a/gateway/front/src/end-incomplete.ts
+++ b/gateway/front/src/end-incomplete.ts
@@ -7,7 +7,7 @@
 */
 const checkMs = 50;
 /**
-Number of checks until the rest is discarded. While the process stands still and cannot send, no checks are made either.
+Number of checks until the rest is discarded. While the event loop is blocked and nothing is sent, no checks are made either.
 */
 const maximumChecks = 8;
 
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -102,7 +102,7 @@
 
 	/**
 	Runs a step after a turn of the event loop, with the time before the turn: all that had arrived by then has been read. Timers run
-	before sockets are read, so after a standstill of the process the endpoints would count as stalled whose chunks have arrived.
+	before sockets are read, so after the event loop was blocked the endpoints would count as stalled whose chunks have arrived.
 	*/
 	async function runAfterTurn(step: (readAt: number) => void): Promise<void> {
 		const readAt = performance.now();
--- a/node/router/src/call-holder.ts
+++ b/node/router/src/call-holder.ts
@@ -5,7 +5,7 @@
 Time for which a node that cannot be reached is called again, in milliseconds: a broken link is often opened anew at once,
 and the answer is still kept.
 */
-const patienceMs = 3000;
+const unreachableTimeoutMs = 3000;
 const retryDelayMs = 100;
 
 type HolderCall = {
@@ -42,7 +42,7 @@
 		// eslint-disable-next-line no-await-in-loop -- one call at a time
 		const result = await network.call(holder, 'answer.read', parameters);
 		const isUnreachable = result.isErr() && result.error.code === 'ERR_VALVESADDLE_PEER_UNREACHABLE';
-		if (!isUnreachable || hasLeft() || performance.now() - startedAt >= patienceMs) {
+		if (!isUnreachable || hasLeft() || performance.now() - startedAt >= unreachableTimeoutMs) {
 			return result;
 		}
 
--- a/outcome/execution/src/create-stall-detector.ts
+++ b/outcome/execution/src/create-stall-detector.ts
@@ -43,7 +43,7 @@
 		}
 
 		timer = setTimeout(() => {
-			// After a standstill of this process its timers run first; a token that has arrived meanwhile is read before the check.
+			// After the event loop was blocked, timers run first; a token that has arrived meanwhile is read before the check.
 			check = setImmediate(endIfAllowed);
 		}, timeoutMs);
 		timer.unref();
--- a/peer/network/src/create-peer-link.ts
+++ b/peer/network/src/create-peer-link.ts
@@ -23,7 +23,7 @@
 */
 const pingsPerTimeout = 3;
 /**
-Ticks within one link timeout at least, unless the process stands still.
+Ticks within one link timeout at least, unless the event loop is blocked.
 */
 const ticksPerTimeout = 4;
 
