--- a/fakes/http/src/index.ts
+++ b/fakes/http/src/index.ts
@@ -1,5 +1,7 @@
 export type {FakeRequest} from './fake-request.ts';
-export type {FakeServer} from './fake-server.ts';
 export type {FakeServerOptions} from './fake-server-options.ts';
-export {startListening} from './start-listening.ts';
+export type {FakeServer} from './fake-server.ts';
+export {openSocketPair} from './open-socket-pair.ts';
 export {startFakeServer} from './start-fake-server.ts';
+export {startListening} from './start-listening.ts';
+export {waitBlocking} from './wait-blocking.ts';
--- a/gateway/forwarding/test/progress-timer.test.ts
+++ b/gateway/forwarding/test/progress-timer.test.ts
@@ -1,17 +1,11 @@
 /*
 The progress timer doesn't set a new timer on each restart; it must expire at the same time as if it did.
 */
-import {once} from 'node:events';
-import {
-	connect,
-	createServer,
-	type AddressInfo,
-	type Socket,
-} from 'node:net';
 import {Clock} from 'clock-mock';
 import fc from 'fast-check';
-import {test, type Test} from 'tap';
+import {test} from 'tap';
 import {waitUntil} from '@valvesaddle/fake-fleet';
+import {openSocketPair, waitBlocking} from '@valvesaddle/fake-http';
 import {createProgressTimer} from '../src/create-progress-timer.ts';
 
 /**
@@ -77,31 +71,9 @@
 	t.end();
 });
 
-/**
-Two ends of a connection.
-*/
-async function openConnection(t: Test) {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const reader = connect((server.address() as AddressInfo).port, '127.0.0.1');
-	const [writer] = await once(server, 'connection') as [Socket];
-	t.teardown(() => {
-		reader.destroy();
-		writer.destroy();
-		server.close();
-	});
-	return {reader, writer};
-}
-
-/**
-Lets the process stand still: it reads nothing and runs no timer.
-*/
-function stopProcess(milliseconds: number): void {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 test('a chunk that arrived while the process stood still is read before the timer expires', async t => {
-	const {reader, writer} = await openConnection(t);
+	const {reader, writer, close} = await openSocketPair();
+	t.teardown(close);
 	let chunks = 0;
 	let expirations = 0;
 	const progressTimer = createProgressTimer(() => {
@@ -114,7 +86,7 @@
 	});
 	progressTimer.start(100);
 	writer.write('chunk');
-	stopProcess(200);
+	waitBlocking(200);
 	await waitUntil(() => chunks > 0);
 	t.equal(expirations, 0);
 });
@@ -125,7 +97,7 @@
 		expirations++;
 	});
 	progressTimer.start(100);
-	stopProcess(200);
+	waitBlocking(200);
 	await waitUntil(() => expirations > 0);
 	t.equal(expirations, 1);
 });
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -81,6 +81,10 @@
 	*/
 	readonly retries?: number;
 	/**
+	Whether the caller reads only when the test calls `drain`.
+	*/
+	readonly isReadLate?: boolean;
+	/**
 	Called when the answer is ended incomplete; without it that fails the test.
 	*/
 	readonly onAbort?: (interruption: Interruption) => void;
@@ -93,7 +97,7 @@
  const {clock, listeners} = startForwarding(t, {kind: 'stream', answer: eventStream});
  listeners[0]?.onSent();
  */
-export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, onAbort}: ForwardingOptions) {
+export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, onAbort}: ForwardingOptions) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const selector = createSelector({
@@ -112,6 +116,10 @@
 	const events: string[] = [];
 	const answers: string[] = [];
 	let choices = 0;
+	let drain = (): void => {
+		throw new TypeError('the endpoint is not paused');
+	};
+
 	const forwarder = createForwarder({
 		wire: createWire(answer),
 		selector: {
@@ -159,10 +167,10 @@
 		},
 		write(bytes) {
 			events.push(Buffer.from(bytes).toString());
-			return true;
+			return !isReadLate;
 		},
-		onDrain() {
-			// Callers read without delay.
+		onDrain(handle) {
+			drain = handle;
 		},
 		end() {
 			// The answer is complete.
@@ -178,6 +186,8 @@
 	const task = forwarder.forward(createRequest(kind), reply);
 	t.teardown(task.cancel);
 	return {
-		clock, selector, listeners, addresses, aborted, events, answers, task, countChoices: () => choices,
+		clock, selector, listeners, addresses, aborted, events, answers, task, countChoices: () => choices, drain() {
+			drain();
+		},
 	};
 }
--- a/node/gateway/test/deadlines.test.ts
+++ b/node/gateway/test/deadlines.test.ts
@@ -1,17 +1,11 @@
 // Guards against a deadline that expires after a standstill of the node although the answer has arrived.
 import {test} from 'tap';
 import {behaviours} from '@valvesaddle/fake-endpoint';
+import {waitBlocking} from '@valvesaddle/fake-http';
 import {startPlatform} from './start-platform.ts';
 
 const timeoutMs = 2000;
 
-/**
-Lets the process stand still: it reads nothing and runs no timer.
-*/
-function stopProcess(milliseconds: number): void {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 for (const [path, behaviour, status] of [['/safe/x', 'whole', 200], ['/unsafe/x', 'whole', 200], ['/stream/x', 'stream', 200], ['/unsafe/x', 'silent', 504]] as const) {
 	test(`${path} is answered with ${status} when its deadline passes in a standstill and its endpoint is ${behaviour}`, async t => {
 		const platform = await startPlatform(t);
@@ -19,7 +13,7 @@
 		for (const endpoint of platform.endpoints) {
 			endpoint.setBehaviour((request, socket) => {
 				behaviours[behaviour](request, socket);
-				stopProcess(timeoutMs);
+				waitBlocking(timeoutMs);
 			});
 		}
 
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -1,15 +1,10 @@
 import {once} from 'node:events';
-import {
-	connect,
-	createServer,
-	type AddressInfo,
-	type Socket,
-} from 'node:net';
 import Emittery from 'emittery';
 import {okAsync, ResultAsync} from 'neverthrow';
 import {test, type Test} from 'tap';
 import {createClusterView, measureFleetFactor, type ClusterState} from '@valvesaddle/cluster-view';
 import {waitUntil} from '@valvesaddle/fake-fleet';
+import {openSocketPair, waitBlocking} from '@valvesaddle/fake-http';
 import type {GatewayNode} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
@@ -293,29 +288,6 @@
 	t.equal(selector.choose(selectionRequest)?.endpoint.id, 'i-1');
 });
 
-/**
-Two ends of a connection.
-*/
-async function openConnection(t: Test) {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const reader = connect((server.address() as AddressInfo).port, '127.0.0.1');
-	const [writer] = await once(server, 'connection') as [Socket];
-	t.teardown(() => {
-		reader.destroy();
-		writer.destroy();
-		server.close();
-	});
-	return {reader, writer};
-}
-
-/**
-Lets the process stand still: it reads nothing and runs no timer.
-*/
-function stopProcess(milliseconds: number): void {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 /**
 Opens a stream at an engine that has sent its first chunk.
 */
@@ -334,7 +306,8 @@
 
 test('an endpoint whose chunk arrived while the node stood still is not stalled, and is once it stays silent', async t => {
 	const {selector, sync} = createSync(t, {connected: []});
-	const {reader, writer} = await openConnection(t);
+	const {reader, writer, close} = await openSocketPair();
+	t.teardown(close);
 	const stream = openStream(selector);
 	let chunks = 0;
 	let stalls = 0;
@@ -347,7 +320,7 @@
 	});
 	reader.once('data', () => {
 		writer.write('second');
-		stopProcess(1500);
+		waitBlocking(1500);
 	});
 	sync.start();
 	writer.write('first');
