refactor(http-server,front): one table of statuses for requests that cannot be read

The error guard of the HTTP server package repeated the table that the gateway's front already had. getParserStatus moves to the shared package, and both call it.

--- a/core/http-server/src/add-error-guard.ts
+++ b/core/http-server/src/add-error-guard.ts
@@ -5,6 +5,7 @@
 	type ServerResponse,
 } from 'node:http';
 import type {Duplex} from 'node:stream';
+import {getParserStatus} from './get-parser-status.ts';
 
 /**
 How long a connection stays open for the caller to read the status of its unreadable request, in milliseconds. Closing it at
@@ -16,15 +17,6 @@
 */
 const callerEndedCode = 'HPE_INVALID_EOF_STATE';
 
-/**
-Statuses of parser errors other than malformed HTTP/1.1.
-*/
-const statuses: ReadonlyMap<string, number> = new Map([
-	['ERR_HTTP_REQUEST_TIMEOUT', 408],
-	['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
-	['HPE_HEADER_OVERFLOW', 431],
-]);
-
 type ErrorGuardOptions = {
 	readonly server: Server;
 	/**
@@ -77,7 +69,7 @@
 		if (code === callerEndedCode || !socket.writable) {
 			socket.destroy();
 		} else if (last === undefined) {
-			sendStatus(socket, statuses.get(code) ?? 400);
+			sendStatus(socket, getParserStatus(code));
 		} else {
 			closeAfter(last, socket);
 		}
--- a/gateway/front/src/create-connection-guard.ts
+++ b/gateway/front/src/create-connection-guard.ts
@@ -1,9 +1,9 @@
 import {STATUS_CODES, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {getParserStatus} from '@valvesaddle/http-server';
 import {closeLingering} from './close-lingering.ts';
 import type {ConnectionGuard} from './connection-guard.ts';
 import type {FrontOptions} from './front-options.ts';
-import {getParserStatus} from './get-parser-status.ts';
 
 /**
 Parser's error code for a connection that the caller closed within a request.
