--- a/cli/valvesaddle/test/gateway-signals.test.ts
+++ b/cli/valvesaddle/test/gateway-signals.test.ts
@@ -51,7 +51,7 @@
 	store.registerEndpoint('i-0', {
 		pool: 'register', address: endpoint.address, slots: 4, state: 'ready',
 	});
-	store.put('op/config', {
+	store.publish({
 		version: 1, routes: [route], services: [{name: 'register'}], limits: {}, tenants: [],
 	});
 	const folder = t.testdir({'gateway.toml': formatSettings(store.address)});
--- a/node/gateway/test/complete-answers.test.ts
+++ b/node/gateway/test/complete-answers.test.ts
@@ -141,7 +141,7 @@
 async function publishVersion({store, configuration}: Platform, version: number, ofRoutes: Readonly<Record<string, number>>, limits: Readonly<Record<string, number>>): Promise<void> {
 	const [first] = configuration.routes;
 	const added = {...first, prefix: '/second/', service: 'nobody'};
-	store.put('op/config', {
+	store.publish({
 		...configuration, version, routes: [...configuration.routes, added].map(route => ({...route, ...ofRoutes})), limits,
 	});
 }
--- a/node/gateway/test/duties.test.ts
+++ b/node/gateway/test/duties.test.ts
@@ -24,7 +24,7 @@
 	t.teardown(api.close);
 	const platform = await startPlatform(t, ['whole'], formatDuties(api.address));
 	await platform.open();
-	platform.store.put('op/config', {...platform.configuration, version: 2, services: [{name: 'register', scaling: limits}, {name: 'nobody', scaling: {'min-replicas': 3, 'max-replicas': 1}}]});
+	platform.store.publish({...platform.configuration, version: 2, services: [{name: 'register', scaling: limits}, {name: 'nobody', scaling: {'min-replicas': 3, 'max-replicas': 1}}]});
 	for (let request = 0; request < 3; request++) {
 		// eslint-disable-next-line no-await-in-loop -- one after the other
 		t.equal((await platform.call('/safe/x')).status, 200);
--- a/node/gateway/test/endpoint-notices.test.ts
+++ b/node/gateway/test/endpoint-notices.test.ts
@@ -57,7 +57,7 @@
 	platform.store.registerEndpoint('i-0', {
 		pool: 'register', address: platform.endpoints[0]?.address ?? '', slots: 5, state: 'ready',
 	});
-	platform.store.put('op/config', {...platform.configuration, version: 2});
+	platform.store.publish({...platform.configuration, version: 2});
 	await callOften(platform);
 	platform.store.setFault('silent');
 	await callOften(platform);
--- a/node/gateway/test/gateway.test.ts
+++ b/node/gateway/test/gateway.test.ts
@@ -79,9 +79,9 @@
 	const platform = await startPlatform(t);
 	await platform.open();
 	const [first] = platform.configuration.routes;
-	platform.store.put('op/config', {...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}]});
+	platform.store.publish({...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}]});
 	await waitUntil(async () => (await platform.call('/new/x')).status === 200);
-	platform.store.put('op/config', {...platform.configuration, version: 4});
+	platform.store.publish({...platform.configuration, version: 4});
 	platform.store.registerEndpoint('i-9', {
 		pool: 'nobody', address: '127.0.0.1:1', slots: 1, state: 'ready',
 	});
@@ -110,7 +110,7 @@
 	});
 	// Changes arrive in order: once the second one is in use, the first has been applied.
 	const [first] = platform.configuration.routes;
-	platform.store.put('op/config', {...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}, ...platform.configuration.routes]});
+	platform.store.publish({...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}, ...platform.configuration.routes]});
 	await waitUntil(async () => (await platform.call('/new/x')).status === 200);
 	platform.store.setFault('silent');
 	const before = platform.endpoints[1]?.arrived().length;
--- a/node/gateway/test/outcomes.test.ts
+++ b/node/gateway/test/outcomes.test.ts
@@ -182,7 +182,7 @@
 	platform.store.registerEndpoint('i-2', {
 		pool: 'register', address: third.address, slots: 4, state: 'ready',
 	});
-	platform.store.put('op/config', {
+	platform.store.publish({
 		...platform.configuration,
 		version: 2,
 		routes: platform.configuration.routes.map(route => ({...route, 'max-attempts': 3})),
--- a/node/gateway/test/persistent-connections.test.ts
+++ b/node/gateway/test/persistent-connections.test.ts
@@ -27,7 +27,7 @@
 	const platform = await startPlatform(t, ['silent']);
 	await platform.open();
 	const [first] = platform.configuration.routes;
-	platform.store.put('op/config', {
+	platform.store.publish({
 		...platform.configuration,
 		version: 2,
 		routes: [...platform.configuration.routes, {...first, prefix: '/second/', service: 'nobody'}],
--- a/node/gateway/test/stale-configuration.test.ts
+++ b/node/gateway/test/stale-configuration.test.ts
@@ -11,7 +11,7 @@
 */
 function publishNewer({store, configuration}: Platform): void {
 	const [first] = configuration.routes;
-	store.put('op/config', {
+	store.publish({
 		...configuration,
 		version: 5,
 		routes: [{...first, prefix: '/new/'}, ...configuration.routes],
@@ -99,7 +99,7 @@
 	const platform = await startPlatform(t);
 	await platform.open();
 	const [first] = platform.configuration.routes;
-	platform.store.put('op/config', {
+	platform.store.publish({
 		...platform.configuration, version: 5, routes: [{...first, prefix: '/new/'}, {...first, prefix: '/odd/', priority: null}, ...platform.configuration.routes],
 	});
 	await waitUntil(async () => {
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -145,7 +145,7 @@
 			});
 		}
 
-		store.put('op/config', configuration);
+		store.publish(configuration);
 		await waitUntil(isReady);
 	}
 
--- a/node/gateway/test/unfinished-attempts.test.ts
+++ b/node/gateway/test/unfinished-attempts.test.ts
@@ -52,7 +52,7 @@
 Sets the latency objective of all routes, and waits until a request is allowed by the new limits.
 */
 async function setLatencyObjective({store, configuration, call}: Platform, objectiveMs: number): Promise<void> {
-	store.put('op/config', {
+	store.publish({
 		...configuration,
 		version: 2,
 		routes: configuration.routes.map(route => ({...route, 'target-latency-ms': objectiveMs})),
