feat(forwarding): name endpoint and request digest of failed attempts

Callers saw: three classes of a model pool are not served for seconds, each time a request comes that crashes the endpoints that run it. The lines could not join the caller's repeats, and did not name the endpoint. The digest covers host, client account, method, path with query and body.

--- a/emulator/fleet/test/attempt-record.test.ts
+++ b/emulator/fleet/test/attempt-record.test.ts
@@ -43,7 +43,7 @@
 
 function logFailure({logger}: AttemptRecord, request: string, isRetried: boolean): void {
 	logger.info({
-		name: 'attempt-failed', request, attempt: 1, cause: 'silent', reason: '', mayHaveRun: true, isRetried, denial: undefined, retries: 0, allowedRetries: 0,
+		name: 'attempt-failed', request, digest: '-', endpoint: 'i-0', attempt: 1, cause: 'silent', reason: '', mayHaveRun: true, isRetried, denial: undefined, retries: 0, allowedRetries: 0,
 	});
 }
 
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -63,6 +63,10 @@
 		moveAttempt({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true}, 'failed');
 	});
 	let attempts = 0;
+	/**
+	ID of the endpoint that the request was last sent to.
+	*/
+	let sentTo = '-';
 	let firstByteMs = 0;
 	let hasEnded = false;
 	let isStarted = false;
@@ -187,7 +191,7 @@
 			return;
 		}
 
-		recorder.recordFailure(failure, attempts, undefined, options.budget.readUsage(request.pool));
+		recorder.recordFailure(failure, {endpoint: sentTo, attempt: attempts}, undefined, options.budget.readUsage(request.pool));
 		markSending(selection);
 		attemptSwitch.replace(selection, end);
 	}
@@ -224,6 +228,7 @@
 
 	function markSending(selection: Selection): void {
 		attempts++;
+		sentTo = selection.endpoint.id;
 		tried.add(selection.endpoint.incarnation);
 		recorder.recordSent(selection, attempts, deadlineAt - performance.now());
 		({firstByteMs} = getProgressTimeouts(route, request.isEnginePool ? selection.costMs : 0));
@@ -240,7 +245,7 @@
 		progressTimer.stop();
 		writer.discardPartialEvent();
 		const denial = writer.canResume() ? retries.spend(failure) : 'not-repeatable';
-		recorder.recordFailure(failure, attempts, denial, options.budget.readUsage(request.pool));
+		recorder.recordFailure(failure, {endpoint: sentTo, attempt: attempts}, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
 			startAttempt();
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -1,3 +1,4 @@
+import {hashRequest} from '@valvesaddle/quarantine';
 import {createChunkTimer} from './create-chunk-timer.ts';
 import type {ForwardRequest} from './forward-request.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
@@ -15,6 +16,13 @@
 	const id = metadata.requestId ?? '-';
 	const chunkTimer = createChunkTimer(request.arrivedAt, metrics);
 
+	let digest: string | undefined;
+
+	function getDigest(): string {
+		digest ??= hashRequest({...request, host: route.host, account: request.account?.name});
+		return digest;
+	}
+
 	return {
 		recordSent({endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor}, attempt, remainingMs) {
 			logger.info({
@@ -41,10 +49,10 @@
 				name: 'endpoint-notice', request: id, endpoint: endpoint.id, status, retryAfterMs, isLeaving,
 			});
 		},
-		recordFailure({cause, reason, mayHaveRun}, attempt, denial, {retries, allowed}) {
+		recordFailure({cause, reason, mayHaveRun}, {endpoint, attempt}, denial, {retries, allowed}) {
 			metrics.increment(denial === undefined ? 'gateway.retries' : 'gateway.given-up', 1, {cause});
 			logger.info({
-				name: 'attempt-failed', request: id, attempt, cause, reason, mayHaveRun, isRetried: denial === undefined, denial, retries, allowedRetries: Math.floor(allowed),
+				name: 'attempt-failed', request: id, digest: mayHaveRun ? getDigest() : '-', endpoint, attempt, cause, reason, mayHaveRun, isRetried: denial === undefined, denial, retries, allowedRetries: Math.floor(allowed),
 			});
 		},
 		recordKept({cause, reason}, attempt, denial, {retries, allowed}) {
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -19,9 +19,9 @@
 	readonly recordSent: (selection: Selection, attempt: number, remainingMs: number) => void;
 	readonly recordNotice: (endpoint: KnownEndpoint, status: number, notice: Notice) => void;
 	/**
-	Records a failed attempt, why it is not followed by another, and the state of the retry budget.
+	Records a failed attempt at an endpoint, why it is not followed by another, and the state of the retry budget.
 	*/
-	readonly recordFailure: (failure: AttemptFailure, attempt: number, denial: RetryDenial | undefined, usage: RetryUsage) => void;
+	readonly recordFailure: (failure: AttemptFailure, failed: {readonly endpoint: string; readonly attempt: number}, denial: RetryDenial | undefined, usage: RetryUsage) => void;
 	/**
 	Records that an attempt presumed lost goes on, since the request cannot be sent to another endpoint.
 	*/
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -84,7 +84,7 @@
 	}
 	| {readonly name: 'no-endpoint'; readonly request: string; readonly pool: string; readonly tries: number; readonly cooldownMs: number}
 	| {
-		readonly name: 'attempt-failed'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
+		readonly name: 'attempt-failed'; readonly request: string; readonly digest: string; readonly endpoint: string; readonly attempt: number; readonly cause: string; readonly reason: string;
 		readonly mayHaveRun: boolean; readonly isRetried: boolean; readonly denial: string | undefined; readonly retries: number; readonly allowedRetries: number;
 	}
 	| {
