--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -10,7 +10,7 @@
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {parseGatewaySettings} from '@valvesaddle/settings';
 import {Agent, request} from 'undici';
-import {createGateway} from '@valvesaddle/gateway';
+import {createGateway, type Gateway} from '@valvesaddle/gateway';
 
 const route = {
 	host: 'permits.example', 'timeout-ms': 60_000, 'target-latency-ms': 50_000, priority: 1, service: 'register', 'max-attempts': 2, public: false,
@@ -73,9 +73,9 @@
 		void behaviours[behaviour](arrivedRequest, socket, resumed);
 	};
 
-	const settings = parseGatewaySettings(`
+	const formatSettings = (name: string) => `
 			[node]
-			name = "n1"
+			name = "${name}"
 			data_centre = "a"
 			region = "r"
 			[listen]
@@ -95,48 +95,63 @@
 			[observe]
 			log_level = "silent"
 			${moreSettings}
-		`)._unsafeUnwrap();
-	const gateway = createGateway({settings});
-	const addresses = await gateway.start();
+		`;
 	const agent = new Agent();
+	const nodes: Gateway[] = [];
 	t.teardown(async () => {
 		await agent.destroy();
-		await gateway.close();
+		await Promise.all(nodes.map(async node => node.close()));
 		await Promise.all(endpoints.map(async endpoint => endpoint.close()));
 		await store.close();
 	});
 
-	async function isReady(): Promise<boolean> {
-		const {statusCode, body} = await request(`http://${addresses.ready}/valvesaddle/ready`, {dispatcher: agent});
-		await body.dump();
-		return statusCode === 200;
-	}
-
 	/**
-	Calls the gateway with a client account's key; the text of an answer that breaks off ends with `(broken)`.
+	Starts a node of the fleet. Ends with the test.
 	*/
-	async function call(path: string, {key = 'key', body, headers = {}, signal}: CallOptions = {}) {
-		const response = await request(`http://${addresses.callers}${path}`, {
-			method: body === undefined ? 'GET' : 'POST',
-			headers: {
-				host: 'permits.example', authorization: `Bearer ${key}`, 'x-attempt-id': 'a1', ...headers,
-			},
-			body: body ?? null,
-			dispatcher: agent,
-			...(signal !== undefined && {signal}),
-		});
-		let text = '';
-		try {
-			for await (const chunk of response.body) {
-				text += String(Buffer.from(chunk as Uint8Array));
+	async function startNode(name: string) {
+		const settings = parseGatewaySettings(formatSettings(name))._unsafeUnwrap();
+		const gateway = createGateway({settings});
+		nodes.push(gateway);
+		const addresses = await gateway.start();
+
+		async function isReady(): Promise<boolean> {
+			const {statusCode, body} = await request(`http://${addresses.ready}/valvesaddle/ready`, {dispatcher: agent});
+			await body.dump();
+			return statusCode === 200;
+		}
+
+		/**
+		Calls the gateway with a client account's key; the text of an answer that breaks off ends with `(broken)`.
+		*/
+		async function call(path: string, {key = 'key', body, headers = {}, signal}: CallOptions = {}) {
+			const response = await request(`http://${addresses.callers}${path}`, {
+				method: body === undefined ? 'GET' : 'POST',
+				headers: {
+					host: 'permits.example', authorization: `Bearer ${key}`, 'x-attempt-id': 'a1', ...headers,
+				},
+				body: body ?? null,
+				dispatcher: agent,
+				...(signal !== undefined && {signal}),
+			});
+			let text = '';
+			try {
+				for await (const chunk of response.body) {
+					text += String(Buffer.from(chunk as Uint8Array));
+				}
+			} catch {
+				text += '(broken)';
 			}
-		} catch {
-			text += '(broken)';
+
+			return {status: response.statusCode, headers: response.headers, text};
 		}
 
-		return {status: response.statusCode, headers: response.headers, text};
+		return {
+			settings, gateway, addresses, isReady, call,
+		};
 	}
 
+	const node = await startNode('n1');
+
 	async function open(): Promise<void> {
 		for (const [index, endpoint] of endpoints.entries()) {
 			endpoint.setBehaviour(answerInOrder);
@@ -146,11 +161,11 @@
 		}
 
 		store.publish(configuration);
-		await waitUntil(isReady);
+		await waitUntil(node.isReady);
 	}
 
 	return {
-		store, endpoints, arrived, settings, gateway, addresses, configuration, isReady, call, open,
+		...node, store, endpoints, arrived, configuration, startNode, open,
 	};
 }
 
