fix(gateway): quarantine requests that crash the endpoints that run them

Callers saw: three classes of the model pool unserved for seconds, each time a request came that crashes its endpoint: 17 to 20 endpoints ended under one request, 7 to 10 of them after the third.

Cause: no node connected the end of an endpoint with the requests that ran there, and no node told others. A repeat was a new request at every node, for ever.

Change: a node records which requests ran on an endpoint when its connections broke, and blames them once there is evidence that the process ended (refused connections, an entry that went without an announcement, another process in its place). A row per request digest and incarnation goes to all nodes; rows are merged in any order, so relays and late nodes agree. With three crashes the request is refused with 503, as not run. A whole answer to the same request clears the crashes before it, so popular requests that ran beside it are not refused. From the first crash on, all nodes choose the same endpoint for the request, so that copies do not crash several at once.

--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -2,9 +2,9 @@
 import {once} from 'node:events';
 import {createWriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
+import {findFreeAddress} from '@valvesaddle/fake-http';
 import {request} from 'undici';
 import type {RetrySettings} from './retry-settings.ts';
 import type {SoakNode} from './soak-node.ts';
@@ -23,6 +23,9 @@
 
 const program = path.resolve(import.meta.dirname, '../../../cli/valvesaddle/src/main.ts');
 const askMs = 500;
+/**
+Loopback address of the nodes, whose ports the soak's own servers cannot take.
+*/
 const nodeHost = '127.0.1.1';
 const plentifulRetries: RetrySettings = {ratio: 0.1, slack: 1000, assumedNodes: 8};
 
@@ -35,7 +38,7 @@
  */
 export async function startNode({name, store, folder, retry = plentifulRetries}: NodeOptions): Promise<SoakNode> {
 	const link = await startLink(store);
-	const [callers, ready, peers] = await Promise.all([findFreeAddress(), findFreeAddress(), findFreeAddress()]);
+	const [callers, ready, peers] = await Promise.all([findFreeAddress(nodeHost), findFreeAddress(nodeHost), findFreeAddress(nodeHost)]);
 	const thinLink = await startThinLink(callers);
 	const file = path.join(folder, `${name}.toml`);
 	await writeFile(file, `
@@ -108,16 +111,3 @@
 		},
 	};
 }
-
-/**
-Finds a free port at an address of the nodes' own, which the soak's own servers cannot take before the node listens.
-*/
-async function findFreeAddress(): Promise<string> {
-	const server = createServer();
-	server.listen(0, nodeHost);
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return `${nodeHost}:${port}`;
-}
--- a/core/error/src/error-table.ts
+++ b/core/error/src/error-table.ts
@@ -44,6 +44,9 @@
 	ERR_VALVESADDLE_ENDPOINTS_BUSY: {
 		status: 503, ran: 'no', retryable: true, hint: 'Every endpoint tried refused before running it; come back after Retry-After.',
 	},
+	ERR_VALVESADDLE_REQUEST_QUARANTINED: {
+		status: 503, ran: 'no', retryable: false, hint: 'Endpoints crashed each time they ran this request; change the request, or ask an operator.',
+	},
 	ERR_VALVESADDLE_TIMEOUT_UNSENT: {
 		status: 503, ran: 'no', retryable: true, hint: 'The time of the route or of the caller was over before the request could be sent.',
 	},
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -3,6 +3,7 @@
 import {createForwarder, type ForwardTask} from '@valvesaddle/forwarding';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
+import {createCrashDetector, createQuarantine} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector, type SelectorOptions} from '@valvesaddle/selection';
 import {createAttemptGate} from './create-attempt-gate.ts';
@@ -78,8 +79,13 @@
 	const gated = createAttemptGate({
 		selector, policy: leaving, incarnations: endpoints, isReadFirst, isFailureCounted,
 	});
+	const quarantine = createQuarantine({});
+	const crashDetector = createCrashDetector({
+		isServing: selector.isServing,
+		onCrash: quarantine.recordCrash,
+	});
 	const forwarder = createForwarder({
-		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), admission, logger, metrics,
+		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), quarantine, crashDetector, admission, logger, metrics,
 	});
 	return {
 		id,
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import type {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange, Flow} from '@valvesaddle/exchange';
 import type {AnswerMetadata} from '@valvesaddle/gateway-types';
 import type {OpenRequest} from '@valvesaddle/selection';
@@ -9,6 +10,7 @@
 import type {Attempt} from './attempt.ts';
 import {classifyAnswer} from './classify-answer.ts';
 import type {FailureCause} from './failure-cause.ts';
+import {isConnectionRefused} from './is-connection-refused.ts';
 
 /**
 Largest answer that is buffered, in bytes. Larger ones are passed on as they come, as event streams are.
@@ -26,11 +28,11 @@
  Sends a request to the chosen endpoint, writes an event stream to the caller, and reports the outcome.
 
  @example
- const attempt = createAttempt({tools, request, question, selection, writer, recorder, remainingMs: 4000}, events);
+ const attempt = createAttempt({tools, request, question, selection, writer, recorder, crashes, remainingMs: 4000}, events);
  attempt.end('cancelled');
  */
-export function createAttempt({tools, request, question, selection, writer, recorder, remainingMs}: AttemptOptions, events: AttemptEvents): Attempt {
-	const {selector, exchanges, wire} = tools;
+export function createAttempt({tools, request, question, selection, writer, recorder, crashes, remainingMs}: AttemptOptions, events: AttemptEvents): Attempt {
+	const {selector, exchanges, wire, crashDetector} = tools;
 	const {metadata} = request;
 	const {endpoint} = selection;
 	const openRequest = selector.open(selection, question);
@@ -42,6 +44,7 @@
 		events.onEndpointLost('stalled', 'silent to all nodes');
 	});
 	openRequest.onEnded(() => {
+		crashes.recordBroken(endpoint.incarnation);
 		events.onEndpointLost('restarted', 'its process has ended');
 	});
 
@@ -153,15 +156,30 @@
 	}
 
 	/**
-	Outcome of a request that was not sent. If the endpoint accepts no requests at the moment, that is not counted as a failure.
+	Whether the request may still be sent once a connection is open.
+	*/
+	function canSend(): boolean {
+		return selector.canTake(endpoint) && !crashes.isQuarantined();
+	}
+
+	/**
+	Outcome of a request that was not sent. If it was held back, that is not counted as a failure of the endpoint.
 	*/
 	function classifyUnsent(): Parameters<OpenRequest['close']>[0] {
-		return selector.canTake(endpoint) ? 'gone' : 'cancelled';
+		return canSend() ? 'gone' : 'cancelled';
+	}
+
+	function recordFailure(error: ValvesaddleError, wasSent: boolean): void {
+		if (wasSent) {
+			crashes.recordBroken(endpoint.incarnation);
+		} else if (isConnectionRefused(error)) {
+			crashDetector.recordEnded(endpoint.incarnation, 'refused');
+		}
 	}
 
 	const exchange: Exchange = exchanges.send({
 		address: endpoint.address,
-		canSend: () => selector.canTake(endpoint),
+		canSend,
 		method: request.method,
 		path: request.path,
 		body: request.body,
@@ -222,6 +240,7 @@
 		onFailure(error) {
 			isPaused = false;
 			const wasSent = sentAt !== undefined;
+			recordFailure(error, wasSent);
 			openRequest.close(wasSent ? 'failed' : classifyUnsent());
 			events.onFailure({cause: wasSent ? 'connection' : 'unsent', reason: error.message, mayHaveRun: wasSent});
 		},
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -6,6 +6,7 @@
 import {createAnswerWriter} from './create-answer-writer.ts';
 import {createAttemptSwitch} from './create-attempt-switch.ts';
 import {createAttempt} from './create-attempt.ts';
+import {createCrashRecord} from './create-crash-record.ts';
 import {createProgressTimer} from './create-progress-timer.ts';
 import {createRefusals} from './create-refusals.ts';
 import {createRequestRecorder} from './create-request-recorder.ts';
@@ -17,6 +18,7 @@
 import type {Interruption} from './interruption.ts';
 import {isRetryable} from './is-retryable.ts';
 import {rankUrgency} from './rank-urgency.ts';
+import type {RetryDenial} from './retry-denial.ts';
 import type {SwitchEvents} from './switch-events.ts';
 import {toInterruption} from './to-interruption.ts';
 
@@ -39,7 +41,8 @@
 	const deadlineAt = request.arrivedAt + waitMs;
 	const writer = createAnswerWriter({request, reply, wire});
 	const admitter = createAdmitter(options, request, waitMs);
-	const recorder = createRequestRecorder(options, request);
+	const crashes = createCrashRecord(options, request);
+	const recorder = createRequestRecorder(options, request, crashes.getDigest);
 	const refusals = createRefusals(selector, request.pool);
 	const tried = new Set<string>();
 	const question: SelectionCriteria = {
@@ -101,7 +104,7 @@
 	};
 	const attemptSwitch = createAttemptSwitch({
 		openAttempt: (selection, attemptEvents) => createAttempt({
-			tools: options, request, question, selection, writer, recorder, remainingMs: deadlineAt - performance.now(),
+			tools: options, request, question, selection, writer, recorder, crashes, remainingMs: deadlineAt - performance.now(),
 		}, attemptEvents),
 		events,
 	});
@@ -170,7 +173,7 @@
 	Whether another endpoint may go on with a request that an endpoint works on.
 	*/
 	function canMove(): boolean {
-		return writer.canResume() && retries.isAllowed({mayHaveRun: true});
+		return writer.canResume() && !crashes.isQuarantined() && retries.isAllowed({mayHaveRun: true});
 	}
 
 	/**
@@ -203,12 +206,17 @@
 
 	function chooseEndpoint(criteria: SelectionCriteria): Selection | undefined {
 		const startedAt = performance.now();
-		const selection = attempts < maximumTriedEndpoints ? selector.choose(criteria) : undefined;
+		const selection = attempts < maximumTriedEndpoints ? selector.choose({...criteria, isolationKey: crashes.getIsolationKey()}) : undefined;
 		metrics.timing('gateway.decision', performance.now() - startedAt);
 		return selection;
 	}
 
 	function startAttempt(): void {
+		if (crashes.isQuarantined()) {
+			refuse(refusals.buildQuarantined());
+			return;
+		}
+
 		const selection = chooseEndpoint(question);
 		if (selection === undefined) {
 			recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
@@ -220,7 +228,7 @@
 		if (admission.kind === 'refuse') {
 			refuse(refusals.buildOverloaded(selection.costMs, admission.retryAfterMs));
 		} else {
-			const admitted = admission.kind === 'send-late' ? selector.choose({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection;
+			const admitted = admission.kind === 'send-late' ? chooseEndpoint({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection;
 			markSending(admitted);
 			attemptSwitch.start(admitted);
 		}
@@ -238,18 +246,32 @@
 	function answerCaller(answer: AttemptAnswer): void {
 		// The deadline timer is cleared last, so that a request whose answer cannot be written still times out.
 		writer.end(answer);
+		crashes.recordAnswered();
 		closeTask('answered', answer.status);
 	}
 
+	/**
+	Why a failed attempt is not followed by another; `undefined` if a retry of the budget was spent for the next one.
+	*/
+	function decideDenial(failure: AttemptFailure): RetryDenial | undefined {
+		if (crashes.isQuarantined()) {
+			return 'quarantined';
+		}
+
+		return writer.canResume() ? retries.spend(failure) : 'not-repeatable';
+	}
+
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
 		writer.discardPartialEvent();
-		const denial = writer.canResume() ? retries.spend(failure) : 'not-repeatable';
+		const denial = decideDenial(failure);
 		recorder.recordFailure(failure, {endpoint: sentTo, attempt: attempts}, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
 			startAttempt();
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
 			answerCaller(failure.answer);
+		} else if (denial === 'quarantined' && retries.countRuns() === 0) {
+			refuse(refusals.buildQuarantined());
 		} else {
 			fail(refusals.buildFailure(failure.reason, retries.countRuns() > 0), toInterruption(failure));
 		}
--- a/gateway/forwarding/src/create-refusals.ts
+++ b/gateway/forwarding/src/create-refusals.ts
@@ -11,6 +11,11 @@
 */
 const retryAfterSpreadMs = 200;
 
+/**
+Retry-After of a request that crashes endpoints, in milliseconds. Only a new version of the endpoints can make it work.
+*/
+const quarantinedRetryAfterMs = 60_000;
+
 /**
  Creates the builder of one request's final errors.
 
@@ -35,6 +40,7 @@
 			`${attempts} of ${pool} tried`,
 			{retryAfterMs: drawRetryAfterMs()},
 		),
+		buildQuarantined: () => new ValvesaddleError('ERR_VALVESADDLE_REQUEST_QUARANTINED', 'endpoints crashed while they ran it', {retryAfterMs: quarantinedRetryAfterMs}),
 		buildOverloaded: (predictedMs, retryAfterMs) => new ValvesaddleError('ERR_VALVESADDLE_OVERLOADED', `first token predicted after ${Math.round(predictedMs)} ms`, {retryAfterMs}),
 		buildTimeout: (waitMs, wasSent) => wasSent
 			? new ValvesaddleError('ERR_VALVESADDLE_TIMEOUT', `no answer after ${waitMs} ms`)
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -1,4 +1,3 @@
-import {hashRequest} from '@valvesaddle/quarantine';
 import {createChunkTimer} from './create-chunk-timer.ts';
 import type {ForwardRequest} from './forward-request.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
@@ -8,21 +7,14 @@
  Creates the recorder of one request.
 
  @example
- const recorder = createRequestRecorder(options, request);
+ const recorder = createRequestRecorder(options, request, crashes.getDigest);
  recorder.recordEnd('answered', 200, {attempts: 1, runs: 1});
  */
-export function createRequestRecorder({logger, metrics}: Pick<ForwarderOptions, 'logger' | 'metrics'>, request: ForwardRequest): RequestRecorder {
+export function createRequestRecorder({logger, metrics}: Pick<ForwarderOptions, 'logger' | 'metrics'>, request: ForwardRequest, getDigest: () => string): RequestRecorder {
 	const {metadata, route, pool} = request;
 	const id = metadata.requestId ?? '-';
 	const chunkTimer = createChunkTimer(request.arrivedAt, metrics);
 
-	let digest: string | undefined;
-
-	function getDigest(): string {
-		digest ??= hashRequest({...request, host: route.host, account: request.account?.name});
-		return digest;
-	}
-
 	return {
 		recordSent({endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor}, attempt, remainingMs) {
 			logger.info({
--- a/gateway/forwarding/src/forwarder-options.ts
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -3,6 +3,7 @@
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
+import type {CrashDetector, Quarantine} from '@valvesaddle/quarantine';
 import type {RetryBudget} from '@valvesaddle/retry-budget';
 import type {Selector} from '@valvesaddle/selection';
 
@@ -15,6 +16,8 @@
 	readonly exchanges: ExchangeClient;
 	readonly budget: RetryBudget;
 	readonly waits: WaitBaselines;
+	readonly quarantine: Quarantine;
+	readonly crashDetector: CrashDetector;
 	/**
 	Called once for each request that started to run, with its client account's name (empty without one) and the time in
 	milliseconds on the monotonic clock.
--- a/gateway/forwarding/src/refusals.ts
+++ b/gateway/forwarding/src/refusals.ts
@@ -9,6 +9,10 @@
 	*/
 	readonly buildNoEndpoint: (attempts: number) => ValvesaddleError;
 	/**
+	Endpoints crashed while they ran the request; it was not sent.
+	*/
+	readonly buildQuarantined: () => ValvesaddleError;
+	/**
 	The request would miss its latency objective.
 	*/
 	readonly buildOverloaded: (predictedMs: number, retryAfterMs: number) => ValvesaddleError;
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -6,6 +6,7 @@
 import type {AnswerMetadata, RouteKind, WireFormat} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
+import {createCrashDetector, createQuarantine} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector} from '@valvesaddle/selection';
 import {
@@ -120,6 +121,7 @@
 		throw new TypeError('the endpoint is not paused');
 	};
 
+	const quarantine = createQuarantine({});
 	const forwarder = createForwarder({
 		wire: createWire(answer),
 		selector: {
@@ -154,6 +156,8 @@
 			ratio: 0, slack: (retries + 0.5) / usedBudgetShare, windowMs: 60_000, countNodes: () => 1,
 		}),
 		waits: createWaitBaselines(),
+		quarantine,
+		crashDetector: createCrashDetector({isServing: selector.isServing, onCrash: quarantine.recordCrash}),
 		admission: {lateFactor: 1.3, waitFactor: 0.5, retryAfterFactor: 1.5},
 		logger: createLogger({node: 'n', level: 'silent'}),
 		metrics: createMetrics(),
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -8,6 +8,7 @@
 import {createStallMonitor} from './create-stall-monitor.ts';
 import {createRequestTracker} from './create-request-tracker.ts';
 import {formatIncarnation} from './format-incarnation.ts';
+import {listIsolated} from './list-isolated.ts';
 import type {KnownEndpoint} from './known-endpoint.ts';
 import type {LoadUpdate} from './load-update.ts';
 import type {Placement} from './placement.ts';
@@ -96,12 +97,14 @@
 	}
 
 	/**
-	Endpoints that were not tried and have no cooldown: the healthy ones, or the ejected ones if there are no others and they are allowed.
+	Endpoints that were not tried and have no cooldown: the healthy ones, or the ejected ones if there are no others and they are
+	allowed. An isolated request has one of them.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false}: SelectionCriteria): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey}: SelectionCriteria): readonly KnownEndpoint[] {
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation));
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
-		return isHealthyOnly || healthy.length > 0 ? healthy : untried;
+		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
+		return isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
 	}
 
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
@@ -195,6 +198,7 @@
 				markDraining(incarnation);
 			}
 		},
+		isServing: incarnation => endpoints.values().some(endpoint => endpoint.incarnation === incarnation && isReady(endpoint)),
 		canTake({id, incarnation}) {
 			const known = endpoints.get(id);
 			return known?.incarnation === incarnation && isReady(known) && !hasCooldown(incarnation);
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -27,4 +27,8 @@
 	Whether an ejected endpoint is not chosen even if there is no other, as for a request that may still be answered where it is.
 	*/
 	readonly isHealthyOnly?: boolean;
+	/**
+	Key of a request that may crash endpoints: all nodes choose the same endpoint by it, so that copies crash one at a time.
+	*/
+	readonly isolationKey?: string | undefined;
 };
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -27,6 +27,10 @@
 	*/
 	readonly applyNotice: (incarnation: string, notice: Pick<AnswerMetadata, 'retryAfterMs' | 'isLeaving'>) => void;
 	/**
+	Whether an incarnation is expected to serve: it is ready, and has not announced that it drains.
+	*/
+	readonly isServing: (incarnation: string) => boolean;
+	/**
 	Whether a chosen endpoint still accepts requests: it is ready, the same incarnation, and in no cooldown.
 	*/
 	readonly canTake: (endpoint: Pick<KnownEndpoint, 'id' | 'incarnation'>) => boolean;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -12,9 +12,10 @@
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics, createMetricsPage} from '@valvesaddle/metrics';
 import {createPeerNetwork} from '@valvesaddle/network';
+import {createCrashDetector} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
-import {createSelector} from '@valvesaddle/selection';
+import {createSelector, formatIncarnation} from '@valvesaddle/selection';
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
@@ -138,12 +139,24 @@
 	const duties = settings.duties && createDutyTask({
 		name, process: self.id, settings: settings.duties, store: {address: storeSettings.address, timeoutMs: storeSettings.timeout_ms}, view, selector, sync, toUnixTime, logger, metrics,
 	});
+	const crashDetector = createCrashDetector({
+		isServing: selector.isServing,
+		onCrash(endpoint, digests, evidence) {
+			metrics.increment('gateway.endpoint-crashes', 1, {evidence});
+			logger.warn({
+				name: 'endpoint-crashed', endpoint, evidence, requests: digests.length,
+			});
+			sync.quarantine.recordCrash(endpoint, digests);
+		},
+	});
 	const forwarder = createForwarder({
 		wire: platformWire,
 		selector,
 		exchanges,
 		budget,
 		waits: createWaitBaselines(),
+		quarantine: sync.quarantine,
+		crashDetector,
 		onStarted(account, at) {
 			sync.usage?.count(account, at);
 		},
@@ -179,12 +192,14 @@
 	view.events.on('incarnation', ({data: {endpoint, before}}) => {
 		// A retry must not reuse a connection to the terminated process.
 		exchanges.closeAddress(before.address);
+		crashDetector.recordEnded(formatIncarnation(before), 'restarted');
 		selector.setIncarnation(endpoint);
 	});
 	view.events.on('endpoint', ({data: {endpoint}}) => {
 		selector.addEndpoint(endpoint);
 	});
 	view.events.on('endpointRemoved', ({data: {id, endpoint}}) => {
+		crashDetector.recordEnded(formatIncarnation(endpoint), 'removed');
 		selector.removeEndpoint(id);
 		exchanges.closeAddress(endpoint.address);
 	});
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -5,6 +5,7 @@
 import {createClusterSync} from './create-cluster-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createLoadSync} from './create-load-sync.ts';
+import {createQuarantineSync} from './create-quarantine-sync.ts';
 import {createUsageSync} from './create-usage-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
 import type {PeerSyncOptions} from './peer-sync-options.ts';
@@ -57,6 +58,7 @@
 	const usage = options.usage && createUsageSync({
 		node: self.id, network, links, ...options.usage,
 	});
+	const quarantineSync = createQuarantineSync({network, logger, metrics});
 	const clusterSync = createClusterSync({
 		node: self.id, network, links, view, follower, confirmMs: linkTimeoutMs, logger, metrics,
 	});
@@ -139,6 +141,7 @@
 	});
 	network.events.on('lost', ({data: {node}}) => {
 		loadSync.removeLink(node);
+		quarantineSync.removeLink(node);
 		links.markLost(node);
 		logger.info({name: 'peer-state', peer: node, reachable: false});
 	});
@@ -146,6 +149,7 @@
 		logger.info({name: 'peer-state', peer: node, reachable: true});
 		loadSync.sendFull(node);
 		usage?.sendFull(node);
+		quarantineSync.sendFull(node);
 		clusterSync.sendHeartbeat();
 	});
 
@@ -167,15 +171,18 @@
 			isStoreNeeded: clusterSync.isStoreNeeded,
 			isFollower: links.isFollower,
 			usage,
+			quarantine: quarantineSync.quarantine,
 			sendPlacements,
 			close() {
 				closing.abort();
 				clearTimeout(placementTimer);
+				quarantineSync.close();
 			},
 		},
 		handlers: {
 			'load.news': withLastSeen(loadSync.applyLoadUpdate),
 			'usage.rows': withLastSeen((parameters, node) => usage?.apply(parameters, node)),
+			'quarantine.rows': withLastSeen(quarantineSync.apply),
 			'cluster.heartbeat': withLastSeen(clusterSync.applyHeartbeat),
 			'cluster.changes': withLastSeen(clusterSync.applyChanges),
 			'cluster.state': withLastSeen(clusterSync.exportState),
--- a/node/gateway/src/peer-sync.ts
+++ b/node/gateway/src/peer-sync.ts
@@ -1,3 +1,4 @@
+import type {Quarantine} from '@valvesaddle/quarantine';
 import type {UsageSync} from './usage-sync.ts';
 
 /**
@@ -21,6 +22,7 @@
 	Usage counts; `undefined` if they aren't configured.
 	*/
 	readonly usage: UsageSync | undefined;
+	readonly quarantine: Quarantine;
 	/**
 	Schedules sending a new placement to the parent ahead of the load update interval, in a large fleet.
 	*/
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -6,6 +6,7 @@
 	type ArrivedRequest,
 	type EndpointBehaviour,
 } from '@valvesaddle/fake-endpoint';
+import {findFreeAddress} from '@valvesaddle/fake-http';
 import {startFakeFleetStore} from '@valvesaddle/fake-fleet-store';
 import {waitUntil} from '@valvesaddle/fake-fleet';
 import {parseGatewaySettings} from '@valvesaddle/settings';
@@ -46,6 +47,11 @@
 	tenants: [{name: 'sawmill', 'api-keys': ['key']}],
 };
 
+/**
+Loopback address at which nodes listen for each other.
+*/
+const peerHost = '127.0.0.3';
+
 /**
 Drain settings, unless the test has its own.
 */
@@ -73,7 +79,7 @@
 		void behaviours[behaviour](arrivedRequest, socket, resumed);
 	};
 
-	const formatSettings = (name: string) => `
+	const formatSettings = (name: string, peers: string) => `
 			[node]
 			name = "${name}"
 			data_centre = "a"
@@ -81,7 +87,7 @@
 			[listen]
 			callers = "127.0.0.1:0"
 			ready = "127.0.0.1:0"
-			peers = "127.0.0.1:0"
+			peers = "${peers}"
 			[store]
 			address = "${store.address}"
 			timeout_ms = 10000
@@ -109,7 +115,7 @@
 	Starts a node of the fleet. Ends with the test.
 	*/
 	async function startNode(name: string) {
-		const settings = parseGatewaySettings(formatSettings(name))._unsafeUnwrap();
+		const settings = parseGatewaySettings(formatSettings(name, await findFreeAddress(peerHost)))._unsafeUnwrap();
 		const gateway = createGateway({settings});
 		nodes.push(gateway);
 		const addresses = await gateway.start();
