fix(quarantine): exonerate requests that are answered, and try quarantined ones again

Callers would have seen: a popular request without a body refused for ever.

Cause: blame counted every request that ran on a crashed endpoint, also one that had been answered a moment before, and a wrong verdict could not be lifted, since a refused request is never answered.

--- a/gateway/forwarding/src/crash-record.ts
+++ b/gateway/forwarding/src/crash-record.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly isQuarantined: () => boolean;
 	/**
+	Takes the right to send the request to one endpoint although it is quarantined.
+	*/
+	readonly takeTrial: () => boolean;
+	/**
 	Key by which all nodes choose the same endpoint for a request that may have crashed others; `undefined` without a suspicion.
 	*/
 	readonly getIsolationKey: () => string | undefined;
--- a/gateway/forwarding/src/create-crash-record.ts
+++ b/gateway/forwarding/src/create-crash-record.ts
@@ -4,7 +4,7 @@
 import type {ForwarderOptions} from './forwarder-options.ts';
 
 /**
- Creates the crash record of one request. While no crash is known, the request is not hashed.
+ Creates the crash record of one request.
 
  @example
  const crashes = createCrashRecord(options, request);
@@ -16,24 +16,32 @@
 	*/
 	const broken = new Set<string>();
 	let digest: string | undefined;
+	let isOnTrial = false;
 
 	function getDigest(): string {
 		digest ??= hashRequest({...request, host: request.route.host, account: request.account?.name});
 		return digest;
 	}
 
+	function hasCrashes(): boolean {
+		return broken.size > 0 || !quarantine.isEmpty();
+	}
+
 	return {
 		getDigest,
-		isQuarantined: () => (broken.size > 0 || !quarantine.isEmpty()) && quarantine.isQuarantined(getDigest(), broken),
+		isQuarantined: () => !isOnTrial && hasCrashes() && quarantine.isQuarantined(getDigest(), broken),
+		takeTrial() {
+			isOnTrial = quarantine.takeTrial(getDigest());
+			return isOnTrial;
+		},
 		getIsolationKey: () => !quarantine.isEmpty() && quarantine.isSuspect(getDigest()) ? getDigest() : undefined,
 		recordBroken(incarnation) {
+			isOnTrial = false;
 			broken.add(incarnation);
 			crashDetector.recordBroken(incarnation, getDigest());
 		},
 		recordAnswered() {
-			if (!quarantine.isEmpty()) {
-				quarantine.recordAnswered(getDigest());
-			}
+			quarantine.recordAnswered(getDigest());
 		},
 	};
 }
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -212,7 +212,7 @@
 	}
 
 	function startAttempt(): void {
-		if (crashes.isQuarantined()) {
+		if (crashes.isQuarantined() && !crashes.takeTrial()) {
 			refuse(refusals.buildQuarantined());
 			return;
 		}
--- a/gateway/quarantine/src/quarantine-options.ts
+++ b/gateway/quarantine/src/quarantine-options.ts
@@ -13,6 +13,10 @@
 	*/
 	readonly onQuarantined?: (digest: string, endpoints: readonly string[]) => void;
 	/**
+	Whether this node may try a quarantined request again; one node at a time for each request.
+	*/
+	readonly isTrialNode?: (digest: string) => boolean;
+	/**
 	Requests that are remembered.
 	*/
 	readonly maximumRequests?: number;
--- a/gateway/quarantine/src/quarantine.ts
+++ b/gateway/quarantine/src/quarantine.ts
@@ -5,7 +5,7 @@
 */
 export type Quarantine = {
 	/**
-	Whether no crash is known, so that no request has to be hashed.
+	Whether no crash is known.
 	*/
 	readonly isEmpty: () => boolean;
 	/**
@@ -14,6 +14,10 @@
 	*/
 	readonly isQuarantined: (digest: string, broken?: ReadonlySet<string>) => boolean;
 	/**
+	Takes the right to send a quarantined request to one endpoint after all, to find out whether the crashes had another cause.
+	*/
+	readonly takeTrial: (digest: string) => boolean;
+	/**
 	Whether an endpoint crashed while it ran the request, and the request has not been answered since.
 	*/
 	readonly isSuspect: (digest: string) => boolean;
@@ -22,7 +26,7 @@
 	*/
 	readonly recordCrash: (endpoint: string, digests: Iterable<string>) => void;
 	/**
-	Records a whole answer to a request: the crashes before it had another cause.
+	Records a whole answer to a request: the crashes before it, and for some seconds after it, had another cause.
 	*/
 	readonly recordAnswered: (digest: string) => void;
 	/**
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,5 +1,6 @@
 import {setImmediate as waitForTurn, setTimeout as wait} from 'node:timers/promises';
 import {measureFleetFactor} from '@valvesaddle/cluster-view';
+import {rankByHash} from '@valvesaddle/ranking';
 import {formatIncarnation} from '@valvesaddle/selection';
 import {measureTick} from '@valvesaddle/ticks';
 import {createClusterSync} from './create-cluster-sync.ts';
@@ -58,7 +59,9 @@
 	const usage = options.usage && createUsageSync({
 		node: self.id, network, links, ...options.usage,
 	});
-	const quarantineSync = createQuarantineSync({network, logger, metrics});
+	const quarantineSync = createQuarantineSync({
+		network, isTrialNode: digest => rankByHash(digest, [...view.nodes().map(({id}) => id), self.id])[0] === self.id, logger, metrics,
+	});
 	const clusterSync = createClusterSync({
 		node: self.id, network, links, view, follower, confirmMs: linkTimeoutMs, logger, metrics,
 	});
--- a/node/gateway/src/create-quarantine-sync.ts
+++ b/node/gateway/src/create-quarantine-sync.ts
@@ -10,6 +10,10 @@
 */
 type QuarantineSyncOptions = {
 	readonly network: Pick<PeerNetwork, 'connected' | 'isReady' | 'notify'>;
+	/**
+	Whether this node may try a quarantined request again.
+	*/
+	readonly isTrialNode: (digest: string) => boolean;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
@@ -28,10 +32,10 @@
  relays pass them on to the whole fleet. Rows are merged in any order, and each is forwarded once.
 
  @example
- const sync = createQuarantineSync({network, logger, metrics});
+ const sync = createQuarantineSync({network, isTrialNode, logger, metrics});
  sync.quarantine.recordCrash('i-7f', [digest]);
  */
-export function createQuarantineSync({network, logger, metrics}: QuarantineSyncOptions): QuarantineSync {
+export function createQuarantineSync({network, isTrialNode, logger, metrics}: QuarantineSyncOptions): QuarantineSync {
 	/**
 	Rows to send on each link, the latest state of each.
 	*/
@@ -40,6 +44,7 @@
 	let timer: NodeJS.Timeout | undefined;
 
 	const quarantine = createQuarantine({
+		isTrialNode,
 		onChanged(rows) {
 			metrics.gauge('gateway.suspect-requests', quarantine.countRequests());
 			for (const node of network.connected()) {
