--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -1,4 +1,5 @@
 import type {Breach} from './breach.ts';
+import {crashingPath} from './crashing-path.ts';
 import type {AppliedFault} from './applied-fault.ts';
 import type {FaultKind} from './fault-kind.ts';
 import type {Attempt} from './attempt.ts';
@@ -26,6 +27,13 @@
 const cooldownSlackMs = 500;
 const announcedSlackMs = 2000;
 /**
+The platform's bounds: endpoints that may crash under a request, the time after which all nodes know, in milliseconds, and further
+endpoints that the request may reach then.
+*/
+const allowedCrashes = 3;
+const contactMs = 3000;
+const mostLateCrashes = 3;
+/**
 Kinds of fault that keep beliefs from spreading.
 */
 const disturbingKinds: ReadonlySet<FaultKind> = new Set(['stop', 'kill', 'killAll', 'pause', 'storeRefuse', 'storeSilent', 'storeCompact', 'storeLose', 'cutSilent', 'cutReset', 'cutSlow']);
@@ -143,6 +151,21 @@
 			return told?.isWhole === true ? late.map(arrival => `${arrival.id} came to ${endpoint} from ${told.node} (${told.pid}) ${arrival.at - at} ms after it said that it leaves`) : [];
 		});
 	},
+	'a request that crashed three endpoints reaches no more than three others'({attempts, arrivals, crashes, faults}) {
+		const senders = listSenders(attempts);
+		const third = crashes[allowedCrashes - 1];
+		const isForgotten = faults.some(({kind, at}) => kind === 'killAll' && at > (crashes[0]?.at ?? Infinity));
+		if (third === undefined || isForgotten) {
+			return [];
+		}
+
+		const late = arrivals.filter(({id}) => {
+			const sender = senders.get(id);
+			const isRepeat = sender?.path === third.path && sender.sentAt > third.at + contactMs;
+			return isRepeat && isCalm(faults, sender.sentAt, sender.sentAt);
+		});
+		return late.length > mostLateCrashes ? [`${third.path} reached ${late.length} endpoints later than ${contactMs} ms after the third crash; ${crashes.length} crashed in all`] : [];
+	},
 	'an accepted configuration is in force in seconds'({attempts, versions, faults}) {
 		return attempts.filter(({path}) => path.startsWith('/v')).flatMap(attempt => {
 			const asked = Number(attempt.path.split('/', 2)[1]?.slice(1));
@@ -192,7 +215,7 @@
 			.map(attempt => formatAttempt(attempt, `failed after ${attempt.endedAt - attempt.sentAt} ms`));
 	},
 	'every kind of request is served once faults are over'({attempts, calmFrom}) {
-		const late = attempts.filter(({sentAt, path}) => sentAt > calmFrom && !path.startsWith('/v'));
+		const late = attempts.filter(({sentAt, path}) => sentAt > calmFrom && !path.startsWith('/v') && path !== crashingPath);
 		return Map.groupBy(late, ({kind}) => kind).entries().flatMap(([kind, group]) => {
 			const served = group.filter(({status, isWhole}) => status === 200 && isWhole).length;
 			return served < leastServed * group.length ? [`${kind}: ${served} of ${group.length}`] : [];
--- a/bench/soak/src/create-fault-handlers.ts
+++ b/bench/soak/src/create-fault-handlers.ts
@@ -15,6 +15,10 @@
 	readonly endpoints: readonly SoakEndpoint[];
 	readonly publishConfiguration: () => void;
 	/**
+	Sends a request that crashes endpoints until the run is over.
+	*/
+	readonly startCrashing: () => void;
+	/**
 	Puts another endpoint in a place; the one before tells the store at once that it leaves, or in its answers first.
 	*/
 	readonly moveEndpoint: (place: number, isAnnounced?: boolean) => Promise<void>;
@@ -110,6 +114,7 @@
 			},
 		},
 		configure: {begin: publishConfiguration},
+		crash: {begin: options.startCrashing},
 		stall: createEndpointFault('stall'),
 		late: createEndpointFault('late'),
 		reload: {begin: createSignal('SIGHUP')},
--- a/bench/soak/src/plan-faults.ts
+++ b/bench/soak/src/plan-faults.ts
@@ -50,6 +50,12 @@
 const shortestMs = 400;
 const longestMs = 3000;
 
+/**
+Part of the runs in which a request crashes endpoints, and the part of a run in which it comes first.
+*/
+const crashShare = 0.5;
+const latestCrashShare = 0.4;
+
 /**
  Plans the faults of a run: any kind, at any time, several at once.
 
@@ -61,9 +67,22 @@
 		...planKinds(kinds, meanGapMs, options),
 		...planKinds(noticeKinds, meanNoticeGapMs, options),
 		...planKinds(delayKinds, meanDelayGapMs, options),
+		...planCrashes(options),
 	];
 }
 
+/**
+A request that crashes endpoints comes until the end, so that repeats long after the third crash are seen.
+*/
+function planCrashes({random, lengthMs}: PlanOptions): readonly AppliedFault[] {
+	const isPlanned = random() < crashShare;
+	const at = Math.round(random() * lengthMs * latestCrashShare);
+	const crash: AppliedFault = {
+		kind: 'crash', at, until: lengthMs, target: 0,
+	};
+	return isPlanned ? [crash] : [];
+}
+
 function planKinds(among: readonly FaultKind[], gapMs: number, {random, lengthMs, nodes, endpoints}: PlanOptions): readonly AppliedFault[] {
 	const faults: AppliedFault[] = [];
 	for (let at = random() * gapMs; at < lengthMs; at += -Math.log(1 - random()) * gapMs) {
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -10,12 +10,15 @@
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
 import {listReadRequests} from './list-read-requests.ts';
+import {markCrashedRuns} from './mark-crashed-runs.ts';
 import type {Observation} from './observation.ts';
 import type {Notice} from './notice.ts';
 import {planFaults} from './plan-faults.ts';
 import type {RetrySettings} from './retry-settings.ts';
 import type {Run} from './run.ts';
+import type {Crash} from './crash.ts';
 import {runCaller} from './run-caller.ts';
+import {runCrashingCaller} from './run-crashing-caller.ts';
 import type {SoakEndpoint} from './soak-endpoint.ts';
 import type {SoakNode} from './soak-node.ts';
 import type {SoakResult} from './soak-result.ts';
@@ -52,6 +55,11 @@
 */
 const announcedMs = 4000;
 
+/**
+Time after which the entry of a process that has ended expires, in milliseconds.
+*/
+const entryExpiryMs = 1200;
+
 /**
  Runs nodes, callers and endpoints under the faults of a seed, and checks the promises.
 
@@ -69,6 +77,7 @@
 	const runs: Run[] = [];
 	const arrivals: Arrival[] = [];
 	const notices: Notice[] = [];
+	const crashes: Crash[] = [];
 	const versions: Array<{version: number; at: number}> = [];
 	const drains: Array<{endpoint: string; at: number}> = [];
 	/**
@@ -78,6 +87,7 @@
 	const allEndpoints: SoakEndpoint[] = [];
 	let ready: readonly SoakNode[] = [];
 	let endAt = Infinity;
+	let crashingCaller: Promise<void> | undefined;
 
 	async function addEndpoint(place: number): Promise<void> {
 		const endpoint = await startSoakEndpoint({
@@ -90,12 +100,41 @@
 			onNotice(notice) {
 				notices.push(notice);
 			},
+			onCrash(crashPath) {
+				void crashEndpoint(endpoint, crashPath);
+			},
 		});
 		endpoints[place] = endpoint;
 		allEndpoints.push(endpoint);
 		registerEndpoint(endpoint, 'ready');
 	}
 
+	/**
+	The entry of a process that has ended expires after some heartbeats; another process takes its place, if it had one.
+	*/
+	async function crashEndpoint(ended: SoakEndpoint, crashPath: string): Promise<void> {
+		if (crashes.some(({endpoint}) => endpoint === ended.id)) {
+			return;
+		}
+
+		crashes.push({path: crashPath, endpoint: ended.id, at: now()});
+		await ended.close();
+		await wait(entryExpiryMs);
+		store.remove(`servers/${ended.id}`);
+		const place = endpoints.indexOf(ended);
+		if (place !== -1) {
+			await addEndpoint(place);
+		}
+	}
+
+	function startCrashing(): void {
+		crashingCaller = runCrashingCaller({
+			random: createRandom((seed * 1000) + 999), now, listReady: () => ready, isOver: () => now() >= endAt, onAttempt(attempt) {
+				attempts.push(attempt);
+			},
+		});
+	}
+
 	function registerEndpoint({id, address}: SoakEndpoint, state: 'ready' | 'draining'): void {
 		store.registerEndpoint(id, {
 			pool: 'desk', address, slots: 8, state,
@@ -128,7 +167,7 @@
 	}
 
 	const handlers = createFaultHandlers({
-		store, nodes: () => nodes, endpoints, publishConfiguration, moveEndpoint,
+		store, nodes: () => nodes, endpoints, publishConfiguration, moveEndpoint, startCrashing,
 	});
 
 	async function applyFault(fault: AppliedFault): Promise<AppliedFault> {
@@ -184,11 +223,11 @@
 	await wait(calmMs);
 	endAt = now() + servedMs;
 	const calmFrom = now();
-	await Promise.all([watching, ...calling]);
+	await Promise.all([watching, crashingCaller, ...calling]);
 	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
 	const read = await listReadRequests(folder, nodes.map(({name}) => name));
 	const observation: Observation = {
-		attempts, runs, read, arrivals, notices, faults, versions, drains, calmFrom,
+		attempts, runs: markCrashedRuns(runs, crashes, attempts), read, arrivals, notices, crashes, faults, versions, drains, calmFrom,
 	};
 	const breaches = checkPromises(observation);
 	if (breaches.length === 0) {
--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -9,6 +9,7 @@
 	startFakeEndpoint,
 	type ArrivedRequest,
 } from '@valvesaddle/fake-endpoint';
+import {crashingPath} from './crashing-path.ts';
 import type {FaultKind} from './fault-kind.ts';
 import type {Arrival} from './arrival.ts';
 import type {Notice} from './notice.ts';
@@ -25,6 +26,10 @@
 	readonly onRun: (run: Run) => void;
 	readonly onArrival: (arrival: Arrival) => void;
 	readonly onNotice: (notice: Notice) => void;
+	/**
+	Called when the process ends under a request with this path.
+	*/
+	readonly onCrash: (path: string) => void;
 };
 
 /**
@@ -64,7 +69,7 @@
  const endpoint = await startSoakEndpoint({id: 'e1', random, now, onRun});
  endpoint.setFault('break');
  */
-export async function startSoakEndpoint({id: endpoint, random, now, onRun, onArrival, onNotice}: EndpointOptions): Promise<SoakEndpoint> {
+export async function startSoakEndpoint({id: endpoint, random, now, onRun, onArrival, onNotice, onCrash}: EndpointOptions): Promise<SoakEndpoint> {
 	const fake = await startFakeEndpoint();
 	let fault: FaultKind | undefined;
 
@@ -136,6 +141,15 @@
 			return;
 		}
 
+		if (request.line.includes(crashingPath)) {
+			onRun({
+				id, endpoint, at: now(), isSpoiled: true,
+			});
+			await wait(random() * longestWorkMs);
+			onCrash(crashingPath);
+			return;
+		}
+
 		const isSpoiled = isStruck && (fault === 'break' || fault === 'spoil');
 		onRun({
 			id, endpoint, at: now(), isSpoiled,
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -11,7 +11,7 @@
 
 function check(change: Partial<Observation>): readonly string[] {
 	const observation: Observation = {
-		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], crashes: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
 	};
 	return checkPromises(observation).map(({promise}) => promise);
 }
@@ -36,8 +36,23 @@
 	return times.map(at => ({id: 'c1-1', endpoint: 'e1', at}));
 }
 
+/**
+Three crashes, and further arrivals of the same request.
+*/
+function createCrashes(times: readonly number[]): Partial<Observation> {
+	return {
+		crashes: [100, 200, 300].map((at, index) => ({path: '/unsafe/crash', endpoint: `e${index}`, at})),
+		attempts: times.map(at => createAttempt({
+			id: `crash-${at}`, path: '/unsafe/crash', sentAt: at, endedAt: at, status: 502, body: '',
+		})),
+		arrivals: times.map(at => ({id: `crash-${at}`, endpoint: 'e9', at})),
+	};
+}
+
 const kept: ReadonlyArray<readonly [name: string, observation: Partial<Observation>]> = [
 	['a whole answer of its own', {attempts: [createAttempt()], runs: [run]}],
+	['a request that crashes endpoints until all nodes know, and three times then', createCrashes([400, 1000, 2000, 3000, 4000, 5000, 6000])],
+	['a request that crashes endpoints at nodes that were all killed after it', {...createCrashes([4000, 5000, 6000, 7000]), faults: [{...stop, kind: 'killAll'}]}],
 	['a refusal of what did not run', {attempts: [createAttempt({status: 503, body: ''})]}],
 	['a failure of what may have run', {attempts: [createAttempt({status: 502, body: ''})], runs: [{...run, isSpoiled: true}]}],
 	['a second run of what may be repeated', {attempts: [createAttempt({kind: 'safe'})], runs: [run, run]}],
@@ -85,6 +100,7 @@
 	['a leaving endpoint gets no new work', {runs: [{...run, at: 9000}], drains: [{endpoint: 'e1', at: 1000}]}],
 	['an endpoint that asked for a pause gets at most two requests in it', {attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([2000, 2100, 2900])}],
 	['an endpoint that says that it leaves gets no further requests', {attempts: [createAttempt({sentAt: 3100})], notices: [leaving], arrivals: createArrivals([3110])}],
+	['a request that crashed three endpoints reaches no more than three others', createCrashes([4000, 5000, 6000, 7000])],
 	['an accepted configuration is in force in seconds', {
 		attempts: [createAttempt({
 			path: '/v2/x', kind: 'safe', sentAt: 20_000, endedAt: 20_010, status: 404,
