--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -1,6 +1,7 @@
 import type {EndpointBehaviour} from './endpoint-behaviour.ts';
 import {formatAnswer} from './format-answer.ts';
 import {formatHead} from './format-head.ts';
+import {formatLimit} from './format-limit.ts';
 import {formatStreamHead} from './format-stream-head.ts';
 import {leavingMark} from './leaving-mark.ts';
 import {notRunMark} from './not-run-mark.ts';
@@ -55,6 +56,12 @@
 	leavingOther(_request, socket) {
 		socket.write(formatAnswer('200 OK', {requestId: 'other'}, {...signature, ...leavingMark}, ''));
 	},
+	/**
+	Answers, and names a limit that no test outlasts.
+	*/
+	limited(request, socket) {
+		socket.write(formatAnswer('200 OK', request, {...signature, ...formatLimit(0.01)}, `body of ${request.line}`));
+	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
 	},
--- a/gateway/forwarding/src/classify-answer.ts
+++ b/gateway/forwarding/src/classify-answer.ts
@@ -10,7 +10,7 @@
  Classifies an endpoint's answer by its status and headers.
 
  @example
- classifyAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false}, 'a'); // 'whole'
+ classifyAnswer(200, {requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false, requestLimit: undefined}, 'a'); // 'whole'
  */
 export function classifyAnswer(status: number, metadata: AnswerMetadata, requestId: string | undefined): AnswerClass {
 	if (metadata.requestId !== undefined && metadata.requestId !== requestId) {
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -65,7 +65,11 @@
 	/**
 	Applies the cooldown or the draining signal that an endpoint may send with any answer.
 	*/
-	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining}: AnswerMetadata): void {
+	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining, requestLimit}: AnswerMetadata): void {
+		if (requestLimit !== undefined) {
+			recorder.recordLimit(endpoint, requestLimit);
+		}
+
 		// A cooldown expires by itself; a draining signal is accepted only with the request's own id.
 		const notice = {retryAfterMs, isLeaving: isDraining && requestId === metadata.requestId};
 		if (retryAfterMs === undefined && !notice.isLeaving) {
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -41,6 +41,12 @@
 				name: 'endpoint-notice', request: id, endpoint: endpoint.id, status, retryAfterMs, isLeaving,
 			});
 		},
+		recordLimit(endpoint, limit) {
+			metrics.increment('gateway.endpoint-limits', 1, {kind: limit === 'invalid' ? 'invalid' : 'named'});
+			logger.info({
+				name: 'endpoint-limit', request: id, endpoint: endpoint.id, limit,
+			});
+		},
 		recordFailure({cause, reason, mayHaveRun}, {endpoint, attempt}, denial, {retries, allowed}) {
 			metrics.increment(denial === undefined ? 'gateway.retries' : 'gateway.given-up', 1, {cause});
 			logger.info({
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -19,6 +19,10 @@
 	readonly recordSent: (selection: Selection, attempt: number, remainingMs: number) => void;
 	readonly recordNotice: (endpoint: KnownEndpoint, status: number, notice: Notice) => void;
 	/**
+	Records the requests per second that an endpoint accepts.
+	*/
+	readonly recordLimit: (endpoint: KnownEndpoint, limit: number | 'invalid') => void;
+	/**
 	Records a failed attempt at an endpoint, why it is not followed by another, and the state of the retry budget.
 	*/
 	readonly recordFailure: (failure: AttemptFailure, failed: {readonly endpoint: string; readonly attempt: number}, denial: RetryDenial | undefined, usage: RetryUsage) => void;
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -15,7 +15,7 @@
 };
 
 const signedAnswer: AnswerMetadata = {
-	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false,
+	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: false, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false, requestLimit: undefined,
 };
 
 test('a request that may have run is retried only if it is retryable, and within the attempts of its route', t => {
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -17,7 +17,7 @@
 } from '@valvesaddle/forwarding';
 
 export const eventStream: AnswerMetadata = {
-	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: true, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false,
+	requestId: 'a', isSigned: true, isNotRun: false, isEventStream: true, isEncoded: false, isMisdirected: false, retryAfterMs: undefined, isLeaving: false, requestLimit: undefined,
 };
 export const wholeAnswer: AnswerMetadata = {...eventStream, isEventStream: false};
 
--- a/gateway/types/src/answer-metadata.ts
+++ b/gateway/types/src/answer-metadata.ts
@@ -31,4 +31,8 @@
 	Whether the endpoint is draining and accepts no new requests.
 	*/
 	readonly isLeaving: boolean;
+	/**
+	Requests per second that the endpoint accepts from all nodes together; `undefined` when it names no limit.
+	*/
+	readonly requestLimit: number | 'invalid' | undefined;
 };
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -91,6 +91,7 @@
 		readonly name: 'attempt-kept'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string;
 		readonly denial: string; readonly retries: number; readonly allowedRetries: number;
 	}
+	| {readonly name: 'endpoint-limit'; readonly request: string; readonly endpoint: string; readonly limit: number | 'invalid' | undefined}
 	| {readonly name: 'endpoint-crashed'; readonly endpoint: string; readonly evidence: string; readonly requests: number}
 	| {readonly name: 'request-quarantined'; readonly digest: string; readonly endpoints: readonly string[]}
 	| {readonly name: 'move-reverted'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string}
