fix(selection): keep the limits of requests that endpoints name

Endpoints saw: one that named a limit of 3.2 requests a second got 46 in 4 s (allowed 24), one with a limit of 1 a second got 17 (allowed 11), from eight nodes.

Cause: the header was not read. An endpoint's word in an answer was taken only where it asked for a pause or announced that it drains.

Change: a limit is kept by incarnation from the first answer that names it to the first that does not. Time is divided into slots of one permit; a hash gives each slot to one node of the fleet, so the nodes agree without a message, also while they are cut off from each other, and their sum does not grow with their number. Permits are kept for a second at most. They are taken when the request is opened, or just before its first byte if the limit became known meanwhile; second tries take them too. While no endpoint has a permit left, callers are told when the next slot begins.

--- a/emulator/fleet/src/emulator-wire.ts
+++ b/emulator/fleet/src/emulator-wire.ts
@@ -19,6 +19,7 @@
 		isMisdirected: false,
 		retryAfterMs: headers['x-retry-after-ms'] === undefined ? undefined : Number(headers['x-retry-after-ms']),
 		isLeaving: headers['x-leaving'] !== undefined,
+		requestLimit: headers['x-request-limit'] === undefined ? undefined : Number(headers['x-request-limit']),
 	}),
 	writeAnswer: () => [],
 };
--- a/fakes/endpoint/src/behaviours.ts
+++ b/fakes/endpoint/src/behaviours.ts
@@ -62,6 +62,9 @@
 	limited(request, socket) {
 		socket.write(formatAnswer('200 OK', request, {...signature, ...formatLimit(0.01)}, `body of ${request.line}`));
 	},
+	unreadableLimit(request, socket) {
+		socket.write(formatAnswer('200 OK', request, {...signature, 'server-limit': 'few'}, `body of ${request.line}`));
+	},
 	misdirected(request, socket) {
 		socket.write(formatAnswer('421 Misdirected Request', request, {}, ''));
 	},
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -65,11 +65,7 @@
 	/**
 	Applies the cooldown or the draining signal that an endpoint may send with any answer.
 	*/
-	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining, requestLimit}: AnswerMetadata): void {
-		if (requestLimit !== undefined) {
-			recorder.recordLimit(endpoint, requestLimit);
-		}
-
+	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining}: AnswerMetadata): void {
 		// A cooldown expires by itself; a draining signal is accepted only with the request's own id.
 		const notice = {retryAfterMs, isLeaving: isDraining && requestId === metadata.requestId};
 		if (retryAfterMs === undefined && !notice.isLeaving) {
@@ -80,6 +76,16 @@
 		recorder.recordNotice(endpoint, status, notice);
 	}
 
+	/**
+	Applies the limit that an endpoint names in its own answers to this request. An answer without one removes it.
+	*/
+	function applyLimit({requestId, isSigned, isNotRun, isMisdirected, requestLimit}: AnswerMetadata): void {
+		const isOwn = requestId === metadata.requestId && (isSigned || isNotRun) && !isMisdirected;
+		if (isOwn && (requestLimit === 'invalid' || selector.didSetLimit(endpoint.incarnation, requestLimit))) {
+			recorder.recordLimit(endpoint, requestLimit);
+		}
+	}
+
 	function handleData(current: AttemptAnswer, chunk: Uint8Array): Flow {
 		if (current.answerClass === 'stream') {
 			return writeChunk(chunk);
@@ -163,7 +169,7 @@
 	Whether the request may still be sent once a connection is open.
 	*/
 	function canSend(): boolean {
-		return selector.canTake(endpoint) && !crashes.isQuarantined();
+		return selector.canTake(endpoint) && !crashes.isQuarantined() && openRequest.canSend();
 	}
 
 	/**
@@ -202,6 +208,7 @@
 		onHead(status, headers) {
 			const answerMetadata = wire.readAnswer(status, headers);
 			applyNotice(status, answerMetadata);
+			applyLimit(answerMetadata);
 			const answerClass = classifyAnswer(status, answerMetadata, metadata.requestId);
 			answer = {
 				status, headers, answerClass, chunks: [], bytes: 0,
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -42,7 +42,7 @@
 			});
 		},
 		recordLimit(endpoint, limit) {
-			metrics.increment('gateway.endpoint-limits', 1, {kind: limit === 'invalid' ? 'invalid' : 'named'});
+			metrics.increment('gateway.endpoint-limits', 1, {kind: typeof limit === 'number' ? 'named' : limit ?? 'removed'});
 			logger.info({
 				name: 'endpoint-limit', request: id, endpoint: endpoint.id, limit,
 			});
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -19,9 +19,9 @@
 	readonly recordSent: (selection: Selection, attempt: number, remainingMs: number) => void;
 	readonly recordNotice: (endpoint: KnownEndpoint, status: number, notice: Notice) => void;
 	/**
-	Records the requests per second that an endpoint accepts.
+	Records that the requests per second that an endpoint accepts have changed, or cannot be read; `undefined` without a limit.
 	*/
-	readonly recordLimit: (endpoint: KnownEndpoint, limit: number | 'invalid') => void;
+	readonly recordLimit: (endpoint: KnownEndpoint, limit: number | 'invalid' | undefined) => void;
 	/**
 	Records a failed attempt at an endpoint, why it is not followed by another, and the state of the retry budget.
 	*/
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -159,7 +159,7 @@
 		}
 	}
 
-	function openRequest({endpoint: {incarnation: id}, heldTokens, urgency, costMs}: Selection, criteria: SelectionCriteria): OpenRequest {
+	function openRequest({endpoint: {incarnation: id}, heldTokens, urgency, costMs}: Selection, criteria: SelectionCriteria): Omit<OpenRequest, 'canSend'> {
 		const {pool, pauseObjectiveMs, promptTokens} = criteria;
 		const uncachedTokens = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -5,12 +5,15 @@
 import {createLoadTable} from './create-load-table.ts';
 import {createPrefixCacheModel} from './create-prefix-cache-model.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
+import {createRequestLimits} from './create-request-limits.ts';
 import {createStallMonitor} from './create-stall-monitor.ts';
 import {createRequestTracker} from './create-request-tracker.ts';
 import {formatIncarnation} from './format-incarnation.ts';
 import {listIsolated} from './list-isolated.ts';
 import type {KnownEndpoint} from './known-endpoint.ts';
+import type {FleetNodes} from './fleet-nodes.ts';
 import type {LoadUpdate} from './load-update.ts';
+import type {OpenRequest} from './open-request.ts';
 import type {Placement} from './placement.ts';
 import type {Rating} from './rating.ts';
 import type {Selection} from './selection.ts';
@@ -23,6 +26,8 @@
 */
 const maximumIncarnations = 2000;
 
+const aloneFleet: FleetNodes = {self: '', list: () => ['']};
+
 /**
  Creates the selector of a node.
 
@@ -46,6 +51,9 @@
 	Incarnations that announced in an answer that they drain; their entries may still say `ready`.
 	*/
 	const draining = createBoundedSet(maximumIncarnations);
+	// Fixed at the start, so that a change of the system time moves no permit.
+	const startedAt = Date.now() - performance.now();
+	const limits = createRequestLimits(options.fleet ?? aloneFleet, at => startedAt + at);
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let lastUpdateAt: number | undefined;
@@ -97,11 +105,11 @@
 	}
 
 	/**
-	Endpoints that were not tried and have no cooldown: the healthy ones, or the ejected ones if there are no others and they are
+	Endpoints that were not tried, have no cooldown and accept a request of this node: the healthy ones, or the ejected ones if there are no others and they are
 	allowed. An isolated request has one of them.
 	*/
 	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey}: SelectionCriteria): readonly KnownEndpoint[] {
-		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation));
+		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation) && limits.hasPermit(incarnation));
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
 		return isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
@@ -153,12 +161,25 @@
 		loads.removeEndpoint(incarnation);
 		prefixes.removeEndpoint(incarnation);
 		failures.removeEndpoint(incarnation);
+		limits.didSet(incarnation, undefined);
 		stallMonitor.removeEndpoint(incarnation);
 		chooser.removeEndpoint(incarnation);
 		placements = placements.filter(({endpoint}) => endpoint !== incarnation);
 		tracker.removeEndpoint(incarnation, endedAt);
 	}
 
+	function open(selection: Selection, criteria: SelectionCriteria): OpenRequest {
+		const {incarnation} = selection.endpoint;
+		let permit = limits.takePermit(incarnation);
+		return {
+			...tracker.open(selection, criteria),
+			canSend() {
+				permit = permit === 'unlimited' ? limits.takePermit(incarnation) : permit;
+				return permit !== 'denied';
+			},
+		};
+	}
+
 	return {
 		addEndpoint,
 		removeEndpoint(id) {
@@ -188,7 +209,7 @@
 			}
 		},
 		choose,
-		open: tracker.open,
+		open,
 		applyNotice(incarnation, {retryAfterMs, isLeaving}) {
 			if (retryAfterMs !== undefined) {
 				cooldowns.start(incarnation, retryAfterMs);
@@ -199,12 +220,13 @@
 			}
 		},
 		isServing: incarnation => endpoints.values().some(endpoint => endpoint.incarnation === incarnation && isReady(endpoint)),
+		didSetLimit: limits.didSet,
 		canTake({id, incarnation}) {
 			const known = endpoints.get(id);
 			return known?.incarnation === incarnation && isReady(known) && !hasCooldown(incarnation);
 		},
 		getCooldownMs(pool) {
-			const remaining = listReady(pool).map(({incarnation}) => cooldowns.getRemainingMs(incarnation));
+			const remaining = listReady(pool).map(({incarnation}) => Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation)));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
 		},
 		takeLoadUpdate(readAt = performance.now()) {
--- a/gateway/selection/src/open-request.ts
+++ b/gateway/selection/src/open-request.ts
@@ -2,6 +2,11 @@
 A request that is open at an endpoint.
 */
 export type OpenRequest = {
+	/**
+	Whether the endpoint accepts the request now by the limit that it named, which may be after the request was opened. Called just
+	before the first byte is sent.
+	*/
+	readonly canSend: () => boolean;
 	/**
 	Records a chunk of the answer; the first one shows that the prompt is prefilled.
 	*/
--- a/gateway/selection/src/request-tracker.ts
+++ b/gateway/selection/src/request-tracker.ts
@@ -9,7 +9,7 @@
 	/**
 	Records that a request is sent to the chosen endpoint.
 	*/
-	readonly open: (selection: Selection, criteria: SelectionCriteria) => OpenRequest;
+	readonly open: (selection: Selection, criteria: SelectionCriteria) => Omit<OpenRequest, 'canSend'>;
 	/**
 	Drops the requests at an endpoint, whose later reports are ignored. Those opened before `endedAt`, in Unix milliseconds, get
 	their `onEnded` handler called.
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -1,3 +1,5 @@
+import type {FleetNodes} from './fleet-nodes.ts';
+
 /**
 Options of `createSelector`.
 */
@@ -29,6 +31,10 @@
 	*/
 	readonly hasConnection?: (address: string) => boolean;
 	/**
+	Nodes among which the limits of endpoints are divided; the node is alone without it.
+	*/
+	readonly fleet?: FleetNodes;
+	/**
 	Called for each prompt that is sent to an endpoint.
 	*/
 	readonly onPlacement?: () => void;
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -27,6 +27,10 @@
 	*/
 	readonly applyNotice: (incarnation: string, notice: Pick<AnswerMetadata, 'retryAfterMs' | 'isLeaving'>) => void;
 	/**
+	Sets the requests per second that an incarnation accepts from all nodes, or removes the limit; `false` if that changes nothing.
+	*/
+	readonly didSetLimit: (incarnation: string, perSecond: number | undefined) => boolean;
+	/**
 	Whether an incarnation is expected to serve: it is ready, and has not announced that it drains.
 	*/
 	readonly isServing: (incarnation: string) => boolean;
@@ -35,7 +39,8 @@
 	*/
 	readonly canTake: (endpoint: Pick<KnownEndpoint, 'id' | 'incarnation'>) => boolean;
 	/**
-	Milliseconds until the first ready endpoint of a pool accepts requests again; 0 if one does now, or none is ready.
+	Milliseconds until the first ready endpoint of a pool accepts requests again, by its cooldown and its limit; 0 if one does now,
+	or none is ready.
 	*/
 	readonly getCooldownMs: (pool: string) => number;
 	/**
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -103,6 +103,7 @@
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 		hasConnection: address => exchanges.hasIdle(address),
+		fleet: {self: self.id, list: () => listFleet()},
 		onPlacement() {
 			sync.sendPlacements();
 		},
@@ -184,6 +185,14 @@
 	});
 	const metricsServer = listen.metrics === undefined ? undefined : createReadyServer({...parseAddress(listen.metrics), isReady: () => true, readMetrics: page.format});
 
+	/**
+	This node and all others, also before its own entry is known.
+	*/
+	function listFleet(): readonly string[] {
+		const nodes = view.nodes().map(({id}) => id);
+		return nodes.includes(self.id) ? nodes : [...nodes, self.id];
+	}
+
 	view.events.on('configuration', ({data: {configuration}}) => {
 		routes = createRouteIndex(configuration);
 		selector.setPools(configuration.pools);
--- a/node/gateway/test/request-limits.test.ts
+++ b/node/gateway/test/request-limits.test.ts
@@ -29,3 +29,37 @@
 	t.ok(arrived <= slack + nodes.length, `${arrived} of ${statuses.length}`);
 	t.ok(statuses.every(status => status === 200), 'another endpoint has room');
 });
+
+test('callers are told when to come back while every endpoint is at its limit', async t => {
+	const platform = await startPlatform(t, ['limited']);
+	await platform.open();
+	await platform.call('/safe/x');
+	await platform.call('/safe/x');
+	const answer = await platform.call('/safe/x');
+	t.equal(answer.status, 503);
+	t.match(answer.text, /"ran":"no"/v);
+	t.ok(Number(answer.headers['retry-after']) > 1);
+	t.equal(platform.arrived.length, 2);
+});
+
+test('an endpoint that names a limit while many requests are open gets none of the later ones', async t => {
+	const platform = await startPlatform(t);
+	await platform.open();
+	const [limited, other] = platform.endpoints;
+	limited?.setBehaviour(behaviours.limited);
+	const statuses = await Promise.all(Array.from({length: calls}, async () => (await platform.call('/safe/x')).status));
+	t.ok(statuses.every(status => status === 200));
+	const before = limited?.arrived().length ?? 0;
+	await Promise.all(Array.from({length: calls}, async () => platform.call('/unsafe/x')));
+	t.equal(limited?.arrived().length, before);
+	t.equal(other?.arrived().length, (2 * calls) - before);
+});
+
+test('a limit that cannot be read is ignored', async t => {
+	const platform = await startPlatform(t, ['unreadableLimit']);
+	await platform.open();
+	for (let call = 0; call < calls; call++) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		t.equal((await platform.call('/safe/x')).status, 200);
+	}
+});
