test(soak): endpoints that limit their requests

Half of the runs have such an endpoint for most of their time; promise: from nodes that were told, it gets no more than one and a half times its limit and five in 4 s. The caller of the crashing request gives up after 6 s; without that a run against nodes that do not answer did not end.

--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -1,3 +1,4 @@
+import type {Arrival} from './arrival.ts';
 import type {Breach} from './breach.ts';
 import {crashingPath} from './crashing-path.ts';
 import type {AppliedFault} from './applied-fault.ts';
@@ -38,6 +39,18 @@
 */
 const disturbingKinds: ReadonlySet<FaultKind> = new Set(['stop', 'kill', 'killAll', 'pause', 'storeRefuse', 'storeSilent', 'storeCompact', 'storeLose', 'cutSilent', 'cutReset', 'cutSlow']);
 /**
+The platform's bounds on requests at an endpoint that limits them, within a window, in milliseconds, from nodes that were told so
+long before.
+*/
+const limitWindowMs = 4000;
+const limitFactor = 1.5;
+const limitSlack = 5;
+const toldMs = 500;
+/**
+Kinds of fault of single nodes.
+*/
+const nodeKinds: ReadonlySet<FaultKind> = new Set(['stop', 'kill', 'pause', 'cutSilent', 'cutReset', 'cutSlow']);
+/**
 Kinds of fault that cut requests off, whatever a node does.
 */
 const abruptKinds: ReadonlySet<FaultKind> = new Set(['kill', 'killAll', 'pause']);
@@ -69,6 +82,16 @@
 	return faults.every(fault => !disturbingKinds.has(fault.kind) || fault.until + settleMs < from || fault.at > until);
 }
 
+/**
+Whether the node was neither stopped, paused nor cut in the seconds before it sent an attempt.
+*/
+function hasRunThrough({node, sentAt}: Attempt, faults: readonly AppliedFault[]): boolean {
+	return faults.every(({kind, target, at, until}) => {
+		const isOfNode = kind === 'killAll' || (nodeKinds.has(kind) && node === `n${target}`);
+		return !isOfNode || until + settleMs < sentAt || at > sentAt;
+	});
+}
+
 function formatAttempt({id, path, node, pid, sentAt, status}: Attempt, detail: string): string {
 	return `${id} ${path} at ${node} (${pid}), sent at ${sentAt} ms, status ${status}: ${detail}`;
 }
@@ -166,6 +189,22 @@
 		});
 		return late.length > mostLateCrashes ? [`${third.path} reached ${late.length} endpoints later than ${contactMs} ms after the third crash; ${crashes.length} crashed in all`] : [];
 	},
+	'an endpoint that names a limit gets no more requests than it allows'({attempts, arrivals, limits, faults}) {
+		const senders = listSenders(attempts);
+		return Map.groupBy(limits, ({endpoint}) => endpoint).entries().flatMap(([endpoint, named]) => {
+			const [first, last] = [named[0]!, named.at(-1)!];
+			const isCounted = ({id, at}: Arrival): boolean => {
+				const sender = senders.get(id);
+				const isTold = named.some(notice => notice.at < at - toldMs && senders.get(notice.id)?.pid === sender?.pid && senders.get(notice.id)?.isWhole === true);
+				return at >= first.at + contactMs && at <= last.at && sender !== undefined && isTold && hasRunThrough(sender, faults);
+			};
+
+			const counted = arrivals.filter(arrival => arrival.endpoint === endpoint && isCounted(arrival)).map(({at}) => at);
+			const most = Math.max(0, ...counted.map(from => counted.filter(at => at >= from && at < from + limitWindowMs).length));
+			const allowed = (limitFactor * first.perSecond * limitWindowMs / 1000) + limitSlack;
+			return most > allowed ? [`${endpoint} named ${first.perSecond} a second at ${first.at} ms and got ${most} requests in ${limitWindowMs} ms`] : [];
+		}).toArray();
+	},
 	'an accepted configuration is in force in seconds'({attempts, versions, faults}) {
 		return attempts.filter(({path}) => path.startsWith('/v')).flatMap(attempt => {
 			const asked = Number(attempt.path.split('/', 2)[1]?.slice(1));
--- a/bench/soak/src/create-fault-handlers.ts
+++ b/bench/soak/src/create-fault-handlers.ts
@@ -24,6 +24,11 @@
 	readonly moveEndpoint: (place: number, isAnnounced?: boolean) => Promise<void>;
 };
 
+/**
+Requests per second that an endpoint accepts while it limits them.
+*/
+const limitPerSecond = 2;
+
 /**
  Creates what each kind of fault does.
 
@@ -117,6 +122,16 @@
 		crash: {begin: options.startCrashing},
 		stall: createEndpointFault('stall'),
 		late: createEndpointFault('late'),
+		limit: {
+			begin({target}) {
+				endpoints[target]?.setLimit(limitPerSecond);
+			},
+			end() {
+				for (const endpoint of endpoints) {
+					endpoint.setLimit(undefined);
+				}
+			},
+		},
 		reload: {begin: createSignal('SIGHUP')},
 		thin: {
 			begin({target}) {
--- a/bench/soak/src/observation.ts
+++ b/bench/soak/src/observation.ts
@@ -2,6 +2,7 @@
 import type {Arrival} from './arrival.ts';
 import type {Attempt} from './attempt.ts';
 import type {Crash} from './crash.ts';
+import type {LimitNotice} from './limit-notice.ts';
 import type {Notice} from './notice.ts';
 import type {Run} from './run.ts';
 
@@ -18,6 +19,7 @@
 	readonly arrivals: readonly Arrival[];
 	readonly notices: readonly Notice[];
 	readonly crashes: readonly Crash[];
+	readonly limits: readonly LimitNotice[];
 	readonly faults: readonly AppliedFault[];
 	/**
 	When each version of the configuration was accepted by the store; version `n` has the route `/v<n>/` and no older one of
--- a/bench/soak/src/plan-faults.ts
+++ b/bench/soak/src/plan-faults.ts
@@ -35,7 +35,7 @@
 /**
 Faults that strike endpoints; the others strike nodes, or all of them.
 */
-const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave', 'overload', 'announce', 'stall', 'late']);
+const endpointKinds: ReadonlySet<FaultKind> = new Set(['break', 'spoil', 'refuse', 'leave', 'overload', 'announce', 'stall', 'late', 'limit']);
 /**
 Faults that are planned by themselves, so that the others of a seed stay as they are.
 */
@@ -51,10 +51,11 @@
 const longestMs = 3000;
 
 /**
-Part of the runs in which a request crashes endpoints, and the part of a run in which it comes first.
+Parts of the runs in which a request crashes endpoints and in which one limits requests, and the part of a run in which that begins.
 */
 const crashShare = 0.5;
-const latestCrashShare = 0.4;
+const limitShare = 0.5;
+const latestStartShare = 0.4;
 
 /**
  Plans the faults of a run: any kind, at any time, several at once.
@@ -68,15 +69,28 @@
 		...planKinds(noticeKinds, meanNoticeGapMs, options),
 		...planKinds(delayKinds, meanDelayGapMs, options),
 		...planCrashes(options),
+		...planLimits(options),
 	];
 }
 
+/**
+An endpoint limits requests for longer than other faults last, so that the nodes' sum over some seconds is seen.
+*/
+function planLimits({random, lengthMs, endpoints}: PlanOptions): readonly AppliedFault[] {
+	const isPlanned = random() < limitShare;
+	const at = Math.round(random() * lengthMs * latestStartShare);
+	const limit: AppliedFault = {
+		kind: 'limit', at, until: lengthMs, target: Math.floor(random() * endpoints),
+	};
+	return isPlanned ? [limit] : [];
+}
+
 /**
 A request that crashes endpoints comes until the end, so that repeats long after the third crash are seen.
 */
 function planCrashes({random, lengthMs}: PlanOptions): readonly AppliedFault[] {
 	const isPlanned = random() < crashShare;
-	const at = Math.round(random() * lengthMs * latestCrashShare);
+	const at = Math.round(random() * lengthMs * latestStartShare);
 	const crash: AppliedFault = {
 		kind: 'crash', at, until: lengthMs, target: 0,
 	};
--- a/bench/soak/src/run-crashing-caller.ts
+++ b/bench/soak/src/run-crashing-caller.ts
@@ -13,6 +13,7 @@
 };
 
 const intervalMs = 200;
+const patienceMs = 6000;
 
 /**
  Sends the same request to one node after the other until the run is over; each endpoint that runs it ends.
@@ -32,7 +33,9 @@
 		let body = '';
 		let error = '';
 		try {
-			const response = await request(`http://${node.callers}${crashingPath}`, {headers: {host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': sent.id}});
+			const response = await request(`http://${node.callers}${crashingPath}`, {
+				headers: {host: 'permits.example', authorization: 'Bearer key', 'x-attempt-id': sent.id}, headersTimeout: patienceMs, bodyTimeout: patienceMs,
+			});
 			status = response.statusCode;
 			body = await response.body.text();
 		} catch (error_) {
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -9,6 +9,7 @@
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
+import type {LimitNotice} from './limit-notice.ts';
 import {listReadRequests} from './list-read-requests.ts';
 import {markCrashedRuns} from './mark-crashed-runs.ts';
 import type {Observation} from './observation.ts';
@@ -78,6 +79,7 @@
 	const arrivals: Arrival[] = [];
 	const notices: Notice[] = [];
 	const crashes: Crash[] = [];
+	const limits: LimitNotice[] = [];
 	const versions: Array<{version: number; at: number}> = [];
 	const drains: Array<{endpoint: string; at: number}> = [];
 	/**
@@ -100,6 +102,9 @@
 			onNotice(notice) {
 				notices.push(notice);
 			},
+			onLimit(limit) {
+				limits.push(limit);
+			},
 			onCrash(crashPath) {
 				void crashEndpoint(endpoint, crashPath);
 			},
@@ -227,7 +232,7 @@
 	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
 	const read = await listReadRequests(folder, nodes.map(({name}) => name));
 	const observation: Observation = {
-		attempts, runs: markCrashedRuns(runs, crashes, attempts), read, arrivals, notices, crashes, faults, versions, drains, calmFrom,
+		attempts, runs: markCrashedRuns(runs, crashes, attempts), read, arrivals, notices, crashes, limits, faults, versions, drains, calmFrom,
 	};
 	const breaches = checkPromises(observation);
 	if (breaches.length === 0) {
--- a/bench/soak/src/soak-endpoint.ts
+++ b/bench/soak/src/soak-endpoint.ts
@@ -7,5 +7,9 @@
 	readonly id: string;
 	readonly address: string;
 	readonly setFault: (kind: FaultKind | undefined) => void;
+	/**
+	Names a limit of requests per second in all answers, or none.
+	*/
+	readonly setLimit: (perSecond: number | undefined) => void;
 	readonly close: () => Promise<void>;
 };
--- a/bench/soak/src/start-soak-endpoint.ts
+++ b/bench/soak/src/start-soak-endpoint.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {
 	formatAnswer,
+	formatLimit,
 	formatStreamHead,
 	leavingMark,
 	notRunMark,
@@ -12,6 +13,7 @@
 import {crashingPath} from './crashing-path.ts';
 import type {FaultKind} from './fault-kind.ts';
 import type {Arrival} from './arrival.ts';
+import type {LimitNotice} from './limit-notice.ts';
 import type {Notice} from './notice.ts';
 import type {Run} from './run.ts';
 import type {SoakEndpoint} from './soak-endpoint.ts';
@@ -30,6 +32,7 @@
 	Called when the process ends under a request with this path.
 	*/
 	readonly onCrash: (path: string) => void;
+	readonly onLimit: (notice: LimitNotice) => void;
 };
 
 /**
@@ -69,14 +72,30 @@
  const endpoint = await startSoakEndpoint({id: 'e1', random, now, onRun});
  endpoint.setFault('break');
  */
-export async function startSoakEndpoint({id: endpoint, random, now, onRun, onArrival, onNotice, onCrash}: EndpointOptions): Promise<SoakEndpoint> {
+export async function startSoakEndpoint({id: endpoint, random, now, onRun, onArrival, onNotice, onCrash, onLimit}: EndpointOptions): Promise<SoakEndpoint> {
 	const fake = await startFakeEndpoint();
 	let fault: FaultKind | undefined;
+	let limit: number | undefined;
 
 	/**
 	Headers that an answer has beside its own.
 	*/
 	function addNotice(id: string): Readonly<Record<string, string>> {
+		return {...addLimit(id), ...addLeaving(id)};
+	}
+
+	function addLimit(id: string): Readonly<Record<string, string>> {
+		if (limit === undefined) {
+			return {};
+		}
+
+		onLimit({
+			id, endpoint, at: now(), perSecond: limit,
+		});
+		return formatLimit(limit);
+	}
+
+	function addLeaving(id: string): Readonly<Record<string, string>> {
 		if (fault !== 'announce') {
 			return {};
 		}
@@ -95,7 +114,7 @@
 		onNotice({
 			id: request.requestId, endpoint, at: now(), retryAfterMs: retryAfterS * 1000, isLeaving: false,
 		});
-		socket.write(formatAnswer('503 Service Unavailable', request, {...notRunMark, 'retry-after': String(retryAfterS)}, ''));
+		socket.write(formatAnswer('503 Service Unavailable', request, {...notRunMark, ...addLimit(request.requestId), 'retry-after': String(retryAfterS)}, ''));
 	}
 
 	function answerPlain(socket: Socket, request: ArrivedRequest, isSpoiled: boolean): void {
@@ -132,7 +151,7 @@
 		onArrival({id, endpoint, at: now()});
 		const isStruck = fault !== undefined && random() < struckShare;
 		if (isStruck && fault === 'refuse') {
-			socket.write(formatAnswer('503 Service Unavailable', request, notRunMark, ''));
+			socket.write(formatAnswer('503 Service Unavailable', request, {...notRunMark, ...addLimit(id)}, ''));
 			return;
 		}
 
@@ -181,6 +200,9 @@
 		setFault(kind) {
 			fault = kind;
 		},
+		setLimit(perSecond) {
+			limit = perSecond;
+		},
 		close: fake.close,
 	};
 }
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -11,7 +11,7 @@
 
 function check(change: Partial<Observation>): readonly string[] {
 	const observation: Observation = {
-		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], crashes: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], crashes: [], limits: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
 	};
 	return checkPromises(observation).map(({promise}) => promise);
 }
@@ -36,6 +36,10 @@
 	return times.map(at => ({id: 'c1-1', endpoint: 'e1', at}));
 }
 
+const limitNotice = {
+	id: 'c1-1', endpoint: 'e1', at: 1000, perSecond: 1,
+};
+
 /**
 Three crashes, and further arrivals of the same request.
 */
@@ -53,6 +57,11 @@
 	['a whole answer of its own', {attempts: [createAttempt()], runs: [run]}],
 	['a request that crashes endpoints until all nodes know, and three times then', createCrashes([400, 1000, 2000, 3000, 4000, 5000, 6000])],
 	['a request that crashes endpoints at nodes that were all killed after it', {...createCrashes([4000, 5000, 6000, 7000]), faults: [{...stop, kind: 'killAll'}]}],
+	['as many requests as a limit allows, and more from a node that was not told', {
+		attempts: [createAttempt(), createAttempt({id: 'c2-1', pid: 8, body: 'for c2-1\n'})],
+		limits: [limitNotice, {...limitNotice, at: 9000}],
+		arrivals: [...createArrivals([4100, 4200, 4300, 4400, 4500]), ...createArrivals([4600, 4700, 4800, 4900, 5000, 5100, 5200]).map(arrival => ({...arrival, id: 'c2-1'}))],
+	}],
 	['a refusal of what did not run', {attempts: [createAttempt({status: 503, body: ''})]}],
 	['a failure of what may have run', {attempts: [createAttempt({status: 502, body: ''})], runs: [{...run, isSpoiled: true}]}],
 	['a second run of what may be repeated', {attempts: [createAttempt({kind: 'safe'})], runs: [run, run]}],
@@ -101,6 +110,7 @@
 	['an endpoint that asked for a pause gets at most two requests in it', {attempts: [createAttempt()], notices: [notice], arrivals: createArrivals([2000, 2100, 2900])}],
 	['an endpoint that says that it leaves gets no further requests', {attempts: [createAttempt({sentAt: 3100})], notices: [leaving], arrivals: createArrivals([3110])}],
 	['a request that crashed three endpoints reaches no more than three others', createCrashes([4000, 5000, 6000, 7000])],
+	['an endpoint that names a limit gets no more requests than it allows', {attempts: [createAttempt()], limits: [limitNotice, {...limitNotice, at: 9000}], arrivals: createArrivals([4100, 4200, 4300, 4400, 4500, 4600, 4700, 4800, 4900, 5000, 5100, 5200])}],
 	['an accepted configuration is in force in seconds', {
 		attempts: [createAttempt({
 			path: '/v2/x', kind: 'safe', sentAt: 20_000, endedAt: 20_010, status: 404,
