--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -2,6 +2,7 @@
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
 import type {EmulationClock} from './emulation-clock.ts';
 import {createNoticeCheck} from './create-notice-check.ts';
+import {createLimitCheck} from './create-limit-check.ts';
 import type {EmulatedSender} from './emulated-sender.ts';
 import type {Overload} from './overload.ts';
 
@@ -42,6 +43,8 @@
 	*/
 	const ended = new Set<string>();
 	const check = createNoticeCheck();
+	const limitCheck = createLimitCheck();
+	let limit: number | undefined;
 	let overload: Overload | undefined;
 	let isLeaving = false;
 	let isStepping = false;
@@ -123,6 +126,7 @@
 				}
 
 				check.recordArrival(sender.node);
+				limitCheck.recordArrival(sender.node);
 				if (overload !== undefined && random() < overload.share) {
 					refuse(job.id, sender, overload.retryAfterMs);
 					return;
@@ -201,6 +205,18 @@
 			isLeaving = true;
 		},
 		isLeaving: () => isLeaving,
+		setLimit(perSecond) {
+			limit = perSecond;
+			limitCheck.end();
+		},
+		takeLimit(node) {
+			if (limit !== undefined) {
+				limitCheck.recordLimit(node, limit);
+			}
+
+			return limit;
+		},
+		countExcess: limitCheck.countExcess,
 		countBrokenNotices: check.countBrokenNotices,
 		counts: engine.counts,
 	};
--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {ExchangeClient} from '@valvesaddle/exchange';
 import type {AttemptRecord} from './attempt-record.ts';
@@ -50,6 +51,16 @@
 		return (idle.get(address) ?? []).filter(at => at >= oldest);
 	}
 
+	/**
+	Headers by which an engine announces in an answer that it drains, or names its limit.
+	*/
+	function formatNotices(endpoint: EmulatedEndpoint): IncomingHttpHeaders {
+		const limit = endpoint.takeLimit(node);
+		return {
+			...(endpoint.isLeaving() && {'x-leaving': '1'}), ...(limit !== undefined && {'x-request-limit': String(limit)}),
+		};
+	}
+
 	function takeConnection(address: string): void {
 		const idleSince = listIdle(address);
 		if (idleSince.length === 0) {
@@ -101,7 +112,7 @@
 					handleArrival(() => {
 						if (!hasStarted) {
 							hasStarted = true;
-							listener.onHead(okStatus, {'x-request-id': id, ...(endpoint.isLeaving() && {'x-leaving': '1'})});
+							listener.onHead(okStatus, {'x-request-id': id, ...formatNotices(endpoint)});
 						}
 
 						listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`));
@@ -123,7 +134,7 @@
 				onRefused(retryAfterMs) {
 					handleArrival(() => {
 						releaseConnection(address);
-						listener.onHead(notRunStatus, {'x-request-id': id, ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
+						listener.onHead(notRunStatus, {'x-request-id': id, ...formatNotices(endpoint), ...(retryAfterMs !== undefined && {'x-retry-after-ms': String(retryAfterMs)})});
 						listener.onEnd();
 					});
 				},
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -62,7 +62,10 @@
 	};
 
 	const selector = createSelector({
-		...selection, hasConnection: address => exchanges.hasIdle(address), onPlacement() {
+		...selection,
+		fleet: {self: id, list: () => Array.from({length: load.nodes}, (_value, index) => `n-${index}`)},
+		hasConnection: address => exchanges.hasIdle(address),
+		onPlacement() {
 			handlePlacement();
 		},
 	});
--- a/emulator/fleet/src/emulated-endpoint.ts
+++ b/emulator/fleet/src/emulated-endpoint.ts
@@ -39,6 +39,18 @@
 	readonly startDraining: () => void;
 	readonly isLeaving: () => boolean;
 	/**
+	Names a limit of requests per second in each later answer; `undefined` names none.
+	*/
+	readonly setLimit: (perSecond: number | undefined) => void;
+	/**
+	The limit to name in an answer to a node, which is recorded as told.
+	*/
+	readonly takeLimit: (node: string) => number | undefined;
+	/**
+	Number of arrivals beyond what the limit allows.
+	*/
+	readonly countExcess: () => number;
+	/**
 	Number of times that a node ignored a cooldown or draining signal of the engine.
 	*/
 	readonly countBrokenNotices: () => number;
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -33,6 +33,10 @@
 	*/
 	readonly connections: number;
 	/**
+	Requests that reached engines beyond the limits that these had named.
+	*/
+	readonly excessRequests: number;
+	/**
 	Number of times that a node ignored a cooldown or draining signal of an engine.
 	*/
 	readonly brokenNotices: number;
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -59,6 +59,12 @@
 	leave(_clock, endpoint) {
 		endpoint.startDraining();
 	},
+	limit(clock, endpoint, {factor, forMs}) {
+		endpoint.setLimit(factor);
+		clock.add(forMs, () => {
+			endpoint.setLimit(undefined);
+		});
+	},
 	pause(_clock, endpoint, {forMs}) {
 		endpoint.pause(forMs);
 	},
@@ -137,6 +143,7 @@
 			attempts: attempts.count(),
 			...countPrefill(endpoints.values().toArray()),
 			connections,
+			excessRequests: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countExcess(), 0),
 			brokenNotices: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countBrokenNotices(), 0),
 		};
 	} finally {
--- a/emulator/fleet/test/emulation.test.ts
+++ b/emulator/fleet/test/emulation.test.ts
@@ -75,3 +75,19 @@
 
 	t.end();
 });
+
+test('all nodes together respect the limits that engines name', t => {
+	const overload = createDraftsBesideOverload();
+	const limits = [0, 1].map(engine => ({
+		kind: 'limit' as const, engine, atMs: 5000, forMs: 15_000, factor: engine + 1,
+	}));
+	for (const seed of [1, 2, 3]) {
+		const {excessRequests, classes} = runEmulation({
+			load: {...overload, faults: limits}, seed, selection, admission,
+		});
+		t.equal(excessRequests, 0, `seed ${seed}`);
+		t.ok(Object.values(classes).every(({worth}) => worth > 0));
+	}
+
+	t.end();
+});
