test(emulator): a request that crashes each engine that begins to run it

Repeated five times a second at any node for 12 s, beside drafts and queries. Nodes hear of crashes after one link.

--- a/emulator/fleet/src/create-emulated-exchanges.ts
+++ b/emulator/fleet/src/create-emulated-exchanges.ts
@@ -3,6 +3,7 @@
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {ExchangeClient} from '@valvesaddle/exchange';
 import type {AttemptRecord} from './attempt-record.ts';
+import type {CrashCheck} from './crash-check.ts';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
 import type {NodeThread} from './node-thread.ts';
 import type {Prompt} from './prompt.ts';
@@ -20,6 +21,11 @@
 	Called on each new connection.
 	*/
 	readonly onConnect: () => void;
+	readonly crashCheck: CrashCheck;
+	/**
+	Called when an engine has begun to run a request that crashes it.
+	*/
+	readonly onCrash: (endpoint: EmulatedEndpoint) => void;
 };
 
 /**
@@ -33,9 +39,9 @@
  Creates a node's client of emulated engines. New connections are counted, but opening one takes no time.
 
  @example
- const exchanges = createEmulatedExchanges({node: 'n-0', endpoints, thread, attempts, findPrompt: id => prompts.get(id), onConnect() {}});
+ const exchanges = createEmulatedExchanges({node: 'n-0', endpoints, thread, attempts, findPrompt: id => prompts.get(id), onConnect() {}, crashCheck, onCrash() {}});
  */
-export function createEmulatedExchanges({node, endpoints, thread, attempts, findPrompt, onConnect}: EmulatedExchangesOptions): ExchangeClient {
+export function createEmulatedExchanges({node, endpoints, thread, attempts, findPrompt, onConnect, crashCheck, onCrash}: EmulatedExchangesOptions): ExchangeClient {
 	let jobs = 0;
 	/**
 	Last exchange of each request.
@@ -101,6 +107,10 @@
 
 			takeConnection(address);
 			listener.onSent();
+			if (prompt.isCrashing === true) {
+				crashCheck.recordArrival();
+			}
+
 			endpoint.send({
 				id: jobId,
 				promptTokens: prompt.metadata.promptTokens + Number(lastEventId) + 1,
@@ -109,6 +119,11 @@
 				firstEvent: Number(lastEventId) + 1,
 				urgency: Number(urgency),
 				onEvent(number) {
+					if (prompt.isCrashing === true) {
+						onCrash(endpoint);
+						return;
+					}
+
 					handleArrival(() => {
 						if (!hasStarted) {
 							hasStarted = true;
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -3,7 +3,7 @@
 import {createForwarder, type ForwardTask} from '@valvesaddle/forwarding';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
-import {createCrashDetector, createQuarantine} from '@valvesaddle/quarantine';
+import {createCrashDetector, createQuarantine, type CrashRow} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector, type SelectorOptions} from '@valvesaddle/selection';
 import {createAttemptGate} from './create-attempt-gate.ts';
@@ -25,6 +25,10 @@
 	readonly leaving: LeavingPolicy;
 	readonly isReadFirst: boolean;
 	readonly isFailureCounted: boolean;
+	/**
+	Called with crashes that are new to the node.
+	*/
+	readonly onCrashes: (rows: readonly CrashRow[]) => void;
 };
 
 /**
@@ -54,9 +58,9 @@
  Creates an emulated node from the packages of the gateway.
 
  @example
- const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false, isFailureCounted: true});
+ const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false, isFailureCounted: true, onCrashes() {}});
  */
-export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst, isFailureCounted}: EmulatedNodeOptions): EmulatedNode {
+export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst, isFailureCounted, onCrashes}: EmulatedNodeOptions): EmulatedNode {
 	let handlePlacement = (): void => {
 		// No handler is set.
 	};
@@ -82,7 +86,7 @@
 	const gated = createAttemptGate({
 		selector, policy: leaving, incarnations: endpoints, isReadFirst, isFailureCounted,
 	});
-	const quarantine = createQuarantine({});
+	const quarantine = createQuarantine({onChanged: onCrashes});
 	const crashDetector = createCrashDetector({
 		isServing: selector.isServing,
 		onCrash: quarantine.recordCrash,
@@ -93,6 +97,8 @@
 	return {
 		id,
 		selector,
+		quarantine,
+		crashDetector,
 		thread,
 		setOnPlacement(handle) {
 			handlePlacement = handle;
--- a/emulator/fleet/src/create-prompt-source.ts
+++ b/emulator/fleet/src/create-prompt-source.ts
@@ -4,6 +4,10 @@
 
 type PromptSource = {
 	readonly draw: (kind: CallerClass) => Prompt;
+	/**
+	Draws a request that crashes engines, with an ID of its own for each repeat.
+	*/
+	readonly drawCrashing: (kind: CallerClass) => Prompt;
 	readonly find: (id: string) => Prompt | undefined;
 };
 
@@ -47,27 +51,31 @@
 		});
 	}
 
+	function draw(kind: CallerClass, isCrashing = false): Prompt {
+		const requestId = `r-${count++}`;
+		const shared = drawShared(kind);
+		const own = drawSize(kind.own);
+		const events = drawSize(kind.events);
+		const promptTokens = shared.reduce((sum, {tokens}) => sum + tokens, own);
+		const outputTokens = events * tokensPerEvent;
+		const meanSize = kind.shared.reduce((sum, {mean}) => sum + mean, kind.own.mean) + (tokensPerOutput * kind.events.mean * tokensPerEvent);
+		const credit = Math.min(maximumCredit, fixedCredit + (sizeCredit * (promptTokens + (tokensPerOutput * outputTokens)) / meanSize));
+		const prompt = {
+			metadata: {
+				requestId, waitMs: undefined, apiKey: undefined, promptTokens, outputTokens, parts: [...shared, {id: requestId, tokens: own}], lastEventId: -1,
+			},
+			events,
+			isCrashing,
+			worth: kind.worth * credit,
+			lateWorth: kind.lateWorth * credit,
+		};
+		prompts.set(requestId, prompt);
+		return prompt;
+	}
+
 	return {
-		draw(kind) {
-			const requestId = `r-${count++}`;
-			const shared = drawShared(kind);
-			const own = drawSize(kind.own);
-			const events = drawSize(kind.events);
-			const promptTokens = shared.reduce((sum, {tokens}) => sum + tokens, own);
-			const outputTokens = events * tokensPerEvent;
-			const meanSize = kind.shared.reduce((sum, {mean}) => sum + mean, kind.own.mean) + (tokensPerOutput * kind.events.mean * tokensPerEvent);
-			const credit = Math.min(maximumCredit, fixedCredit + (sizeCredit * (promptTokens + (tokensPerOutput * outputTokens)) / meanSize));
-			const prompt = {
-				metadata: {
-					requestId, waitMs: undefined, apiKey: undefined, promptTokens, outputTokens, parts: [...shared, {id: requestId, tokens: own}], lastEventId: -1,
-				},
-				events,
-				worth: kind.worth * credit,
-				lateWorth: kind.lateWorth * credit,
-			};
-			prompts.set(requestId, prompt);
-			return prompt;
-		},
+		draw: kind => draw(kind),
+		drawCrashing: kind => draw(kind, true),
 		// The id of an attempt is the request's id, a space and the number of the attempt.
 		find: id => prompts.get(id.split(' ', 1)[0] ?? ''),
 	};
--- a/emulator/fleet/src/emulated-node.ts
+++ b/emulator/fleet/src/emulated-node.ts
@@ -1,4 +1,5 @@
 import type {Forwarder, ForwardTask} from '@valvesaddle/forwarding';
+import type {CrashDetector, Quarantine} from '@valvesaddle/quarantine';
 import type {Selector} from '@valvesaddle/selection';
 import type {NodeThread} from './node-thread.ts';
 
@@ -7,6 +8,8 @@
 */
 export type EmulatedNode = {
 	readonly id: string;
+	readonly quarantine: Quarantine;
+	readonly crashDetector: CrashDetector;
 	readonly selector: Selector;
 	readonly thread: NodeThread;
 	readonly forward: (...request: Parameters<Forwarder['forward']>) => Pick<ForwardTask, 'cancel'>;
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -33,6 +33,11 @@
 	*/
 	readonly connections: number;
 	/**
+	Engines that crashed under a request that crashes them, and arrivals of it long after the third crash.
+	*/
+	readonly crashes: number;
+	readonly lateCrashArrivals: number;
+	/**
 	Requests that reached engines beyond the limits that these had named.
 	*/
 	readonly excessRequests: number;
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -4,6 +4,7 @@
 import type {CallerClass} from './caller-class.ts';
 import type {CallerOutcome} from './caller-outcome.ts';
 import {createAttemptRecord} from './create-attempt-record.ts';
+import {createCrashCheck} from './create-crash-check.ts';
 import {createEmulatedEndpoint} from './create-emulated-endpoint.ts';
 import {createEmulatedExchanges} from './create-emulated-exchanges.ts';
 import {createEmulatedNode} from './create-emulated-node.ts';
@@ -11,6 +12,7 @@
 import {createNodeThreads} from './create-node-threads.ts';
 import {createPromptSource} from './create-prompt-source.ts';
 import type {EmulatedEndpoint} from './emulated-endpoint.ts';
+import type {EmulatedNode} from './emulated-node.ts';
 import type {EmulationClock} from './emulation-clock.ts';
 import type {EmulationFault} from './emulation-fault.ts';
 import type {EmulationLoad} from './emulation-load.ts';
@@ -34,7 +36,7 @@
 */
 const tailMs = 20_000;
 
-const faultHandlers: Readonly<Record<Exclude<EmulationFault['kind'], 'node-pause'>, (clock: EmulationClock, endpoint: EmulatedEndpoint, fault: EmulationFault) => void>> = {
+const faultHandlers: Readonly<Record<Exclude<EmulationFault['kind'], 'node-pause' | 'crashing-request'>, (clock: EmulationClock, endpoint: EmulatedEndpoint, fault: EmulationFault) => void>> = {
 	crash(_clock, endpoint) {
 		endpoint.crash();
 	},
@@ -97,13 +99,32 @@
 			id: `e-${index}`, clock, profile: load.engine, slowness, linkMs: load.linkMs, everCached, random: faultRandom, fullRetryAfterMs: load.fullRetryAfterMs,
 		})]));
 		let connections = 0;
-		const nodes = Array.from({length: load.nodes}, (_value, index) => {
+		const crashCheck = createCrashCheck();
+		const nodes: readonly EmulatedNode[] = Array.from({length: load.nodes}, (_value, index) => {
 			const thread = threads.create();
 			return createEmulatedNode({
-				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, isFailureCounted, exchanges: createEmulatedExchanges({
-					node: `n-${index}`, endpoints, thread, attempts, findPrompt: source.find, onConnect() {
+				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, isFailureCounted,
+				onCrashes(rows) {
+					clock.add(load.linkMs, () => {
+						for (const node of nodes) {
+							node.quarantine.merge(rows);
+						}
+					});
+				},
+				exchanges: createEmulatedExchanges({
+					node: `n-${index}`, crashCheck, endpoints, thread, attempts, findPrompt: source.find, onConnect() {
 						connections++;
 					},
+					onCrash(endpoint) {
+						crashCheck.recordCrash();
+						endpoint.crash();
+						// Nodes that connect again meanwhile are refused.
+						clock.add(load.linkMs, () => {
+							for (const node of nodes) {
+								node.crashDetector.recordEnded(endpoint.id, 'refused');
+							}
+						});
+					},
 				}), endpoints: endpoints.keys().toArray(),
 			});
 		});
@@ -127,9 +148,27 @@
 			});
 		}
 
+		function startCrashingRequest({forMs, factor}: EmulationFault): void {
+			for (let at = 0; at < forMs; at += msPerSecond / factor) {
+				clock.add(at, () => {
+					startCaller({
+						clock,
+						kind: {...load.classes[0]!, retries: 0},
+						prompt: source.drawCrashing(load.classes[0]!),
+						chooseNode: () => nodes[Math.floor(random() * nodes.length)]!,
+						onOutcome() {
+							// It earns nothing and isn't missed.
+						},
+					});
+				});
+			}
+		}
+
 		for (const fault of load.faults) {
 			clock.add(fault.atMs, () => {
-				if (fault.kind === 'node-pause') {
+				if (fault.kind === 'crashing-request') {
+					startCrashingRequest(fault);
+				} else if (fault.kind === 'node-pause') {
 					nodes[fault.engine]!.thread.pause(fault.forMs);
 				} else {
 					faultHandlers[fault.kind](clock, endpoints.get(`e-${fault.engine}`)!, fault);
@@ -143,6 +182,8 @@
 			attempts: attempts.count(),
 			...countPrefill(endpoints.values().toArray()),
 			connections,
+			crashes: crashCheck.countCrashes(),
+			lateCrashArrivals: crashCheck.countLate(),
 			excessRequests: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countExcess(), 0),
 			brokenNotices: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countBrokenNotices(), 0),
 		};
--- a/emulator/fleet/src/start-caller.ts
+++ b/emulator/fleet/src/start-caller.ts
@@ -133,7 +133,7 @@
 			isEnginePool: true,
 			account: undefined,
 			method: 'POST',
-			path: `/${prompt.metadata.requestId}`,
+			path: prompt.isCrashing === true ? '/crash' : `/${prompt.metadata.requestId}`,
 			rawHeaders: [requestId],
 			body: undefined,
 			arrivedAt: clock.now(),
--- a/emulator/fleet/test/emulation.test.ts
+++ b/emulator/fleet/test/emulation.test.ts
@@ -91,3 +91,20 @@
 
 	t.end();
 });
+
+test('a request that crashes engines reaches no more than three after the third has crashed', t => {
+	const overload = createDraftsBesideOverload();
+	for (const seed of [1, 2, 3]) {
+		const {crashes, lateCrashArrivals, classes} = runEmulation({
+			load: {
+				...overload, faults: [{
+					kind: 'crashing-request', engine: 0, atMs: 5000, forMs: 12_000, factor: 5,
+				}],
+			}, seed, selection, admission,
+		});
+		t.ok(crashes >= 3 && lateCrashArrivals <= 3, `${crashes} crashes, ${lateCrashArrivals} late arrivals`);
+		t.ok(Object.values(classes).every(({worth}) => worth > 0));
+	}
+
+	t.end();
+});
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -11,8 +11,8 @@
 
 /**
  Parses a load update from the rows that `formatLoadUpdate` writes. It checks and decodes them in one pass rather than by a schema,
- since a busy
- relay sends its members up to 17 updates a second; checked row by row against a schema, they take over 4 % of a loaded node's time.
+ since a busy relay sends its members up to 17 updates a second; checked row by row against a schema, they take over 4 % of a loaded
+ node's time.
 
  @throws `ERR_VALVESADDLE_MESSAGE_INVALID` for a malformed update.
  @example
