--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -157,7 +157,7 @@
 						prompt: source.drawCrashing(load.classes[0]!),
 						chooseNode: () => nodes[Math.floor(random() * nodes.length)]!,
 						onOutcome() {
-							// It earns nothing and isn't missed.
+							// The outcomes of other requests are reported.
 						},
 					});
 				});
--- a/node/gateway/test/crashing-requests.test.ts
+++ b/node/gateway/test/crashing-requests.test.ts
@@ -14,7 +14,7 @@
 	return (await page.text()).includes('quarantined_requests');
 }
 
-// Repeats of a request that crashes every endpoint used to reach one endpoint after another.
+// Guards against repeats that end one endpoint after another.
 test('a request reaches no endpoint after it crashed three', async t => {
 	for (const path of ['/safe/crash', '/unsafe/crash', '/stream/crash', '/resumable/crash']) {
 		// eslint-disable-next-line no-await-in-loop -- one after the other
@@ -34,7 +34,7 @@
 	}
 });
 
-// Each node used to know only of the crashes that it had seen itself.
+// Guards against nodes that count only the crashes that they have seen themselves.
 test('a request that crashed three endpoints through three nodes is refused by every node', async t => {
 	const pool = await startCrashingPool(t);
 	const nodes = [pool, await pool.startNode('n2'), await pool.startNode('n3')];
--- a/node/gateway/test/request-limits.test.ts
+++ b/node/gateway/test/request-limits.test.ts
@@ -9,7 +9,7 @@
 */
 const slack = 5;
 
-// The limit that an endpoint names in its answers used to be ignored.
+// Guards against limits that are ignored, or kept by each node for itself.
 test('an endpoint that names a limit gets no more requests than it allows, from all nodes together', async t => {
 	const platform = await startPlatform(t);
 	const nodes = [platform, await platform.startNode('n2'), await platform.startNode('n3')];
