--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -127,7 +127,8 @@
 		await wait(entryExpiryMs);
 		store.remove(`servers/${ended.id}`);
 		const place = endpoints.indexOf(ended);
-		if (place !== -1) {
+		// An endpoint that starts after the run would listen for ever.
+		if (place !== -1 && now() < endAt) {
 			await addEndpoint(place);
 		}
 	}
