feat(emulator): loads of uneven engines and of small memories

Two loads that replay what overloads a pool: engines of three speeds with few slots, and engines whose memory holds fewer requests than their slots.

--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -16,6 +16,8 @@
 		'dark-engines-overload',
 		'pausing-engines',
 		'pausing-engines-overload',
+		'small-memories',
+		'uneven-engines',
 		'weak-nodes',
 		'weak-nodes-overload',
 	]),
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -6,6 +6,8 @@
 	createDraftsBesideQueries,
 	createLargeFleet,
 	createPausingEngines,
+	createSmallMemories,
+	createUnevenEngines,
 	createWeakNodes,
 } from '@valvesaddle/emulator-loads';
 import type {Experiment} from './experiment.ts';
@@ -17,6 +19,8 @@
 	'drafts-beside-faults': createDraftsBesideFaults,
 	'drafts-beside-overload': createDraftsBesideOverload,
 	'large-fleet': createLargeFleet,
+	'small-memories': createSmallMemories,
+	'uneven-engines': createUnevenEngines,
 	'dark-engines': seed => createDarkEngines({isOverloaded: false, seed}),
 	'dark-engines-overload': seed => createDarkEngines({isOverloaded: true, seed}),
 	'pausing-engines': seed => createPausingEngines({isOverloaded: false, seed}),
--- a/emulator/loads/src/index.ts
+++ b/emulator/loads/src/index.ts
@@ -4,4 +4,6 @@
 export {createDraftsBesideQueries} from './create-drafts-beside-queries.ts';
 export {createLargeFleet} from './create-large-fleet.ts';
 export {createPausingEngines} from './create-pausing-engines.ts';
+export {createSmallMemories} from './create-small-memories.ts';
+export {createUnevenEngines} from './create-uneven-engines.ts';
 export {createWeakNodes} from './create-weak-nodes.ts';
