feat(selection): reserve endpoints for the streams with a pool's shortest pause objective

Cause: an engine interrupts its streams in each step in which it prefills, so a few long prompts on every engine make nearly all streams with short pause objectives late. Change: as many endpoints as these streams need, the fastest first, get no other prompts; nodes plan the same from the loads that they exchange. Off by default (selection.reserved_share).

--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -26,6 +26,7 @@
 		harm_weight: weight.default(1),
 		risk_weight: weight.default(1),
 		reread_ms_per_token: weight.default(0.3),
+		reserved_share: z.number().min(0).max(1).default(0),
 		late_factor: factor.default(1.3),
 		wait_factor: weight.default(0.5),
 		return_factor: factor.default(1.5),
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -61,7 +61,7 @@
 			load: site,
 			seed: index + 1,
 			selection: {
-				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reuseMs, prefillTokensPerMs,
+				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reservedShare: variant.reserved_share, reuseMs, prefillTokensPerMs,
 			},
 			admission: {lateFactor: variant.late_factor, waitFactor: variant.wait_factor, retryAfterFactor: variant.return_factor},
 			leaving: variant.leaving,
--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -60,6 +60,10 @@
 		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
+		/**
+		Maximum share of a pool's engines that is kept free of long prefills for the streams with the pool's shortest pause objective.
+		*/
+		reserved_share: z.number().min(0).max(0.8).default(0),
 	}).prefault({}),
 	admission: z.strictObject({
 		late_factor: z.number().positive().default(1.3),
--- a/emulator/beliefs/src/create-emulated-load-updates.ts
+++ b/emulator/beliefs/src/create-emulated-load-updates.ts
@@ -40,6 +40,7 @@
 			stalledObservers: 0,
 			prefilledTokens: maximumTokens * random(),
 			prefillMs: maximumPrefillMs * random(),
+			protectedStreams: 1,
 		};
 	}
 
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -6,6 +6,7 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {KnownEndpoint} from './known-endpoint.ts';
 import type {LoadTable} from './load-table.ts';
+import {createStreamReservation} from './create-stream-reservation.ts';
 import {measureDelay} from './measure-delay.ts';
 import type {SpeedModel} from './speed-model.ts';
 import type {PauseModel} from './pause-model.ts';
@@ -15,6 +16,7 @@
 import type {PrefillRate} from './prefill-rate.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
 import type {SelectorOptions} from './selector-options.ts';
+import type {StreamReservation} from './stream-reservation.ts';
 
 /**
 Advantage of a prompt's preferred endpoint, as a share of the cost of prefilling its shared parts again. Nodes that get the same
@@ -40,6 +42,7 @@
 	readonly rate: PrefillRate;
 	readonly speeds: SpeedModel;
 	readonly pauses: PauseModel;
+	readonly reservation: StreamReservation;
 	speedsUpdatedAt: number;
 	placedTokens: number;
 };
@@ -60,6 +63,13 @@
 			rate: createPrefillRate(settings.prefillTokensPerMs),
 			speeds: createSpeedModel(),
 			pauses: createPauseModel(),
+			reservation: createStreamReservation({
+				maximumShare: settings.reservedShare ?? 0,
+				loads,
+				onPlanned(reserved, streams) {
+					settings.onReserved?.(name, reserved, streams);
+				},
+			}),
 			speedsUpdatedAt: -Infinity,
 			placedTokens: 0,
 		};
@@ -136,7 +146,11 @@
 		choose(ready, candidates, criteria) {
 			const pool = getPool(criteria.pool);
 			updateSpeeds(pool, ready);
-			return chooseBest(pool, ready, candidates, criteria);
+			const {speeds, reservation} = pool;
+			const allowed = reservation.listAllowed({
+				ready, candidates, pauseObjectiveMs: criteria.pauseObjectiveMs, getSpeedFactor: speeds.getFactor,
+			});
+			return chooseBest(pool, ready, allowed, criteria);
 		},
 		recordPlacement(name, endpoint, tokens) {
 			const pool = getPool(name);
@@ -158,7 +172,13 @@
 			return {placedTokens, tokensPerMs: rate.get()};
 		},
 		getPauseModel: name => getPool(name).pauses,
-		markChanged: preferences.clear,
+		getReservation: name => getPool(name).reservation,
+		markChanged() {
+			preferences.clear();
+			for (const {reservation} of pools.values()) {
+				reservation.markChanged();
+			}
+		},
 		removeEndpoint(endpoint) {
 			for (const {pauses} of pools.values()) {
 				pauses.removeEndpoint(endpoint);
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -66,7 +66,7 @@
 type RequestTrackerOptions = {
 	readonly loads: Pick<LoadTable, 'get' | 'add' | 'recordPrefill'>;
 	readonly failures: Pick<FailureTable, 'record' | 'recordRefusal' | 'recordChunk' | 'eject'>;
-	readonly chooser: Pick<PromptChooser, 'recordPrefill' | 'getSpeed' | 'getPauseModel'>;
+	readonly chooser: Pick<PromptChooser, 'recordPrefill' | 'getSpeed' | 'getPauseModel' | 'getReservation'>;
 	readonly stallMonitor: Omit<StallMonitor, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
 };
@@ -173,7 +173,8 @@
 		let backlogMs = 0;
 		let isInTime = true;
 		const entry = addEntry(id);
-		loads.add(id, toLoad(1, urgency, uncachedTokens));
+		const protectedStreams = isStream && chooser.getReservation(pool).isProtected(pauseObjectiveMs) ? 1 : 0;
+		loads.add(id, {...toLoad(1, urgency, uncachedTokens), protectedStreams});
 		if (promptTokens > 0) {
 			onPlacement({
 				endpoint: id, pool, parts: criteria.parts.slice(0, -1).map(part => part.id), tokens: uncachedTokens,
@@ -257,7 +258,9 @@
 					chooser.getPauseModel(pool).recordStream(performance.now() - firstChunkAt);
 				}
 
-				loads.add(id, {...toLoad(-1, urgency, -pendingTokens), sensitivity: firstChunkAt !== undefined && isInTime ? -sensitivity : 0});
+				loads.add(id, {
+					...toLoad(-1, urgency, -pendingTokens), sensitivity: firstChunkAt !== undefined && isInTime ? -sensitivity : 0, protectedStreams: -protectedStreams,
+				});
 				endHandlers[end](id);
 			},
 		};
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -208,6 +208,11 @@
 				updateCapacity(known);
 			}
 		},
+		setPauseObjectives(objectives) {
+			for (const name of pools.keys()) {
+				chooser.getReservation(name).setPauseObjective(objectives.get(name) ?? 0);
+			}
+		},
 		choose,
 		open,
 		applyNotice(incarnation, {retryAfterMs, isLeaving}) {
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -27,4 +27,8 @@
 	*/
 	readonly prefilledTokens: number;
 	readonly prefillMs: number;
+	/**
+	Open streams that endpoints may be reserved for.
+	*/
+	readonly protectedStreams: number;
 };
--- a/gateway/selection/src/prompt-chooser.ts
+++ b/gateway/selection/src/prompt-chooser.ts
@@ -3,6 +3,7 @@
 import type {PoolLoad} from './pool-load.ts';
 import type {Rating} from './rating.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
+import type {StreamReservation} from './stream-reservation.ts';
 
 /**
 Chooses among the endpoints of model engines by their cached prompts, their load, and the pauses that the prefill would cause.
@@ -30,6 +31,10 @@
 	readonly getSpeed: (pool: string, endpoint: string) => {readonly factor: number; readonly tokensPerMs: number};
 	readonly getPauseModel: (pool: string) => PauseModel;
 	/**
+	Endpoints of a pool that are reserved for streams.
+	*/
+	readonly getReservation: (pool: string) => StreamReservation;
+	/**
 	Total of prompt tokens to prefill in a pool so far, and the prefill rate of a typical engine.
 	*/
 	readonly getPrefillRate: (pool: string) => Omit<PoolLoad, 'open'>;
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -27,6 +27,14 @@
 	*/
 	readonly prefillTokensPerMs: number;
 	/**
+	Maximum share of a pool's endpoints that is reserved for the streams with its shortest pause objective; 0, the default, for none.
+	*/
+	readonly reservedShare?: number;
+	/**
+	Called when the number of reserved endpoints of a pool changes, with the number of streams that they were planned for.
+	*/
+	readonly onReserved?: (pool: string, reserved: number, streams: number) => void;
+	/**
 	Whether there is an idle connection to an address; if not set, new connections add no cost.
 	*/
 	readonly hasConnection?: (address: string) => boolean;
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -19,6 +19,10 @@
 	readonly setIncarnation: (endpoint: ServingEndpoint) => void;
 	readonly setPools: (pools: readonly ServicePool[]) => void;
 	/**
+	Sets the shortest pause objective of each pool's routes, in milliseconds.
+	*/
+	readonly setPauseObjectives: (objectives: ReadonlyMap<string, number>) => void;
+	/**
 	Best ready endpoint that was not tried; `undefined` if there is none.
 	*/
 	readonly choose: (criteria: SelectionCriteria) => Selection | undefined;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -14,7 +14,7 @@
 import {createPeerNetwork} from '@valvesaddle/network';
 import {createCrashDetector} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
-import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
+import {createRouteIndex, findPauseObjectives, type RouteIndex} from '@valvesaddle/routes';
 import {createSelector, formatIncarnation} from '@valvesaddle/selection';
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
@@ -102,6 +102,13 @@
 		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
+		reservedShare: selection.reserved_share,
+		onReserved(pool, reserved, streams) {
+			metrics.gauge('gateway.reserved-endpoints', reserved, {pool});
+			logger.info({
+				name: 'endpoints-reserved', pool, reserved, streams,
+			});
+		},
 		hasConnection: address => exchanges.hasIdle(address),
 		fleet: {self: self.id, list: () => listFleet()},
 		onPlacement() {
@@ -196,6 +203,7 @@
 	view.events.on('configuration', ({data: {configuration}}) => {
 		routes = createRouteIndex(configuration);
 		selector.setPools(configuration.pools);
+		selector.setPauseObjectives(findPauseObjectives(configuration.routes));
 		front.configure();
 	});
 	view.events.on('incarnation', ({data: {endpoint, before}}) => {
--- a/node/gateway/src/format-load-update.ts
+++ b/node/gateway/src/format-load-update.ts
@@ -10,12 +10,12 @@
  Formats a load update as rows without field names, in whole tokens and milliseconds.
 
  @example
- formatLoadUpdate({origin: 'n1', nodes: 1, loads: [['i-7f', {...noLoad, open: 2}]], placements: []}).loads; // [['i-7f', 2, [], 0, 0, 0, 0, 0]]
+ formatLoadUpdate({origin: 'n1', nodes: 1, loads: [['i-7f', {...noLoad, open: 2}]], placements: []}).loads; // [['i-7f', 2, [], 0, 0, 0, 0, 0, 0]]
  */
 export function formatLoadUpdate({nodes, loads, placements}: OriginLoadUpdate): LoadUpdateMessage {
 	return {
 		nodes,
-		loads: loads.map(([endpoint, {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs}]) => [
+		loads: loads.map(([endpoint, {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams}]) => [
 			endpoint,
 			open,
 			pendingPrefill.map(tokens => Math.round(tokens)),
@@ -24,6 +24,7 @@
 			stalledObservers,
 			Math.round(prefilledTokens),
 			Math.round(prefillMs),
+			protectedStreams,
 		]),
 		placements: placements.map(({endpoint, pool, parts, tokens}) => [endpoint, pool, [...parts], tokens]),
 	};
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -3,7 +3,7 @@
 */
 type LoadRow = readonly [
 	endpoint: string, open: number, pendingPrefill: readonly number[], sensitivity: number, observers: number, stalledObservers: number,
-	prefilledTokens: number, prefillMs: number,
+	prefilledTokens: number, prefillMs: number, protectedStreams: number,
 ];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -6,7 +6,11 @@
 Maximum number of request ranks at an engine.
 */
 const maximumRanks = 64;
-const loadFields = 8;
+/**
+Fields of a load row: all of this version, and those that nodes of an earlier version send.
+*/
+const loadFields = 9;
+const earlierLoadFields = 8;
 const placementFields = 4;
 
 /**
@@ -16,7 +20,7 @@
 
  @throws `ERR_VALVESADDLE_MESSAGE_INVALID` for a malformed update.
  @example
- parseLoadUpdate({nodes: 1, loads: [['i-7f', 2, [], 0, 0, 0, 0, 0]], placements: []}).loads[0]?.[1].open; // 2
+ parseLoadUpdate({nodes: 1, loads: [['i-7f', 2, [], 0, 0, 0, 0, 0, 0]], placements: []}).loads[0]?.[1].open; // 2
  */
 export function parseLoadUpdate(message: unknown): Omit<OriginLoadUpdate, 'origin'> {
 	const {nodes, loads, placements} = message as Readonly<Record<string, unknown>>;
@@ -28,11 +32,11 @@
 }
 
 function parseLoad(row: unknown): readonly [string, EndpointLoad] {
-	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs] = parseRow(row, loadFields);
+	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams = 0] = parseRow(row, loadFields, earlierLoadFields);
 	if (typeof endpoint === 'string' && isAmount(open) && isPendingPrefill(pendingPrefill) && isAmount(sensitivity)
-		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs)) {
+		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs) && isAmount(protectedStreams)) {
 		return [endpoint, {
-			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs,
+			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams,
 		}];
 	}
 
@@ -50,8 +54,8 @@
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'placement row must consist of names and a non-negative number');
 }
 
-function parseRow(row: unknown, fields: number): readonly unknown[] {
-	if (Array.isArray(row) && row.length === fields) {
+function parseRow(row: unknown, fields: number, minimumFields = fields): readonly unknown[] {
+	if (Array.isArray(row) && row.length >= minimumFields && row.length <= fields) {
 		return row as readonly unknown[];
 	}
 
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -484,7 +484,7 @@
 
 test('a load update is parsed as formatted, rounded to tokens, milliseconds and hundredths of a request', t => {
 	const loads = [['i-1', {
-		open: 3, pendingPrefill: [0, 1200.4], sensitivity: 1.23456, observers: 2, stalledObservers: 1, prefilledTokens: 99.6, prefillMs: 7.2,
+		open: 3, pendingPrefill: [0, 1200.4], sensitivity: 1.23456, observers: 2, stalledObservers: 1, prefilledTokens: 99.6, prefillMs: 7.2, protectedStreams: 2,
 	}]] as const;
 	const placements = [{
 		endpoint: 'i-1', pool: 'p', parts: ['a', 'b'], tokens: 600,
@@ -494,7 +494,7 @@
 	})), {
 		nodes: 4,
 		loads: [['i-1', {
-			open: 3, pendingPrefill: [0, 1200], sensitivity: 1.23, observers: 2, stalledObservers: 1, prefilledTokens: 100, prefillMs: 7,
+			open: 3, pendingPrefill: [0, 1200], sensitivity: 1.23, observers: 2, stalledObservers: 1, prefilledTokens: 100, prefillMs: 7, protectedStreams: 2,
 		}]],
 		placements,
 	});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -38,6 +38,10 @@
 	| {readonly name: 'peer-state-taken'; readonly peer: string; readonly peerRevision: number; readonly peerVersion: number; readonly elapsedMs: number; readonly since?: number | undefined}
 	| {readonly name: 'store-entry-unreadable'; readonly key: string; readonly revision: number; readonly reason: string}
 	| {readonly name: 'store-watch-cut'; readonly reason: string; readonly revision: number}
+	/**
+	Number of endpoints of a pool that are reserved for streams, and of the streams that they were planned for.
+	*/
+	| {readonly name: 'endpoints-reserved'; readonly pool: string; readonly reserved: number; readonly streams: number}
 	| {readonly name: 'duty-taken'; readonly duty: string; readonly token: number}
 	| {readonly name: 'duty-lost'; readonly duty: string; readonly token: number; readonly reason: string}
 	| {readonly name: 'duty-step-failed'; readonly duty: string; readonly step: string; readonly reason: string}
