--- a/emulator/loads/src/create-uneven-engines.ts
+++ b/emulator/loads/src/create-uneven-engines.ts
@@ -11,7 +11,7 @@
 	cacheTokens: 332_859,
 	stepMs: 6.08,
 	stepMsPerSequence: 0.0413,
-	stepMsPerThousandTokens: 0.005_02,
+	stepMsPerThousandTokens: 0.005,
 	prefillTokensPerMs: 110,
 	prefillTokensPerStep: 2048,
 	msPerMillionPairs: 0.325,
