feat(selection): room of an endpoint

Cause: whether an endpoint could start a request now is known only within the cost of its choice. Change: the selector answers hasRoom(endpoint, criteria) and getRoomInMs(endpoint, criteria); by slots alone so far.

--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -9,6 +9,7 @@
 import {createStallMonitor} from './create-stall-monitor.ts';
 import {createRequestTracker} from './create-request-tracker.ts';
 import {formatIncarnation} from './format-incarnation.ts';
+import {measureSlotWait} from './measure-slot-wait.ts';
 import {listIsolated} from './list-isolated.ts';
 import type {KnownEndpoint} from './known-endpoint.ts';
 import type {FleetNodes} from './fleet-nodes.ts';
@@ -131,6 +132,10 @@
 		return rating && {...rating, unseenFactor, newsAgeMs: lastUpdateAt === undefined ? -1 : Math.round(performance.now() - lastUpdateAt)};
 	}
 
+	function getRoomInMs({incarnation, slots}: KnownEndpoint, _criteria: SelectionCriteria): number {
+		return measureSlotWait(loads.get(incarnation).open, slots);
+	}
+
 	/**
 	Drops rows of removed incarnations, which peers send until they know the new one.
 	*/
@@ -225,6 +230,8 @@
 			const known = endpoints.get(id);
 			return known?.incarnation === incarnation && isReady(known) && !hasCooldown(incarnation);
 		},
+		hasRoom: (endpoint, criteria) => getRoomInMs(endpoint, criteria) === 0,
+		getRoomInMs,
 		getCooldownMs(pool) {
 			const remaining = listReady(pool).map(({incarnation}) => Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation)));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
--- a/gateway/selection/src/measure-delay.ts
+++ b/gateway/selection/src/measure-delay.ts
@@ -1,4 +1,5 @@
 import type {EndpointLoad} from './endpoint-load.ts';
+import {measureSlotWait} from './measure-slot-wait.ts';
 
 type DelayInput = {
 	readonly load: EndpointLoad;
@@ -16,10 +17,6 @@
 */
 const msPerOpenStream = 3;
 /**
-Wait for each request beyond an engine's slots: about the time until the next request ends at a full engine.
-*/
-const msPerQueued = 40;
-/**
 Less urgent tokens that are still prefilled first, since a prefill that has started is completed: their share, and their maximum.
 */
 const startedShare = 0.5;
@@ -40,6 +37,5 @@
 	}
 
 	const started = Math.min(maximumStartedTokens, startedShare * after);
-	const queueMs = Math.max(0, load.open + 1 - slots) * msPerQueued;
-	return ((before + started + uncachedTokens) / tokensPerMs) + (load.open * msPerOpenStream) + queueMs;
+	return ((before + started + uncachedTokens) / tokensPerMs) + (load.open * msPerOpenStream) + measureSlotWait(load.open, slots);
 }
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -39,6 +39,14 @@
 	*/
 	readonly canTake: (endpoint: Pick<KnownEndpoint, 'id' | 'incarnation'>) => boolean;
 	/**
+	Whether a request could start at an endpoint now: one of its slots is free, and so is enough of its memory if that is predicted.
+	*/
+	readonly hasRoom: (endpoint: KnownEndpoint, criteria: SelectionCriteria) => boolean;
+	/**
+	Predicted milliseconds until an endpoint has room for a request; 0 if it has room now.
+	*/
+	readonly getRoomInMs: (endpoint: KnownEndpoint, criteria: SelectionCriteria) => number;
+	/**
 	Milliseconds until the first ready endpoint of a pool accepts requests again, by its cooldown and its limit; 0 if one does now,
 	or none is ready.
 	*/
