feat(selection): predict the room in engines' memory

Cause: an engine with many slots may have memory for a third of them. The cost of an endpoint knew its slots and its cached prompts only, so subjects drew long answers to the engines that had read them until these preempted. Nodes tell each other one number more an endpoint, the tokens that their open requests hold; an endpoint without room is chosen after all with room, and its cost, which admission reads, holds the wait. `[selection] memory_room`, off unless set. The emulator's engine may hold shared parts once.

--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -4,6 +4,7 @@
 	createDraftsBesideFaults,
 	createDraftsBesideOverload,
 	createDraftsBesideQueries,
+	createFullMemories,
 	createLargeFleet,
 	createPausingEngines,
 	createSmallMemories,
@@ -18,6 +19,7 @@
 	'drafts-beside-queries': createDraftsBesideQueries,
 	'drafts-beside-faults': createDraftsBesideFaults,
 	'drafts-beside-overload': createDraftsBesideOverload,
+	'full-memories': createFullMemories,
 	'large-fleet': createLargeFleet,
 	'small-memories': createSmallMemories,
 	'uneven-engines': createUnevenEngines,
@@ -61,7 +63,7 @@
 			load: site,
 			seed: index + 1,
 			selection: {
-				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reuseMs, prefillTokensPerMs,
+				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reuseMs, prefillTokensPerMs, isMemoryPredicted: variant.memory_room,
 			},
 			admission: {lateFactor: variant.late_factor, waitFactor: variant.wait_factor, retryAfterFactor: variant.return_factor},
 			leaving: variant.leaving,
@@ -100,6 +102,7 @@
 		'lost prompt, 1,000 tokens': report.attempts.lostPromptTokens / tokensPerThousand,
 		'lost output, 1,000 tokens': report.attempts.lostOutputTokens / tokensPerThousand,
 		...Object.fromEntries(classes),
+		preempted: report.preempted,
 		'read, 1,000 tokens': report.readTokens / tokensPerThousand,
 		'read again, 1,000 tokens': report.readAgainTokens / tokensPerThousand,
 	};
--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -60,6 +60,10 @@
 		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
+		/**
+		Whether the memory of engines is predicted, for pools whose configuration states it.
+		*/
+		memory_room: z.boolean().default(false),
 	}).prefault({}),
 	admission: z.strictObject({
 		late_factor: z.number().positive().default(1.3),
--- a/emulator/beliefs/src/create-emulated-load-updates.ts
+++ b/emulator/beliefs/src/create-emulated-load-updates.ts
@@ -12,6 +12,7 @@
 */
 const ranks = 10;
 const maximumOpenRequests = 12;
+const heldTokens = 180_000;
 const maximumTokens = 40_000;
 const maximumPrefillMs = 4000;
 const maximumPartId = 1e12;
@@ -40,6 +41,7 @@
 			stalledObservers: 0,
 			prefilledTokens: maximumTokens * random(),
 			prefillMs: maximumPrefillMs * random(),
+			memoryTokens: heldTokens,
 		};
 	}
 
--- a/emulator/engine/src/create-engine.ts
+++ b/emulator/engine/src/create-engine.ts
@@ -39,9 +39,35 @@
 			tokens += sequence.contextTokens;
 		}
 
+		return tokens - countHeldTwice(running);
+	}
+
+	/**
+	Counts the tokens of shared parts that several of the requests hold together, beyond the first of each.
+	*/
+	function countHeldTwice(sequences: readonly Sequence[]): number {
+		if (profile.isSharedHeldOnce !== true) {
+			return 0;
+		}
+
+		const parts = new Set<string>();
+		let tokens = 0;
+		for (const {id, tokens: partTokens} of sequences.flatMap(({job}) => job.shared)) {
+			tokens += parts.has(id) ? partTokens : 0;
+			parts.add(id);
+		}
+
 		return tokens;
 	}
 
+	/**
+	Counts the tokens that a waiting request would add to those in use.
+	*/
+	function countAdded({job, generatedTokens}: Sequence): number {
+		const held = new Set(profile.isSharedHeldOnce === true ? running.flatMap(({job: {shared}}) => shared.map(({id}) => id)) : []);
+		return job.promptTokens + generatedTokens - job.shared.reduce((sum, {id, tokens}) => sum + (held.has(id) ? tokens : 0), 0);
+	}
+
 	function startPrefill(sequence: Sequence): void {
 		let cachedTokens = 0;
 		let isPrefixCached = true;
@@ -74,14 +100,15 @@
 		waiting.sort((a, b) => compareSequences(a, b));
 		while (remaining > 0 && running.length < profile.slots && waiting.length > 0) {
 			const next = waiting[0]!;
-			if (running.length > 0 && inUse + next.job.promptTokens + next.generatedTokens > profile.cacheTokens) {
+			const added = countAdded(next);
+			if (running.length > 0 && inUse + added > profile.cacheTokens) {
 				return;
 			}
 
 			waiting = waiting.slice(1);
 			running.push(next);
 			startPrefill(next);
-			inUse += next.contextTokens;
+			inUse += added;
 			remaining -= addPrefill(next, remaining);
 		}
 	}
@@ -95,7 +122,7 @@
 			const last = running.toSorted((a, b) => compareSequences(b, a))[0]!;
 			running = running.filter(sequence => sequence !== last);
 			waiting.push(last);
-			inUse -= last.contextTokens;
+			inUse = countTokensInUse();
 			preempted++;
 		}
 
--- a/emulator/engine/src/engine-profile.ts
+++ b/emulator/engine/src/engine-profile.ts
@@ -12,6 +12,10 @@
 	*/
 	readonly cacheTokens: number;
 	/**
+	Whether running requests hold a shared part once; if omitted, each holds it for itself.
+	*/
+	readonly isSharedHeldOnce?: boolean;
+	/**
 	Base time of a step, and the time that each running request adds.
 	*/
 	readonly stepMs: number;
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -51,6 +51,9 @@
 		pauseObjectiveMs: route.pauseObjectiveMs,
 		urgency: rankUrgency(route, request.account, false),
 		promptTokens: metadata.promptTokens,
+		className: route.name,
+		maximumOutputTokens: metadata.outputTokens,
+		isMostUrgent: route.priority === 0,
 		parts: metadata.parts,
 		tried,
 	};
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -16,7 +16,11 @@
 	const chunkTimer = createChunkTimer(request.arrivedAt, metrics);
 
 	return {
-		recordSent({endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor}, attempt, remainingMs) {
+		recordSent({endpoint, costMs, heldTokens, harmMs, urgency, candidates, newsAgeMs, unseenFactor, memoryTokens, roomInMs}, attempt, remainingMs) {
+			if (roomInMs > 0) {
+				metrics.increment('gateway.no-room', 1, {pool});
+			}
+
 			logger.info({
 				name: 'request-sent',
 				request: id,
@@ -30,6 +34,8 @@
 				heldTokens,
 				unreadTokens: metadata.promptTokens - heldTokens,
 				urgency,
+				memoryTokens: Math.round(memoryTokens),
+				roomInMs: Math.round(roomInMs),
 				remainingMs: Math.round(remainingMs),
 				newsAgeMs,
 				unseenFactor: Math.round(unseenFactor * 10) / 10,
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -1,7 +1,7 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Adds two loads; requests, pending prompt tokens and sensitivity do not fall below 0.
+ Adds two loads; requests, pending prompt tokens, sensitivity and memory do not fall below 0.
 
  @example
  addLoads({...noLoad, open: 1}, {...noLoad, open: 2}).open; // 3
@@ -15,6 +15,7 @@
 		stalledObservers: a.stalledObservers + b.stalledObservers,
 		prefilledTokens: a.prefilledTokens + b.prefilledTokens,
 		prefillMs: a.prefillMs + b.prefillMs,
+		memoryTokens: Math.max(0, a.memoryTokens + b.memoryTokens),
 	};
 }
 
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -54,6 +54,7 @@
 			stalledObservers: sum.stalledObservers,
 			prefilledTokens: sum.prefilledTokens,
 			prefillMs: sum.prefillMs,
+			memoryTokens: sum.memoryTokens * unseenFactor,
 		};
 	}
 
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -13,6 +13,8 @@
 import type {PromptChooser} from './prompt-chooser.ts';
 import type {Rating} from './rating.ts';
 import type {PrefillRate} from './prefill-rate.ts';
+import {measureRoom} from './measure-room.ts';
+import type {RoomModel} from './room-model.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
 import type {SelectorOptions} from './selector-options.ts';
 
@@ -34,6 +36,7 @@
 	readonly settings: SelectorOptions;
 	readonly loads: Pick<LoadTable, 'get'>;
 	readonly prefixes: Pick<PrefixCacheModel, 'countCached' | 'countRecent'>;
+	readonly rooms: Pick<RoomModel, 'predictRoom'>;
 };
 
 type PoolModel = {
@@ -48,10 +51,10 @@
  Creates the chooser among the endpoints of model engines.
 
  @example
- const chooser = createPromptChooser({settings, loads, prefixes});
+ const chooser = createPromptChooser({settings, loads, prefixes, rooms});
  chooser.choose(ready, ready, criteria)?.endpoint.id;
  */
-export function createPromptChooser({settings, loads, prefixes}: PromptChooserOptions): PromptChooser {
+export function createPromptChooser({settings, loads, prefixes, rooms}: PromptChooserOptions): PromptChooser {
 	const pools = new Map<string, PoolModel>();
 	const preferences = createPreferredEndpoints();
 
@@ -109,12 +112,13 @@
 			const uncachedTokens = criteria.promptTokens - heldTokens;
 			const load = loads.get(endpoint.incarnation);
 			const endpointTokensPerMs = tokensPerMs * pool.speeds.getFactor(endpoint.incarnation);
-			const costMs = measureDelay({
+			const room = measureRoom(rooms.predictRoom(endpoint, criteria), {criteria, load, tokensPerMs: endpointTokensPerMs});
+			const costMs = room.costMs + measureDelay({
 				load, slots: endpoint.slots, urgency, uncachedTokens, tokensPerMs: endpointTokensPerMs,
 			});
 			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
 			const connectMs = settings.hasConnection?.(endpoint.address) === false ? newConnectionMs : 0;
-			const minimumScore = costMs + wasteMs + connectMs - (endpoint.incarnation === preferred ? preferenceMs : 0);
+			const minimumScore = costMs + room.penaltyMs + wasteMs + connectMs - (endpoint.incarnation === preferred ? preferenceMs : 0);
 			// Interference only adds to the score and is the most expensive part to compute.
 			if (best !== undefined && minimumScore >= best.score) {
 				continue;
@@ -124,7 +128,7 @@
 			const score = minimumScore + harmMs;
 			if (best === undefined || score < best.score) {
 				best = {
-					endpoint, heldTokens, costMs, readMs: uncachedTokens / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length,
+					endpoint, heldTokens, costMs, readMs: uncachedTokens / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length, memoryTokens: room.memoryTokens, roomInMs: room.roomInMs,
 				};
 			}
 		}
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -6,6 +6,7 @@
 import type {OpenRequest} from './open-request.ts';
 import type {Placement} from './placement.ts';
 import type {PromptChooser} from './prompt-chooser.ts';
+import type {RoomModel} from './room-model.ts';
 import type {Selection} from './selection.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
 import type {StallMonitor} from './stall-monitor.ts';
@@ -67,6 +68,7 @@
 	readonly loads: Pick<LoadTable, 'get' | 'add' | 'recordPrefill'>;
 	readonly failures: Pick<FailureTable, 'record' | 'recordRefusal' | 'recordChunk' | 'eject'>;
 	readonly chooser: Pick<PromptChooser, 'recordPrefill' | 'getSpeed' | 'getPauseModel'>;
+	readonly rooms: Pick<RoomModel, 'countMemory' | 'recordEnd'>;
 	readonly stallMonitor: Omit<StallMonitor, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
 };
@@ -75,12 +77,12 @@
  Creates the tracker of a node's own requests at endpoints. It updates the load, the failures and the learned speeds and pauses.
 
  @example
- const tracker = createRequestTracker({loads, failures, chooser, stallMonitor, onPlacement() {}});
+ const tracker = createRequestTracker({loads, failures, chooser, rooms, stallMonitor, onPlacement() {}});
  const request = tracker.open(selection, criteria);
  request.markChunk();
  request.close('done');
  */
-export function createRequestTracker({loads, failures, chooser, stallMonitor, onPlacement}: RequestTrackerOptions): RequestTracker {
+export function createRequestTracker({loads, failures, chooser, rooms, stallMonitor, onPlacement}: RequestTrackerOptions): RequestTracker {
 	// Fixed at the start, so that a change of the system time takes no request for one of an earlier process.
 	const startedAt = Date.now() - performance.now();
 	const openEntries = new Map<string, Set<Entry>>();
@@ -167,13 +169,15 @@
 		const isStream = promptTokens > 0 && pauseObjectiveMs > 0;
 		const stallHandle = isStream ? stallMonitor.open(id, {pool, predictedMs: costMs}) : undefined;
 		const sensitivity = isStream ? chooser.getPauseModel(pool).toSensitivity(pauseObjectiveMs) : 0;
+		const memoryTokens = rooms.countMemory(id, criteria);
 		let pendingTokens = uncachedTokens;
+		let chunks = 0;
 		let firstChunkAt: number | undefined;
 		let lastChunkAt = 0;
 		let backlogMs = 0;
 		let isInTime = true;
 		const entry = addEntry(id);
-		loads.add(id, toLoad(1, urgency, uncachedTokens));
+		loads.add(id, {...toLoad(1, urgency, uncachedTokens), memoryTokens});
 		if (promptTokens > 0) {
 			onPlacement({
 				endpoint: id, pool, parts: criteria.parts.slice(0, -1).map(part => part.id), tokens: uncachedTokens,
@@ -211,6 +215,7 @@
 				}
 
 				const now = performance.now();
+				chunks++;
 				failures.recordChunk(id);
 				if (stallHandle !== undefined) {
 					stallMonitor.markChunk(id, stallHandle);
@@ -257,7 +262,13 @@
 					chooser.getPauseModel(pool).recordStream(performance.now() - firstChunkAt);
 				}
 
-				loads.add(id, {...toLoad(-1, urgency, -pendingTokens), sensitivity: firstChunkAt !== undefined && isInTime ? -sensitivity : 0});
+				loads.add(id, {
+					...toLoad(-1, urgency, -pendingTokens), sensitivity: firstChunkAt !== undefined && isInTime ? -sensitivity : 0, memoryTokens: -memoryTokens,
+				});
+				if (end === 'done') {
+					rooms.recordEnd(criteria, {memoryTokens, chunks, milliseconds: performance.now() - openedAt});
+				}
+
 				endHandlers[end](id);
 			},
 		};
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -6,6 +6,7 @@
 import {createPrefixCacheModel} from './create-prefix-cache-model.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
 import {createRequestLimits} from './create-request-limits.ts';
+import {createRoomModel} from './create-room-model.ts';
 import {createStallMonitor} from './create-stall-monitor.ts';
 import {createRequestTracker} from './create-request-tracker.ts';
 import {formatIncarnation} from './format-incarnation.ts';
@@ -55,7 +56,10 @@
 	// Fixed at the start, so that a change of the system time moves no permit.
 	const startedAt = Date.now() - performance.now();
 	const limits = createRequestLimits(options.fleet ?? aloneFleet, at => startedAt + at);
-	const chooser = createPromptChooser({settings: options, loads, prefixes});
+	const rooms = createRoomModel({isOn: options.isMemoryPredicted ?? false, loads});
+	const chooser = createPromptChooser({
+		settings: options, loads, prefixes, rooms,
+	});
 	let unseenFactor = 1;
 	let lastUpdateAt: number | undefined;
 	let placements: Placement[] = [];
@@ -68,6 +72,7 @@
 		loads,
 		failures,
 		chooser,
+		rooms,
 		stallMonitor,
 		onPlacement(placement) {
 			addPlacement(placement);
@@ -78,6 +83,7 @@
 
 	function addPlacement(placement: Placement): void {
 		prefixes.add(placement);
+		rooms.recordPlacement(placement);
 		chooser.recordPlacement(placement.pool, placement.endpoint, placement.tokens);
 	}
 
@@ -118,7 +124,7 @@
 
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
 		const rated = candidates.map(endpoint => ({
-			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.incarnation).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: criteria.urgency, candidates: candidates.length,
+			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.incarnation).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: criteria.urgency, candidates: candidates.length, memoryTokens: 0, roomInMs: 0,
 		}));
 		return rated.toSorted((a, b) => a.costMs - b.costMs)[0];
 	}
@@ -132,8 +138,26 @@
 		return rating && {...rating, unseenFactor, newsAgeMs: lastUpdateAt === undefined ? -1 : Math.round(performance.now() - lastUpdateAt)};
 	}
 
-	function getRoomInMs({incarnation, slots}: KnownEndpoint, _criteria: SelectionCriteria): number {
-		return measureSlotWait(loads.get(incarnation).open, slots);
+	function getRoomInMs(endpoint: KnownEndpoint, criteria: SelectionCriteria): number {
+		return Math.max(measureSlotWait(loads.get(endpoint.incarnation).open, endpoint.slots), rooms.predictRoom(endpoint, criteria)?.waitMs ?? 0);
+	}
+
+	/**
+	Limits the memory that a peer told of engines to what their open requests can hold.
+	*/
+	function fitMemory(node: string, rows: LoadUpdate['loads']): LoadUpdate['loads'] {
+		return rows.map(row => {
+			const [incarnation, load] = row;
+			const keptTokens = rooms.fitMemory(incarnation, load);
+			if (keptTokens === load.memoryTokens) {
+				return row;
+			}
+
+			options.onImpossibleMemory?.({
+				node, incarnation, toldTokens: load.memoryTokens, keptTokens,
+			});
+			return [incarnation, {...load, memoryTokens: keptTokens}] as const;
+		});
 	}
 
 	/**
@@ -147,7 +171,9 @@
 	}
 
 	function updateCapacity({incarnation, pool}: KnownEndpoint): void {
-		prefixes.setCapacity(incarnation, pools.get(pool)?.engine?.cacheTokens ?? Infinity);
+		const cacheTokens = pools.get(pool)?.engine?.cacheTokens;
+		prefixes.setCapacity(incarnation, cacheTokens ?? Infinity);
+		rooms.setCapacity(incarnation, cacheTokens);
 	}
 
 	function addEndpoint(endpoint: ServingEndpoint): void {
@@ -165,6 +191,7 @@
 		removed.add(incarnation);
 		loads.removeEndpoint(incarnation);
 		prefixes.removeEndpoint(incarnation);
+		rooms.removeEndpoint(incarnation);
 		failures.removeEndpoint(incarnation);
 		limits.didSet(incarnation, undefined);
 		stallMonitor.removeEndpoint(incarnation);
@@ -245,7 +272,8 @@
 		listOwn: () => ({loads: loads.listOwn(), placements: []}),
 		applyLoadUpdate(node, update) {
 			lastUpdateAt = performance.now();
-			const current = removeStale(update);
+			const known = removeStale(update);
+			const current = {...known, loads: fitMemory(node, known.loads)};
 			for (const [endpoint, load] of current.loads) {
 				loads.applyPeer(node, endpoint, load);
 			}
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -27,4 +27,9 @@
 	*/
 	readonly prefilledTokens: number;
 	readonly prefillMs: number;
+	/**
+	Tokens of its memory that its open requests hold, with what they are expected to generate; each counts its share of the parts
+	that it shares with others there. 0 if memory is not predicted.
+	*/
+	readonly memoryTokens: number;
 };
--- a/gateway/selection/src/rating.ts
+++ b/gateway/selection/src/rating.ts
@@ -27,6 +27,14 @@
 	*/
 	readonly heldTokens: number;
 	/**
+	Predicted most tokens of the endpoint's memory in use until the request ends; 0 if that is not predicted.
+	*/
+	readonly memoryTokens: number;
+	/**
+	Predicted time until its memory has room for the request, in milliseconds; 0 if it has room now or that is not predicted.
+	*/
+	readonly roomInMs: number;
+	/**
 	Number of endpoints that were compared.
 	*/
 	readonly candidates: number;
--- a/gateway/selection/src/remove-load.ts
+++ b/gateway/selection/src/remove-load.ts
@@ -2,7 +2,7 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Subtracts a load from a sum; requests, pending prompt tokens and sensitivity do not fall below 0.
+ Subtracts a load from a sum; requests, pending prompt tokens, sensitivity and memory do not fall below 0.
 
  @example
  removeLoad({...noLoad, open: 3}, {...noLoad, open: 2}).open; // 1
@@ -16,5 +16,6 @@
 		stalledObservers: -part.stalledObservers,
 		prefilledTokens: -part.prefilledTokens,
 		prefillMs: -part.prefillMs,
+		memoryTokens: -part.memoryTokens,
 	});
 }
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -18,6 +18,18 @@
 	*/
 	readonly urgency: number;
 	readonly promptTokens: number;
+	/**
+	Class whose answers are alike in length, such as the name of the route; `undefined` if it is not known.
+	*/
+	readonly className?: string;
+	/**
+	Most tokens that it may generate; `undefined` or 0 if it states none.
+	*/
+	readonly maximumOutputTokens?: number;
+	/**
+	Whether it belongs to the most urgent class, for which engines preempt all others.
+	*/
+	readonly isMostUrgent?: boolean;
 	readonly parts: readonly PromptPart[];
 	/**
 	Incarnations of endpoints at which this request was attempted.
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -1,4 +1,5 @@
 import type {FleetNodes} from './fleet-nodes.ts';
+import type {ImpossibleMemory} from './impossible-memory.ts';
 
 /**
 Options of `createSelector`.
@@ -27,6 +28,14 @@
 	*/
 	readonly prefillTokensPerMs: number;
 	/**
+	Whether the memory of engines is predicted, so that a request is sent to one whose memory has room; if not set, it is not.
+	*/
+	readonly isMemoryPredicted?: boolean;
+	/**
+	Called with what a peer told of an engine's memory that its open requests cannot hold; it is limited to what they can.
+	*/
+	readonly onImpossibleMemory?: (told: ImpossibleMemory) => void;
+	/**
 	Whether there is an idle connection to an address; if not set, new connections add no cost.
 	*/
 	readonly hasConnection?: (address: string) => boolean;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -102,6 +102,13 @@
 		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
+		isMemoryPredicted: selection.memory_room,
+		onImpossibleMemory({node, incarnation, toldTokens, keptTokens}) {
+			metrics.increment('gateway.impossible-memory');
+			logger.warn({
+				name: 'impossible-memory', node, endpoint: incarnation, toldTokens, keptTokens,
+			});
+		},
 		hasConnection: address => exchanges.hasIdle(address),
 		fleet: {self: self.id, list: () => listFleet()},
 		onPlacement() {
--- a/node/gateway/src/format-load-update.ts
+++ b/node/gateway/src/format-load-update.ts
@@ -1,4 +1,5 @@
 import type {OriginLoadUpdate} from '@valvesaddle/news';
+import type {EndpointLoad} from '@valvesaddle/selection';
 import type {LoadUpdateMessage} from './load-update-message.ts';
 
 /**
@@ -6,6 +7,8 @@
 */
 const stepsPerUnit = 100;
 
+type LoadRow = LoadUpdateMessage['loads'][number];
+
 /**
  Formats a load update as rows without field names, in whole tokens and milliseconds.
 
@@ -15,16 +18,22 @@
 export function formatLoadUpdate({nodes, loads, placements}: OriginLoadUpdate): LoadUpdateMessage {
 	return {
 		nodes,
-		loads: loads.map(([endpoint, {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs}]) => [
-			endpoint,
-			open,
-			pendingPrefill.map(tokens => Math.round(tokens)),
-			Math.round(sensitivity * stepsPerUnit) / stepsPerUnit,
-			observers,
-			stalledObservers,
-			Math.round(prefilledTokens),
-			Math.round(prefillMs),
-		]),
+		loads: loads.map(([endpoint, load]) => formatLoad(endpoint, load)),
 		placements: placements.map(({endpoint, pool, parts, tokens}) => [endpoint, pool, [...parts], tokens]),
 	};
 }
+
+function formatLoad(endpoint: string, {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens}: EndpointLoad): LoadRow {
+	const row: LoadRow = [
+		endpoint,
+		open,
+		pendingPrefill.map(tokens => Math.round(tokens)),
+		Math.round(sensitivity * stepsPerUnit) / stepsPerUnit,
+		observers,
+		stalledObservers,
+		Math.round(prefilledTokens),
+		Math.round(prefillMs),
+	];
+	// Nodes that do not predict memory refuse a longer row, and without the field it says the same.
+	return memoryTokens > 0 ? [...row, Math.round(memoryTokens)] : row;
+}
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -1,10 +1,11 @@
 /**
-Load of an endpoint without field names, in the order of the fields of `EndpointLoad`.
+Load of an endpoint without field names, in the order of the fields of `EndpointLoad`. Memory of 0 is left out.
 */
-type LoadRow = readonly [
+type BaseRow = readonly [
 	endpoint: string, open: number, pendingPrefill: readonly number[], sensitivity: number, observers: number, stalledObservers: number,
 	prefilledTokens: number, prefillMs: number,
 ];
+type LoadRow = BaseRow | readonly [...base: BaseRow, memoryTokens: number];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
 /**
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -7,6 +7,10 @@
 */
 const maximumRanks = 64;
 const loadFields = 8;
+/**
+Rows of nodes that predict memory have one field more.
+*/
+const maximumLoadFields = 9;
 const placementFields = 4;
 
 /**
@@ -28,11 +32,11 @@
 }
 
 function parseLoad(row: unknown): readonly [string, EndpointLoad] {
-	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs] = parseRow(row, loadFields);
+	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens = 0] = parseRow(row, loadFields, maximumLoadFields);
 	if (typeof endpoint === 'string' && isAmount(open) && isPendingPrefill(pendingPrefill) && isAmount(sensitivity)
-		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs)) {
+		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs) && isAmount(memoryTokens)) {
 		return [endpoint, {
-			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs,
+			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens,
 		}];
 	}
 
@@ -50,8 +54,8 @@
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'placement row must consist of names and a non-negative number');
 }
 
-function parseRow(row: unknown, fields: number): readonly unknown[] {
-	if (Array.isArray(row) && row.length === fields) {
+function parseRow(row: unknown, fields: number, maximumFields = fields): readonly unknown[] {
+	if (Array.isArray(row) && row.length >= fields && row.length <= maximumFields) {
 		return row as readonly unknown[];
 	}
 
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -77,7 +77,9 @@
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
 		readonly newsAgeMs: number; readonly unseenFactor: number; readonly harmMs: number; readonly urgency: number; readonly unreadTokens: number;
+		readonly memoryTokens: number; readonly roomInMs: number;
 	}
+	| {readonly name: 'impossible-memory'; readonly node: string; readonly endpoint: string; readonly toldTokens: number; readonly keptTokens: number}
 	| {
 		readonly name: 'endpoint-notice'; readonly request: string; readonly endpoint: string; readonly status: number;
 		readonly retryAfterMs: number | undefined; readonly isLeaving: boolean;
