merge: room in engines' memory

Rows of load updates have optional fields at their end, left out while they say nothing: memory, protected streams.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -64,6 +64,10 @@
 		Maximum share of a pool's engines that is kept free of long prefills for the streams with the pool's shortest pause objective.
 		*/
 		reserved_share: z.number().min(0).max(0.8).default(0),
+		/**
+		Whether the memory of engines is predicted, for pools whose configuration states it.
+		*/
+		memory_room: z.boolean().default(false),
 	}).prefault({}),
 	admission: z.strictObject({
 		late_factor: z.number().positive().default(1.3),
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -1,7 +1,7 @@
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Adds two loads; requests, streams, pending prompt tokens and sensitivity do not fall below 0.
+ Adds two loads; requests, streams, pending prompt tokens, sensitivity and memory do not fall below 0.
 
  @example
  addLoads({...noLoad, open: 1}, {...noLoad, open: 2}).open; // 3
@@ -16,6 +16,7 @@
 		prefilledTokens: a.prefilledTokens + b.prefilledTokens,
 		prefillMs: a.prefillMs + b.prefillMs,
 		protectedStreams: Math.max(0, a.protectedStreams + b.protectedStreams),
+		memoryTokens: Math.max(0, a.memoryTokens + b.memoryTokens),
 	};
 }
 
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -55,6 +55,7 @@
 			prefilledTokens: sum.prefilledTokens,
 			prefillMs: sum.prefillMs,
 			protectedStreams: sum.protectedStreams * unseenFactor,
+			memoryTokens: sum.memoryTokens * unseenFactor,
 		};
 	}
 
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -31,4 +31,9 @@
 	Open streams that endpoints may be reserved for.
 	*/
 	readonly protectedStreams: number;
+	/**
+	Tokens of its memory that its open requests hold, with what they are expected to generate; each counts its share of the parts
+	that it shares with others there. 0 if memory is not predicted.
+	*/
+	readonly memoryTokens: number;
 };
--- a/gateway/selection/test/plan-reservation.test.ts
+++ b/gateway/selection/test/plan-reservation.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {test} from 'tap';
-import {planReservation, type ReservableEndpoint} from '../src/plan-reservation.ts';
+import {planReservation} from '../src/plan-reservation.ts';
+import type {ReservableEndpoint} from '../src/reservable-endpoint.ts';
 
 function createEndpoints(count: number, change: Partial<ReservableEndpoint> = {}): readonly ReservableEndpoint[] {
 	return Array.from({length: count}, (_value, index) => ({
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -109,6 +109,13 @@
 				name: 'endpoints-reserved', pool, reserved, streams,
 			});
 		},
+		isMemoryPredicted: selection.memory_room,
+		onImpossibleMemory({node, incarnation, toldTokens, keptTokens}) {
+			metrics.increment('gateway.impossible-memory');
+			logger.warn({
+				name: 'impossible-memory', node, endpoint: incarnation, toldTokens, keptTokens,
+			});
+		},
 		hasConnection: address => exchanges.hasIdle(address),
 		fleet: {self: self.id, list: () => listFleet()},
 		onPlacement() {
--- a/node/gateway/src/format-load-update.ts
+++ b/node/gateway/src/format-load-update.ts
@@ -1,4 +1,5 @@
 import type {OriginLoadUpdate} from '@valvesaddle/news';
+import type {EndpointLoad} from '@valvesaddle/selection';
 import type {LoadUpdateMessage} from './load-update-message.ts';
 
 /**
@@ -6,26 +7,38 @@
 */
 const stepsPerUnit = 100;
 
+type LoadRow = LoadUpdateMessage['loads'][number];
+
 /**
- Formats a load update as rows without field names, in whole tokens and milliseconds.
+ Formats a load update as rows without field names, in whole tokens and milliseconds. Optional fields at the end of a row are left out
+ while they say nothing.
 
  @example
- formatLoadUpdate({origin: 'n1', nodes: 1, loads: [['i-7f', {...noLoad, open: 2}]], placements: []}).loads; // [['i-7f', 2, [], 0, 0, 0, 0, 0, 0]]
+ formatLoadUpdate({origin: 'n1', nodes: 1, loads: [['i-7f', {...noLoad, open: 2}]], placements: []}).loads; // [['i-7f', 2, [], 0, 0, 0, 0, 0]]
  */
 export function formatLoadUpdate({nodes, loads, placements}: OriginLoadUpdate): LoadUpdateMessage {
 	return {
 		nodes,
-		loads: loads.map(([endpoint, {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams}]) => [
-			endpoint,
-			open,
-			pendingPrefill.map(tokens => Math.round(tokens)),
-			Math.round(sensitivity * stepsPerUnit) / stepsPerUnit,
-			observers,
-			stalledObservers,
-			Math.round(prefilledTokens),
-			Math.round(prefillMs),
-			protectedStreams,
-		]),
+		loads: loads.map(([endpoint, load]) => formatLoad(endpoint, load)),
 		placements: placements.map(({endpoint, pool, parts, tokens}) => [endpoint, pool, [...parts], tokens]),
 	};
 }
+
+function formatLoad(endpoint: string, load: EndpointLoad): LoadRow {
+	const {open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens, protectedStreams} = load;
+	const row = [
+		endpoint,
+		open,
+		pendingPrefill.map(tokens => Math.round(tokens)),
+		Math.round(sensitivity * stepsPerUnit) / stepsPerUnit,
+		observers,
+		stalledObservers,
+		Math.round(prefilledTokens),
+		Math.round(prefillMs),
+	] as const;
+	if (protectedStreams > 0) {
+		return [...row, Math.round(memoryTokens), protectedStreams];
+	}
+
+	return memoryTokens > 0 ? [...row, Math.round(memoryTokens)] : row;
+}
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -1,9 +1,9 @@
 /**
-Load of an endpoint without field names, in the order of the fields of `EndpointLoad`.
+Load of an endpoint without field names, in the order of the fields of `EndpointLoad`. Optional fields that are 0 are left out.
 */
 type LoadRow = readonly [
 	endpoint: string, open: number, pendingPrefill: readonly number[], sensitivity: number, observers: number, stalledObservers: number,
-	prefilledTokens: number, prefillMs: number, protectedStreams: number,
+	prefilledTokens: number, prefillMs: number, memoryTokens?: number, protectedStreams?: number,
 ];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -6,11 +6,11 @@
 Maximum number of request ranks at an engine.
 */
 const maximumRanks = 64;
+const loadFields = 8;
 /**
-Fields of a load row: all of this version, and those that nodes of an earlier version send.
+Fields that a row may have besides: nodes leave them out while they say nothing, and earlier versions do not know them.
 */
-const loadFields = 9;
-const earlierLoadFields = 8;
+const optionalLoadFields = 2;
 const placementFields = 4;
 
 /**
@@ -20,7 +20,7 @@
 
  @throws `ERR_VALVESADDLE_MESSAGE_INVALID` for a malformed update.
  @example
- parseLoadUpdate({nodes: 1, loads: [['i-7f', 2, [], 0, 0, 0, 0, 0, 0]], placements: []}).loads[0]?.[1].open; // 2
+ parseLoadUpdate({nodes: 1, loads: [['i-7f', 2, [], 0, 0, 0, 0, 0]], placements: []}).loads[0]?.[1].open; // 2
  */
 export function parseLoadUpdate(message: unknown): Omit<OriginLoadUpdate, 'origin'> {
 	const {nodes, loads, placements} = message as Readonly<Record<string, unknown>>;
@@ -32,11 +32,12 @@
 }
 
 function parseLoad(row: unknown): readonly [string, EndpointLoad] {
-	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams = 0] = parseRow(row, loadFields, earlierLoadFields);
+	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens = 0, protectedStreams = 0] = parseRow(row, loadFields, optionalLoadFields);
 	if (typeof endpoint === 'string' && isAmount(open) && isPendingPrefill(pendingPrefill) && isAmount(sensitivity)
-		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs) && isAmount(protectedStreams)) {
+		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs)
+		&& isAmount(memoryTokens) && isAmount(protectedStreams)) {
 		return [endpoint, {
-			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, protectedStreams,
+			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, memoryTokens, protectedStreams,
 		}];
 	}
 
@@ -54,8 +55,11 @@
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'placement row must consist of names and a non-negative number');
 }
 
-function parseRow(row: unknown, fields: number, minimumFields = fields): readonly unknown[] {
-	if (Array.isArray(row) && row.length >= minimumFields && row.length <= fields) {
+/**
+Parses a row of this many fields, and optional ones at its end.
+*/
+function parseRow(row: unknown, fields: number, optionalFields = 0): readonly unknown[] {
+	if (Array.isArray(row) && row.length >= fields && row.length <= fields + optionalFields) {
 		return row as readonly unknown[];
 	}
 
