fix(duties): only nodes that others send their counts to hold the duties

Cause: before its links are planned a node knows no other and took itself for a candidate, so the first to start held the duties for good, whether or not the others count it among the four that they send their usage to. Change: a candidate has planned its links; a holder that is none for longer than a lease hands the duties over. Test: a node before and after its plan, a holder that is no candidate.

--- a/duties/lease/src/create-duty-lease.ts
+++ b/duties/lease/src/create-duty-lease.ts
@@ -40,6 +40,10 @@
 	*/
 	let nextAttemptAt = -Infinity;
 	let attempts = 0;
+	/**
+	Time on the steady clock at which the holder was a candidate last.
+	*/
+	let candidateAt = -Infinity;
 	let isClosed = false;
 	/**
 	The update in progress; `release` waits for it, since it may acquire the duty.
@@ -143,6 +147,14 @@
 		});
 	}
 
+	/**
+	Releases a duty that other nodes are to hold: their counts are not sent to this one.
+	*/
+	async function handOver({lease}: HeldLease): Promise<void> {
+		markLost('no longer a candidate');
+		await releaseLease(lease);
+	}
+
 	async function isStillHolder(): Promise<boolean> {
 		const current = getHeld();
 		if (current === undefined) {
@@ -163,9 +175,12 @@
 			markLost('lease was not renewed in time');
 		}
 
+		const now = performance.now();
+		candidateAt = isCandidate ? now : candidateAt;
 		if (held !== undefined) {
-			await updateLease(held);
-		} else if (isCandidate && !isClosed && performance.now() >= Math.max(reacquireAt, nextAttemptAt)) {
+			// Nodes join and leave one by one, and the candidates may change with each.
+			await (now - candidateAt > leaseMs ? handOver(held) : updateLease(held));
+		} else if (isCandidate && !isClosed && now >= Math.max(reacquireAt, nextAttemptAt)) {
 			await acquireLease();
 		}
 	}
--- a/duties/lease/src/duty-lease.ts
+++ b/duties/lease/src/duty-lease.ts
@@ -3,8 +3,8 @@
 */
 export type DutyLease = {
 	/**
-	Acquires the duty if it may be free and this node is a candidate, or renews its lease. Call it several times per lease duration;
-	calls must not overlap.
+	Acquires the duty if it may be free and this node is a candidate, or renews its lease. A holder that has not been a candidate for
+	longer than a lease releases it. Call it several times per lease duration; calls must not overlap.
 	*/
 	readonly update: (isCandidate: boolean) => Promise<void>;
 	/**
--- a/duties/lease/test/duty-lease.test.ts
+++ b/duties/lease/test/duty-lease.test.ts
@@ -72,6 +72,33 @@
 	t.equal(lease.token(), undefined, 'expires without a call');
 });
 
+/**
+Guards against usage reports that lack requests: other nodes send their counts to the candidates only.
+*/
+test('a holder that is no longer a candidate releases the duty after a lease, and leaves it to others for a while', async t => {
+	const clock = pauseClock(t);
+	const {state, store} = createStore();
+	const lease = startLease(t, store);
+	await lease.update(true);
+	clock.advance(500);
+	await lease.update(false);
+	clock.advance(1000);
+	await lease.update(true);
+	t.equal(lease.token(), 11, 'a short change of the plan');
+	for (const _step of Array.from({length: 5})) {
+		clock.advance(500);
+		await lease.update(false);
+	}
+
+	t.equal(lease.token(), undefined);
+	t.equal(state.entry, undefined);
+	await lease.update(true);
+	t.equal(lease.token(), undefined);
+	clock.advance(4001);
+	await lease.update(true);
+	t.equal(lease.token(), 12);
+});
+
 test('a node that is not a candidate does not acquire the duty', async t => {
 	pauseClock(t);
 	const {state, store} = createStore();
--- a/node/gateway/src/create-duty-task.ts
+++ b/node/gateway/src/create-duty-task.ts
@@ -100,18 +100,26 @@
 		}
 	});
 
-	async function runRepeatedly(intervalMs: number, step: () => Promise<void>): Promise<void> {
+	async function runRepeatedly(measureInterval: () => number, step: () => Promise<void>): Promise<void> {
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one step after the other
 			await step();
 			// eslint-disable-next-line no-await-in-loop -- the delay between two steps
-			await wait(intervalMs, undefined, {ref: false});
+			await wait(measureInterval(), undefined, {ref: false});
 		}
 	}
 
+	/**
+	A node that becomes a candidate is not to wait for a part of a long lease.
+	*/
+	function measureLeaseInterval(): number {
+		const renewalMs = settings.lease_ms / renewalsPerLease;
+		return lease.token() === undefined ? Math.min(renewalMs, checkIntervalMs) : renewalMs;
+	}
+
 	async function updateLease(): Promise<void> {
 		const before = lease.token();
-		await lease.update(sync.isFollower());
+		await lease.update(sync.isDutyCandidate());
 		if (before !== undefined || lease.token() === undefined) {
 			return;
 		}
@@ -122,13 +130,13 @@
 
 	return {
 		start() {
-			void runRepeatedly(settings.lease_ms / renewalsPerLease, updateLease);
-			void runRepeatedly(checkIntervalMs, async () => {
+			void runRepeatedly(measureLeaseInterval, updateLease);
+			void runRepeatedly(() => checkIntervalMs, async () => {
 				if (offered.has('scaling') && getProof() !== undefined && performance.now() - startedAt >= scalingDelayMs) {
 					await scaler.update();
 				}
 			});
-			void runRepeatedly(checkIntervalMs, async () => {
+			void runRepeatedly(() => checkIntervalMs, async () => {
 				if (offered.has('usage') && getProof() !== undefined) {
 					await reporter.update(options.toUnixTime(performance.now()));
 				}
--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -49,6 +49,7 @@
 		isMesh: true, relays: new Map([[self.id, self.dataCentre]]), relativeCapacities: new Map(), followers: new Set([self.id]),
 	};
 	let isChanged = true;
+	let isPlanned = false;
 	let parent: string | undefined;
 	let updatedAt = performance.now();
 
@@ -62,6 +63,7 @@
 
 	function updateOverlay(): void {
 		isChanged = false;
+		isPlanned = true;
 		overlay = planOverlay([...view.nodes().filter(({id}) => id !== self.id), self], {meshNodes: options.meshNodes});
 	}
 
@@ -206,6 +208,7 @@
 		},
 		isRelay,
 		isFollower: () => overlay.followers.has(self.id),
+		isPlanned: () => isPlanned,
 		isSource: node => node === findSource(),
 		isMesh: () => overlay.isMesh,
 		parent: () => parent,
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -173,6 +173,7 @@
 			isCurrent: clusterSync.isCurrent,
 			isStoreNeeded: clusterSync.isStoreNeeded,
 			isFollower: links.isFollower,
+			isDutyCandidate: () => links.isPlanned() && links.isFollower(),
 			usage,
 			quarantine: quarantineSync.quarantine,
 			sendPlacements,
--- a/node/gateway/src/duty-task-options.ts
+++ b/node/gateway/src/duty-task-options.ts
@@ -21,7 +21,7 @@
 	readonly store: {readonly address: string; readonly timeoutMs: number};
 	readonly view: ClusterView;
 	readonly selector: Pick<Selector, 'measurePoolLoad'>;
-	readonly sync: Pick<PeerSync, 'isFollower' | 'usage'>;
+	readonly sync: Pick<PeerSync, 'isDutyCandidate' | 'usage'>;
 	/**
 	Converts a time on the monotonic clock to Unix milliseconds.
 	*/
--- a/node/gateway/src/link-plan.ts
+++ b/node/gateway/src/link-plan.ts
@@ -20,6 +20,10 @@
 	*/
 	readonly isFollower: () => boolean;
 	/**
+	Whether the links were planned; until then the node knows no other.
+	*/
+	readonly isPlanned: () => boolean;
+	/**
 	Whether this node receives changes from that one: its parent, or for a relay the first follower that it is linked to.
 	*/
 	readonly isSource: (node: string) => boolean;
--- a/node/gateway/src/peer-sync.ts
+++ b/node/gateway/src/peer-sync.ts
@@ -19,6 +19,10 @@
 	*/
 	readonly isFollower: () => boolean;
 	/**
+	Whether this node is one of those that all others send their usage to, by a plan of the fleet's links.
+	*/
+	readonly isDutyCandidate: () => boolean;
+	/**
 	Usage counts; `undefined` if they aren't configured.
 	*/
 	readonly usage: UsageSync | undefined;
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -482,6 +482,25 @@
 	t.same(nodes, ['r2', 'n5']);
 });
 
+/**
+Guards against a holder of duties that is not sent the counts of other nodes: before the links are planned a node knows no other.
+*/
+test('a node is a candidate for duties only by a plan of the links in which it is a follower', async t => {
+	const weak = createSync(t, {connected: [], heartbeatMs: 5});
+	t.ok(weak.sync.isFollower(), 'follows the store until the fleet is known');
+	t.notOk(weak.sync.isDutyCandidate());
+	addNodes(weak, createFleet());
+	weak.sync.start();
+	await waitUntil(() => weak.links.size === 1);
+	t.notOk(weak.sync.isDutyCandidate());
+	const strong = createSync(t, {connected: [], heartbeatMs: 5, capacity: 3});
+	t.notOk(strong.sync.isDutyCandidate());
+	addNodes(strong, createFleet());
+	strong.sync.start();
+	await waitUntil(() => strong.sync.isDutyCandidate());
+	t.ok(strong.sync.isFollower());
+});
+
 test('a load update is parsed as formatted, rounded to tokens, milliseconds and hundredths of a request', t => {
 	const loads = [['i-1', {
 		open: 3, pendingPrefill: [0, 1200.4], sensitivity: 1.23456, observers: 2, stalledObservers: 1, prefilledTokens: 99.6, prefillMs: 7.2, protectedStreams: 2, memoryTokens: 12_345.6,
