feat(dispatch): grant requests where an engine's memory has room

Cause: the product's own half grants by slots alone, so digests fill an engine's memory before its slots. Urgent requests and floors are granted as before, and so is everything at an endpoint that states none. Result: six digests of 5,200 tokens at an engine of 64 slots and 20,000 tokens: six granted before, three now, the next ones as those end (dispatch/pool test).

--- a/config/schema/src/configuration-schema.ts
+++ b/config/schema/src/configuration-schema.ts
@@ -39,6 +39,7 @@
 	dataCentre: name,
 	initialLimit: z.int().min(1).max(4096).default(8),
 	leaving: z.boolean().default(false),
+	memoryTokens: z.int().min(1).max(1_000_000_000).optional(),
 });
 
 const binding = z.strictObject({
--- a/core/types/src/endpoint.ts
+++ b/core/types/src/endpoint.ts
@@ -17,4 +17,8 @@
 	Set by an operator to take the endpoint out of use.
 	*/
 	readonly leaving: boolean;
+	/**
+	Memory of an engine for prompts and answers, in tokens; `undefined` if it is not known, so that only slots count.
+	*/
+	readonly memoryTokens?: number | undefined;
 };
--- a/dispatch/policy/src/endpoint-requirements.ts
+++ b/dispatch/policy/src/endpoint-requirements.ts
@@ -1,4 +1,5 @@
 import type {GrantMode} from './grant-mode.ts';
+import type {MemoryClaim} from './memory-claim.ts';
 
 /**
 Requirements that an endpoint must meet to be granted to a request.
@@ -27,4 +28,8 @@
 	Whether the request may be sent to an endpoint in state `probing`.
 	*/
 	readonly mayProbe: boolean;
+	/**
+	Memory that the request would hold if it were granted now; `undefined` if memory does not matter.
+	*/
+	readonly memory?: MemoryClaim;
 };
--- a/dispatch/policy/src/endpoint-view.ts
+++ b/dispatch/policy/src/endpoint-view.ts
@@ -1,3 +1,4 @@
+import type {EndpointMemory} from './endpoint-memory.ts';
 import type {EndpointState} from './endpoint-state.ts';
 
 /**
@@ -46,4 +47,8 @@
 	Consecutive failures.
 	*/
 	readonly failures: number;
+	/**
+	`undefined` if the configuration does not state it.
+	*/
+	readonly memory?: EndpointMemory | undefined;
 };
--- a/dispatch/policy/src/has-slot.ts
+++ b/dispatch/policy/src/has-slot.ts
@@ -2,6 +2,7 @@
 import type {EndpointState} from './endpoint-state.ts';
 import type {EndpointView} from './endpoint-view.ts';
 import type {GrantMode} from './grant-mode.ts';
+import {hasMemory} from './has-memory.ts';
 
 /**
 Requests in flight never exceed the limit times this factor, under any rule.
@@ -14,7 +15,8 @@
 
 const slotRules: Readonly<Record<GrantMode, SlotRule>> = {
 	urgent: endpoint => endpoint.urgentInFlight < endpoint.limit,
-	shared: (endpoint, requirements) => endpoint.inFlight + endpoint.external + (requirements.headroom * endpoint.limit) < endpoint.limit,
+	// Engines preempt others for urgent requests, and a floor is kept whatever the others hold: memory binds the shared slots alone.
+	shared: (endpoint, requirements) => endpoint.inFlight + endpoint.external + (requirements.headroom * endpoint.limit) < endpoint.limit && hasMemory(endpoint.memory, requirements.memory),
 	floor: (endpoint, requirements) => endpoint.inFlight - endpoint.urgentInFlight < Math.max(1, requirements.floor * endpoint.limit),
 };
 
--- a/dispatch/pool/src/create-endpoint-table.ts
+++ b/dispatch/pool/src/create-endpoint-table.ts
@@ -4,12 +4,14 @@
 	ejectEndpoint,
 	findOutliers,
 	updateAverage,
+	type EndpointMemory,
 	type EndpointView,
 } from '@valvesaddle/policy';
 import {addToSums} from './add-to-sums.ts';
 import {createEndpointView} from './create-endpoint-view.ts';
 import {createSlotIndex} from './create-slot-index.ts';
 import type {EndpointTable} from './endpoint-table.ts';
+import {setMemoryClaim} from './set-memory-claim.ts';
 import type {EndpointTableOptions} from './endpoint-table-options.ts';
 import type {PoolSums} from './pool-sums.ts';
 
@@ -119,7 +121,7 @@
 
 			for (const endpoint of configured) {
 				const known = table.get(endpoint.id);
-				setView(known === undefined ? createEndpointView(endpoint) : {...known, url: endpoint.url, dataCentre: endpoint.dataCentre});
+				setView(known === undefined ? createEndpointView(endpoint) : updateEndpoint(known, endpoint));
 				updateLeaving(endpoint);
 			}
 		},
@@ -130,6 +132,9 @@
 				urgentInFlight: Math.max(0, view.urgentInFlight + (isUrgent ? by : 0)),
 			}));
 		},
+		setClaim(endpointId, grantId, claim) {
+			updateView(endpointId, view => view.memory === undefined ? view : {...view, memory: setMemoryClaim(view.memory, grantId, claim)});
+		},
 		observeTimes(endpointId, firstTokenMs, interTokenMs) {
 			updateView(endpointId, view => adjustLimit({
 				...view,
@@ -188,3 +193,10 @@
 		setHeadroom: index.setHeadroom,
 	};
 }
+
+function updateEndpoint(view: EndpointView, {url, dataCentre, memoryTokens}: Endpoint): EndpointView {
+	const memory: EndpointMemory | undefined = memoryTokens === undefined ? undefined : {capacityTokens: memoryTokens, claims: view.memory?.claims ?? new Map()};
+	return {
+		...view, url, dataCentre, memory,
+	};
+}
--- a/dispatch/pool/src/create-endpoint-view.ts
+++ b/dispatch/pool/src/create-endpoint-view.ts
@@ -24,5 +24,6 @@
 		cooldownUntil: 0,
 		ejections: 0,
 		failures: 0,
+		memory: endpoint.memoryTokens === undefined ? undefined : {capacityTokens: endpoint.memoryTokens, claims: new Map()},
 	};
 }
--- a/dispatch/pool/src/create-grant-table.ts
+++ b/dispatch/pool/src/create-grant-table.ts
@@ -30,6 +30,7 @@
 		}
 
 		endpoints.updateInFlight(entry.endpointId, -1, entry.isUrgent);
+		endpoints.setClaim(entry.endpointId, grantId, undefined);
 		return entry;
 	}
 
@@ -43,6 +44,7 @@
 			grants.set(entry.grantId, entry);
 			byRequest.set(entry.requestId, entry.grantId);
 			endpoints.updateInFlight(entry.endpointId, 1, entry.isUrgent);
+			endpoints.setClaim(entry.endpointId, entry.grantId, entry.memory);
 		},
 		find: grantId => grants.get(grantId),
 		findByRequest: requestId => grants.get(byRequest.get(requestId) ?? ''),
--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -16,6 +16,7 @@
 	type EndpointRequirements,
 	type EndpointView,
 	type GrantMode,
+	type MemoryClaim,
 	type RankedClass,
 } from '@valvesaddle/policy';
 import {createWaitingQueue, type QueuedRequest} from '@valvesaddle/queue';
@@ -95,6 +96,19 @@
 			// Endpoints on which the request failed are used again only if there are no others.
 			avoid: request.avoid.length < table.sums().live ? request.avoid : [],
 			mayProbe: request.repeatable && mode !== 'urgent',
+			memory: toClaim(request),
+		};
+	}
+
+	/**
+	Memory that a request would hold if it were granted now.
+	*/
+	function toClaim({className, promptTokens, tokensSoFar}: AcquireRequest): MemoryClaim {
+		return {
+			tokens: promptTokens + tokensSoFar,
+			growthTokens: lengths.expect(className, tokensSoFar) - tokensSoFar,
+			endsInMs: Math.max(1, stats.holdMs(className)),
+			grantedAt: performance.now(),
 		};
 	}
 
@@ -179,6 +193,7 @@
 			renewedAt: now,
 			tokens: 0,
 			charged,
+			memory: toClaim(request),
 		});
 		queue.charge(request.className, request.account, charged);
 		sessions.record(request.session, endpoint.id);
--- a/dispatch/pool/src/endpoint-table.ts
+++ b/dispatch/pool/src/endpoint-table.ts
@@ -1,5 +1,5 @@
 import type {Endpoint} from '@valvesaddle/types';
-import type {EndpointView} from '@valvesaddle/policy';
+import type {EndpointView, MemoryClaim} from '@valvesaddle/policy';
 import type {LoadReport} from './load-report.ts';
 import type {PoolSums} from './pool-sums.ts';
 import type {SlotIndex} from './slot-index.ts';
@@ -14,6 +14,10 @@
 	*/
 	readonly updateInFlight: (endpointId: string, by: 1 | -1, isUrgent: boolean) => void;
 	/**
+	Sets what a grant holds of an endpoint's memory, or removes it; nothing if the endpoint does not state its memory.
+	*/
+	readonly setClaim: (endpointId: string, grantId: string, claim: MemoryClaim | undefined) => void;
+	/**
 	Updates the average times and adjusts the limit to them.
 	*/
 	readonly observeTimes: (endpointId: string, firstTokenMs: number | undefined, interTokenMs: number | undefined) => void;
--- a/dispatch/pool/src/grant-entry.ts
+++ b/dispatch/pool/src/grant-entry.ts
@@ -1,3 +1,5 @@
+import type {MemoryClaim} from '@valvesaddle/policy';
+
 /**
 An open grant in the dispatcher's table.
 */
@@ -19,4 +21,8 @@
 	Tokens charged to the account and class so far; charged in advance, from the expected length of the answer.
 	*/
 	readonly charged: number;
+	/**
+	Memory that it holds at its endpoint; `undefined` for a grant of an earlier dispatcher, whose prompt is not known.
+	*/
+	readonly memory?: MemoryClaim;
 };
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -460,3 +460,52 @@
 	await settle();
 	t.same(caller.granted(), ['holder', 'waiter']);
 });
+
+function createMemoryConfiguration(memoryTokens: number | undefined): Configuration {
+	const configuration = createConfiguration(1, 64);
+	return {...configuration, endpoints: configuration.endpoints.map(endpoint => ({...endpoint, memoryTokens}))};
+}
+
+async function acquireDigests(caller: ReturnType<typeof createCaller>, count: number): Promise<void> {
+	for (let index = 0; index < count; index++) {
+		// eslint-disable-next-line no-await-in-loop -- in order
+		await caller.acquire(createRequest(`digest-${index}`, {promptTokens: 5000, admitted: true}));
+	}
+}
+
+test('digests wait while the memory of an engine is full; an engine that states none gets one for each slot', async t => {
+	const dispatcher = createDispatcher(createMemoryConfiguration(20_000));
+	const caller = createCaller(dispatcher);
+	const today = createCaller(createDispatcher(createMemoryConfiguration(undefined)));
+	await acquireDigests(caller, 6);
+	await acquireDigests(today, 6);
+	t.equal(today.granted().length, 6, '31,200 tokens with what they are expected to generate');
+	t.same(caller.granted(), ['digest-0', 'digest-1', 'digest-2'], 'the fourth would make it 20,800');
+	await caller.acquire(createRequest('gate', {className: 'gate', promptTokens: 5000}));
+	t.ok(caller.granted().includes('gate'), 'digests yield to urgent requests');
+	for (const id of ['gate', 'digest-0']) {
+		dispatcher.release(toRelease(caller.replies.get(id)));
+	}
+
+	await settle();
+	t.ok(caller.granted().includes('digest-3'), 'its turn when one has ended');
+	t.notOk(caller.granted().includes('digest-4'));
+	dispatcher.configure(createMemoryConfiguration(40_000), new Set());
+	await settle();
+	t.ok(caller.granted().includes('digest-5'), 'more memory');
+});
+
+test('a request that is larger than the memory of an engine is granted when nothing runs there, and other classes keep their floor', async t => {
+	const dispatcher = createDispatcher(createMemoryConfiguration(4000));
+	const caller = createCaller(dispatcher);
+	await acquireDigests(caller, 2);
+	t.same(caller.granted(), ['digest-0'], 'only the engine itself can refuse it');
+	await caller.acquire(createRequest('route', {className: 'route', promptTokens: 5000, admitted: true}));
+	dispatcher.release(toRelease(caller.replies.get('digest-0')));
+	await settle();
+	t.equal(caller.granted().length, 2);
+	dispatcher.release(toRelease(caller.replies.get('digest-1')));
+	dispatcher.release(toRelease(caller.replies.get('route')));
+	await settle();
+	t.equal(caller.granted().length, 3, 'each class is served');
+});
--- a/gateway/selection/test/room.test.ts
+++ b/gateway/selection/test/room.test.ts
@@ -73,7 +73,7 @@
 	t.equal(new Set(ignored).size, 1, 'the engine that has read the subject gets 3,000 tokens and 12 times 2,200');
 	t.ok(new Set(predicted).size > 1);
 	for (const id of new Set(predicted)) {
-		t.ok(predicted.filter(other => other === id).length * 2200 + 3000 <= cacheTokens, id);
+		t.ok((predicted.filter(other => other === id).length * 2200) + 3000 <= cacheTokens, id);
 	}
 
 	t.end();
