--- a/dispatch/room/src/predict-room.ts
+++ b/dispatch/room/src/predict-room.ts
@@ -1,5 +1,6 @@
 import type {HeldMemory} from './held-memory.ts';
 import type {MemoryRoom} from './memory-room.ts';
+import {predictMemory} from './predict-memory.ts';
 import {predictPeak} from './predict-peak.ts';
 
 type RoomInput = {
@@ -34,7 +35,8 @@
 	}
 
 	const ends = running.map(({endsInMs}) => endsInMs).toSorted((a, b) => a - b);
-	const waitMs = ends.find(endsInMs => predictPeakFrom(running, request, endsInMs) <= capacityTokens) ?? ends.at(-1) ?? 0;
+	// Most ends free too little even for the prompt, which is quicker to see than the peak.
+	const waitMs = ends.find(endsInMs => predictMemory(running, endsInMs) + request.tokens <= capacityTokens && predictPeakFrom(running, request, endsInMs) <= capacityTokens) ?? ends.at(-1) ?? 0;
 	return {waitMs, peakTokens, overflowTokens};
 }
 
--- a/gateway/selection/src/create-room-model.ts
+++ b/gateway/selection/src/create-room-model.ts
@@ -1,9 +1,11 @@
 import {predictRoom, toHeldMemory} from '@valvesaddle/room';
 import {createOutputModel} from './create-output-model.ts';
 import {createPartUses} from './create-part-uses.ts';
+import type {LoadUpdate} from './load-update.ts';
 import type {LoadTable} from './load-table.ts';
 import type {RoomModel} from './room-model.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
+import type {SelectorOptions} from './selector-options.ts';
 
 type RoomModelOptions = {
 	/**
@@ -11,6 +13,10 @@
 	*/
 	readonly isOn: boolean;
 	readonly loads: Pick<LoadTable, 'get'>;
+	/**
+	Called with what a peer told of an engine's memory that its open requests cannot hold.
+	*/
+	readonly onImpossibleMemory?: SelectorOptions['onImpossibleMemory'] | undefined;
 };
 
 type Holds = {
@@ -35,7 +41,7 @@
  rooms.setCapacity('i-7f', 206_343);
  rooms.predictRoom(endpoint, criteria)?.waitMs; // 0
  */
-export function createRoomModel({isOn, loads}: RoomModelOptions): RoomModel {
+export function createRoomModel({isOn, loads, onImpossibleMemory}: RoomModelOptions): RoomModel {
 	const capacities = new Map<string, number>();
 	const outputs = createOutputModel();
 	const uses = createPartUses();
@@ -64,6 +70,20 @@
 		return Math.max(0, tokens);
 	}
 
+	function fitLoad(node: string, row: LoadUpdate['loads'][number]): LoadUpdate['loads'][number] {
+		const [incarnation, load] = row;
+		const capacity = capacities.get(incarnation);
+		const keptTokens = capacity === undefined ? load.memoryTokens : Math.min(load.memoryTokens, load.open * capacity);
+		if (keptTokens === load.memoryTokens) {
+			return row;
+		}
+
+		onImpossibleMemory?.({
+			node, incarnation, toldTokens: load.memoryTokens, keptTokens,
+		});
+		return [incarnation, {...load, memoryTokens: keptTokens}];
+	}
+
 	return {
 		setCapacity(incarnation, tokens) {
 			if (isOn && tokens !== undefined) {
@@ -110,10 +130,7 @@
 			addHold(poolHolds, criteria.pool, memoryTokens, milliseconds);
 			addHold(classHolds, getClass(criteria), memoryTokens, milliseconds);
 		},
-		fitMemory(incarnation, {open, memoryTokens}) {
-			const capacity = capacities.get(incarnation);
-			return capacity === undefined ? memoryTokens : Math.min(memoryTokens, open * capacity);
-		},
+		fitLoads: (node, rows) => rows.map(row => fitLoad(node, row)),
 		removeEndpoint(incarnation) {
 			capacities.delete(incarnation);
 			uses.removeEndpoint(incarnation);
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -56,7 +56,7 @@
 	// Fixed at the start, so that a change of the system time moves no permit.
 	const startedAt = Date.now() - performance.now();
 	const limits = createRequestLimits(options.fleet ?? aloneFleet, at => startedAt + at);
-	const rooms = createRoomModel({isOn: options.isMemoryPredicted ?? false, loads});
+	const rooms = createRoomModel({isOn: options.isMemoryPredicted ?? false, loads, onImpossibleMemory: options.onImpossibleMemory});
 	const chooser = createPromptChooser({
 		settings: options, loads, prefixes, rooms,
 	});
@@ -142,24 +142,6 @@
 		return Math.max(measureSlotWait(loads.get(endpoint.incarnation).open, endpoint.slots), rooms.predictRoom(endpoint, criteria)?.waitMs ?? 0);
 	}
 
-	/**
-	Limits the memory that a peer told of engines to what their open requests can hold.
-	*/
-	function fitMemory(node: string, rows: LoadUpdate['loads']): LoadUpdate['loads'] {
-		return rows.map(row => {
-			const [incarnation, load] = row;
-			const keptTokens = rooms.fitMemory(incarnation, load);
-			if (keptTokens === load.memoryTokens) {
-				return row;
-			}
-
-			options.onImpossibleMemory?.({
-				node, incarnation, toldTokens: load.memoryTokens, keptTokens,
-			});
-			return [incarnation, {...load, memoryTokens: keptTokens}] as const;
-		});
-	}
-
 	/**
 	Drops rows of removed incarnations, which peers send until they know the new one.
 	*/
@@ -273,7 +255,7 @@
 		applyLoadUpdate(node, update) {
 			lastUpdateAt = performance.now();
 			const known = removeStale(update);
-			const current = {...known, loads: fitMemory(node, known.loads)};
+			const current = {...known, loads: rooms.fitLoads(node, known.loads)};
 			for (const [endpoint, load] of current.loads) {
 				loads.applyPeer(node, endpoint, load);
 			}
--- a/gateway/selection/src/room-model.ts
+++ b/gateway/selection/src/room-model.ts
@@ -1,5 +1,6 @@
 import type {MemoryRoom} from '@valvesaddle/room';
 import type {KnownEndpoint} from './known-endpoint.ts';
+import type {LoadUpdate} from './load-update.ts';
 import type {Placement} from './placement.ts';
 import type {SelectionCriteria} from './selection-criteria.ts';
 
@@ -40,8 +41,8 @@
 	*/
 	readonly recordEnd: (criteria: SelectionCriteria, ended: EndedRequest) => void;
 	/**
-	Limits what a peer tells of an engine to what its open requests can hold.
+	Limits the memory in the rows of a peer to what the open requests in each can hold.
 	*/
-	readonly fitMemory: (incarnation: string, told: {readonly open: number; readonly memoryTokens: number}) => number;
+	readonly fitLoads: (node: string, rows: LoadUpdate['loads']) => LoadUpdate['loads'];
 	readonly removeEndpoint: (incarnation: string) => void;
 };
