feat(buffers): account of held bytes and decisions on them

Cause: a node held request bodies and unread answers without a bound over all callers. Change: a ledger by client account and pure decisions with max-min parts, read-ahead and the end of unread answers. Result: property tests pass; nothing calls them yet.

--- /dev/null
+++ b/core/buffers/src/index.ts
@@ -0,0 +1,11 @@
+export type {BufferLimits} from './buffer-limits.ts';
+export type {ByteHold} from './byte-hold.ts';
+export type {ByteKind} from './byte-kind.ts';
+export type {ByteLedger} from './byte-ledger.ts';
+export {createByteLedger} from './create-byte-ledger.ts';
+export {decideHold} from './decide-hold.ts';
+export {decideReadAhead} from './decide-read-ahead.ts';
+export {decideUnread} from './decide-unread.ts';
+export type {HoldDecision} from './hold-decision.ts';
+export {measureFairPart} from './measure-fair-part.ts';
+export {unlimitedBuffers} from './unlimited-buffers.ts';
