feat(gateway): count held bytes and bound bytes without end

Cause: a refusal, a failure or an event without end was read without bound of time, an event also without bound of bytes; answers and bodies held for callers had no bound over all. Change: the front and the attempts count in the ledger when there is one; the rest of answers that are none is cut.

--- a/core/buffers/src/create-byte-ledger.ts
+++ b/core/buffers/src/create-byte-ledger.ts
@@ -4,12 +4,13 @@
 import type {ByteLedger} from './byte-ledger.ts';
 import {createBodyQueue} from './create-body-queue.ts';
 import {decideHold} from './decide-hold.ts';
+import {decideReadAhead} from './decide-read-ahead.ts';
 
 /**
  Creates the account of the bytes that a node holds.
 
  @example
- const ledger = createByteLedger({...unlimitedBuffers, limitBytes: 100_000_000});
+ const ledger = createByteLedger({limitBytes: 1e8, pressureShare: 0.5, accountShare: 0.5, waitMs: 500, aheadBytes: 262_144, unreadMs: 1000, stuckMs: 10_000});
  const hold = ledger.open('sawmill', 3);
  hold.set('unsent', 4096);
  hold.release();
@@ -78,9 +79,21 @@
 			return true;
 		}
 
+		function hasRoom(bytes: number): boolean {
+			return !isReleased && decide(account, urgency, bytes) === 'hold';
+		}
+
 		return {
+			limits,
 			set,
-			hasRoom: bytes => !isReleased && decide(account, urgency, bytes) === 'hold',
+			add(kind, change) {
+				set(kind, held[kind] + change);
+			},
+			count: kind => held[kind],
+			hasRoom,
+			canReadAhead: pausedMs => decideReadAhead({
+				...limits, unsentBytes: held.unsent, pausedMs, hasRoom: hasRoom(limits.aheadBytes),
+			}) === 'read',
 			async acquireBody(bytes) {
 				const decision = isReleased ? 'refuse' : decide(account, urgency, bytes);
 				if (decision !== 'wait') {
--- a/core/buffers/src/index.ts
+++ b/core/buffers/src/index.ts
@@ -8,4 +8,3 @@
 export {decideUnread} from './decide-unread.ts';
 export type {HoldDecision} from './hold-decision.ts';
 export {measureFairPart} from './measure-fair-part.ts';
-export {unlimitedBuffers} from './unlimited-buffers.ts';
--- a/core/buffers/test/byte-ledger.test.ts
+++ b/core/buffers/test/byte-ledger.test.ts
@@ -2,10 +2,10 @@
 import {Clock} from 'clock-mock';
 import fc from 'fast-check';
 import {test, type Test} from 'tap';
-import {createByteLedger, unlimitedBuffers, type ByteHold} from '@valvesaddle/buffers';
+import {createByteLedger, type BufferLimits, type ByteHold} from '@valvesaddle/buffers';
 
-const limits = {
-	...unlimitedBuffers, limitBytes: 1000, pressureShare: 0.5, accountShare: 0.6, waitMs: 500,
+const limits: BufferLimits = {
+	limitBytes: 1000, pressureShare: 0.5, accountShare: 0.6, waitMs: 500, aheadBytes: 100, unreadMs: 1000, stuckMs: 5000,
 };
 
 function startLedger(t: Test) {
--- a/core/error/src/error-table.ts
+++ b/core/error/src/error-table.ts
@@ -62,6 +62,9 @@
 	ERR_VALVESADDLE_ACCOUNT_LIMIT: {
 		status: 429, ran: 'no', retryable: true, hint: 'The client account has its maximum of requests open; wait for some to end.',
 	},
+	ERR_VALVESADDLE_BUFFERS_FULL: {
+		status: 503, ran: 'no', retryable: true, hint: 'The node has no memory for the body at the moment, or the client account holds its part of it; come back after Retry-After.',
+	},
 	ERR_VALVESADDLE_NO_ENDPOINT: {
 		status: 503, ran: 'no', retryable: true, hint: 'No endpoint of the pool takes work at the moment; come back after Retry-After.',
 	},
--- a/gateway/exchange/src/create-event-stream-filter.ts
+++ b/gateway/exchange/src/create-event-stream-filter.ts
@@ -23,7 +23,23 @@
  */
 export function createEventStreamFilter(afterId: number): EventStreamFilter {
 	let lastId = afterId;
-	let partialEvent = emptyBuffer;
+	/**
+	Pieces of the incomplete event; they are joined only when it ends, however many there are.
+	*/
+	let pieces: Uint8Array[] = [];
+	let partialBytes = 0;
+
+	function setPartial(newPieces: Uint8Array[], bytes: number): void {
+		pieces = newPieces;
+		partialBytes = bytes;
+	}
+
+	/**
+	Whether a chunk ends the incomplete event; the boundary may begin in the piece before.
+	*/
+	function hasBoundary(chunk: Uint8Array): boolean {
+		return toBuffer(chunk).includes(boundary) || (chunk[0] === lineEnd && pieces.at(-1)?.at(-1) === lineEnd);
+	}
 
 	function isNew(event: Uint8Array): boolean {
 		const id = readEventId(event);
@@ -41,7 +57,18 @@
 
 	return {
 		push(chunk) {
-			const data = partialEvent.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([partialEvent, chunk]);
+			if (chunk.length === 0) {
+				return emptyBuffer;
+			}
+
+			if (!hasBoundary(chunk)) {
+				// Copied, since the chunk may be a part of a larger buffer that would be kept with it.
+				pieces.push(Buffer.from(chunk));
+				partialBytes += chunk.length;
+				return emptyBuffer;
+			}
+
+			const data = pieces.length === 0 ? toBuffer(chunk) : Buffer.concat([...pieces, chunk]);
 			const newEvents: Uint8Array[] = [];
 			let from = 0;
 			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary, from)) {
@@ -52,17 +79,23 @@
 				}
 			}
 
-			partialEvent = from === data.length ? emptyBuffer : Buffer.from(data.subarray(from));
+			const rest = Buffer.from(data.subarray(from));
+			setPartial(rest.length === 0 ? [] : [rest], rest.length);
 			return newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents);
 		},
 		discardPartialEvent() {
-			partialEvent = emptyBuffer;
+			setPartial([], 0);
 		},
 		lastEventId: () => lastId,
-		hasPartialEvent: () => partialEvent.length > 0,
+		countPartialBytes: () => partialBytes,
+		hasPartialEvent: () => partialBytes > 0,
 	};
 }
 
+function toBuffer({buffer, byteOffset, byteLength}: Uint8Array): Buffer {
+	return Buffer.from(buffer, byteOffset, byteLength);
+}
+
 /**
 Returns the id of an event; `undefined` when it has none.
 */
--- a/gateway/exchange/src/event-stream-filter.ts
+++ b/gateway/exchange/src/event-stream-filter.ts
@@ -15,6 +15,10 @@
 	*/
 	readonly lastEventId: () => number;
 	/**
+	Bytes of the incomplete event that is buffered.
+	*/
+	readonly countPartialBytes: () => number;
+	/**
 	Whether an incomplete event is buffered.
 	*/
 	readonly hasPartialEvent: () => boolean;
--- a/gateway/forwarding/src/answer-writer.ts
+++ b/gateway/forwarding/src/answer-writer.ts
@@ -30,6 +30,10 @@
 	*/
 	readonly hasPartialEvent: () => boolean;
 	/**
+	Bytes of the incomplete event that is buffered.
+	*/
+	readonly countPartialBytes: () => number;
+	/**
 	Discards the incomplete event of a run that failed.
 	*/
 	readonly discardPartialEvent: () => void;
--- a/gateway/forwarding/src/create-answer-writer.ts
+++ b/gateway/forwarding/src/create-answer-writer.ts
@@ -41,6 +41,7 @@
 		onDrain: reply.onDrain,
 		lastEventId: () => isStarted ? filter?.lastEventId() ?? -1 : -1,
 		hasPartialEvent: () => filter?.hasPartialEvent() === true,
+		countPartialBytes: () => filter?.countPartialBytes() ?? 0,
 		discardPartialEvent() {
 			filter?.discardPartialEvent();
 		},
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -9,6 +9,8 @@
 import type {AttemptOptions} from './attempt-options.ts';
 import type {Attempt} from './attempt.ts';
 import {classifyAnswer} from './classify-answer.ts';
+import {createCallerPace} from './create-caller-pace.ts';
+import {createRestGuard} from './create-rest-guard.ts';
 import type {FailureCause} from './failure-cause.ts';
 import {isConnectionRefused} from './is-connection-refused.ts';
 
@@ -17,6 +19,15 @@
 */
 const maximumBufferedBytes = 8 * 1024 * 1024;
 
+/**
+Largest event of a resumable stream, of which only whole events are passed on, in bytes.
+*/
+const maximumEventBytes = 1024 * 1024;
+/**
+Bytes of an answer that are kept even if there is no memory: what is in transit anyway.
+*/
+const crowdedBytes = 64 * 1024;
+
 /**
 Whether an answer can be sent to the caller, whatever other attempts there are.
 */
@@ -38,7 +49,25 @@
 	const openRequest = selector.open(selection, question);
 	let answer: AttemptAnswer | undefined;
 	let sentAt: number | undefined;
-	let isPaused = false;
+	let receivedBytes = 0;
+	const pace = createCallerPace({
+		writer,
+		hold: request.hold,
+		onPaused() {
+			events.onPaused();
+			openRequest.markPaused();
+		},
+		onResumed() {
+			openRequest.markResumed();
+			events.onResumed();
+			exchange.resume();
+		},
+	});
+	const rest = createRestGuard((current, reason) => {
+		recorder.recordRestCut(endpoint, current, reason);
+		exchange.abort();
+		handleEnd(current, reason);
+	});
 
 	openRequest.onStalled(() => {
 		events.onEndpointLost('stalled', 'silent to all nodes');
@@ -48,10 +77,24 @@
 		events.onEndpointLost('restarted', 'its process has ended');
 	});
 
+	/**
+	Records what is held of an answer that is not sent on yet.
+	*/
+	function setReceived(bytes: number): void {
+		request.hold?.add('received', bytes - receivedBytes);
+		receivedBytes = bytes;
+	}
+
+	function close(outcome: Parameters<OpenRequest['close']>[0]): void {
+		pace.end();
+		rest.stop();
+		setReceived(0);
+		openRequest.close(outcome);
+	}
+
 	function end(outcome: 'failed' | 'cancelled'): void {
-		isPaused = false;
 		exchange.abort();
-		openRequest.close(outcome);
+		close(outcome);
 	}
 
 	/**
@@ -93,7 +136,9 @@
 
 		current.bytes += chunk.length;
 		current.chunks.push(chunk);
-		if (current.bytes <= maximumBufferedBytes) {
+		setReceived(current.bytes);
+		rest.check(current);
+		if (current.bytes <= maximumBufferedBytes && !isCrowded(current.bytes)) {
 			return 'more';
 		}
 
@@ -101,66 +146,65 @@
 			return startStreaming(current);
 		}
 
-		failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
+		if (current.bytes > maximumBufferedBytes) {
+			failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
+		}
+
 		return 'more';
 	}
 
+	/**
+	Whether as much of an answer is not kept, because its client account holds its part of the node's memory.
+	*/
+	function isCrowded(bytes: number): boolean {
+		return bytes > crowdedBytes && request.hold?.hasRoom(0) === false;
+	}
+
 	/**
 	Sends a whole answer that is too large to be buffered to the caller as it comes.
 	*/
 	function startStreaming(current: AttemptAnswer): Flow {
 		const bytes = Buffer.concat(current.chunks);
 		answer = {...current, answerClass: 'stream', chunks: []};
+		setReceived(0);
 		writer.start(answer);
 		return writeChunk(bytes);
 	}
 
 	function writeChunk(chunk: Uint8Array): Flow {
-		if (writer.write(chunk)) {
-			return 'more';
+		const flow = pace.write(chunk);
+		const partialBytes = writer.countPartialBytes();
+		setReceived(partialBytes);
+		if (partialBytes > maximumEventBytes || isCrowded(partialBytes)) {
+			failAttempt('too-large', `an event of over ${partialBytes} bytes`);
 		}
 
-		events.onPaused();
-		openRequest.markPaused();
-		isPaused = true;
-		writer.onDrain(handleDrain);
-		return 'pause';
+		return flow;
 	}
 
 	/**
-	Goes on after a pause, unless the attempt has ended meanwhile.
+	@param cut - Why the rest of an answer that is none was not read.
 	*/
-	function handleDrain(): void {
-		if (!isPaused) {
-			return;
-		}
-
-		isPaused = false;
-		openRequest.markResumed();
-		events.onResumed();
-		exchange.resume();
-	}
-
-	function handleEnd(completed: AttemptAnswer): void {
+	function handleEnd(completed: AttemptAnswer, cut?: string): void {
 		const {answerClass, status} = completed;
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
-			openRequest.close(answerClass === 'misdirected' ? 'gone' : 'rejected');
+			close(answerClass === 'misdirected' ? 'gone' : 'rejected');
 			events.onNotRun();
 			events.onFailure({cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false});
 		} else if (answerClass === 'run-failed') {
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({
-				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: completed,
+				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: cut === undefined ? completed : undefined,
 			});
 		} else if (answerClass === 'stream' && writer.hasPartialEvent()) {
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({cause: 'truncated', reason: 'the stream ended within an event', mayHaveRun: true});
 		} else if (answerClass === 'whole' && writer.isStarted()) {
 			// The caller has already received the head of a stream, which only another stream can continue.
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({cause: 'untrusted', reason: `a stream went on as a whole answer ${status}`, mayHaveRun: true});
 		} else {
-			openRequest.close('done');
+			close('done');
 			events.onAnswer(completed);
 		}
 	}
@@ -222,6 +266,8 @@
 			} else if (answerClass === 'untrusted') {
 				// The rest of the data on this connection may belong to another request's answer.
 				failAttempt('untrusted', `untrusted answer ${status}`);
+			} else {
+				rest.start(answer);
 			}
 		},
 		onData(chunk) {
@@ -249,10 +295,9 @@
 			handleEnd(answer);
 		},
 		onFailure(error) {
-			isPaused = false;
 			const wasSent = sentAt !== undefined;
 			recordFailure(error, wasSent);
-			openRequest.close(wasSent ? 'failed' : classifyUnsent());
+			close(wasSent ? 'failed' : classifyUnsent());
 			events.onFailure({cause: wasSent ? 'connection' : 'unsent', reason: error.message, mayHaveRun: wasSent});
 		},
 	});
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -47,6 +47,12 @@
 				name: 'endpoint-limit', request: id, endpoint: endpoint.id, limit,
 			});
 		},
+		recordRestCut(endpoint, {status, bytes}, reason) {
+			metrics.increment('gateway.rests-cut');
+			logger.info({
+				name: 'rest-cut', request: id, endpoint: endpoint.id, status, bytes, reason,
+			});
+		},
 		recordFailure({cause, reason, mayHaveRun}, {endpoint, attempt}, denial, {retries, allowed}) {
 			metrics.increment(denial === undefined ? 'gateway.retries' : 'gateway.given-up', 1, {cause});
 			logger.info({
--- a/gateway/forwarding/src/forward-request.ts
+++ b/gateway/forwarding/src/forward-request.ts
@@ -1,3 +1,4 @@
+import type {ByteHold} from '@valvesaddle/buffers';
 import type {GatewayAccount, RequestMetadata, Route} from '@valvesaddle/gateway-types';
 
 /**
@@ -24,6 +25,10 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Uint8Array | undefined;
 	/**
+	What the node holds for the request; missing while held bytes are not bounded.
+	*/
+	readonly hold?: ByteHold;
+	/**
 	When the request's headers arrived, in milliseconds on the monotonic clock.
 	*/
 	readonly arrivedAt: number;
--- a/gateway/forwarding/src/index.ts
+++ b/gateway/forwarding/src/index.ts
@@ -5,4 +5,5 @@
 export type {ForwarderOptions} from './forwarder-options.ts';
 export type {Interruption} from './interruption.ts';
 export {pickTarget} from './pick-target.ts';
+export {rankUrgency} from './rank-urgency.ts';
 export type {Reply} from './reply.ts';
--- a/gateway/forwarding/src/interruption.ts
+++ b/gateway/forwarding/src/interruption.ts
@@ -5,6 +5,6 @@
 */
 export type Interruption = {
 	readonly endedBy: 'caller' | 'endpoint' | 'deadline' | 'node';
-	readonly cause: FailureCause | 'timeout' | 'no-endpoint' | 'disconnected' | 'shutdown' | 'closed';
+	readonly cause: FailureCause | 'timeout' | 'unread' | 'no-endpoint' | 'disconnected' | 'shutdown' | 'closed';
 	readonly reason: string;
 };
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -1,6 +1,7 @@
 import type {AnswerMetadata} from '@valvesaddle/gateway-types';
 import type {RetryUsage} from '@valvesaddle/retry-budget';
 import type {KnownEndpoint, Selection} from '@valvesaddle/selection';
+import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {RetryDenial} from './retry-denial.ts';
 
@@ -23,6 +24,10 @@
 	*/
 	readonly recordLimit: (endpoint: KnownEndpoint, limit: number | 'invalid' | undefined) => void;
 	/**
+	Records that the rest of an answer that is none was not read.
+	*/
+	readonly recordRestCut: (endpoint: KnownEndpoint, answer: Pick<AttemptAnswer, 'status' | 'bytes'>, reason: string) => void;
+	/**
 	Records a failed attempt at an endpoint, why it is not followed by another, and the state of the retry budget.
 	*/
 	readonly recordFailure: (failure: AttemptFailure, failed: {readonly endpoint: string; readonly attempt: number}, denial: RetryDenial | undefined, usage: RetryUsage) => void;
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -15,8 +15,11 @@
 import {createConnectionGuard} from './create-connection-guard.ts';
 import {createConnectionTracker} from './create-connection-tracker.ts';
 import {createReply} from './create-reply.ts';
+import {createUnreadWatch} from './create-unread-watch.ts';
+import {endIncomplete} from './end-incomplete.ts';
 import type {Front} from './front.ts';
 import type {FrontOptions} from './front-options.ts';
+import {openHeldRequest} from './open-held-request.ts';
 import {readWholeBody} from './read-whole-body.ts';
 import {sendRefusal} from './send-refusal.ts';
 
@@ -73,6 +76,8 @@
 	server.on('connection', tracker.add);
 	server.on('timeout', tracker.closeIdle);
 
+	const {ledger} = options;
+	const watch = ledger && createUnreadWatch({ledger, logger, metrics});
 	const tasks = new Map<ServerResponse, ForwardTask>();
 	let drained: Promise<void> | undefined;
 
@@ -131,7 +136,10 @@
 
 	async function forward(request: IncomingMessage, response: ServerResponse, isBehindLast: boolean): Promise<void> {
 		const head = buildRequest(request, performance.now(), isBehindLast);
-		const body = await readWholeBody(request, options.limits().bodyBytes);
+		const held = ledger && watch && openHeldRequest({
+			ledger, watch, head, response, logger, metrics,
+		});
+		const body = await readWholeBody(request, options.limits().bodyBytes, held?.room);
 		if (response.destroyed || response.writableEnded) {
 			return;
 		}
@@ -143,7 +151,11 @@
 		const reply = createReply(response, () => options.isLeaving() && tracker.endAfter(response), interruption => {
 			monitor.markInterrupted(response, interruption);
 		});
-		const task = options.forwarder.forward({...head, body}, reply);
+		const task = held === undefined
+			? options.forwarder.forward({...head, body}, reply)
+			: options.forwarder.forward({...head, body, hold: held.hold}, held.watchReply(reply, interruption => {
+				endUnread(response, interruption);
+			}));
 		tasks.set(response, task);
 		response.once('close', () => {
 			tasks.delete(response);
@@ -151,6 +163,17 @@
 		});
 	}
 
+	/**
+	Ends an answer that its caller does not read, also one that was written to its end.
+	*/
+	function endUnread(response: ServerResponse, interruption: Interruption): void {
+		tasks.get(response)?.fail(interruption);
+		monitor.markInterrupted(response, interruption);
+		if (response.writableEnded) {
+			endIncomplete(response);
+		}
+	}
+
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		metrics.increment('gateway.requests');
 		guard.add(request, response);
--- a/gateway/front/src/front-options.ts
+++ b/gateway/front/src/front-options.ts
@@ -1,3 +1,4 @@
+import type {ByteLedger} from '@valvesaddle/buffers';
 import type {Forwarder} from '@valvesaddle/forwarding';
 import type {CallerLimits, WireFormat} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
@@ -28,6 +29,10 @@
 	Whether the node is shutting down, so that answers ask callers to close their connections.
 	*/
 	readonly isLeaving: () => boolean;
+	/**
+	Account of held bytes; without it they are not bounded.
+	*/
+	readonly ledger?: ByteLedger | undefined;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- /dev/null
+++ b/gateway/front/src/held-request.ts
@@ -0,0 +1,15 @@
+import type {ByteHold} from '@valvesaddle/buffers';
+import type {Interruption, Reply} from '@valvesaddle/forwarding';
+import type {BodyRoom} from './body-room.ts';
+
+/**
+A request whose held bytes are counted until its connection has taken the answer.
+*/
+export type HeldRequest = {
+	readonly hold: ByteHold;
+	readonly room: BodyRoom;
+	/**
+	Counts what a reply leaves to be read, and ends the answer when its caller does not read.
+	*/
+	readonly watchReply: (reply: Reply, fail: (interruption: Interruption) => void) => Reply;
+};
--- a/gateway/front/src/read-whole-body.ts
+++ b/gateway/front/src/read-whole-body.ts
@@ -1,15 +1,18 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {ValvesaddleError} from '@valvesaddle/error';
+import type {BodyRoom} from './body-room.ts';
 
 /**
  Reads the body of a request.
 
- @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` above the limit, `ERR_VALVESADDLE_CANCELLED` when the caller disconnects.
+ @param room - Room for the body; nothing of it is read before there is room for what its head announces.
+ @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` above the limit, `ERR_VALVESADDLE_BUFFERS_FULL` without room, `ERR_VALVESADDLE_CANCELLED`
+ when the caller disconnects.
  @example
  const body = await readWholeBody(request, 4_194_304);
  */
-export async function readWholeBody(request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> {
+export async function readWholeBody(request: IncomingMessage, limitBytes: number, room?: BodyRoom): Promise<Uint8Array | undefined> {
 	const announced = Number(request.headers['content-length'] ?? 0);
 	if (announced > limitBytes) {
 		throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `${announced} bytes announced, ${limitBytes} allowed`);
@@ -19,17 +22,45 @@
 		return undefined;
 	}
 
+	if (room !== undefined && announced > 0) {
+		await room.acquire(announced);
+	}
+
+	// It may have gone while it waited for room.
+	if (request.destroyed) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_CANCELLED', 'the caller went away before its body was read');
+	}
+
 	const {promise, resolve, reject} = Promise.withResolvers<Uint8Array>();
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	request.on('data', (chunk: Uint8Array) => {
+	let isRefused = false;
+
+	function addChunk(chunk: Uint8Array): void {
 		bytes += chunk.length;
 		if (bytes > limitBytes) {
-			reject(new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `over ${limitBytes} bytes`));
-			return;
+			throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `over ${limitBytes} bytes`);
+		}
+
+		if (announced === 0) {
+			room?.grow(bytes);
 		}
 
 		chunks.push(chunk);
+	}
+
+	request.on('data', (chunk: Uint8Array) => {
+		if (isRefused) {
+			return;
+		}
+
+		try {
+			addChunk(chunk);
+		} catch (error) {
+			isRefused = true;
+			chunks.length = 0;
+			reject(error as ValvesaddleError);
+		}
 	});
 	request.once('end', () => {
 		resolve(Buffer.concat(chunks));
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -66,6 +66,18 @@
 		readonly name: 'request-refused'; readonly request: string; readonly code: string; readonly reason: string;
 		readonly version: number | undefined;
 	}
+	| {
+		readonly name: 'body-refused'; readonly request: string; readonly account: string; readonly bytes: number; readonly heldBytes: number;
+		readonly waiting: number;
+	}
+	| {
+		readonly name: 'answer-unread'; readonly request: string; readonly account: string; readonly bytes: number; readonly heldBytes: number;
+		readonly stillMs: number; readonly isOverdue: boolean;
+	}
+	| {
+		readonly name: 'rest-cut'; readonly request: string; readonly endpoint: string; readonly status: number; readonly bytes: number;
+		readonly reason: string;
+	}
 	| {
 		readonly name: 'connection-failed'; readonly code: string; readonly reason: string; readonly openAnswers: number; readonly status: number | undefined;
 	}
