feat(gateway): settings of held bytes, places for large bodies

Cause: an endpoint ends when the bodies that it holds exceed its memory, and nothing bounded what one node sends it. Change: a few open large bodies a node and endpoint, spread; the ledger is created from [buffers]; unread answers are watched.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -86,6 +86,36 @@
 		connect_ms: milliseconds.default(400),
 		keep_alive_ms: milliseconds.default(4000),
 	}).prefault({}),
+	/**
+	Bounds of what the node holds for callers and endpoints; nothing is bounded if this table is missing.
+	*/
+	buffers: z.strictObject({
+		/**
+		Memory of the VM; `most_share` of it is for held bytes.
+		*/
+		memory_mb: z.number().positive(),
+		most_share: z.number().positive().max(1).default(0.25),
+		/**
+		Share of that up to which nothing is refused, and the most of it for one client account beyond.
+		*/
+		pressure_share: z.number().min(0).max(1).default(0.5),
+		account_share: z.number().positive().max(1).default(0.5),
+		wait_ms: milliseconds.default(500),
+		/**
+		Bytes of an answer that are read ahead of its caller; 0 pauses its endpoint instead.
+		*/
+		ahead_kb: z.number().min(0).default(256),
+		/**
+		Less than endpoints wait for a reader.
+		*/
+		unread_ms: milliseconds.default(1000),
+		stuck_s: seconds.default(10),
+		/**
+		Size of a large body, and how many of them a node has open at one endpoint at most.
+		*/
+		large_kb: z.number().positive().default(256),
+		large_bodies: z.int().min(1).default(4),
+	}).optional(),
 	drain: z.strictObject({
 		grace_s: seconds.default(8),
 		/**
--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -49,3 +49,11 @@
 	t.ok(store.lease_ms >= 20_000);
 	t.ok(store.renew_ms <= 2000);
 });
+
+test('held bytes are bounded where the platform states the memory of a VM, and only there', async t => {
+	const text = await readFile(template, 'utf8');
+	t.equal(parseGatewaySettings(fillTemplate(text, values))._unsafeUnwrap().buffers, undefined);
+	const {buffers} = parseGatewaySettings(fillTemplate(text, {...values, 'limits.memory-mb': '350'}))._unsafeUnwrap();
+	t.match(buffers, {memory_mb: 350});
+	t.ok(buffers!.most_share < 0.5);
+});
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,33 +1,19 @@
-import {Buffer} from 'node:buffer';
 import type {ValvesaddleError} from '@valvesaddle/error';
-import type {Exchange, Flow} from '@valvesaddle/exchange';
-import type {AnswerMetadata} from '@valvesaddle/gateway-types';
+import type {Exchange} from '@valvesaddle/exchange';
 import type {OpenRequest} from '@valvesaddle/selection';
 import type {AnswerClass} from './answer-class.ts';
+import {applyNotices} from './apply-notices.ts';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptOptions} from './attempt-options.ts';
 import type {Attempt} from './attempt.ts';
 import {classifyAnswer} from './classify-answer.ts';
+import {createAnswerBody} from './create-answer-body.ts';
 import {createCallerPace} from './create-caller-pace.ts';
 import {createRestGuard} from './create-rest-guard.ts';
 import type {FailureCause} from './failure-cause.ts';
 import {isConnectionRefused} from './is-connection-refused.ts';
 
-/**
-Largest answer that is buffered, in bytes. Larger ones are passed on as they come, as event streams are.
-*/
-const maximumBufferedBytes = 8 * 1024 * 1024;
-
-/**
-Largest event of a resumable stream, of which only whole events are passed on, in bytes.
-*/
-const maximumEventBytes = 1024 * 1024;
-/**
-Bytes of an answer that are kept even if there is no memory: what is in transit anyway.
-*/
-const crowdedBytes = 64 * 1024;
-
 /**
 Whether an answer can be sent to the caller, whatever other attempts there are.
 */
@@ -49,7 +35,6 @@
 	const openRequest = selector.open(selection, question);
 	let answer: AttemptAnswer | undefined;
 	let sentAt: number | undefined;
-	let receivedBytes = 0;
 	const pace = createCallerPace({
 		writer,
 		hold: request.hold,
@@ -63,6 +48,17 @@
 			exchange.resume();
 		},
 	});
+	const body = createAnswerBody({
+		request,
+		writer,
+		pace,
+		onStreaming(streamed) {
+			answer = streamed;
+		},
+		onTooLarge(reason) {
+			failAttempt('too-large', reason);
+		},
+	});
 	const rest = createRestGuard((current, reason) => {
 		recorder.recordRestCut(endpoint, current, reason);
 		exchange.abort();
@@ -77,18 +73,10 @@
 		events.onEndpointLost('restarted', 'its process has ended');
 	});
 
-	/**
-	Records what is held of an answer that is not sent on yet.
-	*/
-	function setReceived(bytes: number): void {
-		request.hold?.add('received', bytes - receivedBytes);
-		receivedBytes = bytes;
-	}
-
 	function close(outcome: Parameters<OpenRequest['close']>[0]): void {
 		pace.end();
 		rest.stop();
-		setReceived(0);
+		body.release();
 		openRequest.close(outcome);
 	}
 
@@ -105,83 +93,6 @@
 		events.onFailure({cause, reason, mayHaveRun: true});
 	}
 
-	/**
-	Applies the cooldown or the draining signal that an endpoint may send with any answer.
-	*/
-	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining}: AnswerMetadata): void {
-		// A cooldown expires by itself; a draining signal is accepted only with the request's own id.
-		const notice = {retryAfterMs, isLeaving: isDraining && requestId === metadata.requestId};
-		if (retryAfterMs === undefined && !notice.isLeaving) {
-			return;
-		}
-
-		selector.applyNotice(endpoint.incarnation, notice);
-		recorder.recordNotice(endpoint, status, notice);
-	}
-
-	/**
-	Applies the limit that an endpoint names in its own answers to this request. An answer without one removes it.
-	*/
-	function applyLimit({requestId, isSigned, isNotRun, isMisdirected, requestLimit}: AnswerMetadata): void {
-		const isOwn = requestId === metadata.requestId && (isSigned || isNotRun) && !isMisdirected;
-		if (isOwn && (requestLimit === 'invalid' || selector.didSetLimit(endpoint.incarnation, requestLimit))) {
-			recorder.recordLimit(endpoint, requestLimit);
-		}
-	}
-
-	function handleData(current: AttemptAnswer, chunk: Uint8Array): Flow {
-		if (current.answerClass === 'stream') {
-			return writeChunk(chunk);
-		}
-
-		current.bytes += chunk.length;
-		current.chunks.push(chunk);
-		setReceived(current.bytes);
-		rest.check(current);
-		if (current.bytes <= maximumBufferedBytes && !isCrowded(current.bytes)) {
-			return 'more';
-		}
-
-		if (current.answerClass === 'whole' && request.route.kind !== 'stream') {
-			return startStreaming(current);
-		}
-
-		if (current.bytes > maximumBufferedBytes) {
-			failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
-		}
-
-		return 'more';
-	}
-
-	/**
-	Whether as much of an answer is not kept, because its client account holds its part of the node's memory.
-	*/
-	function isCrowded(bytes: number): boolean {
-		return bytes > crowdedBytes && request.hold?.hasRoom(0) === false;
-	}
-
-	/**
-	Sends a whole answer that is too large to be buffered to the caller as it comes.
-	*/
-	function startStreaming(current: AttemptAnswer): Flow {
-		const bytes = Buffer.concat(current.chunks);
-		answer = {...current, answerClass: 'stream', chunks: []};
-		setReceived(0);
-		writer.start(answer);
-		return writeChunk(bytes);
-	}
-
-	function writeChunk(chunk: Uint8Array): Flow {
-		const flow = pace.write(chunk);
-		const partialBytes = writer.countPartialBytes();
-		setReceived(partialBytes);
-		if (partialBytes > maximumEventBytes || isCrowded(partialBytes)) {
-			failAttempt('too-large', `an event of over ${partialBytes} bytes`);
-		}
-
-		return flow;
-	}
-
 	/**
 	@param cut - Why the rest of an answer that is none was not read.
 	*/
@@ -251,8 +162,9 @@
 		},
 		onHead(status, headers) {
 			const answerMetadata = wire.readAnswer(status, headers);
-			applyNotice(status, answerMetadata);
-			applyLimit(answerMetadata);
+			applyNotices({
+				selector, recorder, endpoint, requestId: metadata.requestId, status, answer: answerMetadata,
+			});
 			const answerClass = classifyAnswer(status, answerMetadata, metadata.requestId);
 			answer = {
 				status, headers, answerClass, chunks: [], bytes: 0,
@@ -281,7 +193,13 @@
 				events.onChunk();
 			}
 
-			return answer === undefined ? 'more' : handleData(answer, chunk);
+			if (answer === undefined) {
+				return 'more';
+			}
+
+			const flow = body.add(answer, chunk);
+			rest.check(answer);
+			return flow;
 		},
 		onEnd() {
 			if (answer === undefined) {
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -52,6 +52,7 @@
 		urgency: rankUrgency(route, request.account, false),
 		promptTokens: metadata.promptTokens,
 		parts: metadata.parts,
+		bodyBytes: request.body?.length ?? 0,
 		tried,
 	};
 	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget});
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,4 +1,5 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {createBodyPlaces} from './create-body-places.ts';
 import {createBoundedSet} from './create-bounded-set.ts';
 import {createCooldownTable} from './create-cooldown-table.ts';
 import {createFailureTable} from './create-failure-table.ts';
@@ -55,6 +56,7 @@
 	const startedAt = Date.now() - performance.now();
 	const limits = createRequestLimits(options.fleet ?? aloneFleet, at => startedAt + at);
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
+	const places = options.largeBodies && createBodyPlaces(options.largeBodies);
 	let unseenFactor = 1;
 	let lastUpdateAt: number | undefined;
 	let placements: Placement[] = [];
@@ -105,14 +107,15 @@
 	}
 
 	/**
-	Endpoints that were not tried, have no cooldown and accept a request of this node: the healthy ones, or the ejected ones if there are no others and they are
+	Endpoints that were not tried, have no cooldown and accept a request of this node and its body: the healthy ones, or the ejected ones if there are no others and they are
 	allowed. An isolated request has one of them.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey}: SelectionCriteria): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey, bodyBytes = 0}: SelectionCriteria): readonly KnownEndpoint[] {
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation) && limits.hasPermit(incarnation));
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
-		return isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
+		const allowed = isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
+		return places?.narrow(allowed, bodyBytes) ?? allowed;
 	}
 
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
@@ -171,8 +174,14 @@
 	function open(selection: Selection, criteria: SelectionCriteria): OpenRequest {
 		const {incarnation} = selection.endpoint;
 		let permit = limits.takePermit(incarnation);
+		const giveBack = places?.take(incarnation, criteria.bodyBytes ?? 0);
+		const request = tracker.open(selection, criteria);
 		return {
-			...tracker.open(selection, criteria),
+			...request,
+			close(end) {
+				giveBack?.();
+				request.close(end);
+			},
 			canSend() {
 				permit = permit === 'unlimited' ? limits.takePermit(incarnation) : permit;
 				return permit !== 'denied';
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -20,6 +20,10 @@
 	readonly promptTokens: number;
 	readonly parts: readonly PromptPart[];
 	/**
+	Bytes of the request's body; 0 if not set.
+	*/
+	readonly bodyBytes?: number;
+	/**
 	Incarnations of endpoints at which this request was attempted.
 	*/
 	readonly tried: ReadonlySet<string>;
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -35,6 +35,10 @@
 	*/
 	readonly fleet?: FleetNodes;
 	/**
+	Size from which a body is large, in bytes, and how many of these the node has open at one endpoint at most; unbounded without it.
+	*/
+	readonly largeBodies?: {readonly largeBytes: number; readonly most: number} | undefined;
+	/**
 	Called for each prompt that is sent to an endpoint.
 	*/
 	readonly onPlacement?: () => void;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -1,6 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createWaitBaselines} from '@valvesaddle/admission';
+import {createByteLedger} from '@valvesaddle/buffers';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
 import {toValvesaddleError} from '@valvesaddle/error';
 import {createExchangeClient} from '@valvesaddle/exchange';
@@ -25,8 +26,11 @@
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
 import {measureCapacity} from './measure-capacity.ts';
+import {startHeldGauges} from './start-held-gauges.ts';
+import {toBufferLimits} from './to-buffer-limits.ts';
 
 const msPerSecond = 1000;
+const bytesPerKb = 1000;
 /**
 Random bytes of a node's id and token.
 */
@@ -96,7 +100,11 @@
 		isCompressed: false,
 		metrics,
 	});
+	const {buffers} = settings;
+	const ledger = buffers && createByteLedger(toBufferLimits(buffers));
+	const endGauges = ledger && startHeldGauges(ledger, metrics);
 	const selector = createSelector({
+		largeBodies: buffers && {largeBytes: buffers.large_kb * bytesPerKb, most: buffers.large_bodies},
 		interferenceWeight: selection.harm_weight,
 		riskWeight: selection.risk_weight,
 		reuseMs: selection.reuse_s * msPerSecond,
@@ -175,6 +183,7 @@
 		limits: () => view.configuration()?.limits ?? defaultLimits,
 		isCurrent: () => sync.isCurrent(),
 		isLeaving: () => isLeaving,
+		ledger,
 		logger,
 		metrics,
 	});
@@ -225,6 +234,7 @@
 		await Promise.race([duties?.close(), wait(closeTimeoutMs, undefined, {ref: false})]);
 		await Promise.race([follower.close(), wait(closeTimeoutMs, undefined, {ref: false})]);
 		await callersClosed;
+		endGauges?.();
 		view.close();
 		await Promise.race([Promise.all([network.close(), ready.close(), metricsServer?.close(), exchanges.close(), store.close(), metrics.close()]), wait(closeTimeoutMs, undefined, {ref: false})]);
 		logger.info({name: 'node-state', from: 'leaving', to: 'stopped'});
