--- a/core/buffers/src/byte-ledger.ts
+++ b/core/buffers/src/byte-ledger.ts
@@ -16,6 +16,10 @@
 	*/
 	readonly countBytes: (kind?: ByteKind) => number;
 	/**
+	Bytes that are held for a client account.
+	*/
+	readonly countAccountBytes: (account: string) => number;
+	/**
 	Whether more is held than the pressure share, or a body waits for room.
 	*/
 	readonly isPressed: () => boolean;
--- a/core/buffers/src/create-byte-ledger.ts
+++ b/core/buffers/src/create-byte-ledger.ts
@@ -123,6 +123,7 @@
 		limits,
 		open,
 		countBytes,
+		countAccountBytes,
 		isPressed: () => queue.count() > 0 || countBytes() > limits.limitBytes * limits.pressureShare,
 		countWaiting: queue.count,
 	};
--- a/gateway/front/src/create-unread-watch.ts
+++ b/gateway/front/src/create-unread-watch.ts
@@ -93,14 +93,24 @@
 			name: 'answer-unread', request: answer.requestId, account: answer.account, bytes, heldBytes: ledger.countBytes(), stillMs: Math.round(stillMs), isOverdue,
 		});
 		remove(answer);
+		// The connection is closed a little later; until then no other answer is ended for the same memory.
+		answer.hold.release();
 		answer.end(`its caller has read nothing for ${Math.round(stillMs)} ms`);
 	}
 
+	/**
+	Lists answers of the accounts that hold most first, since it is their memory that is needed.
+	*/
+	function listInOrder(): ReadonlyArray<readonly [UnreadAnswer, Progress]> {
+		const answers = [...open];
+		return ledger.isPressed() ? answers.toSorted(([a], [b]) => ledger.countAccountBytes(b.account) - ledger.countAccountBytes(a.account)) : answers;
+	}
+
 	function check(): void {
 		const now = performance.now();
 		const elapsedMs = Math.min(now - lastCheckAt, maximumStepMs);
 		lastCheckAt = now;
-		for (const [answer, progress] of [...open]) {
+		for (const [answer, progress] of listInOrder()) {
 			const bytes = updateHold(answer);
 			if (bytes === 0) {
 				remove(answer);
--- a/gateway/front/test/start-front.ts
+++ b/gateway/front/test/start-front.ts
@@ -1,10 +1,11 @@
 import {connect, type Socket} from 'node:net';
 import type {Test} from 'tap';
+import type {ByteLedger} from '@valvesaddle/buffers';
 import type {ForwardRequest, Interruption, Reply} from '@valvesaddle/forwarding';
 import type {CallerLimits} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
-import {createRouteIndex} from '@valvesaddle/routes';
+import {createRouteIndex, hashApiKey} from '@valvesaddle/routes';
 import {platformWire} from '@valvesaddle/wire';
 import {createFront} from '../src/create-front.ts';
 
@@ -30,7 +31,7 @@
 		pauseObjectiveMs: 0,
 	}],
 	pools: [],
-	accounts: [],
+	accounts: ['large', 'small'].map(name => ({name, keyHashes: [hashApiKey(name)], priority: 1})),
 });
 
 /**
@@ -53,7 +54,7 @@
  const {forwarded, open} = await startFront(t);
  open().socket.write(formatRequest());
  */
-export async function startFront(t: Test, limits: Partial<CallerLimits> = {}) {
+export async function startFront(t: Test, limits: Partial<CallerLimits> = {}, ledger?: ByteLedger) {
 	const forwarded: ForwardedRequest[] = [];
 	const metrics = createMetrics();
 	let currentLimits = {...defaultLimits, ...limits};
@@ -84,6 +85,7 @@
 		limits: () => currentLimits,
 		isCurrent: () => true,
 		isLeaving: () => isLeaving,
+		ledger,
 		logger: createLogger({node: 'n', level: 'silent'}),
 		metrics,
 	});
--- a/gateway/front/test/unread-watch.test.ts
+++ b/gateway/front/test/unread-watch.test.ts
@@ -28,18 +28,17 @@
 	const watch = createUnreadWatch({ledger, logger: createLogger({node: 'n', level: 'silent'}), metrics});
 	const ended: string[] = [];
 
-	function open(requestId: string, caller: Caller, deadlineMs = Infinity) {
-		const hold = ledger.open(requestId, 1);
+	function open(requestId: string, caller: Caller, deadlineMs = Infinity, account = requestId) {
+		const hold = ledger.open(account, 1);
 		const answer = {
 			requestId,
-			account: requestId,
+			account,
 			hold,
 			deadlineAt: performance.now() + deadlineMs,
 			findSocket: () => caller.isBehind ? undefined : {writableLength: bytes, _handle: {writeQueueSize: caller.queuedBytes}} as unknown as Socket,
 			countUnsent: () => bytes,
 			end() {
 				ended.push(requestId);
-				hold.release();
 			},
 		};
 		watch.update(answer);
@@ -129,3 +128,15 @@
 	t.notOk(ledger.isPressed());
 	t.end();
 });
+
+test('the account that holds most loses its answers first', t => {
+	const {ended, open, pass} = startWatch(t);
+	open('small', {queuedBytes: bytes, isBehind: false});
+	for (let caller = 0; caller < 6; caller++) {
+		open(`large ${caller}`, {queuedBytes: bytes, isBehind: false}, Infinity, 'large');
+	}
+
+	pass(60_000);
+	t.same(ended, ['large 0', 'large 1']);
+	t.end();
+});
