test(forwarding): bytes without end in refusals, failures and events

Cause: nothing brought about an endpoint that does not stop. Change: a refusal, a failure and an event without end, by bytes and by time; a body whose caller leaves while it waits.

--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -2,6 +2,7 @@
 import {Clock} from 'clock-mock';
 import type {Test} from 'tap';
 import {createWaitBaselines} from '@valvesaddle/admission';
+import type {ByteHold} from '@valvesaddle/buffers';
 import type {ExchangeListener} from '@valvesaddle/exchange';
 import type {AnswerMetadata, RouteKind, WireFormat} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
@@ -86,6 +87,14 @@
 	*/
 	readonly isReadLate?: boolean;
 	/**
+	Whether the request may be refused; without it that fails the test.
+	*/
+	readonly hasRefusal?: boolean;
+	/**
+	What is held for the request.
+	*/
+	readonly hold?: ByteHold;
+	/**
 	Called when the answer is ended incomplete; without it that fails the test.
 	*/
 	readonly onAbort?: (interruption: Interruption) => void;
@@ -98,7 +107,7 @@
  const {clock, listeners} = startForwarding(t, {kind: 'stream', answer: eventStream});
  listeners[0]?.onSent();
  */
-export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, onAbort}: ForwardingOptions) {
+export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, hasRefusal = false, hold, onAbort}: ForwardingOptions) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const selector = createSelector({
@@ -184,10 +193,10 @@
 			onAbort?.(interruption);
 		},
 		refuse() {
-			t.fail('no refusal');
+			t.ok(hasRefusal, 'no refusal');
 		},
 	};
-	const task = forwarder.forward(createRequest(kind), reply);
+	const task = forwarder.forward({...createRequest(kind), ...(hold !== undefined && {hold})}, reply);
 	t.teardown(task.cancel);
 	return {
 		clock, selector, listeners, addresses, aborted, events, answers, task, countChoices: () => choices, drain() {
--- a/gateway/front/test/held-bytes.test.ts
+++ b/gateway/front/test/held-bytes.test.ts
@@ -91,7 +91,7 @@
 	t.equal(front.forwarded[0]!.request.body?.length, bodyBytes);
 });
 
-test('a body that finds no room in time is refused as not run, and one whose caller leaves meanwhile is forgotten', async t => {
+test('a body that finds no room in time is refused as not run', async t => {
 	const front = await startHolding(t, {waitMs: 50});
 	for (const account of ['a', 'b', 'c', 'd']) {
 		front.ledger.open(account, 1).set('unsent', 249_000);
@@ -99,13 +99,29 @@
 
 	const caller = front.open();
 	caller.socket.write(formatBody('small', [`Content-Length: ${bodyBytes}`], 'x'.repeat(bodyBytes)));
-	await waitUntil(() => caller.hasEnded());
-	t.match(caller.read(), /^HTTP\/1\.1 503 [\s\S]*ERR_VALVESADDLE_BUFFERS_FULL/v);
+	await waitUntil(() => caller.read().endsWith('}'));
+	t.match(caller.read(), /^HTTP\/1\.1 503 [\s\S]*ERR_VALVESADDLE_BUFFERS_FULL[\s\S]*"ran":"no"/v);
 	t.equal(front.forwarded.length, 0);
 	t.equal(front.ledger.countBytes('body'), 0);
 	t.equal(front.ledger.countWaiting(), 0);
 });
 
+test('a body whose caller leaves while it waits is forgotten', async t => {
+	const front = await startHolding(t);
+	for (const account of ['a', 'b', 'c', 'd']) {
+		front.ledger.open(account, 1).set('unsent', 249_000);
+	}
+
+	const caller = front.open();
+	caller.socket.write(formatBody('small', [`Content-Length: ${bodyBytes}`], 'x'.repeat(bodyBytes)));
+	await waitUntil(() => front.ledger.countWaiting() === 1);
+	caller.socket.destroy();
+	await waitUntil(() => front.ledger.countWaiting() === 0);
+	t.equal(front.ledger.countBytes('body'), 0);
+	t.equal(front.forwarded.length, 0);
+	t.equal(front.metrics.total('gateway.held-refused'), 0);
+});
+
 test('a body of unknown length is refused when it outgrows the room', async t => {
 	const front = await startHolding(t);
 	const caller = front.open();
