--- a/gateway/exchange/src/create-event-stream-filter.ts
+++ b/gateway/exchange/src/create-event-stream-filter.ts
@@ -38,7 +38,7 @@
 	Whether a chunk ends the incomplete event; the boundary may begin in the piece before.
 	*/
 	function hasBoundary(chunk: Uint8Array): boolean {
-		return toBuffer(chunk).includes(boundary) || (chunk[0] === lineEnd && pieces.at(-1)?.at(-1) === lineEnd);
+		return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).includes(boundary) || (chunk[0] === lineEnd && pieces.at(-1)?.at(-1) === lineEnd);
 	}
 
 	function isNew(event: Uint8Array): boolean {
@@ -68,7 +68,7 @@
 				return emptyBuffer;
 			}
 
-			const data = pieces.length === 0 ? toBuffer(chunk) : Buffer.concat([...pieces, chunk]);
+			const data = pieces.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([...pieces, chunk]);
 			const newEvents: Uint8Array[] = [];
 			let from = 0;
 			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary, from)) {
@@ -92,10 +92,6 @@
 	};
 }
 
-function toBuffer({buffer, byteOffset, byteLength}: Uint8Array): Buffer {
-	return Buffer.from(buffer, byteOffset, byteLength);
-}
-
 /**
 Returns the id of an event; `undefined` when it has none.
 */
--- a/gateway/exchange/test/event-stream-filter.test.ts
+++ b/gateway/exchange/test/event-stream-filter.test.ts
@@ -36,3 +36,19 @@
 	t.equal(String(Buffer.from(filter.push(Buffer.from(whole)))), formatEvent(4) + formatEvent(5));
 	t.end();
 });
+
+test('an event without end is counted, whatever its chunks, and forwarded whole when it ends', t => {
+	fc.assert(fc.property(fc.array(fc.constantFrom('a', 'ab\n', '', '\nc'), {maxLength: 200}), chunks => {
+		const filter = createEventStreamFilter(-1);
+		let text = '';
+		let bytes = 0;
+		for (const chunk of chunks) {
+			text += String(Buffer.from(filter.push(Buffer.from(chunk))));
+			bytes += chunk.length;
+			t.equal(filter.countPartialBytes(), bytes - text.length);
+		}
+
+		return text + String(Buffer.from(filter.push(Buffer.from('z\n\n')))) === `${chunks.join('')}z\n\n`;
+	}), {numRuns: 30});
+	t.end();
+});
--- a/gateway/forwarding/src/create-answer-body.ts
+++ b/gateway/forwarding/src/create-answer-body.ts
@@ -54,7 +54,7 @@
 		return bytes > crowdedBytes && hold?.hasRoom(0) === false;
 	}
 
-	function passOn(chunk: Uint8Array): Flow {
+	function writeOn(chunk: Uint8Array): Flow {
 		const flow = pace.write(chunk);
 		const partialBytes = writer.countPartialBytes();
 		setReceived(partialBytes);
@@ -71,13 +71,13 @@
 		const streamed: AttemptAnswer = {...answer, answerClass: 'stream', chunks: []};
 		onStreaming(streamed);
 		writer.start(streamed);
-		return passOn(bytes);
+		return writeOn(bytes);
 	}
 
 	return {
 		add(answer, chunk) {
 			if (answer.answerClass === 'stream') {
-				return passOn(chunk);
+				return writeOn(chunk);
 			}
 
 			answer.bytes += chunk.length;
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -62,7 +62,7 @@
 	const rest = createRestGuard((current, reason) => {
 		recorder.recordRestCut(endpoint, current, reason);
 		exchange.abort();
-		handleEnd(current, reason);
+		handleEnd(current, true);
 	});
 
 	openRequest.onStalled(() => {
@@ -94,9 +94,9 @@
 	}
 
 	/**
-	@param cut - Why the rest of an answer that is none was not read.
+	Handles the end of an answer, or of what was read of one that is none.
 	*/
-	function handleEnd(completed: AttemptAnswer, cut?: string): void {
+	function handleEnd(completed: AttemptAnswer, isCut = false): void {
 		const {answerClass, status} = completed;
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
 			close(answerClass === 'misdirected' ? 'gone' : 'rejected');
@@ -105,7 +105,7 @@
 		} else if (answerClass === 'run-failed') {
 			close('failed');
 			events.onFailure({
-				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: cut === undefined ? completed : undefined,
+				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: isCut ? undefined : completed,
 			});
 		} else if (answerClass === 'stream' && writer.hasPartialEvent()) {
 			close('failed');
--- a/gateway/forwarding/src/create-caller-pace.ts
+++ b/gateway/forwarding/src/create-caller-pace.ts
@@ -27,7 +27,7 @@
 	let isDrainAwaited = false;
 	let timer: NodeJS.Timeout | undefined;
 
-	function stop(): void {
+	function end(): void {
 		isPaused = false;
 		clearTimeout(timer);
 	}
@@ -35,12 +35,12 @@
 	/**
 	Goes on after a pause, unless the attempt has ended meanwhile.
 	*/
-	function resume(): void {
+	function startAgain(): void {
 		if (!isPaused) {
 			return;
 		}
 
-		stop();
+		end();
 		onResumed();
 	}
 
@@ -50,14 +50,14 @@
 	function startTimer({limits: {unreadMs}, canReadAhead}: ByteHold): void {
 		timer = setTimeout(() => {
 			if (canReadAhead(unreadMs)) {
-				resume();
+				startAgain();
 			} else {
 				startTimer(hold!);
 			}
 		}, unreadMs);
 	}
 
-	function awaitDrain(): void {
+	function waitForDrain(): void {
 		if (isDrainAwaited) {
 			return;
 		}
@@ -65,7 +65,7 @@
 		isDrainAwaited = true;
 		writer.onDrain(() => {
 			isDrainAwaited = false;
-			resume();
+			startAgain();
 		});
 	}
 
@@ -77,13 +77,13 @@
 
 			isPaused = true;
 			onPaused();
-			awaitDrain();
+			waitForDrain();
 			if (hold !== undefined) {
 				startTimer(hold);
 			}
 
 			return 'pause';
 		},
-		end: stop,
+		end,
 	};
 }
--- a/gateway/forwarding/src/create-rest-guard.ts
+++ b/gateway/forwarding/src/create-rest-guard.ts
@@ -29,6 +29,21 @@
 export function createRestGuard(onCut: (answer: AttemptAnswer, reason: string) => void): RestGuard {
 	let timer: NodeJS.Timeout | undefined;
 
+	function end(): void {
+		clearTimeout(timer);
+		timer = undefined;
+	}
+
+	function endRest(answer: AttemptAnswer, reason: string): void {
+		// It was stopped meanwhile.
+		if (timer === undefined) {
+			return;
+		}
+
+		end();
+		onCut(answer, reason);
+	}
+
 	return {
 		start(answer) {
 			const bounds = boundsByClass[answer.answerClass];
@@ -38,25 +53,15 @@
 
 			timer = setTimeout(() => {
 				// After the event loop was blocked, timers run before sockets are read, and the end may wait there.
-				setImmediate(() => {
-					if (timer !== undefined) {
-						timer = undefined;
-						onCut(answer, `not ended after ${bounds.milliseconds} ms`);
-					}
-				});
+				setImmediate(endRest, answer, `not ended after ${bounds.milliseconds} ms`);
 			}, bounds.milliseconds);
 		},
 		check(answer) {
 			const bounds = boundsByClass[answer.answerClass];
-			if (bounds !== undefined && timer !== undefined && answer.bytes > bounds.bytes) {
-				clearTimeout(timer);
-				timer = undefined;
-				onCut(answer, `over ${bounds.bytes} bytes`);
+			if (bounds !== undefined && answer.bytes > bounds.bytes) {
+				endRest(answer, `over ${bounds.bytes} bytes`);
 			}
 		},
-		stop() {
-			clearTimeout(timer);
-			timer = undefined;
-		},
+		stop: end,
 	};
 }
--- a/gateway/front/src/measure-unsent.ts
+++ b/gateway/front/src/measure-unsent.ts
@@ -26,6 +26,6 @@
  measureUnsent(socket); // {bytes: 65_536, queuedBytes: 1200}
  */
 export function measureUnsent(socket: Socket): Unsent {
-	const {_handle: handle} = socket as Socket & {readonly _handle?: SocketHandle | null};
+	const {_handle: handle} = socket as Socket & {readonly _handle?: SocketHandle};
 	return {bytes: socket.writableLength, queuedBytes: handle?.writeQueueSize ?? 0};
 }
--- a/gateway/front/src/read-whole-body.ts
+++ b/gateway/front/src/read-whole-body.ts
@@ -6,6 +6,8 @@
 /**
  Reads the body of a request.
 
+ @param request - The HTTP server's request.
+ @param limitBytes - Largest body.
  @param room - Room for the body; nothing of it is read before there is room for what its head announces.
  @throws `ERR_VALVESADDLE_BODY_TOO_LARGE` above the limit, `ERR_VALVESADDLE_BUFFERS_FULL` without room, `ERR_VALVESADDLE_CANCELLED`
  when the caller disconnects.
@@ -59,7 +61,7 @@
 		} catch (error) {
 			isRefused = true;
 			chunks.length = 0;
-			reject(error as ValvesaddleError);
+			reject(error);
 		}
 	});
 	request.once('end', () => {
--- a/gateway/front/src/unread-answer.ts
+++ b/gateway/front/src/unread-answer.ts
@@ -1,5 +1,5 @@
-import type {ByteHold} from '@valvesaddle/buffers';
 import type {Socket} from 'node:net';
+import type {ByteHold} from '@valvesaddle/buffers';
 
 /**
 An answer that waits for its caller.
--- a/gateway/selection/src/create-body-places.ts
+++ b/gateway/selection/src/create-body-places.ts
@@ -54,10 +54,12 @@
 			add(incarnation, 1);
 			let isTaken = true;
 			return () => {
-				if (isTaken) {
-					isTaken = false;
-					add(incarnation, -1);
+				if (!isTaken) {
+					return;
 				}
+
+				isTaken = false;
+				add(incarnation, -1);
 			};
 		},
 	};
