fix(engine): bound failures, events and rests without end

Cause: the product's client of engines read the body of a failure, an event and what follows an answer without bound.

--- a/endpoint/engine/src/create-engine-client.ts
+++ b/endpoint/engine/src/create-engine-client.ts
@@ -9,6 +9,7 @@
 import type {EngineEvent} from './engine-event.ts';
 import type {EngineLoad} from './engine-load.ts';
 import type {EngineRequest} from './engine-request.ts';
+import {readBounded} from './read-bounded.ts';
 import {readChunk} from './read-chunk.ts';
 import {startSilenceTimer} from './start-silence-timer.ts';
 
@@ -16,6 +17,10 @@
 const loadTimeoutMs = 1000;
 const endOfStream = '[DONE]';
 const keepAliveMs = 30_000;
+/**
+Longest event that has not ended, in characters.
+*/
+const maximumEventLength = 1024 * 1024;
 
 /**
  Creates a client for model engines with the chat completions API, streamed as server-sent events, and vLLM's
@@ -51,7 +56,7 @@
 		const startedAt = performance.now();
 		const response = await send(request, signal);
 		if (response.statusCode !== 200) {
-			throw classifyStatus(response.statusCode, await readErrorText(response), response.headers['retry-after']);
+			throw classifyStatus(response.statusCode, await readBounded(response), response.headers['retry-after']);
 		}
 
 		const remainingMs = Math.max(options.pauseMs, options.firstTokenMs - (performance.now() - startedAt));
@@ -78,18 +83,15 @@
 	};
 }
 
-async function readErrorText(response: Dispatcher.ResponseData): Promise<string> {
-	try {
-		return await response.body.text();
-	} catch {
-		return '';
-	}
-}
-
 async function * readEvents(response: Dispatcher.ResponseData, signal: AbortSignal, onChunk: ReturnType<typeof startSilenceTimer>['restart']): AsyncGenerator<EngineEvent, void> {
 	let events: EngineEvent[] = [];
 	let isDone = false;
+	let isTooLong = false;
 	const parser = createParser({
+		maxBufferSize: maximumEventLength,
+		onError({type}) {
+			isTooLong ||= type === 'max-buffer-size-exceeded';
+		},
 		onEvent({data}) {
 			if (data === endOfStream) {
 				isDone = true;
@@ -106,6 +108,10 @@
 		let read = await body.next();
 		while (read.done !== true) {
 			parser.feed(decoder.decode(read.value, {stream: true}));
+			if (isTooLong) {
+				throw new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', `an event of over ${maximumEventLength} characters`);
+			}
+
 			const ready = events;
 			events = [];
 			onChunk(ready.length > 0);
@@ -116,7 +122,8 @@
 
 			if (isDone) {
 				hasRest = true;
-				void readRest(body);
+				// The rest is read so that the connection can be used again; the answer is complete whatever becomes of it.
+				void readBounded(response, body);
 				return;
 			}
 
@@ -140,18 +147,3 @@
 		throw new ValvesaddleError('ERR_VALVESADDLE_ENDPOINT_FAILED', 'the answer of the engine ended before its end');
 	}
 }
-
-/**
-Reads what follows the last event, so that the connection can be used again. The answer is complete whatever becomes of it.
-*/
-async function readRest(body: AsyncIterator<Uint8Array>): Promise<void> {
-	try {
-		let read = await body.next();
-		while (read.done !== true) {
-			// eslint-disable-next-line no-await-in-loop -- chunks are read in order
-			read = await body.next();
-		}
-	} catch {
-		// The connection broke, and the client opens another one.
-	}
-}
--- a/endpoint/engine/test/engine-client.test.ts
+++ b/endpoint/engine/test/engine-client.test.ts
@@ -225,3 +225,43 @@
 	}));
 	t.end();
 });
+
+/**
+Writes without end, until the other side closes the connection.
+*/
+function writeOn(response: ServerResponse, text: string): void {
+	while (!response.destroyed && response.write(text)) {
+		// Goes on until the other side reads no more.
+	}
+
+	response.once('drain', () => {
+		writeOn(response, text);
+	});
+}
+
+const endless: ReadonlyArray<readonly [name: string, status: number, begin: string, expected: {readonly text: string; readonly code: string}]> = [
+	['a failure whose body does not end', 500, '', {text: '', code: 'ERR_VALVESADDLE_ENDPOINT_FAILED'}],
+	['an event that does not end', 200, 'data: ', {text: '', code: 'ERR_VALVESADDLE_ENDPOINT_FAILED'}],
+	['what follows the end of an answer', 200, 'data: {"choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n', {text: 'a', code: ''}],
+];
+
+for (const [name, status, begin, expected] of endless) {
+	test(`bytes without end are not read on, and the connection is closed: ${name}`, async t => {
+		const closed = Promise.withResolvers<void>();
+		const server = await startFakeServer({
+			async handle(_request, response) {
+				response.writeHead(status, {'content-type': 'text/event-stream'});
+				response.write(begin);
+				response.once('close', closed.resolve);
+				writeOn(response, 'x'.repeat(1000));
+			},
+		});
+		const client = createEngineClient({connectMs: 5000, firstTokenMs: 60_000, pauseMs: 60_000});
+		t.teardown(async () => {
+			await client.close();
+			await server.close();
+		});
+		t.same(await readAll(client, createRequest(server.url)), expected);
+		await closed.promise;
+	});
+}
