--- a/gateway/front/test/unread-watch.test.ts
+++ b/gateway/front/test/unread-watch.test.ts
@@ -18,12 +18,12 @@
 	isBehind: boolean;
 };
 
-function startWatch(t: Test, limitBytes = 1_000_000) {
+function startWatch(t: Test, limitBytes = 1_000_000, stillMs = stuckMs) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
 	const metrics = createMetrics();
 	const ledger = createByteLedger({
-		limitBytes, pressureShare: 0.5, accountShare: 1, waitMs: 500, aheadBytes: 0, unreadMs: 1000, stuckMs,
+		limitBytes, pressureShare: 0.5, accountShare: 1, waitMs: 500, aheadBytes: 0, unreadMs: 1000, stuckMs: stillMs,
 	});
 	const watch = createUnreadWatch({ledger, logger: createLogger({node: 'n', level: 'silent'}), metrics});
 	const ended: string[] = [];
@@ -67,6 +67,10 @@
 });
 
 test('it is ended after the time without progress once memory is needed', t => {
+	const before = startWatch(t, 150_000, Infinity);
+	before.open('a', {queuedBytes: bytes, isBehind: false}, 1000);
+	before.pass(600_000);
+	t.same(before.ended, [], 'kept for ever where there was no bound');
 	const {ledger, metrics, ended, open, pass} = startWatch(t, 150_000);
 	open('a', {queuedBytes: bytes, isBehind: false});
 	pass(stuckMs - 500);
