--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,22 +1,19 @@
-import {Buffer} from 'node:buffer';
 import type {ValvesaddleError} from '@valvesaddle/error';
-import type {Exchange, Flow} from '@valvesaddle/exchange';
-import type {AnswerMetadata} from '@valvesaddle/gateway-types';
+import type {Exchange} from '@valvesaddle/exchange';
 import type {OpenRequest} from '@valvesaddle/selection';
 import type {AnswerClass} from './answer-class.ts';
+import {applyNotices} from './apply-notices.ts';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptEvents} from './attempt-events.ts';
 import type {AttemptOptions} from './attempt-options.ts';
 import type {Attempt} from './attempt.ts';
 import {classifyAnswer} from './classify-answer.ts';
+import {createAnswerBody} from './create-answer-body.ts';
+import {createCallerPace} from './create-caller-pace.ts';
+import {createRestGuard} from './create-rest-guard.ts';
 import type {FailureCause} from './failure-cause.ts';
 import {isConnectionRefused} from './is-connection-refused.ts';
 
-/**
-Largest answer that is buffered, in bytes. Larger ones are passed on as they come, as event streams are.
-*/
-const maximumBufferedBytes = 8 * 1024 * 1024;
-
 /**
 Whether an answer can be sent to the caller, whatever other attempts there are.
 */
@@ -38,7 +35,35 @@
 	const openRequest = selector.open(selection, question);
 	let answer: AttemptAnswer | undefined;
 	let sentAt: number | undefined;
-	let isPaused = false;
+	const pace = createCallerPace({
+		writer,
+		hold: request.hold,
+		onPaused() {
+			events.onPaused();
+			openRequest.markPaused();
+		},
+		onResumed() {
+			openRequest.markResumed();
+			events.onResumed();
+			exchange.resume();
+		},
+	});
+	const body = createAnswerBody({
+		request,
+		writer,
+		pace,
+		onStreaming(streamed) {
+			answer = streamed;
+		},
+		onTooLarge(reason) {
+			failAttempt('too-large', reason);
+		},
+	});
+	const rest = createRestGuard((current, reason) => {
+		recorder.recordRestCut(endpoint, current, reason);
+		exchange.abort();
+		handleEnd(current, true);
+	});
 
 	openRequest.onStalled(() => {
 		events.onEndpointLost('stalled', 'silent to all nodes');
@@ -48,10 +73,16 @@
 		events.onEndpointLost('restarted', 'its process has ended');
 	});
 
+	function close(outcome: Parameters<OpenRequest['close']>[0]): void {
+		pace.end();
+		rest.stop();
+		body.release();
+		openRequest.close(outcome);
+	}
+
 	function end(outcome: 'failed' | 'cancelled'): void {
-		isPaused = false;
 		exchange.abort();
-		openRequest.close(outcome);
+		close(outcome);
 	}
 
 	/**
@@ -63,104 +94,28 @@
 	}
 
 	/**
-	Applies the cooldown or the draining signal that an endpoint may send with any answer.
-	*/
-	function applyNotice(status: number, {requestId, retryAfterMs, isLeaving: isDraining}: AnswerMetadata): void {
-		// A cooldown expires by itself; a draining signal is accepted only with the request's own id.
-		const notice = {retryAfterMs, isLeaving: isDraining && requestId === metadata.requestId};
-		if (retryAfterMs === undefined && !notice.isLeaving) {
-			return;
-		}
-
-		selector.applyNotice(endpoint.incarnation, notice);
-		recorder.recordNotice(endpoint, status, notice);
-	}
-
-	/**
-	Applies the limit that an endpoint names in its own answers to this request. An answer without one removes it.
-	*/
-	function applyLimit({requestId, isSigned, isNotRun, isMisdirected, requestLimit}: AnswerMetadata): void {
-		const isOwn = requestId === metadata.requestId && (isSigned || isNotRun) && !isMisdirected;
-		if (isOwn && (requestLimit === 'invalid' || selector.didSetLimit(endpoint.incarnation, requestLimit))) {
-			recorder.recordLimit(endpoint, requestLimit);
-		}
-	}
-
-	function handleData(current: AttemptAnswer, chunk: Uint8Array): Flow {
-		if (current.answerClass === 'stream') {
-			return writeChunk(chunk);
-		}
-
-		current.bytes += chunk.length;
-		current.chunks.push(chunk);
-		if (current.bytes <= maximumBufferedBytes) {
-			return 'more';
-		}
-
-		if (current.answerClass === 'whole' && request.route.kind !== 'stream') {
-			return startStreaming(current);
-		}
-
-		failAttempt('too-large', `answer of over ${maximumBufferedBytes} bytes`);
-		return 'more';
-	}
-
-	/**
-	Sends a whole answer that is too large to be buffered to the caller as it comes.
+	Handles the end of an answer, or of what was read of one that is none.
 	*/
-	function startStreaming(current: AttemptAnswer): Flow {
-		const bytes = Buffer.concat(current.chunks);
-		answer = {...current, answerClass: 'stream', chunks: []};
-		writer.start(answer);
-		return writeChunk(bytes);
-	}
-
-	function writeChunk(chunk: Uint8Array): Flow {
-		if (writer.write(chunk)) {
-			return 'more';
-		}
-
-		events.onPaused();
-		openRequest.markPaused();
-		isPaused = true;
-		writer.onDrain(handleDrain);
-		return 'pause';
-	}
-
-	/**
-	Goes on after a pause, unless the attempt has ended meanwhile.
-	*/
-	function handleDrain(): void {
-		if (!isPaused) {
-			return;
-		}
-
-		isPaused = false;
-		openRequest.markResumed();
-		events.onResumed();
-		exchange.resume();
-	}
-
-	function handleEnd(completed: AttemptAnswer): void {
+	function handleEnd(completed: AttemptAnswer, isCut = false): void {
 		const {answerClass, status} = completed;
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
-			openRequest.close(answerClass === 'misdirected' ? 'gone' : 'rejected');
+			close(answerClass === 'misdirected' ? 'gone' : 'rejected');
 			events.onNotRun();
 			events.onFailure({cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false});
 		} else if (answerClass === 'run-failed') {
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({
-				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: completed,
+				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: isCut ? undefined : completed,
 			});
 		} else if (answerClass === 'stream' && writer.hasPartialEvent()) {
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({cause: 'truncated', reason: 'the stream ended within an event', mayHaveRun: true});
 		} else if (answerClass === 'whole' && writer.isStarted()) {
 			// The caller has already received the head of a stream, which only another stream can continue.
-			openRequest.close('failed');
+			close('failed');
 			events.onFailure({cause: 'untrusted', reason: `a stream went on as a whole answer ${status}`, mayHaveRun: true});
 		} else {
-			openRequest.close('done');
+			close('done');
 			events.onAnswer(completed);
 		}
 	}
@@ -207,8 +162,9 @@
 		},
 		onHead(status, headers) {
 			const answerMetadata = wire.readAnswer(status, headers);
-			applyNotice(status, answerMetadata);
-			applyLimit(answerMetadata);
+			applyNotices({
+				selector, recorder, endpoint, requestId: metadata.requestId, status, answer: answerMetadata,
+			});
 			const answerClass = classifyAnswer(status, answerMetadata, metadata.requestId);
 			answer = {
 				status, headers, answerClass, chunks: [], bytes: 0,
@@ -222,6 +178,8 @@
 			} else if (answerClass === 'untrusted') {
 				// The rest of the data on this connection may belong to another request's answer.
 				failAttempt('untrusted', `untrusted answer ${status}`);
+			} else {
+				rest.start(answer);
 			}
 		},
 		onData(chunk) {
@@ -235,7 +193,13 @@
 				events.onChunk();
 			}
 
-			return answer === undefined ? 'more' : handleData(answer, chunk);
+			if (answer === undefined) {
+				return 'more';
+			}
+
+			const flow = body.add(answer, chunk);
+			rest.check(answer);
+			return flow;
 		},
 		onEnd() {
 			if (answer === undefined) {
@@ -249,10 +213,9 @@
 			handleEnd(answer);
 		},
 		onFailure(error) {
-			isPaused = false;
 			const wasSent = sentAt !== undefined;
 			recordFailure(error, wasSent);
-			openRequest.close(wasSent ? 'failed' : classifyUnsent());
+			close(wasSent ? 'failed' : classifyUnsent());
 			events.onFailure({cause: wasSent ? 'connection' : 'unsent', reason: error.message, mayHaveRun: wasSent});
 		},
 	});
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -55,6 +55,7 @@
 		maximumOutputTokens: metadata.outputTokens,
 		isMostUrgent: route.priority === 0,
 		parts: metadata.parts,
+		bodyBytes: request.body?.length ?? 0,
 		tried,
 	};
 	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget});
