feat(evidence): decide from summed counts whether an endpoint or its pool fails

Each node finds a failing endpoint alone, after two failures of its own. The new package decides over counts of all nodes; the dispatcher's bounded share and doubled ejections are lifted into it and called from there.

--- /dev/null
+++ b/dispatch/evidence/src/endpoint-evidence.ts
@@ -0,0 +1,23 @@
+/**
+What requests have shown of an endpoint in the last second or so: of one node's requests, or a sum over several nodes. Counts decay,
+so they need not be whole.
+*/
+export type EndpointEvidence = {
+	/**
+	Requests that ended at the endpoint, failed ones included.
+	*/
+	readonly answers: number;
+	/**
+	Those that the endpoint failed.
+	*/
+	readonly failures: number;
+	/**
+	Requests that it refused before running them.
+	*/
+	readonly refusals: number;
+	/**
+	Answers whose time was measured, and the sum of these times without waiting for a place, in milliseconds: its pace.
+	*/
+	readonly timedAnswers: number;
+	readonly serviceMs: number;
+};
--- /dev/null
+++ b/dispatch/evidence/src/index.ts
@@ -0,0 +1,12 @@
+export {addEvidence} from './add-evidence.ts';
+export {advanceEjection} from './advance-ejection.ts';
+export {advanceEvidence} from './advance-evidence.ts';
+export {countEjectable} from './count-ejectable.ts';
+export type {Ejection} from './ejection.ts';
+export type {EndpointEvidence} from './endpoint-evidence.ts';
+export {evidenceStepMs} from './evidence-step-ms.ts';
+export {findFailing} from './find-failing.ts';
+export {isPoolFailing} from './is-pool-failing.ts';
+export type {KnownEvidence} from './known-evidence.ts';
+export {noEvidence} from './no-evidence.ts';
+export {predictEjectionMs} from './predict-ejection-ms.ts';
--- a/dispatch/policy/src/eject-endpoint.ts
+++ b/dispatch/policy/src/eject-endpoint.ts
@@ -1,3 +1,4 @@
+import {predictEjectionMs} from '@valvesaddle/evidence';
 import type {EndpointView} from './endpoint-view.ts';
 
 const firstEjectionMs = 5000;
@@ -10,7 +11,7 @@
  ejectEndpoint(endpoint, now).ejectedUntil; // now + 5000
  */
 export function ejectEndpoint(endpoint: EndpointView, now: number): EndpointView {
-	const ejectionMs = Math.min(maximumEjectionMs, firstEjectionMs * (2 ** endpoint.ejections));
+	const ejectionMs = predictEjectionMs({ejections: endpoint.ejections, firstMs: firstEjectionMs, maximumMs: maximumEjectionMs});
 	return {
 		...endpoint, state: 'ejected', ejectedUntil: now + ejectionMs, ejections: endpoint.ejections + 1,
 	};
--- a/dispatch/policy/src/find-outliers.ts
+++ b/dispatch/policy/src/find-outliers.ts
@@ -1,3 +1,4 @@
+import {countEjectable} from '@valvesaddle/evidence';
 import type {EndpointView} from './endpoint-view.ts';
 
 /**
@@ -21,8 +22,8 @@
 export function findOutliers(endpoints: readonly EndpointView[]): readonly string[] {
 	const inUse = endpoints.filter(({state}) => state !== 'leaving');
 	const ejected = inUse.filter(({state}) => state === 'ejected').length;
-	const allowed = Math.floor(inUse.length * maximumEjectedShare) - ejected;
-	if (inUse.length < minimumEndpoints || allowed <= 0) {
+	const allowed = countEjectable({endpoints: inUse.length, ejected, maximumShare: maximumEjectedShare});
+	if (inUse.length < minimumEndpoints || allowed === 0) {
 		return [];
 	}
 
--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -1,3 +1,4 @@
+import {predictEjectionMs} from '@valvesaddle/evidence';
 import type {FailureTable} from './failure-table.ts';
 
 type Failures = {
@@ -45,7 +46,7 @@
 	function addFailures(endpoint: string, minimumCount: number, isStall = false): void {
 		const count = Math.max(minimumCount, (table.get(endpoint)?.count ?? 0) + 1);
 		const ejections = count - failuresToEject;
-		const ejectionMs = ejections < 0 ? 0 : Math.min(maximumEjectionMs, firstEjectionMs * (2 ** ejections));
+		const ejectionMs = ejections < 0 ? 0 : predictEjectionMs({ejections, firstMs: firstEjectionMs, maximumMs: maximumEjectionMs});
 		table.set(endpoint, {count, skippedUntil: performance.now() + ejectionMs, isStall});
 	}
 
