feat(selection): eject on the evidence of all nodes, learn the pace of plain endpoints

Nodes see two to eight requests a second each and find failing or slow endpoints alone. Outcomes are summed over nodes with the load updates; an endpoint that stands out is ejected by all and probed by one node at a time. Off unless set.

--- a/dispatch/policy/src/find-outliers.ts
+++ b/dispatch/policy/src/find-outliers.ts
@@ -23,7 +23,7 @@
 	const inUse = endpoints.filter(({state}) => state !== 'leaving');
 	const ejected = inUse.filter(({state}) => state === 'ejected').length;
 	const allowed = countEjectable({endpoints: inUse.length, ejected, maximumShare: maximumEjectedShare});
-	if (inUse.length < minimumEndpoints || allowed === 0) {
+	if (allowed === 0 || inUse.length < minimumEndpoints) {
 		return [];
 	}
 
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -1,13 +1,15 @@
+import {addEvidence, type EndpointEvidence} from '@valvesaddle/evidence';
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Adds two loads; requests, pending prompt tokens and sensitivity do not fall below 0.
+ Adds two loads; requests, pending prompt tokens, sensitivity and evidence do not fall below 0.
 
  @example
  addLoads({...noLoad, open: 1}, {...noLoad, open: 2}).open; // 3
  */
 export function addLoads(a: EndpointLoad, b: EndpointLoad): EndpointLoad {
-	return {
+	const evidence = addKnown(a.evidence, b.evidence);
+	const sum = {
 		open: Math.max(0, a.open + b.open),
 		pendingPrefill: addRanks(a.pendingPrefill, b.pendingPrefill),
 		sensitivity: Math.max(0, a.sensitivity + b.sensitivity),
@@ -16,6 +18,11 @@
 		prefilledTokens: a.prefilledTokens + b.prefilledTokens,
 		prefillMs: a.prefillMs + b.prefillMs,
 	};
+	return evidence === undefined ? sum : {...sum, evidence};
+}
+
+function addKnown(a: EndpointEvidence | undefined, b: EndpointEvidence | undefined): EndpointEvidence | undefined {
+	return a === undefined || b === undefined ? a ?? b : addEvidence(a, b);
 }
 
 function addRanks(a: readonly number[], b: readonly number[]): readonly number[] {
--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -11,9 +11,9 @@
 	*/
 	readonly skippedUntil: number;
 	/**
-	Whether the last one is that it sent no chunks.
+	What the last one was.
 	*/
-	readonly isStall: boolean;
+	readonly cause: 'failed' | 'gone' | 'stalled' | 'refused';
 };
 
 /**
@@ -38,39 +38,39 @@
 export function createFailureTable(): FailureTable {
 	const table = new Map<string, Failures>();
 
-	function isEjected(endpoint: string): boolean {
+	function isEjected(endpoint: string, isPoolFailing = false): boolean {
 		const failures = table.get(endpoint);
-		return failures !== undefined && performance.now() < failures.skippedUntil;
+		return failures !== undefined && performance.now() < failures.skippedUntil && !(isPoolFailing && failures.cause === 'failed');
 	}
 
-	function addFailures(endpoint: string, minimumCount: number, isStall = false): void {
+	function addFailures(endpoint: string, minimumCount: number, cause: Failures['cause']): void {
 		const count = Math.max(minimumCount, (table.get(endpoint)?.count ?? 0) + 1);
 		const ejections = count - failuresToEject;
 		const ejectionMs = ejections < 0 ? 0 : predictEjectionMs({ejections, firstMs: firstEjectionMs, maximumMs: maximumEjectionMs});
-		table.set(endpoint, {count, skippedUntil: performance.now() + ejectionMs, isStall});
+		table.set(endpoint, {count, skippedUntil: performance.now() + ejectionMs, cause});
 	}
 
 	return {
 		record(endpoint, isFailed) {
 			if (isFailed) {
-				addFailures(endpoint, 1);
+				addFailures(endpoint, 1, 'failed');
 			} else {
 				table.delete(endpoint);
 			}
 		},
 		recordRefusal(endpoint) {
-			table.set(endpoint, {count: 0, skippedUntil: performance.now() + refusalSkipMs, isStall: false});
+			table.set(endpoint, {count: 0, skippedUntil: performance.now() + refusalSkipMs, cause: 'refused'});
 		},
 		eject(endpoint) {
-			addFailures(endpoint, failuresToEject);
+			addFailures(endpoint, failuresToEject, 'gone');
 		},
 		ejectStalled(endpoint) {
 			if (!isEjected(endpoint)) {
-				addFailures(endpoint, failuresToEject, true);
+				addFailures(endpoint, failuresToEject, 'stalled');
 			}
 		},
 		recordChunk(endpoint) {
-			if (table.get(endpoint)?.isStall === true) {
+			if (table.get(endpoint)?.cause === 'stalled') {
 				table.delete(endpoint);
 			}
 		},
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -1,3 +1,9 @@
+import {
+	addEvidence,
+	advanceEvidence,
+	evidenceStepMs,
+	noEvidence,
+} from '@valvesaddle/evidence';
 import {addLoads} from './add-loads.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {LoadTable} from './load-table.ts';
@@ -33,6 +39,7 @@
 	*/
 	const sums = new Map<string, EndpointLoad>();
 	let unseenFactor = 1;
+	let agedAt = performance.now();
 
 	function setOwn(endpoint: string, load: EndpointLoad): void {
 		own.set(endpoint, load);
@@ -47,16 +54,29 @@
 		}
 
 		return {
+			...sum,
 			open: sum.open * unseenFactor,
 			pendingPrefill: unseenFactor === 1 ? sum.pendingPrefill : sum.pendingPrefill.map(tokens => tokens * unseenFactor),
 			sensitivity: sum.sensitivity * unseenFactor,
-			observers: sum.observers,
-			stalledObservers: sum.stalledObservers,
-			prefilledTokens: sum.prefilledTokens,
-			prefillMs: sum.prefillMs,
 		};
 	}
 
+	function ageEvidence(): void {
+		if (performance.now() - agedAt < evidenceStepMs) {
+			return;
+		}
+
+		agedAt = performance.now();
+		for (const [endpoint, {evidence, ...load}] of own) {
+			if (evidence === undefined) {
+				continue;
+			}
+
+			const aged = advanceEvidence(evidence);
+			setOwn(endpoint, aged === undefined ? load : {...load, evidence: aged});
+		}
+	}
+
 	function get(endpoint: string): EndpointLoad {
 		const sum = sums.get(endpoint) ?? measureSum(endpoint);
 		sums.set(endpoint, sum);
@@ -81,6 +101,10 @@
 				...before, prefilledTokens: (before.prefilledTokens * prefillDecay) + tokens, prefillMs: (before.prefillMs * prefillDecay) + milliseconds,
 			});
 		},
+		recordEvidence(endpoint, change) {
+			const before = own.get(endpoint) ?? noLoad;
+			setOwn(endpoint, {...before, evidence: addEvidence(before.evidence ?? noEvidence, change)});
+		},
 		setStallCounts(endpoint, observers, stalledObservers) {
 			const before = own.get(endpoint) ?? noLoad;
 			if (before.observers === observers && before.stalledObservers === stalledObservers) {
@@ -137,6 +161,7 @@
 			}
 		},
 		takeChanged() {
+			ageEvidence();
 			const changedLoads = [...changed].map(endpoint => [endpoint, own.get(endpoint) ?? noLoad] as const);
 			changed.clear();
 			return changedLoads;
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -1,4 +1,5 @@
 import {countPendingPrefill} from './count-pending-prefill.ts';
+import type {EndedRequest} from './ended-request.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {FailureTable} from './failure-table.ts';
 import type {LoadTable} from './load-table.ts';
@@ -69,6 +70,7 @@
 	readonly chooser: Pick<PromptChooser, 'recordPrefill' | 'getSpeed' | 'getPauseModel'>;
 	readonly stallMonitor: Omit<StallMonitor, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
+	readonly onEnd?: ((request: EndedRequest) => void) | undefined;
 };
 
 /**
@@ -80,7 +82,7 @@
  request.markChunk();
  request.close('done');
  */
-export function createRequestTracker({loads, failures, chooser, stallMonitor, onPlacement}: RequestTrackerOptions): RequestTracker {
+export function createRequestTracker({loads, failures, chooser, stallMonitor, onPlacement, onEnd}: RequestTrackerOptions): RequestTracker {
 	// Fixed at the start, so that a change of the system time takes no request for one of an earlier process.
 	const startedAt = Date.now() - performance.now();
 	const openEntries = new Map<string, Set<Entry>>();
@@ -159,11 +161,13 @@
 		}
 	}
 
-	function openRequest({endpoint: {incarnation: id}, heldTokens, urgency, costMs}: Selection, criteria: SelectionCriteria): Omit<OpenRequest, 'canSend'> {
+	function openRequest(selection: Selection, criteria: SelectionCriteria): Omit<OpenRequest, 'canSend'> {
+		const {endpoint: {incarnation: id}, heldTokens, urgency, costMs} = selection;
 		const {pool, pauseObjectiveMs, promptTokens} = criteria;
 		const uncachedTokens = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
-		const tokensBefore = countPendingPrefill(loads.get(id));
+		const loadBefore = loads.get(id);
+		const tokensBefore = countPendingPrefill(loadBefore);
 		const isStream = promptTokens > 0 && pauseObjectiveMs > 0;
 		const stallHandle = isStream ? stallMonitor.open(id, {pool, predictedMs: costMs}) : undefined;
 		const sensitivity = isStream ? chooser.getPauseModel(pool).toSensitivity(pauseObjectiveMs) : 0;
@@ -259,6 +263,9 @@
 
 				loads.add(id, {...toLoad(-1, urgency, -pendingTokens), sensitivity: firstChunkAt !== undefined && isInTime ? -sensitivity : 0});
 				endHandlers[end](id);
+				onEnd?.({
+					selection, end, elapsedMs: performance.now() - openedAt, openBefore: loadBefore.open,
+				});
 			},
 		};
 	}
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,8 +1,10 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
 import {createBoundedSet} from './create-bounded-set.ts';
 import {createCooldownTable} from './create-cooldown-table.ts';
+import {createEvidenceWatch} from './create-evidence-watch.ts';
 import {createFailureTable} from './create-failure-table.ts';
 import {createLoadTable} from './create-load-table.ts';
+import {createPlainChooser} from './create-plain-chooser.ts';
 import {createPrefixCacheModel} from './create-prefix-cache-model.ts';
 import {createPromptChooser} from './create-prompt-chooser.ts';
 import {createRequestLimits} from './create-request-limits.ts';
@@ -20,6 +22,7 @@
 import type {SelectionCriteria} from './selection-criteria.ts';
 import type {Selector} from './selector.ts';
 import type {SelectorOptions} from './selector-options.ts';
+import {toEvidence} from './to-evidence.ts';
 
 /**
 Remembered incarnations: enough for hours of restarts of a large fleet, while late load updates arrive within seconds.
@@ -53,7 +56,9 @@
 	const draining = createBoundedSet(maximumIncarnations);
 	// Fixed at the start, so that a change of the system time moves no permit.
 	const startedAt = Date.now() - performance.now();
-	const limits = createRequestLimits(options.fleet ?? aloneFleet, at => startedAt + at);
+	const toUnixTime = (at: number): number => startedAt + at;
+	const fleet = options.fleet ?? aloneFleet;
+	const limits = createRequestLimits(fleet, toUnixTime);
 	const chooser = createPromptChooser({settings: options, loads, prefixes});
 	let unseenFactor = 1;
 	let lastUpdateAt: number | undefined;
@@ -63,6 +68,15 @@
 		measureLongestPauseMs: pool => chooser.getPauseModel(pool).getLongestPauseMs(),
 		onStalled: failures.ejectStalled,
 	});
+	const evidenceWatch = options.isEvidenceShared === true
+		? createEvidenceWatch({
+			loads, fleet, toUnixTime, onChanged(notice) {
+				options.onEjection?.({...notice, nodes: Math.max(1, Math.round(fleet.list().length / unseenFactor))});
+			},
+		})
+		: undefined;
+	const plainChooser = options.isPlainPaced === true ? createPlainChooser({loads, random: Math.random}) : undefined;
+	const isEvidenceKept = evidenceWatch !== undefined || plainChooser !== undefined;
 	const tracker = createRequestTracker({
 		loads,
 		failures,
@@ -73,6 +87,12 @@
 			placements.push(placement);
 			options.onPlacement?.();
 		},
+		onEnd(request) {
+			const evidence = isEvidenceKept ? toEvidence(request) : undefined;
+			if (evidence !== undefined) {
+				loads.recordEvidence(request.selection.endpoint.incarnation, evidence);
+			}
+		},
 	});
 
 	function addPlacement(placement: Placement): void {
@@ -108,13 +128,19 @@
 	Endpoints that were not tried, have no cooldown and accept a request of this node: the healthy ones, or the ejected ones if there are no others and they are
 	allowed. An isolated request has one of them.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey}: SelectionCriteria): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], {pool, tried, isHealthyOnly = false, isolationKey, isRepeatable = true}: SelectionCriteria): readonly KnownEndpoint[] {
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation) && limits.hasPermit(incarnation));
-		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
+		evidenceWatch?.update(pool, ready);
+		const isPoolFailing = evidenceWatch?.isPoolFailing(pool);
+		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation, isPoolFailing) && evidenceWatch?.canUse(incarnation, isRepeatable) !== false);
 		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
 		return isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
 	}
 
+	function choosePlain(ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
+		return plainChooser === undefined ? chooseByLoad(candidates, criteria) : plainChooser.choose(ready, candidates, criteria);
+	}
+
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
 		const rated = candidates.map(endpoint => ({
 			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.incarnation).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: criteria.urgency, candidates: candidates.length,
@@ -126,7 +152,7 @@
 		const ready = listReady(criteria.pool);
 		const candidates = listCandidates(ready, criteria);
 		const rating = pools.get(criteria.pool)?.engine === undefined
-			? chooseByLoad(candidates, criteria)
+			? choosePlain(ready, candidates, criteria)
 			: chooser.choose(ready, candidates, criteria);
 		return rating && {...rating, unseenFactor, newsAgeMs: lastUpdateAt === undefined ? -1 : Math.round(performance.now() - lastUpdateAt)};
 	}
@@ -163,6 +189,7 @@
 		failures.removeEndpoint(incarnation);
 		limits.didSet(incarnation, undefined);
 		stallMonitor.removeEndpoint(incarnation);
+		evidenceWatch?.removeEndpoint(incarnation);
 		chooser.removeEndpoint(incarnation);
 		placements = placements.filter(({endpoint}) => endpoint !== incarnation);
 		tracker.removeEndpoint(incarnation, endedAt);
@@ -225,6 +252,7 @@
 			const known = endpoints.get(id);
 			return known?.incarnation === incarnation && isReady(known) && !hasCooldown(incarnation);
 		},
+		isPoolFailing: pool => evidenceWatch?.isPoolFailing(pool) ?? false,
 		getCooldownMs(pool) {
 			const remaining = listReady(pool).map(({incarnation}) => Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation)));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
--- a/gateway/selection/src/endpoint-load.ts
+++ b/gateway/selection/src/endpoint-load.ts
@@ -1,3 +1,5 @@
+import type {EndpointEvidence} from '@valvesaddle/evidence';
+
 /**
 Load of one endpoint: of one node's requests, or a sum over several nodes.
 */
@@ -27,4 +29,8 @@
 	*/
 	readonly prefilledTokens: number;
 	readonly prefillMs: number;
+	/**
+	What recent requests have shown of it; missing if there were none, or if the nodes do not tell each other.
+	*/
+	readonly evidence?: EndpointEvidence;
 };
--- a/gateway/selection/src/failure-table.ts
+++ b/gateway/selection/src/failure-table.ts
@@ -20,8 +20,8 @@
 	*/
 	readonly recordChunk: (endpoint: string) => void;
 	/**
-	Whether an endpoint is ejected or skipped after a refusal.
+	Whether an endpoint is ejected or skipped after a refusal. If its whole pool fails, failed requests are no reason.
 	*/
-	readonly isEjected: (endpoint: string) => boolean;
+	readonly isEjected: (endpoint: string, isPoolFailing?: boolean) => boolean;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/index.ts
+++ b/gateway/selection/src/index.ts
@@ -1,5 +1,6 @@
 export {addLoads} from './add-loads.ts';
 export {createSelector} from './create-selector.ts';
+export type {EjectionNotice} from './ejection-notice.ts';
 export type {EndpointLoad} from './endpoint-load.ts';
 export {formatIncarnation} from './format-incarnation.ts';
 export type {KnownEndpoint} from './known-endpoint.ts';
--- a/gateway/selection/src/load-table.ts
+++ b/gateway/selection/src/load-table.ts
@@ -1,3 +1,4 @@
+import type {EndpointEvidence} from '@valvesaddle/evidence';
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
@@ -17,6 +18,10 @@
 	*/
 	readonly recordPrefill: (endpoint: string, tokens: number, milliseconds: number) => void;
 	/**
+	Adds to what this node's requests have shown of an endpoint. It ages with each look at what has changed.
+	*/
+	readonly recordEvidence: (endpoint: string, change: EndpointEvidence) => void;
+	/**
 	Sets whether this node expects chunks from an endpoint, and whether it finds the endpoint stalled; each 0 or 1.
 	*/
 	readonly setStallCounts: (endpoint: string, observers: number, stalledObservers: number) => void;
--- a/gateway/selection/src/remove-load.ts
+++ b/gateway/selection/src/remove-load.ts
@@ -1,14 +1,15 @@
+import {addEvidence, type EndpointEvidence} from '@valvesaddle/evidence';
 import {addLoads} from './add-loads.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Subtracts a load from a sum; requests, pending prompt tokens and sensitivity do not fall below 0.
+ Subtracts a load from a sum; requests, pending prompt tokens, sensitivity and evidence do not fall below 0.
 
  @example
  removeLoad({...noLoad, open: 3}, {...noLoad, open: 2}).open; // 1
  */
 export function removeLoad(sum: EndpointLoad, part: EndpointLoad): EndpointLoad {
-	return addLoads(sum, {
+	const {evidence, ...rest} = addLoads(sum, {
 		open: -part.open,
 		pendingPrefill: part.pendingPrefill.map(tokens => -tokens),
 		sensitivity: -part.sensitivity,
@@ -17,4 +18,11 @@
 		prefilledTokens: -part.prefilledTokens,
 		prefillMs: -part.prefillMs,
 	});
+	return evidence === undefined ? rest : {...rest, evidence: removeEvidence(evidence, part.evidence)};
+}
+
+function removeEvidence(sum: EndpointEvidence, part: EndpointEvidence | undefined): EndpointEvidence {
+	return part === undefined ? sum : addEvidence(sum, {
+		answers: -part.answers, failures: -part.failures, refusals: -part.refusals, timedAnswers: -part.timedAnswers, serviceMs: -part.serviceMs,
+	});
 }
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -28,6 +28,10 @@
 	*/
 	readonly isHealthyOnly?: boolean;
 	/**
+	Whether the request may be sent to another endpoint if it fails; such requests probe ejected endpoints. `true` by default.
+	*/
+	readonly isRepeatable?: boolean;
+	/**
 	Key of a request that may crash endpoints: all nodes choose the same endpoint by it, so that copies crash one at a time.
 	*/
 	readonly isolationKey?: string | undefined;
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -1,3 +1,4 @@
+import type {EjectionNotice} from './ejection-notice.ts';
 import type {FleetNodes} from './fleet-nodes.ts';
 
 /**
@@ -35,6 +36,18 @@
 	*/
 	readonly fleet?: FleetNodes;
 	/**
+	Whether nodes tell each other how requests ended at endpoints, and eject endpoints on the evidence of all.
+	*/
+	readonly isEvidenceShared?: boolean;
+	/**
+	Whether endpoints without an engine are chosen by the pace that their answers to all nodes show.
+	*/
+	readonly isPlainPaced?: boolean;
+	/**
+	Called when an endpoint is ejected on the evidence of all nodes, or returned to service.
+	*/
+	readonly onEjection?: (notice: EjectionNotice) => void;
+	/**
 	Called for each prompt that is sent to an endpoint.
 	*/
 	readonly onPlacement?: () => void;
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -44,6 +44,10 @@
 	*/
 	readonly getCooldownMs: (pool: string) => number;
 	/**
+	Whether a pool fails as a whole by the evidence of all nodes; `false` if they do not tell each other.
+	*/
+	readonly isPoolFailing: (pool: string) => boolean;
+	/**
 	Records that a request is sent to the chosen endpoint.
 	*/
 	readonly open: (selection: Selection, criteria: SelectionCriteria) => OpenRequest;
--- /dev/null
+++ b/gateway/selection/src/to-evidence.ts
@@ -0,0 +1,28 @@
+import {noEvidence, type EndpointEvidence} from '@valvesaddle/evidence';
+import {measureServiceMs} from '@valvesaddle/pace';
+import type {EndedRequest} from './ended-request.ts';
+
+type Converter = (request: EndedRequest) => EndpointEvidence | undefined;
+
+const failed: EndpointEvidence = {...noEvidence, answers: 1, failures: 1};
+
+const converters: Readonly<Record<EndedRequest['end'], Converter>> = {
+	done: ({elapsedMs, openBefore, selection}) => ({
+		...noEvidence, answers: 1, timedAnswers: 1, serviceMs: measureServiceMs({elapsedMs, openBefore, slots: selection.endpoint.slots}),
+	}),
+	failed: () => failed,
+	gone: () => failed,
+	rejected: () => ({...noEvidence, refusals: 1}),
+	// Not caused by the endpoint.
+	cancelled: () => undefined,
+};
+
+/**
+ Converts the end of a request to what it shows of its endpoint; `undefined` if that is nothing.
+
+ @example
+ toEvidence({selection, end: 'rejected', elapsedMs: 2, openBefore: 30})?.refusals; // 1
+ */
+export function toEvidence(request: EndedRequest): EndpointEvidence | undefined {
+	return converters[request.end](request);
+}
