feat(gateway): tell evidence with load updates, keep second tries for urgent routes

Outcomes by endpoint are told in four numbers of a load row. While a pool fails as a whole, less urgent routes leave the part of the retry budget that more urgent ones earned. Malformed evidence is rejected and logged.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -60,6 +60,14 @@
 		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
 		prefill_tokens_per_ms: z.number().positive().default(50),
+		/**
+		Whether nodes tell each other how requests ended at endpoints, and eject endpoints on the evidence of all.
+		*/
+		shared_evidence: z.boolean().default(false),
+		/**
+		Whether endpoints without an engine are chosen by the pace that they show to all nodes.
+		*/
+		plain_pace: z.boolean().default(false),
 	}).prefault({}),
 	admission: z.strictObject({
 		late_factor: z.number().positive().default(1.3),
--- a/dispatch/evidence/src/add-evidence.ts
+++ b/dispatch/evidence/src/add-evidence.ts
@@ -10,7 +10,6 @@
 	return {
 		answers: Math.max(0, a.answers + b.answers),
 		failures: Math.max(0, a.failures + b.failures),
-		refusals: Math.max(0, a.refusals + b.refusals),
 		timedAnswers: Math.max(0, a.timedAnswers + b.timedAnswers),
 		serviceMs: Math.max(0, a.serviceMs + b.serviceMs),
 	};
--- a/dispatch/evidence/src/advance-evidence.ts
+++ b/dispatch/evidence/src/advance-evidence.ts
@@ -3,7 +3,7 @@
 
 /**
 Share of a count that is kept from one step to the next. Failures are counted over about a second, so that a node with two requests a
-second adds to them; refusals and pace over less than half a second, since queues empty and endpoints slow down within that.
+second adds to them; the pace over less than half a second, since endpoints slow down for as short.
 */
 const keptCount = 0.6;
 const keptPace = 0.3;
@@ -24,11 +24,10 @@
 		...noEvidence,
 		answers: fitCount(keptCount * evidence.answers),
 		failures: fitCount(keptCount * evidence.failures),
-		refusals: fitCount(keptPace * evidence.refusals),
 		timedAnswers,
 		serviceMs: timedAnswers === 0 ? 0 : keptPace * evidence.serviceMs,
 	};
-	return aged.answers + aged.refusals + aged.timedAnswers === 0 ? undefined : aged;
+	return aged.answers + aged.timedAnswers === 0 ? undefined : aged;
 }
 
 function fitCount(count: number): number {
--- a/dispatch/evidence/src/endpoint-evidence.ts
+++ b/dispatch/evidence/src/endpoint-evidence.ts
@@ -12,10 +12,6 @@
 	*/
 	readonly failures: number;
 	/**
-	Requests that it refused before running them.
-	*/
-	readonly refusals: number;
-	/**
 	Answers whose time was measured, and the sum of these times without waiting for a place, in milliseconds: its pace.
 	*/
 	readonly timedAnswers: number;
--- a/dispatch/evidence/src/no-evidence.ts
+++ b/dispatch/evidence/src/no-evidence.ts
@@ -4,5 +4,5 @@
 Evidence of an endpoint without recent requests.
 */
 export const noEvidence: EndpointEvidence = {
-	answers: 0, failures: 0, refusals: 0, timedAnswers: 0, serviceMs: 0,
+	answers: 0, failures: 0, timedAnswers: 0, serviceMs: 0,
 };
--- a/dispatch/pace/src/pick-by-expectation.ts
+++ b/dispatch/pace/src/pick-by-expectation.ts
@@ -5,40 +5,38 @@
 	*/
 	readonly getExpectedMs: (candidate: T) => number;
 	/**
-	Whether the request must not be sent a second time: all candidates are compared, not two.
+	Whether the request can be sent again if its endpoint fails.
 	*/
-	readonly isUnrepeatable: boolean;
+	readonly isRepeatable: boolean;
 	/**
-	A random number from 0 to 1, 1 excluded.
+	Draws a number from 0 to 1, 1 excluded.
 	*/
 	readonly random: () => number;
 };
 
 /**
-Expected times up to this multiple of the best are alike: the error of a pace that is learned from a few answers.
+Exponents of the expected speed: what cannot be sent again depends more on the best expectations.
 */
-const alikeFactor = 1.25;
+const repeatableExponent = 1;
+const unrepeatableExponent = 2;
 
 /**
- Picks an endpoint by the expected time to the answer. Two candidates drawn at random are compared, so that nodes with the same late
- news do not all send to the same endpoint. Those that are expected to be alike are drawn by lot.
+ Picks an endpoint by lot, in proportion to its expected speed. Nodes whose news are equally late would all pick the best one by them,
+ and it would be the fullest when their requests arrive.
 
  @example
- pickByExpectation({candidates: ['a', 'b'], getExpectedMs: name => times[name], isUnrepeatable: false, random: Math.random}); // 'a'
+ pickByExpectation({candidates: ['a', 'b'], getExpectedMs: name => times[name], isRepeatable: true, random: Math.random}); // 'a'
  */
-export function pickByExpectation<T>({candidates, getExpectedMs, isUnrepeatable, random}: PickOptions<T>): T | undefined {
-	const compared = isUnrepeatable ? candidates : drawTwo(candidates, random);
-	const bestMs = Math.min(...compared.map(candidate => getExpectedMs(candidate)));
-	const alike = compared.filter(candidate => getExpectedMs(candidate) <= alikeFactor * bestMs);
-	return alike[Math.floor(random() * alike.length)];
-}
-
-function drawTwo<T>(candidates: readonly T[], random: () => number): readonly T[] {
-	if (candidates.length <= 2) {
-		return candidates;
+export function pickByExpectation<T>({candidates, getExpectedMs, isRepeatable, random}: PickOptions<T>): T | undefined {
+	const exponent = isRepeatable ? repeatableExponent : unrepeatableExponent;
+	const weights = candidates.map(candidate => getExpectedMs(candidate) ** -exponent);
+	let rest = random() * weights.reduce((sum, weight) => sum + weight, 0);
+	for (const [index, weight] of weights.entries()) {
+		rest -= weight;
+		if (rest < 0) {
+			return candidates[index];
+		}
 	}
 
-	const first = Math.floor(random() * candidates.length);
-	const second = (first + 1 + Math.floor(random() * (candidates.length - 1))) % candidates.length;
-	return candidates.filter((_candidate, index) => index === first || index === second);
+	return candidates.at(-1);
 }
--- a/gateway/forwarding/src/create-forwarder.ts
+++ b/gateway/forwarding/src/create-forwarder.ts
@@ -15,7 +15,7 @@
 	return {
 		forward(request, reply) {
 			open++;
-			options.budget.earn(request.pool);
+			options.budget.earn(request.pool, request.route.priority);
 			return createForwardTask(options, {
 				request,
 				reply,
--- a/gateway/retry-budget/src/create-retry-budget.ts
+++ b/gateway/retry-budget/src/create-retry-budget.ts
@@ -1,10 +1,23 @@
+import {countLeftToUrgent} from './count-left-to-urgent.ts';
 import type {RetryBudget} from './retry-budget.ts';
 import type {RetryBudgetOptions} from './retry-budget-options.ts';
+import type {RetryNeed} from './retry-need.ts';
 import type {RetryUsage} from './retry-usage.ts';
 
+type Entry = {
+	/**
+	In milliseconds on the monotonic clock.
+	*/
+	readonly at: number;
+	/**
+	Priority of the route, 0 the most urgent.
+	*/
+	readonly priority: number;
+};
+
 type Usage = {
-	readonly requests: number[];
-	readonly retries: number[];
+	readonly requests: Entry[];
+	readonly retries: Entry[];
 };
 
 /**
@@ -38,21 +51,29 @@
 		return {retries: retries.length, allowed: usedShare * ((ratio * requests.length) + (slack / Math.max(1, countNodes())))};
 	}
 
-	function hasRetry(pool: string): boolean {
+	function measureLeftToUrgent(pool: string, priority: number, allowed: number): number {
+		const {requests, retries} = getUsage(pool);
+		return countLeftToUrgent({
+			requests: requests.length, urgentRequests: countUrgent(requests, priority), urgentRetries: countUrgent(retries, priority), allowed,
+		});
+	}
+
+	function hasRetry(pool: string, {priority = 0, isScarce = false}: RetryNeed = {}): boolean {
 		const {retries, allowed} = readUsage(pool);
-		return retries + 1 <= allowed;
+		const left = isScarce && priority > 0 ? measureLeftToUrgent(pool, priority, allowed) : 0;
+		return retries + 1 <= allowed - left;
 	}
 
 	return {
-		earn(pool) {
-			getUsage(pool).requests.push(performance.now());
+		earn(pool, priority = 0) {
+			getUsage(pool).requests.push({at: performance.now(), priority});
 		},
-		spend(pool) {
-			if (!hasRetry(pool)) {
+		spend(pool, need) {
+			if (!hasRetry(pool, need)) {
 				return false;
 			}
 
-			getUsage(pool).retries.push(performance.now());
+			getUsage(pool).retries.push({at: performance.now(), priority: need?.priority ?? 0});
 			return true;
 		},
 		hasRetry,
@@ -60,7 +81,16 @@
 	};
 }
 
-function removeBefore(times: number[], oldest: number): void {
-	const index = times.findIndex(time => time >= oldest);
-	times.splice(0, index === -1 ? times.length : index);
+function removeBefore(entries: Entry[], oldest: number): void {
+	const index = entries.findIndex(({at}) => at >= oldest);
+	entries.splice(0, index === -1 ? entries.length : index);
+}
+
+function countUrgent(entries: readonly Entry[], priority: number): number {
+	let count = 0;
+	for (const entry of entries) {
+		count += entry.priority < priority ? 1 : 0;
+	}
+
+	return count;
 }
--- a/gateway/retry-budget/src/retry-budget.ts
+++ b/gateway/retry-budget/src/retry-budget.ts
@@ -1,3 +1,4 @@
+import type {RetryNeed} from './retry-need.ts';
 import type {RetryUsage} from './retry-usage.ts';
 
 /**
@@ -7,14 +8,14 @@
 	/**
 	Records a caller's request to a pool.
 	*/
-	readonly earn: (pool: string) => void;
+	readonly earn: (pool: string, priority?: number) => void;
 	/**
 	Whether a retry is left in the window.
 	*/
-	readonly hasRetry: (pool: string) => boolean;
+	readonly hasRetry: (pool: string, need?: RetryNeed) => boolean;
 	/**
 	Spends one retry; `false` if none is left in the window.
 	*/
-	readonly spend: (pool: string) => boolean;
+	readonly spend: (pool: string, need?: RetryNeed) => boolean;
 	readonly readUsage: (pool: string) => RetryUsage;
 };
--- a/gateway/selection/src/create-plain-chooser.ts
+++ b/gateway/selection/src/create-plain-chooser.ts
@@ -37,13 +37,11 @@
 	}
 
 	return {
-		choose(ready, candidates, {urgency, isRepeatable}) {
+		choose(ready, candidates, {urgency, isRepeatable = true}) {
 			const pool = ready.map(endpoint => getEvidence(endpoint)).reduce((sum, evidence) => addEvidence(sum, evidence), noEvidence);
-			const spared = candidates.filter(endpoint => getEvidence(endpoint).refusals > 0);
-			const usable = spared.length < candidates.length ? candidates.filter(endpoint => !spared.includes(endpoint)) : candidates;
-			const rated = usable.map(endpoint => ({endpoint, costMs: predict(endpoint, pool)}));
+			const rated = candidates.map(endpoint => ({endpoint, costMs: predict(endpoint, pool)}));
 			const picked = pickByExpectation({
-				candidates: rated, getExpectedMs: ({costMs}) => costMs, isUnrepeatable: isRepeatable === false, random,
+				candidates: rated, getExpectedMs: ({costMs}) => costMs, isRepeatable, random,
 			});
 			return picked && {
 				...picked, heldTokens: 0, readMs: 0, harmMs: 0, urgency, candidates: candidates.length,
--- a/gateway/selection/src/remove-load.ts
+++ b/gateway/selection/src/remove-load.ts
@@ -23,6 +23,6 @@
 
 function removeEvidence(sum: EndpointEvidence, part: EndpointEvidence | undefined): EndpointEvidence {
 	return part === undefined ? sum : addEvidence(sum, {
-		answers: -part.answers, failures: -part.failures, refusals: -part.refusals, timedAnswers: -part.timedAnswers, serviceMs: -part.serviceMs,
+		answers: -part.answers, failures: -part.failures, timedAnswers: -part.timedAnswers, serviceMs: -part.serviceMs,
 	});
 }
--- a/gateway/selection/src/to-evidence.ts
+++ b/gateway/selection/src/to-evidence.ts
@@ -12,7 +12,8 @@
 	}),
 	failed: () => failed,
 	gone: () => failed,
-	rejected: () => ({...noEvidence, refusals: 1}),
+	// A full endpoint is healthy; its pace and open requests tell the rest.
+	rejected: () => undefined,
 	// Not caused by the endpoint.
 	cancelled: () => undefined,
 };
@@ -21,7 +22,7 @@
  Converts the end of a request to what it shows of its endpoint; `undefined` if that is nothing.
 
  @example
- toEvidence({selection, end: 'rejected', elapsedMs: 2, openBefore: 30})?.refusals; // 1
+ toEvidence({selection, end: 'failed', elapsedMs: 2, openBefore: 30})?.failures; // 1
  */
 export function toEvidence(request: EndedRequest): EndpointEvidence | undefined {
 	return converters[request.end](request);
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -19,6 +19,7 @@
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
+import {createEjectionRecorder} from './create-ejection-recorder.ts';
 import {createPeerSync} from './create-peer-sync.ts';
 import {createReadyServer} from './create-ready-server.ts';
 import {defaultLimits} from './default-limits.ts';
@@ -104,6 +105,9 @@
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 		hasConnection: address => exchanges.hasIdle(address),
 		fleet: {self: self.id, list: () => listFleet()},
+		isEvidenceShared: selection.shared_evidence,
+		isPlainPaced: selection.plain_pace,
+		onEjection: createEjectionRecorder({logger, metrics}),
 		onPlacement() {
 			sync.sendPlacements();
 		},
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,5 +1,6 @@
 import {setImmediate as waitForTurn, setTimeout as wait} from 'node:timers/promises';
 import {measureFleetFactor} from '@valvesaddle/cluster-view';
+import {toValvesaddleError} from '@valvesaddle/error';
 import {rankByHash} from '@valvesaddle/ranking';
 import {formatIncarnation} from '@valvesaddle/selection';
 import {measureTick} from '@valvesaddle/ticks';
@@ -136,6 +137,15 @@
 		};
 	}
 
+	function applyLoadUpdate(parameters: unknown, node: string): void {
+		try {
+			loadSync.applyLoadUpdate(parameters, node);
+		} catch (error) {
+			logger.warn({name: 'load-update-rejected', peer: node, reason: toValvesaddleError(error).message});
+			throw error;
+		}
+	}
+
 	view.events.on('incarnation', ({data: {before}}) => {
 		loadSync.removeEndpoint(formatIncarnation(before));
 	});
@@ -183,7 +193,7 @@
 			},
 		},
 		handlers: {
-			'load.news': withLastSeen(loadSync.applyLoadUpdate),
+			'load.news': withLastSeen(applyLoadUpdate),
 			'usage.rows': withLastSeen((parameters, node) => usage?.apply(parameters, node)),
 			'quarantine.rows': withLastSeen(quarantineSync.apply),
 			'cluster.heartbeat': withLastSeen(clusterSync.applyHeartbeat),
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -1,4 +1,5 @@
 import {ValvesaddleError} from '@valvesaddle/error';
+import type {EndpointEvidence} from '@valvesaddle/evidence';
 import type {OriginLoadUpdate} from '@valvesaddle/news';
 import type {EndpointLoad, Placement} from '@valvesaddle/selection';
 
@@ -7,6 +8,13 @@
 */
 const maximumRanks = 64;
 const loadFields = 8;
+const evidenceFields = 4;
+/**
+More requests than a fleet ends at one endpoint in a second, and more milliseconds than they take: larger counts would outweigh all
+other nodes.
+*/
+const maximumAnswers = 100_000;
+const maximumServiceMs = 1e9;
 const placementFields = 4;
 
 /**
@@ -28,17 +36,28 @@
 }
 
 function parseLoad(row: unknown): readonly [string, EndpointLoad] {
-	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs] = parseRow(row, loadFields);
+	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, evidence] = parseRow(row, loadFields, 1);
 	if (typeof endpoint === 'string' && isAmount(open) && isPendingPrefill(pendingPrefill) && isAmount(sensitivity)
 		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs)) {
 		return [endpoint, {
-			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs,
+			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, ...evidence !== undefined && {evidence: parseEvidence(evidence)},
 		}];
 	}
 
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'load row must consist of an endpoint name and non-negative numbers');
 }
 
+function parseEvidence(row: unknown): EndpointEvidence {
+	const [answers, failures, timedAnswers, serviceMs] = parseRow(row, evidenceFields);
+	if (isCount(answers) && isCount(failures) && isCount(timedAnswers) && isAmount(serviceMs) && serviceMs <= maximumServiceMs) {
+		return {
+			answers, failures, timedAnswers, serviceMs,
+		};
+	}
+
+	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', `evidence must consist of at most ${maximumAnswers} answers and as many failures, and the time of answers`);
+}
+
 function parsePlacement(row: unknown): Placement {
 	const [endpoint, pool, parts, tokens] = parseRow(row, placementFields);
 	if (typeof endpoint === 'string' && typeof pool === 'string' && isNames(parts) && isAmount(tokens)) {
@@ -50,8 +69,11 @@
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'placement row must consist of names and a non-negative number');
 }
 
-function parseRow(row: unknown, fields: number): readonly unknown[] {
-	if (Array.isArray(row) && row.length === fields) {
+/**
+Parses a row of this many fields, and optional ones at its end.
+*/
+function parseRow(row: unknown, fields: number, optionalFields = 0): readonly unknown[] {
+	if (Array.isArray(row) && row.length >= fields && row.length <= fields + optionalFields) {
 		return row as readonly unknown[];
 	}
 
@@ -62,6 +84,10 @@
 	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+function isCount(value: unknown): value is number {
+	return isAmount(value) && value <= maximumAnswers;
+}
+
 function isPendingPrefill(value: unknown): value is readonly number[] {
 	return Array.isArray(value) && value.length <= maximumRanks && value.every(tokens => isAmount(tokens));
 }
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -92,6 +92,12 @@
 		readonly denial: string; readonly retries: number; readonly allowedRetries: number;
 	}
 	| {readonly name: 'endpoint-limit'; readonly request: string; readonly endpoint: string; readonly limit: number | 'invalid' | undefined}
+	| {readonly name: 'load-update-rejected'; readonly peer: string; readonly reason: string}
+	| {
+		readonly name: 'endpoint-ejected'; readonly endpoint: string; readonly pool: string; readonly reason: string;
+		readonly answers: number; readonly failures: number; readonly nodes: number;
+	}
+	| {readonly name: 'endpoint-returned'; readonly endpoint: string; readonly pool: string; readonly answers: number; readonly nodes: number}
 	| {readonly name: 'endpoint-crashed'; readonly endpoint: string; readonly evidence: string; readonly requests: number}
 	| {readonly name: 'request-quarantined'; readonly digest: string; readonly endpoints: readonly string[]}
 	| {readonly name: 'move-reverted'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string}
