--- a/dispatch/evidence/src/find-failing.ts
+++ b/dispatch/evidence/src/find-failing.ts
@@ -48,7 +48,7 @@
 	const failing: string[] = [];
 	for (const candidate of rest.filter(({evidence}) => isSuspect(evidence)).toSorted((a, b) => measureShare(b.evidence) - measureShare(a.evidence))) {
 		const others = rest.filter(other => other !== candidate);
-		if (allowed === 0 || !isOutlier(candidate.evidence, sumEvidence(others))) {
+		if (allowed === 0 || !isOutlier(candidate.evidence, countAnswers(others))) {
 			continue;
 		}
 
@@ -68,7 +68,7 @@
 	return answers === 0 ? 0 : Math.min(1, failures / answers);
 }
 
-function sumEvidence(evidence: readonly KnownEvidence[]): Sum {
+function countAnswers(evidence: readonly KnownEvidence[]): Sum {
 	let answers = 0;
 	let failures = 0;
 	for (const {evidence: part} of evidence) {
--- a/dispatch/pace/test/pace.test.ts
+++ b/dispatch/pace/test/pace.test.ts
@@ -46,13 +46,17 @@
 });
 
 test('one of the candidates is picked, whatever they are expected to take', t => {
-	fc.assert(fc.property(fc.array(fc.double({min: 1e-3, max: 1e9, noNaN: true}), {minLength: 1, maxLength: 30}), fc.double({min: 0, max: 0.999_999, noNaN: true}), fc.boolean(), (times, drawn, isRepeatable) => {
+	const drawnTimes = fc.array(fc.double({min: 1e-3, max: 1e9, noNaN: true}), {minLength: 1, maxLength: 30});
+	const numbers = fc.double({
+		min: 0, max: 1, maxExcluded: true, noNaN: true,
+	});
+	fc.assert(fc.property(drawnTimes, numbers, fc.boolean(), (times, drawn, isRepeatable) => {
 		const picked = pickByExpectation({
 			candidates: times.map((_time, index) => index), getExpectedMs: index => times[index] ?? 0, isRepeatable, random: () => drawn,
 		});
 		return picked !== undefined && picked < times.length;
 	}));
-	t.equal(pickByExpectation({
+	t.equal(pickByExpectation<string>({
 		candidates: [], getExpectedMs: () => 1, isRepeatable: true, random: () => 0,
 	}), undefined);
 	t.end();
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -55,7 +55,9 @@
 		tried,
 		isRepeatable: isRetryable(route),
 	};
-	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget, isPoolFailing: () => selector.isPoolFailing(request.pool)});
+	const retries = createRetryAllowance({
+		route, pool: request.pool, budget: options.budget, isPoolFailing: () => selector.isPoolFailing(request.pool),
+	});
 	const {pauseMs} = getProgressTimeouts(route, 0);
 	const progressTimer = createProgressTimer(milliseconds => {
 		if (!canMove()) {
--- a/gateway/selection/src/create-evidence-watch.ts
+++ b/gateway/selection/src/create-evidence-watch.ts
@@ -58,12 +58,14 @@
 			ejections.set(endpoint, after);
 		}
 
-		if (after?.state !== 'probing') {
-			const reason = after === undefined ? 'returned' : (before === undefined ? 'failing' : 'probe-failed');
-			onChanged({
-				endpoint, pool, reason, answers: evidence.answers, failures: evidence.failures,
-			});
+		if (after?.state === 'probing') {
+			return;
 		}
+
+		const reason = before === undefined ? 'failing' : 'probe-failed';
+		onChanged({
+			endpoint, pool, reason: after === undefined ? 'returned' : reason, answers: evidence.answers, failures: evidence.failures,
+		});
 	}
 
 	function decide(pool: string, known: readonly KnownEvidence[]): void {
--- a/gateway/selection/src/create-load-table.ts
+++ b/gateway/selection/src/create-load-table.ts
@@ -61,7 +61,7 @@
 		};
 	}
 
-	function ageEvidence(): void {
+	function advanceOwnEvidence(): void {
 		if (performance.now() - agedAt < evidenceStepMs) {
 			return;
 		}
@@ -161,7 +161,7 @@
 			}
 		},
 		takeChanged() {
-			ageEvidence();
+			advanceOwnEvidence();
 			const changedLoads = [...changed].map(endpoint => [endpoint, own.get(endpoint) ?? noLoad] as const);
 			changed.clear();
 			return changedLoads;
--- a/gateway/selection/src/create-plain-chooser.ts
+++ b/gateway/selection/src/create-plain-chooser.ts
@@ -26,6 +26,15 @@
 		return loads.get(incarnation).evidence ?? noEvidence;
 	}
 
+	function addAll(endpoints: readonly KnownEndpoint[]): EndpointEvidence {
+		let sum = noEvidence;
+		for (const endpoint of endpoints) {
+			sum = addEvidence(sum, getEvidence(endpoint));
+		}
+
+		return sum;
+	}
+
 	function predict(endpoint: KnownEndpoint, pool: EndpointEvidence): number {
 		const evidence = getEvidence(endpoint);
 		return predictAnswerMs({
@@ -38,7 +47,7 @@
 
 	return {
 		choose(ready, candidates, {urgency, isRepeatable = true}) {
-			const pool = ready.map(endpoint => getEvidence(endpoint)).reduce((sum, evidence) => addEvidence(sum, evidence), noEvidence);
+			const pool = addAll(ready);
 			const rated = candidates.map(endpoint => ({endpoint, costMs: predict(endpoint, pool)}));
 			const picked = pickByExpectation({
 				candidates: rated, getExpectedMs: ({costMs}) => costMs, isRepeatable, random,
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -1,8 +1,9 @@
 import type {ServicePool, ServingEndpoint} from '@valvesaddle/gateway-types';
+import {chooseByLoad} from './choose-by-load.ts';
 import {createBoundedSet} from './create-bounded-set.ts';
 import {createCooldownTable} from './create-cooldown-table.ts';
-import {createEvidenceWatch} from './create-evidence-watch.ts';
 import {createFailureTable} from './create-failure-table.ts';
+import {createFleetEvidence} from './create-fleet-evidence.ts';
 import {createLoadTable} from './create-load-table.ts';
 import {createPlainChooser} from './create-plain-chooser.ts';
 import {createPrefixCacheModel} from './create-prefix-cache-model.ts';
@@ -68,13 +69,9 @@
 		measureLongestPauseMs: pool => chooser.getPauseModel(pool).getLongestPauseMs(),
 		onStalled: failures.ejectStalled,
 	});
-	const evidenceWatch = options.isEvidenceShared === true
-		? createEvidenceWatch({
-			loads, fleet, toUnixTime, onChanged(notice) {
-				options.onEjection?.({...notice, nodes: Math.max(1, Math.round(fleet.list().length / unseenFactor))});
-			},
-		})
-		: undefined;
+	const evidenceWatch = createFleetEvidence({
+		settings: options, loads, fleet, toUnixTime, getUnseenFactor: () => unseenFactor,
+	});
 	const plainChooser = options.isPlainPaced === true ? createPlainChooser({loads, random: Math.random}) : undefined;
 	const isEvidenceKept = evidenceWatch !== undefined || plainChooser !== undefined;
 	const tracker = createRequestTracker({
@@ -138,14 +135,7 @@
 	}
 
 	function choosePlain(ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
-		return plainChooser === undefined ? chooseByLoad(candidates, criteria) : plainChooser.choose(ready, candidates, criteria);
-	}
-
-	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
-		const rated = candidates.map(endpoint => ({
-			endpoint, heldTokens: 0, costMs: (loads.get(endpoint.incarnation).open + Math.random()) / endpoint.slots, readMs: 0, harmMs: 0, urgency: criteria.urgency, candidates: candidates.length,
-		}));
-		return rated.toSorted((a, b) => a.costMs - b.costMs)[0];
+		return plainChooser === undefined ? chooseByLoad({loads, candidates, urgency: criteria.urgency}) : plainChooser.choose(ready, candidates, criteria);
 	}
 
 	function choose(criteria: SelectionCriteria): Selection | undefined {
--- a/gateway/selection/src/remove-load.ts
+++ b/gateway/selection/src/remove-load.ts
@@ -22,7 +22,9 @@
 }
 
 function removeEvidence(sum: EndpointEvidence, part: EndpointEvidence | undefined): EndpointEvidence {
-	return part === undefined ? sum : addEvidence(sum, {
-		answers: -part.answers, failures: -part.failures, timedAnswers: -part.timedAnswers, serviceMs: -part.serviceMs,
-	});
+	return part === undefined
+		? sum
+		: addEvidence(sum, {
+			answers: -part.answers, failures: -part.failures, timedAnswers: -part.timedAnswers, serviceMs: -part.serviceMs,
+		});
 }
--- a/gateway/selection/test/evidence.test.ts
+++ b/gateway/selection/test/evidence.test.ts
@@ -4,6 +4,7 @@
 */
 import {Clock} from 'clock-mock';
 import {test, type Test} from 'tap';
+import {playPool, type PoolLoad} from './play-pool.ts';
 import {
 	addLoads,
 	createSelector,
@@ -13,7 +14,6 @@
 	type EjectionNotice,
 	type SelectorOptions,
 } from '@valvesaddle/selection';
-import {playPool, type PoolLoad} from './play-pool.ts';
 
 const options: SelectorOptions = {
 	interferenceWeight: 1, riskWeight: 1, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50,
@@ -37,12 +37,16 @@
 	getServiceMs: (endpoint, at) => (at + (endpoint * 1333)) % 4000 < 600 ? 75 : 30,
 	getFailingShare: () => 0,
 };
-const failingLoad: Omit<PoolLoad, 'seed'> = {...load, endpoints: 6, perSecond: 200, getServiceMs: () => 30};
+const failingLoad: Omit<PoolLoad, 'seed'> = {
+	...load, endpoints: 6, perSecond: 200, getServiceMs: () => 30,
+};
 
 function playSeeds(played: Omit<PoolLoad, 'seed'>, changed: Partial<SelectorOptions>) {
 	const reports = seeds.map(seed => playPool({...played, seed}, changed));
 	const count = (key: keyof typeof reports[number]): number => reports.reduce((sum, report) => sum + report[key], 0);
-	return {requests: count('requests'), notInTime: count('requests') - count('inTime'), failed: count('failed'), shed: count('shed'), ejections: count('ejections')};
+	return {
+		requests: count('requests'), notInTime: count('requests') - count('inTime'), failed: count('failed'), shed: count('shed'), ejections: count('ejections'),
+	};
 }
 
 test('two of six endpoints fail all requests for four seconds', t => {
@@ -97,9 +101,17 @@
 		});
 	}
 
-	return {clock, selector, notices, apply(node: string, answers: number, failures: number, endpoint = 'p-1') {
-		selector.applyLoadUpdate(node, {loads: [[endpoint, {...noLoad, evidence: {answers, failures, timedAnswers: 0, serviceMs: 0}}]], placements: []});
-	}};
+	return {
+		clock, selector, notices, apply(node: string, answers: number, failures: number, endpoint = 'p-1') {
+			selector.applyLoadUpdate(node, {
+				loads: [[endpoint, {
+					...noLoad, evidence: {
+						answers, failures, timedAnswers: 0, serviceMs: 0,
+					},
+				}]], placements: [],
+			});
+		},
+	};
 }
 
 function choose(selector: ReturnType<typeof createNode>['selector'], isRepeatable = true): ReadonlySet<string | undefined> {
--- a/gateway/selection/test/play-pool.ts
+++ b/gateway/selection/test/play-pool.ts
@@ -16,6 +16,7 @@
 const updateMs = 100;
 const [minimumDelayMs, maximumDelayMs] = [50, 500];
 const maximumTries = 5;
+const maximumRuns = 2;
 const retryBudget = {ratio: 0.2, slack: 50, windowMs: 10_000};
 
 /**
@@ -61,7 +62,7 @@
 	readonly shed: number;
 	readonly retries: number;
 	/**
-	Most endpoints that one node counted as ejected at once.
+	Ejections on shared evidence, summed over nodes.
 	*/
 	readonly ejections: number;
 };
@@ -89,7 +90,9 @@
 	// Of its own, so that all decisions meet the same requests.
 	const drawRequest = createRandom(load.seed + 2);
 	const names = Array.from({length: load.nodes}, (_value, index) => `n-${index}`);
-	const counts = {requests: 0, inTime: 0, late: 0, failed: 0, unsafe: 0, unsafeInTime: 0, arrivals: 0, shed: 0, retries: 0, ejections: 0};
+	const counts = {
+		requests: 0, inTime: 0, late: 0, failed: 0, unsafe: 0, unsafeInTime: 0, arrivals: 0, shed: 0, retries: 0, ejections: 0,
+	};
 
 	function add(delayMs: number, handler: () => void): void {
 		const due = at + Math.max(1, Math.round(delayMs));
@@ -168,6 +171,11 @@
 			counts.unsafeInTime += isInTime && isUnsafe ? 1 : 0;
 		}
 
+		function canRepeat(): boolean {
+			runs++;
+			return !isUnsafe && runs < maximumRuns && budget.spend('plain');
+		}
+
 		function attempt(): void {
 			const chosen = tried.size < maximumTries ? selector.choose(criteria) : undefined;
 			if (chosen === undefined) {
@@ -181,7 +189,7 @@
 					end(true);
 				} else if (sent === 'rejected') {
 					attempt();
-				} else if (++runs < 2 && !isUnsafe && budget.spend('plain')) {
+				} else if (canRepeat()) {
 					counts.retries++;
 					attempt();
 				} else {
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -1,12 +1,12 @@
 import {setImmediate as waitForTurn, setTimeout as wait} from 'node:timers/promises';
 import {measureFleetFactor} from '@valvesaddle/cluster-view';
-import {toValvesaddleError} from '@valvesaddle/error';
 import {rankByHash} from '@valvesaddle/ranking';
 import {formatIncarnation} from '@valvesaddle/selection';
 import {measureTick} from '@valvesaddle/ticks';
 import {createClusterSync} from './create-cluster-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createLoadSync} from './create-load-sync.ts';
+import {createLoadUpdateHandler} from './create-load-update-handler.ts';
 import {createQuarantineSync} from './create-quarantine-sync.ts';
 import {createUsageSync} from './create-usage-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
@@ -137,15 +137,6 @@
 		};
 	}
 
-	function applyLoadUpdate(parameters: unknown, node: string): void {
-		try {
-			loadSync.applyLoadUpdate(parameters, node);
-		} catch (error) {
-			logger.warn({name: 'load-update-rejected', peer: node, reason: toValvesaddleError(error).message});
-			throw error;
-		}
-	}
-
 	view.events.on('incarnation', ({data: {before}}) => {
 		loadSync.removeEndpoint(formatIncarnation(before));
 	});
@@ -193,7 +184,7 @@
 			},
 		},
 		handlers: {
-			'load.news': withLastSeen(applyLoadUpdate),
+			'load.news': withLastSeen(createLoadUpdateHandler({loadSync, logger})),
 			'usage.rows': withLastSeen((parameters, node) => usage?.apply(parameters, node)),
 			'quarantine.rows': withLastSeen(quarantineSync.apply),
 			'cluster.heartbeat': withLastSeen(clusterSync.applyHeartbeat),
