--- a/dispatch/evidence/src/endpoint-evidence.ts
+++ b/dispatch/evidence/src/endpoint-evidence.ts
@@ -4,11 +4,11 @@
 */
 export type EndpointEvidence = {
 	/**
-	Requests that ended at the endpoint, failed ones included.
+	Requests that the endpoint answered, also with an error.
 	*/
 	readonly answers: number;
 	/**
-	Those that the endpoint failed.
+	Those that it answered with an error.
 	*/
 	readonly failures: number;
 	/**
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -148,7 +148,7 @@
 			events.onNotRun();
 			events.onFailure({cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false});
 		} else if (answerClass === 'run-failed') {
-			openRequest.close('failed');
+			openRequest.close('erred');
 			events.onFailure({
 				cause: 'failed', reason: `failed with ${status}`, mayHaveRun: true, answer: completed,
 			});
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -93,6 +93,9 @@
 		rejected(id) {
 			failures.recordRefusal(id);
 		},
+		erred(id) {
+			failures.record(id, true);
+		},
 		failed(id) {
 			failures.record(id, true);
 		},
--- a/gateway/selection/src/open-request.ts
+++ b/gateway/selection/src/open-request.ts
@@ -31,7 +31,7 @@
 };
 
 /**
-How a request ended at an endpoint: `done`, `failed` by the endpoint, `rejected` before it ran, `gone` if the endpoint
+How a request ended at an endpoint: `done`, `erred` by an answer that is an error, `failed` without a whole answer, `rejected` before it ran, `gone` if the endpoint
 was unreachable or another one answers at its address, or `cancelled` by the gateway.
 */
-type RequestEnd = 'done' | 'failed' | 'rejected' | 'gone' | 'cancelled';
+type RequestEnd = 'done' | 'erred' | 'failed' | 'rejected' | 'gone' | 'cancelled';
--- a/gateway/selection/test/evidence.test.ts
+++ b/gateway/selection/test/evidence.test.ts
@@ -171,7 +171,7 @@
 	apply('n2', 50, 50);
 	t.ok(choose(selector).has('p-1'));
 	const selection = selector.choose(criteria);
-	selector.open(selection!, criteria).close('failed');
+	selector.open(selection!, criteria).close('erred');
 	t.notOk(selector.takeLoadUpdate()?.loads.some(([, row]) => row.evidence !== undefined));
 	t.notOk(selector.isPoolFailing('plain'));
 	t.same(notices, []);
@@ -181,7 +181,7 @@
 test('own evidence is told, ages without further requests, and ends', t => {
 	const {clock, selector} = createNode(t, {isEvidenceShared: true});
 	const selection = selector.choose(criteria);
-	selector.open(selection!, criteria).close('failed');
+	selector.open(selection!, criteria).close('erred');
 	const told: unknown[] = [];
 	for (let step = 0; step < 8; step++) {
 		told.push(selector.takeLoadUpdate()?.loads[0]?.[1].evidence?.failures);
@@ -204,3 +204,15 @@
 	t.notOk('evidence' in addLoads(noLoad, noLoad));
 	t.end();
 });
+
+test('requests that a crash breaks off are no evidence that the endpoint fails', t => {
+	const {selector} = createNode(t, {isEvidenceShared: true});
+	const selection = selector.choose(criteria);
+	const requests = Array.from({length: 9}, () => selector.open(selection!, criteria));
+	for (const [index, request] of requests.entries()) {
+		request.close(index % 2 === 0 ? 'failed' : 'gone');
+	}
+
+	t.notOk(selector.takeLoadUpdate()?.loads.some(([, told]) => told.evidence !== undefined));
+	t.end();
+});
--- a/gateway/selection/test/play-pool.ts
+++ b/gateway/selection/test/play-pool.ts
@@ -113,11 +113,11 @@
 		});
 	}
 
-	function sendTo(endpoint: number, onEnd: (end: 'done' | 'failed' | 'rejected') => void): void {
+	function sendTo(endpoint: number, onEnd: (end: 'done' | 'erred' | 'rejected') => void): void {
 		const queue = queues[endpoint]!;
 		const handleEnd = (isFailed: boolean) => {
 			add(linkMs, () => {
-				onEnd(isFailed ? 'failed' : 'done');
+				onEnd(isFailed ? 'erred' : 'done');
 			});
 		};
 
@@ -201,7 +201,7 @@
 		attempt();
 	}
 
-	function send(selector: Selector, chosen: Selection, criteria: SelectionCriteria, onEnd: (end: 'done' | 'failed' | 'rejected') => void): void {
+	function send(selector: Selector, chosen: Selection, criteria: SelectionCriteria, onEnd: (end: 'done' | 'erred' | 'rejected') => void): void {
 		const open = selector.open(chosen, criteria);
 		add(linkMs, () => {
 			sendTo(ids.indexOf(chosen.endpoint.id), end => {
