fix(gateway): tell evidence beside the load rows

Earlier versions reject load rows of another length, so nodes of both versions would have dropped each other's whole updates while a fleet is upgraded. They pass over a list of its own.

--- a/gateway/news/test/load-aggregator.test.ts
+++ b/gateway/news/test/load-aggregator.test.ts
@@ -193,3 +193,21 @@
 	t.same(aggregator.takeForRelay('r9')?.loads, [['i-1', toLoad(3)]], 'sums include only loads added since');
 	t.end();
 });
+
+test('evidence is summed for a relay, and a member is sent that of all others', t => {
+	const aggregator = createLinkedAggregator();
+	const createEvidence = (origin: string, answers: number): OriginLoadUpdate => ({
+		origin, nodes: 1, placements: [], loads: [['i-1', {
+			...noLoad, evidence: {
+				answers, failures: answers / 2, timedAnswers: answers, serviceMs: 30 * answers,
+			},
+		}]],
+	});
+	aggregator.addMember(createEvidence('n1', 2));
+	aggregator.addMember(createEvidence('n2', 4));
+	t.same(aggregator.takeForRelay('r9')?.loads[0]?.[1].evidence, {
+		answers: 6, failures: 3, timedAnswers: 6, serviceMs: 180,
+	});
+	t.same(aggregator.takeForMember('n1')?.loads[0]?.[1].evidence, createEvidence('n2', 4).loads[0]?.[1].evidence);
+	t.end();
+});
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -3,12 +3,12 @@
 */
 type LoadRow = readonly [
 	endpoint: string, open: number, pendingPrefill: readonly number[], sensitivity: number, observers: number, stalledObservers: number,
-	prefilledTokens: number, prefillMs: number, evidence?: EvidenceRow,
+	prefilledTokens: number, prefillMs: number,
 ];
 /**
-Fields of `EndpointEvidence` in their order; left out if there is none.
+Evidence of the endpoint in the load row at this index, in the order of the fields of `EndpointEvidence`.
 */
-type EvidenceRow = readonly [answers: number, failures: number, timedAnswers: number, serviceMs: number];
+type EvidenceRow = readonly [index: number, answers: number, failures: number, timedAnswers: number, serviceMs: number];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
 /**
@@ -18,4 +18,8 @@
 	readonly nodes: number;
 	readonly loads: readonly LoadRow[];
 	readonly placements: readonly PlacementRow[];
+	/**
+	Left out if there is none. Earlier versions ignore it.
+	*/
+	readonly evidence?: readonly EvidenceRow[];
 };
--- a/node/gateway/src/parse-load-update.ts
+++ b/node/gateway/src/parse-load-update.ts
@@ -8,7 +8,7 @@
 */
 const maximumRanks = 64;
 const loadFields = 8;
-const evidenceFields = 4;
+const evidenceFields = 5;
 /**
 More requests than a fleet ends at one endpoint in a second, and more milliseconds than they take: larger counts would outweigh all
 other nodes.
@@ -27,35 +27,37 @@
  parseLoadUpdate({nodes: 1, loads: [['i-7f', 2, [], 0, 0, 0, 0, 0]], placements: []}).loads[0]?.[1].open; // 2
  */
 export function parseLoadUpdate(message: unknown): Omit<OriginLoadUpdate, 'origin'> {
-	const {nodes, loads, placements} = message as Readonly<Record<string, unknown>>;
-	if (!(isAmount(nodes) && Number.isSafeInteger(nodes) && Array.isArray(loads) && Array.isArray(placements))) {
-		throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'load update without valid nodes, loads or placements');
+	const {nodes, loads, placements, evidence = []} = message as Readonly<Record<string, unknown>>;
+	if (!(isAmount(nodes) && Number.isSafeInteger(nodes) && Array.isArray(loads) && Array.isArray(placements) && Array.isArray(evidence))) {
+		throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'load update without valid nodes, loads, placements or evidence');
 	}
 
-	return {nodes, loads: loads.map(row => parseLoad(row)), placements: placements.map(row => parsePlacement(row))};
+	const told = new Map(evidence.map(row => parseEvidence(row, loads.length)));
+	return {nodes, loads: loads.map((row, index) => parseLoad(row, told.get(index))), placements: placements.map(row => parsePlacement(row))};
 }
 
-function parseLoad(row: unknown): readonly [string, EndpointLoad] {
-	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, evidence] = parseRow(row, loadFields, 1);
+function parseLoad(row: unknown, evidence: EndpointEvidence | undefined): readonly [string, EndpointLoad] {
+	const [endpoint, open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs] = parseRow(row, loadFields);
 	if (typeof endpoint === 'string' && isAmount(open) && isPendingPrefill(pendingPrefill) && isAmount(sensitivity)
 		&& isAmount(observers) && isAmount(stalledObservers) && isAmount(prefilledTokens) && isAmount(prefillMs)) {
 		return [endpoint, {
-			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, ...evidence !== undefined && {evidence: parseEvidence(evidence)},
+			open, pendingPrefill, sensitivity, observers, stalledObservers, prefilledTokens, prefillMs, ...evidence !== undefined && {evidence},
 		}];
 	}
 
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'load row must consist of an endpoint name and non-negative numbers');
 }
 
-function parseEvidence(row: unknown): EndpointEvidence {
-	const [answers, failures, timedAnswers, serviceMs] = parseRow(row, evidenceFields);
-	if (isCount(answers) && isCount(failures) && isCount(timedAnswers) && isAmount(serviceMs) && serviceMs <= maximumServiceMs) {
-		return {
+function parseEvidence(row: unknown, loads: number): readonly [index: number, evidence: EndpointEvidence] {
+	const [index, answers, failures, timedAnswers, serviceMs] = parseRow(row, evidenceFields);
+	if (isAmount(index) && Number.isSafeInteger(index) && index < loads
+		&& isCount(answers) && isCount(failures) && isCount(timedAnswers) && isAmount(serviceMs) && serviceMs <= maximumServiceMs) {
+		return [index, {
 			answers, failures, timedAnswers, serviceMs,
-		};
+		}];
 	}
 
-	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', `evidence must consist of at most ${maximumAnswers} answers and as many failures, and the time of answers`);
+	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', `evidence row must consist of the index of a load row, up to ${maximumAnswers} answers and failures, and a time`);
 }
 
 function parsePlacement(row: unknown): Placement {
@@ -69,11 +71,8 @@
 	throw new ValvesaddleError('ERR_VALVESADDLE_MESSAGE_INVALID', 'placement row must consist of names and a non-negative number');
 }
 
-/**
-Parses a row of this many fields, and optional ones at its end.
-*/
-function parseRow(row: unknown, fields: number, optionalFields = 0): readonly unknown[] {
-	if (Array.isArray(row) && row.length >= fields && row.length <= fields + optionalFields) {
+function parseRow(row: unknown, fields: number): readonly unknown[] {
+	if (Array.isArray(row) && row.length === fields) {
 		return row as readonly unknown[];
 	}
 
--- a/node/gateway/test/evidence-lines.test.ts
+++ b/node/gateway/test/evidence-lines.test.ts
@@ -50,7 +50,9 @@
 	});
 	for (const failures of [-1, 1e12]) {
 		t.throws(() => {
-			handle({nodes: 1, loads: [['i-1', 0, [], 0, 0, 0, 0, 0, [1, failures, 0, 0]]], placements: []}, 'n2');
+			handle({
+				nodes: 1, loads: [['i-1', 0, [], 0, 0, 0, 0, 0]], placements: [], evidence: [[0, 1, failures, 0, 0]],
+			}, 'n2');
 		});
 	}
 
--- a/node/gateway/test/parse-load-update.test.ts
+++ b/node/gateway/test/parse-load-update.test.ts
@@ -34,28 +34,57 @@
 	t.end();
 });
 
-test('evidence is told in a row of its own, and a row without it is that of a node that tells none', t => {
+test('evidence is told beside the loads, where a version that does not know it passes over it', t => {
 	const evidence = {
 		answers: 12, failures: 0.36, timedAnswers: 3.6, serviceMs: 108,
 	};
-	const loads = [['i-1', {...noLoad, open: 2, evidence}], ['i-2', noLoad]] as const;
+	const loads = [['i-1', noLoad], ['i-2', {...noLoad, open: 2, evidence}]] as const;
 	const message = formatLoadUpdate({
 		origin: 'n1', nodes: 1, loads, placements: [],
 	});
-	t.same(message.loads, [['i-1', 2, [], 0, 0, 0, 0, 0, [12, 0.36, 3.6, 108]], ['i-2', 0, [], 0, 0, 0, 0, 0]]);
+	t.same(message.loads, [['i-1', 0, [], 0, 0, 0, 0, 0], ['i-2', 2, [], 0, 0, 0, 0, 0]]);
+	t.same(message.evidence, [[1, 12, 0.36, 3.6, 108]]);
 	t.same(parseLoadUpdate(message).loads, loads);
+	const {evidence: _told, ...earlier} = message;
+	t.notOk(parseLoadUpdate(earlier).loads.some(([, told]) => told.evidence !== undefined));
+	t.notOk('evidence' in formatLoadUpdate({
+		origin: 'n1', nodes: 1, loads: [['i-1', noLoad]], placements: [],
+	}));
 	t.end();
 });
 
-test('evidence that is malformed, negative or huge is rejected with its update', t => {
-	const evidence: readonly unknown[] = [4, 1, 3, 90];
-	t.ok(parseLoadUpdate({nodes: 1, loads: [[...load, evidence]], placements: []}));
-	const malformed = [null, 0, {}, [], evidence.slice(1), [...evidence, 0], evidence.with(0, -1), evidence.with(1, 1e9), evidence.with(0, 1e300), evidence.with(2, '3'), evidence.with(3, NaN), evidence.with(3, 1e10)];
+test('evidence that is malformed, negative, huge or of no load row is rejected with its update', t => {
+	const evidence: readonly unknown[] = [0, 4, 1, 3, 90];
+	t.ok(parseLoadUpdate({
+		nodes: 1, loads: [load], placements: [], evidence: [evidence],
+	}));
+	const malformed = [
+		null,
+		0,
+		{},
+		[],
+		evidence.slice(1),
+		[...evidence, 0],
+		evidence.with(0, 1),
+		evidence.with(0, -1),
+		evidence.with(0, 0.5),
+		evidence.with(0, '0'),
+		evidence.with(1, -1),
+		evidence.with(2, 1e9),
+		evidence.with(1, 1e300),
+		evidence.with(3, '3'),
+		evidence.with(4, NaN),
+		evidence.with(4, 1e10),
+	];
 	for (const row of malformed) {
-		t.throws(() => parseLoadUpdate({nodes: 1, loads: [load, [...load, row]], placements: []}), {code: 'ERR_VALVESADDLE_MESSAGE_INVALID'}, JSON.stringify(row));
+		t.throws(() => parseLoadUpdate({
+			nodes: 1, loads: [load], placements: [], evidence: [evidence, row],
+		}), {code: 'ERR_VALVESADDLE_MESSAGE_INVALID'}, JSON.stringify(row));
 	}
 
-	t.throws(() => parseLoadUpdate({nodes: 1, loads: [[...load, evidence, evidence]], placements: []}));
+	t.throws(() => parseLoadUpdate({
+		nodes: 1, loads: [load], placements: [], evidence: 'x',
+	}), {code: 'ERR_VALVESADDLE_MESSAGE_INVALID'});
 	t.end();
 });
 
