--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -68,6 +68,14 @@
 		Whether the memory of engines is predicted, for pools whose configuration states it.
 		*/
 		memory_room: z.boolean().default(false),
+		/**
+		Whether nodes tell each other how requests ended at endpoints, and eject endpoints on the evidence of all.
+		*/
+		shared_evidence: z.boolean().default(false),
+		/**
+		Whether endpoints without an engine are chosen by the pace that they show to all nodes.
+		*/
+		plain_pace: z.boolean().default(false),
 	}).prefault({}),
 	admission: z.strictObject({
 		late_factor: z.number().positive().default(1.3),
--- a/duties/lease/src/create-duty-lease.ts
+++ b/duties/lease/src/create-duty-lease.ts
@@ -150,7 +150,7 @@
 	/**
 	Releases a duty that other nodes are to hold: their counts are not sent to this one.
 	*/
-	async function handOver({lease}: HeldLease): Promise<void> {
+	async function releaseToCandidates({lease}: HeldLease): Promise<void> {
 		markLost('no longer a candidate');
 		await releaseLease(lease);
 	}
@@ -179,7 +179,7 @@
 		candidateAt = isCandidate ? now : candidateAt;
 		if (held !== undefined) {
 			// Nodes join and leave one by one, and the candidates may change with each.
-			await (now - candidateAt > leaseMs ? handOver(held) : updateLease(held));
+			await (now - candidateAt > leaseMs ? releaseToCandidates(held) : updateLease(held));
 		} else if (isCandidate && !isClosed && now >= Math.max(reacquireAt, nextAttemptAt)) {
 			await acquireLease();
 		}
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -57,8 +57,11 @@
 		parts: metadata.parts,
 		bodyBytes: request.body?.length ?? 0,
 		tried,
+		isRepeatable: isRetryable(route),
 	};
-	const retries = createRetryAllowance({route, pool: request.pool, budget: options.budget});
+	const retries = createRetryAllowance({
+		route, pool: request.pool, budget: options.budget, isPoolFailing: () => selector.isPoolFailing(request.pool),
+	});
 	const {pauseMs} = getProgressTimeouts(route, 0);
 	const progressTimer = createProgressTimer(milliseconds => {
 		if (!canMove()) {
--- a/gateway/selection/src/add-loads.ts
+++ b/gateway/selection/src/add-loads.ts
@@ -1,13 +1,15 @@
+import {addEvidence, type EndpointEvidence} from '@valvesaddle/evidence';
 import type {EndpointLoad} from './endpoint-load.ts';
 
 /**
- Adds two loads; requests, streams, pending prompt tokens, sensitivity and memory do not fall below 0.
+ Adds two loads; requests, streams, pending prompt tokens, sensitivity, memory and evidence do not fall below 0.
 
  @example
  addLoads({...noLoad, open: 1}, {...noLoad, open: 2}).open; // 3
  */
 export function addLoads(a: EndpointLoad, b: EndpointLoad): EndpointLoad {
-	return {
+	const evidence = addKnown(a.evidence, b.evidence);
+	const sum = {
 		open: Math.max(0, a.open + b.open),
 		pendingPrefill: addRanks(a.pendingPrefill, b.pendingPrefill),
 		sensitivity: Math.max(0, a.sensitivity + b.sensitivity),
@@ -18,6 +20,11 @@
 		protectedStreams: Math.max(0, a.protectedStreams + b.protectedStreams),
 		memoryTokens: Math.max(0, a.memoryTokens + b.memoryTokens),
 	};
+	return evidence === undefined ? sum : {...sum, evidence};
+}
+
+function addKnown(a: EndpointEvidence | undefined, b: EndpointEvidence | undefined): EndpointEvidence | undefined {
+	return a === undefined || b === undefined ? a ?? b : addEvidence(a, b);
 }
 
 function addRanks(a: readonly number[], b: readonly number[]): readonly number[] {
--- a/gateway/selection/src/create-request-tracker.ts
+++ b/gateway/selection/src/create-request-tracker.ts
@@ -1,4 +1,5 @@
 import {countPendingPrefill} from './count-pending-prefill.ts';
+import type {EndedRequest} from './ended-request.ts';
 import type {EndpointLoad} from './endpoint-load.ts';
 import type {FailureTable} from './failure-table.ts';
 import type {LoadTable} from './load-table.ts';
@@ -71,6 +72,7 @@
 	readonly rooms: Pick<RoomModel, 'countMemory' | 'recordEnd'>;
 	readonly stallMonitor: Omit<StallMonitor, 'update' | 'removeEndpoint'>;
 	readonly onPlacement: (placement: Placement) => void;
+	readonly onEnd?: ((request: EndedRequest) => void) | undefined;
 };
 
 /**
@@ -82,7 +84,7 @@
  request.markChunk();
  request.close('done');
  */
-export function createRequestTracker({loads, failures, chooser, rooms, stallMonitor, onPlacement}: RequestTrackerOptions): RequestTracker {
+export function createRequestTracker({loads, failures, chooser, rooms, stallMonitor, onPlacement, onEnd}: RequestTrackerOptions): RequestTracker {
 	// Fixed at the start, so that a change of the system time takes no request for one of an earlier process.
 	const startedAt = Date.now() - performance.now();
 	const openEntries = new Map<string, Set<Entry>>();
@@ -93,6 +95,9 @@
 		rejected(id) {
 			failures.recordRefusal(id);
 		},
+		erred(id) {
+			failures.record(id, true);
+		},
 		failed(id) {
 			failures.record(id, true);
 		},
@@ -161,11 +166,13 @@
 		}
 	}
 
-	function openRequest({endpoint: {incarnation: id}, heldTokens, urgency, costMs}: Selection, criteria: SelectionCriteria): Omit<OpenRequest, 'canSend'> {
+	function openRequest(selection: Selection, criteria: SelectionCriteria): Omit<OpenRequest, 'canSend'> {
+		const {endpoint: {incarnation: id}, heldTokens, urgency, costMs} = selection;
 		const {pool, pauseObjectiveMs, promptTokens} = criteria;
 		const uncachedTokens = Math.max(0, promptTokens - heldTokens);
 		const openedAt = performance.now();
-		const tokensBefore = countPendingPrefill(loads.get(id));
+		const loadBefore = loads.get(id);
+		const tokensBefore = countPendingPrefill(loadBefore);
 		const isStream = promptTokens > 0 && pauseObjectiveMs > 0;
 		const stallHandle = isStream ? stallMonitor.open(id, {pool, predictedMs: costMs}) : undefined;
 		const sensitivity = isStream ? chooser.getPauseModel(pool).toSensitivity(pauseObjectiveMs) : 0;
@@ -271,6 +278,9 @@
 				}
 
 				endHandlers[end](id);
+				onEnd?.({
+					selection, end, elapsedMs: performance.now() - openedAt, openBefore: loadBefore.open,
+				});
 			},
 		};
 	}
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -6,6 +6,7 @@
 import {createClusterSync} from './create-cluster-sync.ts';
 import {createLinkPlan} from './create-link-plan.ts';
 import {createLoadSync} from './create-load-sync.ts';
+import {createLoadUpdateHandler} from './create-load-update-handler.ts';
 import {createQuarantineSync} from './create-quarantine-sync.ts';
 import {createUsageSync} from './create-usage-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
@@ -184,7 +185,7 @@
 			},
 		},
 		handlers: {
-			'load.news': withLastSeen(loadSync.applyLoadUpdate),
+			'load.news': withLastSeen(createLoadUpdateHandler({loadSync, logger})),
 			'usage.rows': withLastSeen((parameters, node) => usage?.apply(parameters, node)),
 			'quarantine.rows': withLastSeen(quarantineSync.apply),
 			'cluster.heartbeat': withLastSeen(clusterSync.applyHeartbeat),
--- a/node/gateway/src/format-load-update.ts
+++ b/node/gateway/src/format-load-update.ts
@@ -1,9 +1,12 @@
+import type {EndpointEvidence} from '@valvesaddle/evidence';
 import type {OriginLoadUpdate} from '@valvesaddle/news';
 import type {EndpointLoad} from '@valvesaddle/selection';
 import type {LoadUpdateMessage} from './load-update-message.ts';
 
+type EvidenceRow = NonNullable<LoadUpdateMessage['evidence']>[number];
+
 /**
-Steps per unit to which sensitivities are rounded; they are sums of fractions.
+Steps per unit to which sensitivities and aged counts are rounded; they are sums of fractions.
 */
 const stepsPerUnit = 100;
 
@@ -17,10 +20,12 @@
  formatLoadUpdate({origin: 'n1', nodes: 1, loads: [['i-7f', {...noLoad, open: 2}]], placements: []}).loads; // [['i-7f', 2, [], 0, 0, 0, 0, 0]]
  */
 export function formatLoadUpdate({nodes, loads, placements}: OriginLoadUpdate): LoadUpdateMessage {
+	const evidence = loads.flatMap(([, load], index) => load.evidence === undefined ? [] : [formatEvidence(index, load.evidence)]);
 	return {
 		nodes,
 		loads: loads.map(([endpoint, load]) => formatLoad(endpoint, load)),
 		placements: placements.map(({endpoint, pool, parts, tokens}) => [endpoint, pool, [...parts], tokens]),
+		...evidence.length > 0 && {evidence},
 	};
 }
 
@@ -30,7 +35,7 @@
 		endpoint,
 		open,
 		pendingPrefill.map(tokens => Math.round(tokens)),
-		Math.round(sensitivity * stepsPerUnit) / stepsPerUnit,
+		toFraction(sensitivity),
 		observers,
 		stalledObservers,
 		Math.round(prefilledTokens),
@@ -42,3 +47,11 @@
 
 	return memoryTokens > 0 ? [...row, Math.round(memoryTokens)] : row;
 }
+
+function formatEvidence(index: number, {answers, failures, timedAnswers, serviceMs}: EndpointEvidence): EvidenceRow {
+	return [index, toFraction(answers), toFraction(failures), toFraction(timedAnswers), Math.round(serviceMs)];
+}
+
+function toFraction(amount: number): number {
+	return Math.round(amount * stepsPerUnit) / stepsPerUnit;
+}
