--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -22,7 +22,7 @@
 test('the rendered deployment template is a valid settings file', async t => {
 	const settings = parseGatewaySettings(fillTemplate(await readFile(template, 'utf8'), values))._unsafeUnwrap();
 	t.match(settings, {
-		node: {name: 'n1', cpu_share: 0.675, core_speed: 2}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_s: 7.5}, drain: {grace_s: 8}, selection: {reuse_s: 10},
+		node: {name: 'n1', cpu_share: 0.675, core_speed: 2}, listen: {peers: '10.0.0.1:7340'}, retry: {ratio: 0.2, slack: 56, window_s: 7.5}, drain: {grace_s: 8}, selection: {reuse_s: 10, memory_room: true},
 	});
 });
 
@@ -40,7 +40,7 @@
 	const fields = Object.fromEntries(Object.entries(values).filter(([name]) => !name.startsWith('bounds.')));
 	const settings = parseGatewaySettings(fillTemplate(await readFile(template, 'utf8'), fields))._unsafeUnwrap();
 	t.match(settings, {
-		retry: {ratio: 0.1, slack: 10, window_s: 10}, drain: {grace_s: 8}, selection: {reuse_s: 10},
+		retry: {ratio: 0.1, slack: 10, window_s: 10}, drain: {grace_s: 8}, selection: {reuse_s: 10, memory_room: true},
 	});
 });
 
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -3,6 +3,7 @@
 import {createLogger} from '@valvesaddle/logger';
 import {createMetrics} from '@valvesaddle/metrics';
 import type {AnswerMetadata, Route, RouteKind} from '@valvesaddle/gateway-types';
+import {createRequestRecorder} from '../src/create-request-recorder.ts';
 import {createAdmitter} from '../src/create-admitter.ts';
 import {canRetry} from '../src/can-retry.ts';
 import {classifyAnswer} from '../src/classify-answer.ts';
@@ -117,3 +118,25 @@
 	t.equal(createAdmitter(options, {...request, isEnginePool: false}, 6000).decide(late, false).kind, 'send');
 	t.end();
 });
+
+test('a request that is sent to an endpoint without room in its memory is counted', t => {
+	const metrics = createMetrics();
+	const metadata = {
+		requestId: 'a', waitMs: 6000, apiKey: undefined, promptTokens: 9000, outputTokens: 200, parts: [], lastEventId: -1,
+	};
+	const request = {
+		metadata, route: {...route, kind: 'stream' as const}, version: 1, pool: 'p', isEnginePool: true, account: undefined, method: 'POST', path: '/', rawHeaders: [], body: undefined, arrivedAt: performance.now(),
+	};
+	const recorder = createRequestRecorder({logger: createLogger({node: 'n', level: 'silent'}), metrics}, request, () => '-');
+	const endpoint = {
+		id: 'i-1', incarnation: 'i-1', pool: 'p', address: 'i-1:80', dataCentre: 'a', slots: 64, state: 'ready' as const,
+	};
+	const selection = {
+		endpoint, costMs: 100, readMs: 90, harmMs: 0, urgency: 6, heldTokens: 0, memoryTokens: 9200, roomInMs: 0, candidates: 1, newsAgeMs: 20, unseenFactor: 1,
+	};
+	recorder.recordSent(selection, 1, 5000);
+	t.equal(metrics.total('gateway.no-room'), 0);
+	recorder.recordSent({...selection, memoryTokens: 210_000, roomInMs: 40}, 1, 5000);
+	t.equal(metrics.total('gateway.no-room'), 1);
+	t.end();
+});
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -128,7 +128,8 @@
 			const score = minimumScore + harmMs;
 			if (best === undefined || score < best.score) {
 				best = {
-					endpoint, heldTokens, costMs, readMs: uncachedTokens / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length, memoryTokens: room.memoryTokens, roomInMs: room.roomInMs,
+					endpoint, heldTokens, costMs, readMs: uncachedTokens / endpointTokensPerMs, harmMs, urgency, score, candidates: candidates.length,
+					memoryTokens: room.memoryTokens, roomInMs: room.roomInMs,
 				};
 			}
 		}
