--- a/gateway/front/test/held-bytes.test.ts
+++ b/gateway/front/test/held-bytes.test.ts
@@ -184,3 +184,19 @@
 		t.notOk(caller.read().endsWith('0\r\n\r\n'));
 	});
 }
+
+test('nothing is held any more for pipelined requests whose caller disconnects', async t => {
+	const front = await startHolding(t);
+	const caller = front.open();
+	const body = 'x'.repeat(1000);
+	for (let request = 0; request < 3; request++) {
+		caller.socket.write(formatBody('small', ['Content-Length: 1000'], body));
+	}
+
+	await waitUntil(() => front.forwarded.length === 3);
+	front.forwarded[1]!.reply.answer(200, [], Buffer.from('second'));
+	t.ok(front.ledger.countBytes() > 3000);
+	caller.socket.destroy();
+	await waitUntil(() => front.ledger.countBytes() === 0);
+	t.ok(front.forwarded[2]!.isCancelled());
+});
