feat(shares): weighted max-min shares and virtual token counters as one package

The gateway shares nothing among client accounts, while the dispatcher does at its queue. The counters and the choice of an account move from dispatch/queue and dispatch/policy into dispatch/shares, which both call; shares by demand over accounts and classes are new there, and the predicted wait of a class is divided by them.

--- a/dispatch/policy/src/index.ts
+++ b/dispatch/policy/src/index.ts
@@ -1,4 +1,3 @@
-export type {AccountView} from './account-view.ts';
 export {adjustLimit} from './adjust-limit.ts';
 export type {Budget} from './budget.ts';
 export {chooseEndpoint} from './choose-endpoint.ts';
@@ -14,7 +13,7 @@
 export {hasSlot} from './has-slot.ts';
 export {rankClasses} from './rank-classes.ts';
 export {predictWait} from './predict-wait.ts';
-export {chooseAccount} from './choose-account.ts';
+export {chooseAccount, type AccountView} from '@valvesaddle/shares';
 export {measureHeadroom} from './measure-headroom.ts';
 export {updateAverage} from './update-average.ts';
 export {takeFromBudget} from './take-from-budget.ts';
--- a/dispatch/policy/src/predict-wait.ts
+++ b/dispatch/policy/src/predict-wait.ts
@@ -1,3 +1,4 @@
+import {planShares, type ShareDemand} from '@valvesaddle/shares';
 import type {WaitInput} from './wait-input.ts';
 import type {WaitView} from './wait-view.ts';
 
@@ -40,18 +41,18 @@
 
 function predictSharedWait(input: WaitInput, own: WaitView, views: readonly WaitView[]): number {
 	let urgentWorkMs = 0;
-	let weights = 0;
+	const demands: ShareDemand[] = [];
 	for (const view of views) {
 		if (view.requestClass.urgent) {
 			urgentWorkMs += view.waiting * view.holdMs;
 		} else if (view === own || view.waiting > 0) {
-			weights += view.requestClass.weight;
+			demands.push({name: view.requestClass.name, demand: Infinity, weight: view.requestClass.weight});
 		}
 	}
 
 	const {requestClass, slots} = input;
 	const sharedSlots = Math.max(minimumSharedSlots, slots - input.urgentSlots);
-	const classSlots = Math.max(requestClass.floor * slots, sharedSlots * (requestClass.weight / weights));
+	const classSlots = Math.max(requestClass.floor * slots, planShares({demands, capacity: sharedSlots}).get(requestClass.name) ?? 0);
 	const ahead = Math.min(own.waiting, input.accountWaiting * input.accountShares);
 	return (urgentWorkMs / slots) + (((ahead + 1) * own.holdMs) / classSlots);
 }
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -1,5 +1,6 @@
 import type {RequestClass} from '@valvesaddle/types';
-import {chooseAccount, type ClassView} from '@valvesaddle/policy';
+import type {ClassView} from '@valvesaddle/policy';
+import {addVirtualTokens, chooseAccount, findMinimumTokens} from '@valvesaddle/shares';
 import type {AccountQueue} from './account-queue.ts';
 import type {ClassQueue} from './class-queue.ts';
 import type {QueuedRequest} from './queued-request.ts';
@@ -95,7 +96,7 @@
 			}
 
 			if (accountQueue.waiting === 0) {
-				accountQueue.virtualTokens = Math.max(accountQueue.virtualTokens, findMinimumTokens(classQueue.active.values()));
+				accountQueue.virtualTokens = Math.max(accountQueue.virtualTokens, findMinimumTokens(classQueue.active.values()) ?? 0);
 				classQueue.active.set(item.account, accountQueue);
 			}
 
@@ -122,8 +123,8 @@
 		charge(className, account, tokens) {
 			const classQueue = getClass(className);
 			const accountQueue = getAccount(classQueue, account);
-			classQueue.virtualTokens += tokens / classQueue.requestClass.weight;
-			accountQueue.virtualTokens += tokens / accountQueue.weight;
+			classQueue.virtualTokens = addVirtualTokens(classQueue.virtualTokens, tokens, classQueue.requestClass.weight);
+			accountQueue.virtualTokens = addVirtualTokens(accountQueue.virtualTokens, tokens, accountQueue.weight);
 		},
 		recordGrant(className, isFloor) {
 			for (const [name, classQueue] of classes) {
@@ -170,25 +171,8 @@
 }
 
 function adjustVirtualTokens<Value>(classQueue: ClassQueue<Value>, all: Iterable<ClassQueue<Value>>): void {
-	let minimum = Infinity;
-	for (const other of all) {
-		if (other !== classQueue && other.waiting > 0 && !other.requestClass.urgent) {
-			minimum = Math.min(minimum, other.virtualTokens);
-		}
-	}
-
-	if (Number.isFinite(minimum)) {
-		classQueue.virtualTokens = Math.max(classQueue.virtualTokens, minimum);
-	}
-}
-
-function findMinimumTokens(active: Iterable<{readonly virtualTokens: number}>): number {
-	let minimum = Infinity;
-	for (const {virtualTokens} of active) {
-		minimum = Math.min(minimum, virtualTokens);
-	}
-
-	return Number.isFinite(minimum) ? minimum : 0;
+	const others = [...all].filter(other => other !== classQueue && other.waiting > 0 && !other.requestClass.urgent);
+	classQueue.virtualTokens = Math.max(classQueue.virtualTokens, findMinimumTokens(others) ?? -Infinity);
 }
 
 function addByArrival<Value>(items: Array<QueuedRequest<Value>>, item: QueuedRequest<Value>): void {
