feat(demand): shares of contended pools by demand over all nodes, off by default

In the gateway's half nothing shares among client accounts: one that sends eight times its usual into a full pool makes all others late. Nodes now count what is asked and served by pool, route priority and account, tell each other with their load updates while a pool is contended, and each admits the same part of an account's requests, so that all together admit its share. Switched on by [sharing] in the settings; without it nothing changes.

--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -66,6 +66,16 @@
 		wait_factor: z.number().positive().default(0.5),
 		return_factor: z.number().positive().default(1.5),
 	}).prefault({}),
+	/**
+	Shares of contended pools among route priorities and client accounts.
+	*/
+	sharing: z.strictObject({
+		enabled: z.boolean().default(false),
+		/**
+		Window in which demand is counted.
+		*/
+		window_s: seconds.min(1).max(60).default(4),
+	}).prefault({}),
 	peers: z.strictObject({
 		/**
 		Timeout after which a peer link without messages is closed: five heartbeat intervals.
--- /dev/null
+++ b/gateway/demand/src/decide-share.ts
@@ -0,0 +1,57 @@
+import type {Admission} from '@valvesaddle/admission';
+import type {AccountShare} from './account-share.ts';
+import type {ShareDecision} from './share-decision.ts';
+import type {ShareInput} from './share-input.ts';
+
+/**
+Parts of the objective by the predicted wait for others. Up to the first the pool has room: a request that waits for less than a
+quarter of its objective delays others by no more. From the second on it makes others late, as each of them has half of its
+objective left for its own work; admission without shares refuses at the same wait.
+*/
+const roomShare = 0.25;
+const lateShare = 0.5;
+/**
+Shortest Retry-After in milliseconds: time for a share to change by told demand.
+*/
+const minimumRetryAfterMs = 500;
+/**
+Range of retry times as a share of their mean, so that callers that were refused together do not retry together.
+*/
+const spread = 0.5;
+
+/**
+ Decides on a request of a contended pool. Each node admits the same part of an account's requests, so that all nodes together admit
+ its share, whatever each of them sees. Requests within the share are decided on as without shares. Of those beyond, callers that
+ have come back rank behind; the others rank behind, or are refused when they would make others late. Callers that have come back
+ use the share first.
+
+ @example
+ decideShare({...input, share: {shareTokens: 100, askedTokens: 800, returnedTokens: 0}, draw: 0.9}).isWithinShare; // false
+ */
+export function decideShare(input: ShareInput): ShareDecision {
+	const {admission, priority, share, isReturned, waitMs, objectiveMs, draw} = input;
+	if (priority === 0 || waitMs <= roomShare * objectiveMs || draw < measureWithinPart(share, isReturned)) {
+		return {isWithinShare: true, admission};
+	}
+
+	const isRefused = !isReturned && (admission.kind === 'refuse' || waitMs > lateShare * objectiveMs);
+	return {isWithinShare: false, admission: isRefused ? toRefusal(input) : {kind: 'send-late'}};
+}
+
+/**
+Part of the requests that is within the share, of callers that have come back or of new ones.
+*/
+function measureWithinPart({shareTokens, askedTokens, returnedTokens}: AccountShare, isReturned: boolean): number {
+	const [available, asked] = isReturned ? [shareTokens, returnedTokens] : [shareTokens - returnedTokens, askedTokens - returnedTokens];
+	return asked <= 0 ? 1 : Math.max(0, available / asked);
+}
+
+/**
+The account may come back when its share has caught up with what it asked beyond it, within a window.
+*/
+function toRefusal({admission, share: {shareTokens, askedTokens}, windowMs, spreadDraw}: ShareInput): Admission {
+	const excessMs = windowMs * Math.max(0, askedTokens - shareTokens) / Math.max(1, shareTokens);
+	const earliestMs = Math.max(minimumRetryAfterMs, admission.kind === 'refuse' ? admission.retryAfterMs : 0);
+	const meanMs = Math.max(earliestMs, Math.min(windowMs, excessMs));
+	return {kind: 'refuse', retryAfterMs: meanMs * (1 + (spread * (spreadDraw - 0.5)))};
+}
--- /dev/null
+++ b/gateway/demand/src/index.ts
@@ -0,0 +1,12 @@
+export type {AccountShare} from './account-share.ts';
+export {createDemandTable} from './create-demand-table.ts';
+export {createSharing} from './create-sharing.ts';
+export {decideShare} from './decide-share.ts';
+export type {DemandRow} from './demand-row.ts';
+export type {DemandTable} from './demand-table.ts';
+export type {DemandUpdate} from './demand-update.ts';
+export {planPoolShares} from './plan-pool-shares.ts';
+export type {PoolDemand} from './pool-demand.ts';
+export {restAccount} from './rest-account.ts';
+export type {ShareRequest} from './share-request.ts';
+export type {Sharing} from './sharing.ts';
--- /dev/null
+++ b/gateway/demand/src/rest-account.ts
@@ -0,0 +1,4 @@
+/**
+Name of the row that sums up small accounts.
+*/
+export const restAccount = '*';
--- a/gateway/forwarding/src/create-admitter.ts
+++ b/gateway/forwarding/src/create-admitter.ts
@@ -2,6 +2,7 @@
 import type {Admitter} from './admitter.ts';
 import type {ForwardRequest} from './forward-request.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
+import {toShareRequest} from './to-share-request.ts';
 
 /**
  Creates the admitter of one request. It records the caller's wait, from which the time spent on earlier attempts is estimated.
@@ -13,9 +14,11 @@
  const admitter = createAdmitter(options, request, 6000);
  admitter.decide({costMs: 900, readMs: 50}, false).kind; // 'refuse'
  */
-export function createAdmitter(options: Pick<ForwarderOptions, 'waits' | 'admission' | 'logger' | 'metrics'>, request: ForwardRequest, waitMs: number): Admitter {
+export function createAdmitter(options: Pick<ForwarderOptions, 'waits' | 'sharing' | 'admission' | 'logger' | 'metrics'>, request: ForwardRequest, waitMs: number): Admitter {
 	const {metadata, route} = request;
 	const spentMs = metadata.waitMs === undefined ? 0 : options.waits.record(route.name, waitMs);
+	const shareRequest = toShareRequest(request, spentMs > 0);
+	options.sharing?.recordAsked(shareRequest);
 
 	return {
 		decide({costMs, readMs}, isTried) {
@@ -26,9 +29,10 @@
 			}
 
 			const elapsedMs = spentMs + performance.now() - request.arrivedAt;
-			const admission = decideAdmission({
+			const unshared = decideAdmission({
 				predictedMs: costMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRetry: spentMs > 0, draw: Math.random(),
 			}, options.admission);
+			const admission = options.sharing?.decide(shareRequest, {costMs, readMs, objectiveMs: route.latencyObjectiveMs}, unshared) ?? unshared;
 			if (admission.kind !== 'send') {
 				options.metrics.increment('gateway.admission', 1, {kind: admission.kind});
 				options.logger.info({
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -21,6 +21,7 @@
 import type {RetryDenial} from './retry-denial.ts';
 import type {SwitchEvents} from './switch-events.ts';
 import {toInterruption} from './to-interruption.ts';
+import {toShareRequest} from './to-share-request.ts';
 
 /**
 Number of endpoints that are tried for one request, including those that refuse it or are unreachable.
@@ -131,6 +132,7 @@
 
 		isStarted = true;
 		options.onStarted?.(request.account?.name ?? '', at);
+		options.sharing?.recordServed(toShareRequest(request, false));
 	}
 
 	function refuse(error: ValvesaddleError): void {
--- a/gateway/forwarding/src/forwarder-options.ts
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -1,4 +1,5 @@
 import type {AdmissionSettings, WaitBaselines} from '@valvesaddle/admission';
+import type {Sharing} from '@valvesaddle/demand';
 import type {ExchangeClient} from '@valvesaddle/exchange';
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
@@ -23,6 +24,10 @@
 	milliseconds on the monotonic clock.
 	*/
 	readonly onStarted?: (account: string, at: number) => void;
+	/**
+	Set when pools are shared among route priorities and client accounts.
+	*/
+	readonly sharing?: Sharing;
 	readonly admission: AdmissionSettings;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -2,6 +2,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {createWaitBaselines} from '@valvesaddle/admission';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {createDemandTable, createSharing} from '@valvesaddle/demand';
 import {toValvesaddleError} from '@valvesaddle/error';
 import {createExchangeClient} from '@valvesaddle/exchange';
 import {createFleetStore} from '@valvesaddle/fleet-store';
@@ -24,6 +25,7 @@
 import {defaultLimits} from './default-limits.ts';
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
+import {isFormerProcess} from './is-former-process.ts';
 import {measureCapacity} from './measure-capacity.ts';
 
 const msPerSecond = 1000;
@@ -111,12 +113,22 @@
 	// Fixed at the start, so that a change of the system time moves no request into another window.
 	const startedAt = Date.now() - performance.now();
 	const toUnixTime = (at: number): number => startedAt + at;
+	const sharingWindowMs = settings.sharing.window_s * msPerSecond;
+	const demandTable = settings.sharing.enabled
+		? createDemandTable({
+			windowMs: sharingWindowMs, countNodes: () => view.nodes().length, isOutdated: id => isFormerProcess(id, view.nodes().map(node => node.id)), logger,
+		})
+		: undefined;
+	const sharing = demandTable && createSharing({
+		table: demandTable, windowMs: sharingWindowMs, logger, metrics,
+	});
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
 		view,
 		follower,
 		selector,
+		demandTable,
 		loadUpdateMs: peers.news_ms,
 		hasOpenRequests: () => forwarder.countOpen() > 0,
 		...(settings.duties !== undefined && {usage: {windowMs: settings.duties.window_s * msPerSecond, toUnixTime}}),
@@ -156,6 +168,7 @@
 		exchanges,
 		budget,
 		waits: createWaitBaselines(),
+		...(sharing !== undefined && {sharing}),
 		quarantine: sync.quarantine,
 		crashDetector,
 		onStarted(account, at) {
@@ -197,6 +210,7 @@
 		routes = createRouteIndex(configuration);
 		selector.setPools(configuration.pools);
 		front.configure();
+		sharing?.configure(configuration.accounts);
 	});
 	view.events.on('incarnation', ({data: {endpoint, before}}) => {
 		// A retry must not reuse a connection to the terminated process.
--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -54,7 +54,7 @@
 		},
 	});
 	const loadSync = createLoadSync({
-		node: self.id, network, links, selector, countNodes: () => view.nodes().length,
+		node: self.id, network, links, selector, countNodes: () => view.nodes().length, demandTable: options.demandTable,
 	});
 	const usage = options.usage && createUsageSync({
 		node: self.id, network, links, ...options.usage,
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -7,6 +7,12 @@
 ];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
+/**
+Demand for a pool, in the order of the fields of `PoolDemand`; -1 if none of its nodes saw contention.
+*/
+type PoolDemandRow = readonly [pool: string, contendedAgoMs: number, rows: readonly DemandRow[]];
+type DemandRow = readonly [priority: number, account: string, accounts: number, askedTokens: number, returnedTokens: number, servedTokens: number];
+
 /**
 Load update as nodes send it to each other.
 */
@@ -14,4 +20,8 @@
 	readonly nodes: number;
 	readonly loads: readonly LoadRow[];
 	readonly placements: readonly PlacementRow[];
+	/**
+	All pools whose demands are told; missing without news of them.
+	*/
+	readonly demands?: readonly PoolDemandRow[];
 };
--- a/node/gateway/src/peer-sync-options.ts
+++ b/node/gateway/src/peer-sync-options.ts
@@ -1,4 +1,5 @@
 import type {ClusterView, StoreFollower} from '@valvesaddle/cluster-view';
+import type {DemandTable} from '@valvesaddle/demand';
 import type {GatewayNode} from '@valvesaddle/gateway-types';
 import type {Logger} from '@valvesaddle/logger';
 import type {Metrics} from '@valvesaddle/metrics';
@@ -15,6 +16,10 @@
 	readonly follower: Pick<StoreFollower, 'isSteady' | 'hasSettled'>;
 	readonly selector: Selector;
 	/**
+	Set when pools are shared by demand.
+	*/
+	readonly demandTable?: DemandTable | undefined;
+	/**
 	Interval between two load updates.
 	*/
 	readonly loadUpdateMs: number;
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -73,6 +73,12 @@
 		readonly name: 'request-admission'; readonly request: string; readonly kind: string; readonly predictedMs: number; readonly readMs: number; readonly objectiveMs: number;
 		readonly elapsedMs: number;
 	}
+	| {
+		readonly name: 'request-share'; readonly request: string; readonly account: string; readonly pool: string; readonly priority: number; readonly kind: string;
+		readonly shareTokens: number; readonly askedTokens: number; readonly capacityTokens: number; readonly waitMs: number; readonly unseenFactor: number;
+	}
+	| {readonly name: 'demand-dropped'; readonly peer: string; readonly reason: string; readonly rows: number}
+	| {readonly name: 'account-weight-invalid'; readonly account: string; readonly weight: string}
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
