--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -49,3 +49,9 @@
 	t.ok(store.lease_ms >= 20_000);
 	t.ok(store.renew_ms <= 2000);
 });
+
+test('pools are not shared unless the settings say so', async t => {
+	const text = fillTemplate(await readFile(template, 'utf8'), values).replace(/\[sharing\][^\[]*/v, '');
+	t.same(parseGatewaySettings(text)._unsafeUnwrap().sharing, {enabled: false, window_s: 4});
+	t.match(parseGatewaySettings(`${text}\n[sharing]\nenabled = true\nwindow_s = 0\n`)._unsafeUnwrapErr().message, 'sharing.window_s');
+});
--- a/gateway/demand/src/create-demand-link.ts
+++ b/gateway/demand/src/create-demand-link.ts
@@ -31,16 +31,31 @@
 	Rows as last told, by key, by pool.
 	*/
 	let told = new Map<string, Map<string, DemandRow>>();
+	/**
+	Whether the node may still count demands that it was told.
+	*/
+	let hasTold = false;
 	let toldAt = -Infinity;
 	let askedAt = -Infinity;
 
-	function listChanges({pool, contendedAgoMs, rows}: PoolDemand): PoolDemand {
+	/**
+	What is beyond the limit is told the next time.
+	*/
+	function listChanges({pool, contendedAgoMs, rows}: PoolDemand, limit: number): PoolDemand {
 		const before = told.get(pool) ?? new Map<string, DemandRow>();
 		const keys = new Set(rows.map(row => formatDemandKey(row)));
-		const gone = before.values().filter(row => !keys.has(formatDemandKey(row))).map(toEmptyRow);
+		const gone = before.values().filter(row => !keys.has(formatDemandKey(row))).map(row => toEmptyRow(row));
 		const changed = rows.filter(row => hasChanged(before.get(formatDemandKey(row)), row));
-		told.set(pool, new Map([...before, ...changed.map(row => [formatDemandKey(row), row] as const)].filter(([key]) => keys.has(key))));
-		return {pool, contendedAgoMs, rows: [...changed, ...gone].slice(0, 2 * maximumRows)};
+		const changes = [...changed, ...gone].slice(0, limit);
+		for (const row of changes) {
+			before.set(formatDemandKey(row), row);
+			if (!keys.has(formatDemandKey(row))) {
+				before.delete(formatDemandKey(row));
+			}
+		}
+
+		told.set(pool, before);
+		return {pool, contendedAgoMs, rows: changes};
 	}
 
 	return {
@@ -56,9 +71,18 @@
 		take(demands) {
 			toldAt = performance.now();
 			const pools = new Set(demands.map(({pool}) => pool));
-			const wasTold = told.size > 0;
 			told = new Map([...told].filter(([pool]) => pools.has(pool)));
-			return !wasTold && demands.length === 0 ? undefined : fitPoolDemands(demands, maximumRows).map(demand => listChanges(demand));
+			if (!hasTold && demands.length === 0) {
+				return undefined;
+			}
+
+			hasTold = demands.length > 0;
+			let left = maximumRows;
+			return fitPoolDemands(demands, maximumRows).map(demand => {
+				const changes = listChanges(demand, left);
+				left -= changes.rows.length;
+				return changes;
+			});
 		},
 	};
 }
--- a/gateway/demand/src/create-sharing.ts
+++ b/gateway/demand/src/create-sharing.ts
@@ -4,18 +4,25 @@
 import {formatDemandKey} from './format-demand-key.ts';
 import {measureWorkTokens} from './measure-work-tokens.ts';
 import {planPoolShares} from './plan-pool-shares.ts';
+import {roomShare} from './room-share.ts';
+import type {ShareRequest} from './share-request.ts';
 import type {Sharing} from './sharing.ts';
 import type {SharingOptions} from './sharing-options.ts';
 
 /**
-Part of the objective by the predicted wait for others from which a late request shows contention. A request that is late by its own
-length does not.
+Part of what a contended pool serves that is shared out. The rest drains what waits already, which would make each request late that
+joins it; it is lost to nobody, since beyond the shares all are admitted while the pool has room.
 */
-const contendedWaitShare = 0.25;
+const sharedPart = 0.9;
 /**
 Time for which the shares of a pool are used before they are planned again, in milliseconds; demand is told less often.
 */
 const planMs = 200;
+/**
+Time for which a class counts as waiting after one of its requests met a wait, in milliseconds: long enough for a node to see another
+request of the class, and short, since the classes before it are held back meanwhile.
+*/
+const waitingMs = 2000;
 
 type Plan = {
 	readonly at: number;
@@ -25,8 +32,8 @@
 };
 
 /**
- Creates the shares of pools at a node. While a pool is contended, a pool serves what it can: what it has served within the window is
- its capacity, which is divided over route priorities and accounts by what they ask.
+ Creates the shares of pools at a node. A contended pool serves what it can, so what it has served within the window is its capacity.
+ This is divided over route priorities and accounts by what they ask.
 
  @example
  const sharing = createSharing({table, windowMs: 4000, logger, metrics});
@@ -35,8 +42,24 @@
  */
 export function createSharing({table, windowMs, logger, metrics, drawNumber = Math.random}: SharingOptions): Sharing {
 	const plans = new Map<string, Plan>();
+	/**
+	When requests of this node last met a wait for others, by priority, by pool.
+	*/
+	const waitedAt = new Map<string, Map<number, number>>();
 	let weights: ReadonlyMap<string, number> = new Map();
 
+	function markWaited({pool, priority}: ShareRequest): void {
+		const priorities = waitedAt.get(pool) ?? new Map<number, number>();
+		priorities.set(priority, performance.now());
+		waitedAt.set(pool, priorities);
+		table.markContended(pool);
+	}
+
+	function listWaiting(pool: string): ReadonlySet<number> {
+		const now = performance.now();
+		return new Set([...waitedAt.get(pool) ?? []].filter(([, at]) => now - at < waitingMs).map(([priority]) => priority));
+	}
+
 	function getPlan(pool: string): Plan {
 		const before = plans.get(pool);
 		const now = performance.now();
@@ -45,9 +68,11 @@
 		}
 
 		const {rows, unseenFactor} = table.read(pool);
-		const capacityTokens = rows.reduce((sum, {servedTokens}) => sum + servedTokens, 0);
+		const capacityTokens = sharedPart * rows.reduce((sum, {servedTokens}) => sum + servedTokens, 0);
 		const plan: Plan = {
-			at: now, shares: planPoolShares({rows, weights, capacityTokens}), capacityTokens, unseenFactor,
+			at: now, shares: planPoolShares({
+				rows, weights, capacityTokens, waiting: listWaiting(pool),
+			}), capacityTokens, unseenFactor,
 		};
 		plans.set(pool, plan);
 		return plan;
@@ -69,6 +94,7 @@
 		configure(accounts) {
 			weights = new Map(accounts.map(({name, weight}) => [name, readWeight(name, weight)]));
 			plans.clear();
+			waitedAt.clear();
 			table.setAccounts(new Set(weights.keys()));
 		},
 		recordAsked(request) {
@@ -84,8 +110,9 @@
 		},
 		decide(request, {costMs, readMs, objectiveMs}, admission): Admission {
 			const waitMs = costMs - readMs;
-			if (costMs > objectiveMs && waitMs > contendedWaitShare * objectiveMs) {
-				table.markContended(request.pool);
+			// A request that is late by its own length shows no contention.
+			if (waitMs > roomShare * objectiveMs) {
+				markWaited(request);
 			}
 
 			if (request.priority === 0 || !table.isContended(request.pool)) {
--- a/gateway/demand/src/decide-share.ts
+++ b/gateway/demand/src/decide-share.ts
@@ -1,14 +1,13 @@
 import type {Admission} from '@valvesaddle/admission';
 import type {AccountShare} from './account-share.ts';
+import {roomShare} from './room-share.ts';
 import type {ShareDecision} from './share-decision.ts';
 import type {ShareInput} from './share-input.ts';
 
 /**
-Parts of the objective by the predicted wait for others. Up to the first the pool has room: a request that waits for less than a
-quarter of its objective delays others by no more. From the second on it makes others late, as each of them has half of its
-objective left for its own work; admission without shares refuses at the same wait.
+Part of the objective by the predicted wait for others above which a request makes others late: each of them has half of its
+objective left for its own work. Admission without shares refuses at the same wait.
 */
-const roomShare = 0.25;
 const lateShare = 0.5;
 /**
 Shortest Retry-After in milliseconds: time for a share to change by told demand.
@@ -23,18 +22,19 @@
  Decides on a request of a contended pool. Each node admits the same part of an account's requests, so that all nodes together admit
  its share, whatever each of them sees. Requests within the share are decided on as without shares. Of those beyond, callers that
  have come back rank behind; the others rank behind, or are refused when they would make others late. Callers that have come back
- use the share first.
+ use the share first. While a less urgent class is crowded out, all beyond the share are refused.
 
  @example
  decideShare({...input, share: {shareTokens: 100, askedTokens: 800, returnedTokens: 0}, draw: 0.9}).isWithinShare; // false
  */
 export function decideShare(input: ShareInput): ShareDecision {
 	const {admission, priority, share, isReturned, waitMs, objectiveMs, draw} = input;
-	if (priority === 0 || waitMs <= roomShare * objectiveMs || draw < measureWithinPart(share, isReturned)) {
+	const hasRoom = waitMs <= roomShare * objectiveMs && !share.isCrowding;
+	if (priority === 0 || hasRoom || draw < measureWithinPart(share, isReturned)) {
 		return {isWithinShare: true, admission};
 	}
 
-	const isRefused = !isReturned && (admission.kind === 'refuse' || waitMs > lateShare * objectiveMs);
+	const isRefused = share.isCrowding || (!isReturned && (admission.kind === 'refuse' || waitMs > lateShare * objectiveMs));
 	return {isWithinShare: false, admission: isRefused ? toRefusal(input) : {kind: 'send-late'}};
 }
 
--- a/gateway/demand/src/index.ts
+++ b/gateway/demand/src/index.ts
@@ -8,5 +8,6 @@
 export {planPoolShares} from './plan-pool-shares.ts';
 export type {PoolDemand} from './pool-demand.ts';
 export {restAccount} from './rest-account.ts';
+export type {ShareInput} from './share-input.ts';
 export type {ShareRequest} from './share-request.ts';
 export type {Sharing} from './sharing.ts';
--- a/gateway/demand/src/plan-pool-shares.ts
+++ b/gateway/demand/src/plan-pool-shares.ts
@@ -19,6 +19,10 @@
 	Tokens that the pool serves within the window.
 	*/
 	readonly capacityTokens: number;
+	/**
+	Priorities whose requests have lately met a wait for others.
+	*/
+	readonly waiting: ReadonlySet<number>;
 };
 
 /**
@@ -26,14 +30,17 @@
 
  @returns The share of each row, by its key.
  @example
- planPoolShares({rows, weights: new Map(), capacityTokens: 90_000}).get('2 sawmill')?.shareTokens; // 4000
+ planPoolShares({rows, weights: new Map(), capacityTokens: 90_000, waiting: new Set()}).get('2 sawmill')?.shareTokens; // 4000
  */
-export function planPoolShares({rows, weights, capacityTokens}: PlanPoolSharesOptions): ReadonlyMap<string, AccountShare> {
+export function planPoolShares({rows, weights, capacityTokens, waiting}: PlanPoolSharesOptions): ReadonlyMap<string, AccountShare> {
 	const byPriority = Map.groupBy(rows, ({priority}) => priority);
 	const classes = [...byPriority].map(([priority, classRows]) => ({
 		name: String(priority), demand: classRows.reduce((sum, {askedTokens}) => sum + askedTokens, 0), weight: 1, tier: priority, isUrgent: priority === 0, floor: classFloor,
 	}));
 	const classShares = planClassShares({classes, capacity: capacityTokens});
+	const lowestCrowded = Math.max(-Infinity, ...byPriority.entries()
+		.filter(([priority, classRows]) => waiting.has(priority) && addServed(classRows) < (classShares.get(String(priority)) ?? 0))
+		.map(([priority]) => priority));
 	const shares = new Map<string, AccountShare>();
 	for (const [priority, classRows] of byPriority) {
 		const accountShares = planShares({
@@ -43,9 +50,15 @@
 			capacity: classShares.get(String(priority)) ?? 0,
 		});
 		for (const row of classRows) {
-			shares.set(formatDemandKey(row), {shareTokens: accountShares.get(row.account) ?? 0, askedTokens: row.askedTokens, returnedTokens: row.returnedTokens});
+			shares.set(formatDemandKey(row), {
+				shareTokens: accountShares.get(row.account) ?? 0, askedTokens: row.askedTokens, returnedTokens: row.returnedTokens, isCrowding: priority < lowestCrowded,
+			});
 		}
 	}
 
 	return shares;
 }
+
+function addServed(rows: readonly DemandRow[]): number {
+	return rows.reduce((sum, {servedTokens}) => sum + servedTokens, 0);
+}
--- a/gateway/forwarding/test/decisions.test.ts
+++ b/gateway/forwarding/test/decisions.test.ts
@@ -117,3 +117,38 @@
 	t.equal(createAdmitter(options, {...request, isEnginePool: false}, 6000).decide(late, false).kind, 'send');
 	t.end();
 });
+
+test('an admitter hands each request once to the shares, and their decision stands', t => {
+	const asked: unknown[] = [];
+	const options = {
+		waits: createWaitBaselines(),
+		admission: {lateFactor: 1.3, waitFactor: 0.5, retryAfterFactor: 1.5},
+		sharing: {
+			configure() {
+				// The decision is given.
+			},
+			recordAsked(request: unknown) {
+				asked.push(request);
+			},
+			recordServed() {
+				// The decision is given.
+			},
+			decide: () => ({kind: 'refuse' as const, retryAfterMs: 700}),
+		},
+		logger: createLogger({node: 'n', level: 'silent'}),
+		metrics: createMetrics(),
+	};
+	const metadata = {
+		requestId: 'a', waitMs: 6000, apiKey: undefined, promptTokens: 900, outputTokens: 200, parts: [], lastEventId: -1,
+	};
+	const request = {
+		metadata, route: {...route, kind: 'stream' as const}, version: 1, pool: 'p', isEnginePool: true, account: {name: 'sawmill', keyHashes: [], priority: 0}, method: 'POST', path: '/', rawHeaders: [], body: undefined, arrivedAt: performance.now(),
+	};
+	const admitter = createAdmitter(options, request, 6000);
+	t.same(admitter.decide({costMs: 10, readMs: 10}, false), {kind: 'refuse', retryAfterMs: 700});
+	t.equal(admitter.decide({costMs: 10, readMs: 10}, true).kind, 'send', 'a retry after a failed endpoint is not decided on again');
+	t.match(asked, [{
+		id: 'a', pool: 'p', priority: 1, account: 'sawmill', promptTokens: 900, outputTokens: 200, isReturned: false,
+	}]);
+	t.end();
+});
