--- a/gateway/demand/src/create-sharing.ts
+++ b/gateway/demand/src/create-sharing.ts
@@ -41,6 +41,7 @@
  sharing.decide(request, {costMs: 900, readMs: 50, objectiveMs: 600}, {kind: 'send'}).kind; // 'send'
  */
 export function createSharing({table, windowMs, logger, metrics, drawNumber = Math.random}: SharingOptions): Sharing {
+	const startedAt = performance.now();
 	const plans = new Map<string, Plan>();
 	/**
 	When requests of this node last met a wait for others, by priority, by pool.
@@ -115,7 +116,8 @@
 				markWaited(request);
 			}
 
-			if (request.priority === 0 || !table.isContended(request.pool)) {
+			// Demand and capacity are not known before a whole window has been seen.
+			if (request.priority === 0 || performance.now() - startedAt < windowMs || !table.isContended(request.pool)) {
 				return admission;
 			}
 
--- a/gateway/demand/src/decide-share.ts
+++ b/gateway/demand/src/decide-share.ts
@@ -10,6 +10,10 @@
 */
 const lateShare = 0.5;
 /**
+Multiple of its share up to which all that an account asks counts as within: nodes together know demand and capacity to about a fifth.
+*/
+const tolerance = 1.25;
+/**
 Shortest Retry-After in milliseconds: time for a share to change by told demand.
 */
 const minimumRetryAfterMs = 500;
@@ -43,7 +47,7 @@
 */
 function measureWithinPart({shareTokens, askedTokens, returnedTokens}: AccountShare, isReturned: boolean): number {
 	const [available, asked] = isReturned ? [shareTokens, returnedTokens] : [shareTokens - returnedTokens, askedTokens - returnedTokens];
-	return asked <= 0 ? 1 : Math.max(0, available / asked);
+	return askedTokens <= tolerance * shareTokens || asked <= 0 ? 1 : Math.max(0, available / asked);
 }
 
 /**
