--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -57,3 +57,9 @@
 	t.match(buffers, {memory_mb: 350});
 	t.ok(buffers!.most_share < 0.5);
 });
+
+test('pools are not shared unless the settings say so', async t => {
+	const text = fillTemplate(await readFile(template, 'utf8'), values).replace(/\[sharing\][^\[]*/v, '');
+	t.same(parseGatewaySettings(text)._unsafeUnwrap().sharing, {enabled: false, window_s: 4});
+	t.match(parseGatewaySettings(`${text}\n[sharing]\nenabled = true\nwindow_s = 0\n`)._unsafeUnwrapErr().message, 'sharing.window_s');
+});
--- a/dispatch/policy/src/index.ts
+++ b/dispatch/policy/src/index.ts
@@ -1,4 +1,3 @@
-export type {AccountView} from './account-view.ts';
 export {adjustLimit} from './adjust-limit.ts';
 export type {Budget} from './budget.ts';
 export {chooseEndpoint} from './choose-endpoint.ts';
@@ -17,7 +16,7 @@
 export type {MemoryClaim} from './memory-claim.ts';
 export {rankClasses} from './rank-classes.ts';
 export {predictWait} from './predict-wait.ts';
-export {chooseAccount} from './choose-account.ts';
+export {chooseAccount, type AccountView} from '@valvesaddle/shares';
 export {measureHeadroom} from './measure-headroom.ts';
 export {updateAverage} from './update-average.ts';
 export {takeFromBudget} from './take-from-budget.ts';
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -3,6 +3,7 @@
 import {createWaitBaselines} from '@valvesaddle/admission';
 import {createByteLedger} from '@valvesaddle/buffers';
 import {createClusterView, createStoreFollower} from '@valvesaddle/cluster-view';
+import {createDemandTable, createSharing} from '@valvesaddle/demand';
 import {toValvesaddleError} from '@valvesaddle/error';
 import {createExchangeClient} from '@valvesaddle/exchange';
 import {createFleetStore} from '@valvesaddle/fleet-store';
@@ -26,6 +27,7 @@
 import {defaultLimits} from './default-limits.ts';
 import type {Gateway} from './gateway.ts';
 import type {GatewayOptions} from './gateway-options.ts';
+import {isFormerProcess} from './is-former-process.ts';
 import {measureCapacity} from './measure-capacity.ts';
 import {startHeldGauges} from './start-held-gauges.ts';
 import {toBufferLimits} from './to-buffer-limits.ts';
@@ -137,12 +139,22 @@
 	// Fixed at the start, so that a change of the system time moves no request into another window.
 	const startedAt = Date.now() - performance.now();
 	const toUnixTime = (at: number): number => startedAt + at;
+	const sharingWindowMs = settings.sharing.window_s * msPerSecond;
+	const demandTable = settings.sharing.enabled
+		? createDemandTable({
+			windowMs: sharingWindowMs, countNodes: () => view.nodes().length, isOutdated: id => isFormerProcess(id, view.nodes().map(node => node.id)), logger,
+		})
+		: undefined;
+	const sharing = demandTable && createSharing({
+		table: demandTable, windowMs: sharingWindowMs, logger, metrics,
+	});
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
 		view,
 		follower,
 		selector,
+		demandTable,
 		loadUpdateMs: peers.news_ms,
 		hasOpenRequests: () => forwarder.countOpen() > 0,
 		...(settings.duties !== undefined && {usage: {windowMs: settings.duties.window_s * msPerSecond, toUnixTime}}),
@@ -182,6 +194,7 @@
 		exchanges,
 		budget,
 		waits: createWaitBaselines(),
+		...(sharing !== undefined && {sharing}),
 		quarantine: sync.quarantine,
 		crashDetector,
 		onStarted(account, at) {
@@ -225,6 +238,7 @@
 		selector.setPools(configuration.pools);
 		selector.setPauseObjectives(findPauseObjectives(configuration.routes));
 		front.configure();
+		sharing?.configure(configuration.accounts);
 	});
 	view.events.on('incarnation', ({data: {endpoint, before}}) => {
 		// A retry must not reuse a connection to the terminated process.
--- a/node/gateway/src/load-update-message.ts
+++ b/node/gateway/src/load-update-message.ts
@@ -11,6 +11,12 @@
 type EvidenceRow = readonly [index: number, answers: number, failures: number, timedAnswers: number, serviceMs: number];
 type PlacementRow = readonly [endpoint: string, pool: string, parts: readonly string[], tokens: number];
 
+/**
+Demand for a pool, in the order of the fields of `PoolDemand`; -1 if none of its nodes saw contention.
+*/
+type PoolDemandRow = readonly [pool: string, contendedAgoMs: number, rows: readonly DemandRow[]];
+type DemandRow = readonly [priority: number, account: string, accounts: number, askedTokens: number, returnedTokens: number, servedTokens: number];
+
 /**
 Load update as nodes send it to each other.
 */
@@ -22,4 +28,8 @@
 	Left out if there is none. Earlier versions ignore it.
 	*/
 	readonly evidence?: readonly EvidenceRow[];
+	/**
+	All pools whose demands are told; missing without news of them.
+	*/
+	readonly demands?: readonly PoolDemandRow[];
 };
