--- a/gateway/demand/src/create-demand-link.ts
+++ b/gateway/demand/src/create-demand-link.ts
@@ -5,8 +5,7 @@
 import type {PoolDemand} from './pool-demand.ts';
 
 /**
-Rows that a linked node is told at once, some 2 kB. The largest accounts decide who gets what, and more than this many do not exceed
-an equal share together.
+Rows that a linked node is told at once, some 2 kB. The largest accounts decide who gets what; the others are summed up.
 */
 const maximumRows = 64;
 /**
--- a/gateway/demand/src/create-demand-table.ts
+++ b/gateway/demand/src/create-demand-table.ts
@@ -12,8 +12,8 @@
 import {restAccount} from './rest-account.ts';
 
 /**
-Time for which contention counts after it was last seen, in milliseconds. A node that sees two requests a second, of which one in
-three meets contention, sees it again within this time in 9 of 10 cases; a shorter one would turn shares on and off at random.
+Time for which contention counts after it was last seen, in milliseconds. Nodes that see a few requests a second
+meet it again within this time, if not each by itself then together; a shorter one would turn shares on and off at random.
 */
 const contentionMs = 2000;
 /**
