feat(waiting): decisions on requests that wait, called by the dispatcher

Cause: callers that are refused together come back together, and the order within an account knows only arrival. Change: a package of pure decisions (order, how long to wait, who is dropped, when to come back). The dispatcher's queue orders by it, and the dispatcher plans the return of refused callers by it, each in an interval of its own.

--- a/dispatch/pool/src/create-pool-dispatcher.ts
+++ b/dispatch/pool/src/create-pool-dispatcher.ts
@@ -20,6 +20,7 @@
 } from '@valvesaddle/policy';
 import {createWaitingQueue, type QueuedRequest} from '@valvesaddle/queue';
 import type {Configuration, RequestClass} from '@valvesaddle/types';
+import {createReturnPlan} from '@valvesaddle/waiting';
 import {countFreeSlots} from './count-free-slots.ts';
 import {createClassStats} from './create-class-stats.ts';
 import {createEndpointTable} from './create-endpoint-table.ts';
@@ -35,6 +36,10 @@
 const defaultInterTokenMs = 52;
 const epochLength = 8;
 /**
+Longest time that a refused caller is asked to stay away, in milliseconds.
+*/
+const longestReturnMs = 60_000;
+/**
 Time between two ticks above which the event loop was blocked, in milliseconds.
 */
 const longestTickMs = 1000;
@@ -58,6 +63,7 @@
 	const stats = createClassStats();
 	const lengths = createLengthModel();
 	const sessions = createSessionTable();
+	const returns = createReturnPlan({mostMs: longestReturnMs});
 	const openedAt = performance.now();
 	/**
 	Distinguishes this dispatcher's grants from those of others; short because every report contains it.
@@ -135,10 +141,18 @@
 
 		metrics.increment('dispatch.refused', 1, {class: request.className});
 		return Number.isFinite(waitMs)
-			? toRefusal('ERR_VALVESADDLE_OVERLOADED', `the predicted wait is ${Math.round(waitMs)} ms`, waitMs - requestClass.maximumWaitMs)
+			? toRefusal('ERR_VALVESADDLE_OVERLOADED', `the predicted wait is ${Math.round(waitMs)} ms`, planReturnMs(request, waitMs - requestClass.maximumWaitMs))
 			: toRefusal('ERR_VALVESADDLE_NO_ENDPOINT', `no endpoint of pool "${options.pool}" takes work`, 0);
 	}
 
+	/**
+	Plans when a refused caller comes back. This dispatcher alone decides for the pool, so that the order spreads the callers.
+	*/
+	function planReturnMs({className, account}: AcquireRequest, roomInMs: number): number {
+		const intervalMs = stats.holdMs(className) / Math.max(1, table.sums().slots);
+		return returns.planMs(`${className} ${account}`, {roomInMs, intervalMs, draw: 0});
+	}
+
 	function grantWaiting(): void {
 		while (queue.size() > 0 && rankClasses(queue.views()).some(ranked => didGrant(ranked))) {
 			// Each iteration grants one request.
--- a/dispatch/pool/test/pool-dispatcher.test.ts
+++ b/dispatch/pool/test/pool-dispatcher.test.ts
@@ -460,3 +460,23 @@
 	await settle();
 	t.same(caller.granted(), ['holder', 'waiter']);
 });
+
+test('callers that are refused together come back one after the other', async t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const dispatcher = createDispatcher(createConfiguration(1, 1));
+	const caller = createCaller(dispatcher);
+	await caller.acquire(createRequest('first'));
+	clock.advance(800);
+	dispatcher.release(toRelease(caller.replies.get('first'), {...refusal, retryAfterMs: 15_000}));
+	const returns: number[] = [];
+	for (const id of ['a', 'b', 'c']) {
+		// eslint-disable-next-line no-await-in-loop -- in order
+		await caller.acquire(createRequest(id));
+		const reply = caller.replies.get(id);
+		returns.push(reply?.kind === 'refused' ? reply.retryAfterMs : 0);
+	}
+
+	t.equal(returns[0], 5000);
+	t.ok(returns[1]! > returns[0]! && returns[2]! > returns[1]!, String(returns));
+});
--- a/dispatch/queue/src/create-waiting-queue.ts
+++ b/dispatch/queue/src/create-waiting-queue.ts
@@ -1,5 +1,6 @@
 import type {RequestClass} from '@valvesaddle/types';
 import {chooseAccount, type ClassView} from '@valvesaddle/policy';
+import {compareWaiting} from '@valvesaddle/waiting';
 import type {AccountQueue} from './account-queue.ts';
 import type {ClassQueue} from './class-queue.ts';
 import type {QueuedRequest} from './queued-request.ts';
@@ -16,7 +17,7 @@
 
 /**
  Creates the queue of a pool. Within a class, the account with the fewest served tokens for its weight comes first;
- within an account, the oldest request. Accounts and classes accrue no credit while they are idle.
+ within an account, the order is that of `compareWaiting`. Accounts and classes accrue no credit while they are idle.
 
  @example
  const queue = createWaitingQueue<string>();
@@ -99,7 +100,7 @@
 				classQueue.active.set(item.account, accountQueue);
 			}
 
-			addByArrival(accountQueue.items, item);
+			addInOrder(accountQueue.items, item);
 			accountQueue.waiting++;
 			classQueue.waiting++;
 			byRequest.set(item.requestId, item);
@@ -109,6 +110,11 @@
 			const account = chooseAccount(classQueue.active.values());
 			return account === undefined ? undefined : classQueue.active.get(account)?.items[0];
 		},
+		heads(className, most) {
+			const active = classes.get(className)?.active.values().toArray() ?? [];
+			return active.toSorted((a, b) => a.virtualTokens - b.virtualTokens).slice(0, most).flatMap(({items}) => items.slice(0, 1));
+		},
+		last: (className, account) => classes.get(className)?.active.get(account)?.items.at(-1),
 		remove(requestId) {
 			const item = byRequest.get(requestId);
 			if (item !== undefined) {
@@ -191,11 +197,17 @@
 	return Number.isFinite(minimum) ? minimum : 0;
 }
 
-function addByArrival<Value>(items: Array<QueuedRequest<Value>>, item: QueuedRequest<Value>): void {
-	let index = items.length;
-	while (index > 0 && (items[index - 1]?.arrivedAt ?? 0) > item.arrivedAt) {
-		index--;
+function addInOrder<Value>(items: Array<QueuedRequest<Value>>, item: QueuedRequest<Value>): void {
+	let low = 0;
+	let high = items.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (compareWaiting(items[middle]!, item) <= 0) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
 	}
 
-	items.splice(index, 0, item);
+	items.splice(low, 0, item);
 }
--- a/dispatch/queue/src/waiting-queue.ts
+++ b/dispatch/queue/src/waiting-queue.ts
@@ -15,6 +15,14 @@
 	Returns the next request of a class without removing it.
 	*/
 	readonly peek: (className: string) => QueuedRequest<Value> | undefined;
+	/**
+	First request of each of the accounts that are next in a class, of this many at most.
+	*/
+	readonly heads: (className: string, most: number) => ReadonlyArray<QueuedRequest<Value>>;
+	/**
+	The request of a class and account that would be served last.
+	*/
+	readonly last: (className: string, account: string) => QueuedRequest<Value> | undefined;
 	readonly remove: (requestId: string) => QueuedRequest<Value> | undefined;
 	/**
 	Removes and returns all requests that have reached the maximum wait of their class.
--- /dev/null
+++ b/dispatch/waiting/src/decide-waiting.ts
@@ -0,0 +1,35 @@
+import type {WaitingDecision} from './waiting-decision.ts';
+import type {WaitingInput} from './waiting-input.ts';
+
+/**
+Share of the objective after which a request is held only if it will be in time: a caller that is told so early has most of its
+objective left for coming back.
+*/
+const earlyShare = 1 / 8;
+/**
+Part of the predicted wait that counts before that: news of endpoints that come free may still be on its way.
+*/
+const doubtfulShare = 0.5;
+
+/**
+ Decides whether a request goes on waiting for room. One that cannot be served within its objective is refused: at once if even half
+ of the prediction would leave it no time, and after an eighth of its objective if the prediction says so then. One that was held
+ at that check is kept until it could not be in time even if it were sent now, since its caller has waited already. Urgent and
+ promised requests wait until their deadline.
+
+ @example
+ decideWaiting({isUrgent: false, isPromised: false, isHeld: false, waitedMs: 80, roomInMs: 900, serviceMs: 100, objectiveMs: 600, leftMs: 520}); // 'refuse'
+ */
+export function decideWaiting({isUrgent, isPromised, isHeld, waitedMs, roomInMs, serviceMs, objectiveMs, leftMs}: WaitingInput): WaitingDecision {
+	if (isUrgent || isPromised) {
+		return 'wait';
+	}
+
+	if (leftMs < serviceMs) {
+		return 'refuse';
+	}
+
+	const isEarly = waitedMs < earlyShare * objectiveMs;
+	const expectedMs = (isEarly ? roomInMs * doubtfulShare : roomInMs) + serviceMs;
+	return isHeld || expectedMs <= leftMs ? 'wait' : 'refuse';
+}
--- /dev/null
+++ b/dispatch/waiting/src/index.ts
@@ -0,0 +1,12 @@
+export type {AccountUse} from './account-use.ts';
+export {chooseDropped} from './choose-dropped.ts';
+export {compareWaiting} from './compare-waiting.ts';
+export {createReturnPlan} from './create-return-plan.ts';
+export {decideWaiting} from './decide-waiting.ts';
+export {planReturn} from './plan-return.ts';
+export {rankWaiting} from './rank-waiting.ts';
+export type {ReturnInput} from './return-input.ts';
+export type {ReturnPlan} from './return-plan.ts';
+export type {WaitingDecision} from './waiting-decision.ts';
+export type {WaitingInput} from './waiting-input.ts';
+export type {WaitingOrder} from './waiting-order.ts';
