feat(gateway): a waiting room for requests that no endpoint has room for

Cause: a request is sent or refused at once, so that in a burst nodes send to full engines and give up after five. Change: where [waiting] is on, such a request waits at the node in one discipline with the dispatcher's queue, is sent as a place comes free, and is withdrawn when it is hopeless. A refusal by a full endpoint no longer counts as a try. Not measured yet.

--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -34,5 +34,6 @@
 		leaving: z.enum(['secured', 'overdue', 'silent', 'stalled', 'dark', 'patient', 'shorter', 'never']).default('secured'),
 		read_first: z.boolean().default(false),
 		count_failures: z.boolean().default(true),
+		waiting: z.boolean().default(false),
 	})).refine(variants => Object.keys(variants).length > 0, 'name at least one variant'),
 });
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -67,6 +67,7 @@
 			leaving: variant.leaving,
 			isReadFirst: variant.read_first,
 			isFailureCounted: variant.count_failures,
+			isWaiting: variant.waiting,
 		});
 		onSeed(index + 1);
 		return listFigures(report);
@@ -90,6 +91,7 @@
 		late: report.late,
 		cut: report.cut,
 		'bad gateway': report.badGateway,
+		'engine refusals': report.engineRefusals,
 		'attempts ended': report.attempts.ended,
 		'ended as stalled': report.attempts.endedAsStalled,
 		repeats: report.attempts.repeats,
--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -66,6 +66,14 @@
 		wait_factor: z.number().positive().default(0.5),
 		return_factor: z.number().positive().default(1.5),
 	}).prefault({}),
+	/**
+	Requests that no endpoint has room for wait at the node, this many and this many megabytes of their bodies at most.
+	*/
+	waiting: z.strictObject({
+		enabled: z.boolean().default(false),
+		most: z.int().min(1).max(100_000).default(1000),
+		most_mb: z.number().positive().max(4096).default(32),
+	}).prefault({}),
 	peers: z.strictObject({
 		/**
 		Timeout after which a peer link without messages is closed: five heartbeat intervals.
--- a/dispatch/waiting/src/decide-waiting.ts
+++ b/dispatch/waiting/src/decide-waiting.ts
@@ -1,13 +1,9 @@
+import {isPastCheck} from './is-past-check.ts';
 import type {WaitingDecision} from './waiting-decision.ts';
 import type {WaitingInput} from './waiting-input.ts';
 
 /**
-Share of the objective after which a request is held only if it will be in time: a caller that is told so early has most of its
-objective left for coming back.
-*/
-const earlyShare = 1 / 8;
-/**
-Part of the predicted wait that counts before that: news of endpoints that come free may still be on its way.
+Part of the predicted wait that counts before the check: news of endpoints that come free may still be on its way.
 */
 const doubtfulShare = 0.5;
 
@@ -29,7 +25,6 @@
 		return 'refuse';
 	}
 
-	const isEarly = waitedMs < earlyShare * objectiveMs;
-	const expectedMs = (isEarly ? roomInMs * doubtfulShare : roomInMs) + serviceMs;
+	const expectedMs = (isPastCheck({waitedMs, objectiveMs}) ? roomInMs : roomInMs * doubtfulShare) + serviceMs;
 	return isHeld || expectedMs <= leftMs ? 'wait' : 'refuse';
 }
--- a/dispatch/waiting/src/index.ts
+++ b/dispatch/waiting/src/index.ts
@@ -3,6 +3,7 @@
 export {compareWaiting} from './compare-waiting.ts';
 export {createReturnPlan} from './create-return-plan.ts';
 export {decideWaiting} from './decide-waiting.ts';
+export {isPastCheck} from './is-past-check.ts';
 export {planReturn} from './plan-return.ts';
 export {rankWaiting} from './rank-waiting.ts';
 export type {ReturnInput} from './return-input.ts';
--- a/emulator/fleet/src/create-emulated-endpoint.ts
+++ b/emulator/fleet/src/create-emulated-endpoint.ts
@@ -52,6 +52,7 @@
 	let pausedUntil = 0;
 	let foreignPrompts = 0;
 	let incarnation = 0;
+	let refusals = 0;
 	engine.setSlowness(slowness);
 
 	/**
@@ -106,6 +107,7 @@
 	}
 
 	function refuse(jobId: string, {node, onRefused}: EmulatedSender, retryAfterMs: number | undefined): void {
+		refusals++;
 		if (retryAfterMs !== undefined) {
 			check.recordCooldown(node, retryAfterMs);
 		}
@@ -218,6 +220,7 @@
 		},
 		countExcess: limitCheck.countExcess,
 		countBrokenNotices: check.countBrokenNotices,
+		countRefusals: () => refusals,
 		counts: engine.counts,
 	};
 }
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -6,6 +6,7 @@
 import {createCrashDetector, createQuarantine, type CrashRow} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector, type SelectorOptions} from '@valvesaddle/selection';
+import {createTurns, createWaitingRoom} from '@valvesaddle/waiting-room';
 import {createAttemptGate} from './create-attempt-gate.ts';
 import type {EmulatedNode} from './emulated-node.ts';
 import type {EmulationLoad} from './emulation-load.ts';
@@ -25,6 +26,7 @@
 	readonly leaving: LeavingPolicy;
 	readonly isReadFirst: boolean;
 	readonly isFailureCounted: boolean;
+	readonly isWaiting: boolean;
 	/**
 	Called with crashes that are new to the node.
 	*/
@@ -36,6 +38,10 @@
 */
 const defaultRetryBudget = {ratio: 0.2, slack: 50};
 const retryWindowMs = 10_000;
+/**
+Size of the waiting room: the defaults of the gateway's settings.
+*/
+const roomSize = {most: 1000, mostBytes: 32_000_000};
 
 const metrics: Metrics = {
 	increment() {
@@ -58,20 +64,28 @@
  Creates an emulated node from the packages of the gateway.
 
  @example
- const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false, isFailureCounted: true, onCrashes() {}});
+ const node = createEmulatedNode({id: 'n-0', load, selection, admission, exchanges, endpoints: ['e-0'], thread, logger, leaving: 'secured', isReadFirst: false, isFailureCounted: true, isWaiting: false, onCrashes() {}});
  */
-export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst, isFailureCounted, onCrashes}: EmulatedNodeOptions): EmulatedNode {
+export function createEmulatedNode({id, load, selection, admission, exchanges, endpoints, thread, logger, leaving, isReadFirst, isFailureCounted, isWaiting, onCrashes}: EmulatedNodeOptions): EmulatedNode {
 	let handlePlacement = (): void => {
 		// No handler is set.
 	};
 
+	const nodes = Array.from({length: load.nodes}, (_value, index) => `n-${index}`).toSorted();
+	const fleet = {self: id, list: () => nodes};
+	const room = isWaiting ? createWaitingRoom({
+		...roomSize, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
+	}) : undefined;
 	const selector = createSelector({
 		...selection,
-		fleet: {self: id, list: () => Array.from({length: load.nodes}, (_value, index) => `n-${index}`)},
+		fleet,
 		hasConnection: address => exchanges.hasIdle(address),
 		onPlacement() {
 			handlePlacement();
 		},
+		onRoom(incarnation) {
+			room?.wake(incarnation);
+		},
 	});
 	selector.setPools([{name: 'engines', engine: {slots: load.engine.slots, cacheTokens: load.engine.cacheTokens}}]);
 	for (const endpoint of endpoints) {
@@ -92,7 +106,7 @@
 		onCrash: quarantine.recordCrash,
 	});
 	const forwarder = createForwarder({
-		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), quarantine, crashDetector, admission, logger, metrics,
+		wire: emulatorWire, selector: gated, exchanges, budget, waits: createWaitBaselines(), quarantine, crashDetector, admission, room, logger, metrics,
 	});
 	return {
 		id,
--- a/emulator/fleet/src/emulated-endpoint.ts
+++ b/emulator/fleet/src/emulated-endpoint.ts
@@ -54,5 +54,9 @@
 	Number of times that a node ignored a cooldown or draining signal of the engine.
 	*/
 	readonly countBrokenNotices: () => number;
+	/**
+	Number of requests that the engine refused.
+	*/
+	readonly countRefusals: () => number;
 	readonly counts: () => {readonly prefilledTokens: number; readonly recomputedTokens: number; readonly preempted: number};
 };
--- a/emulator/fleet/src/emulation-options.ts
+++ b/emulator/fleet/src/emulation-options.ts
@@ -23,4 +23,8 @@
 	Whether an attempt that is ended because it paused counts as a failure of its endpoint; if omitted, it does, as in the gateway.
 	*/
 	readonly isFailureCounted?: boolean;
+	/**
+	Whether requests wait at the nodes until an engine has room; if omitted, they do not.
+	*/
+	readonly isWaiting?: boolean;
 };
--- a/emulator/fleet/src/emulation-report.ts
+++ b/emulator/fleet/src/emulation-report.ts
@@ -29,6 +29,10 @@
 	readonly readAgainTokens: number;
 	readonly preempted: number;
 	/**
+	Requests that engines refused since they were full or overloaded.
+	*/
+	readonly engineRefusals: number;
+	/**
 	Connections that nodes opened to engines.
 	*/
 	readonly connections: number;
--- a/emulator/fleet/src/run-emulation.ts
+++ b/emulator/fleet/src/run-emulation.ts
@@ -82,7 +82,7 @@
  @example
  runEmulation({load, seed: 7, selection, admission}).worth; // 0.93
  */
-export function runEmulation({load, seed, selection, admission, leaving = 'secured', isReadFirst = false, isFailureCounted = true}: EmulationOptions): EmulationReport {
+export function runEmulation({load, seed, selection, admission, leaving = 'secured', isReadFirst = false, isFailureCounted = true, isWaiting = false}: EmulationOptions): EmulationReport {
 	const paused = new Clock();
 	const exit = paused.enter();
 	const {random: unseededRandom} = Math;
@@ -103,7 +103,7 @@
 		const nodes: readonly EmulatedNode[] = Array.from({length: load.nodes}, (_value, index) => {
 			const thread = threads.create();
 			return createEmulatedNode({
-				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, isFailureCounted,
+				id: `n-${index}`, load, selection, admission, thread, logger: attempts.logger, leaving, isReadFirst, isFailureCounted, isWaiting,
 				onCrashes(rows) {
 					clock.add(load.linkMs, () => {
 						for (const node of nodes) {
@@ -181,6 +181,7 @@
 			...summarizeOutcomes(outcomes),
 			attempts: attempts.count(),
 			...countPrefill(endpoints.values().toArray()),
+			engineRefusals: endpoints.values().reduce((sum, endpoint) => sum + endpoint.countRefusals(), 0),
 			connections,
 			crashes: crashCheck.countCrashes(),
 			lateCrashArrivals: crashCheck.countLate(),
--- a/gateway/admission/src/admission-input.ts
+++ b/gateway/admission/src/admission-input.ts
@@ -26,4 +26,22 @@
 	Random number from 0 up to 1 that spreads the retries of refused callers.
 	*/
 	readonly draw: number;
+	/**
+	Where requests may wait at the node; without it, they are sent or refused at once.
+	*/
+	readonly waiting?: {
+		/**
+		Predicted time until an endpoint has room for the request and those that wait before it are sent; 0 if it can be sent now.
+		*/
+		readonly roomInMs: number;
+		/**
+		Whether the request is of the most urgent class, or was promised to be served.
+		*/
+		readonly isUrgent: boolean;
+		readonly isPromised: boolean;
+		/**
+		Plans after how long a refused caller comes back, if there is room after this time.
+		*/
+		readonly planReturnMs: (roomInMs: number) => number;
+	};
 };
--- a/gateway/admission/src/decide-admission.ts
+++ b/gateway/admission/src/decide-admission.ts
@@ -1,3 +1,4 @@
+import {decideWaiting} from '@valvesaddle/waiting';
 import type {Admission} from './admission.ts';
 import type {AdmissionInput} from './admission-input.ts';
 import type {AdmissionSettings} from './admission-settings.ts';
@@ -7,21 +8,44 @@
 */
 const spread = 0.5;
 
+type Waiting = NonNullable<AdmissionInput['waiting']>;
+
+/**
+Decides on a request that would wait at the node.
+*/
+function decideHeld({readMs, objectiveMs, elapsedMs}: AdmissionInput, {roomInMs, isUrgent, isPromised, planReturnMs}: Waiting): Admission {
+	const decision = decideWaiting({
+		isUrgent, isPromised, isHeld: false, waitedMs: 0, roomInMs, serviceMs: readMs, objectiveMs, leftMs: objectiveMs - elapsedMs,
+	});
+	return decision === 'wait' ? {kind: 'wait'} : {kind: 'refuse', retryAfterMs: planReturnMs(roomInMs)};
+}
+
 /**
  Decides on a request for a model engine. A request that can be in time is sent. A late one is refused on its first attempt if it
  would wait long, since it would make others late during a burst and its caller can retry afterwards. A retry is never refused,
- but sent with a lower rank than requests that can be in time.
+ but sent with a lower rank than requests that can be in time. Where requests may wait, one for which no endpoint has room waits at
+ the node if it can still be in time, and the most urgent ones are never refused.
 
  In emulated bursts with an unresponsive and a crashed engine, 78 of 100 drafts are in time, and 64 if all are sent in order of arrival.
 
  @example
  decideAdmission({predictedMs: 900, readMs: 50, objectiveMs: 600, elapsedMs: 0, isRetry: false, draw: 0.5}, {lateFactor: 1.3, waitFactor: 0.5, retryAfterFactor: 1}).kind; // 'refuse'
  */
-export function decideAdmission({predictedMs, readMs, objectiveMs, elapsedMs, isRetry, draw}: AdmissionInput, {lateFactor, waitFactor, retryAfterFactor}: AdmissionSettings): Admission {
+export function decideAdmission(input: AdmissionInput, {lateFactor, waitFactor, retryAfterFactor}: AdmissionSettings): Admission {
+	const {predictedMs, readMs, objectiveMs, elapsedMs, isRetry, draw, waiting} = input;
+	if (waiting !== undefined && waiting.roomInMs > 0) {
+		return decideHeld(input, waiting);
+	}
+
 	if (predictedMs <= lateFactor * (objectiveMs - elapsedMs)) {
 		return {kind: 'send'};
 	}
 
 	// Only the wait for others counts, so a long prompt is refused no more often than a short one.
-	return isRetry || predictedMs - readMs <= waitFactor * objectiveMs ? {kind: 'send-late'} : {kind: 'refuse', retryAfterMs: predictedMs * retryAfterFactor * (1 + (spread * (draw - 0.5)))};
+	if (isRetry || waiting?.isUrgent === true || predictedMs - readMs <= waitFactor * objectiveMs) {
+		return {kind: 'send-late'};
+	}
+
+	const retryAfterMs = waiting?.planReturnMs(predictedMs - readMs) ?? predictedMs * retryAfterFactor * (1 + (spread * (draw - 0.5)));
+	return {kind: 'refuse', retryAfterMs};
 }
--- a/gateway/forwarding/src/admitter.ts
+++ b/gateway/forwarding/src/admitter.ts
@@ -1,13 +1,22 @@
-import type {Admission} from '@valvesaddle/admission';
+import type {Admission, AdmissionInput} from '@valvesaddle/admission';
 import type {Selection} from '@valvesaddle/selection';
 
 /**
-Decides whether a request is sent at its own urgency, sent at a lower one, or refused.
+Decides whether a request is sent at its own urgency, sent at a lower one, held at the node, or refused.
 */
 export type Admitter = {
 	/**
 	@param selection - The best endpoint at the request's own urgency.
 	@param isTried - Whether the request was already sent to an endpoint.
+	@param waiting - Where the request may wait, the room for it.
 	*/
-	readonly decide: (selection: Pick<Selection, 'costMs' | 'readMs'>, isTried: boolean) => Admission;
+	readonly decide: (selection: Pick<Selection, 'costMs' | 'readMs'>, isTried: boolean, waiting?: Omit<NonNullable<AdmissionInput['waiting']>, 'planReturnMs'>) => Admission;
+	/**
+	Whether the caller was refused before and has come back.
+	*/
+	readonly hasReturned: () => boolean;
+	/**
+	Time since the caller's first attempt, in milliseconds.
+	*/
+	readonly getElapsedMs: () => number;
 };
--- a/gateway/forwarding/src/attempt-failure.ts
+++ b/gateway/forwarding/src/attempt-failure.ts
@@ -12,6 +12,10 @@
 	*/
 	readonly mayHaveRun: boolean;
 	/**
+	Whether the endpoint refused the request before running it, and may take it later.
+	*/
+	readonly isFull?: boolean;
+	/**
 	The endpoint's error response, sent to the caller when the request is not retried.
 	*/
 	readonly answer?: AttemptAnswer | undefined;
--- a/gateway/forwarding/src/create-admitter.ts
+++ b/gateway/forwarding/src/create-admitter.ts
@@ -13,21 +13,32 @@
  const admitter = createAdmitter(options, request, 6000);
  admitter.decide({costMs: 900, readMs: 50}, false).kind; // 'refuse'
  */
-export function createAdmitter(options: Pick<ForwarderOptions, 'waits' | 'admission' | 'logger' | 'metrics'>, request: ForwardRequest, waitMs: number): Admitter {
+export function createAdmitter(options: Pick<ForwarderOptions, 'waits' | 'admission' | 'room' | 'logger' | 'metrics'>, request: ForwardRequest, waitMs: number): Admitter {
 	const {metadata, route} = request;
 	const spentMs = metadata.waitMs === undefined ? 0 : options.waits.record(route.name, waitMs);
 
+	function getElapsedMs(): number {
+		return spentMs + performance.now() - request.arrivedAt;
+	}
+
+	function planReturnMs(roomInMs: number): number {
+		return options.room?.planReturnMs({pool: request.pool, route: route.name, account: request.account?.name ?? ''}, roomInMs) ?? roomInMs;
+	}
+
 	return {
-		decide({costMs, readMs}, isTried) {
+		getElapsedMs,
+		hasReturned: () => spentMs > 0,
+		decide({costMs, readMs}, isTried, waiting) {
 			// Waits are predicted for streams from model engines only. A retry after a failed endpoint keeps its urgency:
 			// 8 of 9 such streams were answered then, and 14 of 53 that ranked behind others.
-			if (isTried || !request.isEnginePool || route.kind !== 'stream') {
+			const isPredicted = !isTried && request.isEnginePool && route.kind === 'stream';
+			if (!isPredicted && (waiting?.roomInMs ?? 0) === 0) {
 				return {kind: 'send'};
 			}
 
-			const elapsedMs = spentMs + performance.now() - request.arrivedAt;
+			const elapsedMs = getElapsedMs();
 			const admission = decideAdmission({
-				predictedMs: costMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRetry: spentMs > 0, draw: Math.random(),
+				predictedMs: costMs, readMs, objectiveMs: route.latencyObjectiveMs, elapsedMs, isRetry: spentMs > 0, draw: Math.random(), ...(waiting && {waiting: {...waiting, planReturnMs}}),
 			}, options.admission);
 			if (admission.kind !== 'send') {
 				options.metrics.increment('gateway.admission', 1, {kind: admission.kind});
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -146,7 +146,9 @@
 		if (answerClass === 'not-run' || answerClass === 'misdirected') {
 			openRequest.close(answerClass === 'misdirected' ? 'gone' : 'rejected');
 			events.onNotRun();
-			events.onFailure({cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false});
+			events.onFailure({
+				cause: 'refused', reason: `refused with ${status}`, mayHaveRun: false, isFull: answerClass === 'not-run',
+			});
 		} else if (answerClass === 'run-failed') {
 			openRequest.close('failed');
 			events.onFailure({
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -1,5 +1,5 @@
 import type {ValvesaddleError} from '@valvesaddle/error';
-import type {Selection, SelectionCriteria} from '@valvesaddle/selection';
+import type {SelectionCriteria, Selection} from '@valvesaddle/selection';
 import type {AttemptAnswer} from './attempt-answer.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {createAdmitter} from './create-admitter.ts';
@@ -7,6 +7,7 @@
 import {createAttemptSwitch} from './create-attempt-switch.ts';
 import {createAttempt} from './create-attempt.ts';
 import {createCrashRecord} from './create-crash-record.ts';
+import {createPlacer} from './create-placer.ts';
 import {createProgressTimer} from './create-progress-timer.ts';
 import {createRefusals} from './create-refusals.ts';
 import {createRequestRecorder} from './create-request-recorder.ts';
@@ -22,11 +23,6 @@
 import type {SwitchEvents} from './switch-events.ts';
 import {toInterruption} from './to-interruption.ts';
 
-/**
-Number of endpoints that are tried for one request, including those that refuse it or are unreachable.
-*/
-const maximumTriedEndpoints = 5;
-
 /**
  Forwards a request until it has one final answer. The task owns its timers and its open exchange.
 
@@ -40,7 +36,6 @@
 	const waitMs = Math.min(route.timeoutMs, metadata.waitMs ?? Infinity);
 	const deadlineAt = request.arrivedAt + waitMs;
 	const writer = createAnswerWriter({request, reply, wire});
-	const admitter = createAdmitter(options, request, waitMs);
 	const crashes = createCrashRecord(options, request);
 	const recorder = createRequestRecorder(options, request, crashes.getDigest);
 	const refusals = createRefusals(selector, request.pool);
@@ -65,7 +60,22 @@
 		startProgressTimer(milliseconds);
 		moveAttempt({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true}, 'failed');
 	});
-	let attempts = 0;
+	const placer = createPlacer({
+		tools: options,
+		request,
+		question,
+		tried,
+		admitter: createAdmitter(options, request, waitMs),
+		crashes,
+		refusals,
+		retries,
+		onSend(selection) {
+			markSending(selection);
+			attemptSwitch.start(selection);
+		},
+		onRefused: refusePlace,
+		onNoEndpoint: handleNoEndpoint,
+	});
 	/**
 	ID of the endpoint that the request was last sent to.
 	*/
@@ -98,7 +108,7 @@
 		onFailure: handleFailure,
 		onReplaced: writer.discardPartialEvent,
 		onKept(failure) {
-			recorder.recordReverted(attempts, failure);
+			recorder.recordReverted(placer.countAttempts(), failure);
 			startProgressTimer(writer.isStarted() ? pauseMs : firstByteMs);
 		},
 	};
@@ -117,7 +127,8 @@
 		hasEnded = true;
 		clearTimeout(timer);
 		progressTimer.stop();
-		recorder.recordEnd(outcome, status, {attempts, runs: retries.countRuns()});
+		placer.end();
+		recorder.recordEnd(outcome, status, {attempts: placer.countAttempts(), runs: retries.countRuns()});
 		onEnd();
 	}
 
@@ -183,18 +194,18 @@
 	function moveAttempt(failure: AttemptFailure, end: 'failed' | 'cancelled'): void {
 		// Under overload many attempts are checked again and again, and choosing an endpoint takes longest.
 		if (!retries.hasRetry()) {
-			recorder.recordKept(failure, attempts, 'budget', options.budget.readUsage(request.pool));
+			recorder.recordKept(failure, placer.countAttempts(), 'budget', options.budget.readUsage(request.pool));
 			return;
 		}
 
-		const selection = chooseEndpoint({...question, isHealthyOnly: failure.cause !== 'restarted'});
+		const selection = placer.choose({...question, isHealthyOnly: failure.cause !== 'restarted'});
 		const denial = selection === undefined ? 'no-endpoint' : retries.spend(failure);
 		if (selection === undefined || denial !== undefined) {
-			recorder.recordKept(failure, attempts, denial ?? 'no-endpoint', options.budget.readUsage(request.pool));
+			recorder.recordKept(failure, placer.countAttempts(), denial ?? 'no-endpoint', options.budget.readUsage(request.pool));
 			return;
 		}
 
-		recorder.recordFailure(failure, {endpoint: sentTo, attempt: attempts}, undefined, options.budget.readUsage(request.pool));
+		recorder.recordFailure(failure, {endpoint: sentTo, attempt: placer.countAttempts()}, undefined, options.budget.readUsage(request.pool));
 		markSending(selection);
 		attemptSwitch.replace(selection, end);
 	}
@@ -204,41 +215,27 @@
 		attemptSwitch.end(end);
 	}
 
-	function chooseEndpoint(criteria: SelectionCriteria): Selection | undefined {
-		const startedAt = performance.now();
-		const selection = attempts < maximumTriedEndpoints ? selector.choose({...criteria, isolationKey: crashes.getIsolationKey()}) : undefined;
-		metrics.timing('gateway.decision', performance.now() - startedAt);
-		return selection;
-	}
-
-	function startAttempt(): void {
-		if (crashes.isQuarantined() && !crashes.takeTrial()) {
-			refuse(refusals.buildQuarantined());
-			return;
-		}
-
-		const selection = chooseEndpoint(question);
-		if (selection === undefined) {
-			recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
-			fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
-			return;
-		}
-
-		const admission = admitter.decide(selection, attempts > 0);
-		if (admission.kind === 'refuse') {
-			refuse(refusals.buildOverloaded(selection.costMs, admission.retryAfterMs));
+	/**
+	Ends a request for which there is no room. One that an endpoint has worked on is not refused as if it had not run.
+	*/
+	function refusePlace(error: ValvesaddleError): void {
+		if (retries.countRuns() === 0) {
+			refuse(error);
 		} else {
-			const admitted = admission.kind === 'send-late' ? chooseEndpoint({...question, urgency: rankUrgency(route, request.account, true)}) ?? selection : selection;
-			markSending(admitted);
-			attemptSwitch.start(admitted);
+			fail(refusals.buildFailure(error.message, true), {endedBy: 'node', cause: 'no-endpoint', reason: error.message});
 		}
 	}
 
+	function handleNoEndpoint(): void {
+		const attempts = placer.countAttempts();
+		recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
+		fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
+	}
+
 	function markSending(selection: Selection): void {
-		attempts++;
+		placer.markSent(selection);
 		sentTo = selection.endpoint.id;
-		tried.add(selection.endpoint.incarnation);
-		recorder.recordSent(selection, attempts, deadlineAt - performance.now());
+		recorder.recordSent(selection, placer.countAttempts(), deadlineAt - performance.now());
 		({firstByteMs} = getProgressTimeouts(route, request.isEnginePool ? selection.costMs : 0));
 		startProgressTimer(firstByteMs);
 	}
@@ -264,10 +261,17 @@
 	function handleFailure(failure: AttemptFailure): void {
 		progressTimer.stop();
 		writer.discardPartialEvent();
-		const denial = decideDenial(failure);
-		recorder.recordFailure(failure, {endpoint: sentTo, attempt: attempts}, denial, options.budget.readUsage(request.pool));
+		if (failure.isFull === true) {
+			placer.markFull();
+		}
+
+		const reason = decideDenial(failure);
+		// Where requests wait, one that a full endpoint has refused waits also until the budget allows its retry.
+		const needsRetry = reason === 'budget' && failure.isFull === true && placer.canWait();
+		const denial = needsRetry ? undefined : reason;
+		recorder.recordFailure(failure, {endpoint: sentTo, attempt: placer.countAttempts()}, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
-			startAttempt();
+			placer.place(needsRetry);
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
 			answerCaller(failure.answer);
 		} else if (denial === 'quarantined' && retries.countRuns() === 0) {
@@ -277,7 +281,7 @@
 		}
 	}
 
-	startAttempt();
+	placer.place(false);
 
 	return {
 		cancel() {
--- /dev/null
+++ b/gateway/forwarding/src/create-waiter.ts
@@ -0,0 +1,42 @@
+import type {Waiter} from '@valvesaddle/waiting-room';
+import type {Admitter} from './admitter.ts';
+import type {ForwardRequest} from './forward-request.ts';
+
+type WaiterOptions = Pick<Waiter, 'isPromised' | 'getRoomInMs' | 'send' | 'onWithdrawn'> & {
+	readonly request: ForwardRequest;
+	readonly admitter: Pick<Admitter, 'hasReturned' | 'getElapsedMs'>;
+	/**
+	Predicted time that an endpoint reads its prompt, in milliseconds.
+	*/
+	readonly readMs: number;
+};
+
+/**
+Part of the objective that a prompt's own reading counts at most, so that a long prompt may wait as well.
+*/
+const longestReadShare = 0.5;
+
+/**
+ Describes a request to the waiting room.
+
+ @example
+ const leave = room.enter(createWaiter({request, admitter, readMs: 80, isPromised: false, getRoomInMs, send, onWithdrawn}));
+ */
+export function createWaiter({request, admitter, readMs, ...handlers}: WaiterOptions): Waiter {
+	const {metadata, route, account, pool} = request;
+	return {
+		...handlers,
+		requestId: metadata.requestId ?? '-',
+		pool,
+		route: route.name,
+		priority: route.priority,
+		account: account?.name ?? '',
+		arrivedAt: request.arrivedAt,
+		objectiveMs: route.latencyObjectiveMs,
+		objectiveAt: performance.now() + route.latencyObjectiveMs - admitter.getElapsedMs(),
+		serviceMs: Math.min(readMs, longestReadShare * route.latencyObjectiveMs),
+		hasReturned: admitter.hasReturned(),
+		bytes: request.body?.length ?? 0,
+		tokens: metadata.promptTokens + metadata.outputTokens,
+	};
+}
--- a/gateway/forwarding/src/forwarder-options.ts
+++ b/gateway/forwarding/src/forwarder-options.ts
@@ -6,6 +6,7 @@
 import type {CrashDetector, Quarantine} from '@valvesaddle/quarantine';
 import type {RetryBudget} from '@valvesaddle/retry-budget';
 import type {Selector} from '@valvesaddle/selection';
+import type {WaitingRoom} from '@valvesaddle/waiting-room';
 
 /**
 Options of `createForwarder`.
@@ -24,6 +25,10 @@
 	*/
 	readonly onStarted?: (account: string, at: number) => void;
 	readonly admission: AdmissionSettings;
+	/**
+	Where requests wait for an endpoint with room; without it, they are sent or refused at once.
+	*/
+	readonly room?: WaitingRoom | undefined;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
--- a/gateway/selection/src/create-failure-table.ts
+++ b/gateway/selection/src/create-failure-table.ts
@@ -25,6 +25,10 @@
 Time for which an endpoint that refused a request is skipped if there is another, so that its queue can shorten.
 */
 const refusalSkipMs = 400;
+/**
+Time for which it counts as full: about the time until the next request ends there.
+*/
+const fullMs = 50;
 
 /**
  Creates the table of failing endpoints. After an ejection a single failure starts the next one, which is twice as long.
@@ -74,6 +78,10 @@
 			}
 		},
 		isEjected,
+		getFullMs(endpoint) {
+			const failures = table.get(endpoint);
+			return failures?.count === 0 ? Math.max(0, failures.skippedUntil - refusalSkipMs + fullMs - performance.now()) : 0;
+		},
 		removeEndpoint(endpoint) {
 			table.delete(endpoint);
 		},
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -109,11 +109,13 @@
 	Endpoints that were not tried, have no cooldown and accept a request of this node: the healthy ones, or the ejected ones if there are no others and they are
 	allowed. An isolated request has one of them.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], {tried, isHealthyOnly = false, isolationKey}: SelectionCriteria): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], criteria: SelectionCriteria): readonly KnownEndpoint[] {
+		const {tried, isHealthyOnly = false, isolationKey, hasTurn} = criteria;
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation) && limits.hasPermit(incarnation));
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation));
 		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
-		return isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
+		const allowed = isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
+		return allowed.filter(endpoint => getLackMs(endpoint, criteria) === 0 && (hasTurn === undefined || hasTurn(endpoint.incarnation)));
 	}
 
 	function chooseByLoad(candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
@@ -136,6 +138,18 @@
 		return measureSlotWait(loads.get(incarnation).open, slots);
 	}
 
+	/**
+	Milliseconds until an endpoint has room within the time that the criteria allow; 0 if it has now, or that does not matter.
+	*/
+	function getLackMs(endpoint: KnownEndpoint, criteria: SelectionCriteria): number {
+		const {roomWithinMs} = criteria;
+		return roomWithinMs === undefined ? 0 : Math.max(failures.getFullMs(endpoint.incarnation), getRoomInMs(endpoint, criteria) - roomWithinMs, 0);
+	}
+
+	function getPauseMs({incarnation}: KnownEndpoint): number {
+		return Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation));
+	}
+
 	/**
 	Drops rows of removed incarnations, which peers send until they know the new one.
 	*/
@@ -156,6 +170,7 @@
 		chooser.markChanged();
 		removed.remove(known.incarnation);
 		updateCapacity(known);
+		options.onRoom?.(undefined);
 	}
 
 	/**
@@ -176,8 +191,13 @@
 	function open(selection: Selection, criteria: SelectionCriteria): OpenRequest {
 		const {incarnation} = selection.endpoint;
 		let permit = limits.takePermit(incarnation);
+		const request = tracker.open(selection, criteria);
 		return {
-			...tracker.open(selection, criteria),
+			...request,
+			close(end) {
+				request.close(end);
+				options.onRoom?.(incarnation);
+			},
 			canSend() {
 				permit = permit === 'unlimited' ? limits.takePermit(incarnation) : permit;
 				return permit !== 'denied';
@@ -232,8 +252,12 @@
 		},
 		hasRoom: (endpoint, criteria) => getRoomInMs(endpoint, criteria) === 0,
 		getRoomInMs,
+		getPoolRoomInMs(criteria) {
+			const untried = listReady(criteria.pool).filter(({incarnation}) => !criteria.tried.has(incarnation));
+			return Math.min(Infinity, ...untried.map(endpoint => Math.max(getPauseMs(endpoint), getLackMs(endpoint, criteria))));
+		},
 		getCooldownMs(pool) {
-			const remaining = listReady(pool).map(({incarnation}) => Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation)));
+			const remaining = listReady(pool).map(endpoint => getPauseMs(endpoint));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
 		},
 		takeLoadUpdate(readAt = performance.now()) {
@@ -254,6 +278,7 @@
 				addPlacement(placement);
 			}
 
+			options.onRoom?.(undefined);
 			return current;
 		},
 		setUnseenFactor(factor) {
--- a/gateway/selection/src/failure-table.ts
+++ b/gateway/selection/src/failure-table.ts
@@ -23,5 +23,9 @@
 	Whether an endpoint is ejected or skipped after a refusal.
 	*/
 	readonly isEjected: (endpoint: string) => boolean;
+	/**
+	Milliseconds for which an endpoint that refused a request still counts as full; 0 if it does not.
+	*/
+	readonly getFullMs: (endpoint: string) => number;
 	readonly removeEndpoint: (endpoint: string) => void;
 };
--- a/gateway/selection/src/selection-criteria.ts
+++ b/gateway/selection/src/selection-criteria.ts
@@ -31,4 +31,12 @@
 	Key of a request that may crash endpoints: all nodes choose the same endpoint by it, so that copies crash one at a time.
 	*/
 	readonly isolationKey?: string | undefined;
+	/**
+	Only endpoints that have room within this time, in milliseconds, and that have not just refused a request; all if omitted.
+	*/
+	readonly roomWithinMs?: number;
+	/**
+	Only endpoints whose free places this node may use now; all if omitted.
+	*/
+	readonly hasTurn?: (incarnation: string) => boolean;
 };
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -38,4 +38,9 @@
 	Called for each prompt that is sent to an endpoint.
 	*/
 	readonly onPlacement?: () => void;
+	/**
+	Called when room may have come free: at an incarnation at which a request of this node has ended, or anywhere (`undefined`) since
+	an endpoint has joined or a peer has reported its load.
+	*/
+	readonly onRoom?: (incarnation: string | undefined) => void;
 };
--- a/gateway/selection/src/selector.ts
+++ b/gateway/selection/src/selector.ts
@@ -47,6 +47,11 @@
 	*/
 	readonly getRoomInMs: (endpoint: KnownEndpoint, criteria: SelectionCriteria) => number;
 	/**
+	Predicted milliseconds until some endpoint of the pool has room for a request, within the time that the criteria allow; 0 if one
+	has now, `Infinity` if none is ready that was not tried.
+	*/
+	readonly getPoolRoomInMs: (criteria: SelectionCriteria) => number;
+	/**
 	Milliseconds until the first ready endpoint of a pool accepts requests again, by its cooldown and its limit; 0 if one does now,
 	or none is ready.
 	*/
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -16,6 +16,7 @@
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createRouteIndex, type RouteIndex} from '@valvesaddle/routes';
 import {createSelector, formatIncarnation} from '@valvesaddle/selection';
+import {createTurns, createWaitingRoom} from '@valvesaddle/waiting-room';
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
@@ -27,6 +28,7 @@
 import {measureCapacity} from './measure-capacity.ts';
 
 const msPerSecond = 1000;
+const bytesPerMegabyte = 1_000_000;
 /**
 Random bytes of a node's id and token.
 */
@@ -107,10 +109,18 @@
 		onPlacement() {
 			sync.sendPlacements();
 		},
+		onRoom(incarnation) {
+			room?.wake(incarnation);
+		},
 	});
 	// Fixed at the start, so that a change of the system time moves no request into another window.
 	const startedAt = Date.now() - performance.now();
 	const toUnixTime = (at: number): number => startedAt + at;
+	const room = settings.waiting.enabled
+		? createWaitingRoom({
+			most: settings.waiting.most, mostBytes: settings.waiting.most_mb * bytesPerMegabyte, turns: createTurns({fleet: {self: self.id, list: () => listFleet()}, toUnixTime}), logger, metrics,
+		})
+		: undefined;
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
@@ -162,6 +172,7 @@
 			sync.usage?.count(account, at);
 		},
 		admission: {lateFactor: admission.late_factor, waitFactor: admission.wait_factor, retryAfterFactor: admission.return_factor},
+		room,
 		logger,
 		metrics,
 	});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -73,6 +73,10 @@
 		readonly name: 'request-admission'; readonly request: string; readonly kind: string; readonly predictedMs: number; readonly readMs: number; readonly objectiveMs: number;
 		readonly elapsedMs: number;
 	}
+	| {
+		readonly name: 'request-waited'; readonly request: string; readonly pool: string; readonly route: string; readonly waitedMs: number;
+		readonly outcome: string; readonly waiting: number;
+	}
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
