feat(waiting): late requests wait for a free slot, those that can be in time are sent as today

Change: a request that is predicted to be in time is sent as before; a late new one waits for an eighth of its objective at most, one that has come back until a slot is free, at most 0.4 of its time. Full endpoints are left out. Urgent ones are sent.

--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -73,9 +73,11 @@
 
 	const nodes = Array.from({length: load.nodes}, (_value, index) => `n-${index}`).toSorted();
 	const fleet = {self: id, list: () => nodes};
-	const room = isWaiting ? createWaitingRoom({
-		...roomSize, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
-	}) : undefined;
+	const room = isWaiting
+		? createWaitingRoom({
+			...roomSize, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
+		})
+		: undefined;
 	const selector = createSelector({
 		...selection,
 		fleet,
--- a/gateway/admission/src/admission-input.ts
+++ b/gateway/admission/src/admission-input.ts
@@ -31,7 +31,11 @@
 	*/
 	readonly waiting?: {
 		/**
-		Predicted time until an endpoint has room for the request and those that wait before it are sent; 0 if it can be sent now.
+		Whether it cannot be sent now: all endpoints are full, or others wait that go first.
+		*/
+		readonly mustWait: boolean;
+		/**
+		Predicted time until an endpoint has a free slot and those that wait before it are sent; 0 if one is free.
 		*/
 		readonly roomInMs: number;
 		/**
--- a/gateway/admission/test/admission.test.ts
+++ b/gateway/admission/test/admission.test.ts
@@ -70,3 +70,30 @@
 	t.equal(waits.record('drafts', 6000), 0);
 	t.end();
 });
+
+test('where requests may wait, a late one waits while it may still be in time, and one that has come back until a slot is free', t => {
+	const waiting = {
+		mustWait: false, roomInMs: 0, isUrgent: false, isPromised: false, planReturnMs: (roomInMs: number) => roomInMs * 10,
+	};
+	const promised = {...waiting, isPromised: true};
+	const urgent = {...waiting, isUrgent: true};
+	const cases: ReadonlyArray<readonly [change: Partial<AdmissionInput>, kind: string, today: string]> = [
+		[{waiting}, 'send', 'send'],
+		[{predictedMs: 900, waiting}, 'wait', 'refuse'],
+		[{predictedMs: 2000, waiting}, 'refuse', 'refuse'],
+		[{predictedMs: 900, isRetry: true, waiting: promised}, 'send-late', 'send-late'],
+		[{predictedMs: 900, isRetry: true, waiting: {...promised, roomInMs: 40}}, 'wait', 'send-late'],
+		[{predictedMs: 300, elapsedMs: 400, waiting}, 'send-late', 'send-late'],
+		[{predictedMs: 9000, waiting: urgent}, 'send-late', 'refuse'],
+		[{predictedMs: 9000, waiting: {...urgent, mustWait: true}}, 'wait', 'refuse'],
+		[{predictedMs: 400, waiting: {...waiting, mustWait: true, roomInMs: 50}}, 'wait', 'send'],
+	];
+	for (const [change, kind, today] of cases) {
+		t.equal(decideAdmission({...input, ...change}, settings).kind, kind, JSON.stringify(change));
+		const {waiting: _waiting, ...rest} = {...input, ...change};
+		t.equal(decideAdmission(rest, settings).kind, today, `without waiting: ${JSON.stringify(change)}`);
+	}
+
+	t.match(decideAdmission({...input, predictedMs: 2000, waiting}, settings), {retryAfterMs: 19_500}, 'comes back when there is room');
+	t.end();
+});
--- a/gateway/forwarding/src/admitter.ts
+++ b/gateway/forwarding/src/admitter.ts
@@ -12,6 +12,10 @@
 	*/
 	readonly decide: (selection: Pick<Selection, 'costMs' | 'readMs'>, isTried: boolean, waiting?: Omit<NonNullable<AdmissionInput['waiting']>, 'planReturnMs'>) => Admission;
 	/**
+	Whether a request with this predicted time to its first token, in milliseconds, counts as in time.
+	*/
+	readonly isInTime: (costMs: number) => boolean;
+	/**
 	Whether the caller was refused before and has come back.
 	*/
 	readonly hasReturned: () => boolean;
--- a/gateway/forwarding/src/create-admitter.ts
+++ b/gateway/forwarding/src/create-admitter.ts
@@ -2,6 +2,7 @@
 import type {Admitter} from './admitter.ts';
 import type {ForwardRequest} from './forward-request.ts';
 import type {ForwarderOptions} from './forwarder-options.ts';
+import {rankWaiter} from './rank-waiter.ts';
 
 /**
  Creates the admitter of one request. It records the caller's wait, from which the time spent on earlier attempts is estimated.
@@ -22,17 +23,18 @@
 	}
 
 	function planReturnMs(roomInMs: number): number {
-		return options.room?.planReturnMs({pool: request.pool, route: route.name, account: request.account?.name ?? ''}, roomInMs) ?? roomInMs;
+		return options.room?.planReturnMs(rankWaiter(request, false), roomInMs) ?? roomInMs;
 	}
 
 	return {
 		getElapsedMs,
+		isInTime: costMs => costMs <= options.admission.lateFactor * (route.latencyObjectiveMs - getElapsedMs()),
 		hasReturned: () => spentMs > 0,
 		decide({costMs, readMs}, isTried, waiting) {
 			// Waits are predicted for streams from model engines only. A retry after a failed endpoint keeps its urgency:
 			// 8 of 9 such streams were answered then, and 14 of 53 that ranked behind others.
 			const isPredicted = !isTried && request.isEnginePool && route.kind === 'stream';
-			if (!isPredicted && (waiting?.roomInMs ?? 0) === 0) {
+			if (!isPredicted && waiting?.mustWait !== true) {
 				return {kind: 'send'};
 			}
 
--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -267,11 +267,11 @@
 
 		const reason = decideDenial(failure);
 		// Where requests wait, one that a full endpoint has refused waits also until the budget allows its retry.
-		const needsRetry = reason === 'budget' && failure.isFull === true && placer.canWait();
-		const denial = needsRetry ? undefined : reason;
+		const isNeedsRetry = reason === 'budget' && failure.isFull === true && placer.canWait();
+		const denial = isNeedsRetry ? undefined : reason;
 		recorder.recordFailure(failure, {endpoint: sentTo, attempt: placer.countAttempts()}, denial, options.budget.readUsage(request.pool));
 		if (denial === undefined) {
-			placer.place(needsRetry);
+			placer.place(isNeedsRetry);
 		} else if (failure.answer !== undefined && !writer.isStarted()) {
 			answerCaller(failure.answer);
 		} else if (denial === 'quarantined' && retries.countRuns() === 0) {
--- a/gateway/forwarding/src/create-placer.ts
+++ b/gateway/forwarding/src/create-placer.ts
@@ -1,10 +1,11 @@
 import type {Admission} from '@valvesaddle/admission';
 import type {Selection, SelectionCriteria} from '@valvesaddle/selection';
-import type {SendOutcome} from '@valvesaddle/waiting-room';
+import type {SendOutcome, WaitingRoom} from '@valvesaddle/waiting-room';
 import {createWaiter} from './create-waiter.ts';
 import type {Placer} from './placer.ts';
 import type {PlacerOptions} from './placer-options.ts';
 import {rankUrgency} from './rank-urgency.ts';
+import {rankWaiter} from './rank-waiter.ts';
 
 /**
 Number of endpoints that are tried for one request, including those that refuse it or are unreachable; those that are full are not counted
@@ -12,10 +13,13 @@
 */
 const maximumTriedEndpoints = 5;
 /**
-Time within which an endpoint always counts as having room, in milliseconds: for requests that go before what waits there, and at
-endpoints of which the wait is not predicted.
+Time within which each endpoint that is not full counts as having room, in milliseconds.
 */
 const anyTimeMs = 1e9;
+/**
+Part of its time for which a late request waits for a free slot at most: its answer needs the rest to end before the deadline.
+*/
+const longestWaitShare = 0.4;
 
 /**
  Creates the placer of one request.
@@ -25,11 +29,15 @@
  placer.place(false);
  */
 export function createPlacer({tools, request, question, tried, admitter, crashes, refusals, retries, onSend, onRefused, onNoEndpoint}: PlacerOptions): Placer {
-	const {selector, metrics, room, admission: {waitFactor}} = tools;
+	const {selector, metrics, room} = tools;
 	const {route} = request;
-	const isPredicted = request.isEnginePool && route.kind === 'stream';
 	const isUrgent = route.priority === 0;
-	const roomQuestion: SelectionCriteria = {...question, roomWithinMs: isUrgent || !isPredicted ? anyTimeMs : waitFactor * route.latencyObjectiveMs};
+	const isPredicted = request.isEnginePool && route.kind === 'stream';
+	/**
+	Criteria by which endpoints that are full are left out, and those without a free slot.
+	*/
+	const openQuestion: SelectionCriteria = {...question, roomWithinMs: anyTimeMs};
+	const freeQuestion: SelectionCriteria = {...question, roomWithinMs: 0, urgency: rankUrgency(route, request.account, true)};
 	let attempts = 0;
 	let fullAttempts = 0;
 	let lastIncarnation = '';
@@ -46,37 +54,43 @@
 		return !crashes.isQuarantined() || crashes.takeTrial();
 	}
 
-	function sendAs(selection: Selection, admission: Admission): void {
-		const late = admission.kind === 'send-late' ? choose({...question, urgency: rankUrgency(route, request.account, true)}) : undefined;
-		onSend(late ?? selection);
+	/**
+	Whether the request may not be refused for load: an endpoint has worked on it, its caller has come back, or its wait is not predicted.
+	*/
+	function isPromised(): boolean {
+		return retries.countRuns() > 0 || admitter.hasReturned() || !isPredicted;
 	}
 
 	/**
-	Endpoint that has room, if no request waits that goes first.
+	Whether it waits for a free slot, since it is late anyway.
 	*/
-	function findRoom(best: Selection | undefined): Selection | undefined {
-		if (room === undefined || room.hasAhead(request.pool, route.priority)) {
-			return undefined;
-		}
-
-		const hasRoom = best !== undefined && selector.hasRoom(best.endpoint, question);
-		return hasRoom ? best : choose(roomQuestion);
+	function isLate(readMs: number): boolean {
+		return isPredicted && !isUrgent && admitter.hasReturned() && !admitter.isInTime(readMs);
 	}
 
 	/**
-	Sends the request at its turn, if an endpoint has room and the budget allows the retry that it needs.
+	Endpoint for a request that waits, if it is to be sent now: any that is not full for one that is urgent or whose wait is not predicted, one
+	where it would be in time, or a free slot for a late one.
 	*/
-	function sendWaiting(hasTurn: (incarnation: string) => boolean, needsRetry: boolean): SendOutcome {
-		if (needsRetry && !retries.hasRetry()) {
-			return {kind: 'kept'};
+	function findTurn(hasTurn: (incarnation: string) => boolean, longestAt: number): Selection | undefined {
+		const selection = choose({...openQuestion, hasTurn});
+		if (selection === undefined || isUrgent || !isPredicted || admitter.isInTime(selection.costMs)) {
+			return selection;
 		}
 
-		const selection = choose({...roomQuestion, hasTurn});
-		if (selection === undefined) {
-			return {kind: 'kept'};
+		if (!isLate(selection.readMs)) {
+			return undefined;
 		}
 
-		if (needsRetry && retries.spend({mayHaveRun: false}) !== undefined) {
+		return choose(performance.now() >= longestAt ? {...openQuestion, urgency: freeQuestion.urgency} : {...freeQuestion, hasTurn});
+	}
+
+	/**
+	Sends the request at its turn, if an endpoint has room and the budget allows the retry that it needs.
+	*/
+	function sendWaiting(hasTurn: (incarnation: string) => boolean, longestAt: number, isRetryMissing: boolean): SendOutcome {
+		const selection = !isRetryMissing || retries.hasRetry() ? findTurn(hasTurn, longestAt) : undefined;
+		if (selection === undefined || (isRetryMissing && retries.spend({mayHaveRun: false}) !== undefined)) {
 			return {kind: 'kept'};
 		}
 
@@ -90,14 +104,24 @@
 		return {kind: 'ended'};
 	}
 
-	function startWaiting(best: Selection | undefined, needsRetry: boolean): void {
+	/**
+	Predicted time until the request can be sent, without those that wait before it; `Infinity` without an endpoint.
+	*/
+	function getRoomInMs(): number {
+		const best = isPredicted ? choose(openQuestion) : undefined;
+		return best === undefined ? selector.getPoolRoomInMs(openQuestion) : best.costMs - best.readMs;
+	}
+
+	function startWaiting(readMs: number, isRetryMissing: boolean): void {
+		const longestAt = performance.now() + (longestWaitShare * Math.min(route.timeoutMs, request.metadata.waitMs ?? Infinity));
 		leaveRoom = room?.enter(createWaiter({
 			request,
 			admitter,
-			readMs: best?.readMs ?? 0,
+			readMs,
+			isLate: isLate(readMs),
 			isPromised: isPromised(),
-			getRoomInMs: () => selector.getPoolRoomInMs(roomQuestion),
-			send: hasTurn => sendWaiting(hasTurn, needsRetry),
+			getRoomInMs,
+			send: hasTurn => sendWaiting(hasTurn, longestAt, isRetryMissing),
 			onWithdrawn(reason, retryAfterMs) {
 				leaveRoom = undefined;
 				if (reason === 'no-endpoint') {
@@ -109,52 +133,62 @@
 		}));
 	}
 
-	/**
-	Whether the request may not be refused for load: an endpoint has worked on it, its caller has come back, or its wait is not predicted.
-	*/
-	function isPromised(): boolean {
-		return retries.countRuns() > 0 || admitter.hasReturned() || !isPredicted;
+	function placeAlone(): void {
+		const selection = choose(question);
+		if (selection === undefined) {
+			onNoEndpoint();
+			return;
+		}
+
+		const admission = admitter.decide(selection, attempts > 0);
+		if (admission.kind === 'refuse') {
+			onRefused(refusals.buildOverloaded(selection.costMs, admission.retryAfterMs));
+		} else {
+			sendAs(selection, admission);
+		}
 	}
 
-	function predictRoomMs(): number {
-		const waiter = {
-			pool: request.pool, route: route.name, priority: route.priority, account: request.account?.name ?? '',
-		};
-		const roomInMs = selector.getPoolRoomInMs(roomQuestion);
-		return Math.max(1, room?.predictMs(waiter, roomInMs) ?? 0);
+	function sendAs(selection: Selection, {kind}: Admission): void {
+		const late = kind === 'send-late' ? choose({...question, urgency: freeQuestion.urgency}) : undefined;
+		onSend(late ?? selection);
 	}
 
 	/**
-	Without a waiting room, or an endpoint for which to wait, the best endpoint is used or the request is refused.
+	Where requests wait: full endpoints are left out, and the request waits if there is no other.
 	*/
-	function placeAt(best: Selection | undefined, needsRetry: boolean): void {
-		const fitting = needsRetry ? undefined : findRoom(best);
-		const roomInMs = room === undefined || fitting !== undefined ? 0 : predictRoomMs();
-		const isWaiting = roomInMs > 0 && roomInMs < Infinity && attempts - fullAttempts < maximumTriedEndpoints;
-		const selection = fitting ?? best;
-		if (selection === undefined && !isWaiting) {
-			onNoEndpoint();
+	function placeInTurn(waitingRoom: WaitingRoom, isRetryMissing: boolean): void {
+		const best = choose(openQuestion);
+		const readMs = best?.readMs ?? 0;
+		const waiter = rankWaiter(request, isLate(readMs));
+		const isHeldBack = isRetryMissing || best === undefined || ((isUrgent || !isPredicted) && waitingRoom.hasAhead(request.pool, waiter.rank));
+		const roomInMs = selector.getPoolRoomInMs(isHeldBack ? openQuestion : freeQuestion);
+		if (isHeldBack && (roomInMs === Infinity || attempts - fullAttempts >= maximumTriedEndpoints)) {
+			placeAlone();
 			return;
 		}
 
-		const prediction = selection ?? {costMs: roomInMs, readMs: 0};
-		const admission = admitter.decide(prediction, attempts > 0, room && {roomInMs: isWaiting ? roomInMs : 0, isUrgent, isPromised: isPromised()});
+		const costMs = best?.costMs ?? roomInMs;
+		const admission = admitter.decide({costMs, readMs}, attempts > 0, {
+			mustWait: isHeldBack, roomInMs: waitingRoom.predictMs(waiter, roomInMs), isUrgent, isPromised: isPromised(),
+		});
 		if (admission.kind === 'refuse') {
-			onRefused(refusals.buildOverloaded(prediction.costMs, admission.retryAfterMs));
-		} else if (admission.kind === 'wait') {
-			startWaiting(selection, needsRetry);
-		} else if (selection !== undefined) {
-			sendAs(selection, admission);
+			onRefused(refusals.buildOverloaded(costMs, admission.retryAfterMs));
+		} else if (admission.kind === 'wait' || best === undefined) {
+			startWaiting(readMs, isRetryMissing);
+		} else {
+			sendAs(best, admission);
 		}
 	}
 
 	return {
 		choose,
-		place(needsRetry) {
-			if (canStart()) {
-				placeAt(choose(question), needsRetry);
-			} else {
+		place(isRetryMissing) {
+			if (!canStart()) {
 				onRefused(refusals.buildQuarantined());
+			} else if (room === undefined) {
+				placeAlone();
+			} else {
+				placeInTurn(room, isRetryMissing);
 			}
 		},
 		markSent({endpoint}) {
@@ -164,10 +198,12 @@
 		},
 		canWait: () => room !== undefined,
 		markFull() {
-			if (room !== undefined) {
-				fullAttempts++;
-				tried.delete(lastIncarnation);
+			if (room === undefined) {
+				return;
 			}
+
+			fullAttempts++;
+			tried.delete(lastIncarnation);
 		},
 		countAttempts: () => attempts,
 		end() {
--- a/gateway/forwarding/src/create-waiter.ts
+++ b/gateway/forwarding/src/create-waiter.ts
@@ -1,6 +1,7 @@
 import type {Waiter} from '@valvesaddle/waiting-room';
 import type {Admitter} from './admitter.ts';
 import type {ForwardRequest} from './forward-request.ts';
+import {rankWaiter} from './rank-waiter.ts';
 
 type WaiterOptions = Pick<Waiter, 'isPromised' | 'getRoomInMs' | 'send' | 'onWithdrawn'> & {
 	readonly request: ForwardRequest;
@@ -9,6 +10,7 @@
 	Predicted time that an endpoint reads its prompt, in milliseconds.
 	*/
 	readonly readMs: number;
+	readonly isLate: boolean;
 };
 
 /**
@@ -20,23 +22,21 @@
  Describes a request to the waiting room.
 
  @example
- const leave = room.enter(createWaiter({request, admitter, readMs: 80, isPromised: false, getRoomInMs, send, onWithdrawn}));
+ const leave = room.enter(createWaiter({request, admitter, readMs: 80, isLate: false, isPromised: false, getRoomInMs, send, onWithdrawn}));
  */
-export function createWaiter({request, admitter, readMs, ...handlers}: WaiterOptions): Waiter {
-	const {metadata, route, account, pool} = request;
+export function createWaiter({request, admitter, readMs, isLate, ...handlers}: WaiterOptions): Waiter {
+	const {metadata, route, body} = request;
 	return {
 		...handlers,
+		...rankWaiter(request, isLate),
 		requestId: metadata.requestId ?? '-',
-		pool,
 		route: route.name,
-		priority: route.priority,
-		account: account?.name ?? '',
 		arrivedAt: request.arrivedAt,
 		objectiveMs: route.latencyObjectiveMs,
 		objectiveAt: performance.now() + route.latencyObjectiveMs - admitter.getElapsedMs(),
 		serviceMs: Math.min(readMs, longestReadShare * route.latencyObjectiveMs),
 		hasReturned: admitter.hasReturned(),
-		bytes: request.body?.length ?? 0,
+		bytes: body?.length ?? 0,
 		tokens: metadata.promptTokens + metadata.outputTokens,
 	};
 }
--- a/gateway/forwarding/src/placer-options.ts
+++ b/gateway/forwarding/src/placer-options.ts
@@ -11,7 +11,7 @@
 Options of `createPlacer`.
 */
 export type PlacerOptions = {
-	readonly tools: Pick<ForwarderOptions, 'selector' | 'metrics' | 'room' | 'admission'>;
+	readonly tools: Pick<ForwarderOptions, 'selector' | 'metrics' | 'room'>;
 	readonly request: ForwardRequest;
 	/**
 	The request's criteria; `tried` is the set that the placer keeps.
--- a/gateway/forwarding/src/placer.ts
+++ b/gateway/forwarding/src/placer.ts
@@ -11,9 +11,9 @@
 	/**
 	Finds an endpoint for the next attempt, lets the request wait until one has room, or refuses it.
 
-	@param needsRetry - Whether the retry budget allowed no retry, so that the request waits until it does.
+	@param isRetryMissing - Whether the retry budget allowed no retry, so that the request waits until it does.
 	*/
-	readonly place: (needsRetry: boolean) => void;
+	readonly place: (isRetryMissing: boolean) => void;
 	/**
 	Records that the request is sent to an endpoint.
 	*/
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -2,6 +2,7 @@
 import {Clock} from 'clock-mock';
 import type {Test} from 'tap';
 import {createWaitBaselines} from '@valvesaddle/admission';
+import type {ValvesaddleError} from '@valvesaddle/error';
 import type {ExchangeListener} from '@valvesaddle/exchange';
 import type {AnswerMetadata, RouteKind, WireFormat} from '@valvesaddle/gateway-types';
 import {createLogger} from '@valvesaddle/logger';
@@ -9,6 +10,7 @@
 import {createCrashDetector, createQuarantine} from '@valvesaddle/quarantine';
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createSelector} from '@valvesaddle/selection';
+import {createTurns, createWaitingRoom} from '@valvesaddle/waiting-room';
 import {
 	createForwarder,
 	type ForwardRequest,
@@ -89,6 +91,14 @@
 	Called when the answer is ended incomplete; without it that fails the test.
 	*/
 	readonly onAbort?: (interruption: Interruption) => void;
+	/**
+	Called when the request is refused; without it that fails the test.
+	*/
+	readonly onRefuse?: (error: ValvesaddleError) => void;
+	/**
+	Whether requests wait for an endpoint with room.
+	*/
+	readonly isWaiting?: boolean;
 };
 
 /**
@@ -98,10 +108,22 @@
  const {clock, listeners} = startForwarding(t, {kind: 'stream', answer: eventStream});
  listeners[0]?.onSent();
  */
-export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, onAbort}: ForwardingOptions) {
+export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, onAbort, onRefuse, isWaiting = false}: ForwardingOptions) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
+	const logger = createLogger({node: 'n', level: 'silent'});
+	const metrics = createMetrics();
+	const fleet = {self: 'n', list: () => ['n']};
+	const room = isWaiting
+		? createWaitingRoom({
+			most: 100, mostBytes: 1_000_000, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
+		})
+		: undefined;
 	const selector = createSelector({
+		fleet,
+		onRoom(incarnation) {
+			room?.wake(incarnation);
+		},
 		interferenceWeight: 1, riskWeight: 1, reuseMs: 10_000, rereadMsPerToken: 0.3, prefillTokensPerMs: 50,
 	});
 	selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
@@ -159,8 +181,9 @@
 		quarantine,
 		crashDetector: createCrashDetector({isServing: selector.isServing, onCrash: quarantine.recordCrash}),
 		admission: {lateFactor: 1.3, waitFactor: 0.5, retryAfterFactor: 1.5},
-		logger: createLogger({node: 'n', level: 'silent'}),
-		metrics: createMetrics(),
+		room,
+		logger,
+		metrics,
 	});
 	const reply: Reply = {
 		answer(_status, _headers, body) {
@@ -183,14 +206,15 @@
 			t.ok(onAbort !== undefined, 'no end within the answer');
 			onAbort?.(interruption);
 		},
-		refuse() {
-			t.fail('no refusal');
+		refuse(error) {
+			t.ok(onRefuse !== undefined, 'no refusal');
+			onRefuse?.(error);
 		},
 	};
 	const task = forwarder.forward(createRequest(kind), reply);
 	t.teardown(task.cancel);
 	return {
-		clock, selector, listeners, addresses, aborted, events, answers, task, countChoices: () => choices, drain() {
+		clock, selector, listeners, addresses, aborted, events, answers, task, room, metrics, countChoices: () => choices, drain() {
 			drain();
 		},
 	};
--- a/gateway/waiting-room/src/create-turns.ts
+++ b/gateway/waiting-room/src/create-turns.ts
@@ -57,7 +57,7 @@
 		return Math.floor(toUnixTime(performance.now()) / slotMs);
 	}
 
-	function ownsSlot(incarnation: string): boolean {
+	function isOwnSlot(incarnation: string): boolean {
 		const slot = getSlot();
 		return used.get(incarnation) !== slot && pickPermitOwner(`${incarnation} ${slot}`, fleet.list().toSorted()) === fleet.self;
 	}
@@ -70,7 +70,7 @@
 
 			setFreed(incarnation, [...listFreed(incarnation), performance.now()]);
 		},
-		hasTurn: incarnation => listFreed(incarnation).length > 0 || ownsSlot(incarnation),
+		hasTurn: incarnation => listFreed(incarnation).length > 0 || isOwnSlot(incarnation),
 		take(incarnation) {
 			const [, ...rest] = listFreed(incarnation);
 			if (listFreed(incarnation).length > 0) {
--- a/gateway/waiting-room/src/create-waiting-pool.ts
+++ b/gateway/waiting-room/src/create-waiting-pool.ts
@@ -52,10 +52,10 @@
 		}
 	}
 
-	function predictMs({route, priority, account}: Pick<Waiter, 'route' | 'priority' | 'account'>, roomInMs: number, accountAhead = queue.accountWaiting(route, account)): number {
-		let ahead = Math.min(queue.waiting(route), accountAhead * queue.accountShares(route, account));
+	function predictMs({className, rank, account}: Pick<Waiter, 'className' | 'rank' | 'account'>, roomInMs: number, accountAhead = queue.accountWaiting(className, account)): number {
+		let ahead = Math.min(queue.waiting(className), accountAhead * queue.accountShares(className, account));
 		for (const {requestClass, waiting} of queue.views()) {
-			ahead += requestClass.priority < priority ? waiting : 0;
+			ahead += requestClass.priority < rank ? waiting : 0;
 		}
 
 		return roomInMs + (ahead * getIntervalMs());
@@ -65,7 +65,7 @@
 	Groups of requests that take their turns one after the other, each in its order.
 	*/
 	function listGroups(): ReadonlyArray<readonly WaitingEntry[]> {
-		const groups = Map.groupBy(entries, ({waiter}) => `${waiter.route} ${waiter.account}`);
+		const groups = Map.groupBy(entries, ({waiter}) => `${waiter.className} ${waiter.account}`);
 		return groups.values().map(group => group.toSorted((a, b) => compareWaiting(toOrder(a), toOrder(b)))).toArray();
 	}
 
@@ -73,7 +73,7 @@
 		const {waiter, enteredAt} = entry;
 		const now = performance.now();
 		const input = {
-			isUrgent: waiter.priority === 0, isPromised: waiter.isPromised, waitedMs: now - enteredAt, serviceMs: waiter.serviceMs, objectiveMs: waiter.objectiveMs, leftMs: waiter.objectiveAt - now,
+			isUrgent: waiter.rank === 0, isPromised: waiter.isPromised, waitedMs: now - enteredAt, serviceMs: waiter.serviceMs, objectiveMs: waiter.objectiveMs, leftMs: waiter.objectiveAt - now,
 		};
 		const decision = decideWaiting({...input, isHeld: entry.isHeld, roomInMs: predictMs(waiter, roomInMs, ahead)});
 		entry.isHeld ||= decision === 'wait' && isPastCheck(input);
@@ -87,35 +87,35 @@
 			lastSentAt = entries.size === 0 ? performance.now() : lastSentAt;
 			entries.add(entry);
 			queue.push({
-				...toOrder(entry), requestId: id, className: waiter.route, account: waiter.account, ranMs: 0, value: entry,
+				...toOrder(entry), requestId: id, className: waiter.className, account: waiter.account, ranMs: 0, value: entry,
 			});
 		},
 		remove: removeEntry,
 		listNext: () => listClasses().flatMap(className => queue.heads(className, mostHeads).map(({value}) => value)),
 		markSent(entry) {
-			const {waiter: {route, account, tokens}} = entry;
+			const {waiter: {className, account, tokens}} = entry;
 			const now = performance.now();
 			intervalMs = updateAverage(intervalMs, now - lastSentAt, intervalWeight);
 			lastSentAt = now;
-			queue.charge(route, account, tokens);
-			queue.recordGrant(route, false);
+			queue.charge(className, account, tokens);
+			queue.recordGrant(className, false);
 			removeEntry(entry);
 		},
 		listWithdrawn() {
 			const rooms = new Map<string, number>();
 			return listGroups().flatMap(group => group.flatMap((entry, ahead) => {
-				const {route} = entry.waiter;
-				const roomInMs = rooms.get(route) ?? entry.waiter.getRoomInMs();
-				rooms.set(route, roomInMs);
+				const {className} = entry.waiter;
+				const roomInMs = rooms.get(className) ?? entry.waiter.getRoomInMs();
+				rooms.set(className, roomInMs);
 				return roomInMs < Infinity && canGoOn(entry, roomInMs, ahead) ? [] : [{entry, roomInMs}];
 			}));
 		},
 		findDroppable(account) {
 			const views = queue.views().toSorted((a, b) => b.requestClass.priority - a.requestClass.priority);
 			const last = views.map(({requestClass}) => queue.last(requestClass.name, account)?.value);
-			return last.find(entry => entry !== undefined && entry.waiter.priority > 0 && !entry.waiter.isPromised);
+			return last.find(entry => entry !== undefined && entry.waiter.rank > 0 && !entry.waiter.isPromised);
 		},
-		hasAhead: priority => queue.views().some(({requestClass, waiting}) => waiting > 0 && requestClass.priority <= priority),
+		hasAhead: rank => queue.views().some(({requestClass, waiting}) => waiting > 0 && requestClass.priority <= rank),
 		predictMs,
 		getIntervalMs,
 		count: () => entries.size,
@@ -129,8 +129,8 @@
 /**
 All classes are ordered by priority, as by engines, and keep their guarantee.
 */
-function toClass({route, priority, objectiveMs}: Waiter): Parameters<ReturnType<typeof createWaitingQueue>['configure']>[0][number] {
+function toClass({className, rank, objectiveMs}: Waiter): Parameters<ReturnType<typeof createWaitingQueue>['configure']>[0][number] {
 	return {
-		name: route, priority, urgent: true, firstTokenTargetMs: objectiveMs, maximumWaitMs: objectiveMs, weight: 1, floor: priority === 0 ? 0 : guaranteedShare,
+		name: className, priority: rank, urgent: true, firstTokenTargetMs: objectiveMs, maximumWaitMs: objectiveMs, weight: 1, floor: rank === 0 ? 0 : guaranteedShare,
 	};
 }
--- a/gateway/waiting-room/src/create-waiting-room.ts
+++ b/gateway/waiting-room/src/create-waiting-room.ts
@@ -70,9 +70,9 @@
 		return true;
 	}
 
-	function planReturnMs({pool, route, account}: Pick<Waiter, 'pool' | 'route' | 'account'>, roomInMs: number): number {
+	function planReturnMs({pool, className, account}: Pick<Waiter, 'pool' | 'className' | 'account'>, roomInMs: number): number {
 		const intervalMs = getPool(pool).getIntervalMs();
-		return returns.planMs(`${pool} ${route} ${account}`, {roomInMs: Math.min(longestReturnMs, roomInMs), intervalMs, draw: Math.random()});
+		return returns.planMs(`${pool} ${className} ${account}`, {roomInMs: Math.min(longestReturnMs, roomInMs), intervalMs, draw: Math.random()});
 	}
 
 	function withdraw(entry: WaitingEntry, reason: WithdrawalReason, roomInMs: number): void {
@@ -107,10 +107,10 @@
 	/**
 	Request that is dropped for a new one; `undefined` if the new one is refused. An urgent one takes the place of any that may be dropped.
 	*/
-	function findDropped({account, priority, bytes: added}: Waiter): WaitingEntry | undefined {
+	function findDropped({account, rank, bytes: added}: Waiter): WaitingEntry | undefined {
 		const use = uses.get(account) ?? {count: 0, bytes: 0};
-		const share = priority === 0 ? 0 : measureShare({count: use.count + 1, bytes: use.bytes + added});
-		const dropped = chooseDropped(listUses(), {account: priority === 0 ? '' : account, share});
+		const share = rank === 0 ? 0 : measureShare({count: use.count + 1, bytes: use.bytes + added});
+		const dropped = chooseDropped(listUses(), {account: rank === 0 ? '' : account, share});
 		return dropped === undefined ? undefined : findDroppable(dropped);
 	}
 
@@ -188,7 +188,7 @@
 	}
 
 	return {
-		hasAhead: (pool, priority) => pools.get(pool)?.hasAhead(priority) ?? false,
+		hasAhead: (pool, rank) => pools.get(pool)?.hasAhead(rank) ?? false,
 		predictMs: (waiter, roomInMs) => getPool(waiter.pool).predictMs(waiter, roomInMs),
 		planReturnMs,
 		enter(waiter) {
@@ -197,7 +197,8 @@
 			};
 			if (!didMakeRoom(waiter)) {
 				metrics.increment('gateway.withdrawn', 1, {reason: 'full'});
-				waiter.onWithdrawn('full', planReturnMs(waiter, getPool(waiter.pool).predictMs(waiter, waiter.getRoomInMs())));
+				const roomInMs = getPool(waiter.pool).predictMs(waiter, waiter.getRoomInMs());
+				waiter.onWithdrawn('full', planReturnMs(waiter, roomInMs));
 				return () => undefined;
 			}
 
--- a/gateway/waiting-room/src/waiter.ts
+++ b/gateway/waiting-room/src/waiter.ts
@@ -9,9 +9,13 @@
 	readonly pool: string;
 	readonly route: string;
 	/**
-	Priority of the route, 0 for the most urgent.
+	Requests of a class wait in one order; those of a route that are late are a class of their own.
 	*/
-	readonly priority: number;
+	readonly className: string;
+	/**
+	Rank of the class, 0 for the most urgent.
+	*/
+	readonly rank: number;
 	readonly account: string;
 	readonly arrivedAt: number;
 	readonly objectiveMs: number;
--- a/gateway/waiting-room/src/waiting-pool.ts
+++ b/gateway/waiting-room/src/waiting-pool.ts
@@ -23,11 +23,11 @@
 	The request of an account that may be dropped for others; `undefined` if all are urgent or promised.
 	*/
 	readonly findDroppable: (account: string) => WaitingEntry | undefined;
-	readonly hasAhead: (priority: number) => boolean;
+	readonly hasAhead: (rank: number) => boolean;
 	/**
 	Predicted milliseconds until a request is sent, after so many of its own account and class, and `roomInMs` until there is room.
 	*/
-	readonly predictMs: (waiter: Pick<Waiter, 'route' | 'priority' | 'account'>, roomInMs: number, accountAhead?: number) => number;
+	readonly predictMs: (waiter: Pick<Waiter, 'className' | 'rank' | 'account'>, roomInMs: number, accountAhead?: number) => number;
 	/**
 	Mean milliseconds between two requests that could be sent while some waited.
 	*/
--- a/gateway/waiting-room/src/waiting-room.ts
+++ b/gateway/waiting-room/src/waiting-room.ts
@@ -5,17 +5,17 @@
 */
 export type WaitingRoom = {
 	/**
-	Whether a request of a pool that waits is served before a new one of this priority.
+	Whether a request of a pool that waits is served before a new one of this rank.
 	*/
-	readonly hasAhead: (pool: string, priority: number) => boolean;
+	readonly hasAhead: (pool: string, rank: number) => boolean;
 	/**
 	Predicted milliseconds until a new request is sent, by those that wait before it; `roomInMs` is the time until an endpoint has room.
 	*/
-	readonly predictMs: (waiter: Pick<Waiter, 'pool' | 'route' | 'priority' | 'account'>, roomInMs: number) => number;
+	readonly predictMs: (waiter: Pick<Waiter, 'pool' | 'className' | 'rank' | 'account'>, roomInMs: number) => number;
 	/**
 	Milliseconds after which a caller that is refused comes back.
 	*/
-	readonly planReturnMs: (waiter: Pick<Waiter, 'pool' | 'route' | 'account'>, roomInMs: number) => number;
+	readonly planReturnMs: (waiter: Pick<Waiter, 'pool' | 'className' | 'account'>, roomInMs: number) => number;
 	/**
 	Lets a request wait; a full room withdraws it or another one at once. Returns what ends its waiting.
 	*/
