--- a/config/settings/test/gateway-settings.test.ts
+++ b/config/settings/test/gateway-settings.test.ts
@@ -49,3 +49,10 @@
 	t.ok(store.lease_ms >= 20_000);
 	t.ok(store.renew_ms <= 2000);
 });
+
+test('requests wait at the nodes only where the settings say so, as the deployment does', async t => {
+	const rendered = fillTemplate(await readFile(template, 'utf8'), values);
+	t.match(parseGatewaySettings(rendered)._unsafeUnwrap().waiting, {enabled: true, most: 1000, most_mb: 32});
+	t.match(parseGatewaySettings(rendered.replace('[waiting]\nenabled = true\n', ''))._unsafeUnwrap().waiting, {enabled: false, most: 1000, most_mb: 32});
+	t.equal(parseGatewaySettings(`${rendered}\n[waiting]\nmost = 0\n`.replace('[waiting]\nenabled = true\n', ''))._unsafeUnwrapErr().code, 'ERR_VALVESADDLE_SETTINGS_INVALID');
+});
--- a/gateway/forwarding/src/create-placer.ts
+++ b/gateway/forwarding/src/create-placer.ts
@@ -78,11 +78,7 @@
 			return selection;
 		}
 
-		if (!isLate(selection.readMs)) {
-			return undefined;
-		}
-
-		return choose(performance.now() >= longestAt ? {...openQuestion, urgency: freeQuestion.urgency} : {...freeQuestion, hasTurn});
+		return isLate(selection.readMs) ? choose(performance.now() >= longestAt ? {...openQuestion, urgency: freeQuestion.urgency} : {...freeQuestion, hasTurn}) : undefined;
 	}
 
 	/**
@@ -173,7 +169,7 @@
 		});
 		if (admission.kind === 'refuse') {
 			onRefused(refusals.buildOverloaded(costMs, admission.retryAfterMs));
-		} else if (admission.kind === 'wait' || best === undefined) {
+		} else if (best === undefined || admission.kind === 'wait') {
 			startWaiting(readMs, isRetryMissing);
 		} else {
 			sendAs(best, admission);
