fix(waiting): no harm to streams, and no request kept back by one that lacks a retry

Cause: requests that waited were placed among the few endpoints whose turn it was, whatever streams ran there, and one that waited for the retry budget kept new ones back. Change: one that can be in time is placed among all endpoints; a late one takes a free slot only where it makes no stream late; those without a retry are a class of their own; refused callers come back after return_factor times the predicted time.

--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -75,7 +75,7 @@
 	const fleet = {self: id, list: () => nodes};
 	const room = isWaiting
 		? createWaitingRoom({
-			...roomSize, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
+			...roomSize, returnFactor: admission.retryAfterFactor, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
 		})
 		: undefined;
 	const selector = createSelector({
--- a/gateway/forwarding/src/create-placer.ts
+++ b/gateway/forwarding/src/create-placer.ts
@@ -20,6 +20,10 @@
 Part of its time for which a late request waits for a free slot at most: its answer needs the rest to end before the deadline.
 */
 const longestWaitShare = 0.4;
+/**
+Harm up to which a late request is sent, as a part of its objective: half a stream made late.
+*/
+const mostHarmShare = 0.5;
 
 /**
  Creates the placer of one request.
@@ -65,20 +69,37 @@
 	Whether it waits for a free slot, since it is late anyway.
 	*/
 	function isLate(readMs: number): boolean {
-		return isPredicted && !isUrgent && admitter.hasReturned() && !admitter.isInTime(readMs);
+		return isPredicted && !isUrgent && isPromised() && !admitter.isInTime(readMs);
+	}
+
+	/**
+	Free slot for a late request, where its prompt makes no stream late.
+	*/
+	function findFreeSlot(hasTurn: (incarnation: string) => boolean): Selection | undefined {
+		const selection = choose({...freeQuestion, hasTurn});
+		return selection !== undefined && selection.harmMs <= mostHarmShare * route.latencyObjectiveMs ? selection : undefined;
 	}
 
 	/**
-	Endpoint for a request that waits, if it is to be sent now: any that is not full for one that is urgent or whose wait is not predicted, one
-	where it would be in time, or a free slot for a late one.
+	Endpoint for a request that waits, if it is to be sent now: any that is not full for one that is urgent, was sent before or whose wait is not
+	predicted, one where it would be in time, or a free slot for a late one.
 	*/
 	function findTurn(hasTurn: (incarnation: string) => boolean, longestAt: number): Selection | undefined {
-		const selection = choose({...openQuestion, hasTurn});
-		if (selection === undefined || isUrgent || !isPredicted || admitter.isInTime(selection.costMs)) {
-			return selection;
+		if (isUrgent || !isPredicted || retries.countRuns() > 0) {
+			return choose({...openQuestion, hasTurn});
+		}
+
+		// As for a new request, all endpoints are compared: one whose turn it is might be the one whose streams it would delay.
+		const best = choose(openQuestion);
+		if (best === undefined || admitter.isInTime(best.costMs)) {
+			return best;
+		}
+
+		if (!isLate(best.readMs)) {
+			return undefined;
 		}
 
-		return isLate(selection.readMs) ? choose(performance.now() >= longestAt ? {...openQuestion, urgency: freeQuestion.urgency} : {...freeQuestion, hasTurn}) : undefined;
+		return performance.now() >= longestAt ? choose({...openQuestion, urgency: freeQuestion.urgency}) : findFreeSlot(hasTurn);
 	}
 
 	/**
@@ -115,6 +136,7 @@
 			admitter,
 			readMs,
 			isLate: isLate(readMs),
+			isRetryMissing,
 			isPromised: isPromised(),
 			getRoomInMs,
 			send: hasTurn => sendWaiting(hasTurn, longestAt, isRetryMissing),
@@ -156,7 +178,7 @@
 		const best = choose(openQuestion);
 		const readMs = best?.readMs ?? 0;
 		const waiter = rankWaiter(request, isLate(readMs));
-		const isHeldBack = isRetryMissing || best === undefined || ((isUrgent || !isPredicted) && waitingRoom.hasAhead(request.pool, waiter.rank));
+		const isHeldBack = isRetryMissing || best === undefined;
 		const roomInMs = selector.getPoolRoomInMs(isHeldBack ? openQuestion : freeQuestion);
 		if (isHeldBack && (roomInMs === Infinity || attempts - fullAttempts >= maximumTriedEndpoints)) {
 			placeAlone();
--- a/gateway/forwarding/src/create-waiter.ts
+++ b/gateway/forwarding/src/create-waiter.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly readMs: number;
 	readonly isLate: boolean;
+	/**
+	Whether it waits for the retry budget; it does not keep the others of its class from being sent.
+	*/
+	readonly isRetryMissing: boolean;
 };
 
 /**
@@ -22,13 +26,15 @@
  Describes a request to the waiting room.
 
  @example
- const leave = room.enter(createWaiter({request, admitter, readMs: 80, isLate: false, isPromised: false, getRoomInMs, send, onWithdrawn}));
+ const leave = room.enter(createWaiter({request, admitter, readMs: 80, isLate: false, isRetryMissing: false, isPromised: false, getRoomInMs, send, onWithdrawn}));
  */
-export function createWaiter({request, admitter, readMs, isLate, ...handlers}: WaiterOptions): Waiter {
+export function createWaiter({request, admitter, readMs, isLate, isRetryMissing, ...handlers}: WaiterOptions): Waiter {
 	const {metadata, route, body} = request;
+	const turn = rankWaiter(request, isLate);
 	return {
 		...handlers,
-		...rankWaiter(request, isLate),
+		...turn,
+		className: isRetryMissing ? `${turn.className} again` : turn.className,
 		requestId: metadata.requestId ?? '-',
 		route: route.name,
 		arrivedAt: request.arrivedAt,
--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -116,7 +116,7 @@
 	const fleet = {self: 'n', list: () => ['n']};
 	const room = isWaiting
 		? createWaitingRoom({
-			most: 100, mostBytes: 1_000_000, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
+			most: 100, mostBytes: 1_000_000, returnFactor: 1.5, turns: createTurns({fleet, toUnixTime: at => at}), logger, metrics,
 		})
 		: undefined;
 	const selector = createSelector({
--- a/gateway/waiting-room/src/create-waiting-pool.ts
+++ b/gateway/waiting-room/src/create-waiting-pool.ts
@@ -115,7 +115,6 @@
 			const last = views.map(({requestClass}) => queue.last(requestClass.name, account)?.value);
 			return last.find(entry => entry !== undefined && entry.waiter.rank > 0 && !entry.waiter.isPromised);
 		},
-		hasAhead: rank => queue.views().some(({requestClass, waiting}) => waiting > 0 && requestClass.priority <= rank),
 		predictMs,
 		getIntervalMs,
 		count: () => entries.size,
--- a/gateway/waiting-room/src/create-waiting-room.ts
+++ b/gateway/waiting-room/src/create-waiting-room.ts
@@ -22,10 +22,10 @@
  loses a request that is neither urgent nor promised.
 
  @example
- const room = createWaitingRoom({most: 1000, mostBytes: 64_000_000, turns, logger, metrics});
+ const room = createWaitingRoom({most: 1000, mostBytes: 64_000_000, returnFactor: 1.5, turns, logger, metrics});
  const leave = room.enter(waiter);
  */
-export function createWaitingRoom({most, mostBytes, turns, logger, metrics}: WaitingRoomOptions): WaitingRoom {
+export function createWaitingRoom({most, mostBytes, returnFactor, turns, logger, metrics}: WaitingRoomOptions): WaitingRoom {
 	const pools = new Map<string, WaitingPool>();
 	const entries = new Set<WaitingEntry>();
 	const uses = new Map<string, {count: number; bytes: number}>();
@@ -72,7 +72,7 @@
 
 	function planReturnMs({pool, className, account}: Pick<Waiter, 'pool' | 'className' | 'account'>, roomInMs: number): number {
 		const intervalMs = getPool(pool).getIntervalMs();
-		return returns.planMs(`${pool} ${className} ${account}`, {roomInMs: Math.min(longestReturnMs, roomInMs), intervalMs, draw: Math.random()});
+		return returns.planMs(`${pool} ${className} ${account}`, {roomInMs: Math.min(longestReturnMs, roomInMs * returnFactor), intervalMs, draw: Math.random()});
 	}
 
 	function withdraw(entry: WaitingEntry, reason: WithdrawalReason, roomInMs: number): void {
@@ -188,7 +188,6 @@
 	}
 
 	return {
-		hasAhead: (pool, rank) => pools.get(pool)?.hasAhead(rank) ?? false,
 		predictMs: (waiter, roomInMs) => getPool(waiter.pool).predictMs(waiter, roomInMs),
 		planReturnMs,
 		enter(waiter) {
--- a/gateway/waiting-room/src/waiting-pool.ts
+++ b/gateway/waiting-room/src/waiting-pool.ts
@@ -23,7 +23,6 @@
 	The request of an account that may be dropped for others; `undefined` if all are urgent or promised.
 	*/
 	readonly findDroppable: (account: string) => WaitingEntry | undefined;
-	readonly hasAhead: (rank: number) => boolean;
 	/**
 	Predicted milliseconds until a request is sent, after so many of its own account and class, and `roomInMs` until there is room.
 	*/
--- a/gateway/waiting-room/src/waiting-room-options.ts
+++ b/gateway/waiting-room/src/waiting-room-options.ts
@@ -11,6 +11,10 @@
 	*/
 	readonly most: number;
 	readonly mostBytes: number;
+	/**
+	Time after which a refused caller comes back, as a multiple of the time until there is predicted to be room.
+	*/
+	readonly returnFactor: number;
 	readonly turns: Turns;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
--- a/gateway/waiting-room/src/waiting-room.ts
+++ b/gateway/waiting-room/src/waiting-room.ts
@@ -4,10 +4,6 @@
 Requests that wait at a node.
 */
 export type WaitingRoom = {
-	/**
-	Whether a request of a pool that waits is served before a new one of this rank.
-	*/
-	readonly hasAhead: (pool: string, rank: number) => boolean;
 	/**
 	Predicted milliseconds until a new request is sent, by those that wait before it; `roomInMs` is the time until an endpoint has room.
 	*/
--- a/gateway/waiting-room/test/start-room.ts
+++ b/gateway/waiting-room/test/start-room.ts
@@ -32,7 +32,7 @@
 	t.teardown(clock.enter());
 	const metrics = createMetrics();
 	const room = createWaitingRoom({
-		most, mostBytes, turns, logger: createLogger({node: 'n', level: 'silent'}), metrics,
+		most, mostBytes, returnFactor: 1.5, turns, logger: createLogger({node: 'n', level: 'silent'}), metrics,
 	});
 	/**
 	How each request ended, in order.
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -118,7 +118,7 @@
 	const toUnixTime = (at: number): number => startedAt + at;
 	const room = settings.waiting.enabled
 		? createWaitingRoom({
-			most: settings.waiting.most, mostBytes: settings.waiting.most_mb * bytesPerMegabyte, turns: createTurns({fleet: {self: self.id, list: () => listFleet()}, toUnixTime}), logger, metrics,
+			most: settings.waiting.most, mostBytes: settings.waiting.most_mb * bytesPerMegabyte, returnFactor: admission.return_factor, turns: createTurns({fleet: {self: self.id, list: () => listFleet()}, toUnixTime}), logger, metrics,
 		})
 		: undefined;
 	const {sync, handlers} = createPeerSync({
