fix(waiting): new requests wait only where no slot is free

Cause: late new requests were held also where slots were free and only reading was behind; those then sent came on top of what the burst could bear. Change: where a slot is free, a late new request is refused at once as before.

--- a/gateway/admission/src/decide-admission.ts
+++ b/gateway/admission/src/decide-admission.ts
@@ -29,9 +29,9 @@
 /**
  Decides on a request for a model engine. A request that can be in time is sent. A late one is refused on its first attempt if it
  would wait long, since it would make others late during a burst and its caller can retry afterwards. A retry is never refused,
- but sent with a lower rank than requests that can be in time. Where requests may wait, one
- that is late waits at the node if it may still come in time, and a retry until an endpoint has a free slot, so that it takes none from those
- that can be in time. The most urgent ones are sent.
+ but sent with a lower rank than requests that can be in time. Where requests may wait and
+ no slot is free, a late one waits at the node if it may still come in time, and a retry until a slot is free, so that it takes none from those
+ that can be in time. The most urgent ones are never refused.
 
  In emulated bursts with an unresponsive and a crashed engine, 78 of 100 drafts are in time, and 64 if all are sent in order of arrival.
 
@@ -50,7 +50,7 @@
 
 	// Only the wait for others counts, so a long prompt is refused no more often than a short one.
 	const isSoon = predictedMs - readMs <= waitFactor * objectiveMs;
-	const canWait = waiting !== undefined && !waiting.isUrgent && (isRetry ? waiting.roomInMs > 0 : !isSoon);
+	const canWait = waiting !== undefined && !waiting.isUrgent && waiting.roomInMs > 0 && (isRetry || !isSoon);
 	if (canWait) {
 		return decideHeld(input, waiting);
 	}
