--- a/gateway/forwarding/src/create-placer.ts
+++ b/gateway/forwarding/src/create-placer.ts
@@ -21,6 +21,10 @@
 */
 const longestWaitShare = 0.4;
 /**
+Objectives for which a request waits at most whose wait is not predicted: afterwards its answer is of little use.
+*/
+const usefulObjectives = 2;
+/**
 Harm up to which a late request is sent, as a part of its objective: half a stream made late.
 */
 const mostHarmShare = 0.5;
@@ -129,8 +133,13 @@
 		return best === undefined ? selector.getPoolRoomInMs(openQuestion) : best.costMs - best.readMs;
 	}
 
+	function getLongestMs(): number {
+		return longestWaitShare * Math.min(route.timeoutMs, request.metadata.waitMs ?? Infinity);
+	}
+
 	function startWaiting(readMs: number, isRetryMissing: boolean): void {
-		const longestAt = performance.now() + (longestWaitShare * Math.min(route.timeoutMs, request.metadata.waitMs ?? Infinity));
+		const longestMs = getLongestMs();
+		const longestAt = performance.now() + longestMs;
 		leaveRoom = room?.enter(createWaiter({
 			request,
 			admitter,
@@ -138,11 +147,12 @@
 			isLate: isLate(readMs),
 			isRetryMissing,
 			isPromised: isPromised(),
+			latestAt: isPredicted || retries.countRuns() > 0 ? undefined : performance.now() + Math.min(longestMs, usefulObjectives * route.latencyObjectiveMs),
 			getRoomInMs,
 			send: hasTurn => sendWaiting(hasTurn, longestAt, isRetryMissing),
 			onWithdrawn(reason, retryAfterMs) {
 				leaveRoom = undefined;
-				if (reason === 'no-endpoint') {
+				if (reason === 'no-endpoint' || attempts > 0) {
 					onNoEndpoint();
 				} else {
 					onRefused(refusals.buildOverloaded(retryAfterMs, retryAfterMs));
@@ -151,7 +161,7 @@
 		}));
 	}
 
-	function placeAlone(): void {
+	function startAlone(): void {
 		const selection = choose(question);
 		if (selection === undefined) {
 			onNoEndpoint();
@@ -174,14 +184,15 @@
 	/**
 	Where requests wait: full endpoints are left out, and the request waits if there is no other.
 	*/
-	function placeInTurn(waitingRoom: WaitingRoom, isRetryMissing: boolean): void {
+	function startInTurn(waitingRoom: WaitingRoom, isRetryMissing: boolean): void {
 		const best = choose(openQuestion);
 		const readMs = best?.readMs ?? 0;
 		const waiter = rankWaiter(request, isLate(readMs));
 		const isHeldBack = isRetryMissing || best === undefined;
 		const roomInMs = selector.getPoolRoomInMs(isHeldBack ? openQuestion : freeQuestion);
-		if (isHeldBack && (roomInMs === Infinity || attempts - fullAttempts >= maximumTriedEndpoints)) {
-			placeAlone();
+		// Endpoints that ask for a longer pause than the request may wait are not waited for.
+		if (isHeldBack && (roomInMs > getLongestMs() || attempts - fullAttempts >= maximumTriedEndpoints)) {
+			startAlone();
 			return;
 		}
 
@@ -204,9 +215,9 @@
 			if (!canStart()) {
 				onRefused(refusals.buildQuarantined());
 			} else if (room === undefined) {
-				placeAlone();
+				startAlone();
 			} else {
-				placeInTurn(room, isRetryMissing);
+				startInTurn(room, isRetryMissing);
 			}
 		},
 		markSent({endpoint}) {
--- a/gateway/forwarding/src/create-waiter.ts
+++ b/gateway/forwarding/src/create-waiter.ts
@@ -3,7 +3,7 @@
 import type {ForwardRequest} from './forward-request.ts';
 import {rankWaiter} from './rank-waiter.ts';
 
-type WaiterOptions = Pick<Waiter, 'isPromised' | 'getRoomInMs' | 'send' | 'onWithdrawn'> & {
+type WaiterOptions = Pick<Waiter, 'isPromised' | 'latestAt' | 'getRoomInMs' | 'send' | 'onWithdrawn'> & {
 	readonly request: ForwardRequest;
 	readonly admitter: Pick<Admitter, 'hasReturned' | 'getElapsedMs'>;
 	/**
--- a/gateway/waiting-room/src/create-waiting-pool.ts
+++ b/gateway/waiting-room/src/create-waiting-pool.ts
@@ -77,7 +77,7 @@
 		};
 		const decision = decideWaiting({...input, isHeld: entry.isHeld, roomInMs: predictMs(waiter, roomInMs, ahead)});
 		entry.isHeld ||= decision === 'wait' && isPastCheck(input);
-		return decision === 'wait';
+		return decision === 'wait' && (waiter.rank === 0 || now < (waiter.latestAt ?? Infinity));
 	}
 
 	return {
--- a/gateway/waiting-room/src/create-waiting-room.ts
+++ b/gateway/waiting-room/src/create-waiting-room.ts
@@ -75,7 +75,7 @@
 		return returns.planMs(`${pool} ${className} ${account}`, {roomInMs: Math.min(longestReturnMs, roomInMs * returnFactor), intervalMs, draw: Math.random()});
 	}
 
-	function withdraw(entry: WaitingEntry, reason: WithdrawalReason, roomInMs: number): void {
+	function refuse(entry: WaitingEntry, reason: WithdrawalReason, roomInMs: number): void {
 		if (!didRemove(entry, reason)) {
 			return;
 		}
@@ -124,7 +124,7 @@
 				return false;
 			}
 
-			withdraw(dropped, 'full', dropped.waiter.getRoomInMs());
+			refuse(dropped, 'full', dropped.waiter.getRoomInMs());
 		}
 
 		return true;
@@ -152,7 +152,7 @@
 		return false;
 	}
 
-	function withdrawHopeless(): void {
+	function refuseHopeless(): void {
 		const now = performance.now();
 		if (now - checkedAt < lookMs) {
 			return;
@@ -160,13 +160,13 @@
 
 		checkedAt = now;
 		for (const {entry, roomInMs} of pools.values().flatMap(pool => pool.listWithdrawn())) {
-			withdraw(entry, roomInMs === Infinity ? 'no-endpoint' : 'hopeless', roomInMs);
+			refuse(entry, roomInMs === Infinity ? 'no-endpoint' : 'hopeless', roomInMs);
 		}
 	}
 
-	function look(): void {
+	function runLook(): void {
 		timer = undefined;
-		withdrawHopeless();
+		refuseHopeless();
 		for (const pool of pools.values()) {
 			while (didSend(pool)) {
 				// Each iteration sends one request.
@@ -184,7 +184,7 @@
 
 		clearTimeout(timer);
 		lookAt = at;
-		timer = setTimeout(look, milliseconds);
+		timer = setTimeout(runLook, milliseconds);
 	}
 
 	return {
--- a/gateway/waiting-room/src/waiter.ts
+++ b/gateway/waiting-room/src/waiter.ts
@@ -29,6 +29,10 @@
 	Whether it may not be refused for load.
 	*/
 	readonly isPromised: boolean;
+	/**
+	Time until which it may wait although it is promised; until its deadline if omitted.
+	*/
+	readonly latestAt?: number | undefined;
 	readonly bytes: number;
 	readonly tokens: number;
 	/**
--- a/gateway/waiting-room/test/waiting-room.test.ts
+++ b/gateway/waiting-room/test/waiting-room.test.ts
@@ -110,6 +110,19 @@
 	t.end();
 });
 
+test('a promised request waits no longer than it may, an urgent one until its deadline', t => {
+	const {clock, room, ends, createWaiter} = startRoom(t);
+	room.enter(createWaiter('plain', {isPromised: true, latestAt: 300}));
+	room.enter(createWaiter('urgent', {...urgent, latestAt: 300}));
+	clock.advance(290);
+	t.same(ends, []);
+	clock.advance(40);
+	t.same(ends, ['plain hopeless']);
+	clock.advance(9000);
+	t.equal(room.count(), 1);
+	t.end();
+});
+
 test('when all endpoints are gone, the requests are told so within 20 ms', t => {
 	const {clock, room, ends, createWaiter, removeEndpoint} = startRoom(t);
 	room.enter(createWaiter('a'));
