fix(waiting): a request that has run is not withdrawn as if it had not

Cause: one that waited after an endpoint had worked on it would have been answered as not run when the room was full.

--- a/gateway/forwarding/src/create-placer.ts
+++ b/gateway/forwarding/src/create-placer.ts
@@ -152,7 +152,8 @@
 			send: hasTurn => sendWaiting(hasTurn, longestAt, isRetryMissing),
 			onWithdrawn(reason, retryAfterMs) {
 				leaveRoom = undefined;
-				if (reason === 'no-endpoint' || attempts > 0) {
+				// One that an endpoint has worked on is not answered as if it had not run.
+				if (retries.countRuns() === 0 && (reason === 'no-endpoint' || attempts > 0)) {
 					onNoEndpoint();
 				} else {
 					onRefused(refusals.buildOverloaded(retryAfterMs, retryAfterMs));
