--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -153,7 +153,7 @@
 			updateSpeeds(pool, ready);
 			const {speeds, reservation} = pool;
 			const allowed = reservation.listAllowed({
-				ready, candidates, pauseObjectiveMs: criteria.pauseObjectiveMs, getSpeedFactor: speeds.getFactor,
+				ready, candidates, pauseObjectiveMs: criteria.pauseObjectiveMs, getSpeedFactor: speeds.getFactor, canWait: criteria.roomWithinMs !== undefined,
 			});
 			return chooseBest(pool, ready, allowed, criteria);
 		},
--- a/gateway/selection/src/create-selector.ts
+++ b/gateway/selection/src/create-selector.ts
@@ -134,14 +134,16 @@
 	Endpoints that were not tried, have no cooldown and accept a request of this node and its body: the healthy ones, or the ejected ones if there are no others and they are
 	allowed. An isolated request has one of them.
 	*/
-	function listCandidates(ready: readonly KnownEndpoint[], {pool, tried, isHealthyOnly = false, isolationKey, isRepeatable = true, bodyBytes = 0}: SelectionCriteria): readonly KnownEndpoint[] {
+	function listCandidates(ready: readonly KnownEndpoint[], criteria: SelectionCriteria): readonly KnownEndpoint[] {
+		const {pool, tried, isHealthyOnly = false, isolationKey, isRepeatable = true, bodyBytes = 0, hasTurn} = criteria;
 		const untried = ready.filter(({incarnation}) => !tried.has(incarnation) && !hasCooldown(incarnation) && limits.hasPermit(incarnation));
 		evidenceWatch?.update(pool, ready);
 		const isPoolFailing = evidenceWatch?.isPoolFailing(pool);
 		const healthy = untried.filter(({incarnation}) => !failures.isEjected(incarnation, isPoolFailing) && evidenceWatch?.canUse(incarnation, isRepeatable) !== false);
 		const usable = isHealthyOnly || healthy.length > 0 ? healthy : untried;
 		const allowed = isolationKey === undefined ? usable : listIsolated(isolationKey, usable);
-		return places?.narrow(allowed, bodyBytes) ?? allowed;
+		const withRoom = allowed.filter(endpoint => getLackMs(endpoint, criteria) === 0 && (hasTurn === undefined || hasTurn(endpoint.incarnation)));
+		return places?.narrow(withRoom, bodyBytes) ?? withRoom;
 	}
 
 	function choosePlain(ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
@@ -161,6 +163,18 @@
 		return Math.max(measureSlotWait(loads.get(endpoint.incarnation).open, endpoint.slots), rooms.predictRoom(endpoint, criteria)?.waitMs ?? 0);
 	}
 
+	/**
+	Milliseconds until an endpoint has room within the time that the criteria allow; 0 if it has now, or that does not matter.
+	*/
+	function getLackMs(endpoint: KnownEndpoint, criteria: SelectionCriteria): number {
+		const {roomWithinMs} = criteria;
+		return roomWithinMs === undefined ? 0 : Math.max(failures.getFullMs(endpoint.incarnation), getRoomInMs(endpoint, criteria) - roomWithinMs, 0);
+	}
+
+	function getPauseMs({incarnation}: KnownEndpoint): number {
+		return Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation));
+	}
+
 	/**
 	Drops rows of removed incarnations, which peers send until they know the new one.
 	*/
@@ -183,6 +197,7 @@
 		chooser.markChanged();
 		removed.remove(known.incarnation);
 		updateCapacity(known);
+		options.onRoom?.(undefined);
 	}
 
 	/**
@@ -212,6 +227,7 @@
 			close(end) {
 				giveBack?.();
 				request.close(end);
+				options.onRoom?.(incarnation);
 			},
 			canSend() {
 				permit = permit === 'unlimited' ? limits.takePermit(incarnation) : permit;
@@ -273,8 +289,12 @@
 		hasRoom: (endpoint, criteria) => getRoomInMs(endpoint, criteria) === 0,
 		getRoomInMs,
 		isPoolFailing: pool => evidenceWatch?.isPoolFailing(pool) ?? false,
+		getPoolRoomInMs(criteria) {
+			const untried = listReady(criteria.pool).filter(({incarnation}) => !criteria.tried.has(incarnation));
+			return Math.min(Infinity, ...untried.map(endpoint => Math.max(getPauseMs(endpoint), getLackMs(endpoint, criteria))));
+		},
 		getCooldownMs(pool) {
-			const remaining = listReady(pool).map(({incarnation}) => Math.max(cooldowns.getRemainingMs(incarnation), limits.getWaitMs(incarnation)));
+			const remaining = listReady(pool).map(endpoint => getPauseMs(endpoint));
 			return remaining.length === 0 ? 0 : Math.min(...remaining);
 		},
 		takeLoadUpdate(readAt = performance.now()) {
@@ -296,6 +316,7 @@
 				addPlacement(placement);
 			}
 
+			options.onRoom?.(undefined);
 			return current;
 		},
 		setUnseenFactor(factor) {
--- a/gateway/selection/src/create-stream-reservation.ts
+++ b/gateway/selection/src/create-stream-reservation.ts
@@ -103,14 +103,19 @@
 			order = undefined;
 		},
 		isProtected,
-		listAllowed({ready, candidates, pauseObjectiveMs, getSpeedFactor}) {
+		listAllowed({ready, candidates, pauseObjectiveMs, getSpeedFactor, canWait}) {
 			if (maximumShare === 0 || shortestMs === 0 || ready.length < minimumEndpoints) {
 				return candidates;
 			}
 
 			updatePlan(ready, getSpeedFactor);
-			const allowed = isProtected(pauseObjectiveMs) ? listReserved(candidates) : candidates.filter(({incarnation}) => !spared.has(incarnation));
-			return allowed.length === 0 ? candidates : allowed;
+			if (isProtected(pauseObjectiveMs)) {
+				const free = listReserved(candidates);
+				return free.length === 0 ? candidates : free;
+			}
+
+			const others = candidates.filter(({incarnation}) => !spared.has(incarnation));
+			return others.length > 0 || (canWait && ready.some(({incarnation}) => !spared.has(incarnation))) ? others : candidates;
 		},
 		count: () => reserved.size,
 	};
--- a/gateway/selection/src/stream-reservation.ts
+++ b/gateway/selection/src/stream-reservation.ts
@@ -17,6 +17,10 @@
 	Prefill speed of an endpoint relative to the pool's median.
 	*/
 	readonly getSpeedFactor: (incarnation: string) => number;
+	/**
+	Whether the request can wait for another endpoint.
+	*/
+	readonly canWait: boolean;
 };
 
 /**
@@ -37,7 +41,7 @@
 	readonly isProtected: (pauseObjectiveMs: number) => boolean;
 	/**
 	Candidates that a request may use: for a protected stream reserved endpoints with a free slot, for another request those that are
-	not reserved. All candidates if there are none of these.
+	not reserved. Without these all candidates, unless the request can wait for an endpoint that is not reserved.
 	*/
 	readonly listAllowed: (view: ReservationView) => readonly KnownEndpoint[];
 	/**
--- a/gateway/selection/test/stream-reservation.test.ts
+++ b/gateway/selection/test/stream-reservation.test.ts
@@ -101,6 +101,18 @@
 	t.end();
 });
 
+test('a draft that can wait does not take a reserved endpoint while there are others', t => {
+	const clock = enterClock(t);
+	const selector = createWithEndpoints(20);
+	openMany(selector, stream, 20);
+	clock.advance(300);
+	const reserved = listIds(openMany(selector, stream, 10));
+	const tried = new Set(Array.from({length: 20}, (_value, index) => `i-${index}`).filter(id => !reserved.has(id)));
+	t.ok(reserved.has(selector.choose({...draft, tried})?.endpoint.id ?? ''));
+	t.equal(selector.choose({...draft, tried, roomWithinMs: 100}), undefined);
+	t.end();
+});
+
 test('streams and drafts are never without an endpoint', t => {
 	const clock = enterClock(t);
 	const selector = createWithEndpoints(12, {reservedShare: 0.8});
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -18,6 +18,7 @@
 import {createRetryBudget} from '@valvesaddle/retry-budget';
 import {createRouteIndex, findPauseObjectives, type RouteIndex} from '@valvesaddle/routes';
 import {createSelector, formatIncarnation} from '@valvesaddle/selection';
+import {createTurns, createWaitingRoom} from '@valvesaddle/waiting-room';
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
@@ -34,6 +35,7 @@
 
 const msPerSecond = 1000;
 const bytesPerKb = 1000;
+const bytesPerMegabyte = 1_000_000;
 /**
 Random bytes of a node's id and token.
 */
@@ -135,6 +137,9 @@
 		onPlacement() {
 			sync.sendPlacements();
 		},
+		onRoom(incarnation) {
+			room?.wake(incarnation);
+		},
 	});
 	// Fixed at the start, so that a change of the system time moves no request into another window.
 	const startedAt = Date.now() - performance.now();
@@ -148,6 +153,11 @@
 	const sharing = demandTable && createSharing({
 		table: demandTable, windowMs: sharingWindowMs, logger, metrics,
 	});
+	const room = settings.waiting.enabled
+		? createWaitingRoom({
+			most: settings.waiting.most, mostBytes: settings.waiting.most_mb * bytesPerMegabyte, returnFactor: admission.return_factor, turns: createTurns({fleet: {self: self.id, list: () => listFleet()}, toUnixTime}), logger, metrics,
+		})
+		: undefined;
 	const {sync, handlers} = createPeerSync({
 		self,
 		network,
@@ -201,6 +211,7 @@
 			sync.usage?.count(account, at);
 		},
 		admission: {lateFactor: admission.late_factor, waitFactor: admission.wait_factor, retryAfterFactor: admission.return_factor},
+		room,
 		logger,
 		metrics,
 	});
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -95,6 +95,10 @@
 	}
 	| {readonly name: 'demand-dropped'; readonly peer: string; readonly reason: string; readonly rows: number}
 	| {readonly name: 'account-weight-invalid'; readonly account: string; readonly weight: string}
+	| {
+		readonly name: 'request-waited'; readonly request: string; readonly pool: string; readonly route: string; readonly waitedMs: number;
+		readonly outcome: string; readonly waiting: number;
+	}
 	| {
 		readonly name: 'request-sent'; readonly request: string; readonly endpoint: string; readonly pool: string; readonly attempt: number;
 		readonly version: number; readonly candidates: number; readonly costMs: number; readonly heldTokens: number; readonly remainingMs: number;
