--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -61,14 +61,7 @@
 		moveAttempt({cause: 'silent', reason: `silent for ${Math.round(milliseconds)} ms`, mayHaveRun: true}, 'failed');
 	});
 	const placer = createPlacer({
-		tools: options,
-		request,
-		question,
-		tried,
-		admitter: createAdmitter(options, request, waitMs),
-		crashes,
-		refusals,
-		retries,
+		tools: options, request, question, tried, admitter: createAdmitter(options, request, waitMs), crashes, refusals, retries,
 		onSend(selection) {
 			markSending(selection);
 			attemptSwitch.start(selection);
