fix(forwarding): a request that may have run is not refused as not run

Cause: when an endpoint had failed a request and no other was left, the caller was told that it had not run. Found by reading; test: a stream whose only endpoint resets its connection.

--- a/gateway/forwarding/src/create-forward-task.ts
+++ b/gateway/forwarding/src/create-forward-task.ts
@@ -231,7 +231,9 @@
 	function handleNoEndpoint(): void {
 		const attempts = placer.countAttempts();
 		recorder.recordNoEndpoint(attempts, selector.getCooldownMs(request.pool));
-		fail(refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason: `${attempts} of ${request.pool} tried`});
+		const reason = `${attempts} of ${request.pool} tried`;
+		// An endpoint that has failed the request may have run it.
+		fail(retries.countRuns() > 0 ? refusals.buildFailure(reason, true) : refusals.buildNoEndpoint(attempts), {endedBy: 'node', cause: 'no-endpoint', reason});
 	}
 
 	function markSending(selection: Selection): void {
