feat(selection): weigh reading again by the rate of the engines

Cause: a delay of 0.3 ms for each cached token suits engines that read some 50 tokens in a ms; where they read twice as many, prompts queued behind cached parts for longer than reading them again takes. Change: engines over 1.5 times as fast get less of it in proportion. Off by default (selection.reread_by_rate).

--- a/bench/experiment/src/experiment-schema.ts
+++ b/bench/experiment/src/experiment-schema.ts
@@ -27,6 +27,7 @@
 		harm_weight: weight.default(1),
 		risk_weight: weight.default(1),
 		reread_ms_per_token: weight.default(0.3),
+		reread_by_rate: z.boolean().default(false),
 		reserved_share: z.number().min(0).max(1).default(0),
 		memory_room: z.boolean().default(false),
 		late_factor: factor.default(1.3),
--- a/bench/experiment/src/run-variant.ts
+++ b/bench/experiment/src/run-variant.ts
@@ -63,7 +63,7 @@
 			load: site,
 			seed: index + 1,
 			selection: {
-				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, reservedShare: variant.reserved_share, reuseMs, prefillTokensPerMs, isMemoryPredicted: variant.memory_room,
+				interferenceWeight: variant.harm_weight, riskWeight: variant.risk_weight, rereadMsPerToken: variant.reread_ms_per_token, isRereadByRate: variant.reread_by_rate, reservedShare: variant.reserved_share, reuseMs, prefillTokensPerMs, isMemoryPredicted: variant.memory_room,
 			},
 			admission: {lateFactor: variant.late_factor, waitFactor: variant.wait_factor, retryAfterFactor: variant.return_factor},
 			leaving: variant.leaving,
--- a/config/settings/src/gateway-settings-schema.ts
+++ b/config/settings/src/gateway-settings-schema.ts
@@ -59,6 +59,10 @@
 		risk_weight: z.number().min(0).default(1),
 		reuse_s: seconds.default(10),
 		reread_ms_per_token: z.number().min(0).default(0.3),
+		/**
+		Whether that holds for engines of `prefill_tokens_per_ms`, and less for faster ones.
+		*/
+		reread_by_rate: z.boolean().default(false),
 		prefill_tokens_per_ms: z.number().positive().default(50),
 		/**
 		Maximum share of a pool's engines that is kept free of long prefills for the streams with the pool's shortest pause objective.
--- a/gateway/selection/src/create-prefill-rate.ts
+++ b/gateway/selection/src/create-prefill-rate.ts
@@ -31,6 +31,7 @@
 
 	return {
 		get: () => best * typicalShare,
+		getBest: () => best,
 		record(tokens, milliseconds) {
 			if (tokens >= minimumTokens) {
 				best = Math.max(best * decay, tokens / Math.max(1, milliseconds - baseMs));
--- a/gateway/selection/src/create-prompt-chooser.ts
+++ b/gateway/selection/src/create-prompt-chooser.ts
@@ -26,6 +26,10 @@
 */
 const preferenceShare = 0.1;
 /**
+Engines that are up to so much faster than the initial rate count as engines of that rate: it is an estimate.
+*/
+const rereadSpeedup = 1.5;
+/**
 Cost of a new connection: round trips, and processor time of the endpoint and of a small VM.
 */
 const newConnectionMs = 10;
@@ -109,13 +113,22 @@
 		return preferences.find(key, ready.map(({incarnation}) => incarnation), new Set(candidates.map(({incarnation}) => incarnation)));
 	}
 
+	/**
+	Delay that is accepted for a token that need not be prefilled again: less at engines that prefill it in less time.
+	*/
+	function measureRereadMsPerToken({rate}: PoolModel): number {
+		const speedup = rate.getBest() / settings.prefillTokensPerMs;
+		return settings.isRereadByRate === true && speedup > rereadSpeedup ? settings.rereadMsPerToken / speedup : settings.rereadMsPerToken;
+	}
+
 	function chooseBest(pool: PoolModel, ready: readonly KnownEndpoint[], candidates: readonly KnownEndpoint[], criteria: SelectionCriteria): Rating | undefined {
 		const {urgency} = criteria;
 		const shared = criteria.parts.slice(0, -1);
 		const recentTokens = prefixes.countRecent(criteria.parts);
 		const preferred = findPreferred(ready, candidates, shared);
-		const preferenceMs = preferenceShare * settings.rereadMsPerToken * countTokens(shared);
 		const tokensPerMs = pool.rate.get();
+		const rereadMsPerToken = measureRereadMsPerToken(pool);
+		const preferenceMs = preferenceShare * rereadMsPerToken * countTokens(shared);
 		let best: (Rating & {readonly score: number}) | undefined;
 		for (const endpoint of candidates) {
 			const heldTokens = prefixes.countCached(endpoint.incarnation, criteria.parts);
@@ -126,7 +139,7 @@
 			const costMs = room.costMs + measureDelay({
 				load, slots: endpoint.slots, urgency, uncachedTokens, tokensPerMs: endpointTokensPerMs,
 			});
-			const wasteMs = Math.max(0, recentTokens - heldTokens) * settings.rereadMsPerToken;
+			const wasteMs = Math.max(0, recentTokens - heldTokens) * rereadMsPerToken;
 			const connectMs = settings.hasConnection?.(endpoint.address) === false ? newConnectionMs : 0;
 			const minimumScore = costMs + room.penaltyMs + wasteMs + connectMs - (endpoint.incarnation === preferred ? preferenceMs : 0);
 			// Interference only adds to the score and is the most expensive part to compute.
--- a/gateway/selection/src/selector-options.ts
+++ b/gateway/selection/src/selector-options.ts
@@ -25,6 +25,10 @@
 	*/
 	readonly rereadMsPerToken: number;
 	/**
+	Whether that delay is for engines of the initial prefill rate, and less for faster ones; if not set, it is the same for all.
+	*/
+	readonly isRereadByRate?: boolean;
+	/**
 	Initial estimate of an engine's prefill rate, in tokens per millisecond.
 	*/
 	readonly prefillTokensPerMs: number;
--- a/gateway/selection/test/selector.test.ts
+++ b/gateway/selection/test/selector.test.ts
@@ -55,6 +55,26 @@
 	return {id: selection.endpoint.id, request: selector.open(selection, criteria)};
 }
 
+test('engines that prefill fast are chosen for a cached prefix only while the wait for it is shorter', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const held = [false, true].map(isRereadByRate => {
+		const selector = createSelector({...options, isRereadByRate});
+		selector.setPools([{name: 'engines', engine: {slots: 64, cacheTokens: 600_000}}]);
+		selector.addEndpoint(createEndpoint('i-1'));
+		const criteria = createCriteria({promptTokens: 4000, parts: [{id: 'shared', tokens: 2000}, {id: 'own', tokens: 2000}]});
+		const {request} = send(selector, criteria);
+		clock.advance(30);
+		request.markChunk();
+		request.close('done');
+		selector.addEndpoint(createEndpoint('i-2'));
+		selector.applyLoadUpdate('n-2', {loads: [['i-1', toLoad(1, 60_000)]], placements: []});
+		return choose(selector, criteria);
+	});
+	t.same(held, ['i-1', 'i-2']);
+	t.end();
+});
+
 test('a draining, removed or tried endpoint is not chosen', t => {
 	const {selector} = createWithEndpoints(t, ['i-1', 'i-2']);
 	const first = choose(selector, createCriteria());
--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -114,6 +114,7 @@
 		riskWeight: selection.risk_weight,
 		reuseMs: selection.reuse_s * msPerSecond,
 		rereadMsPerToken: selection.reread_ms_per_token,
+		isRereadByRate: selection.reread_by_rate,
 		prefillTokensPerMs: selection.prefill_tokens_per_ms,
 		reservedShare: selection.reserved_share,
 		onReserved(pool, reserved, streams) {
