--- a/node/gateway/src/create-gateway.ts
+++ b/node/gateway/src/create-gateway.ts
@@ -22,7 +22,6 @@
 import {platformWire} from '@valvesaddle/wire';
 import {createCallRecorder} from './create-call-recorder.ts';
 import {createDutyTask} from './create-duty-task.ts';
-import {createEjectionRecorder} from './create-ejection-recorder.ts';
 import {createPeerSync} from './create-peer-sync.ts';
 import {createReadyServer} from './create-ready-server.ts';
 import {defaultLimits} from './default-limits.ts';
@@ -32,9 +31,9 @@
 import {measureCapacity} from './measure-capacity.ts';
 import {startHeldGauges} from './start-held-gauges.ts';
 import {toBufferLimits} from './to-buffer-limits.ts';
+import {toSelectorOptions} from './to-selector-options.ts';
 
 const msPerSecond = 1000;
-const bytesPerKb = 1000;
 const bytesPerMegabyte = 1_000_000;
 /**
 Random bytes of a node's id and token.
@@ -62,7 +61,7 @@
  await gateway.start();
  */
 export function createGateway({settings}: GatewayOptions): Gateway {
-	const {node: {name}, listen, store: storeSettings, retry, selection, admission, drain: drainSettings, peers} = settings;
+	const {node: {name}, listen, store: storeSettings, retry, admission, drain: drainSettings, peers} = settings;
 	const self: GatewayNode = {
 		id: `${name}.${randomBytes(idBytes).toString('hex')}`,
 		address: listen.peers,
@@ -105,36 +104,12 @@
 		isCompressed: false,
 		metrics,
 	});
-	const {buffers} = settings;
-	const ledger = buffers && createByteLedger(toBufferLimits(buffers));
+	const ledger = settings.buffers && createByteLedger(toBufferLimits(settings.buffers));
 	const endGauges = ledger && startHeldGauges(ledger, metrics);
 	const selector = createSelector({
-		largeBodies: buffers && {largeBytes: buffers.large_kb * bytesPerKb, most: buffers.large_bodies},
-		interferenceWeight: selection.harm_weight,
-		riskWeight: selection.risk_weight,
-		reuseMs: selection.reuse_s * msPerSecond,
-		rereadMsPerToken: selection.reread_ms_per_token,
-		isRereadByRate: selection.reread_by_rate,
-		prefillTokensPerMs: selection.prefill_tokens_per_ms,
-		reservedShare: selection.reserved_share,
-		onReserved(pool, reserved, streams) {
-			metrics.gauge('gateway.reserved-endpoints', reserved, {pool});
-			logger.info({
-				name: 'endpoints-reserved', pool, reserved, streams,
-			});
-		},
-		isMemoryPredicted: selection.memory_room,
-		onImpossibleMemory({node, incarnation, toldTokens, keptTokens}) {
-			metrics.increment('gateway.impossible-memory');
-			logger.warn({
-				name: 'impossible-memory', node, endpoint: incarnation, toldTokens, keptTokens,
-			});
-		},
+		...toSelectorOptions(settings, {logger, metrics}),
 		hasConnection: address => exchanges.hasIdle(address),
 		fleet: {self: self.id, list: () => listFleet()},
-		isEvidenceShared: selection.shared_evidence,
-		isPlainPaced: selection.plain_pace,
-		onEjection: createEjectionRecorder({logger, metrics}),
 		onPlacement() {
 			sync.sendPlacements();
 		},
