--- a/duties/lease/test/duty-lease.test.ts
+++ b/duties/lease/test/duty-lease.test.ts
@@ -87,6 +87,7 @@
 	t.equal(lease.token(), 11, 'a short change of the plan');
 	for (const _step of Array.from({length: 5})) {
 		clock.advance(500);
+		// eslint-disable-next-line no-await-in-loop -- one after the other
 		await lease.update(false);
 	}
 
--- a/emulator/fleet/src/create-emulated-node.ts
+++ b/emulator/fleet/src/create-emulated-node.ts
@@ -90,7 +90,8 @@
 		},
 	});
 	selector.setPools([{name: 'engines', engine: {slots: load.engine.slots, cacheTokens: load.engine.cacheTokens}}]);
-	selector.setPauseObjectives(new Map([['engines', Math.min(...load.classes.map(({pauseMs}) => pauseMs))]]));
+	const shortestPauseMs = Math.min(...load.classes.map(({pauseMs}) => pauseMs));
+	selector.setPauseObjectives(new Map([['engines', shortestPauseMs]]));
 	for (const endpoint of endpoints) {
 		selector.addEndpoint({
 			id: endpoint, pool: 'engines', address: endpoint, dataCentre: 'a', slots: load.engine.slots, state: 'ready',
--- a/gateway/selection/test/stream-reservation.test.ts
+++ b/gateway/selection/test/stream-reservation.test.ts
@@ -8,7 +8,9 @@
 const stream: SelectionCriteria = {
 	pool: 'engines', objectiveMs: 600, pauseObjectiveMs: 150, urgency: 0, promptTokens: 500, parts: [{id: 'own', tokens: 500}], tried: new Set(),
 };
-const draft: SelectionCriteria = {...stream, pauseObjectiveMs: 600, urgency: 6, promptTokens: 9000};
+const draft: SelectionCriteria = {
+	...stream, pauseObjectiveMs: 600, urgency: 6, promptTokens: 9000,
+};
 
 type Change = {
 	readonly reservedShare?: number;
