--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -56,6 +56,16 @@
 		ratio = ${retry.ratio}
 		slack = ${retry.slack}
 		assumed_nodes = ${retry.assumedNodes}
+		[selection]
+		reserved_share = 0.4
+		memory_room = true
+		shared_evidence = true
+		plain_pace = true
+		[sharing]
+		enabled = true
+		window_s = 1
+		[buffers]
+		memory_mb = 256
 		[drain]
 		grace_s = 8
 		balancer_ms = 500
