refactor: one engine profile for two loads, no unread count of reserved endpoints

The loads of full and of small memories wrote out the same engine; nothing read the count of a reservation.

--- a/emulator/loads/src/create-full-memories.ts
+++ b/emulator/loads/src/create-full-memories.ts
@@ -1,22 +1,11 @@
 import type {CallerClass, EmulationLoad} from '@valvesaddle/emulator-fleet';
+import {manySlotsEngine} from './many-slots-engine.ts';
 
 const engines = 4;
 /**
-An engine with many slots and a KV cache for some ten digests.
+Memory for some ten digests.
 */
-const engine: EmulationLoad['engine'] = {
-	slots: 64,
-	queue: 192,
-	cacheTokens: 40_000,
-	isSharedHeldOnce: true,
-	stepMs: 4.63,
-	stepMsPerSequence: 0.0116,
-	stepMsPerThousandTokens: 0.0161,
-	prefillTokensPerMs: 41.4,
-	prefillTokensPerStep: 2048,
-	msPerMillionPairs: 0.59,
-	tokensPerEvent: 5,
-};
+const cacheTokens = 40_000;
 const queries: CallerClass = {
 	name: 'queries', perSecond: 8, bursts: [], objectiveMs: 500, pauseMs: 250, timeoutMs: 5000, priority: 0, isResumable: false, attempts: 1,
 	own: {mean: 500, spread: 0.5, maximum: 1500}, shared: [{
@@ -46,7 +35,7 @@
 		intervalsPerMemberUpdate: 1,
 		linkMs: 1,
 		slowness: Array.from({length: engines}, () => 1),
-		engine,
+		engine: {...manySlotsEngine, cacheTokens, isSharedHeldOnce: true},
 		classes: [queries, digests],
 		faults: [],
 	};
--- a/emulator/loads/src/create-small-memories.ts
+++ b/emulator/loads/src/create-small-memories.ts
@@ -1,21 +1,7 @@
 import type {CallerClass, EmulationFault, EmulationLoad} from '@valvesaddle/emulator-fleet';
+import {manySlotsEngine} from './many-slots-engine.ts';
 
 const engines = 31;
-/**
-An engine with many slots and a KV cache for a third of them: steps of about 5 ms, 50 ms to prefill the maximum tokens of a step.
-*/
-const engine: EmulationLoad['engine'] = {
-	slots: 64,
-	queue: 192,
-	cacheTokens: 206_343,
-	stepMs: 4.63,
-	stepMsPerSequence: 0.0116,
-	stepMsPerThousandTokens: 0.0161,
-	prefillTokensPerMs: 41.4,
-	prefillTokensPerStep: 2048,
-	msPerMillionPairs: 0.59,
-	tokensPerEvent: 5,
-};
 const commentaries: CallerClass = {
 	name: 'commentaries', perSecond: 48, bursts: [{atMs: 9500, forMs: 4500, factor: 2.6}], objectiveMs: 306, pauseMs: 250, timeoutMs: 15_319, priority: 0, isResumable: false, attempts: 1,
 	own: {mean: 543, spread: 0.89, maximum: 2310}, shared: [{
@@ -57,7 +43,7 @@
 		intervalsPerMemberUpdate: 1,
 		linkMs: 1,
 		slowness: Array.from({length: engines}, () => 1),
-		engine,
+		engine: manySlotsEngine,
 		classes: [commentaries, queries, digests],
 		faults: Array.from({length: 6}, (_value, index): EmulationFault => ({
 			kind: 'dark', engine: index, atMs: 7000 + (index * 50), forMs: 20_000, factor: 1,
--- a/gateway/selection/src/create-stream-reservation.ts
+++ b/gateway/selection/src/create-stream-reservation.ts
@@ -117,6 +117,5 @@
 			const others = candidates.filter(({incarnation}) => !spared.has(incarnation));
 			return others.length > 0 || (canWait && ready.some(({incarnation}) => !spared.has(incarnation))) ? others : candidates;
 		},
-		count: () => reserved.size,
 	};
 }
--- a/gateway/selection/src/stream-reservation.ts
+++ b/gateway/selection/src/stream-reservation.ts
@@ -44,8 +44,4 @@
 	not reserved. Without these all candidates, unless the request can wait for an endpoint that is not reserved.
 	*/
 	readonly listAllowed: (view: ReservationView) => readonly KnownEndpoint[];
-	/**
-	Number of reserved endpoints.
-	*/
-	readonly count: () => number;
 };
