--- a/review/stand-ins/gateway.mjs
+++ b/review/stand-ins/gateway.mjs
@@ -87,7 +87,22 @@
 	});
 }
 
-// Starts a node and waits until it says that it is ready. `host` is its loopback address.
+// Starts the process of a node, also again after it was killed.
+export function startProcess(node) {
+	const log = createWriteStream(node.log, {flags: 'a'});
+	const child = spawn(path.join(root, 'target/valvesaddle'), ['gateway'], {cwd: root, env: {PATH: process.env.PATH, VALVESADDLE_SETTINGS: node.file}, stdio: ['ignore', 'pipe', 'pipe']});
+	child.stdout.pipe(log);
+	child.stderr.pipe(log);
+	node.child = child;
+	node.exit = undefined;
+	child.once('exit', (code, signal) => {
+		if (node.child === child) {
+			node.exit = {code, signal};
+		}
+	});
+}
+
+// Starts a node. `host` is its loopback address.
 export async function startGateway({name, host, zone = 'hams-hall', store, folder, more = ''}) {
 	const addresses = {};
 	for (const key of ['callers', 'ready', 'peers', 'metrics']) {
@@ -98,16 +113,10 @@
 	writeFileSync(file, formatSettings({
 		name, zone, ...addresses, store, more,
 	}));
-	const log = createWriteStream(path.join(folder, `${name}.log`));
-	const child = spawn(path.join(root, 'target/valvesaddle'), ['gateway'], {cwd: root, env: {PATH: process.env.PATH, VALVESADDLE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
-	child.stdout.pipe(log);
-	child.stderr.pipe(log);
 	const node = {
-		name, child, exit: undefined, ...addresses,
+		name, file, log: path.join(folder, `${name}.log`), ...addresses,
 	};
-	child.once('exit', (code, signal) => {
-		node.exit = {code, signal};
-	});
+	startProcess(node);
 	return node;
 }
 
