--- a/review/1/script.mjs
+++ b/review/1/script.mjs
@@ -220,7 +220,7 @@
 			const answer = await send(node, agent, '/gate/x');
 			served += answer.status === 200 && answer.isComplete ? 1 : 0;
 			const replica = passedOn.get(answer.id);
-			if (answer.status === 0 && replica !== undefined) {
+			if (replica !== undefined && answer.status === 0) {
 				lost.push(answer);
 				write(`LOST: ${answer.id}, sent to ${node.name} on a ${answer.isKept ? 'kept' : 'new'} channel, passed on to sound replica ${replica}, channel closed without an answer (${answer.text})`);
 			}
