--- a/review/stand-ins/replica.mjs
+++ b/review/stand-ins/replica.mjs
@@ -1,5 +1,4 @@
 // Stand-in for a replica: reads whole requests, and answers as its handler says.
-/* eslint-disable no-await-in-loop -- one step after the other */
 
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
