--- a/review/1/script.mjs
+++ b/review/1/script.mjs
@@ -27,10 +27,10 @@
 // The machine's memory by its settings (`memory-mb` 350), read in the larger way.
 const memoryBytes = 350 * 1024 * 1024;
 const restartMs = 500;
-const clients = 48;
+const clients = 64;
 // A replica's work on a request: this long, and up to as long again.
 const workMs = 500;
-const runMs = 12_000;
+const runMs = 15_000;
 const allowedLost = 3;
 const record = path.join(import.meta.dirname, 'record.txt');
 const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
@@ -155,7 +155,7 @@
 		sequence++;
 		for (const {id, service, address} of services) {
 			store.put(`servers/${id}`, {
-				service, address, zone: 'hams-hall', version: '1', slots: 48, state: 'ready', 'cold-remaining-ms': 0, sequence,
+				service, address, zone: 'hams-hall', version: '1', slots: 128, state: 'ready', 'cold-remaining-ms': 0, sequence,
 			});
 		}
 	};
@@ -230,7 +230,7 @@
 
 		agent.destroy();
 	});
-	await wait(2000);
+	await wait(5000);
 	write(`${served} requests served so far, ${lost.length} lost; ${faced.name} holds ${Math.round(readMemory(faced.child.pid) / 1e6)} MB`);
 	write(`two callers send a request each to the service of replica i-1, which ${hasTrouble ? 'answers with bodies without end' : 'is sound'}`);
 	const faulty = await Promise.all(Array.from({length: 2}, async () => send(faced, new Agent({keepAlive: false}), hasTrouble ? '/report/x' : '/report/well')));
--- a/review/stand-ins/endless-replica.mjs
+++ b/review/stand-ins/endless-replica.mjs
@@ -1,4 +1,4 @@
-// A faulty replica as a process of its own: the body of its answer has no end. It sends a token of four bytes a chunk, over a link of 100 Mbit/s.
+// A faulty replica as a process of its own: the body of its answer has no end. It sends a token of four bytes a chunk, 16 Mbit/s in all.
 // Argument: host. Requests to paths with `well` in them are answered as by a sound replica.
 
 import {Buffer} from 'node:buffer';
@@ -7,7 +7,7 @@
 
 const host = process.argv.at(2);
 const stepMs = 10;
-const bytesPerStep = 125_000;
+const bytesPerStep = 20_000;
 const chunk = '4\r\nword\r\n';
 const piece = Buffer.from(chunk.repeat(Math.floor(bytesPerStep / chunk.length)));
 
