--- a/review/stand-ins/endless-replica.mjs
+++ b/review/stand-ins/endless-replica.mjs
@@ -1,4 +1,4 @@
-// A faulty replica as a process of its own: the body of its answer has no end. It sends a token of four bytes a chunk, 16 Mbit/s in all.
+// A faulty replica as a process of its own: the body of its answer has no end. It sends a token of four bytes a chunk, 16 Mbit/s a channel.
 // Argument: host. Requests to paths with `well` in them are answered as by a sound replica.
 
 import {Buffer} from 'node:buffer';
