--- a/gateway/retry-budget/test/retry-budget.test.ts
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -121,3 +121,76 @@
 	}), {numRuns: 50});
 	t.end();
 });
+
+type Kill = {
+	/**
+	In steps of 100 ms.
+	*/
+	readonly at: number;
+	readonly firstNode: number;
+	readonly nodes: number;
+};
+
+/**
+Plays a fleet of nine nodes whose pool fails every attempt, and whose processes are killed and started again half a second later.
+Returns the times of requests and retries, in milliseconds.
+*/
+function playKills(kills: readonly Kill[], requestsPerStep: readonly number[]): {readonly requests: readonly number[]; readonly retries: readonly number[]} {
+	const nodes = 9;
+	const downSteps = 5;
+	const clock = new Clock();
+	const leave = clock.enter();
+	const start = (): RetryBudget => createRetryBudget({
+		ratio: 0.2, slack: 58, windowMs: 10_000, countNodes: () => nodes,
+	});
+	const budgets = Array.from({length: nodes}, start);
+	const downUntil = Array.from({length: nodes}, () => 0);
+	// Callers come some time after the nodes have started.
+	clock.advance(12_000);
+	const requests: number[] = [];
+	const retries: number[] = [];
+	for (const [step, count] of requestsPerStep.entries()) {
+		for (const kill of kills.filter(({at}) => at === step)) {
+			for (let index = kill.firstNode; index < kill.firstNode + kill.nodes; index++) {
+				budgets[index % nodes] = start();
+				downUntil[index % nodes] = step + downSteps;
+			}
+		}
+
+		for (let index = 0; index < count; index++) {
+			requests.push(performance.now());
+			const node = (step + (index * 4)) % nodes;
+			if (downUntil[node]! > step) {
+				continue;
+			}
+
+			budgets[node]!.earn('p');
+			for (let attempt = 2; attempt <= 5 && budgets[node]!.spend('p'); attempt++) {
+				retries.push(performance.now());
+			}
+		}
+
+		clock.advance(100);
+	}
+
+	leave();
+	return {requests, retries};
+}
+
+function countWithin(times: readonly number[], from: number): number {
+	return times.filter(at => at >= from && at < from + 10_000).length;
+}
+
+test('a fleet whose processes are killed and start again does not exceed its budget', t => {
+	const kill = fc.record({at: fc.nat(300), firstNode: fc.nat(8), nodes: fc.integer({min: 1, max: 9})});
+	const load = fc.array(fc.nat(6), {minLength: 300, maxLength: 300});
+	fc.assert(fc.property(fc.array(kill, {maxLength: 8}), load, (kills, requestsPerStep) => {
+		const {requests, retries} = playKills(kills, requestsPerStep);
+		return retries.every(from => {
+			// As the platform counts: in that window, the one before it or the one half a window before it.
+			const earned = Math.max(...[0, 5000, 10_000].map(before => countWithin(requests, from - before)));
+			return countWithin(retries, from) <= (0.2 * earned) + 58;
+		});
+	}), {numRuns: 50, seed: 55});
+	t.end();
+});
