fix(retry-budget): leave the slack to a node's former process for one window

What callers saw: nothing; endpoints got more second tries than the fleet's budget allows while nodes were killed and started again, which adds to the load of a pool that fails already. Cause: each process counted its window from its own start, so a node that was killed twice in ten seconds spent its share of the slack three times. Change: until one window has passed since the start, a process spends only what its own requests earn. By then none of its predecessor's retries is in a window with its own. The property test failed before and passes now. Tests that need retries at once start them one window after the budget; their checks are the same.

--- a/gateway/forwarding/test/start-forwarding.ts
+++ b/gateway/forwarding/test/start-forwarding.ts
@@ -75,6 +75,7 @@
 Share of the retry budget that a node uses.
 */
 const usedBudgetShare = 0.8;
+const budgetWindowMs = 60_000;
 
 type ForwardingOptions = {
 	readonly kind: RouteKind;
@@ -120,6 +121,11 @@
 export function startForwarding(t: Test, {kind, answer, endpoints = ['i-1', 'i-2'], retries = 50, isReadLate = false, hasRefusal = false, hold, onAbort, onRefuse, isWaiting = false}: ForwardingOptions) {
 	const clock = new Clock();
 	t.teardown(clock.enter());
+	const budget = createRetryBudget({
+		ratio: 0, slack: (retries + 0.5) / usedBudgetShare, windowMs: budgetWindowMs, countNodes: () => 1,
+	});
+	// The slack is free one window after the start.
+	clock.advance(budgetWindowMs);
 	const logger = createLogger({node: 'n', level: 'silent'});
 	const metrics = createMetrics();
 	const fleet = {self: 'n', list: () => ['n']};
@@ -183,9 +189,7 @@
 				// Nothing is open.
 			},
 		},
-		budget: createRetryBudget({
-			ratio: 0, slack: (retries + 0.5) / usedBudgetShare, windowMs: 60_000, countNodes: () => 1,
-		}),
+		budget,
 		waits: createWaitBaselines(),
 		quarantine,
 		crashDetector: createCrashDetector({isServing: selector.isServing, onCrash: quarantine.recordCrash}),
--- a/gateway/retry-budget/src/create-retry-budget.ts
+++ b/gateway/retry-budget/src/create-retry-budget.ts
@@ -27,15 +27,16 @@
 
 /**
  Creates a node's part of the fleet's retry budget. Nodes do not communicate for it: each one may spend `ratio` of its own requests
- and an even share of `slack`.
+ and, from one window after the creation on, an even share of `slack`: a former process of the node may have spent it just before.
 
  @example
  const budget = createRetryBudget({ratio: 0.2, slack: 56, windowMs: 10_000, countNodes: () => 8});
  budget.earn('register');
- budget.spend('register'); // true
+ budget.spend('register'); // false: one request earns a fifth of a retry
  */
 export function createRetryBudget({ratio, slack, windowMs, countNodes}: RetryBudgetOptions): RetryBudget {
 	const usages = new Map<string, Usage>();
+	const slackFrom = performance.now() + windowMs;
 
 	function getUsage(pool: string): Usage {
 		const usage = usages.get(pool) ?? {requests: [], retries: []};
@@ -46,9 +47,13 @@
 		return usage;
 	}
 
+	function getSlackShare(): number {
+		return performance.now() < slackFrom ? 0 : slack / Math.max(1, countNodes());
+	}
+
 	function readUsage(pool: string): RetryUsage {
 		const {requests, retries} = getUsage(pool);
-		return {retries: retries.length, allowed: usedShare * ((ratio * requests.length) + (slack / Math.max(1, countNodes())))};
+		return {retries: retries.length, allowed: usedShare * ((ratio * requests.length) + getSlackShare())};
 	}
 
 	function measureLeftToUrgent(pool: string, priority: number, allowed: number): number {
--- a/gateway/retry-budget/test/retry-budget.test.ts
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -21,6 +21,7 @@
 		const budget = createRetryBudget({
 			ratio: 0.2, slack: 56, windowMs: 10_000, countNodes: () => nodes,
 		});
+		clock.advance(10_000);
 		for (let request = 0; request < 100; request++) {
 			budget.earn('p');
 		}
@@ -39,6 +40,7 @@
 	const budget = createRetryBudget({
 		ratio: 0.2, slack: 10, windowMs: 10_000, countNodes: () => 1,
 	});
+	clock.advance(10_000);
 	for (let request = 0; request < 50; request++) {
 		budget.earn('p');
 	}
@@ -51,10 +53,30 @@
 	t.end();
 });
 
+test('the slack is left to a former process of the node for one window', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const budget = createRetryBudget({
+		ratio: 0.2, slack: 10, windowMs: 10_000, countNodes: () => 1,
+	});
+	clock.advance(9999);
+	for (let request = 0; request < 50; request++) {
+		budget.earn('p');
+	}
+
+	t.equal(countSpent(budget), 8, 'earned by its own requests');
+	clock.advance(1);
+	t.equal(countSpent(budget), 8);
+	t.end();
+});
+
 test('each pool has its own budget', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
 	const budget = createRetryBudget({
 		ratio: 0, slack: 2, windowMs: 10_000, countNodes: () => 1,
 	});
+	clock.advance(10_000);
 	t.ok(budget.spend('p'));
 	t.notOk(budget.spend('p'));
 	t.ok(budget.spend('q'));
@@ -106,6 +128,7 @@
 			const budget = createRetryBudget({
 				ratio, slack, windowMs: 10_000, countNodes: () => nodes.length,
 			});
+			clock.advance(10_000);
 			for (let request = 0; request < node.requests; request++) {
 				budget.earn('p', request % 4);
 			}
@@ -149,24 +172,32 @@
 	clock.advance(12_000);
 	const requests: number[] = [];
 	const retries: number[] = [];
+
+	function killProcesses({at, firstNode, nodes: killed}: Kill): void {
+		for (let index = firstNode; index < firstNode + killed; index++) {
+			budgets[index % nodes] = start();
+			downUntil[index % nodes] = at + downSteps;
+		}
+	}
+
+	function sendRequest(budget: RetryBudget): void {
+		budget.earn('p');
+		for (let attempt = 2; attempt <= 5 && budget.spend('p'); attempt++) {
+			retries.push(performance.now());
+		}
+	}
+
 	for (const [step, count] of requestsPerStep.entries()) {
-		for (const kill of kills.filter(({at}) => at === step)) {
-			for (let index = kill.firstNode; index < kill.firstNode + kill.nodes; index++) {
-				budgets[index % nodes] = start();
-				downUntil[index % nodes] = step + downSteps;
-			}
+		const killsNow = kills.filter(({at}) => at === step);
+		for (const kill of killsNow) {
+			killProcesses(kill);
 		}
 
 		for (let index = 0; index < count; index++) {
 			requests.push(performance.now());
 			const node = (step + (index * 4)) % nodes;
-			if (downUntil[node]! > step) {
-				continue;
-			}
-
-			budgets[node]!.earn('p');
-			for (let attempt = 2; attempt <= 5 && budgets[node]!.spend('p'); attempt++) {
-				retries.push(performance.now());
+			if (downUntil[node]! <= step) {
+				sendRequest(budgets[node]!);
 			}
 		}
 
--- a/gateway/selection/test/play-pool.ts
+++ b/gateway/selection/test/play-pool.ts
@@ -151,6 +151,8 @@
 
 		return {selector, budget: createRetryBudget({...retryBudget, countNodes: () => load.nodes})};
 	});
+	// The slack is free one window after the start.
+	clock.advance(retryBudget.windowMs);
 
 	function request({selector, budget}: typeof nodes[number], isUnsafe: boolean): void {
 		const startedAt = at;
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -95,6 +95,8 @@
 			gather_ms = 1
 			[retry]
 			slack = ${retrySlack}
+			# The slack is free one window after the start.
+			window_s = 0.001
 			[limits]
 			connect_ms = 10000
 			${moreSettings.includes('[drain]') ? '' : drainSettings}
