fix(front): forward a request only after the close behind it could be read

What was seen: a request whose caller had left before the node read it reached an endpoint and was cancelled there one turn of the event loop later. Cause: a connection is read up to the bytes that have come; its end is read in the next poll. The request was forwarded in between. A node that is behind reads many requests of callers that gave up waiting for it, and each cost an endpoint's work. Change: the front lets the event loop poll once more before it forwards a request, and drops one whose caller has left.

--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -22,6 +22,7 @@
 import {openHeldRequest} from './open-held-request.ts';
 import {readWholeBody} from './read-whole-body.ts';
 import {sendRefusal} from './send-refusal.ts';
+import {waitForPoll} from './wait-for-poll.ts';
 
 /**
 Retry-After of a node that has no configuration, or possibly a stale one, in milliseconds.
@@ -145,7 +146,8 @@
 			ledger, watch, head, response, logger, metrics,
 		});
 		const body = await readWholeBody(request, options.limits().bodyBytes, held?.room);
-		if (response.destroyed || response.writableEnded) {
+		await waitForPoll();
+		if (request.socket.readableEnded || response.destroyed || response.writableEnded) {
 			return;
 		}
 
