fix(buffers): count kept bodies by what they cost, not by their bytes alone

Cause: the chunks of a whole answer, of a request's body and of an incomplete event were kept one by one and counted by their bytes. A chunk object costs some 150 bytes beside them, so a bound of 8 MiB was one of a gigabyte. Change: a collector copies small chunks into blocks; what it holds is at most twice the bytes and a block, and the ledger is told what it holds. Used by whole answers, request bodies, incomplete events and the bodies of the product's own half. Weighed: a charge for each chunk alone bounds memory too, but refuses sound answers of small chunks at a thirtieth of the size.

--- a/caller/api/src/read-body.ts
+++ b/caller/api/src/read-body.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {createChunkCollector} from '@valvesaddle/buffers';
 import {ValvesaddleError} from '@valvesaddle/error';
 
 /**
@@ -11,26 +11,22 @@
  const text = await readBody(request, 1_000_000);
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const body = createChunkCollector();
 	try {
 		for await (const chunk of request.iterator({destroyOnReturn: false})) {
-			const bytes = chunk as Uint8Array;
-			size += bytes.length;
-			if (size > limitBytes) {
+			body.push(chunk as Uint8Array);
+			if (body.countBytes() > limitBytes) {
 				break;
 			}
-
-			chunks.push(bytes);
 		}
 	} catch (error) {
 		throw new ValvesaddleError('ERR_VALVESADDLE_MALFORMED_BODY', 'the body broke off', {cause: error});
 	}
 
-	if (size > limitBytes) {
+	if (body.countBytes() > limitBytes) {
 		request.resume();
 		throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `the body is larger than ${limitBytes} bytes`);
 	}
 
-	return Buffer.concat(chunks).toString();
+	return new TextDecoder('utf-8', {ignoreBOM: true}).decode(body.take());
 }
--- a/gateway/exchange/src/create-event-stream-filter.ts
+++ b/gateway/exchange/src/create-event-stream-filter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {createChunkCollector} from '@valvesaddle/buffers';
 import type {EventStreamFilter} from './event-stream-filter.ts';
 
 const boundary = '\n\n';
@@ -24,21 +25,15 @@
 export function createEventStreamFilter(afterId: number): EventStreamFilter {
 	let lastId = afterId;
 	/**
-	Pieces of the incomplete event; they are joined only when it ends, however many there are.
+	The incomplete event. Its chunks are copied, since a chunk may be a part of a larger buffer that would be kept with it.
 	*/
-	let pieces: Uint8Array[] = [];
-	let partialBytes = 0;
-
-	function setPartial(newPieces: Uint8Array[], bytes: number): void {
-		pieces = newPieces;
-		partialBytes = bytes;
-	}
+	const partial = createChunkCollector();
 
 	/**
 	Whether a chunk ends the incomplete event; the boundary may begin in the piece before.
 	*/
 	function hasBoundary(chunk: Uint8Array): boolean {
-		return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).includes(boundary) || (chunk[0] === lineEnd && pieces.at(-1)?.at(-1) === lineEnd);
+		return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).includes(boundary) || (chunk[0] === lineEnd && partial.lastByte() === lineEnd);
 	}
 
 	function isNew(event: Uint8Array): boolean {
@@ -62,13 +57,13 @@
 			}
 
 			if (!hasBoundary(chunk)) {
-				// Copied, since the chunk may be a part of a larger buffer that would be kept with it.
-				pieces.push(Buffer.from(chunk));
-				partialBytes += chunk.length;
+				partial.push(Buffer.from(chunk));
 				return emptyBuffer;
 			}
 
-			const data = pieces.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([...pieces, chunk]);
+			partial.push(chunk);
+			const joined = partial.take();
+			const data = Buffer.from(joined.buffer, joined.byteOffset, joined.byteLength);
 			const newEvents: Uint8Array[] = [];
 			let from = 0;
 			for (let end = data.indexOf(boundary); end !== -1; end = data.indexOf(boundary, from)) {
@@ -79,16 +74,15 @@
 				}
 			}
 
-			const rest = Buffer.from(data.subarray(from));
-			setPartial(rest.length === 0 ? [] : [rest], rest.length);
+			partial.push(Buffer.from(data.subarray(from)));
 			return newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents);
 		},
 		discardPartialEvent() {
-			setPartial([], 0);
+			partial.take();
 		},
 		lastEventId: () => lastId,
-		countPartialBytes: () => partialBytes,
-		hasPartialEvent: () => partialBytes > 0,
+		countPartialBytes: partial.countBytes,
+		hasPartialEvent: () => partial.countBytes() > 0,
 	};
 }
 
--- a/gateway/forwarding/src/attempt-answer.ts
+++ b/gateway/forwarding/src/attempt-answer.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {ChunkCollector} from '@valvesaddle/buffers';
 import type {AnswerClass} from './answer-class.ts';
 
 /**
@@ -8,6 +9,5 @@
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 	readonly answerClass: AnswerClass;
-	readonly chunks: Uint8Array[];
-	bytes: number;
+	readonly body: ChunkCollector;
 };
--- a/gateway/forwarding/src/create-answer-body.ts
+++ b/gateway/forwarding/src/create-answer-body.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import type {Flow} from '@valvesaddle/exchange';
 import type {AnswerBody} from './answer-body.ts';
 import type {AnswerWriter} from './answer-writer.ts';
@@ -67,8 +66,8 @@
 	}
 
 	function startStreaming(answer: AttemptAnswer): Flow {
-		const bytes = Buffer.concat(answer.chunks);
-		const streamed: AttemptAnswer = {...answer, answerClass: 'stream', chunks: []};
+		const bytes = answer.body.take();
+		const streamed: AttemptAnswer = {...answer, answerClass: 'stream'};
 		onStreaming(streamed);
 		writer.start(streamed);
 		return writeOn(bytes);
@@ -80,10 +79,10 @@
 				return writeOn(chunk);
 			}
 
-			answer.bytes += chunk.length;
-			answer.chunks.push(chunk);
-			setReceived(answer.bytes);
-			if (answer.bytes <= maximumBufferedBytes && !isCrowded(answer.bytes)) {
+			answer.body.push(chunk);
+			const bytes = answer.body.countBytes();
+			setReceived(answer.body.measureHeld());
+			if (bytes <= maximumBufferedBytes && !isCrowded(bytes)) {
 				return 'more';
 			}
 
@@ -91,7 +90,7 @@
 				return startStreaming(answer);
 			}
 
-			if (answer.bytes > maximumBufferedBytes) {
+			if (bytes > maximumBufferedBytes) {
 				onTooLarge(`answer of over ${maximumBufferedBytes} bytes`);
 			}
 
--- a/gateway/forwarding/src/create-answer-writer.ts
+++ b/gateway/forwarding/src/create-answer-writer.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {createEventStreamFilter} from '@valvesaddle/exchange';
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {AnswerWriter} from './answer-writer.ts';
@@ -49,7 +48,7 @@
 			if (answer.answerClass === 'stream') {
 				reply.end();
 			} else {
-				reply.answer(answer.status, wire.writeAnswer(answer.headers), Buffer.concat(answer.chunks));
+				reply.answer(answer.status, wire.writeAnswer(answer.headers), answer.body.take());
 			}
 		},
 	};
--- a/gateway/forwarding/src/create-attempt.ts
+++ b/gateway/forwarding/src/create-attempt.ts
@@ -1,3 +1,4 @@
+import {createChunkCollector} from '@valvesaddle/buffers';
 import type {ValvesaddleError} from '@valvesaddle/error';
 import type {Exchange} from '@valvesaddle/exchange';
 import type {OpenRequest} from '@valvesaddle/selection';
@@ -169,7 +170,7 @@
 			});
 			const answerClass = classifyAnswer(status, answerMetadata, metadata.requestId);
 			answer = {
-				status, headers, answerClass, chunks: [], bytes: 0,
+				status, headers, answerClass, body: createChunkCollector(),
 			};
 			if (isAccepted(answerClass)) {
 				events.onAccepted();
--- a/gateway/forwarding/src/create-request-recorder.ts
+++ b/gateway/forwarding/src/create-request-recorder.ts
@@ -53,10 +53,10 @@
 				name: 'endpoint-limit', request: id, endpoint: endpoint.id, limit,
 			});
 		},
-		recordRestCut(endpoint, {status, bytes}, reason) {
+		recordRestCut(endpoint, {status, body}, reason) {
 			metrics.increment('gateway.rests-cut');
 			logger.info({
-				name: 'rest-cut', request: id, endpoint: endpoint.id, status, bytes, reason,
+				name: 'rest-cut', request: id, endpoint: endpoint.id, status, bytes: body.countBytes(), reason,
 			});
 		},
 		recordFailure({cause, reason, mayHaveRun}, {endpoint, attempt}, denial, {retries, allowed}) {
--- a/gateway/forwarding/src/create-rest-guard.ts
+++ b/gateway/forwarding/src/create-rest-guard.ts
@@ -58,7 +58,7 @@
 		},
 		check(answer) {
 			const bounds = boundsByClass[answer.answerClass];
-			if (bounds !== undefined && answer.bytes > bounds.bytes) {
+			if (bounds !== undefined && answer.body.countBytes() > bounds.bytes) {
 				endRest(answer, `over ${bounds.bytes} bytes`);
 			}
 		},
--- a/gateway/forwarding/src/request-recorder.ts
+++ b/gateway/forwarding/src/request-recorder.ts
@@ -26,7 +26,7 @@
 	/**
 	Records that the rest of an answer that is none was not read.
 	*/
-	readonly recordRestCut: (endpoint: KnownEndpoint, answer: Pick<AttemptAnswer, 'status' | 'bytes'>, reason: string) => void;
+	readonly recordRestCut: (endpoint: KnownEndpoint, answer: Pick<AttemptAnswer, 'status' | 'body'>, reason: string) => void;
 	/**
 	Records a failed attempt at an endpoint, why it is not followed by another, and the state of the retry budget.
 	*/
--- a/gateway/front/src/read-whole-body.ts
+++ b/gateway/front/src/read-whole-body.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {createChunkCollector} from '@valvesaddle/buffers';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {BodyRoom} from './body-room.ts';
 
@@ -34,21 +34,18 @@
 	}
 
 	const {promise, resolve, reject} = Promise.withResolvers<Uint8Array>();
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+	const body = createChunkCollector();
 	let isRefused = false;
 
 	function addChunk(chunk: Uint8Array): void {
-		bytes += chunk.length;
-		if (bytes > limitBytes) {
+		body.push(chunk);
+		if (body.countBytes() > limitBytes) {
 			throw new ValvesaddleError('ERR_VALVESADDLE_BODY_TOO_LARGE', `over ${limitBytes} bytes`);
 		}
 
 		if (announced === 0) {
-			room?.grow(bytes);
+			room?.grow(body.measureHeld());
 		}
-
-		chunks.push(chunk);
 	}
 
 	request.on('data', (chunk: Uint8Array) => {
@@ -60,12 +57,12 @@
 			addChunk(chunk);
 		} catch (error) {
 			isRefused = true;
-			chunks.length = 0;
+			body.take();
 			reject(error);
 		}
 	});
 	request.once('end', () => {
-		resolve(Buffer.concat(chunks));
+		resolve(body.take());
 	});
 	request.once('close', () => {
 		// This runs for every request, and creating an error is expensive.
