perf(exchange): hand on the chunks of one read together

Cause: each chunk went through the listeners of its attempt by itself. Change: the client joins the chunks of one read and hands them on once, before anything else is read.

--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -1,3 +1,4 @@
+import {createChunkCollector} from '@valvesaddle/buffers';
 import type {Dispatcher} from 'undici';
 import {ValvesaddleError} from '@valvesaddle/error';
 import type {ConnectionPool} from './connection-pool.ts';
@@ -38,6 +39,15 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let wasSent = false;
 			let hasEnded = false;
+			const received = createChunkCollector();
+
+			function deliver(): void {
+				const bytes = received.take();
+				if (!hasEnded && bytes.length > 0 && listener.onData(bytes) === 'pause') {
+					controller?.pause();
+				}
+			}
+
 			connection.dispatch({
 				method, path, headers, body: body === undefined || body.length === 0 ? null : body,
 			}, {
@@ -56,13 +66,17 @@
 						listener.onHead(status, responseHeaders);
 					}
 				},
-				onResponseData(current, chunk) {
-					if (!hasEnded && listener.onData(chunk) === 'pause') {
-						current.pause();
+				onResponseData(_controller, chunk) {
+					if (received.countBytes() === 0) {
+						// Runs once all chunks of this read have been parsed.
+						queueMicrotask(deliver);
 					}
+
+					received.push(chunk);
 				},
 				onResponseEnd() {
 					pool.release(connection);
+					deliver();
 					if (hasEnded) {
 						return;
 					}
@@ -72,6 +86,7 @@
 				},
 				onResponseError(_controller, cause) {
 					pool.closeFailed(connection);
+					deliver();
 					if (hasEnded) {
 						return;
 					}
--- a/gateway/exchange/src/exchange-listener.ts
+++ b/gateway/exchange/src/exchange-listener.ts
@@ -12,7 +12,8 @@
 	readonly onSent: () => void;
 	readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
 	/**
-	Called with each chunk of the body; return `pause` to receive no more until `resume` is called.
+	Called with the bytes of the body that one read has brought, however many chunks they came in; return `pause` to receive no more
+	until `resume` is called.
 	*/
 	readonly onData: (chunk: Uint8Array) => Flow;
 	/**
--- a/gateway/exchange/test/exchange-client.test.ts
+++ b/gateway/exchange/test/exchange-client.test.ts
@@ -180,3 +180,35 @@
 	endpoint.setBehaviour(behaviours.whole);
 	t.match(await send(client, endpoint.address, 'b'), {end: 'whole', body: /^body of/v});
 });
+
+test('the chunks of one read are handed on together', async t => {
+	const chunks = 20_000;
+	const {endpoint, client} = await startPair(t, (_request, socket) => {
+		socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(chunks)}0\r\n\r\n`);
+	});
+	const {promise, resolve} = Promise.withResolvers<string>();
+	const lengths: number[] = [];
+	client.send({
+		address: endpoint.address, method: 'GET', path: '/x', headers: ['X-Attempt-Id', 'a'], body: undefined,
+	}, {
+		onSent() {
+			// Any time will do.
+		},
+		onHead() {
+			// Any head will do.
+		},
+		onData(bytes) {
+			lengths.push(bytes.length);
+			return 'more';
+		},
+		onEnd() {
+			resolve('whole');
+		},
+		onFailure(error) {
+			resolve(error.code);
+		},
+	});
+	t.equal(await promise, 'whole');
+	t.equal(lengths.reduce((sum, length) => sum + length, 0), chunks);
+	t.ok(lengths.length < chunks / 100, `${lengths.length} parts`);
+});
