fix(forwarding): break off a stream without length that was cut within an event, on every streaming route

Cause: only routes whose streams can be resumed look at events, and so notice a stream that ends within one. Change: the last bytes of a stream that is passed on as it comes are followed; one without length or chunks that does not end with an empty line is ended incomplete. A stream whose length or chunks say that it is whole stays whole, and so does one that was cut between events, as nobody can know. The cost is the last four bytes of each chunk, on routes that cannot be resumed and only without length or chunks; not measured apart. A plain answer without length that ends with its connection cannot be told from a whole one.

--- a/fakes/endpoint/src/index.ts
+++ b/fakes/endpoint/src/index.ts
@@ -3,6 +3,7 @@
 export type {EndpointBehaviour} from './endpoint-behaviour.ts';
 export type {FakeEndpoint} from './fake-endpoint.ts';
 export {formatAnswer} from './format-answer.ts';
+export {formatHead} from './format-head.ts';
 export {formatLimit} from './format-limit.ts';
 export {formatStreamHead} from './format-stream-head.ts';
 export {leavingMark} from './leaving-mark.ts';
--- a/gateway/exchange/src/index.ts
+++ b/gateway/exchange/src/index.ts
@@ -1,6 +1,8 @@
 export {createEventStreamFilter} from './create-event-stream-filter.ts';
+export {createEventTail} from './create-event-tail.ts';
 export {createExchangeClient} from './create-exchange-client.ts';
 export type {EventStreamFilter} from './event-stream-filter.ts';
+export type {EventTail} from './event-tail.ts';
 export type {Exchange} from './exchange.ts';
 export type {ExchangeClient} from './exchange-client.ts';
 export type {ExchangeClientOptions} from './exchange-client-options.ts';
--- a/gateway/forwarding/src/answer-writer.ts
+++ b/gateway/forwarding/src/answer-writer.ts
@@ -26,7 +26,8 @@
 	*/
 	readonly lastEventId: () => number;
 	/**
-	Whether an incomplete event is buffered.
+	Whether the stream so far ends within an event. Of a stream that cannot be resumed that is known only without a length or chunks:
+	otherwise its endpoint has said that it is whole.
 	*/
 	readonly hasPartialEvent: () => boolean;
 	/**
--- a/gateway/forwarding/src/create-answer-writer.ts
+++ b/gateway/forwarding/src/create-answer-writer.ts
@@ -1,4 +1,5 @@
-import {createEventStreamFilter} from '@valvesaddle/exchange';
+import type {IncomingHttpHeaders} from 'node:http';
+import {createEventStreamFilter, createEventTail, type EventTail} from '@valvesaddle/exchange';
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {AnswerWriter} from './answer-writer.ts';
 import type {ForwardRequest} from './forward-request.ts';
@@ -19,7 +20,9 @@
  writer.write(chunk);
  */
 export function createAnswerWriter({request: {route, metadata}, reply, wire}: AnswerWriterOptions): AnswerWriter {
-	const filter = route.kind === 'stream' && route.isResumable ? createEventStreamFilter(metadata.lastEventId) : undefined;
+	const isEventStream = route.kind === 'stream';
+	const filter = isEventStream && route.isResumable ? createEventStreamFilter(metadata.lastEventId) : undefined;
+	let tail: EventTail | undefined;
 	let isStarted = false;
 
 	return {
@@ -31,15 +34,17 @@
 			}
 
 			isStarted = true;
+			tail = isEventStream && filter === undefined && !hasFraming(answer.headers) ? createEventTail() : undefined;
 			reply.start(answer.status, wire.writeAnswer(answer.headers));
 		},
 		write(chunk) {
+			tail?.push(chunk);
 			const bytes = filter === undefined ? chunk : filter.push(chunk);
 			return bytes.length === 0 || reply.write(bytes);
 		},
 		onDrain: reply.onDrain,
 		lastEventId: () => isStarted ? filter?.lastEventId() ?? -1 : -1,
-		hasPartialEvent: () => filter?.hasPartialEvent() === true,
+		hasPartialEvent: () => filter?.hasPartialEvent() ?? tail?.isWithinEvent() ?? false,
 		countPartialBytes: () => filter?.countPartialBytes() ?? 0,
 		discardPartialEvent() {
 			filter?.discardPartialEvent();
@@ -53,3 +58,10 @@
 		},
 	};
 }
+
+/**
+Whether the end of an answer's body is marked, so that the end of its connection is not taken for it.
+*/
+function hasFraming(headers: IncomingHttpHeaders): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
