fix(gateway): open a link to a peer that does not know this node

Cause: of two nodes the one with the smaller id opens the link. The node that was turned away had the smallest id and could not know the new ids of the others; they knew it and waited for it. Change: after a third of the link timeout without a link, the other node opens it. Left: a member of a fleet over 16 nodes whose relays have all started again while the store turns it away.

--- a/node/gateway/src/create-link-plan.ts
+++ b/node/gateway/src/create-link-plan.ts
@@ -28,6 +28,11 @@
 	readonly sendFullState: (node: string) => void;
 };
 
+/**
+Part of the link timeout after which a relay opens a link that the other one should have opened.
+*/
+const openDelayShare = 1 / 3;
+
 /**
  Creates the plan of a node's links. `update` is called periodically: it plans again when the fleet has changed, opens missing
  links and closes those that timed out, since a connection can stay open without delivering messages.
@@ -42,6 +47,10 @@
 	const lastSeenAt = new Map<string, number>();
 	const suspectedAt = new Map<string, number>();
 	/**
+	Since when links are missing that the other node should open.
+	*/
+	const missingSince = new Map<string, number>();
+	/**
 	Links that this node opened; links that peers opened are closed by them.
 	*/
 	const opened = new Set<string>();
@@ -143,8 +152,19 @@
 	}
 
 	/**
-	Of two relays, the one with the smaller id opens the link.
+	Of two relays, the one with the smaller id opens the link. If it does not for some time, it may not know the other one, which then
+	opens the link instead.
 	*/
+	function isOpener(node: string, now: number): boolean {
+		if (node > self.id) {
+			return true;
+		}
+
+		const since = missingSince.get(node) ?? now;
+		missingSince.set(node, since);
+		return now - since >= openDelayShare * linkTimeoutMs;
+	}
+
 	function updateRelays(now: number): void {
 		moveTo(undefined);
 		const connected = new Set(network.connected());
@@ -154,8 +174,14 @@
 			}
 		}
 
+		for (const node of missingSince.keys()) {
+			if (connected.has(node) || !isRelay(node)) {
+				missingSince.delete(node);
+			}
+		}
+
 		for (const node of overlay.relays.keys()) {
-			if (node > self.id && !connected.has(node)) {
+			if (node !== self.id && !connected.has(node) && isOpener(node, now)) {
 				openLink(node);
 			}
 		}
--- a/node/gateway/test/peer-sync.test.ts
+++ b/node/gateway/test/peer-sync.test.ts
@@ -184,6 +184,14 @@
 	t.same(setup.notified, [['n2', 'load.news']]);
 });
 
+test('a node links up with one of a smaller id that does not know it', async t => {
+	const setup = createSync(t, {connected: [], heartbeatMs: 30});
+	addNodes(setup, [toNode('n0')]);
+	setup.sync.start();
+	await waitUntil(() => setup.links.has('n0'));
+	t.same(setup.notified[0], ['n0', 'load.news']);
+});
+
 test('a node in a fleet that has grown large keeps one of the links that it opened, to a relay of its data centre', async t => {
 	const setup = createSync(t, {connected: ['m1'], heartbeatMs: 100});
 	addNodes(setup, ['n2', 'n3'].map(id => toNode(id)));
