--- a/core/buffers/src/create-chunk-collector.ts
+++ b/core/buffers/src/create-chunk-collector.ts
@@ -55,7 +55,7 @@
 		heldBytes += block.length;
 	}
 
-	function copy(chunk: Uint8Array): void {
+	function addToBlock(chunk: Uint8Array): void {
 		let from = 0;
 		while (from < chunk.length) {
 			if (blockUsed === block.length) {
@@ -69,9 +69,9 @@
 		}
 	}
 
-	function keep(chunk: Uint8Array): void {
+	function addChunk(chunk: Uint8Array): void {
 		if (chunk.length < largeChunkBytes) {
-			copy(chunk);
+			addToBlock(chunk);
 			return;
 		}
 
@@ -80,11 +80,11 @@
 		heldBytes += chunk.length;
 	}
 
-	function keepFirst(): void {
+	function addFirst(): void {
 		const chunk = first;
 		first = undefined;
 		if (chunk !== undefined) {
-			keep(chunk);
+			addChunk(chunk);
 		}
 	}
 
@@ -94,11 +94,11 @@
 				return;
 			}
 
-			keepFirst();
+			addFirst();
 			if (bytes === 0) {
 				first = chunk;
 			} else {
-				keep(chunk);
+				addChunk(chunk);
 			}
 
 			bytes += chunk.length;
--- a/gateway/exchange/src/create-exchange-client.ts
+++ b/gateway/exchange/src/create-exchange-client.ts
@@ -41,7 +41,7 @@
 			let hasEnded = false;
 			const received = createChunkCollector();
 
-			function deliver(): void {
+			function handleReceived(): void {
 				const bytes = received.take();
 				if (!hasEnded && bytes.length > 0 && listener.onData(bytes) === 'pause') {
 					controller?.pause();
@@ -69,14 +69,14 @@
 				onResponseData(_controller, chunk) {
 					if (received.countBytes() === 0) {
 						// Runs once all chunks of this read have been parsed.
-						queueMicrotask(deliver);
+						queueMicrotask(handleReceived);
 					}
 
 					received.push(chunk);
 				},
 				onResponseEnd() {
 					pool.release(connection);
-					deliver();
+					handleReceived();
 					if (hasEnded) {
 						return;
 					}
@@ -86,7 +86,7 @@
 				},
 				onResponseError(_controller, cause) {
 					pool.closeFailed(connection);
-					deliver();
+					handleReceived();
 					if (hasEnded) {
 						return;
 					}
--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -77,7 +77,7 @@
 	server.on('connection', socket => {
 		tracker.add(socket);
 		socket.once('end', () => {
-			cancelUnfinished(socket);
+			endUnfinished(socket);
 		});
 	});
 	server.on('timeout', tracker.closeIdle);
@@ -173,7 +173,7 @@
 	/**
 	Cancels the requests of a caller that has disconnected. Its connection closes only after the bytes that are written to it already.
 	*/
-	function cancelUnfinished(socket: Socket): void {
+	function endUnfinished(socket: Socket): void {
 		for (const response of tracker.listOpenOn(socket)) {
 			if (!response.writableEnded) {
 				tasks.get(response)?.cancel();
