feat(gateway): a line when the event loop is late

Closes of callers are acted on as late as they are read; until now only gaps between lines told so. The line uses the ticks of the heartbeat, so an idle node wakes up no more often.

--- a/node/gateway/src/create-peer-sync.ts
+++ b/node/gateway/src/create-peer-sync.ts
@@ -7,6 +7,7 @@
 import {createLinkPlan} from './create-link-plan.ts';
 import {createLoadSync} from './create-load-sync.ts';
 import {createLoadUpdateHandler} from './create-load-update-handler.ts';
+import {createLoopMonitor} from './create-loop-monitor.ts';
 import {createQuarantineSync} from './create-quarantine-sync.ts';
 import {createUsageSync} from './create-usage-sync.ts';
 import type {PeerSync} from './peer-sync.ts';
@@ -48,6 +49,7 @@
 	let idleFactor = 1;
 	let membersSentAt = -Infinity;
 	let placementTimer: NodeJS.Timeout | undefined;
+	const loopMonitor = createLoopMonitor({periodMs: heartbeatMs, logger, metrics});
 	const links = createLinkPlan({
 		self, network, view, meshNodes: options.meshNodes, linkTimeoutMs, suspectMs: options.suspectMs, logger,
 		sendFullState(node) {
@@ -161,6 +163,7 @@
 		sync: {
 			start() {
 				void runRepeatedly(() => heartbeatMs, () => {
+					loopMonitor.recordTick();
 					// Before all nodes are known, a plan would open hundreds of links to a few nodes.
 					if (follower.hasSettled()) {
 						links.update();
--- a/observe/logger/src/log-event.ts
+++ b/observe/logger/src/log-event.ts
@@ -129,6 +129,9 @@
 	| {readonly name: 'endpoint-crashed'; readonly endpoint: string; readonly evidence: string; readonly requests: number}
 	| {readonly name: 'request-quarantined'; readonly digest: string; readonly endpoints: readonly string[]}
 	| {readonly name: 'move-reverted'; readonly request: string; readonly attempt: number; readonly cause: string; readonly reason: string}
+	| {
+		readonly name: 'event-loop-late'; readonly delayMs: number;
+	}
 	| {
 		readonly name: 'answer-incomplete'; readonly request: string; readonly endedBy: string; readonly cause: string; readonly reason: string;
 		readonly bytesSent: number; readonly bytesUnsent: number; readonly elapsedMs: number;
