--- a/gateway/retry-budget/test/retry-budget.test.ts
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -214,7 +214,10 @@
 
 test('a fleet whose processes are killed and start again does not exceed its budget', t => {
 	const kill = fc.record({at: fc.nat(300), firstNode: fc.nat(8), nodes: fc.integer({min: 1, max: 9})});
-	const load = fc.array(fc.nat(6), {minLength: 300, maxLength: 300});
+	const steady = fc.array(fc.nat(6), {minLength: 300, maxLength: 300});
+	const bursts = fc.array(fc.record({steps: fc.integer({min: 1, max: 60}), count: fc.nat(20)}), {minLength: 3, maxLength: 8})
+		.map(parts => parts.flatMap(({steps, count}) => Array.from({length: steps}, () => count)));
+	const load = fc.oneof(steady, bursts);
 	fc.assert(fc.property(fc.array(kill, {maxLength: 8}), load, (kills, requestsPerStep) => {
 		const {requests, retries} = playKills(kills, requestsPerStep);
 		return retries.every(from => {
