--- a/bench/soak/src/check-promises.ts
+++ b/bench/soak/src/check-promises.ts
@@ -1,6 +1,7 @@
 import type {Arrival} from './arrival.ts';
 import type {Breach} from './breach.ts';
 import {crashingPath} from './crashing-path.ts';
+import {countExcessRetries} from './count-excess-retries.ts';
 import type {AppliedFault} from './applied-fault.ts';
 import type {FaultKind} from './fault-kind.ts';
 import type {Attempt} from './attempt.ts';
@@ -73,6 +74,12 @@
 */
 const leastServed = 0.75;
 
+/**
+The platform's bounds: time after which no request may arrive whose caller has left, in milliseconds, and how many do not count.
+*/
+const departureMs = 500;
+const mostAfterDeparture = 3;
+
 /**
 Tells what was seen against a promise.
 */
@@ -85,7 +92,7 @@
 /**
 Whether the node was neither stopped, paused nor cut in the seconds before it sent an attempt.
 */
-function hasRunThrough({node, sentAt}: Attempt, faults: readonly AppliedFault[]): boolean {
+function hasRunThrough({node, sentAt}: Pick<Attempt, 'node' | 'sentAt'>, faults: readonly AppliedFault[]): boolean {
 	return faults.every(({kind, target, at, until}) => {
 		const isOfNode = kind === 'killAll' || (nodeKinds.has(kind) && node === `n${target}`);
 		return !isOfNode || until + settleMs < sentAt || at > sentAt;
@@ -253,6 +260,15 @@
 			.filter(attempt => attempt.status === 502 && runs.has(attempt.id) && !isDuring(attempt, spoils) && !isExcused(attempt, faults, runs))
 			.map(attempt => formatAttempt(attempt, `failed after ${attempt.endedAt - attempt.sentAt} ms`));
 	},
+	'retries stay within the budget of the fleet'({attempts, departures, arrivals, retry}) {
+		const excess = countExcessRetries([...attempts, ...departures], arrivals, retry);
+		return excess > 0 ? [`${excess} more than allowed in ${retry.windowS} s`] : [];
+	},
+	'a request whose caller has left reaches no endpoint half a second later'({departures, arrivals, faults}) {
+		const left = new Map(departures.filter(departure => hasRunThrough(departure, faults)).map(departure => [departure.id, departure]));
+		const late = arrivals.filter(({id, at}) => at > (left.get(id)?.at ?? Infinity) + departureMs);
+		return late.length > mostAfterDeparture ? late.map(({id, endpoint, at}) => `${id} came to ${endpoint} ${at - (left.get(id)?.at ?? 0)} ms after its caller left ${left.get(id)?.node}`) : [];
+	},
 	'every kind of request is served once faults are over'({attempts, calmFrom}) {
 		const late = attempts.filter(({sentAt, path}) => sentAt > calmFrom && !path.startsWith('/v') && path !== crashingPath);
 		return Map.groupBy(late, ({kind}) => kind).entries().flatMap(([kind, group]) => {
--- a/bench/soak/src/observation.ts
+++ b/bench/soak/src/observation.ts
@@ -2,8 +2,10 @@
 import type {Arrival} from './arrival.ts';
 import type {Attempt} from './attempt.ts';
 import type {Crash} from './crash.ts';
+import type {Departure} from './departure.ts';
 import type {LimitNotice} from './limit-notice.ts';
 import type {Notice} from './notice.ts';
+import type {RetrySettings} from './retry-settings.ts';
 import type {Run} from './run.ts';
 
 /**
@@ -20,6 +22,14 @@
 	readonly notices: readonly Notice[];
 	readonly crashes: readonly Crash[];
 	readonly limits: readonly LimitNotice[];
+	/**
+	Requests whose callers left; they are not among the attempts.
+	*/
+	readonly departures: readonly Departure[];
+	/**
+	What the nodes may spend on retries.
+	*/
+	readonly retry: RetrySettings;
 	readonly faults: readonly AppliedFault[];
 	/**
 	When each version of the configuration was accepted by the store; version `n` has the route `/v<n>/` and no older one of
--- a/bench/soak/src/retry-settings.ts
+++ b/bench/soak/src/retry-settings.ts
@@ -5,4 +5,5 @@
 	readonly ratio: number;
 	readonly slack: number;
 	readonly assumedNodes: number;
+	readonly windowS: number;
 };
--- a/bench/soak/src/run-caller.ts
+++ b/bench/soak/src/run-caller.ts
@@ -1,6 +1,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {Client, type Dispatcher} from 'undici';
 import type {Attempt} from './attempt.ts';
+import type {Departure} from './departure.ts';
 import type {SoakNode} from './soak-node.ts';
 
 type CallerOptions = {
@@ -13,6 +14,10 @@
 	Draws its way to the node, and the size of answers.
 	*/
 	readonly habits: () => number;
+	/**
+	Draws whether it leaves before the end of an answer, and when.
+	*/
+	readonly departures: () => number;
 	readonly now: () => number;
 	/**
 	Nodes that a balancer would send a new connection to.
@@ -24,6 +29,7 @@
 	readonly listVersions: () => readonly number[];
 	readonly isOver: () => boolean;
 	readonly onAttempt: (attempt: Attempt) => void;
+	readonly onDeparture: (departure: Departure) => void;
 };
 
 const kinds = ['safe', 'unsafe', 'stream', 'resumable'] as const;
@@ -51,6 +57,11 @@
 const sentBody = 'x'.repeat(300_000);
 const slowReadMs = 25;
 /**
+Part of the requests whose callers leave, and the longest time until they do, in milliseconds.
+*/
+const departureShare = 0.05;
+const longestStayMs = 400;
+/**
 Characters of an answer that are kept.
 */
 const keptLength = 4096;
@@ -108,6 +119,14 @@
 		let body = '';
 		let error = '';
 		let announced = -1;
+		let leftAt: number | undefined;
+		const stayMs = options.departures() < departureShare ? options.departures() * longestStayMs : Infinity;
+		const timer = stayMs === Infinity
+			? undefined
+			: setTimeout(() => {
+				leftAt = now();
+				closeConnection();
+			}, stayMs);
 		try {
 			const response = await connection.request({
 				method: hasBody ? 'POST' : 'GET', path, body: hasBody ? sentBody : null, headers: {
@@ -128,6 +147,12 @@
 			closeConnection();
 		}
 
+		clearTimeout(timer);
+		if (leftAt !== undefined) {
+			options.onDeparture({...sent, at: leftAt});
+			return;
+		}
+
 		options.onAttempt({
 			...sent, endedAt: now(), status, isWhole, body: body.slice(0, keptLength), length: body.length, error,
 		});
--- a/bench/soak/src/run-soak.ts
+++ b/bench/soak/src/run-soak.ts
@@ -9,6 +9,7 @@
 import type {Attempt} from './attempt.ts';
 import {checkPromises} from './check-promises.ts';
 import {createFaultHandlers} from './create-fault-handlers.ts';
+import type {Departure} from './departure.ts';
 import type {LimitNotice} from './limit-notice.ts';
 import {listReadRequests} from './list-read-requests.ts';
 import {markCrashedRuns} from './mark-crashed-runs.ts';
@@ -37,13 +38,27 @@
 };
 
 const endpointCount = 4;
+const fewRetries: RetrySettings = {
+	ratio: 0.02, slack: 8, assumedNodes: 8, windowS: 10,
+};
+const noRetries: RetrySettings = {
+	ratio: 0, slack: 0, assumedNodes: 8, windowS: 10,
+};
 /**
-Retries that a seed's nodes may spend: plenty, so few that none are left at times, or none.
+Retries that a seed's nodes may spend: plenty, so few that none are left at times, none, or a slack that matters to how often processes
+start.
 */
 const retrySettings: readonly RetrySettings[] = [
-	{ratio: 0.1, slack: 1000, assumedNodes: 8},
-	{ratio: 0.02, slack: 8, assumedNodes: 8},
-	{ratio: 0, slack: 0, assumedNodes: 8},
+	{
+		ratio: 0.1, slack: 1000, assumedNodes: 8, windowS: 0.1,
+	},
+	fewRetries,
+	noRetries,
+	{
+		ratio: 0.02, slack: 12, assumedNodes: 3, windowS: 4,
+	},
+	fewRetries,
+	noRetries,
 ];
 /**
 Calm after the last fault, and the end of it in which everything has to be served, in milliseconds.
@@ -80,6 +95,7 @@
 	const notices: Notice[] = [];
 	const crashes: Crash[] = [];
 	const limits: LimitNotice[] = [];
+	const departures: Departure[] = [];
 	const versions: Array<{version: number; at: number}> = [];
 	const drains: Array<{endpoint: string; at: number}> = [];
 	/**
@@ -214,6 +230,7 @@
 		number,
 		random: createRandom((seed * 1000) + number),
 		habits: createRandom((seed * 1000) + 500 + number),
+		departures: createRandom((seed * 1000) + 700 + number),
 		now,
 		listReady: () => ready,
 		listVersions: () => versions.slice(-2).map(({version}) => version),
@@ -221,6 +238,9 @@
 		onAttempt(attempt) {
 			attempts.push(attempt);
 		},
+		onDeparture(departure) {
+			departures.push(departure);
+		},
 	}));
 	const plan = planFaults({
 		random, lengthMs: seconds * 1000, nodes: nodeCount, endpoints: endpointCount,
@@ -233,7 +253,7 @@
 	await Promise.all([...nodes.map(async node => node.close()), ...allEndpoints.map(async endpoint => endpoint.close()), store.close()]);
 	const read = await listReadRequests(folder, nodes.map(({name}) => name));
 	const observation: Observation = {
-		attempts, runs: markCrashedRuns(runs, crashes, attempts), read, arrivals, notices, crashes, limits, faults, versions, drains, calmFrom,
+		attempts, runs: markCrashedRuns(runs, crashes, attempts), read, arrivals, notices, crashes, limits, departures, retry, faults, versions, drains, calmFrom,
 	};
 	const breaches = checkPromises(observation);
 	if (breaches.length === 0) {
--- a/bench/soak/src/start-node.ts
+++ b/bench/soak/src/start-node.ts
@@ -27,7 +27,9 @@
 Loopback address of the nodes, whose ports the soak's own servers cannot take.
 */
 const nodeHost = '127.0.1.1';
-const plentifulRetries: RetrySettings = {ratio: 0.1, slack: 1000, assumedNodes: 8};
+const plentifulRetries: RetrySettings = {
+	ratio: 0.1, slack: 1000, assumedNodes: 8, windowS: 0.1,
+};
 
 /**
  Starts a gateway node as a process. Whatever ends the process, it is started again, as a platform does.
@@ -56,6 +58,7 @@
 		ratio = ${retry.ratio}
 		slack = ${retry.slack}
 		assumed_nodes = ${retry.assumedNodes}
+		window_s = ${retry.windowS}
 		[selection]
 		reserved_share = 0.4
 		memory_room = true
--- a/bench/soak/test/check-promises.test.ts
+++ b/bench/soak/test/check-promises.test.ts
@@ -9,9 +9,13 @@
 	};
 }
 
+const plentifulRetries = {
+	ratio: 1, slack: 1000, assumedNodes: 3, windowS: 1,
+};
+
 function check(change: Partial<Observation>): readonly string[] {
 	const observation: Observation = {
-		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], crashes: [], limits: [], faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
+		attempts: [], runs: [], read: new Set(), arrivals: [], notices: [], crashes: [], limits: [], departures: [], retry: plentifulRetries, faults: [], versions: [], drains: [], calmFrom: 100_000, ...change,
 	};
 	return checkPromises(observation).map(({promise}) => promise);
 }
@@ -146,3 +150,32 @@
 
 	t.end();
 });
+
+test('retries beyond the budget of a window are seen', t => {
+	const attempts = Array.from({length: 10}, (_value, index) => createAttempt({id: `a${index}`, sentAt: index * 10}));
+	const arrive = (retries: number): Partial<Observation> => ({
+		attempts,
+		retry: {...plentifulRetries, ratio: 0.2, slack: 2},
+		arrivals: attempts.flatMap(({id, sentAt}, index) => [{id, endpoint: 'e1', at: sentAt}, ...(index < retries ? [{id, endpoint: 'e2', at: sentAt + 200}] : [])]),
+	});
+	const promise = 'retries stay within the budget of the fleet';
+	t.notOk(check(arrive(4)).includes(promise), 'two of ten requests, and two');
+	t.ok(check(arrive(5)).includes(promise));
+	t.end();
+});
+
+test('requests that reach an endpoint long after their callers have left are seen', t => {
+	const departures = Array.from({length: 4}, (_value, index) => ({
+		id: `a${index}`, node: 'n0', sentAt: 0, at: 100,
+	}));
+	const arrive = (at: number): Partial<Observation> => ({departures, arrivals: departures.map(({id}) => ({id, endpoint: 'e1', at}))});
+	const promise = 'a request whose caller has left reaches no endpoint half a second later';
+	t.notOk(check(arrive(600)).includes(promise));
+	t.ok(check(arrive(601)).includes(promise));
+	t.notOk(check({
+		...arrive(601), faults: [{
+			kind: 'pause', target: 0, at: 0, until: 500,
+		}],
+	}).includes(promise), 'its node stood still');
+	t.end();
+});
