--- a/fakes/fleet/src/index.ts
+++ b/fakes/fleet/src/index.ts
@@ -7,5 +7,6 @@
 export {fleetKeys} from './fleet-keys.ts';
 export type {FleetNode} from './fleet-node.ts';
 export type {FleetOptions} from './fleet-options.ts';
+export {measureMemory} from './measure-memory.ts';
 export {startFleet} from './start-fleet.ts';
 export {waitUntil} from './wait-until.ts';
--- a/gateway/forwarding/test/small-chunks.test.ts
+++ b/gateway/forwarding/test/small-chunks.test.ts
@@ -1,20 +1,9 @@
 // Guards against bodies whose small chunks cost many times their bytes.
 import {Buffer} from 'node:buffer';
-import process from 'node:process';
-import {setFlagsFromString} from 'node:v8';
-import {runInNewContext} from 'node:vm';
 import {test} from 'tap';
+import {measureMemory} from '@valvesaddle/fake-fleet';
 import {startForwarding, wholeAnswer} from './start-forwarding.ts';
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
-function measureMemory(): number {
-	collectGarbage();
-	const {heapUsed, arrayBuffers} = process.memoryUsage();
-	return heapUsed + arrayBuffers;
-}
-
 test('a whole answer in small chunks is kept in little more memory than its bytes', t => {
 	const bytes = 2 * 1024 * 1024;
 	const chunk = Buffer.from('tok\n');
--- a/gateway/front/test/small-chunks.test.ts
+++ b/gateway/front/test/small-chunks.test.ts
@@ -1,22 +1,11 @@
 // Guards against bodies whose small chunks cost many times their bytes.
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import process from 'node:process';
 import {PassThrough} from 'node:stream';
-import {setFlagsFromString} from 'node:v8';
-import {runInNewContext} from 'node:vm';
 import {test} from 'tap';
+import {measureMemory} from '@valvesaddle/fake-fleet';
 import {readWholeBody} from '../src/read-whole-body.ts';
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
-function measureMemory(): number {
-	collectGarbage();
-	const {heapUsed, arrayBuffers} = process.memoryUsage();
-	return heapUsed + arrayBuffers;
-}
-
 test('a request\'s body in small chunks is kept in little more memory than its bytes', async t => {
 	const bytes = 1024 * 1024;
 	const chunk = Buffer.from('ab');
