--- a/gateway/front/src/create-front.ts
+++ b/gateway/front/src/create-front.ts
@@ -22,6 +22,7 @@
 import {openHeldRequest} from './open-held-request.ts';
 import {readWholeBody} from './read-whole-body.ts';
 import {sendRefusal} from './send-refusal.ts';
+import {waitForPoll} from './wait-for-poll.ts';
 
 /**
 Retry-After of a node that has no configuration, or possibly a stale one, in milliseconds.
@@ -73,7 +74,12 @@
 	});
 
 	const tracker = createConnectionTracker();
-	server.on('connection', tracker.add);
+	server.on('connection', socket => {
+		tracker.add(socket);
+		socket.once('end', () => {
+			cancelUnfinished(socket);
+		});
+	});
 	server.on('timeout', tracker.closeIdle);
 
 	const {ledger} = options;
@@ -140,7 +146,8 @@
 			ledger, watch, head, response, logger, metrics,
 		});
 		const body = await readWholeBody(request, options.limits().bodyBytes, held?.room);
-		if (response.destroyed || response.writableEnded) {
+		await waitForPoll();
+		if (request.socket.readableEnded || response.destroyed || response.writableEnded) {
 			return;
 		}
 
@@ -163,6 +170,17 @@
 		});
 	}
 
+	/**
+	Cancels the requests of a caller that has disconnected. Its connection closes only after the bytes that are written to it already.
+	*/
+	function cancelUnfinished(socket: Socket): void {
+		for (const response of tracker.listOpenOn(socket)) {
+			if (!response.writableEnded) {
+				tasks.get(response)?.cancel();
+			}
+		}
+	}
+
 	/**
 	Ends an answer that its caller does not read, also one that was written to its end.
 	*/
--- a/gateway/retry-budget/test/retry-budget.test.ts
+++ b/gateway/retry-budget/test/retry-budget.test.ts
@@ -21,6 +21,7 @@
 		const budget = createRetryBudget({
 			ratio: 0.2, slack: 56, windowMs: 10_000, countNodes: () => nodes,
 		});
+		clock.advance(10_000);
 		for (let request = 0; request < 100; request++) {
 			budget.earn('p');
 		}
@@ -39,6 +40,7 @@
 	const budget = createRetryBudget({
 		ratio: 0.2, slack: 10, windowMs: 10_000, countNodes: () => 1,
 	});
+	clock.advance(10_000);
 	for (let request = 0; request < 50; request++) {
 		budget.earn('p');
 	}
@@ -51,10 +53,30 @@
 	t.end();
 });
 
+test('the slack is left to a former process of the node for one window', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
+	const budget = createRetryBudget({
+		ratio: 0.2, slack: 10, windowMs: 10_000, countNodes: () => 1,
+	});
+	clock.advance(9999);
+	for (let request = 0; request < 50; request++) {
+		budget.earn('p');
+	}
+
+	t.equal(countSpent(budget), 8, 'earned by its own requests');
+	clock.advance(1);
+	t.equal(countSpent(budget), 8);
+	t.end();
+});
+
 test('each pool has its own budget', t => {
+	const clock = new Clock();
+	t.teardown(clock.enter());
 	const budget = createRetryBudget({
 		ratio: 0, slack: 2, windowMs: 10_000, countNodes: () => 1,
 	});
+	clock.advance(10_000);
 	t.ok(budget.spend('p'));
 	t.notOk(budget.spend('p'));
 	t.ok(budget.spend('q'));
@@ -106,6 +128,7 @@
 			const budget = createRetryBudget({
 				ratio, slack, windowMs: 10_000, countNodes: () => nodes.length,
 			});
+			clock.advance(10_000);
 			for (let request = 0; request < node.requests; request++) {
 				budget.earn('p', request % 4);
 			}
@@ -121,3 +144,84 @@
 	}), {numRuns: 50});
 	t.end();
 });
+
+type Kill = {
+	/**
+	In steps of 100 ms.
+	*/
+	readonly at: number;
+	readonly firstNode: number;
+	readonly nodes: number;
+};
+
+/**
+Plays a fleet of nine nodes whose pool fails every attempt, and whose processes are killed and started again half a second later.
+Returns the times of requests and retries, in milliseconds.
+*/
+function playKills(kills: readonly Kill[], requestsPerStep: readonly number[]): {readonly requests: readonly number[]; readonly retries: readonly number[]} {
+	const nodes = 9;
+	const downSteps = 5;
+	const clock = new Clock();
+	const leave = clock.enter();
+	const start = (): RetryBudget => createRetryBudget({
+		ratio: 0.2, slack: 58, windowMs: 10_000, countNodes: () => nodes,
+	});
+	const budgets = Array.from({length: nodes}, start);
+	const downUntil = Array.from({length: nodes}, () => 0);
+	// Callers come some time after the nodes have started.
+	clock.advance(12_000);
+	const requests: number[] = [];
+	const retries: number[] = [];
+
+	function killProcesses({at, firstNode, nodes: killed}: Kill): void {
+		for (let index = firstNode; index < firstNode + killed; index++) {
+			budgets[index % nodes] = start();
+			downUntil[index % nodes] = at + downSteps;
+		}
+	}
+
+	function sendRequest(budget: RetryBudget): void {
+		budget.earn('p');
+		for (let attempt = 2; attempt <= 5 && budget.spend('p'); attempt++) {
+			retries.push(performance.now());
+		}
+	}
+
+	for (const [step, count] of requestsPerStep.entries()) {
+		const killsNow = kills.filter(({at}) => at === step);
+		for (const kill of killsNow) {
+			killProcesses(kill);
+		}
+
+		for (let index = 0; index < count; index++) {
+			requests.push(performance.now());
+			const node = (step + (index * 4)) % nodes;
+			if (downUntil[node]! <= step) {
+				sendRequest(budgets[node]!);
+			}
+		}
+
+		clock.advance(100);
+	}
+
+	leave();
+	return {requests, retries};
+}
+
+function countWithin(times: readonly number[], from: number): number {
+	return times.filter(at => at >= from && at < from + 10_000).length;
+}
+
+test('a fleet whose processes are killed and start again does not exceed its budget', t => {
+	const kill = fc.record({at: fc.nat(300), firstNode: fc.nat(8), nodes: fc.integer({min: 1, max: 9})});
+	const load = fc.array(fc.nat(6), {minLength: 300, maxLength: 300});
+	fc.assert(fc.property(fc.array(kill, {maxLength: 8}), load, (kills, requestsPerStep) => {
+		const {requests, retries} = playKills(kills, requestsPerStep);
+		return retries.every(from => {
+			// As the platform counts: in that window, the one before it or the one half a window before it.
+			const earned = Math.max(...[0, 5000, 10_000].map(before => countWithin(requests, from - before)));
+			return countWithin(retries, from) <= (0.2 * earned) + 58;
+		});
+	}), {numRuns: 50, seed: 55});
+	t.end();
+});
