--- a/gateway/forwarding/src/create-answer-writer.ts
+++ b/gateway/forwarding/src/create-answer-writer.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
-import {createEventStreamFilter} from '@valvesaddle/exchange';
+import type {IncomingHttpHeaders} from 'node:http';
+import {createEventStreamFilter, createEventTail, type EventTail} from '@valvesaddle/exchange';
 import type {WireFormat} from '@valvesaddle/gateway-types';
 import type {AnswerWriter} from './answer-writer.ts';
 import type {ForwardRequest} from './forward-request.ts';
@@ -20,7 +20,9 @@
  writer.write(chunk);
  */
 export function createAnswerWriter({request: {route, metadata}, reply, wire}: AnswerWriterOptions): AnswerWriter {
-	const filter = route.kind === 'stream' && route.isResumable ? createEventStreamFilter(metadata.lastEventId) : undefined;
+	const isEventStream = route.kind === 'stream';
+	const filter = isEventStream && route.isResumable ? createEventStreamFilter(metadata.lastEventId) : undefined;
+	let tail: EventTail | undefined;
 	let isStarted = false;
 
 	return {
@@ -32,15 +34,17 @@
 			}
 
 			isStarted = true;
+			tail = isEventStream && filter === undefined && !hasFraming(answer.headers) ? createEventTail() : undefined;
 			reply.start(answer.status, wire.writeAnswer(answer.headers));
 		},
 		write(chunk) {
+			tail?.push(chunk);
 			const bytes = filter === undefined ? chunk : filter.push(chunk);
 			return bytes.length === 0 || reply.write(bytes);
 		},
 		onDrain: reply.onDrain,
 		lastEventId: () => isStarted ? filter?.lastEventId() ?? -1 : -1,
-		hasPartialEvent: () => filter?.hasPartialEvent() === true,
+		hasPartialEvent: () => filter?.hasPartialEvent() ?? tail?.isWithinEvent() ?? false,
 		countPartialBytes: () => filter?.countPartialBytes() ?? 0,
 		discardPartialEvent() {
 			filter?.discardPartialEvent();
@@ -49,8 +53,15 @@
 			if (answer.answerClass === 'stream') {
 				reply.end();
 			} else {
-				reply.answer(answer.status, wire.writeAnswer(answer.headers), Buffer.concat(answer.chunks));
+				reply.answer(answer.status, wire.writeAnswer(answer.headers), answer.body.take());
 			}
 		},
 	};
 }
+
+/**
+Whether the end of an answer's body is marked, so that the end of its connection is not taken for it.
+*/
+function hasFraming(headers: IncomingHttpHeaders): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
