test(gateway): one retry is one again where a test asks for it

The settings of the test platform had got a window of 1 ms with the budget's fix, so that its slack is free at once. The one test that needs a single retry, and the two kinds without any, then had a budget that renewed itself all the time: the condition of the first was lost, though it passed. Ratio, slack and window are now given together: plenty in a short window, and one or none in the default window of 10 s; the single retry is earned by the request itself, since the slack is not free that early.

--- a/node/gateway/test/complete-answers.test.ts
+++ b/node/gateway/test/complete-answers.test.ts
@@ -44,10 +44,11 @@
 const requestCount = 7;
 const seeds = 8;
 const bodyBytes = 3_000_000;
+const noRetries = {ratio: 0.1, slack: 0, windowS: 10};
 /**
-Enough for one retry of few requests; it is shared by the assumed number of nodes.
+Enough for one retry of one request, and no more in the window.
 */
-const oneRetrySlack = 12;
+const oneRetry = {ratio: 1.3, slack: 0, windowS: 10};
 /**
 Time after which a node has given up whatever it gives up on a pause, in milliseconds.
 */
@@ -122,8 +123,8 @@
 /**
 Opens a platform whose endpoints answer as the path says, with routes on which a node soon asks whether to try elsewhere.
 */
-async function openPlatform(t: Test, retrySlack: number): Promise<Platform> {
-	const platform = await startPlatform(t, ['whole'], '', retrySlack);
+async function openPlatform(t: Test, retry?: Parameters<typeof startPlatform>[3]): Promise<Platform> {
+	const platform = await startPlatform(t, ['whole'], '', retry);
 	await platform.open();
 	for (const endpoint of platform.endpoints) {
 		endpoint.setBehaviour((arrived, socket, resumed) => {
@@ -177,9 +178,9 @@
 /**
 Plays a seed; tells of each request that got neither a whole answer nor a refusal.
 */
-async function playSeed(t: Test, seed: number, retrySlack: number): Promise<readonly string[]> {
+async function playSeed(t: Test, seed: number, retry?: Parameters<typeof startPlatform>[3]): Promise<readonly string[]> {
 	const random = createRandom(seed);
-	const platform = await openPlatform(t, retrySlack);
+	const platform = await openPlatform(t, retry);
 	const agent = new Agent({keepAlive: true});
 	const resumed = Promise.withResolvers<void>();
 	const calls = Array.from({length: requestCount}, (_value, number) => sendRequest({platform, agent, resumed: resumed.promise}, planRequest(random), number));
@@ -201,15 +202,15 @@
 		.map(({path, hasBody, isReadLate, read}) => `seed ${seed}, ${path}${hasBody ? ', body' : ''}${isReadLate ? ', read late' : ''}, amid ${applied.join(' ')}: ${read()}`);
 }
 
-for (const [name, retrySlack] of [['plenty of retries', 1000], ['no retries left', 0]] as const) {
+for (const [name, retry] of [['plenty of retries', undefined], ['no retries left', noRetries]] as const) {
 	test(`a request that was read whole gets a complete answer or a refusal, with ${name}`, async t => {
-		const lost = await Promise.all(Array.from({length: seeds}, async (_value, seed) => playSeed(t, seed + 1, retrySlack)));
+		const lost = await Promise.all(Array.from({length: seeds}, async (_value, seed) => playSeed(t, seed + 1, retry)));
 		t.same(lost.flat(), []);
 	});
 }
 
 test('a request that waits at a sound endpoint does not fail because the one that it is moved to refuses it', async t => {
-	const platform = await openPlatform(t, oneRetrySlack);
+	const platform = await openPlatform(t, oneRetry);
 	const nextBehaviours: Array<'late' | 'notRun'> = ['late', 'notRun'];
 	for (const endpoint of platform.endpoints) {
 		endpoint.setBehaviour((arrived, socket, resumed) => {
--- a/node/gateway/test/start-platform.ts
+++ b/node/gateway/test/start-platform.ts
@@ -61,6 +61,17 @@
 	balancer_ms = 1
 `;
 
+type RetrySettings = {
+	readonly ratio: number;
+	readonly slack: number;
+	readonly windowS: number;
+};
+
+/**
+The slack is free one window after the start, so the window is short.
+*/
+const plentifulRetries: RetrySettings = {ratio: 0.1, slack: 1000, windowS: 0.001};
+
 /**
  Starts a gateway with a fake store and two fake endpoints. The requests that arrive at either endpoint are answered by the given
  behaviours in order; the last one repeats.
@@ -69,7 +80,7 @@
  const platform = await startPlatform(t, ['reset', 'whole']);
  const answer = await platform.call('/safe/x');
  */
-export async function startPlatform(t: Test, sequence: ReadonlyArray<keyof typeof behaviours> = ['whole'], moreSettings = '', retrySlack = 1000) {
+export async function startPlatform(t: Test, sequence: ReadonlyArray<keyof typeof behaviours> = ['whole'], moreSettings = '', retry: RetrySettings = plentifulRetries) {
 	const store = await startFakeFleetStore();
 	const endpoints = [await startFakeEndpoint(), await startFakeEndpoint()];
 	const arrived: ArrivedRequest[] = [];
@@ -94,9 +105,9 @@
 			retry_ms = 5
 			gather_ms = 1
 			[retry]
-			slack = ${retrySlack}
-			# The slack is free one window after the start.
-			window_s = 0.001
+			ratio = ${retry.ratio}
+			slack = ${retry.slack}
+			window_s = ${retry.windowS}
 			[limits]
 			connect_ms = 10000
 			${moreSettings.includes('[drain]') ? '' : drainSettings}
--- a/node/gateway/test/unfinished-attempts.test.ts
+++ b/node/gateway/test/unfinished-attempts.test.ts
@@ -14,7 +14,7 @@
 
 type Platform = Awaited<ReturnType<typeof startPlatform>>;
 
-const noRetries = 0;
+const noRetries = {ratio: 0.1, slack: 0, windowS: 10};
 const firstEvent = 'id: 0\ndata: first\n\n';
 const lastEvent = 'id: 1\ndata: last\n\n';
 
